--- /dev/null
+++ b/pebblepost/src/discovery.rs
@@ -0,0 +1,359 @@
+//! Discovery: the watch and the fetch, and the transport map that both keep up to date.
+
+use crate::buffer::Buffer;
+use crate::engine::Input;
+use crate::http::{self, Body, Head};
+use crate::net::{Clock, ConnKey, Role, Shared};
+use pebblewind::api::{CellId, Entry, KindId, ListKind, Time, WorkerId, WorkerState, ZoneId};
+use serde_json::Value;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A watch says something every 2 s; quiet for so long, it has failed. Stays under the 6 s after which a
+/// change counts as told whether it arrived or not.
+const QUIET: Duration = Duration::from_millis(4500);
+/// A fetch that took so long has failed.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest object of discovery.
+const MAX_LINE: usize = 768 * 1024;
+
+/// What is known of a worker.
+#[derive(Clone, Debug)]
+pub struct Transport {
+    /// Its name, the same at every dispatcher.
+    pub host: String,
+    /// Where it is reached by HTTP; `None`: by another front.
+    pub dial: Option<SocketAddr>,
+    born_ms: u64,
+    entry: Entry,
+}
+
+/// Discovery's list, and how each worker on it is reached.
+#[derive(Debug, Default)]
+pub struct TransportMap {
+    by_host: HashMap<String, WorkerId>,
+    transports: Vec<Transport>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    drained: HashSet<String>,
+    seq: u64,
+}
+
+/// A list or its changes, as discovery words it.
+#[derive(Debug)]
+struct List {
+    seq: u64,
+    whole: bool,
+    hosts: Vec<Host>,
+}
+
+#[derive(Debug)]
+struct Host {
+    name: String,
+    dial: Option<SocketAddr>,
+    zone: Value,
+    kind: Value,
+    cell: u16,
+    state: WorkerState,
+    born_ms: u64,
+}
+
+impl List {
+    fn read(json: &Value) -> Option<Self> {
+        let hosts = json.get("hosts")?.as_array()?;
+        Some(Self {
+            seq: json.get("seq")?.as_u64()?,
+            whole: json.get("whole")?.as_bool()?,
+            hosts: hosts.iter().map(Host::read).collect::<Option<_>>()?,
+        })
+    }
+}
+
+impl Host {
+    fn read(json: &Value) -> Option<Self> {
+        let state = match json.get("health")?.as_str()? {
+            "ready" => WorkerState::Ready,
+            "draining" => WorkerState::Draining,
+            "gone" => WorkerState::Gone,
+            _ => return None,
+        };
+        let dial = match json.get("dial").and_then(Value::as_str).map(str::parse) {
+            Some(Ok(address)) => Some(address),
+            Some(Err(_)) => return None,
+            // Of one that is gone the address does not matter.
+            None if state == WorkerState::Gone => None,
+            None => return None,
+        };
+        Some(Self {
+            name: json.get("host")?.as_str()?.to_owned(),
+            dial,
+            zone: json.get("site").cloned().unwrap_or_default(),
+            kind: json.get("class").cloned().unwrap_or_default(),
+            cell: json.get("block").and_then(Value::as_u64).and_then(|b| u16::try_from(b).ok()).unwrap_or(0),
+            state,
+            born_ms: json.get("born_ms").and_then(Value::as_u64).unwrap_or(0),
+        })
+    }
+}
+
+/// The index of a name, or of a number; a name never heard of gets an index of its own.
+fn index(names: &mut Vec<String>, value: &Value) -> u16 {
+    if let Some(n) = value.as_u64() {
+        return u16::try_from(n).unwrap_or(u16::MAX);
+    }
+    let name = value.as_str().unwrap_or("");
+    let at = names.iter().position(|n| n == name).unwrap_or_else(|| {
+        names.push(name.to_owned());
+        names.len() - 1
+    });
+    u16::try_from(at).unwrap_or(u16::MAX)
+}
+
+impl TransportMap {
+    /// Knows the names of zones and kinds and no worker.
+    pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Self {
+        Self { zones, kinds, ..Self::default() }
+    }
+
+    /// What is known of a worker.
+    pub fn get(&self, worker: WorkerId) -> Option<&Transport> {
+        self.transports.get(worker.0 as usize)
+    }
+
+    /// The worker of that name.
+    pub fn by_host(&self, host: &str) -> Option<WorkerId> {
+        self.by_host.get(host).copied()
+    }
+
+    /// Enters a worker that another front reaches, or changes its state.
+    pub fn enter(&mut self, host: &str, kind: KindId, state: WorkerState, started: Option<Time>) -> WorkerId {
+        let id = self.place(host);
+        let t = &mut self.transports[id.0 as usize];
+        (t.entry.kind, t.entry.state) = (kind, state);
+        t.entry.started = started.or(t.entry.started);
+        id
+    }
+
+    fn place(&mut self, host: &str) -> WorkerId {
+        if let Some(id) = self.by_host.get(host) {
+            return *id;
+        }
+        let id = WorkerId(self.transports.len() as u32);
+        let entry = Entry {
+            worker: id,
+            zone: ZoneId(0),
+            kind: KindId(0),
+            cell: CellId(0),
+            state: WorkerState::Gone,
+            started: None,
+        };
+        self.by_host.insert(host.to_owned(), id);
+        self.transports.push(Transport { host: host.to_owned(), dial: None, born_ms: 0, entry });
+        id
+    }
+
+    /// Takes in a list of discovery. Returns what the core is told, and the workers that are gone or have
+    /// moved, whose links are of no use any more. `None`: it is no such list.
+    pub fn apply(
+        &mut self, json: &Value, kind: Option<ListKind>, clock: &Clock,
+    ) -> Option<(Input, Vec<WorkerId>)> {
+        let list = List::read(json)?;
+        let mut stale = Vec::new();
+        let mut entries = Vec::new();
+        if list.whole {
+            let listed: HashSet<&str> = list.hosts.iter().map(|h| h.name.as_str()).collect();
+            for t in
+                self.transports.iter_mut().filter(|t| t.dial.is_some() && !listed.contains(t.host.as_str()))
+            {
+                t.entry.state = WorkerState::Gone;
+                stale.push(t.entry.worker);
+            }
+            // Those that another front brought are on the whole list as well.
+            entries.extend(self.transports.iter().filter(|t| t.dial.is_none()).map(|t| t.entry));
+        }
+        for host in list.hosts {
+            let id = self.place(&host.name);
+            let (zone, kind) = (index(&mut self.zones, &host.zone), index(&mut self.kinds, &host.kind));
+            let t = &mut self.transports[id.0 as usize];
+            if host.dial.is_some() && t.dial != host.dial || host.state == WorkerState::Gone {
+                stale.push(id);
+            }
+            t.dial = host.dial.or(t.dial);
+            (t.entry.zone, t.entry.kind, t.entry.cell) = (ZoneId(zone), KindId(kind), CellId(host.cell));
+            t.entry.state = host.state;
+            // Reckoned once for each start: were it done anew with each list, jitter of the clocks would look
+            // like one restart after another.
+            if host.born_ms != t.born_ms {
+                t.born_ms = host.born_ms;
+                t.entry.started = (host.born_ms != 0).then(|| clock.from_unix_ms(host.born_ms));
+            }
+            entries.push(self.marked(id));
+        }
+        self.seq = list.seq;
+        let kind = kind.unwrap_or(if list.whole { ListKind::Full } else { ListKind::Delta });
+        Some((Input::Members(kind, entries), stale))
+    }
+
+    /// The entry as the core sees it: an operator's drain mark drains a ready worker.
+    fn marked(&self, id: WorkerId) -> Entry {
+        let t = &self.transports[id.0 as usize];
+        let drains = t.entry.state == WorkerState::Ready && self.drained.contains(&t.host);
+        Entry { state: if drains { WorkerState::Draining } else { t.entry.state }, ..t.entry }
+    }
+
+    /// Replaces the operators' drain marks; what the core is told if that changes anything.
+    pub fn mark(&mut self, drained: HashSet<String>) -> Option<Input> {
+        if drained == self.drained {
+            return None;
+        }
+        self.drained = drained;
+        Some(self.whole())
+    }
+
+    /// The whole map, told without claiming that discovery has spoken.
+    pub fn whole(&self) -> Input {
+        let all = (0..self.transports.len()).map(|i| self.marked(WorkerId(i as u32)));
+        Input::Members(ListKind::Cached, all.collect())
+    }
+}
+
+/// A call to discovery.
+#[derive(Debug)]
+pub struct Call {
+    watch: bool,
+    head: Option<(Head, Body)>,
+    lines: Buffer,
+    confirmed: bool,
+}
+
+/// The calls that are out.
+#[derive(Debug)]
+pub struct Discovery {
+    address: Option<SocketAddr>,
+    watching: Option<ConnKey>,
+    fetching: Option<ConnKey>,
+    healthy: bool,
+}
+
+impl Discovery {
+    /// No call is out. Without an address every call fails.
+    pub fn new(address: Option<SocketAddr>) -> Self {
+        Self { address, watching: None, fetching: None, healthy: true }
+    }
+
+    /// Subscribes to changes, unless that is under way.
+    pub fn watch(&mut self, s: &mut Shared) {
+        if self.watching.is_none() {
+            let target = format!("/v1/endpoints?watch=1&from={}", s.map.seq);
+            self.watching = self.call(s, &target, true);
+        }
+    }
+
+    /// Fetches the whole list, unless that is under way.
+    pub fn fetch(&mut self, s: &mut Shared) {
+        if self.fetching.is_none() {
+            self.fetching = self.call(s, "/v1/endpoints", false);
+        }
+    }
+
+    fn call(&mut self, s: &mut Shared, target: &str, watch: bool) -> Option<ConnKey> {
+        let call = Call { watch, head: None, lines: Buffer::default(), confirmed: false };
+        let connected = self.address.and_then(|a| s.net.connect(a, Role::Discovery(call)).ok());
+        match connected {
+            Some(key) => {
+                let request = format!("GET {target} HTTP/1.1\r\nHost: discovery\r\n\r\n");
+                s.net.set_deadline(key, Some(CALL_TIMEOUT));
+                s.net.send(key, request.as_bytes());
+            }
+            None => self.failed(s),
+        }
+        connected
+    }
+
+    fn failed(&mut self, s: &mut Shared) {
+        if std::mem::replace(&mut self.healthy, false) {
+            (s.log)("discovery: call failed");
+        }
+        s.inputs.push(Input::Members(ListKind::Failed, Vec::new()));
+    }
+
+    /// The call ended, timed out or brought garbage.
+    pub fn on_closed(&mut self, s: &mut Shared, key: ConnKey) {
+        s.net.close(key);
+        let ours = if self.watching == Some(key) { &mut self.watching } else { &mut self.fetching };
+        if ours.take_if(|call| *call == key).is_some() {
+            self.failed(s);
+        }
+    }
+
+    /// Bytes have come. Returns workers whose links are of no use any more.
+    pub fn on_data(&mut self, s: &mut Shared, key: ConnKey) -> Vec<WorkerId> {
+        let mut stale = Vec::new();
+        loop {
+            match self.read_on(s, key) {
+                Ok(Some(workers)) => stale.extend(workers),
+                Ok(None) => break,
+                Err(()) => {
+                    self.on_closed(s, key);
+                    return stale;
+                }
+            }
+        }
+        s.net.sync(key);
+        stale
+    }
+
+    /// Reads one object; `None`: more bytes are needed; an error: the call has failed.
+    fn read_on(&mut self, s: &mut Shared, key: ConnKey) -> Result<Option<Vec<WorkerId>>, ()> {
+        let Some(conn) = s.net.get(key) else { return Ok(None) };
+        let Role::Discovery(call) = &mut conn.role else { return Ok(None) };
+        if call.head.is_none() {
+            match http::response_head(&mut conn.input) {
+                Ok(Some(head)) if head.status == 200 => {
+                    let body = Body::new(head.framing);
+                    call.head = Some((head, body));
+                }
+                Ok(None) => return Ok(None),
+                _ => return Err(()),
+            }
+        }
+        let Some((_, body)) = &mut call.head else { return Ok(None) };
+        body.decode(&mut conn.input, &mut call.lines).map_err(|_| ())?;
+        let (done, watch) = (body.done(), call.watch);
+        if watch {
+            let Some(line) = http::take_json_line(&mut call.lines) else {
+                let ended = done || call.lines.len() > MAX_LINE;
+                return if ended { Err(()) } else { Ok(None) };
+            };
+            let first = !std::mem::replace(&mut call.confirmed, true);
+            s.net.set_deadline(key, Some(QUIET));
+            if !std::mem::replace(&mut self.healthy, true) {
+                (s.log)("discovery: watching again");
+            }
+            if line.is_empty() {
+                if first {
+                    // Nothing has changed: that confirms the subscription too.
+                    s.inputs.push(Input::Members(ListKind::Delta, Vec::new()));
+                }
+                return Ok(Some(Vec::new()));
+            }
+            return Self::take(s, &line).map(Some);
+        }
+        if !done {
+            return if call.lines.len() > MAX_LINE { Err(()) } else { Ok(None) };
+        }
+        let body = call.lines.data().to_vec();
+        let stale = Self::take(s, &body)?;
+        self.fetching = None;
+        s.net.close(key);
+        Ok(Some(stale))
+    }
+
+    fn take(s: &mut Shared, json: &[u8]) -> Result<Vec<WorkerId>, ()> {
+        let json = serde_json::from_slice(json).map_err(|_| ())?;
+        let (input, stale) = s.map.apply(&json, None, &s.clock).ok_or(())?;
+        s.inputs.push(input);
+        Ok(stale)
+    }
+}
--- /dev/null
+++ b/pebblepost/src/engine.rs
@@ -0,0 +1,349 @@
+//! The core: requests (envelopes), delivery attempts and outcomes around the [`Dispatcher`].
+//!
+//! It knows no wire, opens no socket and reads no clock: a turn takes everything that has happened
+//! and returns what is to be done. Whatever the decisions ask for, it holds on its own to these:
+//! one final answer for each envelope, no more attempts than the settings allow, nothing to a worker
+//! that was told to be draining or gone, nothing after a request's end.
+
+use pebblewind::api::*;
+use pebblewind::{Action, Dispatcher, Event};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// What the core is told of a request; the front keeps the rest.
+#[derive(Clone, Debug)]
+pub struct Envelope {
+    /// Index of its class.
+    pub class: ClassId,
+    /// How long its client will wait.
+    pub time_left: Duration,
+    /// A client's repeat.
+    pub repeat: bool,
+    /// Slots it takes.
+    pub slots: f32,
+    /// Memory units it takes.
+    pub memory: f32,
+    /// Hint of its work.
+    pub work: Option<Duration>,
+}
+
+/// One attempt to deliver a request to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct DeliveryAttempt {
+    /// The request.
+    pub id: RequestId,
+    /// Its number among the attempts of the request.
+    pub no: AttemptNo,
+}
+
+/// What happened, as fronts, workers and discovery tell it.
+#[derive(Debug)]
+pub enum Input {
+    /// A request came; its id was never used before.
+    Request(RequestId, Envelope),
+    /// The sender side of a request is gone.
+    SenderGone(RequestId),
+    /// The list of workers changed.
+    Members(ListKind, Vec<Entry>),
+    /// The job of an attempt has started.
+    Started(DeliveryAttempt),
+    /// The job of an attempt has progressed.
+    Progress(DeliveryAttempt, f32),
+    /// An attempt ended; with the answer's body if it was served.
+    Ended(DeliveryAttempt, Status, Report, Vec<u8>),
+    /// A probe ended.
+    Probed(WorkerId, Status, Duration, Report),
+    /// A deadline that the core had set is due.
+    Due(Due),
+}
+
+/// A deadline that the core sets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// A timer of the decisions.
+    Timer(TimerToken),
+    /// An attempt's time-out.
+    Attempt(DeliveryAttempt),
+    /// The client of this request gives up now.
+    Client(RequestId),
+}
+
+/// A final answer.
+#[derive(Debug, PartialEq)]
+pub enum Answer {
+    /// What the worker made.
+    Served(Vec<u8>),
+    /// Deferred: trying again is harmless, best after this long.
+    Deferred(Duration),
+    /// Nothing is promised.
+    Failed,
+}
+
+/// What is to be done.
+#[derive(Debug, PartialEq)]
+pub enum Output {
+    /// Deliver the request to the worker; `Duration`: until its client gives up.
+    Deliver(DeliveryAttempt, WorkerId, Duration),
+    /// The attempt has been given up: end it on the wire, nothing more is to be said of it.
+    GiveUp(DeliveryAttempt),
+    /// Probe the worker.
+    Probe(WorkerId),
+    /// Close the idle connections to the worker.
+    CloseIdle(WorkerId),
+    /// Subscribe to changes of the list.
+    Watch,
+    /// Fetch the whole list once.
+    Fetch,
+    /// Set a deadline.
+    Set(Time, Due),
+    /// The one final answer.
+    Answer(RequestId, Answer),
+}
+
+#[derive(Debug)]
+struct Attempt {
+    worker: WorkerId,
+    sent: Time,
+    open: bool,
+}
+
+#[derive(Debug)]
+struct Request {
+    deadline: Time,
+    answered: bool,
+    attempts: Vec<Attempt>,
+}
+
+impl Request {
+    fn open(&self) -> bool {
+        self.attempts.iter().any(|a| a.open)
+    }
+}
+
+/// Requests and attempts around the decisions.
+#[derive(Debug)]
+pub struct Engine {
+    dispatcher: Dispatcher,
+    settings: Settings,
+    requests: HashMap<RequestId, Request>,
+    workers: HashMap<WorkerId, WorkerState>,
+    unanswered: usize,
+    actions: Vec<Action>,
+    /// Outcomes that the core itself makes, told to the decisions after what is in hand.
+    own: Vec<Event>,
+}
+
+impl Engine {
+    /// A core that knows its settings and nothing else.
+    pub fn new(settings: Settings, seed: u64, now: Time) -> Self {
+        Self {
+            dispatcher: Dispatcher::new(settings.clone(), seed, now),
+            settings,
+            requests: HashMap::new(),
+            workers: HashMap::new(),
+            unanswered: 0,
+            actions: Vec::new(),
+            own: Vec::new(),
+        }
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Requests that still need their answer.
+    pub fn unanswered(&self) -> usize {
+        self.unanswered
+    }
+
+    /// Workers that take work, by what this node was told.
+    pub fn ready_workers(&self) -> usize {
+        self.workers.values().filter(|state| **state == WorkerState::Ready).count()
+    }
+
+    /// Hands all that happened to the decisions and returns what is to be done, in order.
+    pub fn turn(&mut self, now: Time, inputs: &mut Vec<Input>, out: &mut Vec<Output>) {
+        for input in inputs.drain(..) {
+            self.take(now, input, out);
+            self.settle(now, out);
+        }
+    }
+
+    /// Carries out the actions, and tells the decisions of the outcomes that this made.
+    fn settle(&mut self, now: Time, out: &mut Vec<Output>) {
+        loop {
+            for action in std::mem::take(&mut self.actions) {
+                self.act(now, action, out);
+            }
+            if self.own.is_empty() {
+                return;
+            }
+            for event in std::mem::take(&mut self.own) {
+                self.dispatcher.handle(now, event, &mut self.actions);
+            }
+        }
+    }
+
+    fn tell(&mut self, now: Time, event: Event) {
+        self.dispatcher.handle(now, event, &mut self.actions);
+    }
+
+    fn take(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Request(id, envelope) => {
+                let deadline = now + envelope.time_left;
+                self.requests.insert(id, Request { deadline, answered: false, attempts: Vec::new() });
+                self.unanswered += 1;
+                let Envelope { class, time_left, repeat, slots, memory, work } = envelope;
+                let tenant = TenantId(0);
+                self.tell(now, Event::Request { id, class, tenant, time_left, repeat, slots, memory, work });
+                // Set after the decisions' own timer, so that these have the first word at equal times.
+                out.push(Output::Set(deadline, Due::Client(id)));
+            }
+            Input::SenderGone(id) => self.sender_gone(now, id),
+            Input::Members(kind, entries) => {
+                if matches!(kind, ListKind::Full | ListKind::Cached) {
+                    self.workers.clear();
+                }
+                self.workers.extend(entries.iter().map(|e| (e.worker, e.state)));
+                self.tell(now, Event::Members { kind, entries });
+            }
+            Input::Started(DeliveryAttempt { id, no }) => {
+                if self.is_open(id, no) {
+                    self.tell(now, Event::Started { id, attempt: no });
+                }
+            }
+            Input::Progress(DeliveryAttempt { id, no }, done) => {
+                if self.is_open(id, no) {
+                    self.tell(now, Event::Progress { id, attempt: no, done });
+                }
+            }
+            Input::Ended(attempt, status, report, body) => {
+                if let Some(event) = self.end(now, attempt, status, report, body, out) {
+                    self.tell(now, event);
+                }
+            }
+            Input::Probed(worker, status, latency, report) => {
+                self.tell(now, Event::Probed { worker, status, latency, report });
+            }
+            Input::Due(Due::Timer(token)) => self.tell(now, Event::TimerDue { token }),
+            Input::Due(Due::Attempt(attempt)) => self.time_out(now, attempt, out),
+            Input::Due(Due::Client(id)) => {
+                let open = self.requests.get(&id).map_or(0, |r| r.attempts.len());
+                for no in 0..open {
+                    self.time_out(now, DeliveryAttempt { id, no: AttemptNo(no as u8) }, out);
+                }
+                self.settle(now, out);
+                // The decisions answer before this; should they not, the client still gets an answer.
+                self.answer(id, Answer::Failed, out);
+                self.sender_gone(now, id);
+            }
+        }
+    }
+
+    fn time_out(&mut self, now: Time, attempt: DeliveryAttempt, out: &mut Vec<Output>) {
+        if let Some(event) = self.end(now, attempt, Status::Timeout, Vec::new(), Vec::new(), out) {
+            out.push(Output::GiveUp(attempt));
+            self.tell(now, event);
+        }
+    }
+
+    /// The client is gone or has its answer late: nothing more is owed.
+    fn sender_gone(&mut self, now: Time, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        if !std::mem::replace(&mut r.answered, true) {
+            self.unanswered -= 1;
+        }
+        self.tell(now, Event::ClientGone { id });
+        self.forget(id);
+    }
+
+    fn is_open(&self, id: RequestId, no: AttemptNo) -> bool {
+        self.requests.get(&id).and_then(|r| r.attempts.get(usize::from(no.0))).is_some_and(|a| a.open)
+    }
+
+    /// Ends an attempt once; what comes later of it is dropped here. The first that is served answers.
+    fn end(
+        &mut self, now: Time, DeliveryAttempt { id, no }: DeliveryAttempt, status: Status, report: Report,
+        body: Vec<u8>, out: &mut Vec<Output>,
+    ) -> Option<Event> {
+        let r = self.requests.get_mut(&id)?;
+        let a = r.attempts.get_mut(usize::from(no.0)).filter(|a| a.open)?;
+        a.open = false;
+        let (worker, latency) = (a.worker, now.since(a.sent));
+        if status == Status::Ok {
+            self.answer(id, Answer::Served(body), out);
+        }
+        let closed = self.requests.get(&id).is_none_or(|r| r.answered);
+        self.forget(id);
+        Some(Event::Outcome { id, attempt: no, worker, status, latency, closed, report })
+    }
+
+    /// Gives the final answer, unless it has been given.
+    fn answer(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Output>) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
+        r.answered = true;
+        self.unanswered -= 1;
+        out.push(Output::Answer(id, answer));
+        self.forget(id);
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|r| r.answered && !r.open()) {
+            self.requests.remove(&id);
+        }
+    }
+
+    fn act(&mut self, now: Time, action: Action, out: &mut Vec<Output>) {
+        match action {
+            Action::Send { id, worker, timeout } => self.send(now, id, worker, timeout, out),
+            Action::Refuse { id, retry_after } => {
+                self.answer(id, Answer::Deferred(retry_after.unwrap_or_default()), out);
+            }
+            Action::Fail { id } => self.answer(id, Answer::Failed, out),
+            Action::Cancel { id, attempt } => {
+                let attempt = DeliveryAttempt { id, no: attempt };
+                let ended = self.end(now, attempt, Status::Cancelled, Vec::new(), Vec::new(), out);
+                if let Some(event) = ended {
+                    out.push(Output::GiveUp(attempt));
+                    self.own.push(event);
+                }
+            }
+            Action::Probe { worker } => out.push(Output::Probe(worker)),
+            Action::CloseIdle { worker } => out.push(Output::CloseIdle(worker)),
+            Action::SetTimer { at, token } => out.push(Output::Set(at, Due::Timer(token))),
+            Action::Watch => out.push(Output::Watch),
+            Action::Fetch => out.push(Output::Fetch),
+        }
+    }
+
+    /// Starts an attempt if every guard allows it; otherwise the decisions learn that it was not sent.
+    fn send(
+        &mut self, now: Time, id: RequestId, worker: WorkerId, timeout: Option<Duration>,
+        out: &mut Vec<Output>,
+    ) {
+        let ready = self.workers.get(&worker) == Some(&WorkerState::Ready);
+        let most = self.settings.max_attempts.clamp(1, 255) as usize;
+        let copies = self.settings.second_copies;
+        let allowed = |r: &&mut Request| {
+            ready && !r.answered && now < r.deadline && r.attempts.len() < most && (copies || !r.open())
+        };
+        let Some(r) = self.requests.get_mut(&id).filter(allowed) else {
+            let attempt = AttemptNo(self.requests.get(&id).map_or(0, |r| r.attempts.len().min(255) as u8));
+            if let Some(r) = self.requests.get_mut(&id) {
+                r.attempts.push(Attempt { worker, sent: now, open: false }); // Numbers go on as the decisions count.
+            }
+            let closed = self.requests.get(&id).is_none_or(|r| r.answered);
+            let (status, latency, report) = (Status::Moot, Duration::ZERO, Vec::new());
+            self.own.push(Event::Outcome { id, attempt, worker, status, latency, closed, report });
+            return;
+        };
+        let attempt = DeliveryAttempt { id, no: AttemptNo(r.attempts.len() as u8) };
+        r.attempts.push(Attempt { worker, sent: now, open: true });
+        out.push(Output::Deliver(attempt, worker, r.deadline.since(now)));
+        if let Some(at) = timeout.map(|t| now + t).filter(|at| *at < r.deadline) {
+            out.push(Output::Set(at, Due::Attempt(attempt)));
+        }
+    }
+}
--- /dev/null
+++ b/pebblepost/src/front/mod.rs
@@ -0,0 +1,3 @@
+//! The fronts: from a wire to the core and back, and nothing else.
+
+pub mod platform;
--- /dev/null
+++ b/pebblepost/src/lib.rs
@@ -0,0 +1,18 @@
+//! pebblepost: a dispatcher on real sockets around the decisions of [`pebblewind`].
+//!
+//! `docs/architecture.md` tells the life of a request and who owns what.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod buffer;
+pub mod config;
+pub mod deadlines;
+pub mod discovery;
+pub mod engine;
+pub mod front;
+pub mod health;
+pub mod http;
+pub mod net;
+pub mod turn;
+pub mod workers;
--- /dev/null
+++ b/pebblepost/src/turn.rs
@@ -0,0 +1,241 @@
+//! The loop. Each turn gathers all that is ready, hands it to the core in one go, and carries out what
+//! comes back.
+
+use crate::config::Config;
+use crate::discovery::{Discovery, TransportMap};
+use crate::engine::{Engine, Input, Output};
+use crate::front::platform::{Class, Platform, SenderSide};
+use crate::health::{self, Condition};
+use crate::net::{Clock, ConnKey, Door, Due, Net, Ready, Role, Shared};
+use crate::workers::Workers;
+use pebblewind::api::ListKind;
+use std::io::{self, Read};
+use std::os::unix::net::UnixStream;
+use std::time::Duration;
+
+/// After SIGTERM new connections are taken and old ones kept for so long, as balancers notice late.
+const LAST_CALLS: Duration = Duration::from_millis(500);
+
+/// The program.
+pub struct Daemon {
+    s: Shared,
+    engine: Engine,
+    platform: Platform,
+    workers: Workers,
+    discovery: Discovery,
+    signal: UnixStream,
+    outputs: Vec<Output>,
+}
+
+impl Daemon {
+    /// Opens the listeners. `signal` becomes readable at SIGTERM.
+    pub fn new(config: Config, signal: UnixStream, log: fn(&str)) -> io::Result<Self> {
+        let clock = Clock::default();
+        let mut net = Net::new(config.sockets, clock.now())?;
+        signal.set_nonblocking(true)?;
+        net.watch_signal(&signal)?;
+        let doors = [
+            (Door::Platform, config.listen),
+            (Door::Agent, config.agent_check),
+            (Door::Health, config.health),
+        ];
+        for (door, address) in doors {
+            if let Some(address) = address {
+                net.listen(door, address)
+                    .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))?;
+            }
+        }
+        let engine = Engine::new(config.settings.clone(), config.seed, net.now);
+        let mut map = TransportMap::new(config.zones, config.kinds);
+        let known = config.known.as_ref().and_then(|k| map.apply(k, Some(ListKind::Cached), &clock));
+        let mut s = Shared::new(net, map, clock, log);
+        // Even an empty list: it has the decisions subscribe.
+        s.inputs.push(known.map_or(Input::Members(ListKind::Cached, Vec::new()), |(input, _)| input));
+        let classes = config.classes.into_iter().map(|(name, deadline)| Class { name, deadline }).collect();
+        Ok(Self {
+            s,
+            engine,
+            platform: Platform::new(classes),
+            workers: Workers::new(&config.settings, config.connect_timeout, config.report_names),
+            discovery: Discovery::new(config.discovery),
+            signal,
+            outputs: Vec::new(),
+        })
+    }
+
+    /// Runs until SIGTERM and the last answer after it.
+    pub fn run(&mut self) -> io::Result<()> {
+        self.hand_over();
+        while !self.finished() {
+            let more = !self.s.inputs.is_empty();
+            for ready in self.s.net.wait(&self.s.clock, more)? {
+                match ready {
+                    Ready::Signal => self.stop(),
+                    Ready::Door(index) => self.accept(index),
+                    Ready::Conn(key, readable, writable) => self.serve(key, readable, writable),
+                }
+            }
+            while let Some(due) = self.s.net.deadlines.pop_due(self.s.net.now) {
+                self.due(due);
+            }
+            self.hand_over();
+        }
+        (self.s.log)("stopped");
+        Ok(())
+    }
+
+    /// Hands what happened to the core and carries out what it asks for.
+    fn hand_over(&mut self) {
+        self.bury();
+        if !self.s.inputs.is_empty() {
+            let mut inputs = std::mem::take(&mut self.s.inputs);
+            self.engine.turn(self.s.net.now, &mut inputs, &mut self.outputs);
+            for output in std::mem::take(&mut self.outputs) {
+                self.carry_out(output);
+            }
+            self.bury();
+        }
+        let ready = self.condition().ready();
+        if ready != self.s.ready {
+            self.s.ready = ready;
+            (self.s.log)(if ready { "ready" } else { "not ready" });
+        }
+    }
+
+    fn condition(&self) -> Condition {
+        Condition {
+            stopping: self.s.stopping,
+            ready_workers: self.engine.ready_workers(),
+            descriptors: self.s.net.load(),
+        }
+    }
+
+    /// Connections that broke while something was written to them.
+    fn bury(&mut self) {
+        while let Some(key) = self.s.net.broken.pop() {
+            self.closed(key);
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        let s = &mut self.s;
+        match output {
+            Output::Deliver(attempt, worker, time_left) => {
+                if let Some(request) = self.platform.request(attempt.id, time_left) {
+                    self.workers.deliver(s, attempt, worker, &request);
+                }
+            }
+            Output::GiveUp(attempt) => self.workers.give_up(s, attempt),
+            Output::Probe(worker) => self.workers.probe(s, worker),
+            Output::CloseIdle(worker) => self.workers.close_idle(s, worker),
+            Output::Watch => self.discovery.watch(s),
+            Output::Fetch => self.discovery.fetch(s),
+            Output::Set(at, due) => {
+                s.net.deadlines.set(at, Due::Core(due));
+            }
+            Output::Answer(id, answer) => {
+                self.platform.answer(s, id, &answer);
+            }
+        }
+    }
+
+    fn accept(&mut self, index: usize) {
+        let role = |door| match door {
+            Door::Health => Role::Health(health::Asker),
+            Door::Agent => Role::Closing,
+            _ => Role::Sender(SenderSide::Head),
+        };
+        let (door, condition) = (self.s.net.door(index), self.condition());
+        for key in self.s.net.accept(index, role) {
+            match door {
+                Some(Door::Agent) => health::agent(&mut self.s, key, condition),
+                Some(Door::Health) => health::on_open(&mut self.s, key),
+                _ => {}
+            }
+        }
+    }
+
+    fn serve(&mut self, key: ConnKey, readable: bool, writable: bool) {
+        if writable {
+            let fresh = self.s.net.get(key).is_some_and(|c| !c.connected);
+            if !self.s.net.came_up(key) {
+                return self.closed(key);
+            }
+            if fresh && matches!(self.s.net.get(key).map(|c| &c.role), Some(Role::Worker(_))) {
+                self.workers.on_up(&mut self.s, key);
+            }
+            self.s.net.flush(key);
+        }
+        if readable {
+            let alive = self.s.net.read(key);
+            match self.s.net.get(key).map(|c| &c.role) {
+                Some(Role::Sender(_)) if alive => self.platform.on_data(&mut self.s, key),
+                Some(Role::Worker(_)) => self.workers.on_data(&mut self.s, key),
+                Some(Role::Discovery(_)) => {
+                    for worker in self.discovery.on_data(&mut self.s, key) {
+                        self.workers.close_idle(&mut self.s, worker);
+                    }
+                }
+                Some(Role::Health(_)) if alive => health::on_data(&mut self.s, key),
+                _ => {}
+            }
+            if !alive {
+                self.closed(key);
+            }
+        }
+    }
+
+    /// A connection ended or broke.
+    fn closed(&mut self, key: ConnKey) {
+        match self.s.net.get(key).map(|c| &c.role) {
+            Some(Role::Sender(_)) => self.platform.on_closed(&mut self.s, key),
+            Some(Role::Worker(_)) => self.workers.on_closed(&mut self.s, key),
+            Some(Role::Discovery(_)) => self.discovery.on_closed(&mut self.s, key),
+            _ => {
+                self.s.net.close(key);
+            }
+        }
+    }
+
+    fn due(&mut self, due: Due) {
+        match due {
+            Due::Core(due) => self.s.inputs.push(Input::Due(due)),
+            Due::Write(key) => self.closed(key),
+            Due::Conn(key) => match self.s.net.get(key).map(|c| &c.role) {
+                Some(Role::Sender(_)) => self.platform.on_deadline(&mut self.s, key),
+                Some(Role::Worker(_)) => self.workers.on_deadline(&mut self.s, key),
+                _ => self.closed(key),
+            },
+            Due::LastCalls => {
+                self.s.last_calls = true;
+                self.s.net.shut(Door::Platform);
+                self.platform.close_idle(&mut self.s);
+            }
+            Due::Accept => self.s.net.resume_accepting(),
+            Due::Faktory | Due::Store => {}
+        }
+    }
+
+    fn stop(&mut self) {
+        let mut byte = [0; 16];
+        let _ = (&self.signal).read(&mut byte);
+        if !self.s.stopping {
+            self.s.stopping = true;
+            (self.s.log)("SIGTERM: finishing what was taken");
+            self.s.net.deadlines.set(self.s.net.now + LAST_CALLS, Due::LastCalls);
+        }
+    }
+
+    /// After the last calls: nothing taken is left, and all answers are out.
+    fn finished(&mut self) -> bool {
+        self.s.last_calls
+            && self.engine.unanswered() == 0
+            && !self.s.net.keys().into_iter().any(|key| {
+                self.s.net.get(key).is_some_and(|c| match &c.role {
+                    Role::Sender(_) => true,
+                    Role::Closing => !c.written(),
+                    _ => false,
+                })
+            })
+    }
+}
