Add the Faktory front, agent-check and health, with tests against stand-ins

One whole path: PUSH to a parked FETCH, ACK and FAIL, deadlines, refusals with when to come back, repeats inside 10 s, drains by BEAT, workers that fall silent or lose their connection.

--- a/pebblepost/src/discovery.rs
+++ b/pebblepost/src/discovery.rs
@@ -4,7 +4,7 @@
 use crate::engine::Input;
 use crate::http::{self, Body, Head};
 use crate::net::{Clock, ConnKey, Role, Shared};
-use pebblewind::api::{CellId, Entry, KindId, ListKind, Time, WorkerId, WorkerState, ZoneId};
+use pebblewind::api::{CellId, Entry, KindId, ListKind, WorkerId, WorkerState, ZoneId};
 use serde_json::Value;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -127,14 +127,18 @@
     }
 
     /// Enters a worker that another front reaches, or changes its state.
-    pub fn enter(&mut self, host: &str, kind: KindId, state: WorkerState, started: Option<Time>) -> WorkerId {
+    pub fn enter(&mut self, host: &str, kind: KindId, state: WorkerState) -> WorkerId {
         let id = self.place(host);
         let t = &mut self.transports[id.0 as usize];
         (t.entry.kind, t.entry.state) = (kind, state);
-        t.entry.started = started.or(t.entry.started);
         id
     }
 
+    /// Whether an operator's drain mark names the worker.
+    pub fn is_marked(&self, worker: WorkerId) -> bool {
+        self.get(worker).is_some_and(|t| self.drained.contains(&t.host))
+    }
+
     fn place(&mut self, host: &str) -> WorkerId {
         if let Some(id) = self.by_host.get(host) {
             return *id;
@@ -170,7 +174,8 @@
                 stale.push(t.entry.worker);
             }
             // Those that another front brought are on the whole list as well.
-            entries.extend(self.transports.iter().filter(|t| t.dial.is_none()).map(|t| t.entry));
+            let others = self.transports.iter().filter(|t| t.dial.is_none()).map(|t| t.entry.worker);
+            entries.extend(others.map(|id| self.marked(id)).filter(|e| e.state != WorkerState::Gone));
         }
         for host in list.hosts {
             let id = self.place(&host.name);
@@ -214,7 +219,7 @@
     /// The whole map, told without claiming that discovery has spoken.
     pub fn whole(&self) -> Input {
         let all = (0..self.transports.len()).map(|i| self.marked(WorkerId(i as u32)));
-        Input::Members(ListKind::Cached, all.collect())
+        Input::Members(ListKind::Cached, all.filter(|e| e.state != WorkerState::Gone).collect())
     }
 }
 
--- a/pebblepost/src/net.rs
+++ b/pebblepost/src/net.rs
@@ -5,7 +5,7 @@
 use crate::deadlines::{Deadlines, Handle};
 use crate::discovery::{Call, TransportMap};
 use crate::engine::{self, Input};
-use crate::front::platform;
+use crate::front::{faktory, platform};
 use crate::health;
 use crate::workers::Link;
 use pebblewind::api::{RequestId, Time, WorkerId};
@@ -62,6 +62,8 @@
     Worker(Link),
     /// A call to discovery.
     Discovery(Call),
+    /// A producer or worker of the Faktory front.
+    Faktory(faktory::Peer),
     /// A balancer's question after health, by HTTP.
     Health(health::Asker),
     /// Only its last output still goes out.
@@ -234,6 +236,12 @@
         self.doors.get(index).map(|d| d.0)
     }
 
+    /// Where a door listens.
+    pub fn address(&self, door: Door) -> Option<SocketAddr> {
+        let listener = self.doors.iter().find(|(d, _)| *d == door)?.1.as_ref()?;
+        listener.local_addr().ok()
+    }
+
     /// Waits for the sockets or the next deadline, and returns what is ready.
     pub fn wait(&mut self, clock: &Clock, at_once: bool) -> io::Result<Vec<Ready>> {
         let timeout = if at_once { Some(Duration::ZERO) } else { self.time_to_next(clock) };
--- a/pebblepost/src/turn.rs
+++ b/pebblepost/src/turn.rs
@@ -4,12 +4,14 @@
 use crate::config::Config;
 use crate::discovery::{Discovery, TransportMap};
 use crate::engine::{Engine, Input, Output};
+use crate::front::faktory::{Faktory, Peer};
 use crate::front::platform::{Class, Platform, SenderSide};
 use crate::health::{self, Condition};
 use crate::net::{Clock, ConnKey, Door, Due, Net, Ready, Role, Shared};
 use crate::workers::Workers;
-use pebblewind::api::ListKind;
+use pebblewind::api::{ListKind, Status};
 use std::io::{self, Read};
+use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::time::Duration;
 
@@ -23,6 +25,7 @@
     platform: Platform,
     workers: Workers,
     discovery: Discovery,
+    faktory: Option<Faktory>,
     signal: UnixStream,
     outputs: Vec<Output>,
 }
@@ -34,7 +37,9 @@
         let mut net = Net::new(config.sockets, clock.now())?;
         signal.set_nonblocking(true)?;
         net.watch_signal(&signal)?;
+        let faktory = config.faktory.as_ref().map(|f| f.listen);
         let doors = [
+            (Door::Faktory, faktory),
             (Door::Platform, config.listen),
             (Door::Agent, config.agent_check),
             (Door::Health, config.health),
@@ -52,8 +57,11 @@
         // Even an empty list: it has the decisions subscribe.
         s.inputs.push(known.map_or(Input::Members(ListKind::Cached, Vec::new()), |(input, _)| input));
         let classes = config.classes.into_iter().map(|(name, deadline)| Class { name, deadline }).collect();
+        let fields = config.settings.report_fields.clone();
+        let faktory = config.faktory.map(|f| Faktory::new(&mut s, f, fields));
         Ok(Self {
             s,
+            faktory,
             engine,
             platform: Platform::new(classes),
             workers: Workers::new(&config.settings, config.connect_timeout, config.report_names),
@@ -63,6 +71,11 @@
         })
     }
 
+    /// Where a door listens.
+    pub fn address(&self, door: Door) -> Option<SocketAddr> {
+        self.s.net.address(door)
+    }
+
     /// Runs until SIGTERM and the last answer after it.
     pub fn run(&mut self) -> io::Result<()> {
         self.hand_over();
@@ -123,10 +136,19 @@
             Output::Deliver(attempt, worker, time_left) => {
                 if let Some(request) = self.platform.request(attempt.id, time_left) {
                     self.workers.deliver(s, attempt, worker, &request);
+                } else if !self.faktory.as_mut().is_some_and(|f| f.deliver(s, attempt, worker)) {
+                    s.inputs.push(Input::Ended(attempt, Status::ConnectFailed, Vec::new(), Vec::new()));
+                }
+            }
+            Output::GiveUp(attempt) => {
+                self.workers.give_up(s, attempt);
+                self.faktory.iter_mut().for_each(|f| f.give_up(attempt));
+            }
+            Output::Probe(worker) => {
+                if !self.faktory.as_mut().is_some_and(|f| f.probe(s, worker)) {
+                    self.workers.probe(s, worker);
                 }
             }
-            Output::GiveUp(attempt) => self.workers.give_up(s, attempt),
-            Output::Probe(worker) => self.workers.probe(s, worker),
             Output::CloseIdle(worker) => self.workers.close_idle(s, worker),
             Output::Watch => self.discovery.watch(s),
             Output::Fetch => self.discovery.fetch(s),
@@ -134,7 +156,11 @@
                 s.net.deadlines.set(at, Due::Core(due));
             }
             Output::Answer(id, answer) => {
-                self.platform.answer(s, id, &answer);
+                if !self.platform.answer(s, id, &answer)
+                    && let Some(faktory) = &mut self.faktory
+                {
+                    faktory.answer(s, id, answer);
+                }
             }
         }
     }
@@ -143,6 +169,7 @@
         let role = |door| match door {
             Door::Health => Role::Health(health::Asker),
             Door::Agent => Role::Closing,
+            Door::Faktory => Role::Faktory(Peer::default()),
             _ => Role::Sender(SenderSide::Head),
         };
         let (door, condition) = (self.s.net.door(index), self.condition());
@@ -150,6 +177,7 @@
             match door {
                 Some(Door::Agent) => health::agent(&mut self.s, key, condition),
                 Some(Door::Health) => health::on_open(&mut self.s, key),
+                Some(Door::Faktory) => self.faktory.iter_mut().for_each(|f| f.on_open(&mut self.s, key)),
                 _ => {}
             }
         }
@@ -176,6 +204,7 @@
                         self.workers.close_idle(&mut self.s, worker);
                     }
                 }
+                Some(Role::Faktory(_)) => self.faktory.iter_mut().for_each(|f| f.on_data(&mut self.s, key)),
                 Some(Role::Health(_)) if alive => health::on_data(&mut self.s, key),
                 _ => {}
             }
@@ -191,6 +220,7 @@
             Some(Role::Sender(_)) => self.platform.on_closed(&mut self.s, key),
             Some(Role::Worker(_)) => self.workers.on_closed(&mut self.s, key),
             Some(Role::Discovery(_)) => self.discovery.on_closed(&mut self.s, key),
+            Some(Role::Faktory(_)) => self.faktory.iter_mut().for_each(|f| f.on_closed(&mut self.s, key)),
             _ => {
                 self.s.net.close(key);
             }
@@ -204,15 +234,20 @@
             Due::Conn(key) => match self.s.net.get(key).map(|c| &c.role) {
                 Some(Role::Sender(_)) => self.platform.on_deadline(&mut self.s, key),
                 Some(Role::Worker(_)) => self.workers.on_deadline(&mut self.s, key),
+                Some(Role::Faktory(_)) => {
+                    self.faktory.iter_mut().for_each(|f| f.on_deadline(&mut self.s, key))
+                }
                 _ => self.closed(key),
             },
             Due::LastCalls => {
                 self.s.last_calls = true;
                 self.s.net.shut(Door::Platform);
+                self.s.net.shut(Door::Faktory);
                 self.platform.close_idle(&mut self.s);
             }
             Due::Accept => self.s.net.resume_accepting(),
-            Due::Faktory | Due::Store => {}
+            Due::Faktory => self.faktory.iter_mut().for_each(|f| f.sweep(&mut self.s)),
+            Due::Store => {}
         }
     }
 
--- /dev/null
+++ b/pebblepost/tests/common/mod.rs
@@ -0,0 +1,223 @@
+//! A daemon in a thread, and stand-ins for what it talks to, all on loopback.
+
+#![allow(dead_code)] // Each test file uses its part.
+
+use pebblepost::config;
+use pebblepost::net::Door;
+use pebblepost::turn::Daemon;
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+static FILES: AtomicU32 = AtomicU32::new(0);
+
+/// A fresh path for a file of this test process.
+pub fn path(name: &str) -> PathBuf {
+    let n = FILES.fetch_add(1, Ordering::Relaxed);
+    std::env::temp_dir().join(format!("pebblepost-{}-{n}-{name}", std::process::id()))
+}
+
+fn file(json: &Value) -> PathBuf {
+    let path = path("config.json");
+    std::fs::write(&path, json.to_string()).expect("a writable temporary folder");
+    path
+}
+
+/// A running daemon. Dropped, it gets the stop signal and must end.
+pub struct Running {
+    signal: UnixStream,
+    thread: Option<JoinHandle<()>>,
+    addresses: Vec<(Door, SocketAddr)>,
+    files: Vec<PathBuf>,
+}
+
+impl Running {
+    pub fn start(platform: Option<Value>, operator: Option<Value>) -> Self {
+        let platform = platform.map(|json| file(&json));
+        let operator = operator.map(|json| file(&json));
+        let var =
+            |name: &str| (name == "PROXY_CONFIG").then(|| platform.as_ref()?.to_str().map(str::to_owned))?;
+        let config = config::read(var, operator.as_deref()).expect("a sound configuration");
+        let (signal, end) = UnixStream::pair().expect("a pair of sockets");
+        let mut daemon = Daemon::new(config, end, |_| {}).expect("free ports");
+        let doors = [Door::Platform, Door::Faktory, Door::Agent, Door::Health, Door::Store];
+        let addresses = doors.iter().filter_map(|d| Some((*d, daemon.address(*d)?))).collect();
+        let thread = std::thread::spawn(move || daemon.run().expect("no fault of the poller"));
+        Self {
+            signal,
+            thread: Some(thread),
+            addresses,
+            files: platform.into_iter().chain(operator).collect(),
+        }
+    }
+
+    pub fn address(&self, door: Door) -> SocketAddr {
+        self.addresses.iter().find(|(d, _)| *d == door).expect("an open door").1
+    }
+
+    pub fn connect(&self, door: Door) -> Wire {
+        Wire::new(TcpStream::connect(self.address(door)).expect("a listener"))
+    }
+
+    pub fn stop(&mut self) {
+        let _ = self.signal.write_all(b"x");
+    }
+
+    pub fn wait(&mut self) {
+        self.thread.take().expect("not yet waited for").join().expect("no panic");
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.stop();
+        if let Some(thread) = self.thread.take() {
+            let ended = thread.join();
+            assert!(ended.is_ok() || std::thread::panicking(), "the daemon panicked");
+        }
+        self.files.iter().for_each(|f| drop(std::fs::remove_file(f)));
+    }
+}
+
+/// A blocking connection of a stand-in, read by lines.
+pub struct Wire(BufReader<TcpStream>);
+
+impl Wire {
+    pub fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(Duration::from_secs(15))).expect("a sound time-out");
+        stream.set_nodelay(true).expect("TCP");
+        Self(BufReader::new(stream))
+    }
+
+    pub fn say(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).expect("an open connection");
+    }
+
+    /// The next line without its end; empty at the end of the connection.
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        let _ = self.0.read_line(&mut line);
+        line.trim_end().to_owned()
+    }
+
+    /// Whether the peer closes within the read time-out, whatever it says before.
+    pub fn ends(&mut self) -> bool {
+        let mut rest = Vec::new();
+        self.0.read_to_end(&mut rest).is_ok()
+    }
+
+    /// A head's lines, and its body by its length.
+    pub fn message(&mut self) -> (Vec<String>, String) {
+        let mut head = Vec::new();
+        loop {
+            match self.line() {
+                line if line.is_empty() => break,
+                line => head.push(line),
+            }
+        }
+        let length = header(&head, "content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body).expect("a whole body");
+        (head, String::from_utf8(body).expect("text"))
+    }
+
+    pub fn close(self) {
+        let _ = self.0.get_ref().shutdown(std::net::Shutdown::Both);
+    }
+}
+
+pub fn header(head: &[String], name: &str) -> Option<String> {
+    let lines = head.iter().filter_map(|l| l.split_once(':'));
+    lines.filter(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim().to_owned()).next()
+}
+
+/// Settings like the platform's, with one class.
+pub fn settings() -> Value {
+    json!({
+        "instances": 1, "discovery": "ask", "tick": 2_000_000, "failureDomains": ["a", "b"], "kinds": ["m"],
+        "locality": 0,
+        "classes": [{"name": "render", "effect": "idempotency_key", "group": "all", "window": 10e9,
+                     "deadline": 3e9, "onTime": 600e6, "worth": 1.0}],
+        "caps": {"probing": true, "cancelling": true, "sendCap": 3, "mayDuplicate": true, "keepalive": 30e9,
+                 "connectTimeout": 250e6, "maxRetryAfter": 2e9},
+        "report": {"names": ["cpu", "err_rps", "x0"], "source": "pull"},
+        "domain": {"reportX0": "free_slots", "tellsStart": true, "classStretch": 2.0},
+        "invariants": {"stopSendingWithin": 500e6, "answerSlack": 8e6, "askWithin": 10e9, "coldFrom": 1.0}
+    })
+}
+
+/// A configuration of the platform with these workers on the list.
+pub fn platform(workers: &[SocketAddr], discovery: Option<SocketAddr>) -> Value {
+    let host = |(i, dial): (usize, &SocketAddr)| {
+        json!({"host": format!("s-{i}"), "dial": dial, "site": "a", "class": "m", "block": 0, "health": "ready",
+               "share": 1.0, "born_ms": 0})
+    };
+    let hosts: Vec<Value> = workers.iter().enumerate().map(host).collect();
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+        "limits": {"sockets": 256}, "known": {"seq": 1, "whole": true, "hosts": hosts}, "settings": settings()
+    })
+}
+
+/// A worker that answers probes, and jobs as `job` says: it gets the connection after a job's head and body.
+pub fn worker(job: impl Fn(&mut Wire, &[String]) + Send + Sync + Clone + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let job = job.clone();
+            std::thread::spawn(move || {
+                let mut wire = Wire::new(stream);
+                loop {
+                    let (head, _) = wire.message();
+                    match head.first() {
+                        None => return,
+                        Some(line) if line.starts_with("GET /status/load ") => {
+                            let body = r#"{"util":0.1,"eps":0.0,"x0":4}"#;
+                            wire.say(&format!(
+                                "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+                                body.len()
+                            ));
+                        }
+                        Some(_) => job(&mut wire, &head),
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// The lines of a job's answer, in chunks.
+pub fn lines(wire: &mut Wire, lines: &[Value]) {
+    wire.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for line in lines {
+        let line = format!("{line}\n");
+        wire.say(&format!("{:x}\r\n{line}\r\n", line.len()));
+    }
+    wire.say("0\r\n\r\n");
+}
+
+pub fn post(txn: &str, extra: &str, body: &str) -> String {
+    format!(
+        "POST /api?x=1 HTTP/1.1\r\nHost: api.internal\r\nX-Txn: {txn}\r\nX-Lane: render\r\nX-Remaining-Ms: 2000\r\n\
+         Idempotency-Key: k{txn}\r\n{extra}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+pub fn within<T>(limit: Duration, what: &str, mut check: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(found) = check() {
+            return found;
+        }
+        assert!(start.elapsed() < limit, "{what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
--- /dev/null
+++ b/pebblepost/tests/faktory.rs
@@ -0,0 +1,239 @@
+//! The Faktory front against stand-in producers and workers.
+
+mod common;
+
+use common::{Running, Wire};
+use pebblepost::front::faktory::password_hash;
+use pebblepost::net::Door;
+use serde_json::{Value, json};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+fn start(faktory: Value) -> Running {
+    let mut faktory = faktory;
+    faktory["listen"] = json!("127.0.0.1:0");
+    Running::start(None, Some(json!({"faktory": faktory})))
+}
+
+fn hello(daemon: &Running, wid: Option<&str>) -> Wire {
+    let mut wire = daemon.connect(Door::Faktory);
+    assert_eq!(wire.line(), r#"+HI {"v":2}"#);
+    let mut hello = json!({"v": 2, "hostname": "test", "pid": 1});
+    if let Some(wid) = wid {
+        hello["wid"] = json!(wid);
+    }
+    wire.say(&format!("HELLO {hello}\r\n"));
+    assert_eq!(wire.line(), "+OK");
+    wire
+}
+
+fn job(jid: &str) -> Value {
+    json!({"jid": jid, "jobtype": "segment", "args": [1], "queue": "default"})
+}
+
+fn push(wire: &mut Wire, job: &Value) -> String {
+    wire.say(&format!("PUSH {job}\r\n"));
+    wire.line()
+}
+
+/// Fetches once; `None`: no job came.
+fn fetch(wire: &mut Wire) -> Option<Value> {
+    wire.say("FETCH default\r\n");
+    match wire.line().as_str() {
+        "$-1" | "" => None,
+        _ => Some(serde_json::from_str(&wire.line()).expect("a job in JSON")),
+    }
+}
+
+type Runs = Arc<Mutex<Vec<(String, String, Instant)>>>;
+
+/// A worker of one slot that notes what it runs and ends each job with `last`, as long as that says anything.
+fn worker(daemon: &Running, wid: &str, runs: &Runs, last: fn(&str) -> Option<String>) -> JoinHandle<()> {
+    let (mut wire, wid, runs) = (hello(daemon, Some(wid)), wid.to_owned(), runs.clone());
+    std::thread::spawn(move || {
+        loop {
+            wire.say("FETCH default\r\n");
+            match wire.line().as_str() {
+                "" => return,
+                "$-1" => continue,
+                _ => {}
+            }
+            let job: Value = serde_json::from_str(&wire.line()).expect("a job in JSON");
+            let jid = job["jid"].as_str().expect("a jid").to_owned();
+            runs.lock().expect("no panic").push((jid.clone(), wid.clone(), Instant::now()));
+            match last(&jid) {
+                Some(word) => wire.say(&format!("{word} {}\r\n", json!({"jid": jid}))),
+                None => std::thread::sleep(Duration::from_secs(60)),
+            }
+            wire.line();
+        }
+    })
+}
+
+fn acks(_: &str) -> Option<String> {
+    Some("ACK".to_owned())
+}
+
+#[test]
+fn one_answer_for_each_job_though_workers_fall_silent_drain_and_fail() {
+    let daemon = start(json!({"reserve_for_s": 0.3, "queues": {"default": {"deadline_s": 4}}}));
+    let runs = Runs::default();
+    worker(&daemon, "good", &runs, acks);
+    worker(&daemon, "silent", &runs, |_| None);
+    worker(&daemon, "failing", &runs, |_| Some("FAIL".to_owned()));
+    let mut drained = hello(&daemon, Some("drained"));
+    drained.say("FETCH default\r\n");
+    let mut beat = hello(&daemon, Some("drained"));
+    beat.say("BEAT {\"wid\":\"drained\",\"current_state\":\"quiet\"}\r\n");
+    assert_eq!(beat.line(), "+OK");
+
+    let pushes: Vec<_> = (0..40)
+        .map(|i| {
+            let mut wire = hello(&daemon, None);
+            std::thread::spawn(move || (i, Instant::now(), push(&mut wire, &job(&format!("j{i}"))), wire))
+        })
+        .collect();
+    let mut answers = HashMap::new();
+    for push in pushes {
+        let (i, started, answer, mut wire) = push.join().expect("no panic");
+        assert!(started.elapsed() < Duration::from_millis(4_500), "{i} is answered before its deadline");
+        // Exactly one: the next thing on the wire is the answer to the next command.
+        wire.say("NONSENSE\r\n");
+        assert_eq!(wire.line(), "-ERR unknown command", "after job {i}");
+        answers.insert(format!("j{i}"), answer);
+    }
+    let runs = runs.lock().expect("no panic");
+    for (jid, answer) in &answers {
+        let by: Vec<&str> = runs.iter().filter(|(j, ..)| j == jid).map(|(_, w, _)| w.as_str()).collect();
+        // These workers do not drop repeats: what may have run is not run again.
+        assert!(by.len() <= 1, "{jid} ran at {by:?}");
+        match (by.first(), answer.as_str()) {
+            (Some(&"good"), "+OK") | (Some(&("silent" | "failing")), "-ERR failed, the job may have run") => {
+            }
+            (None, refused) if refused.starts_with("-ERR refused, come back in ") => {}
+            other => panic!("{jid}: {other:?}"),
+        }
+    }
+    assert!(answers.values().any(|a| a == "+OK"), "somebody is served");
+    assert_eq!(drained.line(), "$-1", "nothing for a drained worker");
+}
+
+#[test]
+fn a_repeat_gets_the_answer_of_the_first_and_runs_nothing() {
+    let daemon = start(json!({"key": "order"}));
+    let runs = Runs::default();
+    let keyed = |jid: &str| {
+        let mut job = job(jid);
+        job["custom"] = json!({"order": 7});
+        job
+    };
+    let mut first = hello(&daemon, None);
+    let mut second = hello(&daemon, None);
+    first.say(&format!("PUSH {}\r\n", keyed("a")));
+    second.say(&format!("PUSH {}\r\n", keyed("b")));
+    worker(&daemon, "w", &runs, acks);
+    assert_eq!(first.line(), "+OK");
+    assert_eq!(second.line(), "+OK", "while the first is under way");
+    assert_eq!(push(&mut second, &keyed("c")), "+OK", "after it");
+    assert_eq!(push(&mut second, &job("a")), "+OK", "another key, so another job");
+    assert_eq!(runs.lock().expect("no panic").len(), 2);
+}
+
+#[test]
+fn a_job_with_no_free_slot_is_refused_at_once_with_when_to_come_back() {
+    let daemon = start(json!({}));
+    let mut producer = hello(&daemon, None);
+    let start = Instant::now();
+    let answer = push(&mut producer, &job("x"));
+    assert!(answer.starts_with("-ERR refused, come back in "), "{answer}");
+    assert!(start.elapsed() < Duration::from_millis(4_000));
+    // Until the window is over the same job would hear the same: the advice says so.
+    let secs: f64 = answer.split(' ').nth(5).and_then(|n| n.parse().ok()).expect("seconds");
+    assert!((5.0..=10.0).contains(&secs), "{answer}");
+    assert!(push(&mut producer, &job("x")).starts_with("-ERR refused, "));
+}
+
+#[test]
+fn a_drain_is_kept_within_half_a_second_while_jobs_flow() {
+    let daemon = start(json!({}));
+    let runs = Runs::default();
+    worker(&daemon, "stays", &runs, acks);
+    worker(&daemon, "drains", &runs, acks);
+    let mut beat = hello(&daemon, Some("drains"));
+    let mut producer = hello(&daemon, None);
+    let mut told = None;
+    for i in 0..60 {
+        if i == 20 {
+            beat.say("BEAT {\"current_state\":\"terminate\"}\r\n");
+            assert_eq!(beat.line(), "+OK");
+            told = Some(Instant::now());
+        }
+        assert_eq!(push(&mut producer, &job(&format!("d{i}"))), "+OK");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let runs = runs.lock().expect("no panic");
+    let told = told.expect("was told");
+    assert!(runs.iter().any(|(_, w, _)| w == "drains"), "it worked before");
+    let late = runs.iter().filter(|(_, w, at)| w == "drains" && *at > told + Duration::from_millis(500));
+    assert_eq!(late.count(), 0);
+}
+
+#[test]
+fn a_lost_connection_may_have_run_and_a_late_ack_is_dropped() {
+    let daemon = start(json!({"reserve_for_s": 0.2}));
+    for (wid, breaks) in [("breaks", true), ("late", false)] {
+        let mut producer = hello(&daemon, None);
+        let mut worker = hello(&daemon, Some(wid));
+        producer.say(&format!("PUSH {}\r\n", job(wid)));
+        let fetched = common::within(Duration::from_secs(5), "a job comes", || fetch(&mut worker));
+        assert_eq!(fetched["jid"], wid);
+        if breaks {
+            worker.close();
+            assert_eq!(producer.line(), "-ERR failed, the job may have run");
+        } else {
+            assert_eq!(producer.line(), "-ERR failed, the job may have run");
+            worker.say("ACK {\"jid\":\"late\"}\r\n");
+            assert_eq!(worker.line(), "+OK");
+            worker.close();
+        }
+    }
+}
+
+#[test]
+fn passwords_versions_and_bad_commands() {
+    let daemon = start(json!({"password": "sesame"}));
+    let greet = |password: &str| {
+        let mut wire = daemon.connect(Door::Faktory);
+        let hi: Value = serde_json::from_str(wire.line().trim_start_matches("+HI ")).expect("JSON");
+        let rounds = u32::try_from(hi["i"].as_u64().expect("rounds")).expect("few");
+        let hash = password_hash(password, hi["s"].as_str().expect("a salt"), rounds);
+        wire.say(&format!("HELLO {}\r\n", json!({"v": 2, "pwdhash": hash})));
+        (wire.line(), wire)
+    };
+    assert_eq!(greet("guess").0, "-ERR invalid password");
+    let (ok, mut wire) = greet("sesame");
+    assert_eq!(ok, "+OK");
+    for (command, reply) in [
+        ("PUSH {nonsense", "-ERR malformed JSON, an object is wanted"),
+        ("PUSH {\"jid\":\"1\"}", "-ERR a job needs jid, jobtype and args"),
+        ("PUSH {\"jid\":\"1\",\"jobtype\":\"t\",\"args\":[],\"queue\":\"none\"}", "-ERR unknown queue"),
+        ("FLUSH", "-ERR unknown command"),
+        ("FETCH default", "-ERR only workers with a wid fetch"),
+        ("BEAT {\"wid\":\"nobody\"}", "-ERR unknown worker"),
+        ("ACK {}", "-ERR jid is missing"),
+    ] {
+        wire.say(&format!("{command}\r\n"));
+        assert_eq!(wire.line(), reply, "{command}");
+    }
+    wire.say("INFO\r\n");
+    assert!(wire.line().starts_with('$'));
+    assert!(wire.line().contains("\"faktory\""));
+    wire.say("END\r\n");
+    assert!(wire.ends());
+    let mut rude = daemon.connect(Door::Faktory);
+    rude.line();
+    rude.say("PUSH {}\r\n");
+    assert_eq!(rude.line(), "-ERR say HELLO first");
+}
--- /dev/null
+++ b/pebblepost/tests/platform.rs
@@ -0,0 +1,280 @@
+//! The platform's front and the links to workers, against stand-ins.
+
+mod common;
+
+use common::{Running, Wire, header, lines, platform, post, worker};
+use pebblepost::net::Door;
+use serde_json::{Value, json};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+fn serves(wire: &mut Wire, head: &[String]) {
+    let id = header(head, "x-txn").expect("an id");
+    lines(
+        wire,
+        &[json!({"id": id, "state": "started"}), json!({"id": id, "state": "done", "result": "text"})],
+    );
+}
+
+fn ask(daemon: &Running, request: &str) -> (Vec<String>, String) {
+    let mut wire = daemon.connect(Door::Platform);
+    wire.say(request);
+    wire.message()
+}
+
+#[test]
+fn a_job_passes_on_unchanged_and_connections_are_kept() {
+    let heads = Arc::new(std::sync::Mutex::new(Vec::new()));
+    let seen = heads.clone();
+    let good = worker(move |wire, head| {
+        seen.lock().expect("no panic").push(head.to_vec());
+        serves(wire, head);
+    });
+    let daemon = Running::start(Some(platform(&[good], None)), None);
+    let mut wire = daemon.connect(Door::Platform);
+    wire.say("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+    assert_eq!(wire.message().0[0], "HTTP/1.1 200 OK");
+    // Three sent ahead, one in chunks: each waits for the one before.
+    let chunked = post("t3", "", "")
+        .replace("Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    wire.say(&format!("{}{}{chunked}", post("t1", "", "one"), post("t2", "", "two")));
+    for _ in 0..3 {
+        let (head, body) = wire.message();
+        assert_eq!((head[0].as_str(), body.as_str()), ("HTTP/1.1 200 OK", "text"));
+    }
+    let heads = heads.lock().expect("no panic");
+    let ids: Vec<_> = heads.iter().map(|h| header(h, "x-txn").expect("an id")).collect();
+    assert_eq!(ids, ["t1", "t2", "t3"]);
+    for head in heads.iter() {
+        assert_eq!(head[0], "POST /api?x=1 HTTP/1.1");
+        assert!(header(head, "idempotency-key").is_some_and(|k| k.starts_with("kt")));
+        let left: u64 = header(head, "x-remaining-ms").and_then(|n| n.parse().ok()).expect("a time");
+        assert!((1_000..=2_000).contains(&left));
+    }
+}
+
+#[test]
+fn bad_input_gets_its_status() {
+    let good = worker(serves);
+    let daemon = Running::start(Some(platform(&[good], None)), None);
+    let job = post("t", "", "");
+    let cases = [
+        (job.replace("POST", "GET"), 405, false),
+        (job.replace("/api", "/other"), 404, false),
+        (job.replace("X-Lane: render", "X-Lane: unheard"), 400, false),
+        (job.replace("X-Txn: t\r\n", ""), 400, false),
+        (job.replace("X-Remaining-Ms: 2000", "X-Remaining-Ms: soon"), 400, false),
+        (post("t", "X-Estimate: -1\r\n", ""), 400, false),
+        (post("t", "X-Labels: slots=many\r\n", ""), 400, false),
+        (post("t", "Transfer-Encoding: chunked\r\n", ""), 400, true),
+        (post("t", "Content-Length: 3\r\n", ""), 400, true),
+        (job.replace("Content-Length: 0", "Content-Length: 65537"), 413, true),
+        (job.replace("Content-Length: 0", "Content-Length: +1"), 400, true),
+        ("nonsense\r\n\r\n".to_owned(), 400, true),
+        (post("t", &format!("X-Long: {}\r\n", "x".repeat(20_000)), ""), 431, true),
+        (job.replace("Content-Length: 0", "Transfer-Encoding: gzip"), 501, true),
+    ];
+    for (request, status, closes) in cases {
+        let mut wire = daemon.connect(Door::Platform);
+        wire.say(&request);
+        let (head, _) = wire.message();
+        assert!(
+            head[0].starts_with(&format!("HTTP/1.1 {status} ")),
+            "{head:?} for {}",
+            &request[..request.len().min(300)]
+        );
+        if closes {
+            assert!(wire.ends());
+        } else {
+            wire.say(&post("t", "", ""));
+            assert_eq!(wire.message().1, "text", "the connection goes on after {status}");
+        }
+    }
+}
+
+#[test]
+fn nobody_to_serve_is_a_refusal_at_once_with_when_to_come_back() {
+    // A port that nobody listens at any more: the connection is refused, so nothing can have run.
+    let closed = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port");
+    let daemon = Running::start(Some(platform(&[closed], None)), None);
+    let start = Instant::now();
+    let (head, _) = ask(&daemon, &post("t", "", ""));
+    assert_eq!(head[0], "HTTP/1.1 503 Service Unavailable");
+    let after: f64 = header(&head, "retry-after").and_then(|n| n.parse().ok()).expect("seconds");
+    assert!(after > 0.0);
+    assert!(start.elapsed() < Duration::from_millis(1_500), "not held back until the client's time is up");
+}
+
+/// How many attempts a worker sees, and what the client gets, if each goes so.
+fn attempts(job: impl Fn(&mut Wire, &[String]) + Send + Sync + Clone + 'static) -> (u32, String) {
+    let count = Arc::new(AtomicU32::new(0));
+    let seen = count.clone();
+    let counted = worker(move |wire, head| {
+        seen.fetch_add(1, Ordering::SeqCst);
+        job(wire, head);
+    });
+    let daemon = Running::start(Some(platform(&[counted], None)), None);
+    let (head, _) = ask(&daemon, &post("t", "", ""));
+    (count.load(Ordering::SeqCst), head[0].clone())
+}
+
+#[test]
+fn whatever_a_worker_does_ends_that_attempt_only() {
+    let told = |line: Value| move |wire: &mut Wire, _: &[String]| lines(wire, std::slice::from_ref(&line));
+    for (what, (seen, status)) in [
+        ("failed", attempts(told(json!({"state": "failed"})))),
+        ("lost", attempts(told(json!({"state": "lost"})))),
+        ("returned", attempts(told(json!({"state": "returned"})))),
+        ("an unknown state", attempts(told(json!({"state": "dreaming"})))),
+        ("done with no result", attempts(told(json!({"state": "done"})))),
+        ("500", attempts(|w, _| w.say("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"))),
+        ("garbage", attempts(|w, _| w.say("\u{1}\u{2}garbage\r\n\r\n"))),
+        ("an end with no last line", attempts(|w, _| w.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))),
+        (
+            "turned away",
+            attempts(|w, _| {
+                w.say("HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n");
+            }),
+        ),
+    ] {
+        assert!((1..=3).contains(&seen), "{what}: {seen} attempts");
+        assert_eq!(status, "HTTP/1.1 503 Service Unavailable", "{what}");
+    }
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_attempt() {
+    let (tell, told) = std::sync::mpsc::channel();
+    let waits = worker(move |wire, _| {
+        tell.send("has it").expect("a listener");
+        assert!(wire.line().is_empty());
+        tell.send("was closed").expect("a listener");
+    });
+    let daemon = Running::start(Some(platform(&[waits], None)), None);
+    let mut wire = daemon.connect(Door::Platform);
+    wire.say(&post("t", "", ""));
+    let limit = Duration::from_secs(5);
+    assert_eq!(told.recv_timeout(limit), Ok("has it"));
+    wire.close();
+    assert_eq!(told.recv_timeout(limit), Ok("was closed"));
+}
+
+#[test]
+fn a_stop_serves_a_while_longer_then_finishes_what_was_taken() {
+    let slow = worker(|wire, head| {
+        std::thread::sleep(Duration::from_millis(900));
+        serves(wire, head);
+    });
+    let mut daemon = Running::start(Some(platform(&[slow], None)), None);
+    let mut idle = daemon.connect(Door::Platform);
+    idle.say("GET /ready HTTP/1.1\r\n\r\n");
+    assert_eq!(idle.message().0[0], "HTTP/1.1 200 OK");
+    daemon.stop();
+    common::within(Duration::from_millis(400), "not ready after the signal", || {
+        idle.say("GET /ready HTTP/1.1\r\n\r\n");
+        idle.message().0[0].starts_with("HTTP/1.1 503").then_some(())
+    });
+    let mut late = daemon.connect(Door::Platform);
+    late.say(&post("t", "", ""));
+    let (head, body) = late.message();
+    assert_eq!((head[0].as_str(), body.as_str()), ("HTTP/1.1 200 OK", "text"));
+    assert_eq!(header(&head, "connection").as_deref(), Some("close"));
+    assert!(idle.ends() && late.ends());
+    daemon.wait();
+}
+
+/// A discovery that answers each call with what `say` writes.
+fn discovery(say: impl Fn(&mut Wire, u32) + Send + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        for (n, stream) in listener.incoming().map_while(Result::ok).enumerate() {
+            let mut wire = Wire::new(stream);
+            wire.message();
+            say(&mut wire, n as u32);
+        }
+    });
+    address
+}
+
+#[test]
+fn a_watch_tells_of_drains_and_garbage_ends_only_the_watch() {
+    let (old, new) = (worker(|w, _| w.say("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")), worker(serves));
+    let list = discovery(move |wire, n| {
+        let chunk = |wire: &mut Wire, text: &str| wire.say(&format!("{:x}\r\n{text}\r\n", text.len()));
+        wire.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        if n == 0 {
+            return chunk(wire, "{\"seq\":\"garbage\"}\n");
+        }
+        let host = |host, dial: SocketAddr, health| json!({"host": host, "dial": dial, "site": "b", "class": "m", "block": 1, "health": health, "born_ms": 0});
+        let hosts = [host("s-0", old, "draining"), host("s-new", new, "ready")];
+        chunk(wire, &format!("{}\n", json!({"seq": 2, "whole": false, "hosts": hosts})));
+        std::thread::sleep(Duration::from_secs(20));
+    });
+    let daemon = Running::start(Some(platform(&[old], Some(list))), None);
+    common::within(Duration::from_secs(10), "the new worker serves", || {
+        (ask(&daemon, &post("t", "", "")).1 == "text").then_some(())
+    });
+    for _ in 0..10 {
+        assert_eq!(ask(&daemon, &post("t", "", "")).1, "text", "nothing goes to the drained one");
+    }
+}
+
+#[test]
+fn balancers_are_told_of_the_real_state() {
+    let operator = json!({"agent_check": {"listen": "127.0.0.1:0"}, "health": {"listen": "127.0.0.1:0"}});
+    let mut daemon = Running::start(Some(platform(&[worker(serves)], None)), Some(operator.clone()));
+    let agent = |daemon: &Running| daemon.connect(Door::Agent).line();
+    let health = |daemon: &Running, path: &str| {
+        let mut wire = daemon.connect(Door::Health);
+        wire.say(&format!("GET {path} HTTP/1.0\r\n\r\n"));
+        wire.message().0[0][9..12].to_owned()
+    };
+    assert!(agent(&daemon).starts_with("up ready "));
+    assert_eq!((health(&daemon, "/health"), health(&daemon, "/ready")), ("200".to_owned(), "200".to_owned()));
+    daemon.stop();
+    common::within(Duration::from_millis(400), "drains", || (agent(&daemon) == "drain").then_some(()));
+    assert_eq!(health(&daemon, "/ready"), "503");
+    let empty = Running::start(Some(platform(&[], None)), Some(operator));
+    assert_eq!(agent(&empty), "maint");
+    assert_eq!(health(&empty, "/ready"), "503");
+}
+
+#[test]
+fn more_clients_than_descriptors_are_served_in_turn() {
+    let daemon = Running::start(Some(platform(&[worker(serves)], None)), None);
+    // The limit of 256 leaves 140 for clients; idle ones make room for those that come.
+    let mut held: Vec<Wire> = Vec::new();
+    for i in 0..200 {
+        let mut wire = daemon.connect(Door::Platform);
+        wire.say(&post(&format!("t{i}"), "", ""));
+        assert_eq!(wire.message().1, "text");
+        held.push(wire);
+    }
+}
+
+#[test]
+fn a_bad_configuration_is_one_line_that_names_key_and_file() {
+    let binary = env!("CARGO_BIN_EXE_pebblepost");
+    let mut bad = platform(&[], None);
+    for (pointer, value, key) in [
+        ("/listen", json!("nowhere"), "listen"),
+        ("/seed", json!("xyz"), "seed"),
+        ("/limits/sockets", json!(-1), "limits.sockets"),
+        ("/settings/classes/0/deadline", json!("soon"), "classes.0.deadline"),
+    ] {
+        let good = std::mem::replace(bad.pointer_mut(pointer).expect("a key"), value);
+        let path = common::path("bad.json");
+        std::fs::File::create(&path).and_then(|mut f| write!(f, "{bad}")).expect("a writable folder");
+        let run = std::process::Command::new(binary).env("PROXY_CONFIG", &path).output().expect("it starts");
+        let _ = std::fs::remove_file(&path);
+        let said = String::from_utf8_lossy(&run.stderr).into_owned();
+        assert!(!run.status.success());
+        assert_eq!(said.lines().count(), 1, "{said}");
+        assert!(said.contains(key) && said.contains("bad.json"), "{said}");
+        *bad.pointer_mut(pointer).expect("a key") = good;
+    }
+}
