--- a/pebblepost/src/config.rs
+++ b/pebblepost/src/config.rs
@@ -304,7 +304,12 @@
         Some(Value::String(path)) => Some(PathBuf::from(path)),
         Some(_) => return wrong(file, "store.file", "not a path"),
     };
-    Ok(Store { listen: address(file, "store.listen", map.get("listen"))?, peers, file: path })
+    // Whoever reaches it may change it, so it stays on this machine.
+    let listen = address(file, "store.listen", map.get("listen"))?;
+    if listen.iter().chain(&peers).any(|a| !a.ip().is_loopback()) {
+        return wrong(file, "store", "listen and peers must be loopback addresses");
+    }
+    Ok(Store { listen, peers, file: path })
 }
 
 /// Reads everything. `var`: the environment; `operator`: the operator's file, if one is named.
--- a/pebblepost/src/discovery.rs
+++ b/pebblepost/src/discovery.rs
@@ -134,9 +134,11 @@
         id
     }
 
-    /// Whether an operator's drain mark names the worker.
+    /// Whether an operator's drain mark names the worker, or the process of which it is a queue.
     pub fn is_marked(&self, worker: WorkerId) -> bool {
-        self.get(worker).is_some_and(|t| self.drained.contains(&t.host))
+        let process = |host: &str| host.split('/').next().unwrap_or_default().to_owned();
+        self.get(worker)
+            .is_some_and(|t| self.drained.contains(&t.host) || self.drained.contains(&process(&t.host)))
     }
 
     fn place(&mut self, host: &str) -> WorkerId {
@@ -203,7 +205,7 @@
     /// The entry as the core sees it: an operator's drain mark drains a ready worker.
     fn marked(&self, id: WorkerId) -> Entry {
         let t = &self.transports[id.0 as usize];
-        let drains = t.entry.state == WorkerState::Ready && self.drained.contains(&t.host);
+        let drains = t.entry.state == WorkerState::Ready && self.is_marked(id);
         Entry { state: if drains { WorkerState::Draining } else { t.entry.state }, ..t.entry }
     }
 
--- a/pebblepost/src/front/faktory.rs
+++ b/pebblepost/src/front/faktory.rs
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Changes the times after which workers and jobs are lost; for jobs, for those that come.
+    pub fn set_times(&mut self, heartbeat: Duration, reserve_for: Duration) {
+        (self.config.heartbeat, self.config.reserve_for) = (heartbeat, reserve_for);
+    }
+
     /// A connection came: the server speaks first.
     pub fn on_open(&mut self, s: &mut Shared, key: ConnKey) {
         let hi = match &self.config.password {
--- a/pebblepost/src/lib.rs
+++ b/pebblepost/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod health;
 pub mod http;
 pub mod net;
+pub mod store;
 pub mod turn;
 pub mod workers;
--- a/pebblepost/src/main.rs
+++ b/pebblepost/src/main.rs
@@ -3,12 +3,17 @@
 #![forbid(unsafe_code)]
 
 use pebblepost::{config, turn::Daemon};
+use serde_json::{Value, json};
 use signal_hook::consts::{SIGINT, SIGTERM};
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
-const USAGE: &str = "usage: pebblepost [--operator FILE]   (see README.md for the environment)";
+const USAGE: &str = "usage: pebblepost [--operator FILE]   (README.md tells of the environment)
+       pebblepost ctl ADDRESS show | drain WORKER | undrain WORKER | set NAME SECONDS | unset NAME";
 
 fn main() -> ExitCode {
     match run() {
@@ -26,6 +31,10 @@
     while let Some(arg) = args.next() {
         match arg.to_str() {
             Some("--operator") => operator = Some(args.next().ok_or(USAGE)?.into()),
+            Some("ctl") => {
+                let words: Option<Vec<String>> = args.map(|a| a.into_string().ok()).collect();
+                return ctl(&words.unwrap_or_default());
+            }
             Some("--help" | "-h") => {
                 println!("{USAGE}");
                 return Ok(());
@@ -41,3 +50,32 @@
     let log = |line: &str| eprintln!("pebblepost: {line}");
     Ok(Daemon::new(config, signal, log)?.run()?)
 }
+
+/// Asks or changes the store of a running program.
+fn ctl(words: &[String]) -> Result<(), Box<dyn std::error::Error>> {
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let change = |key: String, value: Value| json!({"set": {key: value}});
+    let (address, line) = match words.as_slice() {
+        [address, "show"] => (address, json!({"show": true})),
+        [address, "drain", worker] => (address, change(format!("drain/{worker}"), json!(true))),
+        [address, "undrain", worker] => (address, change(format!("drain/{worker}"), Value::Null)),
+        [address, "set", name, secs] => {
+            (address, change(format!("setting/{name}"), json!(secs.parse::<f64>()?)))
+        }
+        [address, "unset", name] => (address, change(format!("setting/{name}"), Value::Null)),
+        _ => return Err(USAGE.into()),
+    };
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(Duration::from_secs(5)))?;
+    writeln!(stream, "{line}")?;
+    let mut reply = String::new();
+    BufReader::new(stream).read_line(&mut reply)?;
+    let reply: Value = serde_json::from_str(&reply)?;
+    match reply.get("error").and_then(Value::as_str) {
+        Some(error) => Err(error.into()),
+        None => {
+            println!("{reply:#}");
+            Ok(())
+        }
+    }
+}
--- a/pebblepost/src/net.rs
+++ b/pebblepost/src/net.rs
@@ -6,8 +6,8 @@
 use crate::discovery::{Call, TransportMap};
 use crate::engine::{self, Input};
 use crate::front::{faktory, platform};
-use crate::health;
 use crate::workers::Link;
+use crate::{health, store};
 use pebblewind::api::{RequestId, Time, WorkerId};
 use polling::{Event, PollMode, Poller};
 use slab::Slab;
@@ -66,6 +66,8 @@
     Faktory(faktory::Peer),
     /// A balancer's question after health, by HTTP.
     Health(health::Asker),
+    /// A peer of the store, or an operator.
+    Store(store::Exchange),
     /// Only its last output still goes out.
     Closing,
 }
@@ -96,7 +98,7 @@
 
     fn max_input(&self) -> usize {
         match self.role {
-            Role::Worker(_) | Role::Discovery(_) => MAX_TRUSTED_INPUT,
+            Role::Worker(_) | Role::Discovery(_) | Role::Store(_) => MAX_TRUSTED_INPUT,
             _ => MAX_INPUT,
         }
     }
--- a/pebblepost/src/turn.rs
+++ b/pebblepost/src/turn.rs
@@ -8,6 +8,7 @@
 use crate::front::platform::{Class, Platform, SenderSide};
 use crate::health::{self, Condition};
 use crate::net::{Clock, ConnKey, Door, Due, Net, Ready, Role, Shared};
+use crate::store::{Exchange, Replica};
 use crate::workers::Workers;
 use pebblewind::api::{ListKind, Status};
 use std::io::{self, Read};
@@ -26,6 +27,9 @@
     workers: Workers,
     discovery: Discovery,
     faktory: Option<Faktory>,
+    store: Replica,
+    /// As the operator's file says, where the store says nothing.
+    faktory_times: Option<(Duration, Duration)>,
     signal: UnixStream,
     outputs: Vec<Output>,
 }
@@ -40,6 +44,7 @@
         let faktory = config.faktory.as_ref().map(|f| f.listen);
         let doors = [
             (Door::Faktory, faktory),
+            (Door::Store, config.store.listen),
             (Door::Platform, config.listen),
             (Door::Agent, config.agent_check),
             (Door::Health, config.health),
@@ -58,17 +63,36 @@
         s.inputs.push(known.map_or(Input::Members(ListKind::Cached, Vec::new()), |(input, _)| input));
         let classes = config.classes.into_iter().map(|(name, deadline)| Class { name, deadline }).collect();
         let fields = config.settings.report_fields.clone();
+        let faktory_times = config.faktory.as_ref().map(|f| (f.heartbeat, f.reserve_for));
         let faktory = config.faktory.map(|f| Faktory::new(&mut s, f, fields));
-        Ok(Self {
+        let store = Replica::new(&mut s, &config.name, &config.store).map_err(io::Error::other)?;
+        let mut daemon = Self {
             s,
             faktory,
+            store,
+            faktory_times,
             engine,
             platform: Platform::new(classes),
             workers: Workers::new(&config.settings, config.connect_timeout, config.report_names),
             discovery: Discovery::new(config.discovery),
             signal,
             outputs: Vec::new(),
-        })
+        };
+        daemon.apply_store();
+        Ok(daemon)
+    }
+
+    /// Puts into force what the store says.
+    fn apply_store(&mut self) {
+        let registers = self.store.registers();
+        if let Some(told) = self.s.map.mark(registers.drained()) {
+            self.s.inputs.push(told);
+        }
+        if let (Some(faktory), Some((heartbeat, reserve_for))) = (&mut self.faktory, self.faktory_times) {
+            let heartbeat = registers.seconds("faktory.heartbeat_s").unwrap_or(heartbeat);
+            let reserve_for = registers.seconds("faktory.reserve_for_s").unwrap_or(reserve_for);
+            faktory.set_times(heartbeat, reserve_for);
+        }
     }
 
     /// Where a door listens.
@@ -169,6 +193,7 @@
         let role = |door| match door {
             Door::Health => Role::Health(health::Asker),
             Door::Agent => Role::Closing,
+            Door::Store => Role::Store(Exchange::default()),
             Door::Faktory => Role::Faktory(Peer::default()),
             _ => Role::Sender(SenderSide::Head),
         };
@@ -177,6 +202,7 @@
             match door {
                 Some(Door::Agent) => health::agent(&mut self.s, key, condition),
                 Some(Door::Health) => health::on_open(&mut self.s, key),
+                Some(Door::Store) => self.store.on_open(&mut self.s, key),
                 Some(Door::Faktory) => self.faktory.iter_mut().for_each(|f| f.on_open(&mut self.s, key)),
                 _ => {}
             }
@@ -205,6 +231,7 @@
                     }
                 }
                 Some(Role::Faktory(_)) => self.faktory.iter_mut().for_each(|f| f.on_data(&mut self.s, key)),
+                Some(Role::Store(_)) => self.exchange(key),
                 Some(Role::Health(_)) if alive => health::on_data(&mut self.s, key),
                 _ => {}
             }
@@ -214,6 +241,12 @@
         }
     }
 
+    fn exchange(&mut self, key: ConnKey) {
+        if self.store.on_data(&mut self.s, key) {
+            self.apply_store();
+        }
+    }
+
     /// A connection ended or broke.
     fn closed(&mut self, key: ConnKey) {
         match self.s.net.get(key).map(|c| &c.role) {
@@ -247,7 +280,7 @@
             }
             Due::Accept => self.s.net.resume_accepting(),
             Due::Faktory => self.faktory.iter_mut().for_each(|f| f.sweep(&mut self.s)),
-            Due::Store => {}
+            Due::Store => self.store.on_due(&mut self.s),
         }
     }
 
