--- a/pebblepost/src/discovery.rs
+++ b/pebblepost/src/discovery.rs
@@ -12,9 +12,11 @@
 
 /// A watch says something every 2 s; quiet for so long, it has failed. Stays under the 6 s after which a
 /// change counts as told whether it arrived or not.
-const QUIET: Duration = Duration::from_millis(4500);
-/// A fetch that took so long has failed.
-const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+const QUIET: Duration = Duration::from_secs(4);
+/// Discovery's machine does not answer at all: there is no point in waiting for longer.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Discovery itself ends calls that waited for 2 s; one that brings nothing for longer has failed.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest object of discovery.
 const MAX_LINE: usize = 768 * 1024;
 
@@ -270,7 +272,7 @@
         match connected {
             Some(key) => {
                 let request = format!("GET {target} HTTP/1.1\r\nHost: discovery\r\n\r\n");
-                s.net.set_deadline(key, Some(CALL_TIMEOUT));
+                s.net.set_deadline(key, Some(CONNECT_TIMEOUT));
                 s.net.send(key, request.as_bytes());
             }
             None => self.failed(s),
@@ -285,6 +287,11 @@
         s.inputs.push(Input::Members(ListKind::Failed, Vec::new()));
     }
 
+    /// The call's connection came up.
+    pub fn on_up(&mut self, s: &mut Shared, key: ConnKey) {
+        s.net.set_deadline(key, Some(CALL_TIMEOUT));
+    }
+
     /// The call ended, timed out or brought garbage.
     pub fn on_closed(&mut self, s: &mut Shared, key: ConnKey) {
         s.net.close(key);
--- a/pebblepost/src/main.rs
+++ b/pebblepost/src/main.rs
@@ -47,7 +47,8 @@
     for kind in [SIGTERM, SIGINT] {
         signal_hook::low_level::pipe::register(kind, notify.try_clone()?)?;
     }
-    let log = |line: &str| eprintln!("pebblepost: {line}");
+    // `eprintln!` would panic if whoever reads the log has gone.
+    let log = |line: &str| drop(writeln!(std::io::stderr(), "pebblepost: {line}"));
     Ok(Daemon::new(config, signal, log)?.run()?)
 }
 
--- a/pebblepost/src/net.rs
+++ b/pebblepost/src/net.rs
@@ -457,7 +457,10 @@
         let mut scratch = std::mem::take(&mut self.scratch);
         let mut alive = true;
         if let Some(conn) = self.get(key) {
-            while conn.input.len() < conn.max_input() {
+            // Input is full and not asked for, so what the poller reports can only be the connection's end: it
+            // would go on reporting that without a pause.
+            alive = conn.interest.0;
+            while alive && conn.input.len() < conn.max_input() {
                 match conn.stream.read(&mut scratch) {
                     Ok(0) => alive = false,
                     Ok(n) => {
--- a/pebblepost/src/turn.rs
+++ b/pebblepost/src/turn.rs
@@ -215,8 +215,10 @@
             if !self.s.net.came_up(key) {
                 return self.closed(key);
             }
-            if fresh && matches!(self.s.net.get(key).map(|c| &c.role), Some(Role::Worker(_))) {
-                self.workers.on_up(&mut self.s, key);
+            match self.s.net.get(key).map(|c| &c.role).filter(|_| fresh) {
+                Some(Role::Worker(_)) => self.workers.on_up(&mut self.s, key),
+                Some(Role::Discovery(_)) => self.discovery.on_up(&mut self.s, key),
+                _ => {}
             }
             self.s.net.flush(key);
         }
--- a/pebblepost/tests/platform.rs
+++ b/pebblepost/tests/platform.rs
@@ -223,6 +223,42 @@
     }
 }
 
+#[test]
+fn a_watch_that_falls_silent_is_taken_up_again() {
+    let (tell, told) = std::sync::mpsc::channel();
+    let silent = discovery(move |wire, n| {
+        wire.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+        tell.send((n, Instant::now())).expect("a listener");
+        // The daemon gives it up; nothing on the wire says that the watch has ended.
+        assert!(wire.line().is_empty());
+    });
+    let _daemon = Running::start(Some(platform(&[worker(serves)], Some(silent))), None);
+    let (limit, (_, first)) = (Duration::from_secs(8), told.recv().expect("a watch"));
+    let (n, second) = told.recv_timeout(limit).expect("another watch");
+    assert_eq!(n, 1);
+    let after = second - first;
+    assert!((Duration::from_millis(2_500)..Duration::from_secs(6)).contains(&after), "{after:?}");
+}
+
+#[test]
+fn a_client_that_sends_far_ahead_and_leaves_costs_nothing() {
+    let (tell, told) = std::sync::mpsc::channel();
+    let waits = worker(move |wire, _| {
+        assert!(wire.line().is_empty());
+        tell.send(()).expect("a listener");
+    });
+    let daemon = Running::start(Some(platform(&[waits], None)), None);
+    let mut flood = std::net::TcpStream::connect(daemon.address(Door::Platform)).expect("a listener");
+    flood.set_write_timeout(Some(Duration::from_millis(300))).expect("a sound time-out");
+    flood.write_all(post("t", "", "").as_bytes()).expect("room");
+    // More than the daemon will hold: it stops reading, and still notices the reset.
+    let sent = (0..1_000).take_while(|_| flood.write_all(&[b'x'; 64 * 1024]).is_ok()).count();
+    assert!(sent < 1_000, "what is sent ahead is bounded");
+    socket2::SockRef::from(&flood).set_linger(Some(Duration::ZERO)).expect("a socket");
+    drop(flood);
+    told.recv_timeout(Duration::from_secs(1)).expect("the attempt is given up before its time-out");
+}
+
 #[test]
 fn balancers_are_told_of_the_real_state() {
     let operator = json!({"agent_check": {"listen": "127.0.0.1:0"}, "health": {"listen": "127.0.0.1:0"}});
