--- a/pebblepost/src/config.rs
+++ b/pebblepost/src/config.rs
@@ -227,6 +227,9 @@
     let mut kinds = names(settings, "/kinds");
     let own_kinds: Vec<usize> = (0..kinds.len()).collect();
     let mut classes = settings.get("classes").and_then(Value::as_array).cloned().unwrap_or_default();
+    if !classes.is_empty() && own_kinds.is_empty() {
+        return wrong(file, "faktory", "settings.kinds must name the kinds of the platform's own workers");
+    }
     for class in classes.iter_mut().filter_map(Value::as_object_mut) {
         class.entry("kindsOnly").or_insert(json!(own_kinds));
     }
--- a/pebblepost/tests/faktory.rs
+++ b/pebblepost/tests/faktory.rs
@@ -201,6 +201,32 @@
     }
 }
 
+#[test]
+fn the_store_changes_settings_and_has_a_marked_worker_go_quiet() {
+    let listen = json!({"listen": "127.0.0.1:0"});
+    let daemon = Running::start(None, Some(json!({"faktory": listen, "store": listen})));
+    let set = |changes: Value| {
+        let mut wire = daemon.connect(Door::Store);
+        wire.say(&format!("{}\n", json!({"set": changes})));
+        assert_eq!(wire.line(), r#"{"ok":true}"#);
+    };
+    let mut worker = hello(&daemon, Some("w"));
+    assert!(fetch(&mut worker).is_none());
+    worker.say("BEAT {}\r\n");
+    assert_eq!(worker.line(), "+OK");
+    set(json!({"drain/w": true}));
+    worker.say("BEAT {}\r\n");
+    assert_eq!((worker.line().as_str(), worker.line().as_str()), ("$17", r#"{"state":"quiet"}"#));
+    set(json!({"drain/w": null, "setting/faktory.heartbeat_s": 0.5}));
+    let mut producer = hello(&daemon, None);
+    producer.say(&format!("PUSH {}\r\n", job("j")));
+    let start = Instant::now();
+    assert!(fetch(&mut worker).is_some());
+    assert_eq!(producer.line(), "-ERR failed, the job may have run", "it has not beaten");
+    assert!(start.elapsed() < Duration::from_secs(3));
+    assert!(worker.ends());
+}
+
 #[test]
 fn passwords_versions_and_bad_commands() {
     let daemon = start(json!({"password": "sesame"}));
--- a/pebblepost/tests/platform.rs
+++ b/pebblepost/tests/platform.rs
@@ -314,3 +314,29 @@
         *bad.pointer_mut(pointer).expect("a key") = good;
     }
 }
+
+#[test]
+fn the_program_ends_well_at_sigterm() {
+    let path = common::path("config.json");
+    std::fs::write(&path, platform(&[worker(serves)], None).to_string()).expect("a writable folder");
+    let mut program = std::process::Command::new(env!("CARGO_BIN_EXE_pebblepost"));
+    let started = program.env("PROXY_CONFIG", &path).stderr(std::process::Stdio::piped()).spawn();
+    let mut child = started.expect("it starts");
+    let mut log = std::io::BufRead::lines(std::io::BufReader::new(child.stderr.take().expect("piped")));
+    assert_eq!(log.next().and_then(Result::ok).as_deref(), Some("pebblepost: ready"));
+    let kill = std::process::Command::new("sh").args(["-c", &format!("kill -TERM {}", child.id())]).status();
+    assert!(kill.is_ok_and(|k| k.success()));
+    assert!(child.wait().expect("a child").success());
+    let _ = std::fs::remove_file(path);
+}
+
+#[test]
+fn the_files_that_come_with_the_program_are_sound() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).parent().expect("a workspace");
+    let example = root.join("examples/config.json");
+    let var = |name: &str| (name == "PROXY_CONFIG").then(|| example.to_str().map(str::to_owned))?;
+    let both = pebblepost::config::read(var, Some(&root.join("examples/operator.json"))).expect("sound");
+    assert!(both.faktory.is_some() && both.listen.is_some() && both.store.listen.is_some());
+    let alone = pebblepost::config::read(|_| None, Some(&root.join("deploy/operator.json"))).expect("sound");
+    assert!(alone.faktory.is_some() && alone.listen.is_none());
+}
