Bound clients' input to the memory limit, and say what was measured

Checked by reckoning: 620 clients that each hold 256 KiB of unread input and a body could pass 192 MB; with 80 KiB (and one read of 64 KiB more) they stay under 130 MB (net.rs, MAX_INPUT).

--- a/pebblepost/src/net.rs
+++ b/pebblepost/src/net.rs
@@ -19,8 +19,9 @@
 
 /// Descriptors kept free for the poller, signals, listeners, logs and files.
 pub const RESERVE: usize = 32;
-/// Most bytes that wait in a connection's input; beyond that it is not read.
-const MAX_INPUT: usize = 256 * 1024;
+/// Above so many bytes a connection's input is not read on; one read adds 64 KiB at most. All clients that the
+/// budget lets in, each holding that much and a body, stay under 192 MB.
+const MAX_INPUT: usize = 80 * 1024;
 /// Input of workers and discovery may be larger: a result is escaped inside a line of JSON.
 const MAX_TRUSTED_INPUT: usize = 1024 * 1024;
 /// A peer that does not take its answer for so long is gone.
--- a/pebblepost/src/turn.rs
+++ b/pebblepost/src/turn.rs
@@ -303,7 +303,7 @@
             && !self.s.net.keys().into_iter().any(|key| {
                 self.s.net.get(key).is_some_and(|c| match &c.role {
                     Role::Sender(_) => true,
-                    Role::Closing => !c.written(),
+                    Role::Closing | Role::Faktory(_) => !c.written(),
                     _ => false,
                 })
             })
