--- a/pebblepost/tests/faktory.rs
+++ b/pebblepost/tests/faktory.rs
@@ -7,6 +7,7 @@
 use pebblepost::net::Door;
 use serde_json::{Value, json};
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -141,6 +142,21 @@
     assert_eq!(runs.lock().expect("no panic").len(), 2);
 }
 
+#[test]
+fn workers_that_drop_repeats_may_get_a_job_again() {
+    static FIRST: AtomicBool = AtomicBool::new(true);
+    let daemon = start(json!({"queues": {"default": {"workers_drop_repeats": true}}}));
+    let runs = Runs::default();
+    for wid in ["a", "b"] {
+        worker(&daemon, wid, &runs, |_| {
+            Some(if FIRST.swap(false, Ordering::SeqCst) { "FAIL" } else { "ACK" }.to_owned())
+        });
+    }
+    assert_eq!(push(&mut hello(&daemon, None), &job("r")), "+OK");
+    let runs = runs.lock().expect("no panic");
+    assert_eq!(runs.len(), 2, "{runs:?}");
+}
+
 #[test]
 fn a_job_with_no_free_slot_is_refused_at_once_with_when_to_come_back() {
     let daemon = start(json!({}));
