SIGHUP reads the configuration anew and goes over to its discovery

Cause: main.rs handled SIGTERM and SIGINT only, so SIGHUP had its default effect. The logs end right at the signal; nothing else failed before it. Now: a pipe of its own, in place before the configuration is first read; the file is read with the code of the start; the new watch is opened at once and the old one is heard until the new one speaks. It asks from version 0, in case the new place counts its own way.

--- a/pebblepost/src/discovery.rs
+++ b/pebblepost/src/discovery.rs
@@ -241,6 +241,10 @@
 pub struct Discovery {
     address: Option<SocketAddr>,
     watching: Option<ConnKey>,
+    /// The watch at an address that has been left, until the one at the new address speaks.
+    leaving: Option<ConnKey>,
+    /// Nothing has been heard from the present address, which may count its versions in its own way.
+    unheard: bool,
     fetching: Option<ConnKey>,
     healthy: bool,
 }
@@ -248,17 +252,42 @@
 impl Discovery {
     /// No call is out. Without an address every call fails.
     pub fn new(address: Option<SocketAddr>) -> Self {
-        Self { address, watching: None, fetching: None, healthy: true }
+        Self { address, watching: None, leaving: None, unheard: false, fetching: None, healthy: true }
     }
 
     /// Subscribes to changes, unless that is under way.
     pub fn watch(&mut self, s: &mut Shared) {
         if self.watching.is_none() {
-            let target = format!("/v1/endpoints?watch=1&from={}", s.map.seq);
+            let from = if self.unheard { 0 } else { s.map.seq };
+            let target = format!("/v1/endpoints?watch=1&from={from}");
             self.watching = self.call(s, &target, true);
         }
     }
 
+    /// Goes over to discovery at another address, at once: what it has to tell counts as told soon, whether the
+    /// decisions have asked or not. The old watch counts until the new one speaks.
+    pub fn move_to(&mut self, s: &mut Shared, address: SocketAddr) {
+        let Some(old) = self.address.replace(address) else {
+            // Without an address the decisions were told at the start that workers come by other ways.
+            self.address = None;
+            return (s.log)("discovery: there was none at the start, so none is taken up");
+        };
+        if old == address {
+            return;
+        }
+        (s.log)(&format!("discovery: from {old} to {address}"));
+        self.unheard = true;
+        self.fetching.take().map(|key| s.net.close(key));
+        if let Some(key) = self.watching.take() {
+            if matches!(s.net.get(key).map(|c| &c.role), Some(Role::Discovery(call)) if call.confirmed) {
+                self.leaving = Some(key);
+            } else {
+                s.net.close(key);
+            }
+        }
+        self.watch(s);
+    }
+
     /// Fetches the whole list, unless that is under way.
     pub fn fetch(&mut self, s: &mut Shared) {
         if self.fetching.is_none() {
@@ -341,6 +370,10 @@
                 return if ended { Err(()) } else { Ok(None) };
             };
             let first = !std::mem::replace(&mut call.confirmed, true);
+            if first && self.watching == Some(key) {
+                self.unheard = false;
+                self.leaving.take().map(|key| s.net.close(key));
+            }
             s.net.set_deadline(key, Some(QUIET));
             if !std::mem::replace(&mut self.healthy, true) {
                 (s.log)("discovery: watching again");
--- a/pebblepost/src/main.rs
+++ b/pebblepost/src/main.rs
@@ -2,9 +2,9 @@
 
 #![forbid(unsafe_code)]
 
-use pebblepost::{config, turn::Daemon};
+use pebblepost::{config, turn};
 use serde_json::{Value, json};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpStream;
 use std::os::unix::net::UnixStream;
@@ -26,6 +26,9 @@
 }
 
 fn run() -> Result<(), Box<dyn std::error::Error>> {
+    // First of all: from the start SIGHUP ends nothing.
+    let (reload, notify) = UnixStream::pair()?;
+    signal_hook::low_level::pipe::register(SIGHUP, notify)?;
     let mut args = std::env::args_os().skip(1);
     let mut operator = std::env::var_os("PEBBLEPOST_OPERATOR").map(PathBuf::from);
     while let Some(arg) = args.next() {
@@ -43,13 +46,16 @@
         }
     }
     let config = config::read(|name| std::env::var(name).ok(), operator.as_deref())?;
-    let (signal, notify) = UnixStream::pair()?;
+    let (stop, notify) = UnixStream::pair()?;
     for kind in [SIGTERM, SIGINT] {
         signal_hook::low_level::pipe::register(kind, notify.try_clone()?)?;
     }
     // `eprintln!` would panic if whoever reads the log has gone.
     let log = |line: &str| drop(writeln!(std::io::stderr(), "pebblepost: {line}"));
-    Ok(Daemon::new(config, signal, log)?.run()?)
+    // The environment speaks of the start only; the file may name another discovery since.
+    let var = |name: &str| std::env::var(name).ok().filter(|_| name != "PROXY_DISCOVERY");
+    let read = Box::new(move || config::read(var, operator.as_deref()));
+    Ok(turn::Daemon::new(config, turn::Signals { stop, reload, read }, log)?.run()?)
 }
 
 /// Asks or changes the store of a running program.
--- a/pebblepost/src/net.rs
+++ b/pebblepost/src/net.rs
@@ -120,18 +120,28 @@
     Store,
 }
 
+/// A signal that the program listens to, each through a pipe of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// SIGTERM: finish what was taken, then end.
+    Stop,
+    /// SIGHUP: read the configuration anew.
+    Reload,
+}
+
 /// What became ready.
 #[derive(Clone, Copy, Debug)]
 pub enum Ready {
     /// A listener.
     Door(usize),
-    /// SIGTERM came.
-    Signal,
+    /// A signal came.
+    Signal(Signal),
     /// A connection.
     Conn(ConnKey, bool, bool),
 }
 
-const SIGNAL: usize = usize::MAX - 1;
+const STOP: usize = usize::MAX - 1;
+const RELOAD: usize = usize::MAX - 2;
 const DOORS: usize = usize::MAX - 64;
 
 /// Monotonic time that starts at the Unix time of the program's start.
@@ -214,14 +224,10 @@
         Ok(())
     }
 
-    /// Watches the pipe that SIGTERM writes to.
-    pub fn watch_signal(&self, pipe: &impl AsRawFd) -> io::Result<()> {
-        self.poller.add_with_mode(pipe.as_raw_fd(), Event::readable(SIGNAL), PollMode::Level)
-    }
-
-    /// Stops watching that pipe.
-    pub fn ignore_signal(&self, pipe: &impl AsRawFd) {
-        let _ = self.poller.delete(pipe.as_raw_fd());
+    /// Watches the pipe that a signal writes to.
+    pub fn watch_signal(&self, signal: Signal, pipe: &impl AsRawFd) -> io::Result<()> {
+        let key = if signal == Signal::Stop { STOP } else { RELOAD };
+        self.poller.add_with_mode(pipe.as_raw_fd(), Event::readable(key), PollMode::Level)
     }
 
     /// Closes a listener.
@@ -255,7 +261,8 @@
         }
         self.now = self.now.max(clock.now());
         let ready = |e: &Event| match e.key {
-            SIGNAL => Ready::Signal,
+            STOP => Ready::Signal(Signal::Stop),
+            RELOAD => Ready::Signal(Signal::Reload),
             key if key >= DOORS => Ready::Door(key - DOORS),
             key => Ready::Conn(ConnKey(key), e.readable, e.writable),
         };
--- a/pebblepost/src/turn.rs
+++ b/pebblepost/src/turn.rs
@@ -1,13 +1,13 @@
 //! The loop. Each turn gathers all that is ready, hands it to the core in one go, and carries out what
 //! comes back.
 
-use crate::config::Config;
+use crate::config::{Config, ConfigError};
 use crate::discovery::{Discovery, TransportMap};
 use crate::engine::{Engine, Input, Output};
 use crate::front::faktory::{Faktory, Peer};
 use crate::front::platform::{Class, Platform, SenderSide};
 use crate::health::{self, Condition};
-use crate::net::{Clock, ConnKey, Door, Due, Net, Ready, Role, Shared};
+use crate::net::{Clock, ConnKey, Door, Due, Net, Ready, Role, Shared, Signal};
 use crate::store::{Exchange, Replica};
 use crate::workers::Workers;
 use pebblewind::api::{ListKind, Status};
@@ -19,6 +19,16 @@
 /// After SIGTERM new connections are taken and old ones kept for so long, as balancers notice late.
 const LAST_CALLS: Duration = Duration::from_millis(500);
 
+/// What is told to the program from outside while it runs.
+pub struct Signals {
+    /// Becomes readable at SIGTERM.
+    pub stop: UnixStream,
+    /// Becomes readable at SIGHUP.
+    pub reload: UnixStream,
+    /// Reads the configuration anew.
+    pub read: Box<dyn Fn() -> Result<Config, ConfigError> + Send>,
+}
+
 /// The program.
 pub struct Daemon {
     s: Shared,
@@ -30,17 +40,19 @@
     store: Replica,
     /// As the operator's file says, where the store says nothing.
     faktory_times: Option<(Duration, Duration)>,
-    signal: UnixStream,
+    signals: Signals,
     outputs: Vec<Output>,
 }
 
 impl Daemon {
-    /// Opens the listeners. `signal` becomes readable at SIGTERM.
-    pub fn new(config: Config, signal: UnixStream, log: fn(&str)) -> io::Result<Self> {
+    /// Opens the listeners.
+    pub fn new(config: Config, signals: Signals, log: fn(&str)) -> io::Result<Self> {
         let clock = Clock::default();
         let mut net = Net::new(config.sockets, clock.now())?;
-        signal.set_nonblocking(true)?;
-        net.watch_signal(&signal)?;
+        for (signal, pipe) in [(Signal::Stop, &signals.stop), (Signal::Reload, &signals.reload)] {
+            pipe.set_nonblocking(true)?;
+            net.watch_signal(signal, pipe)?;
+        }
         let faktory = config.faktory.as_ref().map(|f| f.listen);
         let doors = [
             (Door::Faktory, faktory),
@@ -75,7 +87,7 @@
             platform: Platform::new(classes),
             workers: Workers::new(&config.settings, config.connect_timeout, config.report_names),
             discovery: Discovery::new(config.discovery),
-            signal,
+            signals,
             outputs: Vec::new(),
         };
         daemon.apply_store();
@@ -107,7 +119,8 @@
             let more = !self.s.inputs.is_empty();
             for ready in self.s.net.wait(&self.s.clock, more)? {
                 match ready {
-                    Ready::Signal => self.stop(),
+                    Ready::Signal(Signal::Stop) => self.stop(),
+                    Ready::Signal(Signal::Reload) => self.reload(),
                     Ready::Door(index) => self.accept(index),
                     Ready::Conn(key, readable, writable) => self.serve(key, readable, writable),
                 }
@@ -288,7 +301,7 @@
 
     fn stop(&mut self) {
         let mut byte = [0; 16];
-        let _ = (&self.signal).read(&mut byte);
+        let _ = (&self.signals.stop).read(&mut byte);
         if !self.s.stopping {
             self.s.stopping = true;
             (self.s.log)("SIGTERM: finishing what was taken");
@@ -296,6 +309,19 @@
         }
     }
 
+    /// Goes over to the discovery that the configuration names now; all else stays as it was at the start. A
+    /// file that cannot be used changes nothing.
+    fn reload(&mut self) {
+        let mut byte = [0; 16];
+        let _ = (&self.signals.reload).read(&mut byte);
+        let log = self.s.log;
+        match (self.signals.read)().map(|config| config.discovery) {
+            Ok(Some(address)) => self.discovery.move_to(&mut self.s, address),
+            Ok(None) => log("SIGHUP: the configuration names no discovery, the old one stays"),
+            Err(error) => log(&format!("SIGHUP: the old configuration stays: {error}")),
+        }
+    }
+
     /// After the last calls: nothing taken is left, and all answers are out.
     fn finished(&mut self) -> bool {
         self.s.last_calls
--- a/pebblepost/tests/common/mod.rs
+++ b/pebblepost/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 use pebblepost::config;
 use pebblepost::net::Door;
-use pebblepost::turn::Daemon;
+use pebblepost::turn::{Daemon, Signals};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -31,6 +31,7 @@
 /// A running daemon. Dropped, it gets the stop signal and must end.
 pub struct Running {
     signal: UnixStream,
+    hangup: UnixStream,
     thread: Option<JoinHandle<()>>,
     addresses: Vec<(Door, SocketAddr)>,
     files: Vec<PathBuf>,
@@ -40,16 +41,23 @@
     pub fn start(platform: Option<Value>, operator: Option<Value>) -> Self {
         let platform = platform.map(|json| file(&json));
         let operator = operator.map(|json| file(&json));
-        let var =
-            |name: &str| (name == "PROXY_CONFIG").then(|| platform.as_ref()?.to_str().map(str::to_owned))?;
-        let config = config::read(var, operator.as_deref()).expect("a sound configuration");
-        let (signal, end) = UnixStream::pair().expect("a pair of sockets");
-        let mut daemon = Daemon::new(config, end, |_| {}).expect("free ports");
+        let (files, op) = (platform.clone(), operator.clone());
+        let read = move || {
+            let var =
+                |name: &str| (name == "PROXY_CONFIG").then(|| files.as_ref()?.to_str().map(str::to_owned))?;
+            config::read(var, op.as_deref())
+        };
+        let config = read().expect("a sound configuration");
+        let (signal, stop) = UnixStream::pair().expect("a pair of sockets");
+        let (hangup, reload) = UnixStream::pair().expect("a pair of sockets");
+        let signals = Signals { stop, reload, read: Box::new(read) };
+        let mut daemon = Daemon::new(config, signals, |_| {}).expect("free ports");
         let doors = [Door::Platform, Door::Faktory, Door::Agent, Door::Health, Door::Store];
         let addresses = doors.iter().filter_map(|d| Some((*d, daemon.address(*d)?))).collect();
         let thread = std::thread::spawn(move || daemon.run().expect("no fault of the poller"));
         Self {
             signal,
+            hangup,
             thread: Some(thread),
             addresses,
             files: platform.into_iter().chain(operator).collect(),
@@ -68,6 +76,12 @@
         let _ = self.signal.write_all(b"x");
     }
 
+    /// Replaces the platform's configuration, the first of the files, and has it read.
+    pub fn reload(&mut self, text: &str) {
+        std::fs::write(&self.files[0], text).expect("a writable folder");
+        let _ = self.hangup.write_all(b"x");
+    }
+
     pub fn wait(&mut self) {
         self.thread.take().expect("not yet waited for").join().expect("no panic");
     }
--- a/pebblepost/tests/platform.rs
+++ b/pebblepost/tests/platform.rs
@@ -240,6 +240,40 @@
     assert!((Duration::from_millis(2_500)..Duration::from_secs(6)).contains(&after), "{after:?}");
 }
 
+#[test]
+fn a_new_configuration_moves_the_watch_and_a_bad_one_changes_nothing() {
+    let (tell, told) = std::sync::mpsc::channel();
+    let watched = |name: &'static str, worker: SocketAddr| {
+        let tell = tell.clone();
+        discovery(move |wire, _| {
+            let host = json!({"host": name, "dial": worker, "site": "a", "class": "m", "block": 0, "health": "ready", "born_ms": 0});
+            let line = format!("{}\n", json!({"seq": 7, "whole": true, "hosts": [host]}));
+            wire.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            wire.say(&format!("{:x}\r\n{line}\r\n", line.len()));
+            tell.send((name, "watched")).expect("a listener");
+            assert!(wire.line().is_empty());
+            let _ = tell.send((name, "left"));
+        })
+    };
+    let says =
+        |text: &'static str| worker(move |wire, _| lines(wire, &[json!({"state": "done", "result": text})]));
+    let (one, two) = (says("one"), says("two"));
+    let (old, new) = (watched("old", one), watched("new", two));
+    let mut daemon = Running::start(Some(platform(&[one], Some(old))), None);
+    let limit = Duration::from_secs(5);
+    assert_eq!(told.recv_timeout(limit), Ok(("old", "watched")));
+    assert_eq!(ask(&daemon, &post("t1", "", "")).1, "one");
+    daemon.reload("{ not JSON");
+    daemon.reload(&platform(&[one], None).to_string());
+    assert_eq!(ask(&daemon, &post("t2", "", "")).1, "one");
+    daemon.reload(&platform(&[one], Some(new)).to_string());
+    assert_eq!(told.recv_timeout(limit), Ok(("new", "watched")), "nothing else was left or taken up before");
+    assert_eq!(told.recv_timeout(limit), Ok(("old", "left")));
+    common::within(limit, "the word of the new one counts", || {
+        (ask(&daemon, &post("t3", "", "")).1 == "two").then_some(())
+    });
+}
+
 #[test]
 fn a_client_that_sends_far_ahead_and_leaves_costs_nothing() {
     let (tell, told) = std::sync::mpsc::channel();
@@ -316,7 +350,7 @@
 }
 
 #[test]
-fn the_program_ends_well_at_sigterm() {
+fn the_program_survives_sighup_and_ends_well_at_sigterm() {
     let path = common::path("config.json");
     std::fs::write(&path, platform(&[worker(serves)], None).to_string()).expect("a writable folder");
     let mut program = std::process::Command::new(env!("CARGO_BIN_EXE_pebblepost"));
@@ -324,8 +358,16 @@
     let mut child = started.expect("it starts");
     let mut log = std::io::BufRead::lines(std::io::BufReader::new(child.stderr.take().expect("piped")));
     assert_eq!(log.next().and_then(Result::ok).as_deref(), Some("pebblepost: ready"));
-    let kill = std::process::Command::new("sh").args(["-c", &format!("kill -TERM {}", child.id())]).status();
-    assert!(kill.is_ok_and(|k| k.success()));
+    let kill = |signal: &str| {
+        let words = format!("kill -{signal} {}", child.id());
+        let run = std::process::Command::new("sh").args(["-c", &words]).status();
+        assert!(run.is_ok_and(|k| k.success()));
+    };
+    kill("HUP");
+    let line = log.next().and_then(Result::ok).expect("a line, not the end");
+    assert!(line.contains("SIGHUP"), "{line}");
+    kill("TERM");
+    kill("HUP");
     assert!(child.wait().expect("a child").success());
     let _ = std::fs::remove_file(path);
 }
