Send jobs where they end in time by their hint, else refuse at once; d of two

Lines: settle/probed set `down` at any reset and report() then took it for a restart. Ruled out: restarts (none listed before 11 s), strikes (0 or 1), want of slots. Causes of the rest: jobs held with fresh rounds of up to 8 probes (hold, d, away); one patience for light and heavy jobs (patience); the fewest busy taken as a plain count, so a full small worker beat a large one with room (choose); queues of others not seen (busy). Now: two failures over the time a cold worker takes to fall count as a restart; d is two; a job goes where its wait and its own work fit its aim, else it is refused at once. Removed: what this site has no use for (dense classes, tenants' shares, drift from home). Classes whose late answers keep worth, as Faktory's, are still held and probed again.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -15,10 +15,8 @@
 
 // ---- Settings derived -------------------------------------------------------------------------
 
-/// Tolerated chance that all d probed workers are at L or above, as in the paper's tuning of d.
-const LOSS_TARGET: f64 = 0.01;
-/// Bounds of d: two choices bring most of the gain; past four, probe work grows and little else.
-const D_RANGE: (usize, usize) = (2, 4);
+/// d: two choices bring most of the gain, and probes are priced.
+const D: usize = 2;
 /// Weight of a new observation in running means: about the last 20 count.
 const GAIN: f64 = 0.05;
 /// Random draws tried in a pool before it is taken to hold nobody eligible.
@@ -27,10 +25,6 @@
 const USES_PER_CONNECTION: f64 = 4.0;
 /// Smallest spread: as many as the mechanism may probe for a job, with one in four failing.
 const MIN_SPREAD: f64 = 8.0;
-/// Ratio of worth per service time from which dense classes are given room: gains must outweigh losses.
-const DENSER: f64 = 4.0;
-/// Share of a class's rounds that may find no room before less dense classes step back.
-const CROWDED: f64 = 0.1;
 /// Times `fall` that the rate of own draws looks back: counts at a quiet node, yet follows a crowd.
 const CROWD_MEMORY: u32 = 4;
 /// Part of a cold worker's budget for nodes of other zones, which draw there seldom.
@@ -123,8 +117,8 @@
     cell: CellId,
     state: WorkerState,
     started: Option<Time>,
-    /// Its connections broke or were refused, and nothing has been heard of it since.
-    down: bool,
+    /// How often its connections broke or were refused since it was last heard, and from when on.
+    down: (u32, Time),
     /// Place in this node's own seeded order of workers.
     rank: u64,
     /// Largest free figures seen: K, and the memory units.
@@ -136,8 +130,8 @@
     inflight: f64,
     reports: u32,
     reported: Time,
-    /// Own attempts that are out: when sent, and slots taken.
-    own: Vec<(Time, f64)>,
+    /// Own attempts that are out: when sent, slots taken, and whether the job is known to have started.
+    own: Vec<(Time, f64, bool)>,
     /// Since when its connections have been idle, oldest first.
     idle: VecDeque<Time>,
     /// Who waits for each probe that is out, oldest first.
@@ -151,16 +145,22 @@
     /// Slots and jobs of own attempts that a report as old as `lag` cannot have counted.
     fn unseen(&self, lag: Duration) -> (f64, f64) {
         let from = self.reported - lag;
-        let new = self.own.iter().rev().take_while(|(sent, _)| *sent > from);
-        new.fold((0.0, 0.0), |(slots, jobs), (_, s)| (slots + s, jobs + 1.0))
+        let new = self.own.iter().rev().take_while(|(sent, ..)| *sent > from);
+        new.fold((0.0, 0.0), |(slots, jobs), (_, s, _)| (slots + s, jobs + 1.0))
     }
 
     /// Free slots by the report, less what it cannot have counted; never more than own jobs leave.
     fn free_now(&self, lag: Duration) -> f64 {
-        let own: f64 = self.own.iter().map(|(_, slots)| slots).sum();
+        let own: f64 = self.own.iter().map(|(_, slots, _)| slots).sum();
         (self.free - self.unseen(lag).0).min(self.k - own)
     }
 
+    fn failed(&mut self, now: Time, status: Status) {
+        if matches!(status, Status::ConnectFailed | Status::Reset) {
+            self.down = (self.down.0 + 1, if self.down.0 == 0 { now } else { self.down.1 });
+        }
+    }
+
     /// Fraction of its capacity that a worker surely has: it grows at least evenly while it warms up.
     fn warmth(&self, now: Time, s: &Settings) -> f64 {
         let Some(start) = self.started.filter(|start| now < *start + s.warm_up) else { return 1.0 };
@@ -205,14 +205,14 @@
 #[derive(Debug, Default)]
 struct Request {
     class: usize,
-    /// The class, or that number and the number of classes for a request beyond its tenant's share.
-    band: usize,
     arrived: Time,
     deadline: Time,
     slots: f64,
     memory: f64,
     /// Work, in mean jobs: by its hint where there is one, else by its class.
     cost: f64,
+    /// Its own work by its hint, in seconds.
+    work: Option<f64>,
     phase: Phase,
     /// Counts phases, so that old timers and probe results are known as such.
     turn: u32,
@@ -259,14 +259,15 @@
     /// Ready workers at home, and away.
     fleet: [f64; 2],
     requests: HashMap<RequestId, Request>,
-    /// Learned: share of first probes at L or above, busy count of workers, own requests a second.
-    full_share: f64,
+    /// Learned: share of probed workers with room, busy count of workers, own requests a second.
+    room_share: f64,
     mean_busy: f64,
     largest_k: f64,
     arrivals: Rate,
-    /// Learned: own draws a second, at home and away; by machine kind, mean K and multiple of usual times.
+    /// Learned: own draws a second, at home and away; by machine kind, mean K, multiple of usual times,
+    /// and mean time and hint of jobs (not of their ratios: what a job has to fetch does not grow with it).
     draws: [Rate; 2],
-    kinds: BTreeMap<KindId, (f64, f64)>,
+    kinds: BTreeMap<KindId, (f64, f64, f64, f64)>,
     mean_hint: f64,
     /// Learned: age of reports, probe round trip and its spread, service time by class.
     age: Duration,
@@ -279,18 +280,11 @@
     idle_limit: Duration,
     /// Own attempts that are out and found no free slot.
     queued: usize,
-    /// Learned: how often workers at home, and away, lack room; and the part of first probes sent away.
-    crowd: [f64; 2],
-    away_part: f64,
     /// Learned: share of own sends that went badly (full, or started late), by `level` of report, and of all.
     meaning: [f64; LEVELS],
     mean_meaning: f64,
     /// Learned: share of own sends that were refused.
     turned_away: f64,
-    /// Slots a worker that each band (a class, within and beyond shares) leaves to denser ones.
-    reserve: Vec<f64>,
-    /// Learned: each tenant's part of this node's requests.
-    usage: Vec<Option<f64>>,
     subscribed: bool,
     asks: u32,
 }
@@ -310,7 +304,7 @@
             pools: Vec::new(),
             fleet: [0.0; 2],
             requests: HashMap::new(),
-            full_share: 0.5,
+            room_share: 0.5,
             mean_busy: 0.0,
             largest_k: 0.0,
             arrivals: Rate { per_s: 0.0, last: now },
@@ -326,13 +320,9 @@
             start_delay: Timing { mean: 4.0 * tick, spread: tick },
             idle_limit: settings.keepalive,
             queued: 0,
-            crowd: [0.0; 2],
-            away_part: 0.0,
             meaning: [0.0; LEVELS],
             mean_meaning: 0.0,
             turned_away: 0.0,
-            reserve: vec![0.0; 2 * settings.classes.len()],
-            usage: vec![None; settings.tenants.len()],
             subscribed: false,
             asks: 0,
             settings,
@@ -343,9 +333,9 @@
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Members { kind, entries } => self.members(now, kind, &entries, out),
-            Event::Request { id, class, tenant, time_left, repeat, slots, memory, work } => {
+            Event::Request { id, class, time_left, repeat, slots, memory, work, .. } => {
                 let needs = (f64::from(slots), f64::from(memory), work);
-                self.request(now, id, class, tenant, time_left, repeat, needs, out);
+                self.request(now, id, class, time_left, repeat, needs, out);
             }
             Event::Started { id, attempt } => self.has_started(now, id, attempt),
             Event::Progress { .. } => {}
@@ -374,21 +364,20 @@
         let Some(a) = self.attempt(id, no).filter(|a| a.open && a.started.is_none()) else { return };
         a.started = Some(now);
         let (level, w, waited, queued, idle) = (a.level, a.worker, secs(now.since(a.sent)), a.queued, a.idle);
+        let sent = a.sent;
+        self.workers[w].own.iter_mut().filter(|o| o.0 == sent).for_each(|o| o.2 = true);
         if !queued {
             self.start_delay.learn(waited);
         }
         if idle.is_some_and(|idle| idle > self.idle_limit / 2) {
             self.idle_limit = self.idle_limit.mul_f64(1.0 + GAIN).min(self.settings.keepalive);
         }
-        self.went(id, w, level, late);
+        self.went(w, level, late);
     }
 
-    fn went(&mut self, id: RequestId, w: usize, level: usize, bad: bool) {
+    fn went(&mut self, w: usize, level: usize, bad: bool) {
         if self.stale(w) {
             self.learn_meaning(level, bad);
-            if let Some(band) = self.requests.get(&id).map(|r| r.band).filter(|_| self.misled(w)) {
-                self.learn_reserve(band, bad);
-            }
         }
     }
 
@@ -436,8 +425,8 @@
     // ---- Request state machine: probing -> placed -> held -> done ----
 
     fn request(
-        &mut self, now: Time, id: RequestId, class: ClassId, tenant: TenantId, time_left: Duration,
-        repeat: bool, (slots, memory, work): (f64, f64, Option<Duration>), out: &mut Vec<Action>,
+        &mut self, now: Time, id: RequestId, class: ClassId, time_left: Duration, repeat: bool,
+        (slots, memory, work): (f64, f64, Option<Duration>), out: &mut Vec<Action>,
     ) {
         let class = usize::from(class.0);
         if class >= self.settings.classes.len() || self.requests.contains_key(&id) {
@@ -449,23 +438,21 @@
         self.arrivals.count(now, life.min(secs(self.settings.keepalive)), self.settings.tick);
         let cost = self.cost(class, work);
         let deadline = now + time_left;
-        let over_share = self.over_share(usize::from(tenant.0));
-        let band = if over_share { class + self.settings.classes.len() } else { class };
         let request = Request {
             class,
-            band,
             // A repeat counts from the client's first try, whose time it goes on using up.
             arrived: if repeat { deadline - self.settings.classes[class].deadline } else { now },
             deadline,
             slots: if slots > 0.0 { slots } else { 1.0 },
             memory,
             cost,
+            work: work.map(secs).filter(|hint| *hint > 0.0),
             ..Request::default()
         };
         self.requests.insert(id, request);
         let at = deadline - self.settings.tick;
         out.push(Action::SetTimer { at, token: token(Timer::Deadline, 0, id.0) });
-        if now >= self.last_start(id) || over_share && self.reserve[band] >= 1.0 {
+        if now >= self.last_start(id) {
             return self.give_up(id, out);
         }
         self.round(now, id, out);
@@ -480,12 +467,10 @@
         r.phase = Phase::First;
         if !self.settings.probing {
             // Exception: where probes are not allowed, d random workers are compared by own load.
-            self.draw_many(now, id, D_RANGE.0, false, out);
+            self.draw_many(now, id, D, false, out);
             return self.choose(now, id, out);
         }
-        // Exception: where home is found full far more often than the rest, some first probes go away.
-        let away = self.away_part > 0.0 && self.rng.random_bool(self.away_part);
-        if self.draw_many(now, id, 1, away, out) == 0 && self.draw_many(now, id, 1, !away, out) == 0 {
+        if self.draw_many(now, id, 1, false, out) == 0 && self.draw_many(now, id, 1, true, out) == 0 {
             return self.hold(now, id, out);
         }
         self.set_turn_timer(now, id, self.patience_for_probe(), out);
@@ -525,21 +510,11 @@
         n
     }
 
-    /// d: fewest probes that keep the chance of finding all at L or above under the target.
-    /// Exception: two among misleading reports, as all nodes pick the one that looks emptiest of many.
-    fn d(&self, w: usize) -> usize {
-        if self.misled(w) {
-            return D_RANGE.0;
-        }
-        let d = LOSS_TARGET.ln() / self.full_share.clamp(0.01, 0.99).ln();
-        (d.ceil() as usize).clamp(D_RANGE.0, D_RANGE.1)
-    }
-
     fn probe_result(
         &mut self, now: Time, id: RequestId, turn: u32, w: usize, ok: bool, out: &mut Vec<Action>,
     ) {
         let Some(r) = self.requests.get(&id).filter(|r| r.turn == turn) else { return };
-        let (band, slots, memory) = (r.band, r.slots, r.memory);
+        let (slots, memory) = (r.slots, r.memory);
         let ok = ok && self.cold_admits(now, id, w);
         let Some(r) = self.requests.get_mut(&id) else { return };
         if ok {
@@ -550,13 +525,13 @@
         }
         let (waiting, phase) = (r.drawn.len() > r.answered.len(), r.phase);
         if ok {
-            self.learn_crowd(w, !self.room(now, w, slots, memory));
+            let room = self.room(now, w, slots, memory);
+            blend(&mut self.room_share, f64::from(u8::from(room)));
         }
         match phase {
             Phase::First => {
-                let below = ok && self.below_threshold(now, w, band, slots, memory);
-                blend(&mut self.full_share, f64::from(u8::from(!below)));
-                if below && self.eligible(now, id, w) {
+                let below = ok && self.below_threshold(now, w, slots, memory);
+                if below && self.eligible(now, id, w) && self.ends_in_time(now, id, w) {
                     return self.place(now, id, w, out);
                 }
                 self.more(now, id, out);
@@ -566,21 +541,11 @@
         }
     }
 
-    /// Moves first probes away from home until it is found full hardly more often than the rest.
-    fn learn_crowd(&mut self, w: usize, full: bool) {
-        let away = usize::from(self.workers[w].zone != self.settings.zone);
-        blend(&mut self.crowd[away], f64::from(u8::from(full)));
-        let step = GAIN * (self.crowd[0] - self.crowd[1] - CROWDED);
-        self.away_part = (self.away_part + GAIN * step).clamp(0.0, 1.0 - CROWDED);
-    }
-
     fn more(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.phase = Phase::More { away: false };
-        let first = r.answered.first().or(r.drawn.first()).copied();
         let waiting = r.drawn.len() > r.answered.len();
-        let d = first.map_or(D_RANGE.0, |w| self.d(w));
-        if self.draw_many(now, id, d - 1, false, out) == 0 && !waiting {
+        if self.draw_many(now, id, D - 1, false, out) == 0 && !waiting {
             return self.choose(now, id, out);
         }
         self.set_turn_timer(now, id, self.patience_for_probe(), out);
@@ -629,56 +594,6 @@
             && (worker.k_memory <= 0.0 || worker.memory >= memory)
     }
 
-    /// Exception: where classes differ much in worth per service time and the dense ones find no
-    /// room, the others place jobs below a lower L only, not a whole number (as in the paper).
-    fn class_room(&mut self, now: Time, w: usize, band: usize, slots: f64, memory: f64) -> bool {
-        let reserve = self.reserve[band].min(self.workers[w].k - slots).max(0.0);
-        let kept = reserve.floor() + f64::from(u8::from(self.rng.random_bool(reserve.fract())));
-        self.room(now, w, slots + kept, memory)
-    }
-
-    /// Worth per service time of a band.
-    fn density(&self, band: usize) -> f64 {
-        let classes = self.settings.classes.len();
-        let class = band % classes.max(1);
-        let part = if band < classes { 1.0 } else { self.settings.over_share_worth };
-        part * self.settings.classes[class].worth / self.service[class].max(f64::MIN_POSITIVE)
-    }
-
-    /// Of far less dense bands the thinnest steps back first; one within its share keeps half of the slots.
-    fn learn_reserve(&mut self, band: usize, crowded: bool) {
-        let k = self.largest_k;
-        let classes = self.settings.classes.len();
-        let dense = self.density(band);
-        let thinner = (0..self.reserve.len()).filter(|b| self.density(*b) * DENSER < dense);
-        let most = |b: &usize| if *b < classes { k / 2.0 } else { k };
-        let by_density = |a: &usize, b: &usize| self.density(*a).total_cmp(&self.density(*b));
-        let moves = if crowded {
-            thinner.filter(|b| self.reserve[*b] < most(b)).min_by(by_density)
-        } else {
-            thinner.filter(|b| self.reserve[*b] > 0.0).max_by(by_density)
-        };
-        if let Some(b) = moves {
-            let step = GAIN * if crowded { 1.0 - CROWDED } else { -CROWDED };
-            self.reserve[b] = (self.reserve[b] + step).clamp(0.0, most(&b));
-        }
-    }
-
-    /// Whether this request goes beyond its tenant's share, measured against the others at this node, each by
-    /// its quota. The excess is picked at random. One that is alone here is never over.
-    fn over_share(&mut self, tenant: usize) -> bool {
-        let quota = |t: &Tenant| t.quota_per_s;
-        let total: f64 = self.settings.tenants.iter().map(quota).sum();
-        let Some(own) = self.settings.tenants.get(tenant).map(quota) else { return false };
-        for (t, (usage, settings)) in self.usage.iter_mut().zip(&self.settings.tenants).enumerate() {
-            let part = usage.get_or_insert(settings.quota_per_s / total.max(f64::MIN_POSITIVE));
-            *part += 0.5 * GAIN * (f64::from(u8::from(t == tenant)) - *part);
-        }
-        let part = self.usage[tenant].unwrap_or(0.0);
-        let fair = (1.0 - part) * own / (total - own).max(f64::MIN_POSITIVE);
-        part > fair && 1.0 - part > GAIN && self.rng.random_bool((1.0 - fair / part).clamp(0.0, 1.0))
-    }
-
     /// What a report says, as a level: free slots below the middle, waiting jobs above it.
     fn level(&self, w: usize) -> usize {
         let worker = &self.workers[w];
@@ -698,35 +613,35 @@
 
     /// The first probe decides: fewer than L busy, and room for the job. Exception: misleading reports are
     /// read by what they turned out to mean (all rush to what looked idle); no worse than the mean will do.
-    fn below_threshold(&mut self, now: Time, w: usize, band: usize, slots: f64, memory: f64) -> bool {
+    fn below_threshold(&self, now: Time, w: usize, slots: f64, memory: f64) -> bool {
         let l = threshold(self.workers[w].k);
         if self.misled(w) {
-            return self.meaning[self.level(w)] <= self.mean_meaning && self.spared(now, w, band, slots);
+            return self.meaning[self.level(w)] <= self.mean_meaning;
         }
-        self.class_room(now, w, band, slots, memory) && (self.workers[w].reports < 2 || self.busy(w) < l)
+        self.room(now, w, slots, memory) && (self.workers[w].reports < 2 || self.busy(w) < l)
     }
 
     /// What is compared among the probed: busy slots and waiting jobs, or what their report means.
-    fn burden(&self, w: usize) -> f64 {
-        if self.misled(w) { self.meaning[self.level(w)] } else { self.busy(w).round() }
-    }
-
-    /// A class that steps back leaves free slots, even by a stale report; others need none there.
-    fn spared(&mut self, now: Time, w: usize, band: usize, slots: f64) -> bool {
-        self.reserve[band] < GAIN || self.class_room(now, w, band, slots, 0.0)
+    fn burden(&self, now: Time, w: usize) -> f64 {
+        let k = self.workers[w].k.max(1.0);
+        match self.misled(w) {
+            true => self.meaning[self.level(w)],
+            false if self.busy(w) < k => self.busy(w).round() / k - 1.0,
+            false => self.wait(now, w),
+        }
     }
 
     /// Fewest busy of all probed; ties at random.
     fn choose(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
-        let (band, slots, memory, phase) = (r.band, r.slots, r.memory, r.phase);
-        let mut best: Option<(usize, f64)> = None;
+        let (slots, memory, phase) = (r.slots, r.memory, r.phase);
+        let mut best: Option<(usize, (bool, f64))> = None;
         let mut ties = 0;
         for w in r.answered.clone() {
             if !self.eligible(now, id, w) {
                 continue;
             }
-            let burden = self.burden(w);
+            let burden = (!self.ends_in_time(now, id, w), self.burden(now, w));
             if best.is_none_or(|(_, b)| burden < b) {
                 (best, ties) = (Some((w, burden)), 0);
             } else if best.is_some_and(|(_, b)| burden == b) {
@@ -737,50 +652,41 @@
             }
         }
         if let Some((w, _)) = best
-            && (self.below_threshold(now, w, band, slots, memory)
-                || self.class_room(now, w, band, slots, memory) && !self.misled(w)
+            && (self.below_threshold(now, w, slots, memory)
+                || self.room(now, w, slots, memory) && !self.misled(w)
                 || !self.settings.probing)
         {
             return self.place(now, id, w, out);
         }
-        // Exception: if all probed at home are full, by reports that can be believed, d more are probed away.
+        // Exception: if all probed at home are full, by reports that can be believed, more are probed away:
+        // three where most workers have room, one in a crowd, where probes find little and cost.
         let misled = best.is_some_and(|(w, _)| self.misled(w));
         if !misled && phase != (Phase::More { away: true }) {
             if let Some(r) = self.requests.get_mut(&id) {
                 r.phase = Phase::More { away: true };
             }
-            let d = best.map_or(D_RANGE.0, |(w, _)| self.d(w));
-            if self.draw_many(now, id, d, true, out) > 0 {
+            let more = if self.room_share > 0.5 { 3 } else { 1 };
+            if self.draw_many(now, id, more, true, out) > 0 {
                 return self.set_turn_timer(now, id, self.patience_for_probe(), out);
             }
         }
-        if let Some((w, _)) = best {
-            let misled = self.misled(w);
-            if !misled {
-                self.learn_reserve(band, true);
-            }
-            if (self.reserve[band] < GAIN || band < self.settings.classes.len() && self.reserve[band] < 1.0)
-                && self.worth_queueing(now, id, w)
-                || misled && self.spared(now, w, band, slots)
-            {
-                return self.place(now, id, w, out);
-            }
+        if let Some((w, _)) = best
+            && (self.worth_queueing(now, id, w) || self.misled(w))
+        {
+            return self.place(now, id, w, out);
         }
         self.hold(now, id, out);
     }
 
     fn place(&mut self, now: Time, id: RequestId, w: usize, out: &mut Vec<Action>) {
         let queued = self.requests.get(&id).is_some_and(|r| !self.room(now, w, r.slots, r.memory));
-        let (found, level, misled) = (self.counted(w), self.level(w), self.misled(w));
-        if let Some(band) = self.requests.get(&id).map(|r| r.band).filter(|_| !misled && !queued) {
-            self.learn_reserve(band, false);
-        }
+        let (found, level) = (self.counted(w), self.level(w));
         let idle = self.refresh(now, w, out);
         let silence = self.start_delay.usual().max(self.patience(id) / 4).max(2 * self.lag());
         let Some(r) = self.requests.get_mut(&id) else { return };
         let worker = &mut self.workers[w];
         self.queued += usize::from(queued);
-        worker.own.push((now, r.slots));
+        worker.own.push((now, r.slots, false));
         r.turn += 1;
         r.phase = Phase::Placed;
         let no = r.attempts.len() as u32;
@@ -799,17 +705,21 @@
         }
     }
 
-    /// Waits for a fresh round of probes; each pause is longer than the last, as probes cost work.
+    /// Ends a round that found nobody. If reports came, the job would be late at all who sent them: it is
+    /// refused at once, as waiting here would only cost more probes. If none came, or from cold workers
+    /// only, a fresh round follows a pause, once; where a late answer keeps some worth, as long as there is
+    /// time, each pause longer than the last.
     fn hold(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
         let last = self.last_start(id);
         let base = self.patience(id).mul_f64(self.rng.random_range(0.1..0.2));
         let Some(r) = self.requests.get_mut(&id) else { return };
         let pause = base * (1 << r.holds.min(8));
+        let late_counts = self.settings.classes[r.class].late_value > 0.0;
+        let over = !late_counts && (r.holds > 0 || !r.answered.is_empty());
         r.turn += 1;
         r.holds += 1;
         r.phase = Phase::Held;
-        let thin = r.band >= self.settings.classes.len() && self.reserve[r.band] > GAIN;
-        if thin || now + pause >= last || !self.may_send(now, id) {
+        if over || now + pause >= last {
             return self.give_up(id, out);
         }
         self.set_turn_timer(now, id, pause, out);
@@ -826,6 +736,11 @@
         let (w, sent, slots, queued, level) = (a.worker, a.sent, a.slots, a.queued, a.level);
         // Service time counts from the start, or if that is not told, where a job did not have to wait.
         let took = a.started.map_or(latency, |at| now.since(at));
+        let work = r.work.filter(|_| status == Status::Ok && a.started.is_some());
+        if let (Some(work), Some(kind)) = (work, self.kinds.get_mut(&self.workers[a.worker].kind)) {
+            blend(&mut kind.2, secs(took));
+            blend(&mut kind.3, work);
+        }
         let known = (a.started.is_some() || !queued).then_some(r.class);
         if status == Status::Full && !queued && !self.stale(w) {
             // Turned away where the report showed room: it was old. Look more often from here on.
@@ -836,12 +751,12 @@
             blend(&mut self.turned_away, f64::from(u8::from(status == Status::Full)));
         }
         if status == Status::Full || status == Status::Ok && !self.settings.tells_start {
-            self.went(id, w, level, status == Status::Full);
+            self.went(w, level, status == Status::Full);
         }
         if status != Status::Moot {
             self.settle(now, w, sent, slots, known, status, took);
         } else {
-            self.workers[w].own.retain(|o| *o != (sent, slots));
+            self.workers[w].own.retain(|o| (o.0, o.1) != (sent, slots));
         }
         let Some(r) = self.requests.get_mut(&id) else { return };
         if closed || r.phase == Phase::Done {
@@ -849,7 +764,6 @@
         }
         if status == Status::Full {
             r.refused.push(w);
-            self.learn_crowd(w, true);
         }
         let Some(r) = self.requests.get_mut(&id) else { return };
         if !self.settings.never_ran(status) && r.ran.is_none_or(|(_, at)| sent < at) {
@@ -869,10 +783,10 @@
         latency: Duration,
     ) {
         let worker = &mut self.workers[w];
-        if let Some(i) = worker.own.iter().position(|o| *o == (sent, slots)) {
+        if let Some(i) = worker.own.iter().position(|o| (o.0, o.1) == (sent, slots)) {
             worker.own.remove(i);
         }
-        worker.down |= status == Status::Reset;
+        worker.failed(now, status);
         if matches!(status, Status::Ok | Status::Error | Status::Full) {
             worker.idle.push_back(now);
         }
@@ -1050,7 +964,10 @@
                     worker.free = value.round();
                     worker.k = worker.k.max(worker.free);
                     self.largest_k = self.largest_k.max(worker.k);
-                    blend(&mut self.kinds.entry(worker.kind).or_insert((worker.k, 1.0)).0, worker.k);
+                    blend(
+                        &mut self.kinds.entry(worker.kind).or_insert((worker.k, 1.0, 1.0, 1.0)).0,
+                        worker.k,
+                    );
                 }
                 ReportField::FreeMemory => {
                     worker.memory = value;
@@ -1064,8 +981,10 @@
         if held_only {
             worker.queue = (worker.inflight - (worker.k - worker.free)).round().max(0.0);
         }
-        if std::mem::take(&mut worker.down) {
-            worker.started = worker.started.max(Some(now)); // The list tells of a restart seconds later.
+        // The list tells of a restart seconds later. One broken connection is none: any may break.
+        let (failures, since) = std::mem::take(&mut worker.down);
+        if failures > 1 && now >= since + self.settings.fall {
+            worker.started = worker.started.max(Some(now));
         }
         worker.reported = now;
         worker.reports = worker.reports.saturating_add(1);
@@ -1104,7 +1023,7 @@
         let Some(&w) = self.index.get(&id) else { return };
         let waiting = self.workers[w].probes.pop_front();
         let ok = status == Status::Ok;
-        self.workers[w].down |= matches!(status, Status::ConnectFailed | Status::Reset);
+        self.workers[w].failed(now, status);
         if ok {
             self.report(now, w, report);
             self.round_trip.learn(secs(latency));
@@ -1189,8 +1108,19 @@
     fn patience(&self, id: RequestId) -> Duration {
         let Some(r) = self.requests.get(&id) else { return Duration::ZERO };
         let class = &self.settings.classes[r.class];
-        let slack = secs(class.aim) + 0.5 * (class.stretch - 1.0).max(0.0) * self.service[r.class];
-        span(slack).min(r.deadline.since(r.arrived) / 2)
+        let slack = secs(class.aim);
+        let whole = secs(r.deadline.since(r.arrived));
+        match r.work {
+            // What its own work leaves, on a worker of usual speed.
+            Some(work) => {
+                let pace = self.kinds.values().map(|k| k.2 / k.3).reduce(f64::min).unwrap_or(1.0);
+                span((slack + class.stretch * work).min(whole) - work * pace)
+            }
+            None => {
+                let slack = slack + 0.5 * (class.stretch - 1.0).max(0.0) * self.service[r.class];
+                span(slack).min(r.deadline.since(r.arrived) / 2)
+            }
+        }
     }
 
     fn in_time_until(&self, id: RequestId) -> Time {
@@ -1204,15 +1134,37 @@
         r.arrived + if late_counts { r.deadline.since(r.arrived) / 2 } else { self.patience(id) }
     }
 
-    fn worth_queueing(&self, now: Time, id: RequestId, w: usize) -> bool {
+    /// How long a job would wait at a worker for a slot, in seconds.
+    fn wait(&self, now: Time, w: usize) -> f64 {
         let worker = &self.workers[w];
-        let ahead = (self.busy(w) - worker.k + 1.0).max(0.0);
-        let mut wait = ahead * self.mean_service / worker.k.max(1.0);
-        if !self.tells(ReportField::Queue) && !self.tells(ReportField::InFlight) {
+        let mut ahead = (self.busy(w) - worker.k + 1.0).max(0.0);
+        if ahead > 0.0 && !self.tells(ReportField::Queue) && !self.tells(ReportField::InFlight) {
             // Not told how many wait: other nodes are taken to have queued as much as this one.
             let workers = self.fleet.iter().sum::<f64>().max(1.0);
-            let each = f64::from(self.settings.nodes) * self.queued as f64 / workers;
-            wait += each * self.mean_service / worker.k.max(1.0);
+            ahead += f64::from(self.settings.nodes) * self.queued as f64 / workers;
+        }
+        let wait = ahead * self.mean_service / worker.k.max(1.0);
+        // Who came last waits no less than who came first has waited by now.
+        let first = worker.own.iter().find(|o| !o.2).filter(|_| self.settings.tells_start && ahead > 0.0);
+        first.map_or(wait, |o| wait.max(secs(now.since(o.0))))
+    }
+
+    /// Whether a request would end in time there, by its hint.
+    fn ends_in_time(&self, now: Time, id: RequestId, w: usize) -> bool {
+        let Some(r) = self.requests.get(&id) else { return false };
+        let class = &self.settings.classes[r.class];
+        let Some(work) = r.work else { return true };
+        let pace = self.kinds.get(&self.workers[w].kind).map_or(1.0, |kind| kind.2 / kind.3);
+        let limit = r.deadline.min(r.arrived + class.aim + span(class.stretch * work));
+        now + span(self.wait(now, w) + pace * work) <= limit
+    }
+
+    fn worth_queueing(&self, now: Time, id: RequestId, w: usize) -> bool {
+        let worker = &self.workers[w];
+        let ahead = (self.busy(w) - worker.k + 1.0).max(0.0);
+        let wait = self.wait(now, w);
+        if self.requests.get(&id).is_some_and(|r| r.work.is_some()) {
+            return self.ends_in_time(now, id, w);
         }
         // Where a late answer keeps some worth, one job ahead is never too many.
         let late_value = self.requests.get(&id).map_or(0.0, |r| self.settings.classes[r.class].late_value);
