Probe another worker in place of one that takes no part; learn room away from probes there

Rounds ended after one report, from a full worker at home: the others drawn had failed the probe or were cold, while workers away stood at six free slots and were not looked at. Lines: probe_result drew nobody in place of a failed one; room_share counted the crowd at home and so cut the probes away to one. Ruled out: strikes (0 to 2 on most), late restarts in belief (the list agrees from 11.5 s).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -270,7 +270,7 @@
     /// Ready workers at home, and away.
     fleet: [f64; 2],
     requests: HashMap<RequestId, Request>,
-    /// Learned: share of probed workers with room, busy count of workers, own requests a second.
+    /// Learned: share of workers probed away that have room, busy count of workers, own requests a second.
     room_share: f64,
     mean_busy: f64,
     largest_k: f64,
@@ -315,7 +315,7 @@
             pools: Vec::new(),
             fleet: [0.0; 2],
             requests: HashMap::new(),
-            room_share: 0.5,
+            room_share: 1.0,
             mean_busy: 0.0,
             largest_k: 0.0,
             arrivals: Rate { per_s: 0.0, last: now },
@@ -534,9 +534,17 @@
         } else {
             r.drawn.retain(|d| *d != w);
             r.refused.push(w);
+            // Who takes no part in the choice says nothing of a crowd: another is probed in its place.
+            if matches!(r.phase, Phase::More { .. })
+                && r.refused.len() <= 2 * D
+                && self.draw_many(now, id, 1, false, out) == 0
+            {
+                self.draw_many(now, id, 1, true, out);
+            }
         }
+        let Some(r) = self.requests.get(&id) else { return };
         let (waiting, phase) = (r.drawn.len() > r.answered.len(), r.phase);
-        if ok {
+        if ok && self.side(w) == 1 {
             let room = self.room(now, w, slots, memory);
             blend(&mut self.room_share, f64::from(u8::from(room)));
         }
@@ -671,7 +679,7 @@
             return self.place(now, id, w, out);
         }
         // Exception: if all probed at home are full, by reports that can be believed, more are probed away:
-        // three where most workers have room, one in a crowd, where probes find little and cost.
+        // three where most of those have room, one in a crowd, where probes find little and cost.
         let misled = best.is_some_and(|(w, _)| self.misled(w));
         if !misled && phase != (Phase::More { away: true }) {
             if let Some(r) = self.requests.get_mut(&id) {
