--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -227,11 +227,10 @@
         n.probes().into_iter().for_each(|w| n.probe_failed(w));
     }
     assert!(n.finals().is_empty());
-    n.wait(Duration::from_millis(60));
-    let again = n.probes();
-    assert!(!again.is_empty());
-    n.report(again[0], 2.0, 0.0);
-    assert_eq!(n.sends(), vec![(2, again[0])]);
+    assert!(n.wait_for(|a| matches!(a, Action::Probe { .. }), Duration::from_millis(100)).is_some());
+    let again = n.probes()[0];
+    n.report(again, 2.0, 0.0);
+    assert_eq!(n.sends(), vec![(2, again)]);
 }
 
 fn hinted(n: &mut Node, id: u32, ms: u64) {
