Let silent and endless clients go 2.5 s after they came

Seen in the code, against the rule of 3 s: a new connection had no deadline until its first byte, an unfinished request had 10 s, and each piece of a head set that anew (bound), so a head that never ends held its descriptor for good. The new test fails without it.

--- a/pebblepost/src/front/platform.rs
+++ b/pebblepost/src/front/platform.rs
@@ -10,8 +10,9 @@
 use std::fmt::Write;
 use std::time::Duration;
 
-/// A request must be in whole by then; slow senders do not hold a descriptor for longer.
-const SLOW: Duration = Duration::from_secs(10);
+/// A request must be in whole by then, and a new connection must have sent something; others do not hold a
+/// descriptor for longer.
+const SLOW: Duration = Duration::from_millis(2500);
 /// An idle connection is closed after this.
 const IDLE: Duration = Duration::from_secs(120);
 /// Headers that go on to the worker beside those the protocol demands.
@@ -62,6 +63,11 @@
         Self { classes, jobs: HashMap::new() }
     }
 
+    /// A client connected.
+    pub fn on_open(&mut self, s: &mut Shared, key: ConnKey) {
+        s.net.set_deadline(key, Some(SLOW));
+    }
+
     /// Bytes have come, or an answer made room for the next request.
     pub fn on_data(&mut self, s: &mut Shared, key: ConnKey) {
         loop {
@@ -102,8 +108,10 @@
                 }
                 None if conn.input.is_empty() => Ok(false),
                 None => {
-                    conn.idle_since = None;
-                    self.bound(s, key);
+                    // Counts from the head's first byte: more of it does not set it anew.
+                    if conn.idle_since.take().is_some() {
+                        self.bound(s, key);
+                    }
                     Ok(false)
                 }
             },
--- a/pebblepost/src/turn.rs
+++ b/pebblepost/src/turn.rs
@@ -217,7 +217,8 @@
                 Some(Door::Health) => health::on_open(&mut self.s, key),
                 Some(Door::Store) => self.store.on_open(&mut self.s, key),
                 Some(Door::Faktory) => self.faktory.iter_mut().for_each(|f| f.on_open(&mut self.s, key)),
-                _ => {}
+                Some(Door::Platform) => self.platform.on_open(&mut self.s, key),
+                None => {}
             }
         }
     }
--- a/pebblepost/tests/platform.rs
+++ b/pebblepost/tests/platform.rs
@@ -95,6 +95,25 @@
     }
 }
 
+#[test]
+fn silent_and_endless_clients_are_let_go_and_kept_ones_stay() {
+    let daemon = Running::start(Some(platform(&[worker(serves)], None)), None);
+    let mut kept = daemon.connect(Door::Platform);
+    kept.say(&post("t1", "", ""));
+    assert_eq!(kept.message().1, "text");
+    let (start, mut silent, mut endless) =
+        (Instant::now(), daemon.connect(Door::Platform), daemon.connect(Door::Platform));
+    endless.say("POST /api HTTP/1.1\r\n");
+    for n in 0..4 {
+        std::thread::sleep(Duration::from_millis(500));
+        endless.say(&format!("X-{n}: more\r\n"));
+    }
+    assert!(endless.line().starts_with("HTTP/1.1 408 "));
+    assert!(silent.ends() && start.elapsed() < Duration::from_secs(3));
+    kept.say(&post("t2", "", ""));
+    assert_eq!(kept.message().1, "text");
+}
+
 #[test]
 fn nobody_to_serve_is_a_refusal_at_once_with_when_to_come_back() {
     // A port that nobody listens at any more: the connection is refused, so nothing can have run.
