Rig: stand-in workers, open-loop clients and a checker around real daemons

Change: package rig. A seed draws the whole plan (fleet, arrivals, faults) before the run; stand-in workers have slots, queues in order or whatever fits, cold start and falling over, key fetches from a shared store, noisy reports, drains, silence, resets; discovery is late; clients are open-loop and retry. The checker reads the record of both sides.

A worker that restarts is pushed over before anyone is told of it; the rule blames nobody for that, and neither does the checker.

--- /dev/null
+++ b/rig/src/checker.rs
@@ -0,0 +1,279 @@
+//! The rules, checked on the record of a run. It knows nothing of the dispatcher but what clients, workers and
+//! discovery saw.
+
+use crate::record::{End, Entry, Seen, Told};
+use serde::Serialize;
+use std::collections::HashMap;
+
+/// Figures of the rules, in seconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Figures {
+    /// How much later than stated anything may be seen here.
+    pub slack: f64,
+    /// Most attempts for a try.
+    pub attempts: usize,
+    /// A repeat of a key is dropped for so long after the first attempt that may have run.
+    pub window: f64,
+    /// Nothing new goes to a worker so long after its drain was told.
+    pub drain: f64,
+    /// A start counts as told so long after it, whether it arrived or not.
+    pub told: f64,
+}
+
+impl Default for Figures {
+    fn default() -> Self {
+        Self { slack: 0.05, attempts: 3, window: 10.0, drain: 0.5, told: 6.0 }
+    }
+}
+
+/// A rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rule {
+    /// One final answer before the client gives up.
+    OneAnswer,
+    /// What is served was made by a worker for this try.
+    Genuine,
+    /// No more attempts than allowed.
+    Attempts,
+    /// Nothing runs twice where the repeat is no longer dropped.
+    RunsOnce,
+    /// Nothing new to a worker that drains or is gone.
+    Drains,
+    /// No cold worker is pushed over.
+    Cold,
+    /// Nothing for a client that has left or has its answer.
+    Departed,
+}
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Broken {
+    /// Which.
+    pub rule: Rule,
+    /// When, in seconds from the start.
+    pub at: f64,
+    /// What was seen.
+    pub what: String,
+}
+
+#[derive(Default)]
+struct Try {
+    asked: f64,
+    waits: f64,
+    attempts: usize,
+    over: Option<f64>,
+    done_at_worker: bool,
+}
+
+/// What a worker answers for a try.
+pub fn result_for(txn: &str) -> String {
+    format!("draft of {txn}")
+}
+
+/// Checks a whole record.
+pub fn check(record: &[Entry], figures: &Figures) -> Vec<Broken> {
+    let mut broken = Vec::new();
+    let mut tries: HashMap<&str, Try> = HashMap::new();
+    let mut told: HashMap<(usize, usize), (f64, Told)> = HashMap::new();
+    // Per key: attempts that may have run, by try and worker, with the time they arrived.
+    let mut ran: HashMap<&str, Vec<(&str, usize, f64)>> = HashMap::new();
+    let mut keys: HashMap<&str, &str> = HashMap::new();
+    let mut report = |rule, at, what: String| broken.push(Broken { rule, at, what });
+    for (at, seen) in record {
+        let at = *at;
+        match seen {
+            Seen::Asked { txn, key, waits, .. } => {
+                keys.insert(txn, key);
+                if tries.insert(txn, Try { asked: at, waits: *waits, ..Try::default() }).is_some() {
+                    report(Rule::OneAnswer, at, format!("the clients asked twice by the id {txn}"));
+                }
+            }
+            Seen::Answered { txn, status, body } => {
+                let Some(t) = tries.get_mut(txn.as_str()) else { continue };
+                if t.over.replace(at).is_some() {
+                    report(Rule::OneAnswer, at, format!("{txn} was answered twice"));
+                }
+                if at > t.asked + t.waits + figures.slack {
+                    report(Rule::OneAnswer, at, format!("{txn} was answered after its client gave up"));
+                }
+                if *status == 200 && (*body != result_for(txn) || !t.done_at_worker) {
+                    report(Rule::Genuine, at, format!("{txn} was served with what no worker made for it"));
+                }
+            }
+            Seen::Left { txn } => {
+                if let Some(t) = tries.get_mut(txn.as_str()) {
+                    t.over = Some(at);
+                }
+            }
+            Seen::Cut { txn } => report(Rule::OneAnswer, at, format!("{txn}: closed without an answer")),
+            Seen::TimeUp { txn } => report(Rule::OneAnswer, at, format!("{txn}: no answer in its time")),
+            Seen::Stranger { txn } => {
+                report(Rule::Genuine, at, format!("a worker got {txn}, never asked for"))
+            }
+            Seen::Fell { worker, since, sent } => {
+                // It is the dispatchers' fault if two thirds came from those told of its start.
+                let knew = |from: usize| {
+                    let word = told.get(&(from, *worker));
+                    at > since + figures.told
+                        || word
+                            .is_some_and(|(when, what)| when >= since && *what == Told::Ready { cold: true })
+                };
+                let all: f64 = sent.iter().map(|(_, work)| work).sum();
+                let known: f64 = sent.iter().filter(|(from, _)| knew(*from)).map(|(_, work)| work).sum();
+                if known * 3.0 >= all * 2.0 {
+                    report(Rule::Cold, at, format!("worker {worker} was pushed over while cold"));
+                }
+            }
+            Seen::Told { dispatcher, worker, what } => {
+                // The grace counts from the first word of it, not from its repeats.
+                let new = (at, *what);
+                let entry = told.entry((*dispatcher, *worker)).or_insert(new);
+                let barred = |t: Told| matches!(t, Told::Draining | Told::Gone);
+                if !(barred(entry.1) && barred(*what)) {
+                    *entry = new;
+                }
+            }
+            Seen::Arrived { txn, key, dispatcher, worker } => {
+                if let Some((since, what @ (Told::Draining | Told::Gone))) = told.get(&(*dispatcher, *worker))
+                    && at > since + figures.drain + figures.slack
+                {
+                    let late = (at - since) * 1e3;
+                    report(
+                        Rule::Drains,
+                        at,
+                        format!("{txn} to {worker}, {late:.0} ms after {what:?} was told"),
+                    );
+                }
+                if let Some(t) = tries.get_mut(txn.as_str()) {
+                    t.attempts += 1;
+                    if t.attempts > figures.attempts {
+                        report(Rule::Attempts, at, format!("attempt {} of {txn}", t.attempts));
+                    }
+                    if t.over.is_some_and(|over| at > over + figures.slack) {
+                        report(Rule::Departed, at, format!("{txn} went out after its client was done"));
+                    }
+                }
+                let runs = ran.entry(key).or_default();
+                let first = runs.iter().map(|(.., at)| *at).fold(f64::INFINITY, f64::min);
+                if at > first + figures.window + figures.slack {
+                    report(Rule::RunsOnce, at, format!("{key} again, {:.1} s after its first", at - first));
+                }
+                runs.push((txn, *worker, at));
+            }
+            Seen::Ended { txn, worker, end } => {
+                match end {
+                    End::Done => {
+                        if let Some(t) = tries.get_mut(txn.as_str()) {
+                            t.done_at_worker = true;
+                        }
+                    }
+                    End::Unseen => {
+                        // Proved never to have run: it does not count.
+                        if let Some(runs) = keys.get(txn.as_str()).and_then(|key| ran.get_mut(key))
+                            && let Some(i) = runs.iter().position(|(t, w, _)| t == txn && w == worker)
+                        {
+                            runs.remove(i);
+                        }
+                    }
+                    End::Broken => {}
+                }
+            }
+        }
+    }
+    broken.sort_by(|a, b| a.at.total_cmp(&b.at));
+    broken
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn asked(txn: &str, key: &str) -> Seen {
+        Seen::Asked { txn: txn.into(), key: key.into(), dispatcher: 0, waits: 6.0 }
+    }
+
+    fn arrived(txn: &str, key: &str, worker: usize) -> Seen {
+        Seen::Arrived { txn: txn.into(), key: key.into(), dispatcher: 0, worker }
+    }
+
+    fn ended(txn: &str, end: End) -> Seen {
+        Seen::Ended { txn: txn.into(), worker: 1, end }
+    }
+
+    fn answered(txn: &str, status: u16, body: &str) -> Seen {
+        Seen::Answered { txn: txn.into(), status, body: body.into() }
+    }
+
+    fn rules(record: &[Entry]) -> Vec<Rule> {
+        check(record, &Figures::default()).into_iter().map(|b| b.rule).collect()
+    }
+
+    #[test]
+    fn a_sound_run_breaks_nothing() {
+        let draft = result_for("t1");
+        let record = [
+            (0.0, asked("t1", "k")),
+            (0.1, arrived("t1", "k", 1)),
+            (0.2, ended("t1", End::Unseen)),
+            (0.3, arrived("t1", "k", 1)),
+            (0.9, ended("t1", End::Done)),
+            (0.9, answered("t1", 200, &draft)),
+        ];
+        assert_eq!(rules(&record), []);
+    }
+
+    #[test]
+    fn each_rule_is_seen_to_be_broken() {
+        let start = (0.0, asked("t", "k"));
+        let draft = result_for("t");
+        let told = |at, what| (at, Seen::Told { dispatcher: 0, worker: 1, what });
+        let cold = Told::Ready { cold: true };
+        let fell = |since| Seen::Fell { worker: 1, since, sent: vec![(0, 2.0), (1, 1.0)] };
+        let cases: Vec<(Rule, Vec<Entry>)> = vec![
+            (Rule::OneAnswer, vec![(7.0, answered("t", 503, ""))]),
+            (Rule::OneAnswer, vec![(1.0, answered("t", 503, "")), (2.0, answered("t", 503, ""))]),
+            (Rule::OneAnswer, vec![(1.0, Seen::Cut { txn: "t".into() })]),
+            (Rule::OneAnswer, vec![(6.1, Seen::TimeUp { txn: "t".into() })]),
+            (Rule::Genuine, vec![(1.0, answered("t", 200, &draft))]),
+            (
+                Rule::Genuine,
+                vec![
+                    (0.1, arrived("t", "k", 1)),
+                    (0.2, ended("t", End::Done)),
+                    (0.3, answered("t", 200, "x")),
+                ],
+            ),
+            (Rule::Genuine, vec![(1.0, Seen::Stranger { txn: "u".into() })]),
+            (Rule::Attempts, (1..=4).map(|n| (f64::from(n), arrived("t", "k", 1))).collect()),
+            (Rule::RunsOnce, vec![(0.1, arrived("t", "k", 1)), (10.2, arrived("t", "k", 2))]),
+            (
+                Rule::Drains,
+                vec![told(0.0, Told::Draining), told(0.4, Told::Gone), (0.56, arrived("t", "k", 1))],
+            ),
+            (Rule::Cold, vec![told(0.2, cold), (1.0, fell(0.1))]),
+            (Rule::Cold, vec![(6.2, fell(0.1))]),
+            (Rule::Departed, vec![(1.0, answered("t", 503, "")), (1.1, arrived("t", "k", 1))]),
+            (Rule::Departed, vec![(1.0, Seen::Left { txn: "t".into() }), (1.1, arrived("t", "k", 1))]),
+        ];
+        for (rule, rest) in cases {
+            let record: Vec<Entry> = std::iter::once(start.clone()).chain(rest).collect();
+            assert_eq!(rules(&record), [rule], "{record:?}");
+        }
+    }
+
+    #[test]
+    fn a_worker_that_is_ready_again_may_be_sent_to() {
+        let told = |what| Seen::Told { dispatcher: 0, worker: 1, what };
+        let ready = Told::Ready { cold: false };
+        let record = [(0.0, told(Told::Draining)), (5.0, told(ready)), (6.0, arrived("t", "k", 1))];
+        assert_eq!(rules(&record), []);
+    }
+
+    #[test]
+    fn nobody_is_blamed_for_a_start_that_was_not_told() {
+        let told = Seen::Told { dispatcher: 0, worker: 1, what: Told::Ready { cold: true } };
+        let fell = Seen::Fell { worker: 1, since: 0.1, sent: vec![(0, 1.0), (1, 1.0)] };
+        assert_eq!(rules(&[(0.2, told), (1.0, fell)]), [], "half of it came from one that knew");
+    }
+}
--- /dev/null
+++ b/rig/src/clients.rs
@@ -0,0 +1,147 @@
+//! Open-loop clients: each request goes out at its time, whatever has become of those before it, and asks again
+//! after a refusal or a failure as the site's clients do.
+
+use crate::record::{Record, Seen};
+use crate::scenario::{Arrival, DEADLINE_S, Plan};
+use crate::standin::{lock, txn};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::rt::TokioExecutor;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+
+/// What became of a client's request in the end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    /// Served, so many seconds after its first try.
+    Served(f64),
+    /// Refused or failed at each try.
+    Refused,
+    /// Nothing came in time, or the connection broke.
+    Lost,
+}
+
+/// How one request went.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fate {
+    /// Its number in the plan.
+    pub arrival: usize,
+    /// What became of it.
+    pub outcome: Outcome,
+    /// How often it was tried.
+    pub tries: u32,
+    /// Seconds until its first refusal, if any.
+    pub refused_after: Option<f64>,
+}
+
+type Http = Client<HttpConnector, Full<Bytes>>;
+
+/// The clients of all dispatchers.
+pub struct Clients {
+    plan: Arc<Plan>,
+    record: Arc<Record>,
+    desks: Vec<(Http, SocketAddr)>,
+    fates: Mutex<Vec<Fate>>,
+}
+
+/// How one try ended.
+enum Reply {
+    Served,
+    Refused,
+    Lost,
+}
+
+impl Clients {
+    /// One pool of connections for each dispatcher.
+    pub fn new(plan: Arc<Plan>, record: Arc<Record>, dispatchers: &[SocketAddr]) -> Arc<Self> {
+        let desk = |address: &SocketAddr| {
+            let mut connector = HttpConnector::new();
+            connector.set_nodelay(true);
+            (Client::builder(TokioExecutor::new()).build(connector), *address)
+        };
+        let desks = dispatchers.iter().map(desk).collect();
+        Arc::new(Self { plan, record, desks, fates: Mutex::default() })
+    }
+
+    /// Plays all arrivals from now on; returns how each went once the last has ended.
+    pub async fn play(self: Arc<Self>) -> Vec<Fate> {
+        let start = Instant::now();
+        let mut out = tokio::task::JoinSet::new();
+        for index in 0..self.plan.arrivals.len() {
+            sleep_until(start + Duration::from_secs_f64(self.plan.arrivals[index].at)).await;
+            let this = self.clone();
+            out.spawn(async move { this.request(index).await });
+        }
+        while out.join_next().await.is_some() {}
+        std::mem::take(&mut *lock(&self.fates))
+    }
+
+    async fn request(&self, index: usize) {
+        let arrival = &self.plan.arrivals[index];
+        let began = Instant::now();
+        let deadline = began + Duration::from_secs_f64(DEADLINE_S);
+        let (mut tries, mut refused_after, mut outcome) = (0, None, Outcome::Refused);
+        while tries <= arrival.retries {
+            let sent = Instant::now();
+            if sent + Duration::from_millis(20) >= deadline {
+                break;
+            }
+            tries += 1;
+            match self.ask(index, arrival, tries - 1, deadline).await {
+                Reply::Served => {
+                    outcome = Outcome::Served(began.elapsed().as_secs_f64());
+                    break;
+                }
+                Reply::Lost => {
+                    outcome = Outcome::Lost;
+                    break;
+                }
+                Reply::Refused => {
+                    refused_after.get_or_insert(sent.elapsed().as_secs_f64());
+                    sleep(Duration::from_secs_f64(arrival.backoff)).await;
+                }
+            }
+        }
+        lock(&self.fates).push(Fate { arrival: index, outcome, tries, refused_after });
+    }
+
+    async fn ask(&self, index: usize, arrival: &Arrival, try_no: u32, deadline: Instant) -> Reply {
+        let (http, address) = &self.desks[arrival.dispatcher % self.desks.len()];
+        let (txn, key) = (txn(index, try_no), format!("job-{index:08x}"));
+        let waits = (deadline - Instant::now()).as_secs_f64();
+        let mut request = Request::post(format!("http://{address}/api/segments"))
+            .header("x-txn", &txn)
+            .header("x-lane", "segment")
+            .header("x-remaining-ms", (waits * 1e3).floor().max(1.0).to_string())
+            .header("idempotency-key", &key)
+            .header("x-labels", format!("slots={}", arrival.slots));
+        if arrival.key != 0 {
+            request = request.header("cookie", format!("k={:016x}", arrival.key));
+        }
+        if let Some(hint) = arrival.hint {
+            request = request.header("x-estimate", ((hint * 1e6) as u64).to_string());
+        }
+        let Ok(request) = request.body(Full::new(Bytes::from_static(b"audio"))) else { return Reply::Lost };
+        self.record.note(Seen::Asked { txn: txn.clone(), key, dispatcher: arrival.dispatcher, waits });
+        let answer = async {
+            let response = http.request(request).await.ok()?;
+            let status = response.status().as_u16();
+            let body = response.into_body().collect().await.ok()?.to_bytes();
+            Some((status, String::from_utf8_lossy(&body).into_owned()))
+        };
+        // An answer at the last moment is still on its way for a little.
+        let seen = timeout_at(deadline + Duration::from_millis(50), answer).await;
+        let (reply, seen) = match seen {
+            Ok(Some((200, body))) => (Reply::Served, Seen::Answered { txn, status: 200, body }),
+            Ok(Some((status, body))) => (Reply::Refused, Seen::Answered { txn, status, body }),
+            Ok(None) => (Reply::Lost, Seen::Cut { txn }),
+            Err(_) => (Reply::Lost, Seen::TimeUp { txn }),
+        };
+        self.record.note(seen);
+        reply
+    }
+}
--- /dev/null
+++ b/rig/src/discovery.rs
@@ -0,0 +1,180 @@
+//! A stand-in discovery: late, and only when asked. It learns of a change some time after it happened and writes it
+//! to the watches that are open; what it wrote, and when, goes into the record.
+
+use crate::record::{Record, Seen, Told};
+use crate::scenario::Plan;
+use crate::standin::lock;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
+use hyper::body::{Frame, Incoming};
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{Value, json};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::UnboundedReceiverStream;
+
+/// While nothing changes, an empty line this often.
+const HEARTBEAT: Duration = Duration::from_secs(2);
+
+type Line = Result<Frame<Bytes>, Infallible>;
+
+struct Watch {
+    dispatcher: usize,
+    lines: mpsc::UnboundedSender<Line>,
+}
+
+struct List {
+    seq: u64,
+    states: Vec<(Told, u64)>,
+    watches: Vec<Watch>,
+}
+
+/// The service.
+pub struct Discovery {
+    plan: Arc<Plan>,
+    record: Arc<Record>,
+    list: Mutex<List>,
+    /// Each dispatcher's addresses of the workers.
+    dials: Mutex<Vec<Vec<SocketAddr>>>,
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+impl Discovery {
+    /// All workers are ready and have been for long.
+    pub fn new(plan: Arc<Plan>, record: Arc<Record>) -> Arc<Self> {
+        let states = vec![(Told::Ready { cold: false }, 0); plan.workers.len()];
+        let list = List { seq: 1, states, watches: Vec::new() };
+        Arc::new(Self { plan, record, list: Mutex::new(list), dials: Mutex::default() })
+    }
+
+    /// Opens it to one more dispatcher, which reaches the workers at `dials`.
+    pub async fn open(self: &Arc<Self>, dials: Vec<SocketAddr>) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let dispatcher = {
+            let mut all = lock(&self.dials);
+            all.push(dials);
+            all.len() - 1
+        };
+        let this = self.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let this = this.clone();
+                let service = service_fn(move |request| {
+                    let response = this.answer(dispatcher, &request);
+                    async move { Ok::<_, Infallible>(response) }
+                });
+                let http = hyper::server::conn::http1::Builder::new();
+                tokio::spawn(async move { http.serve_connection(TokioIo::new(stream), service).await });
+            }
+        });
+        Ok(address)
+    }
+
+    fn host(&self, dispatcher: usize, worker: usize, state: (Told, u64)) -> Value {
+        let spec = &self.plan.workers[worker];
+        let health = match state.0 {
+            Told::Ready { .. } => "ready",
+            Told::Draining => "draining",
+            Told::Gone => "gone",
+        };
+        let site = ["honkan", "bekkan", "soko"][spec.zone % 3];
+        json!({"host": spec.host, "dial": lock(&self.dials)[dispatcher][worker].to_string(),
+               "site": site, "class": spec.kind, "block": worker / 8,
+               "health": health, "share": 1.0, "born_ms": state.1})
+    }
+
+    fn whole(&self, dispatcher: usize, list: &List) -> String {
+        let there = list.states.iter().enumerate().filter(|(_, s)| s.0 != Told::Gone);
+        let hosts: Vec<Value> = there.map(|(w, s)| self.host(dispatcher, w, *s)).collect();
+        for (worker, state) in list.states.iter().enumerate() {
+            self.record.note(Seen::Told { dispatcher, worker, what: state.0 });
+        }
+        format!("{}\n", json!({"seq": list.seq, "whole": true, "hosts": hosts}))
+    }
+
+    /// The list as JSON for a dispatcher's configuration.
+    pub fn known(&self, dispatcher: usize) -> Value {
+        serde_json::from_str(&self.whole(dispatcher, &lock(&self.list))).unwrap_or_default()
+    }
+
+    fn answer(&self, dispatcher: usize, request: &Request<Incoming>) -> Response<BoxBody<Bytes, Infallible>> {
+        if request.uri().path() != "/v1/endpoints" {
+            let mut response = Response::new(Full::new(Bytes::new()).boxed());
+            *response.status_mut() = hyper::StatusCode::NOT_FOUND;
+            return response;
+        }
+        let mut list = lock(&self.list);
+        let whole = self.whole(dispatcher, &list);
+        if !request.uri().query().is_some_and(|q| q.split('&').any(|p| p == "watch=1")) {
+            return Response::new(Full::new(Bytes::from(whole)).boxed());
+        }
+        let (lines, body) = mpsc::unbounded_channel();
+        let _ = lines.send(Ok(Frame::data(Bytes::from(whole))));
+        list.watches.push(Watch { dispatcher, lines });
+        Response::new(StreamBody::new(UnboundedReceiverStream::new(body)).boxed())
+    }
+
+    fn publish(&self, worker: usize, what: Told) {
+        let mut list = lock(&self.list);
+        let born = if what == (Told::Ready { cold: true }) { unix_ms() } else { list.states[worker].1 };
+        list.seq += 1;
+        list.states[worker] = (what, born);
+        let (seq, state) = (list.seq, list.states[worker]);
+        list.watches.retain(|watch| {
+            let host = self.host(watch.dispatcher, worker, state);
+            let line = format!("{}\n", json!({"seq": seq, "whole": false, "hosts": [host]}));
+            let open = watch.lines.send(Ok(Frame::data(Bytes::from(line)))).is_ok();
+            if open {
+                self.record.note(Seen::Told { dispatcher: watch.dispatcher, worker, what });
+            }
+            open
+        });
+    }
+
+    /// Takes what changes at the workers, and tells it late, for as long as it is polled.
+    pub async fn run(self: Arc<Self>, mut changes: mpsc::UnboundedReceiver<(usize, Told)>) {
+        let mut rng = Pcg64Mcg::seed_from_u64(self.plan.seed ^ 0xd15c);
+        let mut heartbeat = tokio::time::interval(HEARTBEAT);
+        let mut latest = vec![0_u64; self.plan.workers.len()];
+        let (due, mut ready) = mpsc::unbounded_channel();
+        loop {
+            tokio::select! {
+                Some((worker, what)) = changes.recv() => {
+                    // A silent process is noticed by its absence only; what it said of itself comes sooner.
+                    let late = match what {
+                        Told::Draining => rng.random_range(1.1..4.1),
+                        Told::Gone => rng.random_range(7.4..14.0),
+                        Told::Ready { .. } => rng.random_range(0.47..2.0),
+                    };
+                    latest[worker] += 1;
+                    let (due, number) = (due.clone(), latest[worker]);
+                    tokio::spawn(async move {
+                        tokio::time::sleep(Duration::from_secs_f64(late)).await;
+                        let _ = due.send((worker, what, number));
+                    });
+                }
+                Some((worker, what, number)) = ready.recv() => {
+                    if number == latest[worker] {
+                        self.publish(worker, what);
+                    }
+                }
+                _ = heartbeat.tick() => {
+                    let beat = || Ok(Frame::data(Bytes::from_static(b"\n")));
+                    lock(&self.list).watches.retain(|watch| watch.lines.send(beat()).is_ok());
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/lib.rs
@@ -0,0 +1,22 @@
+//! Measured runs of real `pebblepost` processes on loopback, with everything around them stood in for.
+//!
+//! * [`scenario`]: what a run consists of, and what a seed makes of it
+//! * [`machine`], [`standin`], [`discovery`]: the workers and the list of them
+//! * [`clients`], [`dispatcher`]: open-loop clients, and the processes under test
+//! * [`record`], [`checker`], [`report`]: what was seen, the rules, the figures
+//! * [`run`]: one run of all of it; [`room`]: a measurement made of runs
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod checker;
+pub mod clients;
+pub mod discovery;
+pub mod dispatcher;
+pub mod machine;
+pub mod record;
+pub mod report;
+pub mod room;
+pub mod run;
+pub mod scenario;
+pub mod standin;
--- /dev/null
+++ b/rig/src/machine.rs
@@ -0,0 +1,301 @@
+//! A stand-in worker's inside, without I/O or clock: slots, waiting room, pace, warmth, what it has fetched, and
+//! falling over. The caller says what time it is and gets back what has happened since.
+
+use crate::scenario::{Order, WorkerSpec};
+use std::collections::VecDeque;
+
+/// A job at a worker; the caller's number.
+pub type Ticket = u64;
+
+/// A cold worker falls over if it is sent more than this multiple of what it can do, for this long.
+pub const TIP_MULTIPLE: f64 = 3.0;
+/// See [`TIP_MULTIPLE`].
+pub const FALL_S: f64 = 3.0;
+
+/// What happened to a job.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Note {
+    /// It has begun.
+    Started(Ticket),
+    /// It is done.
+    Done(Ticket),
+}
+
+/// What became of a job handed in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It runs or waits.
+    In,
+    /// Turned away unseen: no room to wait, or no worker of this size can run it.
+    Away,
+}
+
+#[derive(Clone, Debug)]
+struct Job {
+    ticket: Ticket,
+    slots: u32,
+    /// Seconds of fetching left, and of work at speed 1.
+    fetch: f64,
+    work: f64,
+    key: u64,
+}
+
+/// The inside of one stand-in.
+#[derive(Debug)]
+pub struct Machine {
+    spec: WorkerSpec,
+    /// When it started, if that matters still.
+    started: Option<f64>,
+    now: f64,
+    running: Vec<Job>,
+    waiting: VecDeque<Job>,
+    /// Subjects kept, the one used last at the end.
+    kept: VecDeque<u64>,
+    fetch_s: f64,
+    /// Work for connections and probes that is still to be done.
+    overhead: f64,
+    /// Work sent while it was cold: when, how much, by which sender.
+    sent: VecDeque<(f64, f64, usize)>,
+    fallen: bool,
+}
+
+impl Machine {
+    /// A warm worker with nothing to do. `fetch_s`: how long it takes to fetch what a subject needs.
+    pub fn new(spec: WorkerSpec, fetch_s: f64) -> Self {
+        Self {
+            spec,
+            started: None,
+            now: 0.0,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            kept: VecDeque::new(),
+            fetch_s,
+            overhead: 0.0,
+            sent: VecDeque::new(),
+            fallen: false,
+        }
+    }
+
+    /// Starts anew, cold and empty. Returns the jobs that are lost by it.
+    pub fn restart(&mut self, now: f64) -> Vec<Ticket> {
+        let lost = self.running.drain(..).chain(self.waiting.drain(..)).map(|j| j.ticket).collect();
+        (self.started, self.now, self.overhead, self.fallen) = (Some(now), now, 0.0, false);
+        self.kept.clear();
+        self.sent.clear();
+        lost
+    }
+
+    /// Hands back what has not begun.
+    pub fn hand_back(&mut self) -> Vec<Ticket> {
+        self.waiting.drain(..).map(|j| j.ticket).collect()
+    }
+
+    /// Its figures.
+    pub fn spec(&self) -> &WorkerSpec {
+        &self.spec
+    }
+
+    /// Part of its capacity that it has now.
+    pub fn warmth(&self) -> f64 {
+        let Some(start) = self.started else { return 1.0 };
+        let part = (self.now - start) / self.spec.cold_s;
+        (self.spec.cold_from + (1.0 - self.spec.cold_from) * part).min(1.0)
+    }
+
+    /// Work that it can do in a second, at this moment.
+    pub fn capacity(&self) -> f64 {
+        f64::from(self.spec.cores.min(self.spec.slots)) * self.spec.speed * self.warmth()
+    }
+
+    /// It was sent more, while cold, than it can bear: when it had started, and the work sent by whom.
+    pub fn fallen(&self) -> Option<(f64, Vec<(usize, f64)>)> {
+        let since = self.started.filter(|_| self.fallen)?;
+        Some((since, self.sent.iter().map(|(_, work, from)| (*from, *work)).collect()))
+    }
+
+    fn slots_in_use(&self) -> u32 {
+        self.running.iter().map(|j| j.slots).sum()
+    }
+
+    /// Free slots, running jobs' share of the cores, and how many jobs wait.
+    pub fn load(&self) -> (u32, f64, usize) {
+        let used = self.slots_in_use();
+        let busy = (f64::from(used) / f64::from(self.spec.cores)).min(1.0);
+        (self.spec.slots.saturating_sub(used), busy, self.waiting.len())
+    }
+
+    /// Jobs that fetch now; the shared store serves so many.
+    pub fn fetching(&self) -> usize {
+        self.running.iter().filter(|j| j.fetch > 0.0).count()
+    }
+
+    /// Work that is no job: a new connection, a probe.
+    pub fn charge(&mut self, from: usize, seconds: f64) {
+        self.overhead += seconds;
+        self.weigh(from, seconds);
+    }
+
+    /// Counts work against what a cold worker bears, whatever becomes of it.
+    fn weigh(&mut self, from: usize, work: f64) {
+        if self.warmth() >= 1.0 {
+            return self.sent.clear();
+        }
+        self.sent.push_back((self.now, work, from));
+        while self.sent.front().is_some_and(|(at, ..)| *at < self.now - FALL_S) {
+            self.sent.pop_front();
+        }
+        let total: f64 = self.sent.iter().map(|(_, work, _)| work).sum();
+        // A little slack for chance: one usual job.
+        self.fallen |= total > TIP_MULTIPLE * FALL_S * self.capacity() + 0.5;
+    }
+
+    /// Takes a job of the sender `from`, if there is room for it.
+    pub fn submit(&mut self, from: usize, ticket: Ticket, slots: u32, work: f64, key: u64) -> Taken {
+        let slots = slots.max(1);
+        self.weigh(from, work * f64::from(slots));
+        let fits = slots <= self.spec.slots;
+        if !fits || self.slots_in_use() + slots > self.spec.slots && self.waiting.len() >= self.spec.queue {
+            return Taken::Away;
+        }
+        self.waiting.push_back(Job { ticket, slots, fetch: 0.0, work, key });
+        Taken::In
+    }
+
+    /// Lets time pass. `store_share`: part of its full speed at which a fetch goes on. Notes are in their order.
+    pub fn advance(&mut self, now: f64, store_share: f64, notes: &mut Vec<Note>) {
+        let mut left = (now - self.now).max(0.0);
+        self.begin(notes);
+        while left > 0.0 && !self.running.is_empty() {
+            let used = f64::from(self.slots_in_use()).max(1.0);
+            let share = (f64::from(self.spec.cores) / used).min(1.0);
+            // Overhead takes up to half of the cores until it is done.
+            let free = if self.overhead > 0.0 { 0.5 } else { 1.0 };
+            let pace = self.spec.speed * self.warmth() * share * free;
+            let ends = |j: &Job| {
+                if j.fetch > 0.0 { j.fetch / store_share.max(1e-6) } else { j.work / pace.max(1e-6) }
+            };
+            let step = self.running.iter().map(ends).fold(left, f64::min).max(1e-7).min(left);
+            for job in &mut self.running {
+                if job.fetch > 0.0 { job.fetch -= step * store_share } else { job.work -= step * pace }
+            }
+            self.overhead = (self.overhead - step * 0.5 * self.capacity()).max(0.0);
+            self.now += step;
+            left -= step;
+            let done = |j: &Job| j.fetch <= 1e-9 && j.work <= 1e-9;
+            notes.extend(self.running.iter().filter(|j| done(j)).map(|j| Note::Done(j.ticket)));
+            self.running.retain(|j| !done(j));
+            self.begin(notes);
+        }
+        if self.running.is_empty() {
+            self.overhead = 0.0;
+        }
+        self.now = now.max(self.now);
+    }
+
+    /// Starts what fits, by the order of the queue.
+    fn begin(&mut self, notes: &mut Vec<Note>) {
+        loop {
+            let free = self.spec.slots.saturating_sub(self.slots_in_use());
+            let next = match self.spec.order {
+                Order::Fifo => self.waiting.front().filter(|j| j.slots <= free).map(|_| 0),
+                Order::Backfill => self.waiting.iter().position(|j| j.slots <= free),
+            };
+            let Some(mut job) = next.and_then(|i| self.waiting.remove(i)) else { return };
+            if job.key != 0 {
+                let had = self.kept.iter().position(|k| *k == job.key).and_then(|i| self.kept.remove(i));
+                job.fetch = if had.is_some() { 0.0 } else { self.fetch_s };
+                self.kept.push_back(job.key);
+                if self.kept.len() > self.spec.keys {
+                    self.kept.pop_front();
+                }
+            }
+            notes.push(Note::Started(job.ticket));
+            self.running.push(job);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn machine(order: Order) -> Machine {
+        let spec = WorkerSpec {
+            host: "w".to_owned(),
+            zone: 0,
+            kind: "test",
+            cores: 2,
+            slots: 2,
+            speed: 1.0,
+            queue: 3,
+            order,
+            cold_from: 0.2,
+            cold_s: 10.0,
+            keys: 1,
+            refresh_s: 0.01,
+            delay_s: 0.01,
+            noise: 0.0,
+        };
+        Machine::new(spec, 0.5)
+    }
+
+    fn started(notes: &[Note]) -> Vec<Ticket> {
+        notes.iter().filter_map(|n| if let Note::Started(t) = n { Some(*t) } else { None }).collect()
+    }
+
+    #[test]
+    fn a_wide_job_waits_in_order_or_for_ever() {
+        for (order, expected) in [(Order::Fifo, vec![1, 2, 3]), (Order::Backfill, vec![1, 3, 2])] {
+            let (mut m, mut notes) = (machine(order), Vec::new());
+            m.submit(0, 1, 1, 1.0, 0);
+            m.submit(0, 2, 2, 1.0, 0);
+            m.submit(0, 3, 1, 1.0, 0);
+            m.advance(5.0, 1.0, &mut notes);
+            assert_eq!(started(&notes), expected);
+        }
+    }
+
+    #[test]
+    fn the_waiting_room_and_the_size_have_an_end() {
+        let mut m = machine(Order::Fifo);
+        assert_eq!(m.submit(0, 1, 3, 1.0, 0), Taken::Away, "wider than the worker");
+        let mut notes = Vec::new();
+        for ticket in 0..2 {
+            assert_eq!(m.submit(0, ticket, 1, 1.0, 0), Taken::In);
+        }
+        m.advance(0.1, 1.0, &mut notes);
+        for ticket in 2..5 {
+            assert_eq!(m.submit(0, ticket, 1, 1.0, 0), Taken::In);
+        }
+        assert_eq!(m.submit(0, 5, 1, 1.0, 0), Taken::Away);
+    }
+
+    #[test]
+    fn what_a_subject_needs_is_fetched_once_and_slowly_from_a_crowded_store() {
+        let (mut m, mut notes) = (machine(Order::Fifo), Vec::new());
+        m.submit(0, 1, 1, 1.0, 7);
+        m.advance(1.9, 0.5, &mut notes);
+        assert!(!notes.contains(&Note::Done(1)), "1 s of fetching at half speed, then 1 s of work");
+        m.advance(2.1, 0.5, &mut notes);
+        assert!(notes.contains(&Note::Done(1)));
+        m.submit(0, 2, 1, 1.0, 7);
+        m.advance(3.2, 0.5, &mut notes);
+        assert!(notes.contains(&Note::Done(2)), "kept");
+    }
+
+    #[test]
+    fn a_cold_worker_is_slow_and_falls_over_at_three_times_what_it_can_do() {
+        let (mut m, mut notes) = (machine(Order::Fifo), Vec::new());
+        m.restart(0.0);
+        assert!((m.capacity() - 0.4).abs() < 1e-9);
+        m.submit(0, 1, 1, 1.0, 0);
+        m.advance(1.0, 1.0, &mut notes);
+        assert!(!notes.contains(&Note::Done(1)));
+        m.submit(0, 2, 1, 2.0, 0);
+        assert!(m.fallen().is_none());
+        m.submit(0, 3, 1, 3.0, 0);
+        assert_eq!(m.fallen(), Some((0.0, vec![(0, 1.0), (0, 2.0), (0, 3.0)])));
+        assert_eq!(m.restart(2.0), [1, 2, 3]);
+        assert!(m.fallen().is_none());
+    }
+}
--- /dev/null
+++ b/rig/src/record.rs
@@ -0,0 +1,152 @@
+//! What both sides saw, in one list with one clock: the clients, the workers and discovery write to it, the checker
+//! and the report read it.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
+
+/// How an attempt ended at a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served.
+    Done,
+    /// Turned away or handed back: it never ran.
+    Unseen,
+    /// It failed, or the worker died with it.
+    Broken,
+}
+
+/// A state of a worker as discovery tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// Takes work; whether it has started lately.
+    Ready {
+        /// It has started lately.
+        cold: bool,
+    },
+    /// Takes nothing new.
+    Draining,
+    /// Is no more.
+    Gone,
+}
+
+/// One thing that was seen.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Seen {
+    /// A client's try went out to a dispatcher; it waits so many seconds.
+    Asked {
+        /// The id of the try.
+        txn: String,
+        /// The key of the job, the same for each try.
+        key: String,
+        /// To which dispatcher.
+        dispatcher: usize,
+        /// How long it waits.
+        waits: f64,
+    },
+    /// The dispatcher answered, with this body.
+    Answered {
+        /// The id of the try.
+        txn: String,
+        /// Status.
+        status: u16,
+        /// Body.
+        body: String,
+    },
+    /// The client left of its own accord, before its time was up.
+    Left {
+        /// The id of the try.
+        txn: String,
+    },
+    /// The connection ended with no whole answer.
+    Cut {
+        /// The id of the try.
+        txn: String,
+    },
+    /// Nothing had come when the client's time was up.
+    TimeUp {
+        /// The id of the try.
+        txn: String,
+    },
+    /// An attempt's last byte arrived at a worker.
+    Arrived {
+        /// The id of the try.
+        txn: String,
+        /// The key of the job.
+        key: String,
+        /// From which dispatcher.
+        dispatcher: usize,
+        /// At which worker.
+        worker: usize,
+    },
+    /// That attempt ended there.
+    Ended {
+        /// The id of the try.
+        txn: String,
+        /// At which worker.
+        worker: usize,
+        /// How.
+        end: End,
+    },
+    /// A worker got a request that no client sent.
+    Stranger {
+        /// What it said it was.
+        txn: String,
+    },
+    /// Discovery wrote a worker's state to a dispatcher.
+    Told {
+        /// To which dispatcher.
+        dispatcher: usize,
+        /// Of which worker.
+        worker: usize,
+        /// What.
+        what: Told,
+    },
+    /// A cold worker was sent more than it can bear.
+    Fell {
+        /// Which.
+        worker: usize,
+        /// When it had started.
+        since: f64,
+        /// The work that it was sent lately, by dispatcher.
+        sent: Vec<(usize, f64)>,
+    },
+}
+
+/// A thing seen, with when: seconds from the start.
+pub type Entry = (f64, Seen);
+
+/// The list.
+#[derive(Debug)]
+pub struct Record {
+    start: Instant,
+    list: Mutex<Vec<Entry>>,
+}
+
+impl Default for Record {
+    fn default() -> Self {
+        Self { start: Instant::now(), list: Mutex::default() }
+    }
+}
+
+impl Record {
+    /// Seconds from the start.
+    pub fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64()
+    }
+
+    /// The start itself.
+    pub fn start(&self) -> Instant {
+        self.start
+    }
+
+    /// Notes a thing as seen now.
+    pub fn note(&self, seen: Seen) {
+        let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+        list.push((self.now(), seen)); // Timed under the lock, so that the list is in order.
+    }
+
+    /// All that was seen, in order.
+    pub fn take(&self) -> Vec<Entry> {
+        std::mem::take(&mut *self.list.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- /dev/null
+++ b/rig/src/report.rs
@@ -0,0 +1,186 @@
+//! What a run comes to: shares in time by size, work done, latencies, rules.
+
+use crate::checker::Broken;
+use crate::clients::{Fate, Outcome};
+use crate::scenario::{Arrival, Plan, wanted};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// A group of requests.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Group {
+    /// How many were asked for.
+    pub asked: usize,
+    /// How many were answered within the time wanted.
+    pub in_time: usize,
+    /// Answered later than that.
+    pub late: usize,
+    /// Refused or failed at each try.
+    pub refused: usize,
+    /// No answer.
+    pub lost: usize,
+    /// Tries, all together.
+    pub tries: usize,
+    /// Seconds of slots asked for, and those of requests in time.
+    pub work: f64,
+    /// See `work`.
+    pub work_in_time: f64,
+    /// Milliseconds to the answer of those served: half of them, and 99 in 100.
+    pub p50_ms: f64,
+    /// See `p50_ms`.
+    pub p99_ms: f64,
+    /// Milliseconds until the first refusal, 99 in 100.
+    pub refused_p99_ms: f64,
+}
+
+impl Group {
+    /// Share in time.
+    pub fn share(&self) -> f64 {
+        if self.asked == 0 { 1.0 } else { self.in_time as f64 / self.asked as f64 }
+    }
+}
+
+/// Wilson's score interval at 95% (E. B. Wilson, 1927).
+pub fn interval(hits: usize, of: usize) -> (f64, f64) {
+    if of == 0 {
+        return (0.0, 1.0);
+    }
+    let (n, z) = (of as f64, 1.96);
+    let p = hits as f64 / n;
+    let middle = p + z * z / (2.0 * n);
+    let off = z * (p * (1.0 - p) / n + z * z / (4.0 * n * n)).sqrt();
+    ((middle - off) / (1.0 + z * z / n), (middle + off) / (1.0 + z * z / n))
+}
+
+/// Sums up those requests that `which` picks.
+pub fn group(plan: &Plan, fates: &[Fate], which: impl Fn(&Arrival) -> bool) -> Group {
+    let mut group = Group::default();
+    let sound = || Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).ok();
+    let (mut latency, mut refusals) = (sound(), sound());
+    for fate in fates {
+        let arrival = &plan.arrivals[fate.arrival];
+        if !which(arrival) {
+            continue;
+        }
+        let work = arrival.work * f64::from(arrival.slots);
+        group.asked += 1;
+        group.work += work;
+        group.tries += fate.tries as usize;
+        let micros = |s: f64| (s * 1e6) as u64;
+        match fate.outcome {
+            Outcome::Served(after) => {
+                if let Some(h) = &mut latency {
+                    h.saturating_record(micros(after));
+                }
+                if after <= wanted(arrival.work) {
+                    group.in_time += 1;
+                    group.work_in_time += work;
+                } else {
+                    group.late += 1;
+                }
+            }
+            Outcome::Refused => group.refused += 1,
+            Outcome::Lost => group.lost += 1,
+        }
+        if let (Some(h), Some(after)) = (&mut refusals, fate.refused_after) {
+            h.saturating_record(micros(after));
+        }
+    }
+    let ms = |h: &Option<Histogram<u64>>, q| h.as_ref().map_or(0.0, |h| h.value_at_quantile(q) as f64 / 1e3);
+    (group.p50_ms, group.p99_ms) = (ms(&latency, 0.5), ms(&latency, 0.99));
+    group.refused_p99_ms = ms(&refusals, 0.99);
+    group
+}
+
+/// One run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Summary {
+    /// Share of the large jobs in time, and their number.
+    pub large_in_time: f64,
+    /// The same of the others.
+    pub small_in_time: f64,
+    /// See `large_in_time`.
+    pub large_asked: usize,
+    /// See `small_in_time`.
+    pub small_asked: usize,
+    /// 95% intervals of the two shares.
+    pub large_interval: (f64, f64),
+    /// See `large_interval`.
+    pub small_interval: (f64, f64),
+    /// Seconds of slots of requests in time.
+    pub work_in_time: f64,
+    /// Rules broken.
+    pub rules_broken: usize,
+    /// The groups in full.
+    pub large: Group,
+    /// See `large`.
+    pub small: Group,
+    /// Daemons' CPU for each request served, in microseconds.
+    pub cpu_us: f64,
+    /// The first of the rules broken.
+    pub broken: Vec<Broken>,
+}
+
+impl Summary {
+    /// Sums up several runs as one. `cpu`: seconds of the daemons.
+    pub fn of(runs: &[(&Plan, &[Fate])], broken: &[Broken], cpu: f64) -> Self {
+        let mut groups = [Group::default(), Group::default()];
+        for (plan, fates) in runs {
+            for (sum, large) in groups.iter_mut().zip([true, false]) {
+                let g = group(plan, fates, |a| a.large == large);
+                sum.p50_ms = sum.p50_ms.max(g.p50_ms);
+                sum.p99_ms = sum.p99_ms.max(g.p99_ms);
+                sum.refused_p99_ms = sum.refused_p99_ms.max(g.refused_p99_ms);
+                sum.asked += g.asked;
+                sum.in_time += g.in_time;
+                sum.late += g.late;
+                sum.refused += g.refused;
+                sum.lost += g.lost;
+                sum.tries += g.tries;
+                sum.work += g.work;
+                sum.work_in_time += g.work_in_time;
+            }
+        }
+        let [large, small] = groups;
+        let served = large.in_time + large.late + small.in_time + small.late;
+        Self {
+            large_in_time: large.share(),
+            small_in_time: small.share(),
+            large_asked: large.asked,
+            small_asked: small.asked,
+            large_interval: interval(large.in_time, large.asked),
+            small_interval: interval(small.in_time, small.asked),
+            work_in_time: large.work_in_time + small.work_in_time,
+            rules_broken: broken.len(),
+            cpu_us: cpu * 1e6 / served.max(1) as f64,
+            broken: broken.iter().take(10).cloned().collect(),
+            large,
+            small,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::scenario::Scenario;
+
+    #[test]
+    fn shares_count_what_came_within_the_time_wanted() {
+        let mut plan = Plan::draw(&Scenario::mixed(5.0, 0.65), 1).expect("a sound scenario");
+        plan.arrivals.truncate(3);
+        plan.arrivals.iter_mut().for_each(|a| (a.work, a.slots, a.large) = (0.2, 1, false));
+        let fate = |arrival, outcome| Fate { arrival, outcome, tries: 1, refused_after: None };
+        let fates = [fate(0, Outcome::Served(0.9)), fate(1, Outcome::Served(1.1)), fate(2, Outcome::Refused)];
+        let g = group(&plan, &fates, |a| !a.large);
+        assert_eq!((g.asked, g.in_time, g.late, g.refused), (3, 1, 1, 1));
+        assert!((g.work_in_time - 0.2).abs() < 1e-9);
+    }
+
+    #[test]
+    fn the_interval_is_wilsons() {
+        let (low, high) = interval(90, 100);
+        assert!((low - 0.826).abs() < 0.001 && (high - 0.945).abs() < 0.001, "{low} {high}");
+        assert_eq!(interval(0, 0), (0.0, 1.0));
+    }
+}
--- /dev/null
+++ b/rig/src/room.rs
@@ -0,0 +1,108 @@
+//! The measurement for `docs/room.md`: the mixed run with the room on and off, on the same arrivals, at two loads.
+
+use crate::report::Summary;
+use crate::run::{Played, Run};
+use crate::scenario::Scenario;
+use anyhow::Result;
+use serde::Serialize;
+use serde_json::{Value, json};
+use std::path::Path;
+
+/// Loads that are played, as parts of what the fleet can do.
+pub const LOADS: [f64; 2] = [0.65, 0.9];
+
+/// One load, with the room on and off.
+#[derive(Serialize)]
+pub struct AtLoad {
+    /// The load.
+    pub load: f64,
+    /// With the room.
+    pub on: Summary,
+    /// Without it.
+    pub off: Summary,
+}
+
+/// All loads: their sum with the room on, the same with it off, and each by itself.
+#[derive(Serialize)]
+pub struct Report {
+    /// The sum, with the room.
+    #[serde(flatten)]
+    pub on: Summary,
+    /// The sum, without it.
+    pub off: Summary,
+    /// Each load.
+    pub loads: Vec<AtLoad>,
+}
+
+/// The operator's file that turns the room on or off.
+pub fn operator(on: bool) -> Value {
+    json!({"settings": {"room": {"enabled": on}}})
+}
+
+fn summary(runs: &[&Played]) -> Summary {
+    let parts: Vec<_> = runs.iter().map(|p| (&*p.plan, p.fates.as_slice())).collect();
+    let broken: Vec<_> = runs.iter().flat_map(|p| p.broken.iter().cloned()).collect();
+    Summary::of(&parts, &broken, runs.iter().map(|p| p.cpu).sum())
+}
+
+/// Plays `scenario` at each load. On and off run at the same time, so that whatever else the machine does
+/// meets both; loads follow each other.
+pub async fn measure(scenario: &Scenario, loads: &[f64], seed: u64, program: &Path) -> Result<Report> {
+    let (on_file, off_file) = (operator(true), operator(false));
+    let (mut on, mut off) = (Vec::new(), Vec::new());
+    for load in loads {
+        let scenario = Scenario { load: *load, ..scenario.clone() };
+        let run = Run { scenario: &scenario, seed, program, operator: &on_file };
+        let without = Run { operator: &off_file, ..run.clone() };
+        let (a, b) = tokio::try_join!(run.play(), without.play())?;
+        on.push(a);
+        off.push(b);
+    }
+    let at =
+        |(i, load): (usize, &f64)| AtLoad { load: *load, on: summary(&[&on[i]]), off: summary(&[&off[i]]) };
+    let all = |runs: &[Played]| summary(&runs.iter().collect::<Vec<_>>());
+    Ok(Report { on: all(&on), off: all(&off), loads: loads.iter().enumerate().map(at).collect() })
+}
+
+fn row(name: &str, s: &Summary) -> String {
+    let share = |share: f64, (low, high): (f64, f64)| format!("{share:.4} ({low:.3} to {high:.3})");
+    format!(
+        "{name:<12} {:>24} {:>24} {:>8} {:>8} {:>7} {:>7} {:>7.0} {:>6.1} {:>6}",
+        share(s.large_in_time, s.large_interval),
+        share(s.small_in_time, s.small_interval),
+        format!("{}/{}", s.large.late, s.large.refused),
+        format!("{}/{}", s.small.late, s.small.refused),
+        s.large_asked,
+        s.small_asked,
+        s.work_in_time,
+        s.cpu_us,
+        s.rules_broken
+    )
+}
+
+/// The report as a table.
+pub fn table(report: &Report) -> String {
+    let mut lines = vec![format!(
+        "{:<12} {:>24} {:>24} {:>8} {:>8} {:>7} {:>7} {:>7} {:>6} {:>6}",
+        "",
+        "large in time",
+        "small in time",
+        "l late/r",
+        "s late/r",
+        "large",
+        "small",
+        "work s",
+        "us",
+        "broken"
+    )];
+    for l in &report.loads {
+        lines.push(row(&format!("{:.2} on", l.load), &l.on));
+        lines.push(row(&format!("{:.2} off", l.load), &l.off));
+    }
+    lines.push(row("all on", &report.on));
+    lines.push(row("all off", &report.off));
+    for b in report.on.broken.iter().chain(&report.off.broken) {
+        lines.push(format!("broken: {:?} at {:.2} s: {}", b.rule, b.at, b.what));
+    }
+    lines.join("\n")
+}
