--- a/pebblepost/src/config.rs
+++ b/pebblepost/src/config.rs
@@ -372,7 +372,8 @@
     }
     let classes = names(&settings_json, "/classes");
     let faktory = op.get("faktory").map(|f| faktory(&op_file, f, &mut settings_json)).transpose()?;
-    let settings = read_settings(&file, &settings_json)?;
+    let named = if op.get("settings").is_some() { format!("{file} with {op_file}") } else { file.clone() };
+    let settings = read_settings(&named, &settings_json)?;
     if listen.is_none() && faktory.is_none() {
         return wrong(&file, "listen", "missing");
     }
--- a/pebblepost/tests/platform.rs
+++ b/pebblepost/tests/platform.rs
@@ -284,9 +284,10 @@
         discovery(move |wire, _| {
             let host = json!({"host": name, "dial": worker, "site": "a", "class": "m", "block": 0, "health": "ready", "born_ms": 0});
             let line = format!("{}\n", json!({"seq": 7, "whole": true, "hosts": [host]}));
+            // Told first: what the line sets off must not overtake it.
+            tell.send((name, "watched")).expect("a listener");
             wire.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             wire.say(&format!("{:x}\r\n{line}\r\n", line.len()));
-            tell.send((name, "watched")).expect("a listener");
             assert!(wire.line().is_empty());
             let _ = tell.send((name, "left"));
         })
@@ -418,3 +419,27 @@
     let alone = pebblepost::config::read(|_| None, Some(&root.join("deploy/operator.json"))).expect("sound");
     assert!(alone.faktory.is_some() && alone.listen.is_none());
 }
+
+#[test]
+fn a_mistake_in_the_settings_of_the_room_names_file_and_key() {
+    let config = common::path("config.json");
+    std::fs::write(&config, platform(&[], None).to_string()).expect("a writable folder");
+    let operator = common::path("operator.json");
+    let error = |settings: Value| {
+        std::fs::write(&operator, json!({ "settings": settings }).to_string()).expect("a writable folder");
+        let var = |name: &str| (name == "PROXY_CONFIG").then(|| config.display().to_string());
+        pebblepost::config::read(var, Some(&operator)).map(|_| ()).map_err(|e| e.to_string())
+    };
+    assert_eq!(error(json!({"room": {"enabled": false, "mostHeld": 0.5}})), Ok(()));
+    for (settings, words) in [
+        (json!({"room": {"mostheld": 0.5}}), "settings.room.mostheld"),
+        (json!({"room": true}), "settings.room"),
+        (json!({"room": {"mostHeld": 0.9}}), "room.mostHeld is 0.9: 0 to 0.5 is allowed"),
+        (json!({"room": {"deviations": -1}}), "room.deviations"),
+        (json!({"room": {"enabled": "perhaps"}}), "room.enabled=perhaps"),
+    ] {
+        let text = error(settings).expect_err(words);
+        assert!(text.contains(words) && text.contains("operator.json"), "{text}");
+    }
+    [config, operator].iter().for_each(|f| drop(std::fs::remove_file(f)));
+}
--- a/rig/src/clients.rs
+++ b/rig/src/clients.rs
@@ -23,6 +23,8 @@
     Refused,
     /// Nothing came in time, or the connection broke.
     Lost,
+    /// The client left of its own accord.
+    Left,
 }
 
 /// How one request went.
@@ -53,6 +55,7 @@
     Served,
     Refused,
     Lost,
+    Left,
 }
 
 impl Clients {
@@ -84,6 +87,7 @@
         let arrival = &self.plan.arrivals[index];
         let began = Instant::now();
         let deadline = began + Duration::from_secs_f64(DEADLINE_S);
+        let leaves = arrival.leaves.map(|after| began + Duration::from_secs_f64(after));
         let (mut tries, mut refused_after, mut outcome) = (0, None, Outcome::Refused);
         while tries <= arrival.retries {
             let sent = Instant::now();
@@ -91,7 +95,7 @@
                 break;
             }
             tries += 1;
-            match self.ask(index, arrival, tries - 1, deadline).await {
+            match self.ask(index, arrival, tries - 1, deadline, leaves).await {
                 Reply::Served => {
                     outcome = Outcome::Served(began.elapsed().as_secs_f64());
                     break;
@@ -100,6 +104,10 @@
                     outcome = Outcome::Lost;
                     break;
                 }
+                Reply::Left => {
+                    outcome = Outcome::Left;
+                    break;
+                }
                 Reply::Refused => {
                     refused_after.get_or_insert(sent.elapsed().as_secs_f64());
                     sleep(Duration::from_secs_f64(arrival.backoff)).await;
@@ -109,7 +117,9 @@
         lock(&self.fates).push(Fate { arrival: index, outcome, tries, refused_after });
     }
 
-    async fn ask(&self, index: usize, arrival: &Arrival, try_no: u32, deadline: Instant) -> Reply {
+    async fn ask(
+        &self, index: usize, arrival: &Arrival, try_no: u32, deadline: Instant, leaves: Option<Instant>,
+    ) -> Reply {
         let (http, address) = &self.desks[arrival.dispatcher % self.desks.len()];
         let (txn, key) = (txn(index, try_no), format!("job-{index:08x}"));
         let waits = (deadline - Instant::now()).as_secs_f64();
@@ -133,12 +143,14 @@
             let body = response.into_body().collect().await.ok()?.to_bytes();
             Some((status, String::from_utf8_lossy(&body).into_owned()))
         };
-        // An answer at the last moment is still on its way for a little.
-        let seen = timeout_at(deadline + Duration::from_millis(50), answer).await;
+        // An answer at the last moment is still on its way for a little. Who leaves closes the connection.
+        let until = leaves.unwrap_or(deadline + Duration::from_millis(50));
+        let seen = timeout_at(until, answer).await;
         let (reply, seen) = match seen {
             Ok(Some((200, body))) => (Reply::Served, Seen::Answered { txn, status: 200, body }),
             Ok(Some((status, body))) => (Reply::Refused, Seen::Answered { txn, status, body }),
             Ok(None) => (Reply::Lost, Seen::Cut { txn }),
+            Err(_) if leaves.is_some() => (Reply::Left, Seen::Left { txn }),
             Err(_) => (Reply::Lost, Seen::TimeUp { txn }),
         };
         self.record.note(seen);
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -4,13 +4,14 @@
 //! * [`machine`], [`standin`], [`discovery`]: the workers and the list of them
 //! * [`clients`], [`dispatcher`]: open-loop clients, and the processes under test
 //! * [`record`], [`checker`], [`report`]: what was seen, the rules, the figures
-//! * [`run`]: one run of all of it; [`room`]: a measurement made of runs
+//! * [`run`]: one run of all of it; [`room`], [`cpu`]: measurements made of runs
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod checker;
 pub mod clients;
+pub mod cpu;
 pub mod discovery;
 pub mod dispatcher;
 pub mod machine;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -5,7 +5,7 @@
 use anyhow::Result;
 use clap::{Args, Parser, Subcommand};
 use pebblepost_rig::scenario::{Hints, Order, Scenario};
-use pebblepost_rig::{dispatcher, room};
+use pebblepost_rig::{cpu, dispatcher, room};
 use std::path::PathBuf;
 
 /// Measured runs of real pebblepost processes on loopback.
@@ -20,6 +20,27 @@
 enum Command {
     /// Large jobs among small ones, with the room on and off.
     Room(Room),
+    /// CPU for each request with jobs all alike: two programs in turn, or the room on and off.
+    Cpu(Cpu),
+}
+
+#[derive(Args)]
+struct Cpu {
+    /// Seconds of arrivals in each round.
+    #[arg(long, default_value_t = 8.0)]
+    seconds: f64,
+    /// Rounds that count.
+    #[arg(long, default_value_t = 5)]
+    rounds: usize,
+    /// Seed of all draws.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// The program to measure; built and taken from beside this one by default.
+    #[arg(long)]
+    program: Option<PathBuf>,
+    /// Another program to compare it with; by default the same with the room off.
+    #[arg(long)]
+    against: Option<PathBuf>,
 }
 
 #[derive(Args)]
@@ -57,6 +78,9 @@
     /// Share of large jobs.
     #[arg(long, default_value_t = 0.03)]
     large_share: f64,
+    /// Shares of large jobs that take one slot, two, and four.
+    #[arg(long, value_delimiter = ',', default_values_t = [0.7, 0.3, 0.0], num_args = 1..)]
+    slots: Vec<f64>,
     /// Faults of each kind in ten minutes.
     #[arg(long, default_value_t = 1.0)]
     faults: f64,
@@ -68,13 +92,38 @@
 fn main() -> Result<()> {
     match Cli::parse().command {
         Command::Room(args) => play_room(args),
+        Command::Cpu(args) => play_cpu(args),
     }
 }
 
+fn threads() -> Result<tokio::runtime::Runtime> {
+    Ok(tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?)
+}
+
+fn play_cpu(args: Cpu) -> Result<()> {
+    let program = args.program.map_or_else(dispatcher::built, Ok)?;
+    let (on, off) = (room::operator(true), room::operator(false));
+    let a = cpu::Side { program: &program, operator: &on };
+    let b = match &args.against {
+        Some(other) => cpu::Side { program: other, operator: &on },
+        None => cpu::Side { program: &program, operator: &off },
+    };
+    let report = threads()?.block_on(cpu::measure(&a, &b, args.seconds, args.rounds, args.seed))?;
+    println!("{}", serde_json::to_string(&report)?);
+    Ok(())
+}
+
 fn play_room(args: Room) -> Result<()> {
     let program = args.program.map_or_else(dispatcher::built, Ok)?;
+    let [one, two, four] = args.slots[..] else {
+        anyhow::bail!("--slots: three shares, for 1, 2 and 4 slots")
+    };
+    if (one + two + four - 1.0).abs() > 1e-6 {
+        anyhow::bail!("--slots: the shares sum to {}, not 1", one + two + four);
+    }
     let scenario = Scenario {
         order: args.order,
+        large_slots: [one, two, four],
         dispatchers: args.dispatchers.max(1),
         workers: args.workers.max(1),
         hints: Hints { sent: !args.no_hints, factor: args.hint_factor, share: args.hint_share },
@@ -82,8 +131,7 @@
         faults: args.faults,
         ..Scenario::mixed(args.seconds, 0.0)
     };
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
-    let report = runtime.block_on(room::measure(&scenario, &args.loads, args.seed, &program))?;
+    let report = threads()?.block_on(room::measure(&scenario, &args.loads, args.seed, &program))?;
     println!("{}", room::table(&report));
     if args.json {
         println!("{}", serde_json::to_string(&report)?);
--- a/rig/src/report.rs
+++ b/rig/src/report.rs
@@ -75,8 +75,8 @@
     let (mut latency, mut refusals) = (sound(), sound());
     for fate in fates {
         let arrival = &plan.arrivals[fate.arrival];
-        if !which(arrival) {
-            continue;
+        if !which(arrival) || fate.outcome == Outcome::Left {
+            continue; // Who leaves is owed nothing.
         }
         let work = arrival.work * f64::from(arrival.slots);
         group.asked += 1;
@@ -97,6 +97,7 @@
             }
             Outcome::Refused => group.refused += 1,
             Outcome::Lost => group.lost += 1,
+            Outcome::Left => {}
         }
         if let (Some(h), Some(after)) = (&mut refusals, fate.refused_after) {
             h.saturating_record(micros(after));
--- a/rig/src/scenario.rs
+++ b/rig/src/scenario.rs
@@ -118,6 +118,8 @@
     pub large_slots: [f64; 3],
     /// Hints.
     pub hints: Hints,
+    /// Share of the clients that leave before their time is up.
+    pub impatient: f64,
     /// Faults to draw: each kind about this often in ten minutes and ten workers.
     pub faults: f64,
     /// Faults as given, beside those drawn.
@@ -140,6 +142,7 @@
             longest_s: 3.0,
             large_slots: [0.7, 0.3, 0.0],
             hints: Hints::default(),
+            impatient: 0.0,
             faults: 1.0,
             troubles: Vec::new(),
         }
@@ -169,6 +172,8 @@
     pub retries: u32,
     /// See `retries`.
     pub backoff: f64,
+    /// It leaves after so many seconds, if nothing has come by then.
+    pub leaves: Option<f64>,
 }
 
 /// Time in which an answer is wanted: the site's 600 ms and twice the job's own running time.
@@ -290,7 +295,7 @@
     let shares: Vec<f64> = (0..scenario.dispatchers).map(|i| 1.0 / (i + 1) as f64).collect();
     let total: f64 = shares.iter().sum();
     let (keys, noise) = (Zipf::new(60.0, 1.0)?, LogNormal::new(0.0, 0.2)?);
-    let mut rng = stream(seed, 3);
+    let (mut rng, mut moods) = (stream(seed, 3), stream(seed, 7));
     let (mut at, mut arrivals) = (0.0, Vec::new());
     loop {
         at += -(1.0 - rng.random_range(0.0..1.0_f64)).ln() / rate;
@@ -306,6 +311,7 @@
         let wrong = rng.random_bool(scenario.hints.share);
         let good = (0.1 * (rng.random_range(-1.0..1.0_f64) + rng.random_range(-1.0..1.0))).exp();
         let hint = work * if wrong { scenario.hints.factor } else { good };
+        let leaves = moods.random_bool(scenario.impatient).then(|| moods.random_range(0.1..2.0));
         let mut arrival = Arrival {
             at,
             dispatcher: dispatcher.unwrap_or(0),
@@ -317,6 +323,7 @@
             noise: [1.0; 12],
             retries: rng.random_range(2..4),
             backoff: if rng.random_bool(0.5) { 0.0 } else { rng.random_range(0.03..0.24) },
+            leaves,
         };
         arrival.noise.fill_with(|| noise.sample(&mut rng));
         arrivals.push(arrival);
--- a/rig/tests/run.rs
+++ b/rig/tests/run.rs
@@ -3,14 +3,18 @@
 use pebblepost_rig::clients::Outcome;
 use pebblepost_rig::dispatcher::built;
 use pebblepost_rig::run::{Played, Run};
-use pebblepost_rig::scenario::{Fault, Scenario, Trouble};
+use pebblepost_rig::scenario::{Fault, Hints, Scenario, Trouble};
 use serde_json::json;
 
-fn play(scenario: &Scenario) -> Played {
-    let program = built().expect("pebblepost builds");
+/// Plays all at the same time, each with a fleet of its own.
+fn play(scenarios: &[Scenario]) -> Vec<Played> {
+    let (program, operator) = (built().expect("pebblepost builds"), json!({}));
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("threads");
-    let run = Run { scenario, seed: 5, program: &program, operator: &json!({}) };
-    runtime.block_on(run.play()).expect("a run")
+    let runs = scenarios.iter().map(|scenario| {
+        let (program, operator) = (&program, &operator);
+        async move { Run { scenario, seed: 5, program, operator }.play().await }
+    });
+    runtime.block_on(futures_util::future::try_join_all(runs)).expect("runs")
 }
 
 #[test]
@@ -23,9 +27,36 @@
         fault(1.0, 3, Fault::Errors(2.0, 0.5)),
     ];
     let scenario = Scenario { workers: 6, faults: 0.0, troubles, ..Scenario::mixed(5.0, 0.5) };
-    let played = play(&scenario);
+    let played = &play(&[scenario])[0];
     assert_eq!(played.broken, []);
     assert_eq!(played.fates.len(), played.plan.arrivals.len());
     let served = played.fates.iter().filter(|f| matches!(f.outcome, Outcome::Served(_))).count();
     assert!(served * 2 > played.fates.len(), "{served} of {}", played.fates.len());
 }
+
+#[test]
+fn wrong_hints_a_flood_of_large_jobs_and_clients_that_leave_break_no_rule() {
+    let base = Scenario { workers: 6, faults: 0.0, ..Scenario::mixed(4.0, 0.6) };
+    let wrong = |factor, share| Scenario { hints: Hints { sent: true, factor, share }, ..base.clone() };
+    let scenarios = [
+        wrong(10.0, 1.0),
+        wrong(0.1, 1.0),
+        wrong(3.0, 0.3),
+        wrong(1.0 / 3.0, 0.3),
+        Scenario { hints: Hints { sent: false, ..Hints::default() }, ..base.clone() },
+        Scenario { large_share: 0.5, large_slots: [0.3, 0.4, 0.3], ..base.clone() },
+        Scenario { impatient: 0.3, ..base.clone() },
+    ];
+    for (n, played) in play(&scenarios).iter().enumerate() {
+        assert_eq!(played.broken, [], "scenario {n}");
+        let lost = played.fates.iter().filter(|f| f.outcome == Outcome::Lost).count();
+        assert_eq!((lost, played.fates.len()), (0, played.plan.arrivals.len()), "scenario {n}");
+        let small = |f: &&pebblepost_rig::clients::Fate| !played.plan.arrivals[f.arrival].large;
+        let served = |f: &&pebblepost_rig::clients::Fate| matches!(f.outcome, Outcome::Served(_));
+        let (all, in_the_end) = (
+            played.fates.iter().filter(small).count(),
+            played.fates.iter().filter(small).filter(served).count(),
+        );
+        assert!(in_the_end * 4 > all, "small jobs keep a floor: {in_the_end} of {all}, scenario {n}");
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,5 +1,4 @@
 //! Every decision of a pebblewind node. Interface (settings, events, actions): `src/api.rs`.
-//!
 //! The mechanism is Van Houdt's preventive probing: a random first probe precedes each job; a
 //! worker with fewer than L busy slots and room for the job gets it; otherwise d-1 more random
 //! workers are probed and the fewest-busy of all d gets it, ties broken at random. What departs
@@ -19,12 +18,10 @@
 const DRAWS: usize = 8; // Random draws tried in a pool before it is taken to hold nobody eligible.
 /// A node spreads over so few workers that each is used this often before its connection closes.
 const USES_PER_CONNECTION: f64 = 4.0;
-/// Smallest spread: as many as the mechanism may probe for a job, with one in four failing.
-const MIN_SPREAD: f64 = 8.0;
+const MIN_SPREAD: f64 = 8.0; // Smallest spread: as many as are probed for a job, with one in four failing.
 /// Times `fall` that the rate of own draws looks back: counts at a quiet node, yet follows a crowd.
 const CROWD_MEMORY: u32 = 4;
-/// Part of a cold worker's budget for nodes of other zones, which draw there seldom.
-const AWAY_PART: f64 = 0.25;
+const AWAY_PART: f64 = 0.25; // Part of a cold worker's budget for nodes of other zones: they draw seldom.
 const LEVELS: usize = 16; // Levels of load told apart: up to half as many free slots, or as many waiting.
 const MAX_STRIKES: u32 = 4; // Suspicion at most doubles this often.
 const MOST_HOLDS: u32 = 16; // Rounds of probes for a large job that holds a part of a worker.
@@ -396,7 +393,7 @@
         let cost = self.cost(class, work);
         let slots = if slots > 0.0 { slots } else { 1.0 };
         let work = work.map(secs).filter(|hint| *hint > 0.0);
-        let large = self.reservations.size_up(work.map(|w| w * slots), self.best_pace(), self.mean_service);
+        let large = self.reservations.size_up(work, slots, self.best_pace(), self.mean_service);
         let deadline = now + time_left;
         let request = Request {
             class,
@@ -733,16 +730,18 @@
         let free = self.free(w) - (self.k_of_kind(w) - slots).max(0.0);
         let own = worker.holding(self.settings.queues_in_order).collect();
         let (others, run) = (span(self.mean_service * pace), self.run(id, w));
-        // Where it is not told how many wait, other nodes are taken to have queued as much as this one.
+        // Not told how many wait: others are taken to queue as this node does, here and in the mean.
         let told = self.tells(ReportField::Queue) || self.tells(ReportField::InFlight);
-        let guess =
-            f64::from(self.settings.nodes) * self.queued as f64 / self.fleet.iter().sum::<f64>().max(1.0);
+        let here = worker.own.iter().filter(|o| !o.2).count() as f64;
+        let mean = self.queued as f64 / (self.fleet[0] + self.fleet[1]).max(1.0);
+        let guess = (f64::from(self.settings.nodes) - 1.0) * (here + mean) / 2.0;
         let waiting = if told { worker.queue } else { guess };
         // Who came last waits no less than who came first has waited by now.
         let passed = |o: &&(Time, f64, bool, Time)| o.2 || o.1 > 1.0 && !self.settings.queues_in_order;
         let first = worker.own.iter().find(|o| !passed(o)).filter(|_| self.settings.tells_start);
         let waited = first.map_or(Duration::ZERO, |o| now.since(o.0));
-        Outlook { worker: w, slots, free, own, others, waiting, waited, run }
+        let in_order = self.settings.queues_in_order;
+        Outlook { worker: w, slots, free, own, others, waiting, waited, in_order, run }
     }
 
     fn outcome(
@@ -1172,7 +1171,8 @@
     /// How long a job would wait at a worker for its slots, in seconds.
     fn wait(&self, now: Time, id: RequestId, w: usize) -> f64 {
         let slots = self.requests.get(&id).map_or(1.0, |r| r.slots);
-        self.outlook(now, id, w).opening(now, slots).map_or(f64::INFINITY, |at| secs(at.since(now)))
+        let wait = |o: Outlook| o.opening(now, slots).map_or(f64::INFINITY, |at| secs(at.since(now)));
+        if self.room(now, w, slots, 0.0) { 0.0 } else { wait(self.outlook(now, id, w)) }
     }
 
     /// Whether a request would end in time there, by its hint.
--- a/src/room.rs
+++ b/src/room.rs
@@ -80,6 +80,8 @@
     pub waiting: f64,
     /// See `waiting`.
     pub waited: Duration,
+    /// Its queue keeps its order; otherwise whatever fits may start.
+    pub in_order: bool,
     /// How long the job in question would run there.
     pub run: Duration,
 }
@@ -90,7 +92,9 @@
         if self.free >= slots {
             return Some(now);
         }
-        if self.slots > 0.0 && self.slots < slots {
+        // Where whatever fits may start, one that needs all slots at once hardly ever finds them.
+        let never = self.slots < slots || !self.in_order && slots > 1.0 && self.slots <= slots;
+        if self.slots > 0.0 && never {
             return None;
         }
         let mut ends: Vec<(Time, f64)> = self.own.iter().map(|(end, s)| (now.max(*end), *s)).collect();
@@ -144,35 +148,37 @@
 pub struct Room {
     settings: RoomSettings,
     held: Vec<Reservation>,
-    /// Mean and variance of the logarithm of recent jobs' slot-seconds, and how many there were.
+    /// Mean and variance of the logarithm of recent jobs' slot-seconds, their mean slots, and their number.
     mean: f64,
     variance: f64,
+    width: f64,
     seen: u32,
 }
 
 impl Room {
     /// Nothing held, nothing seen.
     pub fn new(settings: RoomSettings) -> Self {
-        Self { settings, held: Vec::new(), mean: 0.0, variance: 0.0, seen: 0 }
+        Self { settings, held: Vec::new(), mean: 0.0, variance: 0.0, width: 1.0, seen: 0 }
     }
 
-    /// Takes in a job's slot-seconds by its hint, and says whether it is a large one among those before it.
-    /// Without a hint none is. `usual`: seconds that a job takes in the mean, `pace`: how much longer than
-    /// its hint: large ones are worth the trouble only where they hold a slot for several jobs' time.
-    pub fn size_up(&mut self, area: Option<f64>, pace: f64, usual: f64) -> bool {
-        let Some(area) = area.filter(|a| *a > 0.0 && a.is_finite()) else { return false };
+    /// Takes in a job's work by its hint, in seconds, and its slots, and says whether it is a large one among
+    /// those before it: it takes more slots than they, or by far more slot-seconds. Without a hint none is.
+    /// `usual`: seconds that a job takes in the mean, `pace`: how much longer than its hint; a long one is
+    /// worth the trouble only where it holds a slot for several jobs' time.
+    pub fn size_up(&mut self, work: Option<f64>, slots: f64, pace: f64, usual: f64) -> bool {
+        let Some(area) = work.map(|w| w * slots).filter(|a| *a > 0.0 && a.is_finite()) else { return false };
         let log = area.ln();
-        let limit = self.mean + self.settings.deviations * self.variance.sqrt();
-        let large = self.settings.enabled
-            && self.seen >= ENOUGH
-            && log > limit
-            && area * pace > 2.0 * usual
-            && self.settings.most_held > 0.0;
+        let long =
+            log > self.mean + self.settings.deviations * self.variance.sqrt() && area * pace > 2.0 * usual;
+        let wide = slots > 1.5 * self.width;
+        let large =
+            self.settings.enabled && self.settings.most_held > 0.0 && self.seen >= ENOUGH && (long || wide);
         self.seen = self.seen.saturating_add(1);
         let gain = GAIN.max(1.0 / f64::from(self.seen));
         let off = log - self.mean;
         self.mean += gain * off;
         self.variance = (1.0 - gain) * (self.variance + gain * off * off);
+        self.width += gain * (slots - self.width);
         large
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -139,6 +139,22 @@
         });
     }
 
+    /// A request with a hint of its work.
+    pub fn hinted(&mut self, id: u32, ms: u64, slots: f32) {
+        self.actions.clear();
+        self.event(Event::Request {
+            id: RequestId(id),
+            class: ClassId(SAFE as u16),
+            tenant: TenantId(0),
+            time_left: Duration::from_secs(5),
+            repeat: false,
+            slots,
+            memory: 0.0,
+            work: Some(Duration::from_millis(ms)),
+            key: 0,
+        });
+    }
+
     pub fn report(&mut self, worker: u32, free: f32, queue: f32) {
         self.last_free.insert(worker, free);
         self.event(Event::Probed {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -233,21 +233,6 @@
     assert_eq!(n.sends(), vec![(2, again)]);
 }
 
-fn hinted(n: &mut Node, id: u32, ms: u64) {
-    n.actions.clear();
-    n.event(Event::Request {
-        id: RequestId(id),
-        class: ClassId(SAFE as u16),
-        tenant: TenantId(0),
-        time_left: Duration::from_secs(5),
-        repeat: false,
-        slots: 1.0,
-        memory: 0.0,
-        work: Some(Duration::from_millis(ms)),
-        key: 0,
-    });
-}
-
 /// kumamoto-main: one patience for all sent heavy jobs to workers too slow for them, and gave up others that
 /// had seconds left.
 #[test]
@@ -257,7 +242,7 @@
     let mut n = Node::new(s, 2);
     n.learn_all(2.0);
     for id in 0..200 {
-        hinted(&mut n, id, 100);
+        n.hinted(id, 100, 1.0);
         let w = n.probes()[0];
         n.report(w, 2.0, 0.0);
         n.event(Event::Started { id: RequestId(id), attempt: AttemptNo(0) });
@@ -266,7 +251,7 @@
     }
     // Jobs run half longer than hinted: one of 3 s ends in time, and may even wait; one of 4 s never does.
     let goes = |n: &mut Node, id, ms, queue| {
-        hinted(n, id, ms);
+        n.hinted(id, ms, 1.0);
         for _ in 0..3 {
             n.probes().into_iter().for_each(|w| n.report(w, if queue > 0.0 { 0.0 } else { 2.0 }, queue));
         }
@@ -293,7 +278,7 @@
             }
         };
         for id in 0..4 {
-            hinted(&mut n, id, 100);
+            n.hinted(id, 100, 1.0);
             full(&mut n, 2.0);
             if id < 2 {
                 n.outcome(id, 0, 0, Status::Ok, true);
@@ -301,7 +286,7 @@
         }
         // Two are out; neither has started.
         n.advance(Duration::from_millis(ms));
-        hinted(&mut n, 9, 100);
+        n.hinted(9, 100, 1.0);
         (0..3).for_each(|_| full(&mut n, 0.0));
         n.sends().len()
     };
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -16,7 +16,17 @@
 
 fn outlook(worker: usize, slots: f64, free: f64, own: &[(u64, f64)], run: u64) -> Outlook {
     let own = own.iter().map(|(at, s)| (START + ms(*at), *s)).collect();
-    Outlook { worker, slots, free, own, others: SEC, waiting: 0.0, waited: Duration::ZERO, run: ms(run) }
+    Outlook {
+        worker,
+        slots,
+        free,
+        own,
+        others: SEC,
+        waiting: 0.0,
+        waited: Duration::ZERO,
+        in_order: true,
+        run: ms(run),
+    }
 }
 
 fn reserve(room: &mut Room, id: u32, slots: f64, outlooks: &[Outlook], latest: u64) -> Option<Reservation> {
@@ -46,7 +56,7 @@
 #[test]
 fn a_job_is_large_by_the_recent_sizes_and_never_without_a_hint() {
     let mut room = room();
-    let mut size = |area| room.size_up(area, 1.0, 0.4);
+    let mut size = |work| room.size_up(work, 1.0, 1.0, 0.4);
     for n in 0..200 {
         assert!(!size(Some(if n % 2 == 0 { 0.3 } else { 0.5 })), "all alike");
     }
@@ -58,7 +68,29 @@
     }
     assert!(!size(Some(4.0)));
     let mut off = Room::new(RoomSettings { enabled: false, ..RoomSettings::default() });
-    assert!((0..300).all(|n| !off.size_up(Some(if n % 50 == 49 { 9.0 } else { 0.3 }), 1.0, 0.4)));
+    assert!((0..300).all(|n| !off.size_up(Some(if n % 50 == 49 { 9.0 } else { 0.3 }), 1.0, 1.0, 0.4)));
+}
+
+#[test]
+fn a_job_of_more_slots_than_the_usual_is_large_however_short() {
+    let mut room = room();
+    for _ in 0..100 {
+        assert!(!room.size_up(Some(0.3), 1.0, 1.0, 0.4));
+    }
+    assert!(room.size_up(Some(0.1), 2.0, 1.0, 0.4) && !room.size_up(None, 2.0, 1.0, 0.4));
+    for _ in 0..600 {
+        room.size_up(Some(0.3), 2.0, 1.0, 0.4);
+    }
+    assert!(!room.size_up(Some(0.3), 2.0, 1.0, 0.4), "where all take two, two are usual");
+}
+
+#[test]
+fn where_whatever_fits_may_start_nobody_waits_for_all_slots_of_a_worker() {
+    let opens = |in_order, slots, free| {
+        Outlook { in_order, ..outlook(0, 2.0, free, &[], 0) }.opening(START, slots).is_some()
+    };
+    assert!(opens(true, 2.0, 0.0) && opens(false, 1.0, 0.0) && opens(false, 2.0, 2.0));
+    assert!(!opens(false, 2.0, 1.0));
 }
 
 #[test]
@@ -166,7 +198,7 @@
     (s.classes[SAFE].aim, s.classes[SAFE].stretch) = (ms(600), 2.0);
     let mut n = Node::seeded(s, workers, seed);
     for id in 0..120 {
-        ask(&mut n, id, 200, 1.0);
+        n.hinted(id, 200, 1.0);
         answer(&mut n, &|_| 2.0);
         let (_, w) = n.sends()[0];
         started(&mut n, id);
@@ -177,21 +209,6 @@
     n
 }
 
-fn ask(n: &mut Node, id: u32, work: u64, slots: f32) {
-    n.actions.clear();
-    n.event(Event::Request {
-        id: RequestId(id),
-        class: ClassId(SAFE as u16),
-        tenant: TenantId(0),
-        time_left: Duration::from_secs(5),
-        repeat: false,
-        slots,
-        memory: 0.0,
-        work: Some(ms(work)),
-        key: 0,
-    });
-}
-
 fn started(n: &mut Node, id: u32) {
     n.event(Event::Started { id: RequestId(id), attempt: AttemptNo(0) });
 }
@@ -233,7 +250,7 @@
 fn a_large_job_that_finds_all_busy_is_not_refused_but_gets_its_place_in_time() {
     for seed in 0..8 {
         let mut n = seasoned(4, seed);
-        ask(&mut n, LARGE, 2000, 1.0);
+        n.hinted(LARGE, 2000, 1.0);
         answer(&mut n, &|_| 0.0);
         pass(&mut n, 600, &|_| 0.0);
         assert_eq!(answer_of(&n, LARGE), None, "seed {seed}");
@@ -246,7 +263,7 @@
 fn a_job_too_large_for_any_worker_is_refused_at_once_and_probes_nobody() {
     for (work, slots) in [(2000, 4.0), (9000, 1.0)] {
         let mut n = seasoned(4, 1);
-        ask(&mut n, LARGE, work, slots);
+        n.hinted(LARGE, work, slots);
         assert_eq!((n.finals(), n.probes()), (vec![(LARGE, "refuse")], vec![]));
         assert!(
             n.actions.iter().any(|a| matches!(a, Action::Refuse { retry_after: Some(_), .. })),
@@ -257,7 +274,7 @@
 
 /// A wide job of two slots that waits at a worker, and which worker that is.
 fn waiting(n: &mut Node) -> u32 {
-    ask(n, LARGE, 1500, 2.0);
+    n.hinted(LARGE, 1500, 2.0);
     answer(n, &|_| 1.0);
     pass(n, 40, &|_| 1.0);
     send_of(n, LARGE).expect("queued where it will be served in time")
@@ -274,7 +291,7 @@
         let mut there = 0;
         for id in 1000..1100 {
             // As long as a job may be that is not large: it would hold its slot beyond the large one's start.
-            ask(&mut n, id, 900, 1.0);
+            n.hinted(id, 900, 1.0);
             answer(&mut n, &|_| 1.0);
             there += usize::from(send_of(&n, id) == Some(held));
             if let Some(w) = send_of(&n, id) {
@@ -320,7 +337,7 @@
     for silent in [false, true] {
         let mut n = seasoned(3, 5);
         // Large for one slot, and a queue everywhere that is too long: it looks at one worker again and again.
-        ask(&mut n, LARGE, 2000, 1.0);
+        n.hinted(LARGE, 2000, 1.0);
         let mut last = 0;
         for _ in 0..40 {
             if let Some(w) = answer(&mut n, &|_| 0.0).last() {
@@ -363,7 +380,7 @@
 fn two_nodes_that_hold_the_same_worker_both_get_an_answer() {
     let (mut a, mut b) = (seasoned(1, 1), seasoned(1, 2));
     for n in [&mut a, &mut b] {
-        ask(n, LARGE, 2000, 2.0);
+        n.hinted(LARGE, 2000, 2.0);
         answer(n, &|_| 0.0);
     }
     // The worker frees up; the first to see it takes it, and the other sees it full until its time is over.
@@ -375,7 +392,7 @@
     if let Some(w) = send_of(&b, LARGE) {
         b.outcome(LARGE, 0, w, Status::Cancelled, true);
     }
-    ask(&mut b, 2000, 200, 1.0);
+    b.hinted(2000, 200, 1.0);
     answer(&mut b, &|_| 2.0);
     assert!(send_of(&b, 2000).is_some());
 }
@@ -383,7 +400,7 @@
 #[test]
 fn what_is_held_too_long_is_refused_when_it_can_no_longer_be_in_time() {
     let mut n = seasoned(2, 4);
-    ask(&mut n, LARGE, 2000, 2.0);
+    n.hinted(LARGE, 2000, 2.0);
     let from = n.now;
     for _ in 0..2500 {
         n.probes().into_iter().for_each(|w| n.probe_failed(w));
