Tests: holding, waiting with a reservation, and a silent held worker are each guarded

Cause: with the hold, the reservation of a queued job, or the exclusion of a silent held worker taken out, all tests of the room still passed.

--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -697,18 +697,7 @@
 
 /// Asks with a hint of work at a node of one worker, which reports three free slots; was it sent?
 fn with_work(n: &mut Node, id: u32, ms: u64) -> usize {
-    n.actions.clear();
-    n.event(Event::Request {
-        id: RequestId(id),
-        class: ClassId(SAFE as u16),
-        tenant: TenantId(0),
-        time_left: Duration::from_secs(5),
-        repeat: false,
-        slots: 1.0,
-        memory: 0.0,
-        work: Some(Duration::from_millis(ms)),
-        key: 0,
-    });
+    n.hinted(id, ms, 1.0);
     n.report(0, 3.0, 0.0);
     let sent = n.sends();
     if let Some((id, w)) = sent.first() {
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -193,13 +193,18 @@
 
 /// A node that knows its workers (K of 2), their pace and the usual sizes: jobs of 0.2 s.
 fn seasoned(workers: u32, seed: u64) -> Node {
+    seasoned_of(2.0, true, workers, seed)
+}
+
+fn seasoned_of(k: f32, in_order: bool, workers: u32, seed: u64) -> Node {
     let mut s = settings();
+    s.queues_in_order = in_order;
     (s.tells_start, s.nodes, s.report_fields) = (true, 1, vec![ReportField::FreeSlots]);
     (s.classes[SAFE].aim, s.classes[SAFE].stretch) = (ms(600), 2.0);
     let mut n = Node::seeded(s, workers, seed);
     for id in 0..120 {
         n.hinted(id, 200, 1.0);
-        answer(&mut n, &|_| 2.0);
+        answer(&mut n, &|_| k);
         let (_, w) = n.sends()[0];
         started(&mut n, id);
         n.advance(ms(200));
@@ -412,3 +417,52 @@
     assert_eq!(answer_of(&n, LARGE), Some("refuse"));
     assert!(n.last_final_at.since(from) < ms(2700), "not kept until the client gives up");
 }
+
+/// Where whatever fits may start, a wide job that finds one slot at each probed looks at a worker it believes free.
+fn looking() -> (Node, u32) {
+    let mut n = seasoned_of(2.0, false, 4, 3);
+    n.hinted(LARGE, 1500, 2.0);
+    answer(&mut n, &|_| 1.0);
+    assert_eq!(answer_of(&n, LARGE), None, "not refused while a worker may have room");
+    let mut later =
+        n.wait_for(|a| matches!(a, Action::Probe { .. }), ms(500)).map(|_| n.probes()).expect("a look");
+    (n, later.remove(0))
+}
+
+#[test]
+fn a_wide_job_goes_to_the_worker_that_is_held_for_it() {
+    let (mut n, held) = looking();
+    let latency = ms(1);
+    n.event(Event::Probed { worker: WorkerId(held), status: Status::Ok, latency, report: vec![2.0] });
+    assert_eq!(send_of(&n, LARGE), Some(held));
+}
+
+#[test]
+fn small_jobs_pass_by_where_a_wide_one_would_be_late() {
+    let mut n = seasoned_of(3.0, false, 1, 3);
+    n.hinted(LARGE, 4600, 2.0);
+    answer(&mut n, &|_| 1.0);
+    assert_eq!(send_of(&n, LARGE), Some(0));
+    n.wait(ms(50));
+    n.hinted(1000, 900, 1.0);
+    answer(&mut n, &|_| 1.0);
+    assert_eq!(send_of(&n, 1000), None);
+}
+
+#[test]
+fn a_held_worker_that_says_nothing_is_not_looked_at_again() {
+    let (mut n, held) = looking();
+    for _ in 0..1000 {
+        for w in n.probes() {
+            assert_ne!(w, held, "it said nothing");
+            n.event(Event::Probed {
+                worker: WorkerId(w),
+                status: Status::Ok,
+                latency: ms(1),
+                report: vec![1.0],
+            });
+        }
+        n.wait(ms(2));
+    }
+    assert_eq!(answer_of(&n, LARGE), Some("refuse"));
+}
