--- a/tests/room.rs
+++ b/tests/room.rs
@@ -466,3 +466,16 @@
     }
     assert_eq!(answer_of(&n, LARGE), Some("refuse"));
 }
+
+#[test]
+fn a_held_worker_that_drains_sends_the_job_on_at_once() {
+    let mut n = seasoned_of(2.0, false, 4, 3);
+    let probed = |n: &mut Node| answer(n, &|_| 1.0);
+    n.hinted(LARGE, 1500, 2.0);
+    let seen = probed(&mut n);
+    let lost: Vec<_> =
+        (0..4).filter(|w| !seen.contains(w)).map(|w| (w, WorkerState::Draining, None)).collect();
+    assert_eq!(lost.len(), 2, "the held one is among those not probed");
+    n.list(ListKind::Delta, &lost);
+    assert!(!n.probes().is_empty(), "no time has passed");
+}
