Leave out workers that fail a probe, and learn the pace of a kind from few jobs

Change: a failed probe keeps a worker out of the draws for 1 s, doubled in a row up to 4 s, until it answers; the pace of a kind weighs a job with 0.2.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -15,9 +15,10 @@
 
 const D: usize = 2; // d: two choices bring most of the gain, and probes are priced.
 const GAIN: f64 = 0.05; // Weight of a new observation in running means: about the last 20 count.
+const PACE_GAIN: f64 = 0.2; // For the pace of a kind: a node of a large fleet sees few jobs of each.
+const MUTE: Duration = Duration::from_secs(1); // After a failed probe; doubled each time in a row.
 const DRAWS: usize = 8; // Random draws tried in a pool before it is taken to hold nobody eligible.
-/// A node spreads over so few workers that each is used this often before its connection closes.
-const USES_PER_CONNECTION: f64 = 4.0;
+const USES_PER_CONNECTION: f64 = 4.0; // The spread is such that each connection is used this often.
 const MIN_SPREAD: f64 = 8.0; // Smallest spread: as many as are probed for a job, with one in four failing.
 /// Times `fall` that the rate of own draws looks back: counts at a quiet node, yet follows a crowd.
 const CROWD_MEMORY: u32 = 4;
@@ -53,8 +54,12 @@
     n ^ n >> 31
 }
 
+fn toward(mean: &mut f64, seen: f64, gain: f64) {
+    *mean += gain * (seen - *mean);
+}
+
 fn blend(mean: &mut f64, seen: f64) {
-    *mean += GAIN * (seen - *mean);
+    toward(mean, seen, GAIN);
 }
 
 /// Events a second, over about the last `memory`.
@@ -125,6 +130,7 @@
     probes: VecDeque<Asker>, // Who waits for each probe that is out, oldest first.
     bad: u32,                // Strikes for bad work, and how long they keep it out of the draws.
     bad_until: Time,
+    mute: u32, // Probes that failed in a row.
 }
 
 impl Worker {
@@ -355,8 +361,7 @@
         self.idle_limit = self.idle_limit.min(idle / 2).max(self.settings.tick);
     }
 
-    /// Exception: before a send, connections that have been idle for longer than has proved safe are closed.
-    /// Returns how long the one to be used may have been idle.
+    /// Exception: connections idle for longer than has proved safe are closed. Returns how long others may be.
     fn refresh(&mut self, now: Time, w: usize, out: &mut Vec<Action>) -> Option<Duration> {
         let worker = &mut self.workers[w];
         while worker.idle.front().is_some_and(|since| *since + self.settings.keepalive <= now) {
@@ -388,8 +393,8 @@
             return;
         }
         // Rate over the life of the node at first, then over its last connections' lifetime.
-        let life = secs(now.since(self.started).max(self.settings.tick));
-        self.arrivals.count(now, life.min(secs(self.settings.keepalive)), self.settings.tick);
+        let life = now.since(self.started).max(self.settings.tick).min(self.settings.keepalive);
+        self.arrivals.count(now, secs(life), self.settings.tick);
         let cost = self.cost(class, work);
         let slots = if slots > 0.0 { slots } else { 1.0 };
         let work = work.map(secs).filter(|hint| *hint > 0.0);
@@ -500,12 +505,11 @@
             Phase::First => {
                 let below = ok && self.below_threshold(now, w, slots, memory);
                 let held = ok && self.reservations.of(id).is_some();
-                if (below || held) && self.eligible(now, id, w) && self.ends_in_time(now, id, w) {
-                    return self.place(now, id, w, out);
-                } else if held {
-                    return self.hold(now, id, out);
+                match (below || held) && self.eligible(now, id, w) && self.ends_in_time(now, id, w) {
+                    true => return self.place(now, id, w, out),
+                    false if held => return self.hold(now, id, out),
+                    false => self.reservations.release(id),
                 }
-                self.reservations.release(id);
                 self.more(now, id, out);
             }
             Phase::More(_) if !waiting => self.choose(now, id, out),
@@ -523,7 +527,7 @@
         self.set_turn_timer(now, id, self.patience_for_probe(), out);
     }
 
-    /// Old reports still tell busy workers from others, until many sends made on them are refused.
+    /// Many sends made on old reports are refused: until then these still tell busy workers from others.
     fn misled(&self, w: usize) -> bool {
         self.stale(w) && self.turned_away > GAIN
     }
@@ -589,18 +593,18 @@
         blend(&mut self.mean_meaning, bad);
         for (i, m) in self.meaning.iter_mut().enumerate() {
             let (seen, gain) = if i == level { (bad, GAIN) } else { (self.mean_meaning, GAIN * GAIN) };
-            *m += gain * (seen - *m);
+            toward(m, seen, gain);
         }
     }
 
     /// Fewer than L busy, and room for the job. Exception: misleading reports are read by what they turned
     /// out to mean (all rush to what looked idle); no worse than the mean will do.
     fn below_threshold(&self, now: Time, w: usize, slots: f64, memory: f64) -> bool {
-        let l = threshold(self.workers[w].k);
         if self.misled(w) {
             return self.meaning[self.level(w)] <= self.mean_meaning;
         }
-        self.room(now, w, slots, memory) && (self.workers[w].reports < 2 || self.busy(w) < l)
+        let below = self.workers[w].reports < 2 || self.busy(w) < threshold(self.workers[w].k);
+        self.room(now, w, slots, memory) && below
     }
 
     /// What is compared among the probed: busy slots and waiting jobs, or what their report means.
@@ -757,20 +761,20 @@
         let took = a.started.map_or(latency, |at| now.since(at));
         let work = r.work.filter(|_| status == Status::Ok && a.started.is_some());
         if let (Some(work), Some(kind)) = (work, self.kinds.get_mut(&self.workers[a.worker].kind)) {
-            blend(&mut kind.2, secs(took));
-            blend(&mut kind.3, work);
+            toward(&mut kind.2, secs(took), PACE_GAIN);
+            toward(&mut kind.3, work, PACE_GAIN);
         }
         let known = (a.started.is_some() || !queued).then_some(r.class);
         if status == Status::Full && !queued && !self.stale(w) {
-            // Turned away where the report showed room: it was old. Look more often from here on.
-            self.learn_age(false);
+            self.learn_age(false); // The report that showed room was old: look more often from here on.
             self.checks = 0;
         }
-        if matches!(status, Status::Full | Status::Ok) && !queued && self.stale(w) {
-            blend(&mut self.turned_away, f64::from(u8::from(status == Status::Full)));
+        let full = status == Status::Full;
+        if (full || status == Status::Ok) && !queued && self.stale(w) {
+            blend(&mut self.turned_away, f64::from(u8::from(full)));
         }
-        if status == Status::Full || status == Status::Ok && !self.settings.tells_start {
-            self.learn_meaning(w, level, status == Status::Full);
+        if full || status == Status::Ok && !self.settings.tells_start {
+            self.learn_meaning(w, level, full);
         }
         if status != Status::Moot {
             self.settle(now, w, sent, slots, known, status, took);
@@ -786,7 +790,6 @@
         if status == Status::Full {
             r.refused.push(w);
         }
-        let Some(r) = self.requests.get_mut(&id) else { return };
         if !self.settings.never_ran(status) && r.ran.is_none_or(|(_, at)| sent < at) {
             r.ran = Some((w, sent));
         }
@@ -816,9 +819,8 @@
                 worker.bad = worker.bad.saturating_sub(1);
                 if let Some(class) = class {
                     let usual = self.service[class].max(f64::MIN_POSITIVE);
-                    if let Some(kind) = self.kinds.get_mut(&worker.kind) {
-                        blend(&mut kind.1, secs(latency) / usual);
-                    }
+                    let kind = self.kinds.get_mut(&worker.kind);
+                    kind.into_iter().for_each(|kind| blend(&mut kind.1, secs(latency) / usual));
                     blend(&mut self.service[class], secs(latency));
                     blend(&mut self.mean_service, secs(latency));
                 }
@@ -834,9 +836,8 @@
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
             _ => r.ran.is_none() && !r.open(),
         };
-        let retry_after = self.settings.retry_after.then(|| {
-            span(self.mean_service * self.rng.random_range(0.5..1.5)).min(self.settings.max_retry_after)
-        });
+        let advice = span(self.mean_service * self.rng.random_range(0.5..1.5));
+        let retry_after = self.settings.retry_after.then_some(advice.min(self.settings.max_retry_after));
         let answer = if harmless { Action::Refuse { id, retry_after } } else { Action::Fail { id } };
         self.finish(id, Some(answer), out);
     }
@@ -846,10 +847,8 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         if r.phase != Phase::Done {
             out.extend(answer);
-            if self.settings.cancelling {
-                let open = r.attempts.iter().enumerate().filter(|(_, a)| a.open);
-                out.extend(open.map(|(no, _)| Action::Cancel { id, attempt: AttemptNo(no as u8) }));
-            }
+            let open = r.attempts.iter().enumerate().filter(|(_, a)| a.open && self.settings.cancelling);
+            out.extend(open.map(|(no, _)| Action::Cancel { id, attempt: AttemptNo(no as u8) }));
         }
         r.phase = Phase::Done;
         if !r.open() {
@@ -1006,10 +1005,8 @@
                 ReportField::FreeSlots => {
                     worker.free = value.round();
                     worker.k = worker.k.max(worker.free);
-                    blend(
-                        &mut self.kinds.entry(worker.kind).or_insert((worker.k, 1.0, 1.0, 1.0)).0,
-                        worker.k,
-                    );
+                    let kind = self.kinds.entry(worker.kind).or_insert((worker.k, 1.0, 1.0, 1.0));
+                    blend(&mut kind.0, worker.k);
                 }
                 ReportField::FreeMemory => {
                     worker.memory = value;
@@ -1046,8 +1043,7 @@
         if worker.inflight > 0.0 { worker.inflight } else { worker.k - worker.free + worker.queue }
     }
 
-    /// The age of reports is learned by probing some workers again a while after a send: the while shrinks if
-    /// the job shows by then and grows if not (a staircase, which settles where about two in three do).
+    /// The age of reports is the while after a send by which two in three jobs show (a staircase).
     fn learn_age(&mut self, shown: bool) {
         let age = self.age.mul_f64(if shown { 0.8 } else { 1.5 });
         self.age = age.clamp(self.settings.tick, self.settings.warm_up.max(self.settings.tick));
@@ -1065,10 +1061,16 @@
         let Some(&w) = self.index.get(&id) else { return };
         let waiting = self.workers[w].probes.pop_front();
         let ok = status == Status::Ok;
-        self.workers[w].failed(now, status);
+        let worker = &mut self.workers[w];
+        worker.failed(now, status);
         if ok {
+            worker.mute = 0;
             self.report(now, w, report);
             self.round_trip.learn(secs(latency));
+        } else {
+            // It drains or has gone and the list does not say so yet: the next draws go elsewhere.
+            worker.bad_until = worker.bad_until.max(now + MUTE * (1 << worker.mute));
+            worker.mute = (worker.mute + 1).min(2);
         }
         self.close_idle(w, out);
         match waiting {
@@ -1079,8 +1081,7 @@
         }
     }
 
-    /// Bad work (errors, time-outs): out of the draws as long as it takes a cold worker to fall or this node
-    /// to come by twice, whichever is longer; doubled each time. Only real jobs can clear it.
+    /// Bad work: out of the draws for a cold worker's fall or two visits; doubled each time. Jobs clear it.
     fn strike(&mut self, now: Time, w: usize) {
         let pool = self.pools.last().map_or(0, |p| self.spread(p[0].len()));
         let revisit = span(2.0 * pool as f64 / self.arrivals.per_s.max(0.1)).min(self.settings.keepalive);
@@ -1244,8 +1245,8 @@
         if !matches!(kind, ListKind::Failed) {
             self.rebuild_pools();
         }
-        let lost = |w: &Worker| w.state != WorkerState::Ready || w.warmth(now, &self.settings) < 1.0;
-        let lost = self.reservations.release_where(|w| lost(&self.workers[w]));
+        let sound = |w: &Worker| w.state == WorkerState::Ready && w.warmth(now, &self.settings) >= 1.0;
+        let lost = self.reservations.release_where(|w| !sound(&self.workers[w]));
         self.wake(now, lost, out);
     }
 
@@ -1267,8 +1268,7 @@
         w
     }
 
-    /// Rule of closing on drains, where settings state it: at the notice, and again whenever an attempt or
-    /// a probe ends there, as its connection becomes idle then. Nothing new is sent or probed there.
+    /// Rule of closing on drains, where stated: at the notice, and whenever an attempt or a probe ends there.
     fn close_idle(&self, w: usize, out: &mut Vec<Action>) {
         let worker = &self.workers[w];
         if self.settings.close_idle_within.is_some() && worker.state == WorkerState::Draining {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -952,3 +952,53 @@
     let longest = text.lines().map(|l| l.chars().count()).max().unwrap_or(0);
     assert!(longest <= 110, "{longest} characters");
 }
+
+/// Fleet days: a node that had just started went on probing workers that drained or were gone, as an overbooked
+/// discovery told it of that seconds later; one probe in four found nobody.
+#[test]
+fn a_worker_that_fails_a_probe_is_left_out_of_the_next_draws() {
+    let mut s = settings();
+    s.tick = Duration::from_millis(1);
+    let mut n = Node::new(s, 8);
+    n.learn_all(2.0);
+    n.request(0, SAFE);
+    let lost = n.probes()[0];
+    n.probe_failed(lost);
+    let draws = |n: &mut Node, from: u32| {
+        n.actions.clear();
+        (from..from + 100).for_each(|id| n.request(id, SAFE));
+        n.probes().contains(&lost)
+    };
+    assert!(!draws(&mut n, 1));
+    n.advance(Duration::from_millis(1100));
+    assert!(draws(&mut n, 200), "it is tried again after a second");
+    n.probe_failed(lost);
+    n.advance(Duration::from_millis(1100));
+    assert!(!draws(&mut n, 400), "a second failure in a row counts double");
+    n.report(lost, 2.0, 0.0);
+    n.advance(Duration::from_secs(1));
+    n.probe_failed(lost);
+    n.advance(Duration::from_millis(1100));
+    assert!(draws(&mut n, 600), "an answer clears what was held against it");
+}
+
+/// Fleet days: a node saw forty jobs in all, and after them still believed a third of what they ran beyond their hint.
+#[test]
+fn ten_jobs_tell_the_pace_of_a_kind() {
+    let mut s = settings();
+    (s.tells_start, s.classes[SAFE].stretch) = (true, 2.0);
+    let mut n = Node::new(s, 2);
+    n.learn_all(2.0);
+    for id in 0..20 {
+        n.hinted(id, 100, 1.0);
+        let w = n.probes()[0];
+        n.report(w, 2.0, 0.0);
+        n.event(Event::Started { id: RequestId(id), attempt: AttemptNo(0) });
+        n.advance(Duration::from_millis(200));
+        n.outcome(id, 0, w, Status::Ok, true);
+    }
+    // Twice its hint leaves 0.25 s of a second's job; a worker whose slots open in a mean job's time would be late.
+    n.hinted(99, 1000, 1.0);
+    (0..3).for_each(|_| n.probes().into_iter().for_each(|w| n.report(w, 0.0, 3.0)));
+    assert_eq!(n.finals(), vec![(99, "refuse")]);
+}
