--- a/src/policy.rs
+++ b/src/policy.rs
@@ -361,7 +361,7 @@
         self.idle_limit = self.idle_limit.min(idle / 2).max(self.settings.tick);
     }
 
-    /// Exception: connections idle for longer than has proved safe are closed. Returns how long others may be.
+    /// Exception: connections idle for longer than proved safe are closed. Returns how long others may be.
     fn refresh(&mut self, now: Time, w: usize, out: &mut Vec<Action>) -> Option<Duration> {
         let worker = &mut self.workers[w];
         while worker.idle.front().is_some_and(|since| *since + self.settings.keepalive <= now) {
