--- a/rig/src/checker.rs
+++ b/rig/src/checker.rs
@@ -71,6 +71,46 @@
     format!("draft of {txn}")
 }
 
+/// Longest time from the word that a worker drains or is gone to the last attempt sent there on, in seconds, over all
+/// dispatchers; 0 if nothing was sent after such a word.
+pub fn slowest_drain(record: &[Entry]) -> f64 {
+    let mut told: HashMap<(usize, usize), f64> = HashMap::new();
+    let mut slowest = 0.0_f64;
+    for (at, seen) in record {
+        match seen {
+            Seen::Told { dispatcher, worker, what: Told::Ready { .. } } => {
+                told.remove(&(*dispatcher, *worker));
+            }
+            Seen::Told { dispatcher, worker, .. } => {
+                told.entry((*dispatcher, *worker)).or_insert(*at);
+            }
+            Seen::Arrived { dispatcher, worker, .. } => {
+                if let Some(since) = told.get(&(*dispatcher, *worker)) {
+                    slowest = slowest.max(at - since);
+                }
+            }
+            _ => {}
+        }
+    }
+    slowest
+}
+
+/// The record without the tries that a killed dispatcher took with it. `killed`: who, when, and when it was back.
+pub fn without_killed(mut record: Vec<Entry>, killed: &[(usize, f64, f64)]) -> Vec<Entry> {
+    let mut lost: HashMap<String, bool> = HashMap::new();
+    for (at, seen) in &record {
+        if let Seen::Asked { txn, dispatcher, waits, .. } = seen {
+            let hit = killed.iter().any(|(d, from, to)| d == dispatcher && at + waits >= *from && at <= to);
+            lost.insert(txn.clone(), hit);
+        }
+    }
+    record.retain(|(_, seen)| match seen {
+        Seen::Cut { txn } | Seen::TimeUp { txn } => !lost.get(txn).copied().unwrap_or(false),
+        _ => true,
+    });
+    record
+}
+
 /// Checks a whole record.
 pub fn check(record: &[Entry], figures: &Figures) -> Vec<Broken> {
     let mut broken = Vec::new();
@@ -270,6 +310,35 @@
         assert_eq!(rules(&record), []);
     }
 
+    #[test]
+    fn what_went_on_to_a_drained_worker_is_timed_from_the_first_word_of_it() {
+        let told = |what| Seen::Told { dispatcher: 0, worker: 1, what };
+        let record = [
+            (0.0, told(Told::Draining)),
+            (0.2, told(Told::Gone)),
+            (0.3, arrived("t", "k", 1)),
+            (0.4, arrived("u", "l", 2)),
+            (0.5, told(Told::Ready { cold: true })),
+            (5.0, arrived("v", "m", 1)),
+        ];
+        assert_eq!(slowest_drain(&record), 0.3);
+    }
+
+    #[test]
+    fn only_what_a_killed_dispatcher_took_with_it_is_excused() {
+        let record = vec![
+            (0.0, asked("before", "k")),
+            (7.5, asked("lost", "l")),
+            (8.0, Seen::Cut { txn: "lost".into() }),
+            (9.5, asked("after", "m")),
+            (9.6, Seen::Cut { txn: "after".into() }),
+            (9.7, Seen::Cut { txn: "before".into() }),
+        ];
+        let left = check(&without_killed(record, &[(0, 8.0, 9.0)]), &Figures::default());
+        let left: Vec<&str> = left.iter().filter_map(|b| b.what.split(':').next()).collect();
+        assert_eq!(left, ["after", "before"]);
+    }
+
     #[test]
     fn nobody_is_blamed_for_a_start_that_was_not_told() {
         let told = Seen::Told { dispatcher: 0, worker: 1, what: Told::Ready { cold: true } };
--- a/rig/src/discovery.rs
+++ b/rig/src/discovery.rs
@@ -23,6 +23,8 @@
 
 /// While nothing changes, an empty line this often.
 const HEARTBEAT: Duration = Duration::from_secs(2);
+/// A call that would wait for longer in turn fails.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
 
 type Line = Result<Frame<Bytes>, Infallible>;
 
@@ -44,6 +46,8 @@
     list: Mutex<List>,
     /// Each dispatcher's addresses of the workers.
     dials: Mutex<Vec<Vec<SocketAddr>>>,
+    /// When the calls that wait in turn will have been answered.
+    busy_until: Mutex<tokio::time::Instant>,
 }
 
 fn unix_ms() -> u64 {
@@ -55,7 +59,13 @@
     pub fn new(plan: Arc<Plan>, record: Arc<Record>) -> Arc<Self> {
         let states = vec![(Told::Ready { cold: false }, 0); plan.workers.len()];
         let list = List { seq: 1, states, watches: Vec::new() };
-        Arc::new(Self { plan, record, list: Mutex::new(list), dials: Mutex::default() })
+        Arc::new(Self {
+            plan,
+            record,
+            list: Mutex::new(list),
+            dials: Mutex::default(),
+            busy_until: Mutex::new(tokio::time::Instant::now()),
+        })
     }
 
     /// Opens it to one more dispatcher, which reaches the workers at `dials`.
@@ -72,8 +82,8 @@
             while let Ok((stream, _)) = listener.accept().await {
                 let this = this.clone();
                 let service = service_fn(move |request| {
-                    let response = this.answer(dispatcher, &request);
-                    async move { Ok::<_, Infallible>(response) }
+                    let this = this.clone();
+                    async move { Ok::<_, Infallible>(this.in_turn(dispatcher, &request).await) }
                 });
                 let http = hyper::server::conn::http1::Builder::new();
                 tokio::spawn(async move { http.serve_connection(TokioIo::new(stream), service).await });
@@ -109,6 +119,31 @@
         serde_json::from_str(&self.whole(dispatcher, &lock(&self.list))).unwrap_or_default()
     }
 
+    /// Answers calls one after another, as fast as the scenario's capacity lets it.
+    async fn in_turn(
+        &self, dispatcher: usize, request: &Request<Incoming>,
+    ) -> Response<BoxBody<Bytes, Infallible>> {
+        self.record.counts.discovery_calls.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        if let Some(rate) = self.plan.discovery_rate {
+            let now = tokio::time::Instant::now();
+            let turn = {
+                let mut busy = lock(&self.busy_until);
+                let turn = (*busy).max(now) + Duration::from_secs_f64(1.0 / rate);
+                if turn <= now + LONGEST_WAIT {
+                    *busy = turn;
+                }
+                turn
+            };
+            tokio::time::sleep_until(turn.min(now + LONGEST_WAIT)).await;
+            if turn > now + LONGEST_WAIT {
+                let mut response = Response::new(Full::new(Bytes::new()).boxed());
+                *response.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
+                return response;
+            }
+        }
+        self.answer(dispatcher, request)
+    }
+
     fn answer(&self, dispatcher: usize, request: &Request<Incoming>) -> Response<BoxBody<Bytes, Infallible>> {
         if request.uri().path() != "/v1/endpoints" {
             let mut response = Response::new(Full::new(Bytes::new()).boxed());
--- a/rig/src/dispatcher.rs
+++ b/rig/src/dispatcher.rs
@@ -4,6 +4,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -57,13 +58,16 @@
     pub queue_order: &'a str,
     /// A folder for its files.
     pub folder: &'a Path,
+    /// Where it listens, if it has been there before.
+    pub address: Option<SocketAddr>,
 }
 
 impl Process {
     /// Starts one; it is ready when this returns.
     pub fn start(start: &Start<'_>) -> Result<Self> {
         // The port is free a moment later, when the process binds it.
-        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let fresh = || TcpListener::bind("127.0.0.1:0")?.local_addr();
+        let address = start.address.map_or_else(fresh, Ok)?;
         let config = json!({
             "name": format!("n{}", start.number), "listen": address.to_string(),
             "discovery": start.discovery.to_string(), "seed": format!("{:x}", start.seed),
@@ -102,11 +106,37 @@
             if std::net::TcpStream::connect(self.address).is_ok() {
                 return Ok(());
             }
-            std::thread::sleep(Duration::from_millis(20));
+            std::thread::sleep(Duration::from_millis(2));
         }
         bail!("a dispatcher did not listen at {} within 10 s", self.address)
     }
 
+    /// Waits until it takes clients (`GET /ready` says 200), for a second at most.
+    pub fn wait_until_ready(&self) -> bool {
+        let limit = Instant::now() + Duration::from_secs(1);
+        let ask = || -> std::io::Result<bool> {
+            let mut stream = std::net::TcpStream::connect(self.address)?;
+            stream.set_read_timeout(Some(Duration::from_millis(200)))?;
+            stream.write_all(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
+            let mut head = [0; 12];
+            stream.read_exact(&mut head)?;
+            Ok(head.ends_with(b"200"))
+        };
+        while Instant::now() < limit {
+            if matches!(ask(), Ok(true)) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        false
+    }
+
+    /// Kills it outright.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     /// Whether it still runs.
     pub fn runs(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod cpu;
 pub mod discovery;
 pub mod dispatcher;
+pub mod fleet;
 pub mod machine;
 pub mod record;
 pub mod report;
--- a/rig/src/machine.rs
+++ b/rig/src/machine.rs
@@ -56,6 +56,8 @@
     overhead: f64,
     /// Work sent while it was cold: when, how much, by which sender.
     sent: VecDeque<(f64, f64, usize)>,
+    /// The largest multiple of its capacity that it was sent while cold.
+    pub worst: f64,
     fallen: bool,
 }
 
@@ -72,6 +74,7 @@
             fetch_s,
             overhead: 0.0,
             sent: VecDeque::new(),
+            worst: 0.0,
             fallen: false,
         }
     }
@@ -145,6 +148,7 @@
             self.sent.pop_front();
         }
         let total: f64 = self.sent.iter().map(|(_, work, _)| work).sum();
+        self.worst = self.worst.max(total / (FALL_S * self.capacity()).max(f64::MIN_POSITIVE));
         // A little slack for chance: one usual job.
         self.fallen |= total > TIP_MULTIPLE * FALL_S * self.capacity() + 0.5;
     }
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -5,7 +5,7 @@
 use anyhow::Result;
 use clap::{Args, Parser, Subcommand};
 use pebblepost_rig::scenario::{Hints, Order, Scenario};
-use pebblepost_rig::{cpu, dispatcher, room};
+use pebblepost_rig::{cpu, dispatcher, fleet, room};
 use std::path::PathBuf;
 
 /// Measured runs of real pebblepost processes on loopback.
@@ -22,6 +22,30 @@
     Room(Room),
     /// CPU for each request with jobs all alike: two programs in turn, or the room on and off.
     Cpu(Cpu),
+    /// Many dispatchers through a herd restart, a lost zone and a mass replacement.
+    Fleet(Fleet),
+}
+
+#[derive(Args)]
+struct Fleet {
+    /// Dispatchers.
+    #[arg(long, default_value_t = 20)]
+    dispatchers: usize,
+    /// Workers.
+    #[arg(long, default_value_t = 15)]
+    workers: usize,
+    /// Seconds of arrivals in each scenario.
+    #[arg(long, default_value_t = 20.0)]
+    seconds: f64,
+    /// Seed of all draws.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Print one JSON object as the last line.
+    #[arg(long)]
+    json: bool,
+    /// The program to measure; built and taken from beside this one by default.
+    #[arg(long)]
+    program: Option<PathBuf>,
 }
 
 #[derive(Args)]
@@ -93,6 +117,7 @@
     match Cli::parse().command {
         Command::Room(args) => play_room(args),
         Command::Cpu(args) => play_cpu(args),
+        Command::Fleet(args) => play_fleet(args),
     }
 }
 
@@ -113,6 +138,18 @@
     Ok(())
 }
 
+fn play_fleet(args: Fleet) -> Result<()> {
+    let program = args.program.map_or_else(dispatcher::built, Ok)?;
+    let (dispatchers, workers) = (args.dispatchers.max(1), args.workers.max(1));
+    let size = fleet::Size { dispatchers, workers, seconds: args.seconds.max(1.0) };
+    let (lines, all) = threads()?.block_on(fleet::measure(size, args.seed, &program))?;
+    lines.iter().for_each(|line| println!("{line}"));
+    if args.json {
+        println!("{}", serde_json::to_string(&all)?);
+    }
+    Ok(())
+}
+
 fn play_room(args: Room) -> Result<()> {
     let program = args.program.map_or_else(dispatcher::built, Ok)?;
     let [one, two, four] = args.slots[..] else {
--- a/rig/src/scenario.rs
+++ b/rig/src/scenario.rs
@@ -124,6 +124,10 @@
     pub faults: f64,
     /// Faults as given, beside those drawn.
     pub troubles: Vec<Trouble>,
+    /// Calls that discovery answers in a second; `None`: all at once.
+    pub discovery_rate: Option<f64>,
+    /// Second in which dispatchers are killed and started anew, and which part of them.
+    pub herd: Option<(f64, f64)>,
 }
 
 impl Scenario {
@@ -145,6 +149,8 @@
             impatient: 0.0,
             faults: 1.0,
             troubles: Vec::new(),
+            discovery_rate: None,
+            herd: None,
         }
     }
 }
@@ -203,6 +209,8 @@
     pub troubles: Vec<Trouble>,
     /// Fetches that the shared store serves at full speed at once, and seconds that one takes.
     pub store: (f64, f64),
+    /// Calls that discovery answers in a second.
+    pub discovery_rate: Option<f64>,
 }
 
 struct KindSpec {
@@ -365,7 +373,9 @@
         // The store has so many times the room that a third of the jobs, which fetch, would fill.
         let fetches = arrivals.len() as f64 / scenario.seconds / 3.0 * fetch_s;
         let store = ((fetches * rng.random_range(1.8..4.8)).max(1.0), fetch_s);
-        Ok(Self { seed, order, workers, arrivals, troubles: draw_troubles(scenario, seed), store })
+        let troubles = draw_troubles(scenario, seed);
+        let discovery_rate = scenario.discovery_rate;
+        Ok(Self { seed, order, workers, arrivals, troubles, store, discovery_rate })
     }
 }
 
--- a/rig/src/standin.rs
+++ b/rig/src/standin.rs
@@ -52,6 +52,7 @@
 }
 
 struct Inside {
+    connections: usize,
     machine: Machine,
     jobs: HashMap<Ticket, mpsc::UnboundedSender<Word>>,
     /// Reports that are not visible yet, and the one that is: free slots, busy part, errors a second.
@@ -111,6 +112,7 @@
         plan: Arc<Plan>, record: Arc<Record>, changes: mpsc::UnboundedSender<(usize, Told)>,
     ) -> Arc<Self> {
         let inside = |(i, spec): (usize, &WorkerSpec)| Inside {
+            connections: 0,
             machine: Machine::new(spec.clone(), plan.store.1),
             jobs: HashMap::new(),
             coming: VecDeque::new(),
@@ -191,6 +193,8 @@
             self.record.note(Seen::Fell { worker: worker.number, since, sent });
             self.crash(worker, inside, now);
         }
+        let worst = (inside.machine.worst * 1e3) as u64;
+        self.record.counts.worst_cold.fetch_max(worst, Ordering::Relaxed);
         let spec = inside.machine.spec();
         let (refresh, delay, noise) = (spec.refresh_s, spec.delay_s, spec.noise);
         if now >= inside.refreshed + refresh {
@@ -378,6 +382,14 @@
         Mode::Silent => {}
         Mode::Up => lock(&worker.inside).machine.charge(dispatcher, CONNECTION_WORK),
     }
+    let counts = fleet.clone();
+    let open = {
+        let mut inside = lock(&worker.inside);
+        inside.connections += 1;
+        inside.connections
+    };
+    counts.record.counts.handshakes.fetch_add(1, Ordering::Relaxed);
+    counts.record.counts.worst_connections.fetch_max(open, Ordering::Relaxed);
     let service = service_fn({
         let worker = worker.clone();
         move |request| fleet.clone().answer(worker.clone(), dispatcher, request)
@@ -388,4 +400,5 @@
         _ = connection => {}
         _ = mode.wait_for(|(now, count)| *now == Mode::Down || *count != epoch) => {}
     }
+    lock(&worker.inside).connections -= 1;
 }
