--- a/rig/src/checker.rs
+++ b/rig/src/checker.rs
@@ -71,57 +71,104 @@
     format!("draft of {txn}")
 }
 
-/// Longest time from the word that a worker drains or is gone to the last attempt sent there on, in seconds, over all
-/// dispatchers; 0 if nothing was sent after such a word.
-pub fn slowest_drain(record: &[Entry]) -> f64 {
-    let mut told: HashMap<(usize, usize), f64> = HashMap::new();
-    let mut slowest = 0.0_f64;
+fn barred(what: Told) -> bool {
+    matches!(what, Told::Draining | Told::Gone)
+}
+
+/// The last word on each worker, by dispatcher; `None`: what discovery itself has to tell.
+#[derive(Default)]
+struct Words(HashMap<(Option<usize>, usize), (f64, Told)>);
+
+impl Words {
+    /// Takes in an entry that is a word. The grace of a drain counts from the first word of it.
+    fn take(&mut self, at: f64, seen: &Seen) {
+        let (of, what) = match seen {
+            Seen::Told { dispatcher, worker, what } => ((Some(*dispatcher), *worker), *what),
+            Seen::Published { worker, what } => ((None, *worker), *what),
+            _ => return,
+        };
+        let word = self.0.entry(of).or_insert((at, what));
+        if !(barred(word.1) && barred(what)) {
+            *word = (at, what);
+        }
+    }
+
+    fn told(&self, dispatcher: usize, worker: usize) -> Option<(f64, Told)> {
+        self.0.get(&(Some(dispatcher), worker)).copied()
+    }
+
+    /// Since when a dispatcher must know that a worker takes nothing new: since it was told or, if the word did not
+    /// reach it, so long after discovery had it to tell (`figures.told`).
+    fn barred_since(&self, figures: &Figures, dispatcher: usize, worker: usize) -> Option<(f64, Told)> {
+        let told = self.told(dispatcher, worker);
+        if let Some(word) = told.filter(|(_, what)| barred(*what)) {
+            return Some(word);
+        }
+        let (at, what) = self.0.get(&(None, worker)).copied().filter(|(_, what)| barred(*what))?;
+        Some((told.map_or(at, |(ready, _)| at.max(ready)) + figures.told, what))
+    }
+}
+
+/// Longest time from when a dispatcher must have known that a worker drains or is gone to an attempt that it sent there,
+/// in seconds; 0 if nothing was sent after such a word.
+pub fn slowest_drain(record: &[Entry], figures: &Figures) -> f64 {
+    let (mut words, mut slowest) = (Words::default(), 0.0_f64);
     for (at, seen) in record {
-        match seen {
-            Seen::Told { dispatcher, worker, what: Told::Ready { .. } } => {
-                told.remove(&(*dispatcher, *worker));
-            }
-            Seen::Told { dispatcher, worker, .. } => {
-                told.entry((*dispatcher, *worker)).or_insert(*at);
-            }
-            Seen::Arrived { dispatcher, worker, .. } => {
-                if let Some(since) = told.get(&(*dispatcher, *worker)) {
-                    slowest = slowest.max(at - since);
-                }
-            }
-            _ => {}
+        words.take(*at, seen);
+        if let Seen::Arrived { dispatcher, worker, .. } = seen
+            && let Some((since, _)) = words.barred_since(figures, *dispatcher, *worker)
+        {
+            slowest = slowest.max(at - since);
         }
     }
     slowest
 }
 
-/// The record without the tries that a killed dispatcher took with it. `killed`: who, when, and when it was back.
-pub fn without_killed(mut record: Vec<Entry>, killed: &[(usize, f64, f64)]) -> Vec<Entry> {
-    let mut lost: HashMap<String, bool> = HashMap::new();
+/// A dispatcher that was killed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Killed {
+    /// Which.
+    pub dispatcher: usize,
+    /// When.
+    pub from: f64,
+    /// When it took clients again.
+    pub back: f64,
+}
+
+/// The record without the ends of those tries that a killed dispatcher took with it: asked before it was back, still
+/// waited for when it was killed, and ended after that.
+pub fn without_killed(record: Vec<Entry>, killed: &[Killed]) -> Vec<Entry> {
+    let mut asked: HashMap<String, (usize, f64, f64)> = HashMap::new();
     for (at, seen) in &record {
         if let Seen::Asked { txn, dispatcher, waits, .. } = seen {
-            let hit = killed.iter().any(|(d, from, to)| d == dispatcher && at + waits >= *from && at <= to);
-            lost.insert(txn.clone(), hit);
+            asked.insert(txn.clone(), (*dispatcher, *at, at + waits));
         }
     }
-    record.retain(|(_, seen)| match seen {
-        Seen::Cut { txn } | Seen::TimeUp { txn } => !lost.get(txn).copied().unwrap_or(false),
+    let lost = |end: f64, txn: &String| {
+        asked.get(txn).is_some_and(|&(dispatcher, at, until)| {
+            let hit = |k: &Killed| k.dispatcher == dispatcher && at <= k.back && until.min(end) >= k.from;
+            killed.iter().any(hit)
+        })
+    };
+    let kept = |(at, seen): &Entry| match seen {
+        Seen::Cut { txn } | Seen::TimeUp { txn } => !lost(*at, txn),
         _ => true,
-    });
-    record
+    };
+    record.into_iter().filter(kept).collect()
 }
 
 /// Checks a whole record.
 pub fn check(record: &[Entry], figures: &Figures) -> Vec<Broken> {
     let mut broken = Vec::new();
     let mut tries: HashMap<&str, Try> = HashMap::new();
-    let mut told: HashMap<(usize, usize), (f64, Told)> = HashMap::new();
+    let mut words = Words::default();
     // Per key: attempts that may have run, by try and worker, with the time they arrived.
     let mut ran: HashMap<&str, Vec<(&str, usize, f64)>> = HashMap::new();
     let mut keys: HashMap<&str, &str> = HashMap::new();
     let mut report = |rule, at, what: String| broken.push(Broken { rule, at, what });
     for (at, seen) in record {
         let at = *at;
+        words.take(at, seen);
         match seen {
             Seen::Asked { txn, key, waits, .. } => {
                 keys.insert(txn, key);
@@ -154,10 +201,10 @@
             Seen::Fell { worker, since, sent } => {
                 // It is the dispatchers' fault if two thirds came from those told of its start.
                 let knew = |from: usize| {
-                    let word = told.get(&(from, *worker));
+                    let word = words.told(from, *worker);
                     at > since + figures.told
                         || word
-                            .is_some_and(|(when, what)| when >= since && *what == Told::Ready { cold: true })
+                            .is_some_and(|(when, what)| when >= *since && what == Told::Ready { cold: true })
                 };
                 let all: f64 = sent.iter().map(|(_, work)| work).sum();
                 let known: f64 = sent.iter().filter(|(from, _)| knew(*from)).map(|(_, work)| work).sum();
@@ -165,17 +212,9 @@
                     report(Rule::Cold, at, format!("worker {worker} was pushed over while cold"));
                 }
             }
-            Seen::Told { dispatcher, worker, what } => {
-                // The grace counts from the first word of it, not from its repeats.
-                let new = (at, *what);
-                let entry = told.entry((*dispatcher, *worker)).or_insert(new);
-                let barred = |t: Told| matches!(t, Told::Draining | Told::Gone);
-                if !(barred(entry.1) && barred(*what)) {
-                    *entry = new;
-                }
-            }
+            Seen::Told { .. } | Seen::Published { .. } => {}
             Seen::Arrived { txn, key, dispatcher, worker } => {
-                if let Some((since, what @ (Told::Draining | Told::Gone))) = told.get(&(*dispatcher, *worker))
+                if let Some((since, what)) = words.barred_since(figures, *dispatcher, *worker)
                     && at > since + figures.drain + figures.slack
                 {
                     let late = (at - since) * 1e3;
@@ -291,6 +330,10 @@
                 Rule::Drains,
                 vec![told(0.0, Told::Draining), told(0.4, Told::Gone), (0.56, arrived("t", "k", 1))],
             ),
+            (
+                Rule::Drains,
+                vec![(0.0, Seen::Published { worker: 1, what: Told::Draining }), (6.6, arrived("t", "k", 1))],
+            ),
             (Rule::Cold, vec![told(0.2, cold), (1.0, fell(0.1))]),
             (Rule::Cold, vec![(6.2, fell(0.1))]),
             (Rule::Departed, vec![(1.0, answered("t", 503, "")), (1.1, arrived("t", "k", 1))]),
@@ -321,22 +364,25 @@
             (0.5, told(Told::Ready { cold: true })),
             (5.0, arrived("v", "m", 1)),
         ];
-        assert_eq!(slowest_drain(&record), 0.3);
+        assert_eq!(slowest_drain(&record, &Figures::default()), 0.3);
     }
 
     #[test]
     fn only_what_a_killed_dispatcher_took_with_it_is_excused() {
         let record = vec![
             (0.0, asked("before", "k")),
+            (7.0, asked("early", "n")),
+            (7.1, Seen::Cut { txn: "early".into() }),
             (7.5, asked("lost", "l")),
             (8.0, Seen::Cut { txn: "lost".into() }),
             (9.5, asked("after", "m")),
             (9.6, Seen::Cut { txn: "after".into() }),
             (9.7, Seen::Cut { txn: "before".into() }),
         ];
-        let left = check(&without_killed(record, &[(0, 8.0, 9.0)]), &Figures::default());
+        let killed = Killed { dispatcher: 0, from: 8.0, back: 9.0 };
+        let left = check(&without_killed(record, &[killed]), &Figures::default());
         let left: Vec<&str> = left.iter().filter_map(|b| b.what.split(':').next()).collect();
-        assert_eq!(left, ["after", "before"]);
+        assert_eq!(left, ["early", "after", "before"]);
     }
 
     #[test]
--- a/rig/src/discovery.rs
+++ b/rig/src/discovery.rs
@@ -3,9 +3,9 @@
 
 use crate::record::{Record, Seen, Told};
 use crate::scenario::Plan;
-use crate::standin::lock;
+use crate::standin::{Body, lock, plain};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
+use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -15,6 +15,7 @@
 use serde_json::{Value, json};
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
@@ -46,6 +47,7 @@
     list: Mutex<List>,
     /// Each dispatcher's addresses of the workers.
     dials: Mutex<Vec<Vec<SocketAddr>>>,
+    calls: AtomicU64,
     /// When the calls that wait in turn will have been answered.
     busy_until: Mutex<tokio::time::Instant>,
 }
@@ -64,10 +66,16 @@
             record,
             list: Mutex::new(list),
             dials: Mutex::default(),
+            calls: AtomicU64::new(0),
             busy_until: Mutex::new(tokio::time::Instant::now()),
         })
     }
 
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
     /// Opens it to one more dispatcher, which reaches the workers at `dials`.
     pub async fn open(self: &Arc<Self>, dials: Vec<SocketAddr>) -> std::io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
@@ -120,10 +128,8 @@
     }
 
     /// Answers calls one after another, as fast as the scenario's capacity lets it.
-    async fn in_turn(
-        &self, dispatcher: usize, request: &Request<Incoming>,
-    ) -> Response<BoxBody<Bytes, Infallible>> {
-        self.record.counts.discovery_calls.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    async fn in_turn(&self, dispatcher: usize, request: &Request<Incoming>) -> Response<Body> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
         if let Some(rate) = self.plan.discovery_rate {
             let now = tokio::time::Instant::now();
             let turn = {
@@ -136,24 +142,20 @@
             };
             tokio::time::sleep_until(turn.min(now + LONGEST_WAIT)).await;
             if turn > now + LONGEST_WAIT {
-                let mut response = Response::new(Full::new(Bytes::new()).boxed());
-                *response.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
-                return response;
+                return plain(503, &[], String::new());
             }
         }
         self.answer(dispatcher, request)
     }
 
-    fn answer(&self, dispatcher: usize, request: &Request<Incoming>) -> Response<BoxBody<Bytes, Infallible>> {
+    fn answer(&self, dispatcher: usize, request: &Request<Incoming>) -> Response<Body> {
         if request.uri().path() != "/v1/endpoints" {
-            let mut response = Response::new(Full::new(Bytes::new()).boxed());
-            *response.status_mut() = hyper::StatusCode::NOT_FOUND;
-            return response;
+            return plain(404, &[], String::new());
         }
         let mut list = lock(&self.list);
         let whole = self.whole(dispatcher, &list);
         if !request.uri().query().is_some_and(|q| q.split('&').any(|p| p == "watch=1")) {
-            return Response::new(Full::new(Bytes::from(whole)).boxed());
+            return plain(200, &[], whole);
         }
         let (lines, body) = mpsc::unbounded_channel();
         let _ = lines.send(Ok(Frame::data(Bytes::from(whole))));
@@ -166,6 +168,7 @@
         let born = if what == (Told::Ready { cold: true }) { unix_ms() } else { list.states[worker].1 };
         list.seq += 1;
         list.states[worker] = (what, born);
+        self.record.note(Seen::Published { worker, what });
         let (seq, state) = (list.seq, list.states[worker]);
         list.watches.retain(|watch| {
             let host = self.host(watch.dispatcher, worker, state);
--- a/rig/src/dispatcher.rs
+++ b/rig/src/dispatcher.rs
@@ -1,10 +1,14 @@
 //! Real `pebblepost` processes: their configuration, start, end, and the CPU that they used.
 
 use anyhow::{Context, Result, bail};
+use bytes::Bytes;
+use http_body_util::Empty;
+use hyper::Uri;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
-use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -12,10 +16,16 @@
 
 /// One process. It is ended when this is dropped.
 pub struct Process {
+    command: Command,
     child: Child,
     /// Where clients connect.
     pub address: SocketAddr,
-    files: Vec<PathBuf>,
+    /// How long each of its starts took until it took clients.
+    pub ready: Vec<Duration>,
+    config: Value,
+    files: [PathBuf; 2],
+    /// CPU of lives that have ended, in seconds.
+    spent: f64,
 }
 
 /// The settings of the site's kind, as a platform gives them.
@@ -38,6 +48,10 @@
     })
 }
 
+fn write(path: &Path, json: &Value) -> Result<()> {
+    std::fs::write(path, json.to_string()).with_context(|| path.display().to_string())
+}
+
 /// What a process is started with.
 pub struct Start<'a> {
     /// The program.
@@ -58,16 +72,13 @@
     pub queue_order: &'a str,
     /// A folder for its files.
     pub folder: &'a Path,
-    /// Where it listens, if it has been there before.
-    pub address: Option<SocketAddr>,
 }
 
 impl Process {
-    /// Starts one; it is ready when this returns.
-    pub fn start(start: &Start<'_>) -> Result<Self> {
+    /// Starts one; it takes clients when this returns.
+    pub async fn start(start: &Start<'_>) -> Result<Self> {
         // The port is free a moment later, when the process binds it.
-        let fresh = || TcpListener::bind("127.0.0.1:0")?.local_addr();
-        let address = start.address.map_or_else(fresh, Ok)?;
+        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
         let config = json!({
             "name": format!("n{}", start.number), "listen": address.to_string(),
             "discovery": start.discovery.to_string(), "seed": format!("{:x}", start.seed),
@@ -75,66 +86,56 @@
             "settings": settings(start.of, start.queue_order),
         });
         let id = format!("{}-{}", std::process::id(), address.port());
-        let files = [("config", &config), ("operator", start.operator)]
-            .map(|(what, json)| (start.folder.join(format!("pebblepost-rig-{id}-{what}.json")), json));
-        for (path, json) in &files {
-            std::fs::write(path, json.to_string()).with_context(|| path.display().to_string())?;
+        let files =
+            ["config", "operator"].map(|w| start.folder.join(format!("pebblepost-rig-{id}-{w}.json")));
+        for (path, json) in files.iter().zip([&config, start.operator]) {
+            write(path, json)?;
         }
-        let [(config, _), (operator, _)] = files;
         let log = match std::env::var_os("PEBBLEPOST_RIG_LOG") {
             Some(_) => Stdio::inherit(),
             None => Stdio::null(),
         };
-        let child = Command::new(start.program)
-            .env("PROXY_CONFIG", &config)
-            .env("PEBBLEPOST_OPERATOR", &operator)
-            .stdin(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .with_context(|| start.program.display().to_string())?;
-        let mut process = Self { child, address, files: vec![config, operator] };
-        process.wait_until_up()?;
+        let mut command = Command::new(start.program);
+        let [config_file, operator_file] = &files;
+        command.env("PROXY_CONFIG", config_file).env("PEBBLEPOST_OPERATOR", operator_file);
+        command.stdin(Stdio::null()).stderr(log);
+        let child = command.spawn().with_context(|| start.program.display().to_string())?;
+        let mut process = Self { command, child, address, ready: Vec::new(), config, files, spent: 0.0 };
+        process.wait_until_ready().await?;
         Ok(process)
     }
 
-    fn wait_until_up(&mut self) -> Result<()> {
-        let limit = Instant::now() + Duration::from_secs(10);
-        while Instant::now() < limit {
+    /// Kills it outright.
+    pub fn kill(&mut self) {
+        self.spent = self.cpu();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts one that was killed anew, at its address, from the list that it had at first.
+    pub async fn start_again(&mut self) -> Result<()> {
+        self.config["seed"] =
+            format!("{}{:x}", self.config["seed"].as_str().unwrap_or(""), self.ready.len()).into();
+        write(&self.files[0], &self.config)?;
+        self.child = self.command.spawn()?;
+        self.wait_until_ready().await
+    }
+
+    async fn wait_until_ready(&mut self) -> Result<()> {
+        let http: Client<_, Empty<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+        let uri: Uri = format!("http://{}/ready", self.address).parse()?;
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_secs(10) {
             if let Some(status) = self.child.try_wait()? {
                 bail!("a dispatcher ended at its start: {status}");
             }
-            if std::net::TcpStream::connect(self.address).is_ok() {
+            if http.get(uri.clone()).await.is_ok_and(|answer| answer.status().is_success()) {
+                self.ready.push(began.elapsed());
                 return Ok(());
             }
-            std::thread::sleep(Duration::from_millis(2));
+            tokio::time::sleep(Duration::from_millis(2)).await;
         }
-        bail!("a dispatcher did not listen at {} within 10 s", self.address)
-    }
-
-    /// Waits until it takes clients (`GET /ready` says 200), for a second at most.
-    pub fn wait_until_ready(&self) -> bool {
-        let limit = Instant::now() + Duration::from_secs(1);
-        let ask = || -> std::io::Result<bool> {
-            let mut stream = std::net::TcpStream::connect(self.address)?;
-            stream.set_read_timeout(Some(Duration::from_millis(200)))?;
-            stream.write_all(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
-            let mut head = [0; 12];
-            stream.read_exact(&mut head)?;
-            Ok(head.ends_with(b"200"))
-        };
-        while Instant::now() < limit {
-            if matches!(ask(), Ok(true)) {
-                return true;
-            }
-            std::thread::sleep(Duration::from_millis(2));
-        }
-        false
-    }
-
-    /// Kills it outright.
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        bail!("a dispatcher was not ready at {} within 10 s", self.address)
     }
 
     /// Whether it still runs.
@@ -146,13 +147,16 @@
     pub fn cpu(&self) -> f64 {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
         let fields = stat.rsplit_once(')').map_or("", |(_, rest)| rest).split_whitespace();
-        fields.skip(11).take(2).filter_map(|f| f.parse::<f64>().ok()).sum::<f64>() / 100.0
+        self.spent + fields.skip(11).take(2).filter_map(|f| f.parse::<f64>().ok()).sum::<f64>() / 100.0
     }
 }
 
 impl Drop for Process {
     fn drop(&mut self) {
-        if let Ok(pid) = i32::try_from(self.child.id()) {
+        // One that has ended has no number any more that is its own.
+        if self.runs()
+            && let Ok(pid) = i32::try_from(self.child.id())
+        {
             let _ = kill(Pid::from_raw(pid), Signal::SIGTERM);
         }
         let limit = Instant::now() + Duration::from_secs(8);
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -1,14 +1,16 @@
 //! The measurement for `docs/fleet.md`: many dispatchers with thin traffic through a herd restart, a zone that is lost
 //! and comes back cold, and a mass replacement of workers, each with a discovery that is late and answers few calls.
 
+use crate::checker::Broken;
 use crate::clients::Outcome;
+use crate::report::p99_ms;
 use crate::run::{Played, Run};
 use crate::scenario::{Fault, Scenario, Trouble};
+use crate::standin::Counts;
 use anyhow::Result;
 use serde::Serialize;
 use serde_json::json;
 use std::path::Path;
-use std::sync::atomic::Ordering;
 
 /// Calls a second that discovery answers: the middle of what the site says.
 const DISCOVERY_RATE: f64 = 4.0;
@@ -41,10 +43,9 @@
     pub discovery_calls: u64,
     /// New connections at workers for each request served.
     pub handshakes_per_served: f64,
-    /// Most connections open at one worker.
-    pub worst_worker_connections: usize,
-    /// Most work that a cold worker was sent within 3 s, as a multiple of what it can do.
-    pub worst_cold_multiple: f64,
+    /// The rest of what was counted at the workers.
+    #[serde(flatten)]
+    pub counts: Counts,
     /// Longest time from the word of a drain to the last attempt sent there on.
     pub slowest_drain_ms: f64,
     /// Rules broken.
@@ -86,58 +87,56 @@
 
 fn summary(played: &Played) -> Summary {
     let count = |hit: fn(&Outcome) -> bool| played.fates.iter().filter(|f| hit(&f.outcome)).count();
-    let served = count(|o| matches!(o, Outcome::Served(_)));
-    let mut ready = played.ready.clone();
-    ready.sort_by(f64::total_cmp);
-    let p99 = ready.get((ready.len() * 99).div_ceil(100).saturating_sub(1)).copied().unwrap_or(0.0);
-    let counts = &played.record.counts;
     Summary {
-        served,
+        served: count(|o| matches!(o, Outcome::Served(_))),
         refused: count(|o| *o == Outcome::Refused),
         lost: count(|o| *o == Outcome::Lost),
-        ready_p99_ms: p99 * 1e3,
-        discovery_calls: counts.discovery_calls.load(Ordering::Relaxed),
-        handshakes_per_served: counts.handshakes.load(Ordering::Relaxed) as f64 / served.max(1) as f64,
-        worst_worker_connections: counts.worst_connections.load(Ordering::Relaxed),
-        worst_cold_multiple: counts.worst_cold.load(Ordering::Relaxed) as f64 / 1e3,
+        ready_p99_ms: p99_ms(&played.ready),
+        discovery_calls: played.discovery_calls,
+        counts: played.counts,
         slowest_drain_ms: played.slowest_drain * 1e3,
         rules_broken: played.broken.len(),
+        handshakes_per_served: 0.0,
     }
+    .reckoned()
 }
 
-/// Sums where they add up, the worst elsewhere.
-fn all(parts: &[(&'static str, Summary)]) -> Summary {
-    let mut all = Summary::default();
-    let mut handshakes = 0.0;
-    for (_, s) in parts {
-        handshakes += s.handshakes_per_served * s.served as f64;
-        all.served += s.served;
-        all.refused += s.refused;
-        all.lost += s.lost;
-        all.ready_p99_ms = all.ready_p99_ms.max(s.ready_p99_ms);
-        all.discovery_calls += s.discovery_calls;
-        all.worst_worker_connections = all.worst_worker_connections.max(s.worst_worker_connections);
-        all.worst_cold_multiple = all.worst_cold_multiple.max(s.worst_cold_multiple);
-        all.slowest_drain_ms = all.slowest_drain_ms.max(s.slowest_drain_ms);
-        all.rules_broken += s.rules_broken;
+impl Summary {
+    fn reckoned(mut self) -> Self {
+        self.handshakes_per_served = self.counts.handshakes as f64 / self.served.max(1) as f64;
+        self
+    }
+
+    /// Both together: sums where they add up, the worst elsewhere.
+    fn with(self, other: &Self) -> Self {
+        Self {
+            served: self.served + other.served,
+            refused: self.refused + other.refused,
+            lost: self.lost + other.lost,
+            ready_p99_ms: self.ready_p99_ms.max(other.ready_p99_ms),
+            discovery_calls: self.discovery_calls + other.discovery_calls,
+            counts: self.counts.with(other.counts),
+            slowest_drain_ms: self.slowest_drain_ms.max(other.slowest_drain_ms),
+            rules_broken: self.rules_broken + other.rules_broken,
+            handshakes_per_served: 0.0,
+        }
+        .reckoned()
     }
-    all.handshakes_per_served = handshakes / all.served.max(1) as f64;
-    all
 }
 
 /// Plays the scenarios one after another. Returns a line for each, what was broken, and all together last.
 pub async fn measure(size: Size, seed: u64, program: &Path) -> Result<(Vec<String>, Summary)> {
     let operator = json!({});
-    let (mut lines, mut parts) = (Vec::new(), Vec::new());
+    let (mut lines, mut all) = (Vec::new(), Summary::default());
     for (name, scenario) in &scenarios(size) {
         let played = Run { scenario, seed, program, operator: &operator }.play().await?;
         let s = summary(&played);
         lines.push(format!("{name:<9} {}", serde_json::to_string(&s)?));
-        let told = |b: &crate::checker::Broken| format!("broken: {:?} at {:.2} s: {}", b.rule, b.at, b.what);
+        let told = |b: &Broken| format!("broken: {:?} at {:.2} s: {}", b.rule, b.at, b.what);
         lines.extend(played.broken.iter().map(told));
-        parts.push((*name, s));
+        all = all.with(&s);
     }
-    Ok((lines, all(&parts)))
+    Ok((lines, all))
 }
 
 #[cfg(test)]
--- a/rig/src/machine.rs
+++ b/rig/src/machine.rs
@@ -56,8 +56,7 @@
     overhead: f64,
     /// Work sent while it was cold: when, how much, by which sender.
     sent: VecDeque<(f64, f64, usize)>,
-    /// The largest multiple of its capacity that it was sent while cold.
-    pub worst: f64,
+    worst: f64,
     fallen: bool,
 }
 
@@ -110,6 +109,11 @@
         f64::from(self.spec.cores.min(self.spec.slots)) * self.spec.speed * self.warmth()
     }
 
+    /// The largest multiple of what it could do that it was sent while cold, within [`FALL_S`].
+    pub fn worst(&self) -> f64 {
+        self.worst
+    }
+
     /// It was sent more, while cold, than it can bear: when it had started, and the work sent by whom.
     pub fn fallen(&self) -> Option<(f64, Vec<(usize, f64)>)> {
         let since = self.started.filter(|_| self.fallen)?;
--- a/rig/src/record.rs
+++ b/rig/src/record.rs
@@ -1,7 +1,6 @@
 //! What both sides saw, in one list with one clock: the clients, the workers and discovery write to it, the checker
 //! and the report read it.
 
-use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::sync::{Mutex, PoisonError};
 use std::time::Instant;
 
@@ -93,6 +92,13 @@
         /// What it said it was.
         txn: String,
     },
+    /// Discovery has this to tell of a worker from now on, whether or not it reaches anyone.
+    Published {
+        /// Of which worker.
+        worker: usize,
+        /// What.
+        what: Told,
+    },
     /// Discovery wrote a worker's state to a dispatcher.
     Told {
         /// To which dispatcher.
@@ -116,31 +122,16 @@
 /// A thing seen, with when: seconds from the start.
 pub type Entry = (f64, Seen);
 
-/// Figures that are only counted.
-#[derive(Debug, Default)]
-pub struct Counts {
-    /// Calls to discovery.
-    pub discovery_calls: AtomicU64,
-    /// New connections at workers.
-    pub handshakes: AtomicU64,
-    /// Most connections open at one worker.
-    pub worst_connections: AtomicUsize,
-    /// Most work that a cold worker was sent within the time in which it falls, in thousandths of its capacity.
-    pub worst_cold: AtomicU64,
-}
-
 /// The list.
 #[derive(Debug)]
 pub struct Record {
-    /// What is counted beside it.
-    pub counts: Counts,
     start: Instant,
     list: Mutex<Vec<Entry>>,
 }
 
 impl Default for Record {
     fn default() -> Self {
-        Self { counts: Counts::default(), start: Instant::now(), list: Mutex::default() }
+        Self { start: Instant::now(), list: Mutex::default() }
     }
 }
 
--- a/rig/src/report.rs
+++ b/rig/src/report.rs
@@ -6,6 +6,7 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// A group of requests.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -68,11 +69,28 @@
     ((middle - off) / (1.0 + z * z / n), (middle + off) / (1.0 + z * z / n))
 }
 
+/// Times, to the microsecond, up to a minute.
+fn times() -> Option<Histogram<u64>> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).ok()
+}
+
+fn ms(times: &Option<Histogram<u64>>, quantile: f64) -> f64 {
+    times.as_ref().map_or(0.0, |h| h.value_at_quantile(quantile) as f64 / 1e3)
+}
+
+/// 99th percentile of some times, in milliseconds.
+pub fn p99_ms(some: &[Duration]) -> f64 {
+    let mut all = times();
+    if let Some(h) = &mut all {
+        some.iter().for_each(|t| h.saturating_record(t.as_micros() as u64));
+    }
+    ms(&all, 0.99)
+}
+
 /// Sums up those requests that `which` picks.
 pub fn group(plan: &Plan, fates: &[Fate], which: impl Fn(&Arrival) -> bool) -> Group {
     let mut group = Group::default();
-    let sound = || Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).ok();
-    let (mut latency, mut refusals) = (sound(), sound());
+    let (mut latency, mut refusals) = (times(), times());
     for fate in fates {
         let arrival = &plan.arrivals[fate.arrival];
         if !which(arrival) || fate.outcome == Outcome::Left {
@@ -103,7 +121,6 @@
             h.saturating_record(micros(after));
         }
     }
-    let ms = |h: &Option<Histogram<u64>>, q| h.as_ref().map_or(0.0, |h| h.value_at_quantile(q) as f64 / 1e3);
     (group.p50_ms, group.p99_ms) = (ms(&latency, 0.5), ms(&latency, 0.99));
     group.refused_p99_ms = ms(&refusals, 0.99);
     group
--- a/rig/src/run.rs
+++ b/rig/src/run.rs
@@ -1,16 +1,17 @@
 //! One measured run: a plan, real dispatchers, stand-ins around them, and the checker after it.
 
-use crate::checker::{Broken, Figures, Rule, check, slowest_drain, without_killed};
+use crate::checker::{Broken, Figures, Killed, Rule, check, slowest_drain, without_killed};
 use crate::clients::{Clients, Fate};
 use crate::discovery::Discovery;
 use crate::dispatcher::{Process, Start};
 use crate::record::{Record, Seen, Told};
 use crate::scenario::{Order, Plan, Scenario};
-use crate::standin::Fleet;
+use crate::standin::{Counts, Fleet};
 use anyhow::Result;
 use serde_json::Value;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc;
 
 /// What a run is made of.
@@ -36,12 +37,14 @@
     pub broken: Vec<Broken>,
     /// CPU of all dispatchers, in seconds.
     pub cpu: f64,
-    /// Times from a dispatcher's start until it took clients, in seconds.
-    pub ready: Vec<f64>,
-    /// Longest time from the word of a drain to the last attempt sent there on, in seconds.
+    /// Times from a dispatcher's start until it took clients.
+    pub ready: Vec<Duration>,
+    /// See [`slowest_drain`], in seconds.
     pub slowest_drain: f64,
-    /// What was counted; its list has been taken out.
-    pub record: Arc<Record>,
+    /// What was counted at the workers.
+    pub counts: Counts,
+    /// Calls to discovery.
+    pub discovery_calls: u64,
 }
 
 impl Run<'_> {
@@ -52,78 +55,59 @@
         let (changes, changed) = mpsc::unbounded_channel();
         let fleet = Fleet::new(plan.clone(), record.clone(), changes);
         let discovery = Discovery::new(plan.clone(), record.clone());
-        let (mut processes, mut known, mut ready) = (Vec::new(), Vec::new(), Vec::new());
+        let mut processes = Vec::new();
         let order = match plan.order {
             Order::Fifo => "fifo",
             Order::Backfill => "backfill",
         };
         for number in 0..self.scenario.dispatchers {
             let address = discovery.open(fleet.open(number).await?).await?;
-            known.push((address, discovery.known(number)));
-        }
-        let folder = std::env::temp_dir();
-        // Waits for the process to take clients, which must not stop the stand-ins.
-        let begin = |number: usize, life: u64, address| {
             let start = Start {
                 program: self.program,
                 number,
                 of: self.scenario.dispatchers,
-                discovery: known[number].0,
-                known: known[number].1.clone(),
-                seed: self.seed.wrapping_mul(31).wrapping_add(number as u64 + life * 1000),
+                discovery: address,
+                known: discovery.known(number),
+                seed: self.seed.wrapping_mul(31).wrapping_add(number as u64),
                 operator: self.operator,
                 queue_order: order,
-                folder: &folder,
-                address,
+                folder: &std::env::temp_dir(),
             };
-            tokio::task::block_in_place(|| {
-                let from = std::time::Instant::now();
-                let process = Process::start(&start)?;
-                process.wait_until_ready();
-                anyhow::Ok((process, from.elapsed().as_secs_f64()))
-            })
-        };
-        for number in 0..self.scenario.dispatchers {
-            let (process, took) = begin(number, 0, None)?;
-            processes.push(process);
-            ready.push(took);
+            processes.push(Process::start(&start).await?);
         }
-        let behind = [tokio::spawn(fleet.drive()), tokio::spawn(discovery.run(changed))];
+        let behind = [tokio::spawn(fleet.clone().drive()), tokio::spawn(discovery.clone().run(changed))];
         let addresses: Vec<_> = processes.iter().map(|p| p.address).collect();
-        let mut killed: Vec<(usize, f64, f64)> = Vec::new();
-        // Kills some at once, then starts them anew: each from the list that it had at first.
-        let herd = async {
-            let Some((at, part)) = self.scenario.herd else { return Ok(()) };
-            tokio::time::sleep(std::time::Duration::from_secs_f64(at)).await;
-            let count = (part * processes.len() as f64).round() as usize;
-            for (number, process) in processes.iter_mut().enumerate().take(count) {
-                killed.push((number, record.now(), f64::INFINITY));
-                process.kill();
-            }
-            for number in 0..count {
-                for worker in 0..plan.workers.len() {
-                    let what = Told::Ready { cold: false };
-                    record.note(Seen::Told { dispatcher: number, worker, what });
-                }
-                let (process, took) = begin(number, 1, Some(processes[number].address))?;
-                processes[number] = process;
-                killed[number].2 = record.now();
-                ready.push(took);
-            }
-            anyhow::Ok(())
-        };
-        let (fates, herded) =
-            tokio::join!(Clients::new(plan.clone(), record.clone(), &addresses).play(), herd);
-        herded?;
+        let clients = Clients::new(plan.clone(), record.clone(), &addresses);
+        let (fates, killed) = tokio::join!(clients.play(), self.herd(&mut processes, &record));
+        let killed = killed?;
         let cpu = processes.iter().map(Process::cpu).sum();
+        let ready = processes.iter().flat_map(|p| p.ready.iter().copied()).collect();
+        let (counts, discovery_calls) = (fleet.counts(), discovery.calls());
         let ended = processes.iter_mut().filter_map(|p| (!p.runs()).then_some(p.address));
         let crash = |a| Broken { rule: Rule::OneAnswer, at: record.now(), what: format!("{a} has ended") };
         let mut broken: Vec<Broken> = ended.map(crash).collect();
         tokio::task::block_in_place(|| drop(processes));
         behind.iter().for_each(tokio::task::JoinHandle::abort);
-        let seen = without_killed(record.take(), &killed);
-        broken.extend(check(&seen, &Figures::default()));
-        let slowest_drain = slowest_drain(&seen);
-        Ok(Played { plan, fates, broken, cpu, ready, slowest_drain, record })
+        let (seen, figures) = (without_killed(record.take(), &killed), Figures::default());
+        broken.extend(check(&seen, &figures));
+        let slowest_drain = slowest_drain(&seen, &figures);
+        Ok(Played { plan, fates, broken, cpu, ready, slowest_drain, counts, discovery_calls })
+    }
+
+    /// Kills some dispatchers at once and starts all of them anew, each from the list that it had at first.
+    async fn herd(&self, processes: &mut [Process], record: &Record) -> Result<Vec<Killed>> {
+        let Some((at, part)) = self.scenario.herd else { return Ok(Vec::new()) };
+        tokio::time::sleep(Duration::from_secs_f64(at)).await;
+        let count = (part * processes.len() as f64).round() as usize;
+        let from = record.now();
+        processes.iter_mut().take(count).for_each(Process::kill);
+        let again = processes.iter_mut().take(count).enumerate().map(|(dispatcher, process)| async move {
+            for worker in 0..self.scenario.workers {
+                record.note(Seen::Told { dispatcher, worker, what: Told::Ready { cold: false } });
+            }
+            process.start_again().await?;
+            anyhow::Ok(Killed { dispatcher, from, back: record.now() })
+        });
+        futures_util::future::try_join_all(again).await
     }
 }
--- a/rig/src/standin.rs
+++ b/rig/src/standin.rs
@@ -14,6 +14,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Normal};
 use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
 use std::collections::{HashMap, VecDeque};
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -51,8 +52,32 @@
     Returned,
 }
 
+/// What is counted of a fleet's connections and cold workers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Counts {
+    /// New connections.
+    pub handshakes: u64,
+    /// Most connections open at one worker at a time.
+    pub worst_worker_connections: usize,
+    /// Most work that a cold worker was sent within the time in which it falls, as a multiple of what it can do.
+    pub worst_cold_multiple: f64,
+}
+
+impl Counts {
+    /// Both together: sums where they add up, the worst elsewhere.
+    pub fn with(self, other: Self) -> Self {
+        Self {
+            handshakes: self.handshakes + other.handshakes,
+            worst_worker_connections: self.worst_worker_connections.max(other.worst_worker_connections),
+            worst_cold_multiple: self.worst_cold_multiple.max(other.worst_cold_multiple),
+        }
+    }
+}
+
 struct Inside {
-    connections: usize,
+    handshakes: u64,
+    open: usize,
+    most_open: usize,
     machine: Machine,
     jobs: HashMap<Ticket, mpsc::UnboundedSender<Word>>,
     /// Reports that are not visible yet, and the one that is: free slots, busy part, errors a second.
@@ -86,9 +111,11 @@
     pub changes: mpsc::UnboundedSender<(usize, Told)>,
 }
 
-type Body = BoxBody<Bytes, Infallible>;
+/// The body of a stand-in's answer.
+pub type Body = BoxBody<Bytes, Infallible>;
 
-fn plain(status: u16, headers: &[(&'static str, &str)], body: String) -> Response<Body> {
+/// An answer that is whole at once.
+pub fn plain(status: u16, headers: &[(&'static str, &str)], body: String) -> Response<Body> {
     let mut builder = Response::builder().status(status);
     for (name, value) in headers {
         builder = builder.header(*name, *value);
@@ -112,7 +139,9 @@
         plan: Arc<Plan>, record: Arc<Record>, changes: mpsc::UnboundedSender<(usize, Told)>,
     ) -> Arc<Self> {
         let inside = |(i, spec): (usize, &WorkerSpec)| Inside {
-            connections: 0,
+            handshakes: 0,
+            open: 0,
+            most_open: 0,
             machine: Machine::new(spec.clone(), plan.store.1),
             jobs: HashMap::new(),
             coming: VecDeque::new(),
@@ -131,6 +160,19 @@
         Arc::new(Self { plan, record, workers, tickets: AtomicU64::new(0), attempts, changes })
     }
 
+    /// What was counted so far.
+    pub fn counts(&self) -> Counts {
+        let of = |worker: &Arc<StandIn>| {
+            let inside = lock(&worker.inside);
+            Counts {
+                handshakes: inside.handshakes,
+                worst_worker_connections: inside.most_open,
+                worst_cold_multiple: inside.machine.worst(),
+            }
+        };
+        self.workers.iter().map(of).fold(Counts::default(), Counts::with)
+    }
+
     /// Opens every worker to one more dispatcher: the addresses it reaches them at.
     pub async fn open(self: &Arc<Self>, dispatcher: usize) -> std::io::Result<Vec<SocketAddr>> {
         let mut addresses = Vec::new();
@@ -193,8 +235,6 @@
             self.record.note(Seen::Fell { worker: worker.number, since, sent });
             self.crash(worker, inside, now);
         }
-        let worst = (inside.machine.worst * 1e3) as u64;
-        self.record.counts.worst_cold.fetch_max(worst, Ordering::Relaxed);
         let spec = inside.machine.spec();
         let (refresh, delay, noise) = (spec.refresh_s, spec.delay_s, spec.noise);
         if now >= inside.refreshed + refresh {
@@ -379,17 +419,16 @@
     let (now, epoch) = *mode.borrow_and_update();
     match now {
         Mode::Down => return,
+        // On a real network it would not come up: no handshake.
         Mode::Silent => {}
-        Mode::Up => lock(&worker.inside).machine.charge(dispatcher, CONNECTION_WORK),
+        Mode::Up => {
+            let mut inside = lock(&worker.inside);
+            inside.machine.charge(dispatcher, CONNECTION_WORK);
+            inside.handshakes += 1;
+            inside.open += 1;
+            inside.most_open = inside.most_open.max(inside.open);
+        }
     }
-    let counts = fleet.clone();
-    let open = {
-        let mut inside = lock(&worker.inside);
-        inside.connections += 1;
-        inside.connections
-    };
-    counts.record.counts.handshakes.fetch_add(1, Ordering::Relaxed);
-    counts.record.counts.worst_connections.fetch_max(open, Ordering::Relaxed);
     let service = service_fn({
         let worker = worker.clone();
         move |request| fleet.clone().answer(worker.clone(), dispatcher, request)
@@ -400,5 +439,7 @@
         _ = connection => {}
         _ = mode.wait_for(|(now, count)| *now == Mode::Down || *count != epoch) => {}
     }
-    lock(&worker.inside).connections -= 1;
+    if now == Mode::Up {
+        lock(&worker.inside).open -= 1;
+    }
 }
--- a/rig/tests/run.rs
+++ b/rig/tests/run.rs
@@ -34,6 +34,28 @@
     assert!(served * 2 > played.fates.len(), "{served} of {}", played.fates.len());
 }
 
+/// What a killed dispatcher had taken is lost; nothing after it has a claim to be.
+#[test]
+fn dispatchers_killed_at_once_start_again_though_discovery_answers_few_calls() {
+    let scenario = Scenario {
+        dispatchers: 4,
+        workers: 6,
+        faults: 0.0,
+        herd: Some((1.0, 0.75)),
+        discovery_rate: Some(1.0),
+        troubles: vec![Trouble { at: 0.2, worker: 0, what: Fault::Drain(3.0) }],
+        ..Scenario::mixed(4.0, 0.4)
+    };
+    let played = &play(&[scenario])[0];
+    assert_eq!(played.broken, []);
+    assert_eq!(played.ready.len(), 4 + 3, "all were ready, and those that were killed once more");
+    // At one call a second the first four wait in turn and some fail, so that they ask again.
+    assert!(played.discovery_calls > 4 + 3, "{} calls to discovery", played.discovery_calls);
+    let last = played.plan.arrivals.iter().rposition(|a| a.dispatcher == 0).expect("the busiest one");
+    let fate = played.fates.iter().find(|f| f.arrival == last).expect("it has ended");
+    assert!(!matches!(fate.outcome, Outcome::Lost), "{fate:?} at a dispatcher that is back");
+}
+
 #[test]
 fn wrong_hints_a_flood_of_large_jobs_and_clients_that_leave_break_no_rule() {
     let base = Scenario { workers: 6, faults: 0.0, ..Scenario::mixed(4.0, 0.6) };
