--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,14 +16,14 @@
 const D: usize = 2; // d: two choices bring most of the gain, and probes are priced.
 const GAIN: f64 = 0.05; // Weight of a new observation in running means: about the last 20 count.
 const PACE_GAIN: f64 = 0.2; // For the pace of a kind: a node of a large fleet sees few jobs of each.
-const MUTE: Duration = Duration::from_secs(1); // After a failed probe; doubled each time in a row.
+const MUTE: Duration = Duration::from_secs(1); // Out of the draws after a failed probe; in a row 2 s, 4 s.
 const DRAWS: usize = 8; // Random draws tried in a pool before it is taken to hold nobody eligible.
 const USES_PER_CONNECTION: f64 = 4.0; // The spread is such that each connection is used this often.
 const MIN_SPREAD: f64 = 8.0; // Smallest spread: as many as are probed for a job, with one in four failing.
 /// Times `fall` that the rate of own draws looks back: counts at a quiet node, yet follows a crowd.
 const CROWD_MEMORY: u32 = 4;
 const AWAY_PART: f64 = 0.25; // Part of a cold worker's budget for nodes of other zones: they draw seldom.
-const LIKELY: f64 = 1.6; // Speed of a cold worker, in the least that it may have (traced at a hundred nodes).
+const LIKELY: f64 = 1.6; // Speed of a cold worker, in the least it may have: 1.2 to 2.1 were traced.
 const LEVELS: usize = 16; // Levels of load told apart: up to half as many free slots, or as many waiting.
 const MAX_STRIKES: u32 = 4; // Suspicion at most doubles this often.
 const MOST_HOLDS: u32 = 16; // Rounds of probes for a large job that holds a part of a worker.
@@ -55,14 +55,10 @@
     n ^ n >> 31
 }
 
-fn toward(mean: &mut f64, seen: f64, gain: f64) {
+fn blend(mean: &mut f64, seen: f64, gain: f64) {
     *mean += gain * (seen - *mean);
 }
 
-fn blend(mean: &mut f64, seen: f64) {
-    toward(mean, seen, GAIN);
-}
-
 /// Events a second, over about the last `memory`.
 #[derive(Clone, Copy, Debug)]
 struct Rate {
@@ -89,8 +85,8 @@
 impl Timing {
     fn learn(&mut self, seen: f64) {
         let off = (seen - self.mean).abs();
-        blend(&mut self.mean, seen);
-        blend(&mut self.spread, off);
+        blend(&mut self.mean, seen, GAIN);
+        blend(&mut self.spread, off, GAIN);
     }
 
     fn usual(&self) -> Duration {
@@ -129,9 +125,9 @@
     own: Vec<(Time, f64, bool, Time)>,
     idle: VecDeque<Time>,    // Since when its connections have been idle, oldest first.
     probes: VecDeque<Asker>, // Who waits for each probe that is out, oldest first.
-    bad: u32,                // Strikes for bad work, and how long they keep it out of the draws.
-    bad_until: Time,
-    mute: u32, // Probes that failed in a row.
+    bad: u32,                // Strikes for bad work.
+    mute: u32,               // Probes that failed in a row.
+    bad_until: Time,         // How long either keeps it out of the draws.
 }
 
 impl Worker {
@@ -362,7 +358,8 @@
         self.idle_limit = self.idle_limit.min(idle / 2).max(self.settings.tick);
     }
 
-    /// Exception: connections idle for longer than proved safe are closed. Returns how long others may be.
+    /// Exception: connections idle for longer than has proved safe are closed before a send. Returns how long
+    /// the one to be used may have been idle.
     fn refresh(&mut self, now: Time, w: usize, out: &mut Vec<Action>) -> Option<Duration> {
         let worker = &mut self.workers[w];
         while worker.idle.front().is_some_and(|since| *since + self.settings.keepalive <= now) {
@@ -394,8 +391,8 @@
             return;
         }
         // Rate over the life of the node at first, then over its last connections' lifetime.
-        let life = now.since(self.started).max(self.settings.tick).min(self.settings.keepalive);
-        self.arrivals.count(now, secs(life), self.settings.tick);
+        let life = secs(now.since(self.started).max(self.settings.tick));
+        self.arrivals.count(now, life.min(secs(self.settings.keepalive)), self.settings.tick);
         let cost = self.cost(class, work);
         let slots = if slots > 0.0 { slots } else { 1.0 };
         let work = work.map(secs).filter(|hint| *hint > 0.0);
@@ -500,17 +497,18 @@
         let (waiting, phase) = (r.drawn.len() > r.answered.len(), r.phase);
         if ok && self.side(w) == 1 {
             let room = self.room(now, w, slots, memory);
-            blend(&mut self.room_share, f64::from(u8::from(room)));
+            blend(&mut self.room_share, f64::from(u8::from(room)), GAIN);
         }
         match phase {
             Phase::First => {
                 let below = ok && self.below_threshold(now, w, slots, memory);
                 let held = ok && self.reservations.of(id).is_some();
-                match (below || held) && self.eligible(now, id, w) && self.ends_in_time(now, id, w) {
-                    true => return self.place(now, id, w, out),
-                    false if held => return self.hold(now, id, out),
-                    false => self.reservations.release(id),
+                if (below || held) && self.eligible(now, id, w) && self.ends_in_time(now, id, w) {
+                    return self.place(now, id, w, out);
+                } else if held {
+                    return self.hold(now, id, out);
                 }
+                self.reservations.release(id);
                 self.more(now, id, out);
             }
             Phase::More(_) if !waiting => self.choose(now, id, out),
@@ -528,7 +526,7 @@
         self.set_turn_timer(now, id, self.patience_for_probe(), out);
     }
 
-    /// Many sends made on old reports are refused: until then these still tell busy workers from others.
+    /// Old reports still tell busy workers from others, until many sends made on them are refused.
     fn misled(&self, w: usize) -> bool {
         self.stale(w) && self.turned_away > GAIN
     }
@@ -557,7 +555,11 @@
         }
     }
 
-    /// Slots that a cold worker may fill: three times its share of K, as few run at once where they are few.
+    fn warm(&self, now: Time, w: usize) -> bool {
+        self.workers[w].warmth(now, &self.settings) >= 1.0
+    }
+
+    /// Slots that a cold worker may fill: three times its share of K, or some of its cores would stand idle.
     fn usable(&self, now: Time, w: usize) -> f64 {
         let warmth = self.workers[w].warmth(now, &self.settings);
         let k = self.k_of_kind(w);
@@ -590,10 +592,10 @@
             return;
         }
         let bad = f64::from(u8::from(bad));
-        blend(&mut self.mean_meaning, bad);
+        blend(&mut self.mean_meaning, bad, GAIN);
         for (i, m) in self.meaning.iter_mut().enumerate() {
             let (seen, gain) = if i == level { (bad, GAIN) } else { (self.mean_meaning, GAIN * GAIN) };
-            toward(m, seen, gain);
+            blend(m, seen, gain);
         }
     }
 
@@ -629,8 +631,7 @@
         let best = (!ties.is_empty()).then(|| ties[self.rng.random_range(0..ties.len())]);
         let free = |w| self.room(now, w, slots, memory) && !self.misled(w) || !self.settings.probing;
         let takes = |w: &usize| self.below_threshold(now, *w, slots, memory) || free(*w);
-        let warm = |w: &usize| self.workers[*w].warmth(now, &self.settings) >= 1.0;
-        let in_time = |w: &usize| warm(w) || self.ends_in_time(now, id, *w);
+        let in_time = |w: &usize| self.warm(now, *w) || self.ends_in_time(now, id, *w);
         if let Some(w) = best.filter(takes).filter(in_time) {
             return self.place(now, id, w, out);
         }
@@ -710,8 +711,8 @@
         let r = self.requests.get(&id).filter(|r| r.large && r.holds < MOST_HOLDS)?;
         let pool = self.pools.get(r.class)?.iter().flatten().copied();
         let sound = |w: &usize| now >= self.workers[*w].bad_until && !r.refused.contains(w);
-        let warm = |w: &usize| self.workers[*w].warmth(now, &self.settings) >= 1.0;
-        let known = pool.filter(sound).filter(warm).filter(|w| self.workers[*w].reports >= 2);
+        let known = |w: &usize| self.warm(now, *w) && self.workers[*w].reports >= 2;
+        let known = pool.filter(sound).filter(known);
         let mut outlooks: Vec<Outlook> = known.map(|w| self.outlook(now, id, w)).collect();
         let (slots, due, all) = (r.slots, self.due(id), outlooks.iter().map(|o| o.slots).sum());
         outlooks.retain(|o| only.is_none_or(|w| w == o.worker));
@@ -733,7 +734,8 @@
         let free = self.free(w) - (self.k_of_kind(w) - slots).max(0.0);
         let own = worker.holding(self.settings.queues_in_order).collect();
         let (others, run) = (span(self.mean_service * pace), self.run(now, id, w));
-        // Not told how many wait: others queue as this node does, here and in the mean, and up to two unseen.
+        // Not told how many wait: others queue as this node does, in the mean and (three at most) here, and
+        // up to two jobs more, the less of the traffic it sees.
         let told = self.tells(ReportField::Queue) || self.tells(ReportField::InFlight);
         let here = worker.own.iter().filter(|o| !o.2).count() as f64;
         let mean = self.queued as f64 / (self.fleet[0] + self.fleet[1]).max(1.0);
@@ -761,8 +763,8 @@
         let took = a.started.map_or(latency, |at| now.since(at));
         let work = r.work.filter(|_| status == Status::Ok && a.started.is_some());
         if let (Some(work), Some(kind)) = (work, self.kinds.get_mut(&self.workers[a.worker].kind)) {
-            toward(&mut kind.2, secs(took), PACE_GAIN);
-            toward(&mut kind.3, work, PACE_GAIN);
+            blend(&mut kind.2, secs(took), PACE_GAIN);
+            blend(&mut kind.3, work, PACE_GAIN);
         }
         let known = (a.started.is_some() || !queued).then_some(r.class);
         if status == Status::Full && !queued && !self.stale(w) {
@@ -771,7 +773,7 @@
         }
         let full = status == Status::Full;
         if (full || status == Status::Ok) && !queued && self.stale(w) {
-            blend(&mut self.turned_away, f64::from(u8::from(full)));
+            blend(&mut self.turned_away, f64::from(u8::from(full)), GAIN);
         }
         if full || status == Status::Ok && !self.settings.tells_start {
             self.learn_meaning(w, level, full);
@@ -820,9 +822,9 @@
                 if let Some(class) = class {
                     let usual = self.service[class].max(f64::MIN_POSITIVE);
                     let kind = self.kinds.get_mut(&worker.kind);
-                    kind.into_iter().for_each(|kind| blend(&mut kind.1, secs(latency) / usual));
-                    blend(&mut self.service[class], secs(latency));
-                    blend(&mut self.mean_service, secs(latency));
+                    kind.into_iter().for_each(|kind| blend(&mut kind.1, secs(latency) / usual, GAIN));
+                    blend(&mut self.service[class], secs(latency), GAIN);
+                    blend(&mut self.mean_service, secs(latency), GAIN);
                 }
             }
             Status::Error | Status::Timeout | Status::Reset => self.strike(now, w),
@@ -888,8 +890,7 @@
             && in_group
             && permits(class, worker)
             && self.may_send(now, id)
-            && (worker.warmth(now, &self.settings) >= 1.0
-                || worker.reports > 0 && self.room(now, w, r.slots, 0.0))
+            && (self.warm(now, w) || worker.reports > 0 && self.room(now, w, r.slots, 0.0))
             && (!self.reservations.holds(w)
                 || self.reservations.leaves_room(now, id, r.slots, &self.outlook(now, id, w)))
     }
@@ -1006,7 +1007,7 @@
                     worker.free = value.round();
                     worker.k = worker.k.max(worker.free);
                     let kind = self.kinds.entry(worker.kind).or_insert((worker.k, 1.0, 1.0, 1.0));
-                    blend(&mut kind.0, worker.k);
+                    blend(&mut kind.0, worker.k, GAIN);
                 }
                 ReportField::FreeMemory => {
                     worker.memory = value;
@@ -1029,7 +1030,7 @@
         worker.reports = worker.reports.saturating_add(1);
         if worker.reports >= 2 {
             let busy = worker.k - worker.free + worker.queue;
-            blend(&mut self.mean_busy, busy);
+            blend(&mut self.mean_busy, busy, GAIN);
         }
     }
 
@@ -1059,9 +1060,8 @@
         out: &mut Vec<Action>,
     ) {
         let Some(&w) = self.index.get(&id) else { return };
-        let waiting = self.workers[w].probes.pop_front();
-        let ok = status == Status::Ok;
         let worker = &mut self.workers[w];
+        let (waiting, ok) = (worker.probes.pop_front(), status == Status::Ok);
         worker.failed(now, status);
         if ok {
             worker.mute = 0;
@@ -1081,7 +1081,7 @@
         }
     }
 
-    /// Bad work: out of the draws for a cold worker's fall or two visits; doubled each time. Jobs clear it.
+    /// Bad work: out of the draws for a cold worker's fall or two visits, if longer; doubled; jobs clear it.
     fn strike(&mut self, now: Time, w: usize) {
         let pool = self.pools.last().map_or(0, |p| self.spread(p[0].len()));
         let revisit = span(2.0 * pool as f64 / self.arrivals.per_s.max(0.1)).min(self.settings.keepalive);
@@ -1246,8 +1246,8 @@
         if !matches!(kind, ListKind::Failed) {
             self.rebuild_pools();
         }
-        let sound = |w: &Worker| w.state == WorkerState::Ready && w.warmth(now, &self.settings) >= 1.0;
-        let lost = self.reservations.release_where(|w| !sound(&self.workers[w]));
+        let lost = |w: &Worker| w.state != WorkerState::Ready || w.warmth(now, &self.settings) < 1.0;
+        let lost = self.reservations.release_where(|w| lost(&self.workers[w]));
         self.wake(now, lost, out);
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -165,6 +165,12 @@
         });
     }
 
+    /// A report that tells of free slots only.
+    pub fn report_free(&mut self, worker: u32, free: f32) {
+        let (worker, latency) = (WorkerId(worker), Duration::from_millis(1));
+        self.event(Event::Probed { worker, status: Status::Ok, latency, report: vec![free] });
+    }
+
     pub fn probe_failed(&mut self, worker: u32) {
         self.event(Event::Probed {
             worker: WorkerId(worker),
