--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -772,7 +772,7 @@
     assert_eq!(warm, 80, "warm workers take both");
     n.list(ListKind::Delta, &[(0, WorkerState::Ready, Some(n.now))]);
     let mut cold = [0; 2];
-    for id in 80..280 {
+    for id in 80..280_u32 {
         n.wait(Duration::from_millis(100));
         cold[usize::from(id.is_multiple_of(8))] += with_work(&mut n, id, ms(id));
     }
