--- a/pebblepost/src/engine.rs
+++ b/pebblepost/src/engine.rs
@@ -133,6 +133,8 @@
     actions: Vec<Action>,
     /// Outcomes that the core itself makes, told to the decisions after what is in hand.
     own: Vec<Event>,
+    /// Each event and action on standard error, for counting over a fleet; off unless asked for.
+    trace: bool,
 }
 
 impl Engine {
@@ -146,6 +148,19 @@
             unanswered: 0,
             actions: Vec::new(),
             own: Vec::new(),
+            trace: false,
+        }
+    }
+
+    /// Writes each event and action but timers to standard error (`PEBBLEPOST_TRACE`).
+    pub fn tracing(mut self, on: bool) -> Self {
+        self.trace = on;
+        self
+    }
+
+    fn note(&self, now: Time, what: &dyn std::fmt::Debug) {
+        if self.trace {
+            eprintln!("{:.3} trace {what:?}", now.0 as f64 / 1e9);
         }
     }
 
@@ -182,12 +197,15 @@
                 return;
             }
             for event in std::mem::take(&mut self.own) {
-                self.dispatcher.handle(now, event, &mut self.actions);
+                self.tell(now, event);
             }
         }
     }
 
     fn tell(&mut self, now: Time, event: Event) {
+        if !matches!(event, Event::TimerDue { .. }) {
+            self.note(now, &event);
+        }
         self.dispatcher.handle(now, event, &mut self.actions);
     }
 
@@ -300,6 +318,9 @@
     }
 
     fn act(&mut self, now: Time, action: Action, out: &mut Vec<Output>) {
+        if !matches!(action, Action::SetTimer { .. }) {
+            self.note(now, &action);
+        }
         match action {
             Action::Send { id, worker, timeout } => self.send(now, id, worker, timeout, out),
             Action::Refuse { id, retry_after } => {
--- a/pebblepost/src/turn.rs
+++ b/pebblepost/src/turn.rs
@@ -67,7 +67,11 @@
                     .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))?;
             }
         }
-        let engine = Engine::new(config.settings.clone(), config.seed, net.now);
+        let trace = std::env::var_os("PEBBLEPOST_TRACE").is_some();
+        if trace {
+            eprintln!("trace settings {:?}", config.settings);
+        }
+        let engine = Engine::new(config.settings.clone(), config.seed, net.now).tracing(trace);
         let mut map = TransportMap::new(config.zones, config.kinds);
         let known = config.known.as_ref().and_then(|k| map.apply(k, Some(ListKind::Cached), &clock));
         let mut s = Shared::new(net, map, clock, log);
