--- a/src/policy.rs
+++ b/src/policy.rs
@@ -907,13 +907,13 @@
             let group: Vec<usize> = all.filter(|w| fresh(w) && self.eligible(now, id, *w)).collect();
             return (!group.is_empty()).then(|| group[self.rng.random_range(0..group.len())]);
         }
-        let pool = &pool[usize::from(away)];
-        if pool.is_empty() {
-            return None;
-        }
+        let pool = Some(&pool[usize::from(away)]).filter(|pool| !pool.is_empty())?;
         let fresh = |w: &usize| !r.drawn.contains(w) && !r.refused.contains(w);
         let wide = |w: &usize| self.workers[*w].reports < 2 || self.k_of_kind(*w) >= r.slots;
-        let sound = |w: &usize| now >= self.workers[*w].bad_until && wide(w) && fresh(w);
+        // One seen without room a moment ago has none now: a client that repeats at once goes on to others.
+        let recent = span(0.03 * self.mean_service);
+        let full = |w: &usize| self.workers[*w].reported + recent > now && !self.room(now, *w, r.slots, 0.0);
+        let sound = |w: &usize| now >= self.workers[*w].bad_until && wide(w) && fresh(w) && !full(w);
         // Exception: a large job goes back to the worker that is held for it and, beyond its random first
         // probe, on to those where it is expected to end first.
         let held =
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -113,3 +113,27 @@
         assert!(jobs > 10, "seed {seed}: only {jobs} jobs in 10 s");
     }
 }
+
+/// herd+vast: clients repeat a refused job within milliseconds, and each repeat probed the same workers in the key's
+/// order that had just been seen full, to be refused again.
+#[test]
+fn a_repeat_at_once_probes_others_than_those_just_seen_full() {
+    let mut n = Node::seeded(settings(), 8, 3);
+    n.learn_all(2.0);
+    let mut seen = Vec::new();
+    n.request_about(1, SAFE, 77);
+    for _ in 0..8 {
+        let probed = n.probes();
+        if probed.is_empty() {
+            break;
+        }
+        for w in probed {
+            seen.push(w);
+            n.report(w, 0.0, 4.0);
+        }
+    }
+    assert_eq!(n.finals(), vec![(1, "refuse")], "all full: refused at once");
+    n.request_about(2, SAFE, 77);
+    let again = n.probes();
+    assert!(!again.is_empty() && again.iter().all(|w| !seen.contains(w)), "{again:?} after {seen:?}");
+}
