Draw a cold worker's lot before its probe, so a lost lot costs no probe

Change: draw_many draws the lot as the worker is drawn and draws another where it is lost; probe_result no longer draws it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -453,14 +453,20 @@
     }
 
     fn draw_many(&mut self, now: Time, id: RequestId, n: usize, away: bool, out: &mut Vec<Action>) -> usize {
-        for got in 0..n {
+        let mut got = 0;
+        while got < n {
             let Some(w) = self.draw(now, id, away) else { return got };
             let span =
                 secs(now.since(self.started).clamp(self.settings.fall, CROWD_MEMORY * self.settings.fall));
             let side = self.side(w);
             self.draws[side].count(now, span, self.settings.tick);
-            let admitted = self.settings.probing || self.cold_admits(now, id, w);
+            let admitted = self.cold_admits(now, id, w); // Before the probe: a lot lost costs none.
             let Some(r) = self.requests.get_mut(&id) else { return got };
+            let true = (admitted || !self.settings.probing) else {
+                r.refused.push(w);
+                continue;
+            };
+            got += 1;
             r.drawn.push(w);
             if self.settings.probing {
                 self.workers[w].probes.push_back(Asker::Request(id, r.turn));
@@ -476,10 +482,8 @@
     fn probe_result(
         &mut self, now: Time, id: RequestId, turn: u32, w: usize, ok: bool, out: &mut Vec<Action>,
     ) {
-        let Some(r) = self.requests.get(&id).filter(|r| r.turn == turn) else { return };
+        let Some(r) = self.requests.get_mut(&id).filter(|r| r.turn == turn) else { return };
         let (slots, memory) = (r.slots, r.memory);
-        let ok = ok && self.cold_admits(now, id, w);
-        let Some(r) = self.requests.get_mut(&id) else { return };
         if ok {
             r.answered.push(w);
         } else {
@@ -921,16 +925,12 @@
         let end = |w: &usize| self.outlook(now, id, *w).end(now, r.slots);
         let more = r.large && !r.drawn.is_empty();
         let first = held.or_else(|| pool.iter().copied().filter(|w| more && sound(w)).min_by_key(end));
-        if first.is_some() {
-            return first;
-        }
-        if r.key != 0 {
-            // Exception: a job that is about something is drawn for in an order that this gives to workers,
-            // the same at every node, as one that has had such a job need not fetch what it takes.
-            let place = |w: &usize| mix(r.key ^ mix(self.workers[*w].name));
-            if let Some(w) = pool.iter().copied().filter(sound).min_by_key(place) {
-                return Some(w);
-            }
+        // Exception: a job that is about something is drawn for in an order that this gives to workers,
+        // the same at every node, as one that has had such a job need not fetch what it takes.
+        let place = |w: &usize| mix(r.key ^ mix(self.workers[*w].name));
+        let keyed = || pool.iter().copied().filter(|w| r.key != 0 && sound(w)).min_by_key(place);
+        if let Some(w) = first.or_else(keyed) {
+            return Some(w);
         }
         // Nearly all are suspects: that is the network or overload, so suspicion says nothing.
         for (size, suspects) in [(self.spread(pool.len()), false), (pool.len(), false), (pool.len(), true)] {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -137,3 +137,37 @@
     let again = n.probes();
     assert!(!again.is_empty() && again.iter().all(|w| !seen.contains(w)), "{again:?} after {seen:?}");
 }
+
+/// herd+vast-2: 6,251 probes over the fleet found room at a cold worker that its lot then refused; each cost a probe
+/// and another in its place. The lot is drawn before the probe, so a cold worker is probed when it may take the job.
+#[test]
+fn a_cold_worker_is_probed_only_where_its_lot_admits_the_job() {
+    let s = Settings {
+        nodes: NODES,
+        cold_from: COLD_FROM,
+        warm_up: Duration::from_secs_f64(WARM_UP),
+        ..settings()
+    };
+    let mut n = Node::seeded(s, 6, 11);
+    (0..6).for_each(|w| (0..3).for_each(|_| n.report_free(w, SLOTS as f32)));
+    n.list(ListKind::Delta, &[(0, WorkerState::Ready, Some(START))]);
+    let (mut probed, mut sent) = (0, 0);
+    for id in 1..400 {
+        n.hinted(id, 20, 1.0);
+        for _ in 0..4 {
+            for w in n.probes() {
+                probed += usize::from(w == 0);
+                n.report_free(w, if w == 0 { SLOTS as f32 } else { 0.0 });
+            }
+        }
+        let to_cold = n.sends().iter().filter(|(_, w)| *w == 0).count();
+        n.advance(Duration::from_millis(200));
+        match to_cold {
+            0 => n.event(Event::ClientGone { id: RequestId(id) }),
+            _ => n.outcome(id, 0, 0, Status::Ok, true),
+        }
+        sent += to_cold;
+    }
+    println!("{probed} probes of the cold worker for {sent} jobs");
+    assert!(sent > 0 && probed * 10 <= sent * 11, "{probed} probes of the cold worker for {sent} jobs");
+}
