--- a/pebblepost/src/engine.rs
+++ b/pebblepost/src/engine.rs
@@ -133,8 +133,8 @@
     actions: Vec<Action>,
     /// Outcomes that the core itself makes, told to the decisions after what is in hand.
     own: Vec<Event>,
-    /// Each event and action on standard error, for counting over a fleet; off unless asked for.
-    trace: bool,
+    /// Where each event and action is written, for counting over a fleet; off unless asked for.
+    trace: Option<fn(&str)>,
 }
 
 impl Engine {
@@ -148,19 +148,19 @@
             unanswered: 0,
             actions: Vec::new(),
             own: Vec::new(),
-            trace: false,
+            trace: None,
         }
     }
 
-    /// Writes each event and action but timers to standard error (`PEBBLEPOST_TRACE`).
-    pub fn tracing(mut self, on: bool) -> Self {
-        self.trace = on;
+    /// Writes each event and action but timers to `log` (`PEBBLEPOST_TRACE`).
+    pub fn tracing(mut self, log: Option<fn(&str)>) -> Self {
+        self.trace = log;
         self
     }
 
     fn note(&self, now: Time, what: &dyn std::fmt::Debug) {
-        if self.trace {
-            eprintln!("{:.3} trace {what:?}", now.0 as f64 / 1e9);
+        if let Some(log) = self.trace {
+            log(&format!("trace {:.3} {what:?}", now.0 as f64 / 1e9));
         }
     }
 
--- a/pebblepost/src/turn.rs
+++ b/pebblepost/src/turn.rs
@@ -67,9 +67,9 @@
                     .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))?;
             }
         }
-        let trace = std::env::var_os("PEBBLEPOST_TRACE").is_some();
-        if trace {
-            eprintln!("trace settings {:?}", config.settings);
+        let trace = std::env::var_os("PEBBLEPOST_TRACE").map(|_| log);
+        if let Some(log) = trace {
+            log(&format!("trace settings {:?}", config.settings));
         }
         let engine = Engine::new(config.settings.clone(), config.seed, net.now).tracing(trace);
         let mut map = TransportMap::new(config.zones, config.kinds);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -462,10 +462,10 @@
             self.draws[side].count(now, span, self.settings.tick);
             let admitted = self.cold_admits(now, id, w); // Before the probe: a lot lost costs none.
             let Some(r) = self.requests.get_mut(&id) else { return got };
-            let true = (admitted || !self.settings.probing) else {
+            if !admitted && self.settings.probing {
                 r.refused.push(w);
                 continue;
-            };
+            }
             got += 1;
             r.drawn.push(w);
             if self.settings.probing {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -168,6 +168,5 @@
         }
         sent += to_cold;
     }
-    println!("{probed} probes of the cold worker for {sent} jobs");
     assert!(sent > 0 && probed * 10 <= sent * 11, "{probed} probes of the cold worker for {sent} jobs");
 }
