Fleet: the agreed state without I/O, with sessions and a dispatcher's copy

New package fleet: commands with request ids and preconditions, State::apply, revisions and a bounded log, members with lives and sessions, leader-side sessions with margins, a follower's copy with local drains. Eleven tests, all state rules; nothing uses it yet.

--- /dev/null
+++ b/fleet/src/command.rs
@@ -0,0 +1,216 @@
+//! What may be asked of the agreed state, and what is answered.
+
+use crate::name::{Key, Name, Text};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// Tells one request from another, so that one asked again (its answer was lost) is applied once. Drawn at random by
+/// whoever asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
+pub struct RequestId(pub u64, pub u64);
+
+/// A request for a change of the agreed state.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Command {
+    /// The same each time that this request is sent.
+    pub id: RequestId,
+    /// Who asks: an operator or a member.
+    pub by: Name,
+    /// The asker's wall clock, in Unix time in milliseconds. It is shown to people and decides nothing.
+    pub at_ms: u64,
+    /// What is asked for.
+    pub act: Act,
+}
+
+/// What is asked for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Act {
+    /// All of these changes or none of them.
+    Change {
+        /// The changes, each key at most once.
+        ops: Vec<Op>,
+        /// Nothing is changed unless all of this still holds.
+        #[serde(default)]
+        expect: Vec<Expect>,
+        /// Why, for the history.
+        #[serde(default)]
+        why: Text,
+    },
+    /// A member begins a session; the one it had before ends.
+    Join {
+        /// Which.
+        member: Name,
+        /// Drawn once by each process at its start: tells its life from those before it.
+        life: RequestId,
+        /// The rest.
+        card: Card,
+    },
+    /// A member ends its session of its own accord.
+    Leave {
+        /// Which.
+        member: Name,
+        /// The session.
+        session: u64,
+    },
+    /// A member has not been heard for too long. Asked by the leader of the keepers.
+    Expire {
+        /// Which.
+        member: Name,
+        /// The session that has not been heard.
+        session: u64,
+    },
+}
+
+/// One change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Op {
+    /// Nothing new goes to this worker.
+    Drain(Name),
+    /// Takes the drain mark back.
+    Undrain(Name),
+    /// A setting gets this value.
+    Set(Name, f64),
+    /// A setting goes back to what the operator's file says.
+    Unset(Name),
+    /// A worker is known like this.
+    Know(Name, Worker),
+    /// A worker is known no more.
+    Forget(Name),
+    /// A member that is not there is known no more, nor are its former lives.
+    Dismiss(Name),
+}
+
+impl Op {
+    /// The place that it changes.
+    pub fn key(&self) -> Key {
+        match self {
+            Self::Drain(name) | Self::Undrain(name) => Key::Drain(name.clone()),
+            Self::Set(name, _) | Self::Unset(name) => Key::Setting(name.clone()),
+            Self::Know(name, _) | Self::Forget(name) => Key::Worker(name.clone()),
+            Self::Dismiss(name) => Key::Member(name.clone()),
+        }
+    }
+}
+
+/// A precondition: the key was changed last at this revision.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Expect {
+    /// The key.
+    pub key: Key,
+    /// Its revision; 0: it is not there.
+    pub revision: u64,
+}
+
+/// A worker as it was last known.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Worker {
+    /// Where it is reached.
+    pub dial: SocketAddr,
+    /// Its zone.
+    #[serde(default)]
+    pub zone: Text,
+    /// Its kind of machine.
+    #[serde(default)]
+    pub kind: Text,
+    /// Its last start, in Unix time in milliseconds; 0: long ago.
+    #[serde(default)]
+    pub born_ms: u64,
+    /// Most slots seen free.
+    #[serde(default)]
+    pub slots: u32,
+}
+
+/// What a member says of itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Card {
+    /// What it is.
+    pub role: Role,
+    /// Version of its program.
+    #[serde(default)]
+    pub version: Text,
+    /// Where it is reached.
+    #[serde(default)]
+    pub address: Option<SocketAddr>,
+    /// Its zone.
+    #[serde(default)]
+    pub zone: Text,
+}
+
+/// What a member is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// It dispatches.
+    Dispatcher,
+    /// It keeps the agreed state.
+    Keeper,
+}
+
+/// What was done.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct Done {
+    /// The revision of the state after it. A command that changes nothing leaves it as it was.
+    pub revision: u64,
+    /// The session, for a `Join`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub session: Option<u64>,
+}
+
+/// Why nothing was done. The same command is refused again for as long as this holds.
+#[derive(Clone, Debug, Error, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Refusal {
+    /// A precondition does not hold.
+    #[error("{key} was changed at revision {found}, not at {expected}")]
+    Conflict {
+        /// Which key.
+        key: Key,
+        /// The revision named.
+        expected: u64,
+        /// The revision that it has; 0: it is not there.
+        found: u64,
+    },
+    /// The command makes no sense.
+    #[error("{what}")]
+    Invalid {
+        /// Why.
+        what: String,
+    },
+    /// There is no room for more of its kind.
+    #[error("no room for more: at most {most} {what}")]
+    Full {
+        /// Of what.
+        what: String,
+        /// How many fit.
+        most: usize,
+    },
+    /// The member's name belongs to a later life.
+    #[error(
+        "{member} has started anew since (life {incarnation}); this process must end or take another name"
+    )]
+    Superseded {
+        /// Which member.
+        member: Name,
+        /// The incarnation that has the name now.
+        incarnation: u64,
+    },
+    /// The session has ended.
+    #[error("session {session} of {member} has ended; join again")]
+    Ended {
+        /// Which member.
+        member: Name,
+        /// The session named.
+        session: u64,
+    },
+}
+
+/// What is answered to a command.
+pub type Answer = Result<Done, Refusal>;
--- /dev/null
+++ b/fleet/src/lib.rs
@@ -0,0 +1,24 @@
+//! The agreed state of a fleet: what the keepers hold in common and the dispatchers follow.
+//!
+//! Nothing here does I/O, reads a clock or draws a number: time comes as a field of a command or as an argument, so the
+//! same commands give the same state at every keeper. Whoever asks for a change may be late, doubled or dead; the rules
+//! are checked in [`State::apply`] and nowhere else.
+//!
+//! * [`command`]: what may be asked for, and what is answered.
+//! * [`state`]: the state, its revisions and its bounded log of changes.
+//! * [`session`]: which members are there, as the leader of the keepers reckons it from their beats.
+//! * [`follow`]: a dispatcher's copy, its age, and the drains asked for while it was cut off.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod command;
+pub mod follow;
+pub mod name;
+pub mod session;
+pub mod setting;
+pub mod state;
+
+pub use command::{Act, Answer, Command, Done, Expect, Op, Refusal, RequestId};
+pub use name::{Key, Name, Text};
+pub use state::{Change, Snapshot, State};
--- /dev/null
+++ b/fleet/src/name.rs
@@ -0,0 +1,147 @@
+//! Names and keys: short, printable, checked where they are made, so that no later code has to.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+use thiserror::Error;
+
+/// Longest name, in bytes.
+pub const MAX_NAME: usize = 200;
+/// Longest free text (a reason, a version), in bytes.
+pub const MAX_TEXT: usize = 400;
+
+/// Why a text is no name or no key.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum BadName {
+    /// Nothing in it.
+    #[error("a name is missing")]
+    Empty,
+    /// It has too many bytes.
+    #[error("longer than {0} bytes")]
+    Long(usize),
+    /// It has a control character in it.
+    #[error("a control character in it")]
+    Control,
+    /// It names no part of the state.
+    #[error("{0:?} is none of drain/WORKER, worker/WORKER, setting/NAME, member/NAME")]
+    Kind(String),
+}
+
+fn sound(text: &str, longest: usize) -> Result<(), BadName> {
+    match text {
+        _ if text.len() > longest => Err(BadName::Long(longest)),
+        _ if text.chars().any(char::is_control) => Err(BadName::Control),
+        _ => Ok(()),
+    }
+}
+
+/// The name of a worker, a member or a setting: 1 to [`MAX_NAME`] bytes, no control characters.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema)]
+#[serde(try_from = "String", into = "String")]
+pub struct Name(#[schemars(length(min = 1, max = 200))] String);
+
+/// A reason or the like: at most [`MAX_TEXT`] bytes, no control characters, may be empty.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(try_from = "String", into = "String")]
+pub struct Text(#[schemars(length(max = 400))] String);
+
+impl TryFrom<String> for Name {
+    type Error = BadName;
+    fn try_from(text: String) -> Result<Self, BadName> {
+        if text.is_empty() {
+            return Err(BadName::Empty);
+        }
+        sound(&text, MAX_NAME).map(|()| Self(text))
+    }
+}
+
+impl TryFrom<String> for Text {
+    type Error = BadName;
+    fn try_from(text: String) -> Result<Self, BadName> {
+        sound(&text, MAX_TEXT).map(|()| Self(text))
+    }
+}
+
+macro_rules! text_like {
+    ($($kind:ident),*) => {$(
+        impl From<$kind> for String {
+            fn from(text: $kind) -> Self {
+                text.0
+            }
+        }
+        impl FromStr for $kind {
+            type Err = BadName;
+            fn from_str(text: &str) -> Result<Self, BadName> {
+                text.to_owned().try_into()
+            }
+        }
+        impl fmt::Display for $kind {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+        impl $kind {
+            /// The text itself.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+    )*};
+}
+text_like!(Name, Text);
+
+/// A place in the state. As text: `drain/WORKER`, `worker/WORKER`, `setting/NAME`, `member/NAME`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema)]
+#[serde(try_from = "String", into = "String")]
+#[schemars(with = "String")]
+pub enum Key {
+    /// A worker's drain mark.
+    Drain(Name),
+    /// A worker as it was last known.
+    Worker(Name),
+    /// A setting that may change while programs run.
+    Setting(Name),
+    /// A dispatcher or a keeper.
+    Member(Name),
+}
+
+impl TryFrom<String> for Key {
+    type Error = BadName;
+    fn try_from(text: String) -> Result<Self, BadName> {
+        let (kind, name) = text.split_once('/').ok_or_else(|| BadName::Kind(text.clone()))?;
+        let name = || name.parse();
+        match kind {
+            "drain" => Ok(Self::Drain(name()?)),
+            "worker" => Ok(Self::Worker(name()?)),
+            "setting" => Ok(Self::Setting(name()?)),
+            "member" => Ok(Self::Member(name()?)),
+            _ => Err(BadName::Kind(text.clone())),
+        }
+    }
+}
+
+impl From<Key> for String {
+    fn from(key: Key) -> Self {
+        key.to_string()
+    }
+}
+
+impl FromStr for Key {
+    type Err = BadName;
+    fn from_str(text: &str) -> Result<Self, BadName> {
+        text.to_owned().try_into()
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (kind, name) = match self {
+            Self::Drain(name) => ("drain", name),
+            Self::Worker(name) => ("worker", name),
+            Self::Setting(name) => ("setting", name),
+            Self::Member(name) => ("member", name),
+        };
+        write!(f, "{kind}/{name}")
+    }
+}
--- /dev/null
+++ b/fleet/src/session.rs
@@ -0,0 +1,82 @@
+//! Which members are there, as the leader of the keepers reckons it. Beats are soft state: they are not agreed, only
+//! that a session has ended is. Time is monotonic and comes as an argument.
+//!
+//! Both sides measure so that the member gives up first: it counts from *before* it sent a beat and takes off a margin
+//! for clocks that run at different rates; the leader counts from *after* it received the beat, adds the margin, and a
+//! leader that has just come counts all sessions from the moment it began, since it cannot know what its predecessor heard.
+
+use crate::command::Act;
+use crate::name::Name;
+use crate::state::{Presence, State};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Clocks of two machines differ in rate by at most this part.
+pub const MAX_RATE_ERROR: f64 = 0.05;
+
+/// How long a session lasts without a beat, by its name's side.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ttl(pub Duration);
+
+impl Ttl {
+    /// For so long after it sent a beat that was answered a member may rely on its session.
+    pub fn for_member(self) -> Duration {
+        self.0.mul_f64(1.0 - MAX_RATE_ERROR)
+    }
+
+    /// For so long after it received a beat the leader keeps a session.
+    pub fn for_leader(self) -> Duration {
+        self.0.mul_f64(1.0 + MAX_RATE_ERROR)
+    }
+}
+
+/// What a beat is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Beat {
+    /// The session goes on.
+    Counted,
+    /// There is no such session; join again.
+    Ended,
+}
+
+/// The beats that the leader has heard.
+#[derive(Debug)]
+pub struct Sessions {
+    ttl: Ttl,
+    heard: BTreeMap<Name, (u64, Duration)>,
+}
+
+impl Sessions {
+    /// A leader that begins: it has heard nobody, and counts each session from when it first looks at it.
+    pub fn begin(ttl: Ttl) -> Self {
+        Self { ttl, heard: BTreeMap::new() }
+    }
+
+    /// A beat has come.
+    pub fn beat(&mut self, now: Duration, state: &State, member: &Name, session: u64) -> Beat {
+        let goes_on =
+            state.member(member).is_some_and(|m| m.session == session && m.presence == Presence::Here);
+        if !goes_on {
+            return Beat::Ended;
+        }
+        self.heard.insert(member.clone(), (session, now));
+        Beat::Counted
+    }
+
+    /// The sessions that have not been heard for too long, as what to ask for.
+    pub fn overdue(&mut self, now: Duration, state: &State) -> Vec<Act> {
+        let here = |(_, m): &(&Name, &crate::state::Member)| m.presence == Presence::Here;
+        let mut overdue = Vec::new();
+        for (name, member) in state.members().filter(here) {
+            let heard = self.heard.entry(name.clone()).or_insert((member.session, now));
+            if heard.0 != member.session {
+                *heard = (member.session, now);
+            }
+            if now > heard.1 + self.ttl.for_leader() {
+                overdue.push(Act::Expire { member: name.clone(), session: member.session });
+            }
+        }
+        self.heard.retain(|name, _| state.member(name).is_some_and(|m| m.presence == Presence::Here));
+        overdue
+    }
+}
--- /dev/null
+++ b/fleet/tests/state.rs
@@ -0,0 +1,298 @@
+//! The rules of the agreed state: each test fails without the rule that it names.
+
+use pebblepost_fleet::command::{Act, Card, Command, Expect, Op, Refusal, RequestId, Role, Worker};
+use pebblepost_fleet::follow::{Follower, NotHere, Offered, Unfit};
+use pebblepost_fleet::session::{Beat, Sessions, Ttl};
+use pebblepost_fleet::state::{MAX_ANSWERS, MAX_LOGGED, MAX_OPS, MAX_WORKERS, Presence, State};
+use pebblepost_fleet::{Answer, Key, Name, Text};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+fn name(text: &str) -> Name {
+    text.parse().expect("a sound name")
+}
+
+/// A state, and the number of the next request.
+#[derive(Default)]
+struct Desk {
+    state: State,
+    next: u64,
+}
+
+impl Desk {
+    fn command(&mut self, act: Act) -> Command {
+        self.next += 1;
+        Command { id: RequestId(7, self.next), by: name("op"), at_ms: 1_000 + self.next, act }
+    }
+
+    fn ask(&mut self, act: Act) -> Answer {
+        let command = self.command(act);
+        self.state.apply(&command)
+    }
+
+    fn change(&mut self, ops: Vec<Op>, expect: Vec<Expect>) -> Answer {
+        self.ask(Act::Change { ops, expect, why: Text::default() })
+    }
+
+    fn join(&mut self, member: &str, life: u64) -> Answer {
+        let card =
+            Card { role: Role::Dispatcher, version: Text::default(), address: None, zone: Text::default() };
+        self.ask(Act::Join { member: name(member), life: RequestId(0, life), card })
+    }
+
+    fn drained(&self, worker: &str) -> bool {
+        self.state.get(&Key::Drain(name(worker))).is_some()
+    }
+}
+
+fn drain(worker: &str) -> Op {
+    Op::Drain(name(worker))
+}
+
+fn key(text: &str) -> Key {
+    text.parse().expect("a sound key")
+}
+
+fn worker() -> Worker {
+    let dial = "127.0.0.1:9".parse().expect("an address");
+    Worker { dial, zone: Text::default(), kind: Text::default(), born_ms: 0, slots: 2 }
+}
+
+#[test]
+fn a_precondition_that_no_longer_holds_refuses_all_of_it() {
+    let mut desk = Desk::default();
+    let first = desk.change(vec![drain("a")], vec![]).expect("nothing against it").revision;
+    let expect = |revision| vec![Expect { key: key("drain/a"), revision }];
+    // Another changes it in between.
+    desk.change(vec![Op::Undrain(name("a"))], vec![]).expect("nothing against it");
+    let refused = desk.change(vec![drain("b"), drain("a")], expect(first));
+    assert_eq!(refused, Err(Refusal::Conflict { key: key("drain/a"), expected: first, found: 0 }));
+    assert!(!desk.drained("b"), "all or nothing");
+    assert!(desk.change(vec![drain("b"), drain("a")], expect(0)).is_ok());
+    assert!(desk.drained("a") && desk.drained("b"));
+}
+
+#[test]
+fn a_request_asked_again_is_applied_once_and_answered_alike() {
+    let mut desk = Desk::default();
+    let asked = desk.command(Act::Change { ops: vec![drain("a")], expect: vec![], why: Text::default() });
+    let first = desk.state.apply(&asked);
+    desk.change(vec![Op::Undrain(name("a"))], vec![]).expect("nothing against it");
+    // The answer was lost, and the request comes again late: it must not bring the mark back.
+    assert_eq!(desk.state.apply(&asked), first);
+    assert!(!desk.drained("a"));
+    for n in 0..MAX_ANSWERS {
+        assert!(desk.change(vec![drain(&format!("w{n}"))], vec![]).is_ok());
+    }
+    assert!(serde_json::to_string(&desk.state).expect("text").matches("\"Ok\"").count() <= MAX_ANSWERS);
+}
+
+#[test]
+fn what_makes_no_sense_is_refused_and_changes_nothing() {
+    let mut desk = Desk::default();
+    let set = |name_: &str, value| vec![Op::Set(name(name_), value)];
+    let many = (0..=MAX_OPS).map(|n| drain(&n.to_string())).collect();
+    let cases = [
+        vec![],
+        many,
+        vec![drain("a"), Op::Undrain(name("a"))],
+        set("faktory.heartbeat_s", 0.0),
+        set("faktory.heartbeat_s", f64::NAN),
+        set("caps.sendCap", 2.0),
+    ];
+    for ops in cases {
+        let text = format!("{ops:?}");
+        let refused = desk.change(ops, vec![]);
+        assert!(matches!(refused, Err(Refusal::Invalid { .. })), "{}", &text[..text.len().min(80)]);
+    }
+    assert_eq!(desk.state.revision(), 0);
+    for bad in ["", "x/y", "drain/", "drain/a\nb", &format!("drain/{}", "x".repeat(201))] {
+        assert!(bad.parse::<Key>().is_err(), "{bad}");
+    }
+    assert!(serde_json::from_str::<Op>(r#"{"drain":""}"#).is_err(), "a name is checked where it is read");
+}
+
+#[test]
+fn all_that_an_asker_can_fill_has_an_end() {
+    let mut desk = Desk::default();
+    let mut known = 0;
+    while known < MAX_WORKERS {
+        let some = MAX_OPS.min(MAX_WORKERS - known);
+        let ops = (known..known + some).map(|n| Op::Know(name(&n.to_string()), worker())).collect();
+        assert!(desk.change(ops, vec![]).is_ok());
+        known += some;
+    }
+    let full = desk.change(vec![Op::Know(name("more"), worker())], vec![]);
+    assert_eq!(full, Err(Refusal::Full { what: "workers".to_owned(), most: MAX_WORKERS }));
+    let again = Worker { slots: 3, ..worker() };
+    assert!(desk.change(vec![Op::Know(name("1"), again)], vec![]).is_ok(), "one that is there may change");
+    let logged: usize = desk.state.history().map(|c| c.items.len()).sum();
+    assert!(logged <= MAX_LOGGED, "{logged}");
+    assert_eq!(desk.state.changes_after(0, 10), None, "compacted: a snapshot is wanted");
+    let last = desk.state.revision() - 1;
+    assert_eq!(desk.state.changes_after(last, 10).map(|c| c.len()), Some(1));
+    assert_eq!(desk.state.changes_after(last + 2, 10), None, "a revision that this state does not have");
+}
+
+#[test]
+fn a_mark_keeps_its_first_author_and_a_change_of_nothing_makes_no_revision() {
+    let mut desk = Desk::default();
+    desk.change(vec![drain("a")], vec![]).expect("nothing against it");
+    let before = desk.state.get(&key("drain/a")).cloned();
+    assert_eq!(desk.change(vec![drain("a"), Op::Undrain(name("b"))], vec![]).map(|d| d.revision), Ok(1));
+    assert_eq!(desk.state.get(&key("drain/a")).cloned(), before);
+}
+
+#[test]
+fn a_new_life_ends_the_old_session_and_the_old_life_does_not_come_back() {
+    let mut desk = Desk::default();
+    let session = |answer: Answer| answer.expect("nothing against it").session.expect("a join");
+    let old = session(desk.join("n0", 1));
+    let new = session(desk.join("n0", 2));
+    assert!(new > old);
+    let leave = |session| Act::Leave { member: name("n0"), session };
+    assert_eq!(desk.ask(leave(old)), Err(Refusal::Ended { member: name("n0"), session: old }));
+    // A process that was paused since before the restart wakes up.
+    assert_eq!(desk.join("n0", 1), Err(Refusal::Superseded { member: name("n0"), incarnation: 2 }));
+    let again = session(desk.join("n0", 2));
+    assert!(again > new, "the same life may begin again after it was lost");
+    assert_eq!(desk.state.member(&name("n0")).map(|m| m.incarnation), Some(2));
+    let dismiss = || vec![Op::Dismiss(name("n0"))];
+    assert!(matches!(desk.change(dismiss(), vec![]), Err(Refusal::Invalid { .. })), "it is there");
+    assert!(desk.ask(leave(again)).is_ok());
+    assert!(desk.change(dismiss(), vec![]).is_ok());
+    assert_eq!(desk.state.member(&name("n0")), None);
+}
+
+#[test]
+fn a_session_ends_for_the_member_before_it_ends_for_the_leader() {
+    let (ttl, mut desk) = (Ttl(Duration::from_secs(10)), Desk::default());
+    assert!(ttl.for_member() < ttl.for_leader().mul_f64(0.95), "rates may differ by a twentieth each way");
+    let session = desk.join("n0", 1).expect("nothing against it").session.expect("a join");
+    let mut leader = Sessions::begin(ttl);
+    let at = Duration::from_secs_f64;
+    // A leader that has just come knows of no beat: it counts from its own beginning.
+    assert_eq!(leader.overdue(at(100.0), &desk.state), []);
+    assert_eq!(leader.overdue(at(110.4), &desk.state), []);
+    assert_eq!(leader.beat(at(110.4), &desk.state, &name("n0"), session), Beat::Counted);
+    assert_eq!(leader.beat(at(110.4), &desk.state, &name("n0"), session + 1), Beat::Ended);
+    assert_eq!(leader.overdue(at(120.8), &desk.state), []);
+    let overdue = leader.overdue(at(121.0), &desk.state);
+    assert_eq!(overdue, [Act::Expire { member: name("n0"), session }]);
+    // Its answer comes late: meanwhile the member has joined again.
+    let fresh = desk.join("n0", 1).expect("nothing against it").session.expect("a join");
+    assert!(desk.ask(overdue[0].clone()).is_err(), "an old session's end does not end the new one");
+    assert_eq!(leader.beat(at(121.0), &desk.state, &name("n0"), fresh), Beat::Counted);
+    assert_eq!(desk.state.member(&name("n0")).map(|m| m.presence), Some(Presence::Here));
+}
+
+/// A dispatcher that asks for a drain while it is cut off, and what the group did meanwhile.
+fn cut_off(meanwhile: &[Op]) -> (Desk, Follower, Answer) {
+    let (mut desk, mut follower) = (Desk::default(), Follower::default());
+    desk.change(vec![drain("other")], vec![]).expect("nothing against it");
+    follower.take_snapshot(Duration::ZERO, desk.state.snapshot()).expect("newer");
+    follower.drain(name("a"), RequestId(9, 9), name("op"), 5, Text::default()).expect("room");
+    for op in meanwhile {
+        desk.change(vec![op.clone()], vec![]).expect("nothing against it");
+    }
+    let offer = follower.offer().expect("a local drain");
+    let answer = desk.state.apply(&offer);
+    (desk, follower, answer)
+}
+
+#[test]
+fn a_local_drain_holds_at_once_and_without_a_gap_until_it_is_agreed() {
+    let (desk, mut follower, answer) = cut_off(&[]);
+    let marks = |f: &Follower| f.drained().into_iter().map(|n| n.to_string()).collect::<Vec<_>>();
+    assert_eq!(marks(&follower), ["a", "other"]);
+    assert_eq!(follower.offered(RequestId(9, 9), &answer), Offered::Taken);
+    assert_eq!(marks(&follower), ["a", "other"], "the copy does not have it yet, the local mark holds");
+    assert_eq!(follower.offer(), None);
+    assert_eq!(follower.undrain(&name("a")), Err(NotHere::Agreed));
+    let news = desk.state.changes_after(follower.revision(), 10).expect("not compacted");
+    follower.take_changes(Duration::ZERO, &news).expect("no gap");
+    assert_eq!(marks(&follower), ["a", "other"]);
+    assert_eq!(follower.local().count(), 0);
+}
+
+#[test]
+fn the_group_wins_where_it_decided_about_that_drain_meanwhile() {
+    let (_, mut follower, answer) = cut_off(&[drain("b"), drain("a")]);
+    assert!(matches!(answer, Err(Refusal::Conflict { .. })));
+    assert_eq!(follower.offered(RequestId(9, 9), &answer), Offered::Overruled);
+    assert_eq!(follower.local().count(), 0);
+    let (desk, _, answer) = cut_off(&[drain("b")]);
+    assert!(answer.is_ok() && desk.drained("a"), "what it decided about others is no matter");
+}
+
+#[test]
+fn a_copy_takes_no_gap_and_does_not_go_back() {
+    let (mut desk, mut follower) = (Desk::default(), Follower::default());
+    let now = Duration::ZERO;
+    desk.change(vec![drain("a")], vec![]).expect("nothing against it");
+    let old = desk.state.snapshot();
+    for worker in ["b", "c"] {
+        desk.change(vec![drain(worker)], vec![]).expect("nothing against it");
+    }
+    let news = desk.state.changes_after(1, 10).expect("not compacted");
+    assert_eq!(follower.take_changes(now, &news), Err(Unfit::Gap { found: 2, ours: 0 }));
+    assert_eq!(follower.age(now), None);
+    follower.take_snapshot(now, desk.state.snapshot()).expect("newer");
+    assert_eq!(follower.take_snapshot(now, old), Err(Unfit::Old { found: 1, ours: 3 }));
+    assert!(follower.confirmed(now, 4).is_err(), "it missed something");
+    assert_eq!(follower.age(Duration::from_secs(3)), Some(Duration::from_secs(3)));
+    assert_eq!(follower.drained().len(), 3);
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..Config::with_cases(60) })]
+
+    /// Whatever is asked, in whatever batches a follower hears of it, and wherever a keeper starts anew from a
+    /// snapshot: all end with the same.
+    #[test]
+    fn followers_and_restored_keepers_end_as_the_state_does(
+        steps in prop::collection::vec((0_u8..7, 0_u8..5, 0_u64..4, any::<bool>()), 1..60),
+    ) {
+        let (mut desk, mut follower) = (Desk::default(), Follower::default());
+        let mut model: BTreeMap<String, bool> = BTreeMap::new();
+        for (what, who, life, listens) in steps {
+            let worker = name(&who.to_string());
+            match what {
+                0 | 1 => {
+                    prop_assert!(desk.change(vec![Op::Drain(worker.clone())], vec![]).is_ok());
+                    model.insert(worker.to_string(), true);
+                }
+                2 => {
+                    prop_assert!(desk.change(vec![Op::Undrain(worker.clone())], vec![]).is_ok());
+                    model.remove(worker.as_str());
+                }
+                3 => drop(desk.join(&who.to_string(), life)),
+                4 => drop(desk.ask(Act::Expire { member: worker, session: life })),
+                5 => drop(desk.change(vec![Op::Know(worker, worker_with(life))], vec![])),
+                _ => {
+                    let text = serde_json::to_string(&desk.state).expect("text");
+                    let restored: State = serde_json::from_str(&text).expect("the same");
+                    prop_assert_eq!(&restored, &desk.state);
+                    desk.state = restored;
+                }
+            }
+            if listens {
+                let news = desk.state.changes_after(follower.revision(), 3).expect("not compacted");
+                prop_assert!(follower.take_changes(Duration::ZERO, &news).is_ok());
+            }
+        }
+        while follower.revision() < desk.state.revision() {
+            let news = desk.state.changes_after(follower.revision(), 3).expect("not compacted");
+            prop_assert!(follower.take_changes(Duration::ZERO, &news).is_ok());
+        }
+        prop_assert_eq!(follower.copy(), &desk.state.snapshot());
+        let marks: Vec<String> = follower.drained().into_iter().map(|n| n.to_string()).collect();
+        prop_assert_eq!(marks, model.into_keys().collect::<Vec<_>>());
+    }
+}
+
+fn worker_with(slots: u64) -> Worker {
+    Worker { slots: slots as u32, ..worker() }
+}
--- a/rig/src/checker.rs
+++ b/rig/src/checker.rs
@@ -124,6 +124,35 @@
     slowest
 }
 
+/// Most work that a cold worker was sent within the time in which it falls, as a multiple of what it could do: by the
+/// dispatchers that knew of its start when they sent, whose duty it is, and by all.
+pub fn cold_multiples(record: &[Entry], figures: &Figures) -> (f64, f64) {
+    // When each dispatcher was told of each start of a worker.
+    let mut starts: HashMap<(usize, usize), Vec<f64>> = HashMap::new();
+    let (mut knowing, mut all) = (0.0_f64, 0.0_f64);
+    for (at, seen) in record {
+        match seen {
+            Seen::Told { dispatcher, worker, what: Told::Ready { cold: true } } => {
+                starts.entry((*dispatcher, *worker)).or_default().push(*at);
+            }
+            Seen::Pressed { worker, press } => {
+                let knew = |when: f64, from: usize| {
+                    let told = starts.get(&(from, *worker)).into_iter().flatten();
+                    when > press.since + figures.told
+                        || told.into_iter().any(|t| (press.since..=when).contains(t))
+                };
+                let of = |hit: &dyn Fn(f64, usize) -> bool| {
+                    let sent = press.sent.iter().filter(|(when, _, from)| hit(*when, *from));
+                    sent.map(|(_, work, _)| work).sum::<f64>() / press.bears
+                };
+                (knowing, all) = (knowing.max(of(&knew)), all.max(of(&|_, _| true)));
+            }
+            _ => {}
+        }
+    }
+    (knowing, all)
+}
+
 /// A dispatcher that was killed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Killed {
@@ -212,7 +241,7 @@
                     report(Rule::Cold, at, format!("worker {worker} was pushed over while cold"));
                 }
             }
-            Seen::Told { .. } | Seen::Published { .. } => {}
+            Seen::Told { .. } | Seen::Published { .. } | Seen::Pressed { .. } => {}
             Seen::Arrived { txn, key, dispatcher, worker } => {
                 if let Some((since, what)) = words.barred_since(figures, *dispatcher, *worker)
                     && at > since + figures.drain + figures.slack
@@ -267,6 +296,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::machine::Press;
 
     fn asked(txn: &str, key: &str) -> Seen {
         Seen::Asked { txn: txn.into(), key: key.into(), dispatcher: 0, waits: 6.0 }
@@ -385,6 +415,23 @@
         assert_eq!(left, ["early", "after", "before"]);
     }
 
+    #[test]
+    fn only_what_was_sent_in_knowledge_of_the_start_counts_against_the_dispatchers() {
+        let told = |at| (at, Seen::Told { dispatcher: 0, worker: 1, what: Told::Ready { cold: true } });
+        let press = |since, sent: &[(f64, f64, usize)]| Press { since, bears: 1.0, sent: sent.to_vec() };
+        let pressed = |at, press| (at, Seen::Pressed { worker: 1, press });
+        // Sent before the word, after it, and by one that never got it.
+        let record = [
+            told(1.0),
+            (1.1, Seen::Told { dispatcher: 1, worker: 2, what: Told::Ready { cold: true } }),
+            pressed(2.0, press(0.5, &[(0.9, 4.0, 0), (1.5, 2.0, 0), (1.5, 1.0, 1)])),
+        ];
+        assert_eq!(cold_multiples(&record, &Figures::default()), (2.0, 7.0));
+        // A word of an earlier start is none of this one; after so long everybody counts as told.
+        let record = [told(1.0), pressed(9.0, press(2.0, &[(7.0, 4.0, 0), (8.5, 0.5, 1)]))];
+        assert_eq!(cold_multiples(&record, &Figures::default()), (0.5, 4.5));
+    }
+
     #[test]
     fn nobody_is_blamed_for_a_start_that_was_not_told() {
         let told = Seen::Told { dispatcher: 0, worker: 1, what: Told::Ready { cold: true } };
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -46,6 +46,11 @@
     /// The rest of what was counted at the workers.
     #[serde(flatten)]
     pub counts: Counts,
+    /// Most work that a cold worker was sent within the time in which it falls, as a multiple of what it could do, by
+    /// the dispatchers that knew of its start when they sent.
+    pub worst_cold_multiple: f64,
+    /// The same by all, those among them that could not know of it yet.
+    pub worst_cold_multiple_untold: f64,
     /// Longest time from the word of a drain to the last attempt sent there on.
     pub slowest_drain_ms: f64,
     /// Rules broken.
@@ -94,6 +99,8 @@
         ready_p99_ms: p99_ms(&played.ready),
         discovery_calls: played.discovery_calls,
         counts: played.counts,
+        worst_cold_multiple: played.cold_multiples.0,
+        worst_cold_multiple_untold: played.cold_multiples.1,
         slowest_drain_ms: played.slowest_drain * 1e3,
         rules_broken: played.broken.len(),
         handshakes_per_served: 0.0,
@@ -116,6 +123,8 @@
             ready_p99_ms: self.ready_p99_ms.max(other.ready_p99_ms),
             discovery_calls: self.discovery_calls + other.discovery_calls,
             counts: self.counts.with(other.counts),
+            worst_cold_multiple: self.worst_cold_multiple.max(other.worst_cold_multiple),
+            worst_cold_multiple_untold: self.worst_cold_multiple_untold.max(other.worst_cold_multiple_untold),
             slowest_drain_ms: self.slowest_drain_ms.max(other.slowest_drain_ms),
             rules_broken: self.rules_broken + other.rules_broken,
             handshakes_per_served: 0.0,
--- a/rig/src/machine.rs
+++ b/rig/src/machine.rs
@@ -57,9 +57,21 @@
     /// Work sent while it was cold: when, how much, by which sender.
     sent: VecDeque<(f64, f64, usize)>,
     worst: f64,
+    pressed: Option<Press>,
     fallen: bool,
 }
 
+/// What a cold worker was sent lately, taken at the moment that it was the most so far.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Press {
+    /// When it had started.
+    pub since: f64,
+    /// Work that it could do in [`FALL_S`] at its pace of that moment.
+    pub bears: f64,
+    /// Work sent within [`FALL_S`]: when, how much, by which sender.
+    pub sent: Vec<(f64, f64, usize)>,
+}
+
 impl Machine {
     /// A warm worker with nothing to do. `fetch_s`: how long it takes to fetch what a subject needs.
     pub fn new(spec: WorkerSpec, fetch_s: f64) -> Self {
@@ -74,6 +86,7 @@
             overhead: 0.0,
             sent: VecDeque::new(),
             worst: 0.0,
+            pressed: None,
             fallen: false,
         }
     }
@@ -84,6 +97,7 @@
         (self.started, self.now, self.overhead, self.fallen) = (Some(now), now, 0.0, false);
         self.kept.clear();
         self.sent.clear();
+        self.worst = 0.0;
         lost
     }
 
@@ -109,9 +123,9 @@
         f64::from(self.spec.cores.min(self.spec.slots)) * self.spec.speed * self.warmth()
     }
 
-    /// The largest multiple of what it could do that it was sent while cold, within [`FALL_S`].
-    pub fn worst(&self) -> f64 {
-        self.worst
+    /// The press that was the worst so far in this life, if it has become worse since it was asked for last.
+    pub fn pressed(&mut self) -> Option<Press> {
+        self.pressed.take()
     }
 
     /// It was sent more, while cold, than it can bear: when it had started, and the work sent by whom.
@@ -152,7 +166,12 @@
             self.sent.pop_front();
         }
         let total: f64 = self.sent.iter().map(|(_, work, _)| work).sum();
-        self.worst = self.worst.max(total / (FALL_S * self.capacity()).max(f64::MIN_POSITIVE));
+        let bears = (FALL_S * self.capacity()).max(f64::MIN_POSITIVE);
+        if total / bears > self.worst {
+            self.worst = total / bears;
+            let since = self.started.unwrap_or(self.now);
+            self.pressed = Some(Press { since, bears, sent: self.sent.iter().copied().collect() });
+        }
         // A little slack for chance: one usual job.
         self.fallen |= total > TIP_MULTIPLE * FALL_S * self.capacity() + 0.5;
     }
--- a/rig/src/record.rs
+++ b/rig/src/record.rs
@@ -1,6 +1,7 @@
 //! What both sides saw, in one list with one clock: the clients, the workers and discovery write to it, the checker
 //! and the report read it.
 
+use crate::machine::Press;
 use std::sync::{Mutex, PoisonError};
 use std::time::Instant;
 
@@ -108,6 +109,13 @@
         /// What.
         what: Told,
     },
+    /// A cold worker was sent more within the time in which it falls than ever before in this life.
+    Pressed {
+        /// Which.
+        worker: usize,
+        /// What it was sent, and what it bears.
+        press: Press,
+    },
     /// A cold worker was sent more than it can bear.
     Fell {
         /// Which.
--- a/rig/src/run.rs
+++ b/rig/src/run.rs
@@ -1,6 +1,6 @@
 //! One measured run: a plan, real dispatchers, stand-ins around them, and the checker after it.
 
-use crate::checker::{Broken, Figures, Killed, Rule, check, slowest_drain, without_killed};
+use crate::checker::{Broken, Figures, Killed, Rule, check, cold_multiples, slowest_drain, without_killed};
 use crate::clients::{Clients, Fate};
 use crate::discovery::Discovery;
 use crate::dispatcher::{Process, Start};
@@ -41,6 +41,8 @@
     pub ready: Vec<Duration>,
     /// See [`slowest_drain`], in seconds.
     pub slowest_drain: f64,
+    /// See [`cold_multiples`].
+    pub cold_multiples: (f64, f64),
     /// What was counted at the workers.
     pub counts: Counts,
     /// Calls to discovery.
@@ -91,7 +93,8 @@
         let (seen, figures) = (without_killed(record.take(), &killed), Figures::default());
         broken.extend(check(&seen, &figures));
         let slowest_drain = slowest_drain(&seen, &figures);
-        Ok(Played { plan, fates, broken, cpu, ready, slowest_drain, counts, discovery_calls })
+        let cold_multiples = cold_multiples(&seen, &figures);
+        Ok(Played { cold_multiples, plan, fates, broken, cpu, ready, slowest_drain, counts, discovery_calls })
     }
 
     /// Kills some dispatchers at once and starts all of them anew, each from the list that it had at first.
--- a/rig/src/standin.rs
+++ b/rig/src/standin.rs
@@ -52,15 +52,13 @@
     Returned,
 }
 
-/// What is counted of a fleet's connections and cold workers.
+/// What is counted of a fleet's connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct Counts {
     /// New connections.
     pub handshakes: u64,
     /// Most connections open at one worker at a time.
     pub worst_worker_connections: usize,
-    /// Most work that a cold worker was sent within the time in which it falls, as a multiple of what it can do.
-    pub worst_cold_multiple: f64,
 }
 
 impl Counts {
@@ -69,7 +67,6 @@
         Self {
             handshakes: self.handshakes + other.handshakes,
             worst_worker_connections: self.worst_worker_connections.max(other.worst_worker_connections),
-            worst_cold_multiple: self.worst_cold_multiple.max(other.worst_cold_multiple),
         }
     }
 }
@@ -164,11 +161,7 @@
     pub fn counts(&self) -> Counts {
         let of = |worker: &Arc<StandIn>| {
             let inside = lock(&worker.inside);
-            Counts {
-                handshakes: inside.handshakes,
-                worst_worker_connections: inside.most_open,
-                worst_cold_multiple: inside.machine.worst(),
-            }
+            Counts { handshakes: inside.handshakes, worst_worker_connections: inside.most_open }
         };
         self.workers.iter().map(of).fold(Counts::default(), Counts::with)
     }
@@ -231,6 +224,9 @@
                 }
             }
         }
+        if let Some(press) = inside.machine.pressed() {
+            self.record.note(Seen::Pressed { worker: worker.number, press });
+        }
         if let Some((since, sent)) = inside.machine.fallen() {
             self.record.note(Seen::Fell { worker: worker.number, since, sent });
             self.crash(worker, inside, now);
