--- a/pebblepost/src/config.rs
+++ b/pebblepost/src/config.rs
@@ -27,6 +27,24 @@
     Err(ConfigError { file: file.to_owned(), key: key.to_owned(), what: what.to_string() })
 }
 
+/// Files that serde reads whole, with the same errors.
+pub mod check {
+    use super::ConfigError;
+    use serde::de::DeserializeOwned;
+    use std::path::Path;
+
+    /// An error at a key of a file.
+    pub fn wrong(path: &Path, key: &str, what: impl ToString) -> ConfigError {
+        ConfigError { file: path.display().to_string(), key: key.to_owned(), what: what.to_string() }
+    }
+
+    /// Reads a file of JSON; what serde says names the key.
+    pub fn read<T: DeserializeOwned>(path: &Path) -> Result<T, ConfigError> {
+        let text = std::fs::read_to_string(path).map_err(|e| wrong(path, "file", e))?;
+        serde_json::from_str(&text).map_err(|e| wrong(path, "JSON", e))
+    }
+}
+
 /// A queue of the Faktory front.
 #[derive(Clone, Debug)]
 pub struct Queue {
--- a/pebblepost/src/discovery.rs
+++ b/pebblepost/src/discovery.rs
@@ -29,6 +29,8 @@
     pub dial: Option<SocketAddr>,
     born_ms: u64,
     entry: Entry,
+    /// Discovery has told of it.
+    heard: bool,
 }
 
 /// Discovery's list, and how each worker on it is reached.
@@ -158,7 +160,13 @@
             started: None,
         };
         self.by_host.insert(host.to_owned(), id);
-        self.transports.push(Transport { host: host.to_owned(), dial: None, born_ms: 0, entry });
+        self.transports.push(Transport {
+            host: host.to_owned(),
+            dial: None,
+            born_ms: 0,
+            entry,
+            heard: false,
+        });
         id
     }
 
@@ -182,6 +190,9 @@
             let others = self.transports.iter().filter(|t| t.dial.is_none()).map(|t| t.entry.worker);
             entries.extend(others.map(|id| self.marked(id)).filter(|e| e.state != WorkerState::Gone));
         }
+        // An older version does not know of a drain told since, and must not take it back: only a newer one may, or a
+        // new start of the worker. Discovery that has gone back itself counts on from where it is.
+        let older = list.seq < self.seq;
         for host in list.hosts {
             let id = self.place(&host.name);
             let (zone, kind) = (index(&mut self.zones, &host.zone), index(&mut self.kinds, &host.kind));
@@ -191,7 +202,10 @@
             }
             t.dial = host.dial.or(t.dial);
             (t.entry.zone, t.entry.kind, t.entry.cell) = (ZoneId(zone), KindId(kind), CellId(host.cell));
-            t.entry.state = host.state;
+            if !(older && t.heard && host.state == WorkerState::Ready && host.born_ms <= t.born_ms) {
+                t.entry.state = host.state;
+            }
+            t.heard = true;
             // Reckoned once for each start: were it done anew with each list, jitter of the clocks would look
             // like one restart after another.
             if host.born_ms != t.born_ms {
--- /dev/null
+++ b/pebblepost/src/fleet.rs
@@ -0,0 +1,424 @@
+//! `pebblepost fleet`: an operator asks the keepers, or has them change something.
+
+use clap::{Args, Subcommand};
+use pebblepost_fleet::command::{Act, Command, Op};
+use pebblepost_fleet::state::{Change, Entry, Presence, Snapshot, Value};
+use pebblepost_fleet::{Expect, Key, Name, Refusal, Text};
+use pebblepost_store::client::{Client, Unreachable};
+use pebblepost_store::group::Peer;
+use pebblepost_store::keeper::{ask_once, request_id};
+use pebblepost_store::wire::{Ask, Say, Status};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use thiserror::Error;
+
+/// Who is asked, and how it is told.
+#[derive(Args, Debug)]
+pub struct FleetArgs {
+    /// The keepers, as NUMBER=ADDRESS with commas between.
+    #[arg(long, env = "PEBBLEPOST_KEEPERS", value_delimiter = ',', value_parser = keeper, global = true)]
+    keepers: Vec<(u64, SocketAddr)>,
+    /// Gives up after so many seconds.
+    #[arg(long, default_value_t = 10.0, global = true)]
+    within: f64,
+    /// Answers as JSON, one object a line.
+    #[arg(long, global = true)]
+    json: bool,
+    /// Who asks, for the history.
+    #[arg(long, env = "USER", default_value = "operator", global = true)]
+    by: String,
+    #[command(subcommand)]
+    what: What,
+}
+
+fn keeper(text: &str) -> std::result::Result<(u64, SocketAddr), String> {
+    let (id, address) = text.split_once('=').ok_or("not NUMBER=ADDRESS")?;
+    let id = id.parse().map_err(|e| format!("{id:?}: {e}"))?;
+    Ok((id, address.parse().map_err(|e| format!("{address:?}: {e}"))?))
+}
+
+#[derive(Subcommand, Debug)]
+enum What {
+    /// Begins a group of all keepers named; once in a group's life.
+    Begin,
+    /// Says of each keeper what it knows.
+    Status,
+    /// Shows the agreed state, or what stands at some keys.
+    Show {
+        /// Keys such as drain/WORKER; all, if none is named.
+        keys: Vec<Key>,
+    },
+    /// Shows the members: dispatchers and keepers that have joined.
+    Members,
+    /// Shows the last changes, the newest last.
+    History {
+        /// How many.
+        #[arg(long, default_value_t = 20)]
+        last: usize,
+    },
+    /// Follows all changes until interrupted.
+    Watch {
+        /// From this revision on; 0: the whole state first, if the log does not reach back so far.
+        #[arg(long, default_value_t = 0)]
+        from: u64,
+    },
+    /// Nothing new goes to these workers.
+    Drain(Workers),
+    /// Takes drain marks back.
+    Undrain(Workers),
+    /// Changes a setting while programs run.
+    Set {
+        /// Its name.
+        name: Name,
+        /// Its value; none: what the operator's file says.
+        value: Option<f64>,
+        #[command(flatten)]
+        reason: Reason,
+    },
+    /// Takes in a keeper, first without a vote, then with one.
+    Add {
+        /// Its number.
+        id: u64,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+    /// Leaves a keeper out.
+    Remove {
+        /// Its number.
+        id: u64,
+    },
+    /// Forgets a member that has left or is lost.
+    Dismiss {
+        /// Its name.
+        member: Name,
+    },
+}
+
+#[derive(Args, Debug)]
+struct Workers {
+    /// The workers.
+    #[arg(required = true)]
+    workers: Vec<Name>,
+    #[command(flatten)]
+    reason: Reason,
+}
+
+#[derive(Args, Debug)]
+struct Reason {
+    /// Why, for the history.
+    #[arg(long, default_value = "")]
+    why: Text,
+    /// Nothing is changed unless the key was changed last at this revision (0: it is not there).
+    #[arg(long)]
+    expect: Option<u64>,
+}
+
+/// Why a command came to nothing. The exit code tells the kinds apart.
+#[derive(Debug, Error)]
+pub enum FleetError {
+    /// Exit code 1: the group has refused it.
+    #[error("refused: {0}")]
+    Refused(#[from] Refusal),
+    /// Exit code 2: it makes no sense.
+    #[error("{0}")]
+    Usage(String),
+    /// Exit code 3: it is not known whether it was done.
+    #[error("{0}; it is not known whether it was done: ask again, or look at `fleet history`")]
+    Unreachable(#[from] Unreachable),
+    /// Exit code 1: a keeper could not do it.
+    #[error("{0}")]
+    Failed(String),
+}
+
+impl FleetError {
+    /// The exit code.
+    pub fn code(&self) -> ExitCode {
+        ExitCode::from(match self {
+            Self::Refused(_) | Self::Failed(_) => 1,
+            Self::Usage(_) => 2,
+            Self::Unreachable(_) => 3,
+        })
+    }
+}
+
+type Result<T> = std::result::Result<T, FleetError>;
+
+/// Carries out one command of an operator.
+pub fn run(args: FleetArgs) -> Result<()> {
+    let usage = |e: &dyn std::fmt::Display| FleetError::Usage(e.to_string());
+    if args.keepers.is_empty() {
+        return Err(FleetError::Usage(
+            "no keepers: name them with --keepers 1=127.0.0.1:7501,2=... or in PEBBLEPOST_KEEPERS".to_owned(),
+        ));
+    }
+    if !(0.01..=3_600.0).contains(&args.within) {
+        return Err(FleetError::Usage("--within: 0.01 to 3600 seconds".to_owned()));
+    }
+    if let Some((_, address)) = args.keepers.iter().find(|(_, a)| !a.ip().is_loopback()) {
+        return Err(FleetError::Usage(format!("--keepers: {address} is no loopback address")));
+    }
+    let by = args.by.parse().map_err(|e| FleetError::Usage(format!("--by: {e}")))?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| usage(&e))?;
+    let keepers: BTreeMap<u64, String> = args.keepers.iter().map(|(id, a)| (*id, a.to_string())).collect();
+    let within = Duration::from_secs_f64(args.within);
+    let client = Client::new(keepers.clone());
+    let mut desk = Desk { client, keepers, within, by, json: args.json };
+    runtime.block_on(desk.carry_out(args.what))
+}
+
+struct Desk {
+    client: Client,
+    keepers: BTreeMap<u64, String>,
+    within: Duration,
+    by: Name,
+    json: bool,
+}
+
+fn misplaced(say: &Say) -> FleetError {
+    FleetError::Failed(format!("an answer out of place: {say:?}"))
+}
+
+fn told(value: &Value) -> String {
+    match value {
+        Value::Drain { by, at_ms, why } if why.as_str().is_empty() => format!("by {by} at {at_ms}"),
+        Value::Drain { by, at_ms, why } => format!("by {by} at {at_ms}: {why}"),
+        Value::Worker(w) => format!("{} zone {} kind {} slots {}", w.dial, w.zone, w.kind, w.slots),
+        Value::Setting(value) => value.to_string(),
+        Value::Member(m) => {
+            let presence = match m.presence {
+                Presence::Here => "here",
+                Presence::Left => "left",
+                Presence::Lost => "lost",
+            };
+            let address = m.card.address.map_or_else(|| "-".to_owned(), |a| a.to_string());
+            format!(
+                "{presence} life {} session {} version {} zone {} at {address}",
+                m.incarnation, m.session, m.card.version, m.card.zone
+            )
+        }
+    }
+}
+
+impl Desk {
+    fn say(&self, json: serde_json::Value, text: &dyn Fn() -> String) {
+        let line = if self.json { json.to_string() } else { text() };
+        if writeln!(std::io::stdout(), "{line}").is_err() {
+            std::process::exit(0); // Whoever read it has gone.
+        }
+    }
+
+    fn entry(&self, key: &Key, entry: &Entry) {
+        self.say(json!({"key": key, "revision": entry.revision, "value": entry.value}), &|| {
+            format!("{key}\t{}\t(revision {})", told(&entry.value), entry.revision)
+        });
+    }
+
+    fn change(&self, change: &Change) {
+        self.say(json!(change), &|| {
+            let items = change.items.iter().map(|(key, value)| match value {
+                Some(value) => format!("{key} = {}", told(value)),
+                None => format!("{key} is gone"),
+            });
+            let items: Vec<String> = items.collect();
+            format!("{}\t{} by {}: {}", change.revision, change.at_ms, change.by, items.join(", "))
+        });
+    }
+
+    async fn ask(&mut self, ask: &Ask) -> Result<Say> {
+        Ok(self.client.ask(ask, self.within).await?)
+    }
+
+    async fn statuses(&self) -> Vec<(u64, std::result::Result<Status, String>)> {
+        let mut all = Vec::new();
+        for (id, address) in &self.keepers {
+            let status = match ask_once(address, &Ask::Status).await {
+                Ok(Say::Status(status)) => Ok(*status),
+                Ok(other) => Err(format!("{other:?}")),
+                Err(error) => Err(error.to_string()),
+            };
+            all.push((*id, status));
+        }
+        all
+    }
+
+    async fn carry_out(&mut self, what: What) -> Result<()> {
+        match what {
+            What::Begin => self.begin().await,
+            What::Status => self.status().await,
+            What::Show { keys } => self.show(keys, |_| true).await,
+            What::Members => self.show(Vec::new(), |key| matches!(key, Key::Member(_))).await,
+            What::History { last } => match self.ask(&Ask::History(last)).await? {
+                Say::History(changes) => {
+                    changes.iter().for_each(|c| self.change(c));
+                    Ok(())
+                }
+                other => Err(misplaced(&other)),
+            },
+            What::Watch { from } => self.watch(from).await,
+            What::Drain(w) => self.change_all(w.workers.into_iter().map(Op::Drain), w.reason).await,
+            What::Undrain(w) => self.change_all(w.workers.into_iter().map(Op::Undrain), w.reason).await,
+            What::Set { name, value, reason } => {
+                let op = value.map_or_else(|| Op::Unset(name.clone()), |v| Op::Set(name.clone(), v));
+                self.change_all([op], reason).await
+            }
+            What::Dismiss { member } => {
+                let reason = Reason { why: Text::default(), expect: None };
+                self.change_all([Op::Dismiss(member)], reason).await
+            }
+            What::Add { id, address } => self.add(id, address).await,
+            What::Remove { id } => {
+                let status = self.leader().await?;
+                let left: Vec<u64> = status.voters.into_iter().filter(|v| *v != id).collect();
+                if left.is_empty() {
+                    return Err(FleetError::Usage(format!("keeper {id} is the last one")));
+                }
+                self.done(&Ask::Voters(left)).await
+            }
+        }
+    }
+
+    async fn done(&mut self, ask: &Ask) -> Result<()> {
+        match self.ask(ask).await? {
+            Say::Done => {
+                self.say(json!({"done": true}), &|| "done".to_owned());
+                Ok(())
+            }
+            other => Err(misplaced(&other)),
+        }
+    }
+
+    /// Begins the group, with each keeper's disk as it is now.
+    async fn begin(&mut self) -> Result<()> {
+        let mut group = BTreeMap::new();
+        for (id, status) in self.statuses().await {
+            match status {
+                Ok(s) if s.id == id => {
+                    let address = self.keepers.get(&id).cloned().unwrap_or_default();
+                    group.insert(id, Peer { address, disk: s.disk });
+                }
+                Ok(s) => return Err(FleetError::Usage(format!("keeper {} listens there, not {id}", s.id))),
+                Err(why) => return Err(FleetError::Failed(format!("keeper {id}: {why}"))),
+            }
+        }
+        match ask_once(self.keepers.values().next().map_or("", String::as_str), &Ask::Begin(group)).await {
+            Ok(Say::Done) => {
+                self.say(json!({"done": true}), &|| "the group has begun".to_owned());
+                Ok(())
+            }
+            Ok(Say::Failed(why)) => Err(FleetError::Failed(why)),
+            Ok(other) => Err(misplaced(&other)),
+            Err(error) => Err(FleetError::Failed(error.to_string())),
+        }
+    }
+
+    async fn status(&mut self) -> Result<()> {
+        let all = self.statuses().await;
+        for (id, status) in &all {
+            match status {
+                Ok(s) => self.say(json!(s), &|| {
+                    let leader = s.leader.map_or_else(|| "nobody".to_owned(), |l| l.to_string());
+                    format!(
+                        "keeper {id}: group {:?}, led by {leader} in term {}, revision {}, log {} (applied {}), voters {:?}",
+                        s.group, s.term, s.revision, s.last_log, s.applied, s.voters
+                    )
+                }),
+                Err(why) => self.say(json!({"id": id, "error": why}), &|| format!("keeper {id}: {why}")),
+            }
+        }
+        if all.iter().all(|(_, s)| s.is_err()) {
+            return Err(FleetError::Failed("no keeper answers".to_owned()));
+        }
+        Ok(())
+    }
+
+    /// The status of the keeper that most of those who answer say leads.
+    async fn leader(&mut self) -> Result<Status> {
+        let all = self.statuses().await;
+        let leads = |(id, s): &(u64, std::result::Result<Status, String>)| {
+            s.as_ref().ok().filter(|s| s.leader == Some(*id)).cloned()
+        };
+        let newest = all.iter().filter_map(leads).max_by_key(|s| s.term);
+        newest.ok_or_else(|| FleetError::Failed("nobody leads now; look at `fleet status`".to_owned()))
+    }
+
+    async fn add(&mut self, id: u64, address: SocketAddr) -> Result<()> {
+        let address = address.to_string();
+        let status = match ask_once(&address, &Ask::Status).await {
+            Ok(Say::Status(status)) if status.id == id => *status,
+            Ok(Say::Status(s)) => {
+                return Err(FleetError::Usage(format!("keeper {} listens at {address}, not {id}", s.id)));
+            }
+            Ok(other) => return Err(misplaced(&other)),
+            Err(error) => return Err(FleetError::Failed(format!("{address}: {error}"))),
+        };
+        let leader = self.leader().await?;
+        if let Some(known) = leader.keepers.get(&id)
+            && known.disk != status.disk
+        {
+            return Err(FleetError::Usage(format!(
+                "keeper {id} has been in the group with another disk; a new disk takes a new number"
+            )));
+        }
+        match self.ask(&Ask::Learn(id, Peer { address, disk: status.disk })).await? {
+            Say::Done => {}
+            other => return Err(misplaced(&other)),
+        }
+        let mut voters = leader.voters;
+        voters.push(id);
+        self.done(&Ask::Voters(voters)).await
+    }
+
+    async fn show(&mut self, keys: Vec<Key>, hit: fn(&Key) -> bool) -> Result<()> {
+        match self.ask(&Ask::Get(keys)).await? {
+            Say::Found { revision, entries } => {
+                entries.iter().filter(|(key, _)| hit(key)).for_each(|(key, entry)| self.entry(key, entry));
+                self.say(json!({"revision": revision}), &|| format!("revision {revision}"));
+                Ok(())
+            }
+            other => Err(misplaced(&other)),
+        }
+    }
+
+    async fn watch(&mut self, from: u64) -> Result<()> {
+        let mut at = from;
+        loop {
+            let Ok(mut wire) = self.client.watch(at, true).await else {
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                continue;
+            };
+            while let Ok(Ok(Some(say))) = tokio::time::timeout(self.within, wire.next::<Say>()).await {
+                match say {
+                    // Another keeper may be behind what was shown already.
+                    Say::Snapshot(Snapshot { revision, entries }) if revision > at => {
+                        entries.iter().for_each(|(key, entry)| self.entry(key, entry));
+                        at = revision;
+                    }
+                    Say::Changes(changes) => {
+                        for change in changes.iter().filter(|c| c.revision > at) {
+                            self.change(change);
+                        }
+                        at = changes.last().map_or(at, |c| c.revision.max(at));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    async fn change_all(&mut self, ops: impl IntoIterator<Item = Op>, reason: Reason) -> Result<()> {
+        let ops: Vec<Op> = ops.into_iter().collect();
+        let expect = ops.iter().map(Op::key).zip(std::iter::repeat(reason.expect));
+        let expect = expect.filter_map(|(key, revision)| Some(Expect { key, revision: revision? })).collect();
+        let at_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+        let act = Act::Change { ops, expect, why: reason.why };
+        let command = Command { id: request_id(), by: self.by.clone(), at_ms, act };
+        let done = self.client.command(&command, self.within).await??;
+        self.say(json!({"revision": done.revision}), &|| format!("agreed at revision {}", done.revision));
+        Ok(())
+    }
+}
--- a/pebblepost/src/main.rs
+++ b/pebblepost/src/main.rs
@@ -2,7 +2,8 @@
 
 #![forbid(unsafe_code)]
 
-use pebblepost::{config, turn};
+use clap::{Parser, Subcommand};
+use pebblepost::{config, fleet, keep, turn};
 use serde_json::{Value, json};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::io::{BufRead, BufReader, Write};
@@ -12,39 +13,73 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-const USAGE: &str = "usage: pebblepost [--operator FILE]   (README.md tells of the environment)
-       pebblepost ctl ADDRESS show | drain WORKER | undrain WORKER | set NAME SECONDS | unset NAME";
+/// A dispatcher for queues of jobs. Without a command it runs; README.md tells of its environment.
+#[derive(Parser)]
+#[command(version, args_conflicts_with_subcommands = true)]
+struct Cli {
+    /// The operator's file.
+    #[arg(long, env = "PEBBLEPOST_OPERATOR", value_name = "FILE")]
+    operator: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
 
-fn main() -> ExitCode {
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("pebblepost: {error}");
-            ExitCode::FAILURE
-        }
-    }
+#[derive(Subcommand)]
+enum Command {
+    /// Runs a keeper of the agreed store.
+    Keep {
+        /// The keeper's file.
+        file: PathBuf,
+    },
+    /// Asks the keepers, or has them change something.
+    Fleet(fleet::FleetArgs),
+    /// Asks or changes the store of a running program: show, drain WORKER, undrain WORKER, set NAME SECONDS, unset NAME.
+    Ctl {
+        /// Where its store listens.
+        address: String,
+        /// What is asked.
+        #[arg(required = true)]
+        words: Vec<String>,
+    },
 }
 
-fn run() -> Result<(), Box<dyn std::error::Error>> {
+fn main() -> ExitCode {
     // First of all: from the start SIGHUP ends nothing.
-    let (reload, notify) = UnixStream::pair()?;
-    signal_hook::low_level::pipe::register(SIGHUP, notify)?;
-    let mut args = std::env::args_os().skip(1);
-    let mut operator = std::env::var_os("PEBBLEPOST_OPERATOR").map(PathBuf::from);
-    while let Some(arg) = args.next() {
-        match arg.to_str() {
-            Some("--operator") => operator = Some(args.next().ok_or(USAGE)?.into()),
-            Some("ctl") => {
-                let words: Option<Vec<String>> = args.map(|a| a.into_string().ok()).collect();
-                return ctl(&words.unwrap_or_default());
-            }
-            Some("--help" | "-h") => {
-                println!("{USAGE}");
-                return Ok(());
+    let reload = UnixStream::pair().and_then(|(reload, notify)| {
+        signal_hook::low_level::pipe::register(SIGHUP, notify)?;
+        Ok(reload)
+    });
+    let cli = Cli::parse();
+    let told = |error: &dyn std::fmt::Display| {
+        eprintln!("pebblepost: {error}");
+        ExitCode::FAILURE
+    };
+    let result = match cli.command {
+        None => reload.map_err(Into::into).and_then(|reload| run(reload, cli.operator)),
+        Some(Command::Ctl { address, words }) => ctl(&address, &words),
+        Some(Command::Keep { file }) => {
+            log_lines();
+            keep::run(&file).map_err(Into::into)
+        }
+        Some(Command::Fleet(args)) => {
+            if let Err(error) = fleet::run(args) {
+                told(&error);
+                return error.code();
             }
-            _ => return Err(USAGE.into()),
+            Ok(())
         }
-    }
+    };
+    result.map_or_else(|error| told(&*error), |()| ExitCode::SUCCESS)
+}
+
+/// The keeper's log goes to standard error; `RUST_LOG` says how much of it.
+fn log_lines() {
+    let filter = tracing_subscriber::EnvFilter::try_from_default_env();
+    let filter = filter.unwrap_or_else(|_| "info,openraft=error".into());
+    tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(std::io::stderr).init();
+}
+
+fn run(reload: UnixStream, operator: Option<PathBuf>) -> Result<(), Box<dyn std::error::Error>> {
     let config = config::read(|name| std::env::var(name).ok(), operator.as_deref())?;
     let (stop, notify) = UnixStream::pair()?;
     for kind in [SIGTERM, SIGINT] {
@@ -59,18 +94,16 @@
 }
 
 /// Asks or changes the store of a running program.
-fn ctl(words: &[String]) -> Result<(), Box<dyn std::error::Error>> {
+fn ctl(address: &str, words: &[String]) -> Result<(), Box<dyn std::error::Error>> {
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     let change = |key: String, value: Value| json!({"set": {key: value}});
-    let (address, line) = match words.as_slice() {
-        [address, "show"] => (address, json!({"show": true})),
-        [address, "drain", worker] => (address, change(format!("drain/{worker}"), json!(true))),
-        [address, "undrain", worker] => (address, change(format!("drain/{worker}"), Value::Null)),
-        [address, "set", name, secs] => {
-            (address, change(format!("setting/{name}"), json!(secs.parse::<f64>()?)))
-        }
-        [address, "unset", name] => (address, change(format!("setting/{name}"), Value::Null)),
-        _ => return Err(USAGE.into()),
+    let line = match words.as_slice() {
+        ["show"] => json!({"show": true}),
+        ["drain", worker] => change(format!("drain/{worker}"), json!(true)),
+        ["undrain", worker] => change(format!("drain/{worker}"), Value::Null),
+        ["set", name, secs] => change(format!("setting/{name}"), json!(secs.parse::<f64>()?)),
+        ["unset", name] => change(format!("setting/{name}"), Value::Null),
+        _ => return Err("ctl: see --help".into()),
     };
     let mut stream = TcpStream::connect(address)?;
     stream.set_read_timeout(Some(Duration::from_secs(5)))?;
--- a/pebblepost/tests/common/mod.rs
+++ b/pebblepost/tests/common/mod.rs
@@ -112,6 +112,11 @@
         self.0.get_mut().write_all(text.as_bytes()).expect("an open connection");
     }
 
+    /// Whether the peer still takes what is said.
+    pub fn try_say(&mut self, text: &str) -> bool {
+        self.0.get_mut().write_all(text.as_bytes()).is_ok()
+    }
+
     /// The next line without its end; empty at the end of the connection.
     pub fn line(&mut self) -> String {
         let mut line = String::new();
--- /dev/null
+++ b/pebblepost/tests/discovery.rs
@@ -0,0 +1,246 @@
+//! Hard cases of discovery and of what it tells of: nothing crashes or stalls, each request gets its one answer in time,
+//! and no drain is forgotten.
+
+mod common;
+
+use common::{Running, Wire, header, lines, platform, post, within, worker};
+use pebblepost::net::Door;
+use serde_json::{Value, json};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+const LIMIT: Duration = Duration::from_secs(15);
+
+fn serves(wire: &mut Wire, head: &[String]) {
+    let id = header(head, "x-txn").expect("an id");
+    lines(wire, &[json!({"id": id, "state": "done", "result": "text"})]);
+}
+
+/// A worker that must not be asked for work.
+fn unwanted() -> SocketAddr {
+    worker(|wire, _| wire.say("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"))
+}
+
+fn host(name: &str, dial: SocketAddr, health: &str) -> Value {
+    json!({"host": name, "dial": dial, "site": "a", "class": "m", "block": 0, "health": health, "born_ms": 0})
+}
+
+fn list(seq: u64, whole: bool, hosts: &[Value]) -> String {
+    format!("{}\n", json!({"seq": seq, "whole": whole, "hosts": hosts}))
+}
+
+/// What a stand-in discovery does on the nth call, from 0; the connection closes when it returns.
+fn discovery(
+    say: impl Fn(&mut Wire, usize) + Send + Sync + Clone + 'static,
+) -> (SocketAddr, Receiver<Instant>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let (address, (called, calls)) = (listener.local_addr().expect("bound"), channel());
+    std::thread::spawn(move || {
+        for (n, stream) in listener.incoming().map_while(Result::ok).enumerate() {
+            let (say, called) = (say.clone(), called.clone());
+            std::thread::spawn(move || {
+                let mut wire = Wire::new(stream);
+                if !wire.message().0.is_empty() {
+                    let _ = called.send(Instant::now());
+                    wire.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    say(&mut wire, n);
+                }
+            });
+        }
+    });
+    (address, calls)
+}
+
+fn chunk(wire: &mut Wire, text: &str) {
+    wire.say(&format!("{:x}\r\n{text}\r\n", text.len()));
+}
+
+/// Keeps a watch open, with the empty lines that say so, until the daemon leaves.
+fn stay(wire: &mut Wire) {
+    while wire.try_say("1\r\n\n\r\n") {
+        std::thread::sleep(Duration::from_millis(500));
+    }
+}
+
+fn ask(daemon: &Running, request: &str) -> (String, String) {
+    let mut wire = daemon.connect(Door::Platform);
+    wire.say(request);
+    let (head, body) = wire.message();
+    (head.first().cloned().unwrap_or_default(), body)
+}
+
+fn served_by(daemon: &Running) -> bool {
+    ask(daemon, &post("t", "", "")).1 == "text"
+}
+
+#[test]
+fn half_a_list_changes_nothing_and_the_whole_one_that_follows_counts() {
+    let (old, new) = (unwanted(), worker(serves));
+    let (address, calls) = discovery(move |wire, n| {
+        let whole = list(9, true, &[host("s-new", new, "ready")]);
+        if n == 0 {
+            return wire.say(&format!("{:x}\r\n{}", whole.len(), &whole[..whole.len() / 2]));
+        }
+        chunk(wire, &whole);
+        stay(wire);
+    });
+    let daemon = Running::start(Some(platform(&[old], Some(address))), None);
+    calls.recv_timeout(LIMIT).expect("a first call");
+    calls.recv_timeout(LIMIT).expect("a second, after half of a list");
+    within(LIMIT, "the whole list counts", || served_by(&daemon).then_some(()));
+}
+
+#[test]
+fn an_older_version_takes_no_drain_back_and_a_newer_one_does() {
+    let (drained, other) = (unwanted(), worker(serves));
+    let (go, went) = channel::<()>();
+    let went = std::sync::Arc::new(std::sync::Mutex::new(went));
+    let (address, calls) = discovery(move |wire, n| {
+        let both = |health| [host("s-0", drained, health), host("s-1", other, "ready")];
+        if n == 0 {
+            // A drain, then the watch ends.
+            return chunk(wire, &list(7, true, &both("draining")));
+        }
+        // Discovery has come back with what it knew before the drain.
+        chunk(wire, &list(5, true, &both("ready")));
+        let _ = went.lock().map(|went| went.recv());
+        chunk(wire, &list(6, false, &[host("s-0", drained, "ready"), host("s-1", other, "gone")]));
+        stay(wire);
+    });
+    let daemon = Running::start(Some(platform(&[drained, other], Some(address))), None);
+    for _ in 0..2 {
+        calls.recv_timeout(LIMIT).expect("a call");
+    }
+    std::thread::sleep(Duration::from_millis(200));
+    for n in 0..20 {
+        assert_eq!(
+            ask(&daemon, &post(&format!("t{n}"), "", "")).1,
+            "text",
+            "the drained one got request {n}"
+        );
+    }
+    go.send(()).expect("a listener");
+    // Discovery counts on from its older number, and what is news by that is believed.
+    within(LIMIT, "only the one that is ready again is left", || {
+        (!ask(&daemon, &post("u", "", "")).0.contains(" 200")).then_some(())
+    });
+}
+
+#[test]
+fn a_watch_that_ends_for_all_at_once_is_taken_up_again_by_all_and_not_at_once() {
+    let good = worker(serves);
+    let (address, calls) = discovery(move |wire, n| {
+        chunk(wire, &list(3, true, &[host("s-0", good, "ready")]));
+        match n {
+            0..4 => std::thread::sleep(Duration::from_millis(2_500)),
+            _ => stay(wire),
+        }
+    });
+    let daemons: Vec<Running> = (0..4)
+        .map(|n| {
+            let mut config = platform(&[good], Some(address));
+            config["seed"] = json!(format!("{}", n + 1));
+            config["settings"]["instances"] = json!(4);
+            Running::start(Some(config), None)
+        })
+        .collect();
+    let mut at: Vec<Instant> = (0..8).map(|_| calls.recv_timeout(LIMIT).expect("a call")).collect();
+    at.drain(..4);
+    assert!(at[3] - at[0] > Duration::from_millis(20), "spread out: {:?}", at[3] - at[0]);
+    assert!(daemons.iter().all(served_by));
+}
+
+#[test]
+fn an_empty_or_very_old_list_is_none_to_rely_on_and_the_first_news_count() {
+    let gone: Vec<SocketAddr> = (0..3)
+        .map(|_| TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port"))
+        .collect();
+    for known in [vec![], gone] {
+        let good = worker(serves);
+        let (address, _calls) = discovery(move |wire, _| {
+            chunk(wire, &list(90, true, &[host("s-new", good, "ready")]));
+            stay(wire);
+        });
+        let daemon = Running::start(Some(platform(&known, Some(address))), None);
+        let start = Instant::now();
+        let (status, _) = ask(&daemon, &post("t", "", ""));
+        assert!(status.contains(" 503") || status.contains(" 200"), "{status}");
+        assert!(start.elapsed() < Duration::from_secs(2), "answered in its time");
+        within(LIMIT, "the news count", || served_by(&daemon).then_some(()));
+    }
+}
+
+#[test]
+fn a_worker_whose_connection_table_is_full_costs_nobody_an_answer() {
+    // It accepts what it must and resets it at once.
+    let full = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = full.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        for stream in full.incoming().map_while(Result::ok) {
+            let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
+    });
+    let daemon = Running::start(Some(platform(&[address, worker(serves)], None)), None);
+    for n in 0..30 {
+        assert_eq!(ask(&daemon, &post(&format!("t{n}"), "", "")).1, "text", "request {n}");
+    }
+    let alone = Running::start(Some(platform(&[address], None)), None);
+    let start = Instant::now();
+    assert!(ask(&alone, &post("t", "", "")).0.contains(" 503"), "refused: nothing can have run");
+    assert!(start.elapsed() < Duration::from_secs(2));
+}
+
+#[test]
+fn a_zone_that_falls_silent_with_jobs_out_leaves_each_request_its_answer() {
+    let silent = || {
+        worker(|wire, head| {
+            let id = header(head, "x-txn").expect("an id");
+            wire.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            chunk(wire, &format!("{}\n", json!({"id": id, "state": "started"})));
+            assert!(wire.line().is_empty(), "until the attempt is given up");
+        })
+    };
+    let mut config = platform(&[silent(), silent(), worker(serves)], None);
+    config["known"]["hosts"][2]["site"] = json!("b");
+    let daemon = Running::start(Some(config), None);
+    let start = Instant::now();
+    let mut wires: Vec<Wire> = (0..12)
+        .map(|n| {
+            let mut wire = daemon.connect(Door::Platform);
+            wire.say(&post(&format!("t{n}"), "", ""));
+            wire
+        })
+        .collect();
+    let answers: Vec<String> = wires.iter_mut().map(|w| w.message().0.remove(0)).collect();
+    assert!(answers.iter().all(|a| a.starts_with("HTTP/1.1 ")), "{answers:?}");
+    assert!(
+        start.elapsed() < Duration::from_millis(2_050),
+        "before the clients give up: {:?}",
+        start.elapsed()
+    );
+}
+
+#[test]
+fn all_workers_cold_at_once_serve_or_refuse_and_nothing_waits_for_its_deadline() {
+    let mut config = platform(&[worker(serves), worker(serves), worker(serves)], None);
+    let now = std::time::UNIX_EPOCH.elapsed().expect("a clock").as_millis() as u64;
+    for n in 0..3 {
+        config["known"]["hosts"][n]["born_ms"] = json!(now);
+    }
+    config["settings"]["invariants"]["coldFrom"] = json!(0.12);
+    config["settings"]["invariants"]["warmUp"] = json!(23e9);
+    config["settings"]["invariants"]["tipMultiple"] = json!(3.0);
+    config["settings"]["invariants"]["fall"] = json!(3e9);
+    let daemon = Running::start(Some(config), None);
+    let mut served = 0;
+    for n in 0..20 {
+        let start = Instant::now();
+        let (status, body) = ask(&daemon, &post(&format!("t{n}"), "", ""));
+        assert!(status.contains(" 200") || status.contains(" 503"), "{status}");
+        assert!(start.elapsed() < Duration::from_millis(1_500), "{status} after {:?}", start.elapsed());
+        served += usize::from(body == "text");
+        std::thread::sleep(Duration::from_millis(30));
+    }
+    assert!(served > 0, "cold ones take their part");
+}
--- /dev/null
+++ b/rig/src/fault/process.rs
@@ -0,0 +1,90 @@
+//! A process that faults happen to: killed, paused, stopped, started again. It is ended when this is dropped.
+
+use anyhow::{Context, Result};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use std::process::{Child, Command};
+use std::time::{Duration, Instant};
+
+/// The process.
+pub struct Victim {
+    command: Command,
+    child: Option<Child>,
+    paused: bool,
+}
+
+impl Victim {
+    /// One that has not been started.
+    pub fn new(command: Command) -> Self {
+        Self { command, child: None, paused: false }
+    }
+
+    /// Starts it, unless it runs.
+    pub fn start(&mut self) -> Result<()> {
+        if !self.runs() {
+            let child = self.command.spawn();
+            self.child = Some(child.with_context(|| format!("{:?}", self.command.get_program()))?);
+            self.paused = false;
+        }
+        Ok(())
+    }
+
+    /// Whether it runs, paused or not.
+    pub fn runs(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(None)))
+    }
+
+    /// How it ended by itself, if it has.
+    pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.as_mut()?.try_wait().ok()?
+    }
+
+    fn signal(&mut self, signal: Signal) {
+        // One that has ended has no number any more that is its own.
+        if self.runs()
+            && let Some(pid) = self.child.as_ref().and_then(|c| i32::try_from(c.id()).ok())
+        {
+            let _ = kill(Pid::from_raw(pid), signal);
+        }
+    }
+
+    /// SIGKILL.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.paused = false;
+    }
+
+    /// SIGSTOP.
+    pub fn pause(&mut self) {
+        self.signal(Signal::SIGSTOP);
+        self.paused = true;
+    }
+
+    /// SIGCONT.
+    pub fn resume(&mut self) {
+        self.signal(Signal::SIGCONT);
+        self.paused = false;
+    }
+
+    /// SIGTERM, and SIGKILL if it has not ended within `limit`. Whether it ended by itself.
+    pub fn stop(&mut self, limit: Duration) -> bool {
+        self.resume();
+        self.signal(Signal::SIGTERM);
+        let end = Instant::now() + limit;
+        while Instant::now() < end && self.runs() {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        let by_itself = !self.runs();
+        self.kill();
+        by_itself
+    }
+}
+
+impl Drop for Victim {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/rig/src/fault/relay.rs
@@ -0,0 +1,266 @@
+//! A TCP relay on one directed pair of processes: who opens connections and who accepts them. It carries bytes both ways
+//! and can be told to hold, delay, trickle or break them. Bytes that are held are not lost: they go on once the fault is
+//! over, late, as TCP's retransmissions would.
+
+use serde::{Deserialize, Serialize};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// What a relay does with bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Wire {
+    /// Carries them.
+    #[default]
+    Passes,
+    /// Holds those towards the accepting side; answers pass.
+    HoldsThere,
+    /// Holds those towards the opening side; requests pass.
+    HoldsBack,
+    /// Holds both.
+    Cut,
+    /// Carries them so many milliseconds later, each way.
+    Late(u64),
+    /// Carries so many bytes a second each way.
+    Trickles(u64),
+}
+
+impl Wire {
+    fn holds(self, there: bool) -> bool {
+        match self {
+            Self::Cut => true,
+            Self::HoldsThere => there,
+            Self::HoldsBack => !there,
+            _ => false,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Order {
+    wire: Wire,
+    /// Counts how often all connections were to be reset.
+    resets: u64,
+}
+
+/// A relay; its connections end with it.
+#[derive(Debug)]
+pub struct Relay {
+    /// Where it listens.
+    pub address: SocketAddr,
+    order: watch::Sender<Order>,
+    carried: Arc<AtomicU64>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Relay {
+    /// Opens one at an address of its own, towards `target`.
+    pub async fn open(at: IpAddr, target: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind((at, 0)).await?;
+        let (address, order, carried) = (listener.local_addr()?, watch::Sender::default(), Arc::default());
+        let task = tokio::spawn(run(listener, target, order.subscribe(), Arc::clone(&carried)));
+        Ok(Self { address, order, carried, task })
+    }
+
+    /// From now on it does this.
+    pub fn set(&self, wire: Wire) {
+        self.order.send_modify(|order| order.wire = wire);
+    }
+
+    /// Resets all its connections, wherever in a frame they are.
+    pub fn reset(&self) {
+        self.order.send_modify(|order| order.resets += 1);
+    }
+
+    /// Bytes carried so far, both ways.
+    pub fn carried(&self) -> u64 {
+        self.carried.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn run(
+    listener: TcpListener, target: SocketAddr, order: watch::Receiver<Order>, carried: Arc<AtomicU64>,
+) {
+    let mut open = tokio::task::JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((near, _)) = accepted {
+                    open.spawn(carry(near, target, order.clone(), carried.clone()));
+                }
+            }
+            Some(_) = open.join_next() => {}
+        }
+    }
+}
+
+/// A connection reset rather than closed, as a machine that restarts does.
+fn break_off(stream: &TcpStream) {
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+async fn carry(
+    mut near: TcpStream, target: SocketAddr, order: watch::Receiver<Order>, carried: Arc<AtomicU64>,
+) {
+    let born = order.borrow().resets;
+    // Behind a cut the other side hears nothing of a connection that comes up here, until the cut is over.
+    let through = async {
+        let mut order = order.clone();
+        let _ = order.wait_for(|o| !o.wire.holds(true)).await;
+        TcpStream::connect(target).await
+    };
+    let far = tokio::select! {
+        far = through => far,
+        _ = reset_since(order.clone(), born) => return break_off(&near),
+    };
+    let Ok(mut far) = far else { return break_off(&near) };
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    let reset = {
+        let ((near_in, near_out), (far_in, far_out)) = (near.split(), far.split());
+        tokio::select! {
+            _ = async {
+                tokio::join!(
+                    pump(near_in, far_out, order.clone(), true, &carried),
+                    pump(far_in, near_out, order.clone(), false, &carried)
+                )
+            } => false,
+            _ = reset_since(order.clone(), born) => true,
+        }
+    };
+    if reset {
+        break_off(&near);
+        break_off(&far);
+    }
+}
+
+async fn reset_since(mut order: watch::Receiver<Order>, born: u64) {
+    // An error: the relay itself has gone, and its connections with it.
+    let _ = order.wait_for(|o| o.resets != born).await;
+}
+
+/// Carries bytes one way until the end; then the other side is told of it, unless the wire holds that too.
+async fn pump(
+    mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, mut order: watch::Receiver<Order>, there: bool,
+    carried: &AtomicU64,
+) {
+    let mut buffer = vec![0; 16 * 1024];
+    loop {
+        let got = from.read(&mut buffer).await.unwrap_or(0);
+        // What the wire was told while it waited for bytes counts for these bytes already.
+        let wire = order.borrow_and_update().wire;
+        let piece = match wire {
+            Wire::Trickles(rate) => (rate / 20).clamp(1, 4_096) as usize,
+            _ => buffer.len(),
+        };
+        for piece in buffer[..got].chunks(piece) {
+            match wire {
+                Wire::Late(ms) => sleep(Duration::from_millis(ms)).await,
+                Wire::Trickles(_) => sleep(Duration::from_millis(50)).await,
+                _ => {}
+            }
+            if order.wait_for(|o| !o.wire.holds(there)).await.is_err() || to.write_all(piece).await.is_err() {
+                return;
+            }
+            carried.fetch_add(piece.len() as u64, Ordering::Relaxed);
+        }
+        if got == 0 {
+            let _ = order.wait_for(|o| !o.wire.holds(there)).await;
+            let _ = to.shutdown().await;
+            return;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::time::timeout;
+
+    const SHORT: Duration = Duration::from_millis(150);
+    const LONG: Duration = Duration::from_secs(5);
+
+    /// An echo behind a relay, and a connection through it.
+    async fn echo() -> (Relay, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let target = listener.local_addr().expect("bound");
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(async move {
+                    let (mut from, mut to) = stream.into_split();
+                    let _ = tokio::io::copy(&mut from, &mut to).await;
+                });
+            }
+        });
+        let relay = Relay::open([127, 0, 9, 1].into(), target).await.expect("a free port");
+        let stream = TcpStream::connect(relay.address).await.expect("a relay");
+        (relay, stream)
+    }
+
+    async fn comes_back(stream: &mut TcpStream, limit: Duration) -> Option<u8> {
+        let mut byte = [0];
+        timeout(limit, stream.read_exact(&mut byte)).await.ok()?.ok()?;
+        Some(byte[0])
+    }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn held_bytes_come_late_and_none_is_lost() {
+        let (relay, mut stream) = echo().await;
+        for (n, wire) in [Wire::Cut, Wire::HoldsThere, Wire::HoldsBack].into_iter().enumerate() {
+            relay.set(wire);
+            stream.write_all(&[n as u8]).await.expect("open");
+            assert_eq!(comes_back(&mut stream, SHORT).await, None, "{wire:?}");
+            relay.set(Wire::Passes);
+            assert_eq!(comes_back(&mut stream, LONG).await, Some(n as u8), "{wire:?}");
+        }
+        assert_eq!(relay.carried(), 6);
+        relay.set(Wire::Cut);
+        let mut fresh = TcpStream::connect(relay.address).await.expect("accepts and says nothing");
+        fresh.write_all(&[9]).await.expect("open");
+        assert_eq!(comes_back(&mut fresh, SHORT).await, None);
+        relay.set(Wire::Passes);
+        assert_eq!(comes_back(&mut fresh, LONG).await, Some(9));
+    }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn a_reset_breaks_what_is_open_and_new_ones_pass() {
+        let (relay, mut stream) = echo().await;
+        stream.write_all(&[1]).await.expect("open");
+        assert_eq!(comes_back(&mut stream, LONG).await, Some(1));
+        relay.reset();
+        let mut byte = [0];
+        let end = timeout(LONG, stream.read(&mut byte)).await.expect("it ends");
+        assert!(end.is_err(), "reset, not closed: {end:?}");
+        let mut fresh = TcpStream::connect(relay.address).await.expect("a relay");
+        fresh.write_all(&[2]).await.expect("open");
+        assert_eq!(comes_back(&mut fresh, LONG).await, Some(2));
+    }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn late_and_trickling_wires_are_slow() {
+        let (relay, mut stream) = echo().await;
+        relay.set(Wire::Late(100));
+        let start = tokio::time::Instant::now();
+        stream.write_all(&[1]).await.expect("open");
+        assert_eq!(comes_back(&mut stream, LONG).await, Some(1));
+        assert!(start.elapsed() >= Duration::from_millis(200), "{:?}", start.elapsed());
+        relay.set(Wire::Trickles(200));
+        stream.write_all(&[0; 40]).await.expect("open");
+        let start = tokio::time::Instant::now();
+        let mut all = [0; 40];
+        timeout(LONG, stream.read_exact(&mut all)).await.expect("in time").expect("all of it");
+        assert!(start.elapsed() >= Duration::from_millis(150), "{:?}", start.elapsed());
+    }
+}
--- /dev/null
+++ b/rig/src/fault/schedule.rs
@@ -0,0 +1,149 @@
+//! Which fault happens when. A schedule is drawn from a seed, printed as JSON, and can be played again from there, in
+//! whole or with faults left out: that is how a finding is shrunk.
+
+use super::relay::Wire;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum What {
+    /// A process is killed, and started again on its disk at the end.
+    Kill(usize),
+    /// It gets SIGTERM, and is started again at the end.
+    Stop(usize),
+    /// It is paused (SIGSTOP) until the end.
+    Pause(usize),
+    /// The wire from one process to another does this until the end.
+    Wire(usize, usize, Wire),
+    /// All wires from and to a process hold everything until the end.
+    Alone(usize),
+    /// The wires between a process and its peers hold everything until the end; the outside still reaches it.
+    Apart(usize),
+    /// A process hears nobody, and is heard: answers to it and requests to it are held.
+    Deaf(usize),
+    /// All connections from one process to another are reset.
+    Reset(usize, usize),
+}
+
+impl What {
+    /// Its kind, for counting.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Kill(_) => "kill",
+            Self::Stop(_) => "stop",
+            Self::Pause(_) => "pause",
+            Self::Wire(_, _, Wire::Late(_)) => "late",
+            Self::Wire(_, _, Wire::Trickles(_)) => "trickle",
+            Self::Wire(_, _, Wire::HoldsThere | Wire::HoldsBack) => "one_way",
+            Self::Wire(..) => "cut",
+            Self::Alone(_) => "alone",
+            Self::Apart(_) => "apart",
+            Self::Deaf(_) => "deaf",
+            Self::Reset(..) => "reset",
+        }
+    }
+}
+
+/// A fault: from when, for how long, in seconds.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Fault {
+    /// Its number in the schedule.
+    pub number: usize,
+    /// When it begins.
+    pub at: f64,
+    /// How long it lasts.
+    pub lasts: f64,
+    /// What it is.
+    pub what: What,
+}
+
+/// Faults in the order in which they begin.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Schedule(pub Vec<Fault>);
+
+/// How a schedule is drawn.
+#[derive(Clone, Copy, Debug)]
+pub struct Draw {
+    /// Processes that faults happen to.
+    pub processes: usize,
+    /// Seconds from the first fault to the end of the last.
+    pub seconds: f64,
+    /// Faults begin this far apart, on average.
+    pub every: f64,
+    /// Longest fault.
+    pub longest: f64,
+}
+
+impl Schedule {
+    /// Draws one. Half of the faults are kills.
+    pub fn draw(draw: Draw, seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xfa17);
+        let (mut at, mut faults) = (0.0, Vec::new());
+        loop {
+            // Whole milliseconds, so that printing and reading change nothing.
+            let ms = |s: f64| (s * 1e3).round() / 1e3;
+            at = ms(at + draw.every * rng.random_range(0.3..1.7));
+            let lasts = ms(rng.random_range(0.1..draw.longest));
+            if at + lasts > draw.seconds {
+                return Self(faults);
+            }
+            let one = rng.random_range(0..draw.processes);
+            let other = (one + rng.random_range(1..draw.processes.max(2))) % draw.processes;
+            let what = match rng.random_range(0..20) {
+                0..10 => What::Kill(one),
+                10 => What::Stop(one),
+                11 | 12 => What::Pause(one),
+                13 => What::Alone(one),
+                14 => What::Deaf(one),
+                15 => What::Apart(one),
+                16 => match rng.random_range(0..3) {
+                    0 => What::Wire(one, other, Wire::Cut),
+                    1 => What::Wire(one, other, Wire::HoldsThere),
+                    _ => What::Wire(one, other, Wire::HoldsBack),
+                },
+                17 => What::Wire(one, other, Wire::Late(rng.random_range(20..800))),
+                18 => What::Wire(one, other, Wire::Trickles(rng.random_range(200..5_000))),
+                _ => What::Reset(one, other),
+            };
+            faults.push(Fault { number: faults.len(), at, lasts, what });
+        }
+    }
+
+    /// Without the faults of these numbers; the others keep theirs.
+    pub fn without(mut self, left_out: &[usize]) -> Self {
+        self.0.retain(|fault| !left_out.contains(&fault.number));
+        self
+    }
+
+    /// How many of each kind.
+    pub fn kinds(&self) -> BTreeMap<&'static str, usize> {
+        let mut kinds = BTreeMap::new();
+        for fault in &self.0 {
+            *kinds.entry(fault.what.kind()).or_insert(0) += 1;
+        }
+        kinds
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_schedule_is_the_same_for_its_seed_survives_printing_and_shrinks() {
+        let draw = Draw { processes: 3, seconds: 600.0, every: 0.9, longest: 2.5 };
+        let one = Schedule::draw(draw, 7);
+        assert!(one == Schedule::draw(draw, 7) && one != Schedule::draw(draw, 8));
+        let text = serde_json::to_string(&one).expect("plain data");
+        assert!(serde_json::from_str::<Schedule>(&text).expect("the same") == one);
+        assert!(one.kinds().len() >= 10 && one.kinds()["kill"] >= 300, "{:?}", one.kinds());
+        assert!(one.0.iter().all(|f| f.at + f.lasts <= 600.0));
+        let less = one.clone().without(&[0, 2]);
+        assert_eq!(less.0.len(), one.0.len() - 2);
+        assert_eq!(less.0[0], one.0[1]);
+    }
+}
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`machine`], [`standin`], [`discovery`]: the workers and the list of them
 //! * [`clients`], [`dispatcher`]: open-loop clients, and the processes under test
 //! * [`record`], [`checker`], [`report`]: what was seen, the rules, the figures
+//! * [`fault`]: faults between processes; [`store`]: keepers of the agreed store under them
 //! * [`run`]: one run of all of it; [`room`], [`cpu`]: measurements made of runs
 
 #![forbid(unsafe_code)]
@@ -14,6 +15,7 @@
 pub mod cpu;
 pub mod discovery;
 pub mod dispatcher;
+pub mod fault;
 pub mod fleet;
 pub mod machine;
 pub mod record;
@@ -22,3 +24,4 @@
 pub mod run;
 pub mod scenario;
 pub mod standin;
+pub mod store;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -5,7 +5,7 @@
 use anyhow::Result;
 use clap::{Args, Parser, Subcommand};
 use pebblepost_rig::scenario::{Hints, Order, Scenario};
-use pebblepost_rig::{cpu, dispatcher, fleet, room};
+use pebblepost_rig::{cpu, dispatcher, fleet, room, store};
 use std::path::PathBuf;
 
 /// Measured runs of real pebblepost processes on loopback.
@@ -24,6 +24,42 @@
     Cpu(Cpu),
     /// Many dispatchers through a herd restart, a lost zone and a mass replacement.
     Fleet(Fleet),
+    /// Keepers of the agreed store under faults between them: what was acknowledged must last, and no read be old.
+    Store(Store),
+}
+
+#[derive(Args)]
+struct Store {
+    /// Keepers.
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(1..=9))]
+    keepers: u8,
+    /// Desks that change and read at the same time.
+    #[arg(long, default_value_t = 6)]
+    desks: usize,
+    /// Seconds of work under faults.
+    #[arg(long, default_value_t = 60.0)]
+    seconds: f64,
+    /// Seed of all draws.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Pause between two operations of a desk, in milliseconds.
+    #[arg(long, default_value_t = 20)]
+    pause_ms: u64,
+    /// Plays this schedule (JSON, as `--print` gives it) instead of the seed's.
+    #[arg(long)]
+    schedule: Option<PathBuf>,
+    /// Prints the schedule and plays nothing.
+    #[arg(long)]
+    print: bool,
+    /// Leaves out the faults of these numbers, to shrink a finding.
+    #[arg(long, value_delimiter = ',')]
+    without: Vec<usize>,
+    /// Print one JSON object as the last line.
+    #[arg(long)]
+    json: bool,
+    /// The program to measure; built and taken from beside this one by default.
+    #[arg(long)]
+    program: Option<PathBuf>,
 }
 
 #[derive(Args)]
@@ -118,9 +154,34 @@
         Command::Room(args) => play_room(args),
         Command::Cpu(args) => play_cpu(args),
         Command::Fleet(args) => play_fleet(args),
+        Command::Store(args) => play_store(args),
     }
 }
 
+fn play_store(args: Store) -> Result<()> {
+    let plan = store::run::Plan {
+        keepers: usize::from(args.keepers),
+        desks: args.desks.max(1),
+        seconds: args.seconds.max(1.0),
+        seed: args.seed,
+        pause_ms: args.pause_ms,
+    };
+    let schedule = match &args.schedule {
+        Some(path) => serde_json::from_str(&std::fs::read_to_string(path)?)?,
+        None => store::run::schedule(&plan),
+    };
+    let schedule = schedule.without(&args.without);
+    if args.print {
+        println!("{}", serde_json::to_string(&schedule)?);
+        return Ok(());
+    }
+    let program = args.program.map_or_else(dispatcher::built, Ok)?;
+    let (summary, found) = threads()?.block_on(store::run::run(&plan, &schedule, &program))?;
+    found.iter().for_each(|line| println!("found: {line}"));
+    println!("{}", if args.json { serde_json::to_string(&summary)? } else { format!("{summary:#?}") });
+    Ok(())
+}
+
 fn threads() -> Result<tokio::runtime::Runtime> {
     Ok(tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?)
 }
--- /dev/null
+++ b/rig/src/store/mod.rs
@@ -0,0 +1,10 @@
+//! The agreed store under faults: real keepers, desks that change and read, and a judge that knows only what they saw.
+//!
+//! [`group`] runs the keepers and lets faults happen, [`desk`] speaks to them in frames of its own, [`witness`] writes
+//! down what was asked and answered, [`verdict`] judges that, [`run`] puts them together.
+
+pub mod desk;
+pub mod group;
+pub mod run;
+pub mod verdict;
+pub mod witness;
--- /dev/null
+++ b/rig/src/store/run.rs
@@ -0,0 +1,337 @@
+//! `rig store`: a group under a schedule of faults while desks change and read, and the judgement.
+
+use super::desk::{Desk, Frames, Leader, tag};
+use super::group::{Group, until};
+use super::verdict::{Verdict, judge};
+use super::witness::{Op, Seen, Witness};
+use crate::fault::schedule::{Draw, Schedule, What};
+use crate::standin::lock;
+use anyhow::{Context, Result};
+use hdrhistogram::Histogram;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::time::{sleep, timeout};
+
+/// An operation is given up after this; it is then not known whether it was done.
+const PATIENCE: Duration = Duration::from_secs(4);
+/// A desk holds so many marks of its own before it takes the oldest back.
+const HELD: usize = 200;
+/// Operations on one contended mark before the desks go on to the next: few enough that all orders can be tried.
+const CONTENDED: u64 = 14;
+
+/// What is asked for.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Keepers.
+    pub keepers: usize,
+    /// Desks at work at the same time.
+    pub desks: usize,
+    /// Seconds of work under faults.
+    pub seconds: f64,
+    /// The seed.
+    pub seed: u64,
+    /// Pause between two operations of a desk, in milliseconds.
+    pub pause_ms: u64,
+}
+
+/// What came of it.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Summary {
+    /// The judgement.
+    #[serde(flatten)]
+    pub verdict: Verdict,
+    /// Drains in the agreed state that a follower did not have at the end.
+    pub drains_forgotten: usize,
+    /// Operations whose outcome the desks do not know.
+    pub unknown: usize,
+    /// Keepers killed.
+    pub kills: usize,
+    /// Faults by kind.
+    pub faults: BTreeMap<&'static str, usize>,
+    /// What else broke: a follower's gap, a keeper that ended by itself.
+    pub rules_broken: usize,
+    /// Time of an acknowledged change, median and 99th percentile.
+    pub write_p50_ms: f64,
+    /// See `write_p50_ms`.
+    pub write_p99_ms: f64,
+    /// From the kill of a leader to the next acknowledged change anywhere.
+    pub leader_gap_p50_ms: f64,
+    /// See `leader_gap_p50_ms`.
+    pub leader_gap_p99_ms: f64,
+    /// Bytes between keepers for each acknowledged change.
+    pub bytes_per_change: u64,
+}
+
+struct Shared {
+    plan: Plan,
+    witness: Witness,
+    leader: Leader,
+    stop: AtomicBool,
+    contended: AtomicU64,
+    /// Marks acknowledged lately, for reads that must see them.
+    fresh: Mutex<VecDeque<String>>,
+    writes: Mutex<Histogram<u64>>,
+    /// When a leader was killed, until a change is acknowledged; and the gaps so far, in milliseconds.
+    gap: Mutex<(Option<Instant>, Vec<f64>)>,
+}
+
+async fn change(shared: &Shared, desk: &mut Desk, id: (u64, u64), worker: &str, op: Op) -> bool {
+    let (drain, name) = match &op {
+        Op::Drain(tag) => (true, tag.as_str()),
+        _ => (false, ""),
+    };
+    let command = Desk::command(id, worker, drain, name);
+    let (asked, began) = (shared.witness.now(), Instant::now());
+    let said = desk.ask(&command, PATIENCE).await;
+    let done = said.is_ok_and(|say| say.pointer("/answer/Ok").is_some());
+    if done {
+        let _ = lock(&shared.writes).record(began.elapsed().as_micros() as u64);
+        let mut gap = lock(&shared.gap);
+        // Only what was asked after the kill tells that the group goes on.
+        if let Some(killed) = gap.0.filter(|killed| began > *killed) {
+            gap.0 = None;
+            gap.1.push(killed.elapsed().as_secs_f64() * 1e3);
+        }
+    }
+    let answered = done.then(|| (shared.witness.now(), None));
+    shared.witness.note(Seen { worker: worker.to_owned(), op, asked, answered });
+    done
+}
+
+async fn read(shared: &Shared, desk: &mut Desk, worker: &str) {
+    let asked = shared.witness.now();
+    if let Ok(found) = desk.read(worker, PATIENCE).await {
+        let answered = Some((shared.witness.now(), found));
+        shared.witness.note(Seen { worker: worker.to_owned(), op: Op::Read, asked, answered });
+    }
+}
+
+/// One desk at work until it is told to stop.
+async fn work(shared: Arc<Shared>, number: usize, addresses: Vec<SocketAddr>) {
+    let mut rng = Pcg64Mcg::seed_from_u64(shared.plan.seed.wrapping_mul(1_000) ^ number as u64);
+    let mut desk = Desk::new(addresses, shared.leader.clone());
+    let mut own: VecDeque<String> = VecDeque::new();
+    let mut next = 0_u64;
+    while !shared.stop.load(Ordering::Relaxed) {
+        next += 1;
+        if rng.random_bool(0.2) {
+            desk.turn_to(rng.random_range(0..shared.plan.keepers)); // One that led may still think that it does.
+        }
+        let id = (number as u64 + 1, next);
+        match rng.random_range(0..10) {
+            0..5 => {
+                let worker = format!("w-{number}-{next}");
+                if change(&shared, &mut desk, id, &worker, Op::Drain(format!("t{next}"))).await {
+                    own.push_back(worker.clone());
+                    let mut fresh = lock(&shared.fresh);
+                    fresh.push_back(worker);
+                    if fresh.len() > 32 {
+                        fresh.pop_front();
+                    }
+                }
+                if own.len() > HELD
+                    && let Some(oldest) = own.pop_front()
+                {
+                    change(&shared, &mut desk, (id.0, id.1 | 1 << 60), &oldest, Op::Undrain).await;
+                }
+            }
+            5..7 => {
+                let some = {
+                    let fresh = lock(&shared.fresh);
+                    (!fresh.is_empty()).then(|| fresh[rng.random_range(0..fresh.len())].clone())
+                };
+                if let Some(worker) = some {
+                    read(&shared, &mut desk, &worker).await;
+                }
+            }
+            what => {
+                let turn = shared.contended.fetch_add(1, Ordering::Relaxed) / CONTENDED;
+                let worker = format!("c-{turn}");
+                match what {
+                    7 => drop(
+                        change(&shared, &mut desk, id, &worker, Op::Drain(format!("t{number}-{next}"))).await,
+                    ),
+                    8 => drop(change(&shared, &mut desk, id, &worker, Op::Undrain).await),
+                    _ => read(&shared, &mut desk, &worker).await,
+                }
+            }
+        }
+        sleep(Duration::from_millis(shared.plan.pause_ms)).await;
+    }
+}
+
+/// A follower's copy of the drains, and what was wrong with the news it got.
+#[derive(Default)]
+struct Copy {
+    revision: u64,
+    drains: BTreeMap<String, String>,
+    wrong: Vec<String>,
+}
+
+impl Copy {
+    fn take(&mut self, say: &Value) {
+        if let Some(snapshot) = say.get("snapshot") {
+            let revision = snapshot["revision"].as_u64().unwrap_or(0);
+            if revision >= self.revision {
+                self.revision = revision;
+                self.drains = drains(&snapshot["entries"]);
+            }
+        }
+        for change in say.get("changes").and_then(Value::as_array).into_iter().flatten() {
+            let revision = change["revision"].as_u64().unwrap_or(0);
+            if revision <= self.revision {
+                continue; // From a keeper that is behind.
+            }
+            if revision != self.revision + 1 {
+                self.wrong.push(format!("change {revision} came after {}", self.revision));
+            }
+            self.revision = revision;
+            for item in change["items"].as_array().into_iter().flatten() {
+                let Some(worker) = item[0].as_str().and_then(|k| k.strip_prefix("drain/")) else { continue };
+                match tag(Some(&json!({"value": item[1]}))) {
+                    Some(tag) => drop(self.drains.insert(worker.to_owned(), tag)),
+                    None => drop(self.drains.remove(worker)),
+                }
+            }
+        }
+    }
+}
+
+fn drains(entries: &Value) -> BTreeMap<String, String> {
+    let entries = entries.as_object().into_iter().flatten();
+    let drain = |(key, entry): (&String, &Value)| {
+        Some((key.strip_prefix("drain/")?.to_owned(), tag(Some(entry)).unwrap_or_default()))
+    };
+    entries.filter_map(drain).collect()
+}
+
+/// Follows all changes at one keeper after another, resuming at its own revision, until told to stop.
+async fn follow(addresses: Vec<SocketAddr>, copy: Arc<Mutex<Copy>>) {
+    for address in addresses.iter().cycle() {
+        let from = lock(&copy).revision;
+        let session = async {
+            let mut frames = timeout(Duration::from_secs(1), Frames::open(*address)).await??;
+            frames.send(&json!({"watch": from})).await?;
+            loop {
+                let say = timeout(Duration::from_millis(1_500), frames.next()).await??;
+                lock(&copy).take(&say);
+            }
+        };
+        let _: Result<()> = session.await;
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Plays a schedule: begins and ends its faults at their times, and tells of leaders that are killed.
+async fn play(shared: &Shared, group: &mut Group, schedule: &Schedule) -> Result<()> {
+    let start = Instant::now();
+    let mut steps: Vec<(f64, Option<usize>, usize)> = Vec::new();
+    for (i, fault) in schedule.0.iter().enumerate() {
+        steps.push((fault.at, Some(i), fault.number));
+        steps.push((fault.at + fault.lasts, None, fault.number));
+    }
+    steps.sort_by(|a, b| a.0.total_cmp(&b.0));
+    for (at, begins, number) in steps {
+        sleep(Duration::from_secs_f64((at - start.elapsed().as_secs_f64()).max(0.0))).await;
+        group.look()?;
+        match begins {
+            Some(i) => {
+                let fault = schedule.0[i];
+                if fault.what == What::Kill(shared.leader.load(Ordering::Relaxed)) {
+                    lock(&shared.gap).0.get_or_insert_with(Instant::now);
+                }
+                tokio::task::block_in_place(|| group.begin_fault(fault));
+            }
+            None => group.end_fault(number)?,
+        }
+    }
+    Ok(())
+}
+
+/// Draws the schedule of a plan.
+pub fn schedule(plan: &Plan) -> Schedule {
+    let every = 0.85;
+    Schedule::draw(Draw { processes: plan.keepers, seconds: plan.seconds, every, longest: 2.0 }, plan.seed)
+}
+
+/// Runs it. Returns the figures and what was found, in words.
+pub async fn run(plan: &Plan, schedule: &Schedule, program: &Path) -> Result<(Summary, Vec<String>)> {
+    let folder =
+        std::env::temp_dir().join(format!("pebblepost-rig-store-{}-{}", std::process::id(), plan.seed));
+    let mut group = Group::start(program, plan.keepers, folder).await?;
+    let shared = Arc::new(Shared {
+        plan: plan.clone(),
+        witness: Witness::default(),
+        leader: Leader::default(),
+        stop: AtomicBool::new(false),
+        contended: AtomicU64::new(0),
+        fresh: Mutex::default(),
+        writes: Mutex::new(Histogram::new(3)?),
+        gap: Mutex::default(),
+    });
+    let copy = Arc::new(Mutex::new(Copy::default()));
+    let follower = tokio::spawn(follow(group.outside(), copy.clone()));
+    let desks: Vec<_> =
+        (0..plan.desks).map(|n| tokio::spawn(work(shared.clone(), n, group.outside()))).collect();
+    play(&shared, &mut group, schedule).await?;
+    shared.stop.store(true, Ordering::Relaxed);
+    group.heal()?;
+    for desk in desks {
+        desk.await?;
+    }
+    // All faults are over: the group must answer again, and the follower must come to the same.
+    let mut desk = Desk::new(group.outside(), shared.leader.clone());
+    let (revision, end) = until(Duration::from_secs(60), async || {
+        let say = desk.ask(&json!({"get": []}), PATIENCE).await?;
+        let found = say.get("found").with_context(|| say.to_string())?;
+        Ok((found["revision"].as_u64().unwrap_or(0), drains(&found["entries"])))
+    })
+    .await
+    .context("the group does not answer after all faults")?;
+    let caught_up = until(Duration::from_secs(30), async || {
+        let at = lock(&copy).revision;
+        if at >= revision { Ok(()) } else { anyhow::bail!("the follower stays at {at} of {revision}") }
+    });
+    let caught_up = caught_up.await;
+    follower.abort();
+    group.look()?;
+    let copy = lock(&copy);
+    let seen = shared.witness.take();
+    let verdict = judge(&seen, &end);
+    let mut broken = copy.wrong.clone();
+    broken.extend(group.crashed.clone());
+    broken.extend(caught_up.err().map(|e| e.to_string()));
+    let forgotten: Vec<&String> = end.keys().filter(|w| !copy.drains.contains_key(*w)).collect();
+    let (writes, gaps) = (lock(&shared.writes), lock(&shared.gap).1.clone());
+    let ms = |part: f64| writes.value_at_quantile(part) as f64 / 1e3;
+    let gap = |part: f64| {
+        let mut sorted = gaps.clone();
+        sorted.sort_by(f64::total_cmp);
+        sorted.get(((sorted.len() as f64 * part).ceil() as usize).saturating_sub(1)).copied().unwrap_or(0.0)
+    };
+    let faults = schedule.kinds();
+    let mut found = verdict.found.clone();
+    found.extend(broken.iter().cloned());
+    let summary = Summary {
+        drains_forgotten: forgotten.len(),
+        unknown: seen.iter().filter(|s| s.answered.is_none()).count(),
+        kills: faults.get("kill").copied().unwrap_or(0),
+        faults,
+        rules_broken: broken.len(),
+        write_p50_ms: ms(0.5),
+        write_p99_ms: ms(0.99),
+        leader_gap_p50_ms: gap(0.5),
+        leader_gap_p99_ms: gap(0.99),
+        bytes_per_change: group.carried() / verdict.committed.max(1) as u64,
+        verdict,
+    };
+    Ok((summary, found))
+}
--- /dev/null
+++ b/rig/src/store/verdict.rs
@@ -0,0 +1,195 @@
+//! Judges what the desks saw: nothing acknowledged is lost, no read is old, and each worker's mark behaves as if there
+//! were one copy of it (linearizability, by `stateright`'s checker).
+
+use super::witness::{Op, Seen};
+use serde::Serialize;
+use stateright::semantics::{ConsistencyTester, LinearizabilityTester, SequentialSpec};
+use std::collections::BTreeMap;
+
+/// One worker's drain mark, as if there were one copy.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Mark(Option<String>);
+
+impl SequentialSpec for Mark {
+    type Op = Op;
+    /// What a read found; other operations find nothing.
+    type Ret = Option<String>;
+
+    fn invoke(&mut self, op: &Op) -> Option<String> {
+        match op {
+            Op::Drain(tag) => {
+                self.0.get_or_insert_with(|| tag.clone());
+                None
+            }
+            Op::Undrain => {
+                self.0 = None;
+                None
+            }
+            Op::Read => self.0.clone(),
+        }
+    }
+}
+
+/// The judgement.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Verdict {
+    /// Changes that were acknowledged.
+    pub committed: usize,
+    /// Those of them that are not in the state at the end, or are again though taken back.
+    pub lost: usize,
+    /// Reads that did not see what was acknowledged before they were asked.
+    pub stale_reads: usize,
+    /// No history contradicts there being one copy.
+    pub linearizable: bool,
+    /// What was found, in words.
+    #[serde(skip)]
+    pub found: Vec<String>,
+}
+
+/// What one worker's history allows to be expected at the end: its mark, if all who touched it are known to have.
+fn expected(history: &[&Seen]) -> Option<bool> {
+    // Only where nobody's outcome is unknown and the changes came one after another.
+    let changes: Vec<&&Seen> = history.iter().filter(|s| s.op != Op::Read).collect();
+    let mut last = f64::NEG_INFINITY;
+    for change in &changes {
+        let (answered, _) = change.answered.as_ref()?;
+        if change.asked < last {
+            return None;
+        }
+        last = *answered;
+    }
+    changes.last().map(|c| matches!(c.op, Op::Drain(_)))
+}
+
+/// Reads that were asked after a lone change was acknowledged and before any other was asked, and contradict it.
+fn stale(history: &[&Seen]) -> usize {
+    let changes: Vec<&&Seen> = history.iter().filter(|s| s.op != Op::Read).collect();
+    let reads = history.iter().filter(|s| s.op == Op::Read);
+    let contradicts = |read: &&&Seen| {
+        let Some((answered, found)) = &read.answered else { return false };
+        // Every change but those over before the read, or begun after it, may or may not be seen.
+        let open = changes
+            .iter()
+            .any(|c| c.asked < *answered && c.answered.as_ref().is_none_or(|(end, _)| *end > read.asked));
+        let end = |c: &Seen| c.answered.as_ref().map_or(f64::INFINITY, |(end, _)| *end);
+        let before = || changes.iter().filter(|c| end(c) <= read.asked);
+        let last = before().max_by(|a, b| a.asked.total_cmp(&b.asked));
+        // Of two that were out at the same time either may have been the last.
+        let clear = last.is_none_or(|last| before().all(|c| c.asked >= last.asked || end(c) <= last.asked));
+        let drained = last.is_some_and(|c| matches!(c.op, Op::Drain(_)));
+        !open && clear && found.is_some() != drained
+    };
+    reads.filter(contradicts).count()
+}
+
+fn linearizable(history: &[&Seen]) -> bool {
+    // Each operation is a thread of its own, so that those whose outcome is unknown stay open for ever.
+    let mut events: Vec<(f64, bool, usize)> = Vec::new();
+    for (i, seen) in history.iter().enumerate() {
+        events.push((seen.asked, false, i));
+        events.extend(seen.answered.as_ref().map(|(at, _)| (*at, true, i)));
+    }
+    events.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    let mut tester = LinearizabilityTester::new(Mark(None));
+    for (_, ends, i) in events {
+        let seen = history[i];
+        // A read that got no answer says nothing.
+        if seen.op == Op::Read && seen.answered.is_none() {
+            continue;
+        }
+        let taken = match &seen.answered {
+            Some((_, found)) if ends => tester.on_return(i, found.clone()).is_ok(),
+            _ => tester.on_invoke(i, seen.op.clone()).is_ok(),
+        };
+        debug_assert!(taken, "each operation is asked and answered once");
+    }
+    tester.is_consistent()
+}
+
+/// Judges the operations. `end`: the tag of each mark that stands at the end, read after all faults were over.
+pub fn judge(seen: &[Seen], end: &BTreeMap<String, String>) -> Verdict {
+    let mut verdict = Verdict { linearizable: true, ..Verdict::default() };
+    let mut by_worker: BTreeMap<&str, Vec<&Seen>> = BTreeMap::new();
+    for s in seen {
+        by_worker.entry(&s.worker).or_default().push(s);
+        verdict.committed += usize::from(s.op != Op::Read && s.answered.is_some());
+    }
+    for (worker, history) in &mut by_worker {
+        history.sort_by(|a, b| a.asked.total_cmp(&b.asked));
+        if let Some(expected) = expected(history)
+            && expected != end.contains_key(*worker)
+        {
+            verdict.lost += 1;
+            verdict.found.push(format!("{worker}: acknowledged as drained {expected}, not so at the end"));
+        }
+        let stale = stale(history);
+        if stale > 0 {
+            verdict.stale_reads += stale;
+            verdict.found.push(format!("{worker}: {stale} reads older than what was acknowledged"));
+        }
+        if !linearizable(history) {
+            verdict.linearizable = false;
+            verdict.found.push(format!("{worker}: no order of {history:?} explains what was seen"));
+        }
+    }
+    verdict
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn op(op: Op, asked: f64, answered: Option<(f64, Option<&str>)>) -> Seen {
+        let answered = answered.map(|(at, found)| (at, found.map(str::to_owned)));
+        Seen { worker: "w".to_owned(), op, asked, answered }
+    }
+
+    fn drain(asked: f64, answered: Option<f64>) -> Seen {
+        op(Op::Drain("a".to_owned()), asked, answered.map(|at| (at, None)))
+    }
+
+    fn read(asked: f64, answered: f64, found: Option<&str>) -> Seen {
+        op(Op::Read, asked, Some((answered, found)))
+    }
+
+    fn marks(there: bool) -> BTreeMap<String, String> {
+        there.then(|| ("w".to_owned(), "a".to_owned())).into_iter().collect()
+    }
+
+    #[test]
+    fn what_one_copy_would_do_is_no_fault() {
+        let history = [
+            drain(0.0, Some(1.0)),
+            read(0.5, 0.9, None),
+            read(1.1, 1.2, Some("a")),
+            op(Op::Undrain, 2.0, Some((3.0, None))),
+            read(2.5, 2.6, None),
+            read(3.1, 3.2, None),
+        ];
+        let verdict = judge(&history, &marks(false));
+        assert_eq!(verdict, Verdict { committed: 2, linearizable: true, ..Verdict::default() });
+        // One whose outcome is unknown may be seen or not, also much later.
+        for found in [None, Some("a")] {
+            let verdict = judge(&[drain(0.0, None), read(9.0, 9.1, found)], &marks(true));
+            assert_eq!((verdict.lost, verdict.stale_reads, verdict.linearizable), (0, 0, true));
+        }
+    }
+
+    #[test]
+    fn each_fault_is_found() {
+        let lost = judge(&[drain(0.0, Some(1.0))], &marks(false));
+        assert_eq!((lost.lost, lost.linearizable), (1, true));
+        let undone = judge(&[drain(0.0, Some(1.0)), op(Op::Undrain, 2.0, Some((3.0, None)))], &marks(true));
+        assert_eq!(undone.lost, 1);
+        let stale = judge(&[drain(0.0, Some(1.0)), read(1.5, 1.6, None)], &marks(true));
+        assert_eq!((stale.stale_reads, stale.linearizable), (1, false));
+        // Two changes that were out together: the order in which they were asked is not theirs.
+        let both =
+            [drain(0.0, Some(2.0)), op(Op::Undrain, 1.0, Some((1.5, None))), read(3.0, 4.0, Some("a"))];
+        assert_eq!(judge(&both, &marks(true)).stale_reads, 0);
+        // Seen, then not seen, while the change is still open: neither read is old by itself.
+        let back = [drain(0.0, Some(9.0)), read(1.0, 2.0, Some("a")), read(3.0, 4.0, None)];
+        let back = judge(&back, &marks(true));
+        assert_eq!((back.stale_reads, back.linearizable), (0, false));
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1227,10 +1227,10 @@
             ListKind::Delta | ListKind::Full => (self.subscribed, self.asks) = (ask, 0),
         }
         if ask && !self.subscribed {
-            // All nodes may have to ask at once: spread out and backed off, but within the stated time.
-            let within = self.settings.ask_within.mul_f64(0.5);
-            let pause = (within / 8) * (1 << self.asks.min(3));
-            let at = now + pause.mul_f64(self.rng.random_range(0.1..1.0));
+            // All nodes may have to ask at once: spread by their number, backed off, within the stated time.
+            let within = self.settings.ask_within.mul_f64(0.75);
+            let part = f64::from(self.settings.nodes.max(3)) * f64::from(1 << self.asks.min(3)) / 40.0;
+            let at = now + within.mul_f64(part.min(1.0) * self.rng.random_range(0.1..1.0));
             out.push(Action::SetTimer { at, token: token(Timer::Ask, 0, 0) });
         }
         if matches!(kind, ListKind::Full | ListKind::Cached) {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use common::*;
+use pebblewind::Dispatcher;
 use pebblewind::api::*;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -170,3 +171,58 @@
     }
     assert!(sent > 0 && probed * 10 <= sent * 11, "{probed} probes of the cold worker for {sent} jobs");
 }
+
+/// All of so many dispatchers start at once, each with an old list. Discovery answers four calls a second in turn and
+/// fails those that would wait for longer than 2 s. Returns the calls, and when the last one had its list.
+fn discovery_calls(nodes: u32, seed: u64) -> (usize, f64) {
+    let mut s = settings();
+    (s.discovery, s.nodes, s.ask_within) = (Discovery::Ask, nodes, Duration::from_secs(10));
+    let at = |secs: f64| Time((secs * 1e9) as u64);
+    let mut all: Vec<Dispatcher> =
+        (0..nodes).map(|n| Dispatcher::new(s.clone(), seed * 1_000 + u64::from(n), at(0.0))).collect();
+    // What comes next: when, at which node, and what (a timer, or how a call ended).
+    let mut coming: Vec<(u64, usize, Event)> = Vec::new();
+    for node in 0..all.len() {
+        coming.push((0, node, Event::Members { kind: ListKind::Cached, entries: Vec::new() }));
+    }
+    let (mut calls, mut busy_until, mut last) = (0, 0.0_f64, 0.0_f64);
+    while let Some(next) = (0..coming.len()).min_by_key(|i| coming[*i].0) {
+        let (now, node, event) = coming.swap_remove(next);
+        if matches!(event, Event::Members { kind: ListKind::Full, .. }) {
+            last = now as f64 / 1e9;
+        }
+        let mut out = Vec::new();
+        all[node].handle(Time(now), event, &mut out);
+        for action in out {
+            match action {
+                Action::SetTimer { at, token } => coming.push((at.0, node, Event::TimerDue { token })),
+                Action::Watch => {
+                    calls += 1;
+                    let now = now as f64 / 1e9;
+                    let turn = busy_until.max(now) + 0.25;
+                    let (end, kind) =
+                        if turn > now + 2.0 { (now + 2.0, ListKind::Failed) } else { (turn, ListKind::Full) };
+                    if kind == ListKind::Full {
+                        busy_until = turn;
+                    }
+                    coming.push((at(end).0, node, Event::Members { kind, entries: Vec::new() }));
+                }
+                _ => {}
+            }
+        }
+    }
+    (calls, last)
+}
+
+/// Without the spread by number, forty nodes make twice the calls each that ten make, and gain nothing by it: discovery
+/// is as fast as it is.
+#[test]
+fn calls_to_discovery_after_a_restart_of_all_grow_no_faster_than_the_nodes() {
+    for nodes in [10, 20, 30, 40] {
+        let played: Vec<(usize, f64)> = (1..=5).map(|seed| discovery_calls(nodes, seed)).collect();
+        let calls = played.iter().map(|p| p.0).sum::<usize>() as f64 / 5.0 / f64::from(nodes);
+        let last = played.iter().map(|p| p.1).fold(0.0, f64::max);
+        assert!(calls < 1.25, "{nodes} nodes: {calls} calls each");
+        assert!(last < 12.0 + f64::from(nodes) / 4.0, "{nodes} nodes: the last has its list after {last} s");
+    }
+}
