--- /dev/null
+++ b/pebblepost/src/agent.rs
@@ -0,0 +1,437 @@
+//! The agent: a thread beside the loop that follows the agreed store. It is there only if the operator's file has a part
+//! `fleet`; without one there is no thread and no descriptor.
+//!
+//! The loop never waits for it. What is known is handed over as one value, the newest, with a byte in a pipe that wakes
+//! the loop; what it is made of ([`Follower`]) lives here. If no keeper is reached, the last value stays in force, and
+//! [`Agent::told`] says how old it is.
+//!
+//! An operator of this machine reaches the agent at `fleet.control` (loopback) by lines of JSON: `{"drain":WORKER}`,
+//! `{"undrain":WORKER}`, both with an optional `"why"`, and `{"show":true}`; each is answered by one line, `{"ok":true}` or
+//! `{"error":WHY}`. A drain asked for here holds here at once and is offered to the group.
+
+use crate::config::Fleet;
+use pebblepost_fleet::command::{Act, Card, Command, Role};
+use pebblepost_fleet::follow::{Follower, Offered};
+use pebblepost_fleet::setting::SETTINGS;
+use pebblepost_fleet::{Name, Refusal, RequestId, Text};
+use pebblepost_store::client::Client;
+use pebblepost_store::keeper::request_id;
+use pebblepost_store::wire::{Ask, Say};
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashSet};
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::os::unix::net::UnixStream;
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, Semaphore, oneshot};
+use tokio::time::{sleep, timeout};
+
+/// A member is heard this often.
+const BEAT: Duration = Duration::from_secs(1);
+/// An answer of the keepers is waited for so long.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// A watch says something every half second; quiet for so long, it has failed.
+const QUIET: Duration = Duration::from_secs(2);
+/// Pauses before a watch or a join is tried again: doubled in a row, each drawn anew, so that a fleet that lost its
+/// keepers does not come back in one moment.
+const PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(3));
+/// The copy is kept at most this often.
+const KEEP: Duration = Duration::from_millis(200);
+const MAX_LINE: u64 = 4_096;
+const MAX_OPERATORS: usize = 8;
+const OPERATOR_PATIENCE: Duration = Duration::from_secs(10);
+
+/// What the loop goes by.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Knowledge {
+    /// The agreed revision.
+    pub revision: u64,
+    /// Workers with a drain mark, agreed or local.
+    pub drained: HashSet<String>,
+    /// How many of the marks are local.
+    pub local: usize,
+    /// Agreed settings.
+    pub settings: BTreeMap<&'static str, f64>,
+}
+
+impl Knowledge {
+    fn of(follower: &Follower) -> Self {
+        let settings = SETTINGS.iter().filter_map(|s| Some((s.name, follower.setting(s.name)?))).collect();
+        Self {
+            revision: follower.revision(),
+            drained: follower.drained().into_iter().map(|name| name.to_string()).collect(),
+            local: follower.local().count(),
+            settings,
+        }
+    }
+
+    /// A setting that is a time.
+    pub fn seconds(&self, name: &str) -> Option<Duration> {
+        self.settings.get(name).map(|secs| Duration::from_secs_f64(*secs))
+    }
+}
+
+/// What both threads hold.
+struct Shared {
+    /// The newest, whether or not the loop has taken it.
+    knowledge: Mutex<Arc<Knowledge>>,
+    /// When the keepers last confirmed it, in milliseconds from `started`; 0: never.
+    heard_ms: AtomicU64,
+    started: Instant,
+    follower: Mutex<Follower>,
+    /// Something was asked for here that the group should have.
+    offers: Notify,
+    changed: Notify,
+    wake: UnixStream,
+    log: fn(&str),
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A copy as it is kept in a file.
+#[derive(Serialize, Deserialize)]
+struct Kept {
+    sum: String,
+    copy: String,
+}
+
+fn checksum(text: &str) -> String {
+    use sha2::Digest;
+    sha2::Sha256::digest(text.as_bytes()).iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn load(path: &Path) -> Result<Option<Follower>, String> {
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(e) => return Err(e.to_string()),
+    };
+    let kept: Kept = serde_json::from_str(&text).map_err(|e| e.to_string())?;
+    if checksum(&kept.copy) != kept.sum {
+        return Err("torn or not a copy".to_owned());
+    }
+    serde_json::from_str(&kept.copy).map(Some).map_err(|e| e.to_string())
+}
+
+/// Writes the copy so that a crash leaves the old file or the new one, whole.
+fn save(path: &Path, follower: &Follower) -> io::Result<()> {
+    let copy = serde_json::to_string(follower)?;
+    let text = serde_json::to_string(&Kept { sum: checksum(&copy), copy })?;
+    let fresh = path.with_extension("new");
+    let mut file = std::fs::File::create(&fresh)?;
+    file.write_all(text.as_bytes())?;
+    file.sync_all()?;
+    std::fs::rename(&fresh, path)?;
+    let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    std::fs::File::open(folder)?.sync_all()
+}
+
+impl Shared {
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Changes the copy, and tells the loop if that changes what it goes by.
+    fn with<T>(&self, work: impl FnOnce(&mut Follower) -> T) -> T {
+        let mut follower = lock(&self.follower);
+        let result = work(&mut follower);
+        if let Some(age) = follower.age(self.now()) {
+            let heard = self.now().saturating_sub(age).as_millis().max(1);
+            self.heard_ms.store(u64::try_from(heard).unwrap_or(u64::MAX), Ordering::Relaxed);
+        }
+        let knowledge = Knowledge::of(&follower);
+        drop(follower);
+        let mut held = lock(&self.knowledge);
+        if **held != knowledge {
+            *held = Arc::new(knowledge);
+            drop(held);
+            // A full pipe: the loop is to be woken already.
+            let _ = (&self.wake).write(&[1]);
+            self.changed.notify_one();
+        }
+        result
+    }
+}
+
+/// The agent, from the loop's side. Its thread ends when this is dropped.
+pub struct Agent {
+    shared: Arc<Shared>,
+    /// Becomes readable when there is something new.
+    pub woken: UnixStream,
+    /// Where it listens to operators.
+    pub control: Option<SocketAddr>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Agent {
+    /// Starts it, with what was kept before. `address`: where this dispatcher takes clients.
+    pub fn start(fleet: &Fleet, name: &str, address: Option<SocketAddr>, log: fn(&str)) -> io::Result<Self> {
+        let member: Name = name.parse().map_err(io::Error::other)?;
+        let control = fleet.control.map(TcpListener::bind).transpose()?;
+        if let Some(listener) = &control {
+            listener.set_nonblocking(true)?;
+        }
+        let follower = match fleet.copy.as_deref().map(load) {
+            Some(Ok(Some(kept))) => kept,
+            Some(Err(why)) => {
+                // It must not keep the program from serving; until the keepers are reached its drains are not known.
+                let path = fleet.copy.clone().unwrap_or_default();
+                log(&format!("fleet.copy: {}: {why}; goes on without it", path.display()));
+                Follower::default()
+            }
+            _ => Follower::default(),
+        };
+        let (woken, wake) = UnixStream::pair()?;
+        wake.set_nonblocking(true)?;
+        let shared = Arc::new(Shared {
+            knowledge: Mutex::new(Arc::new(Knowledge::of(&follower))),
+            heard_ms: AtomicU64::new(0),
+            started: Instant::now(),
+            follower: Mutex::new(follower),
+            offers: Notify::new(),
+            changed: Notify::new(),
+            wake,
+            log,
+        });
+        let (stop, stopped) = oneshot::channel();
+        let at = control.as_ref().map(TcpListener::local_addr).transpose()?;
+        let (inside, fleet) = (shared.clone(), fleet.clone());
+        let card = Card {
+            role: Role::Dispatcher,
+            version: env!("CARGO_PKG_VERSION").parse().unwrap_or_default(),
+            address,
+            zone: fleet.zone.parse().unwrap_or_default(),
+        };
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let work = move || {
+            runtime.block_on(async {
+                tokio::select! {
+                    _ = stopped => {}
+                    () = follow(&inside, &fleet) => {}
+                    () = member_of(&inside, &fleet, member, card) => {}
+                    () = keep(&inside, fleet.copy.as_deref()) => {}
+                    () = listen(inside.clone(), control) => {}
+                }
+            });
+        };
+        let thread = std::thread::Builder::new().name("fleet".to_owned()).spawn(work)?;
+        Ok(Self { shared, woken, control: at, stop: Some(stop), thread: Some(thread) })
+    }
+
+    /// The newest that is known.
+    pub fn knowledge(&self) -> Arc<Knowledge> {
+        lock(&self.shared.knowledge).clone()
+    }
+
+    /// What is known and how old it is, in one line.
+    pub fn told(&self) -> String {
+        let knowledge = self.knowledge();
+        let heard = match self.shared.heard_ms.load(Ordering::Relaxed) {
+            0 => "not confirmed since the start".to_owned(),
+            ms => {
+                let age = self.shared.now().saturating_sub(Duration::from_millis(ms));
+                format!("confirmed {:.1} s ago", age.as_secs_f64())
+            }
+        };
+        let (revision, drained, local) = (knowledge.revision, knowledge.drained.len(), knowledge.local);
+        format!("fleet: revision {revision}, {heard}, {drained} drained, {local} of them local\n")
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// A pause before the nth try in a row.
+fn pause(tries: u32) -> Duration {
+    let (least, most) = PAUSES;
+    (least * (1 << tries.min(5))).min(most).mul_f64(rand::rng().random_range(0.5..1.0))
+}
+
+/// Follows all changes, at one keeper after another.
+async fn follow(shared: &Shared, fleet: &Fleet) {
+    if fleet.keepers.is_empty() {
+        return std::future::pending().await;
+    }
+    let mut client = Client::new(fleet.keepers.clone());
+    let mut tries = 0;
+    loop {
+        let from = lock(&shared.follower).revision();
+        if let Ok(mut wire) = client.watch(from, tries > 0).await {
+            while let Ok(Ok(Some(say))) = timeout(QUIET, wire.next::<Say>()).await {
+                let now = shared.now();
+                let fits = shared.with(|follower| match say {
+                    Say::Snapshot(snapshot) => follower.take_snapshot(now, snapshot),
+                    Say::Changes(changes) => follower.take_changes(now, &changes),
+                    Say::Current(revision) => follower.confirmed(now, revision),
+                    _ => Ok(()),
+                });
+                // A keeper that is behind, or has lost its place: another one is asked.
+                if let Err(why) = fits {
+                    (shared.log)(&format!("fleet: {why}"));
+                    break;
+                }
+                tries = 0;
+            }
+        }
+        tries += 1;
+        sleep(pause(tries)).await;
+    }
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(0))
+}
+
+/// Keeps a session, and offers what was asked for here.
+async fn member_of(shared: &Shared, fleet: &Fleet, member: Name, card: Card) {
+    if fleet.keepers.is_empty() {
+        return std::future::pending().await;
+    }
+    let mut client = Client::new(fleet.keepers.clone());
+    let life = request_id();
+    let (mut session, mut tries) = (None, 0);
+    loop {
+        match session {
+            None => {
+                let act = Act::Join { member: member.clone(), life, card: card.clone() };
+                let command = Command { id: request_id(), by: member.clone(), at_ms: unix_ms(), act };
+                match client.command(&command, PATIENCE).await {
+                    Ok(Ok(done)) => (session, tries) = (done.session, 0),
+                    Ok(Err(refused @ Refusal::Superseded { .. })) => {
+                        // Another process has the name. This one goes on serving by what it hears.
+                        (shared.log)(&format!("fleet: {refused}"));
+                        return std::future::pending().await;
+                    }
+                    Ok(Err(refused)) => {
+                        (shared.log)(&format!("fleet: cannot join: {refused}"));
+                        tries += 1;
+                    }
+                    Err(_) => tries += 1,
+                }
+            }
+            Some(number) => {
+                let beat = Ask::Beat { member: member.clone(), session: number };
+                if let Ok(Say::Beat(false)) = client.ask(&beat, PATIENCE).await {
+                    (shared.log)("fleet: the session has ended, joining again");
+                    session = None;
+                }
+            }
+        }
+        if session.is_some() {
+            offer(shared, &mut client).await;
+        }
+        let rest = if session.is_some() { BEAT } else { pause(tries) };
+        let _ = timeout(rest, shared.offers.notified()).await;
+    }
+}
+
+/// Offers every local drain to the group, until one gets no answer.
+async fn offer(shared: &Shared, client: &mut Client) {
+    loop {
+        let Some(command) = lock(&shared.follower).offer() else { return };
+        let Ok(answer) = client.command(&command, PATIENCE).await else { return };
+        let became = shared.with(|follower| follower.offered(command.id, &answer));
+        if became == Offered::Overruled
+            && let Err(why) = answer
+        {
+            (shared.log)(&format!("fleet: a local drain was taken back: {why}"));
+        }
+    }
+}
+
+/// Keeps the copy in its file, off the thread that follows.
+async fn keep(shared: &Shared, path: Option<&Path>) {
+    let Some(path) = path else { return std::future::pending().await };
+    loop {
+        shared.changed.notified().await;
+        let (path, copy) = (path.to_owned(), lock(&shared.follower).clone());
+        let shown = path.display().to_string();
+        let saved = tokio::task::spawn_blocking(move || save(&path, &copy)).await;
+        if let Ok(Err(why)) = saved {
+            (shared.log)(&format!("fleet.copy: {shown}: {why}"));
+        }
+        sleep(KEEP).await;
+    }
+}
+
+/// Listens to operators of this machine.
+async fn listen(shared: Arc<Shared>, control: Option<TcpListener>) {
+    let Some(listener) = control.and_then(|l| tokio::net::TcpListener::from_std(l).ok()) else {
+        return std::future::pending().await;
+    };
+    let room = Arc::new(Semaphore::new(MAX_OPERATORS));
+    loop {
+        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let shared = shared.clone();
+                tokio::spawn(async move {
+                    let _ = timeout(OPERATOR_PATIENCE, serve(&shared, stream)).await;
+                    drop(permit);
+                });
+            }
+            Err(_) => sleep(Duration::from_millis(100)).await,
+        }
+    }
+}
+
+async fn serve(shared: &Shared, stream: TcpStream) -> io::Result<()> {
+    let (from, mut to) = stream.into_split();
+    let mut from = BufReader::new(from.take(MAX_LINE));
+    let mut line = String::new();
+    while from.read_line(&mut line).await? > 0 {
+        let reply = match serde_json::from_str(&line) {
+            Ok(Value::Object(ask)) => answer(shared, &Value::Object(ask)),
+            _ => json!({"error": "a line of JSON is wanted: drain, undrain or show"}),
+        };
+        to.write_all(format!("{reply}\n").as_bytes()).await?;
+        line.clear();
+        from.get_mut().set_limit(MAX_LINE);
+    }
+    Ok(())
+}
+
+fn answer(shared: &Shared, ask: &Value) -> Value {
+    let name = |key: &str| ask.get(key).and_then(Value::as_str).map(str::parse::<Name>);
+    let why = ask.get("why").and_then(Value::as_str).unwrap_or_default().parse::<Text>();
+    let done = match (name("drain"), name("undrain"), why) {
+        (Some(Ok(worker)), None, Ok(why)) => {
+            let by: Name = "operator here".parse().unwrap_or_else(|_| worker.clone());
+            let id: RequestId = request_id();
+            shared.with(|f| f.drain(worker, id, by, unix_ms(), why)).map_err(|e| e.to_string())
+        }
+        (None, Some(Ok(worker)), _) => shared.with(|f| f.undrain(&worker)).map_err(|e| e.to_string()),
+        (None, None, _) if ask.get("show").is_some() => {
+            let follower = lock(&shared.follower);
+            let local: Vec<&str> = follower.local().map(|(name, _)| name.as_str()).collect();
+            let drained: Vec<&str> = follower.drained().into_iter().map(Name::as_str).collect();
+            let age = follower.age(shared.now()).map(|age| age.as_secs_f64());
+            return json!({"revision": follower.revision(), "confirmed_s_ago": age, "drained": drained, "local": local});
+        }
+        (Some(Err(e)), ..) | (_, Some(Err(e)), _) | (.., Err(e)) => Err(e.to_string()),
+        _ => Err("drain, undrain or show is wanted".to_owned()),
+    };
+    match done {
+        Ok(()) => {
+            shared.offers.notify_one();
+            json!({"ok": true})
+        }
+        Err(why) => json!({"error": why}),
+    }
+}
--- a/pebblepost/src/config.rs
+++ b/pebblepost/src/config.rs
@@ -5,7 +5,9 @@
 
 use pebblewind::Settings;
 use pebblewind::wire::parse_settings;
+use serde::Deserialize;
 use serde_json::{Map, Value, json};
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -75,15 +77,20 @@
     pub key: Option<String>,
 }
 
-/// The store.
-#[derive(Clone, Debug, Default)]
-pub struct Store {
-    /// Where peers meet it.
-    pub listen: Option<SocketAddr>,
-    /// Its peers.
-    pub peers: Vec<SocketAddr>,
-    /// Where it is kept; `None`: in memory.
-    pub file: Option<PathBuf>,
+/// This dispatcher's part in the fleet.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// The keepers of the agreed store, by number; none: only drains asked for here are known.
+    #[serde(default)]
+    pub keepers: BTreeMap<u64, String>,
+    /// Where operators of this machine ask for a drain here.
+    pub control: Option<SocketAddr>,
+    /// Where the copy of the agreed state is kept over a restart; `None`: nowhere.
+    pub copy: Option<PathBuf>,
+    /// The zone, for the list of members.
+    #[serde(default)]
+    pub zone: String,
 }
 
 /// All that the program is told.
@@ -121,8 +128,8 @@
     pub agent_check: Option<SocketAddr>,
     /// See `agent_check`.
     pub health: Option<SocketAddr>,
-    /// The store.
-    pub store: Store,
+    /// Its part in the fleet, where the operator's file sets it up.
+    pub fleet: Option<Fleet>,
 }
 
 /// Flattens JSON into the `path=value` lines of a start message.
@@ -307,30 +314,20 @@
     })
 }
 
-fn store(file: &str, json: &Value) -> Result<Store> {
-    let map = object(file, "store", json)?;
-    only(file, "store.", map, &["listen", "peers", "file"])?;
-    let mut peers = Vec::new();
-    let no_peers = Vec::new();
-    let listed = match map.get("peers") {
-        None => &no_peers,
-        Some(Value::Array(list)) => list,
-        Some(_) => return wrong(file, "store.peers", "not a list of addresses"),
-    };
-    for peer in listed {
-        peers.extend(address(file, "store.peers", Some(peer))?);
+fn fleet(file: &str, json: &Value) -> Result<Fleet> {
+    let fleet: Fleet = serde_json::from_value(json.clone()).or_else(|e| wrong(file, "fleet", e))?;
+    let mut addresses: Vec<SocketAddr> = fleet.control.into_iter().collect();
+    for (id, text) in &fleet.keepers {
+        addresses.extend(address(file, &format!("fleet.keepers.{id}"), Some(&json!(text)))?);
     }
-    let path = match map.get("file") {
-        None | Some(Value::Null) => None,
-        Some(Value::String(path)) => Some(PathBuf::from(path)),
-        Some(_) => return wrong(file, "store.file", "not a path"),
-    };
     // Whoever reaches it may change it, so it stays on this machine.
-    let listen = address(file, "store.listen", map.get("listen"))?;
-    if listen.iter().chain(&peers).any(|a| !a.ip().is_loopback()) {
-        return wrong(file, "store", "listen and peers must be loopback addresses");
+    if let Some(far) = addresses.iter().find(|a| !a.ip().is_loopback()) {
+        return wrong(file, "fleet", format!("{far}: control and keepers must be loopback addresses"));
+    }
+    if fleet.zone.parse::<pebblepost_fleet::Text>().is_err() {
+        return wrong(file, "fleet.zone", "too long, or with control characters");
     }
-    Ok(Store { listen, peers, file: path })
+    Ok(fleet)
 }
 
 /// Reads everything. `var`: the environment; `operator`: the operator's file, if one is named.
@@ -342,7 +339,7 @@
     let op = operator.map(read_json).transpose()?.unwrap_or(json!({}));
     let op_file = operator.map(|p| p.display().to_string()).unwrap_or_default();
     let op_map = object(&op_file, "JSON", &op)?;
-    only(&op_file, "", op_map, &["name", "faktory", "agent_check", "health", "store", "settings"])?;
+    only(&op_file, "", op_map, &["name", "faktory", "agent_check", "health", "fleet", "settings"])?;
     if path.is_none() && operator.is_none() {
         return wrong("environment", "PROXY_CONFIG", "missing, and no operator's file is named");
     }
@@ -413,7 +410,7 @@
         faktory,
         agent_check: listener(&op_file, op_map, "agent_check")?,
         health: listener(&op_file, op_map, "health")?,
-        store: op.get("store").map(|s| store(&op_file, s)).transpose()?.unwrap_or_default(),
+        fleet: op.get("fleet").map(|f| fleet(&op_file, f)).transpose()?,
     })
 }
 
--- a/pebblepost/src/fleet.rs
+++ b/pebblepost/src/fleet.rs
@@ -1,6 +1,6 @@
 //! `pebblepost fleet`: an operator asks the keepers, or has them change something.
 
-use clap::{Args, Subcommand};
+use clap::{Args, Subcommand, ValueEnum};
 use pebblepost_fleet::command::{Act, Command, Op};
 use pebblepost_fleet::state::{Change, Entry, Presence, Snapshot, Value};
 use pebblepost_fleet::{Expect, Key, Name, Refusal, Text};
@@ -8,10 +8,12 @@
 use pebblepost_store::group::Peer;
 use pebblepost_store::keeper::{ask_once, request_id};
 use pebblepost_store::wire::{Ask, Say, Status};
-use serde_json::json;
+use serde_json::{Value as Json, json};
+use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
-use std::io::Write;
-use std::net::SocketAddr;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use thiserror::Error;
@@ -91,6 +93,25 @@
         /// Its number.
         id: u64,
     },
+    /// Asks for a drain at one dispatcher (or takes one back, or shows): it holds there at once, also while no keeper is
+    /// reached, and is offered to the group.
+    Here {
+        /// The dispatcher's `fleet.control`.
+        address: SocketAddr,
+        /// What: drain, undrain or show.
+        what: Here,
+        /// The worker.
+        #[arg(required_if_eq_any([("what", "drain"), ("what", "undrain")]))]
+        worker: Option<Name>,
+        /// Why, for the history.
+        #[arg(long, default_value = "")]
+        why: Text,
+    },
+    /// Takes over the file of the store that the program had before it had keepers: its drains and settings.
+    Import {
+        /// The file.
+        file: PathBuf,
+    },
     /// Forgets a member that has left or is lost.
     Dismiss {
         /// Its name.
@@ -98,6 +119,13 @@
     },
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum Here {
+    Drain,
+    Undrain,
+    Show,
+}
+
 #[derive(Args, Debug)]
 struct Workers {
     /// The workers.
@@ -150,6 +178,9 @@
 /// Carries out one command of an operator.
 pub fn run(args: FleetArgs) -> Result<()> {
     let usage = |e: &dyn std::fmt::Display| FleetError::Usage(e.to_string());
+    if let What::Here { address, what, worker, why } = &args.what {
+        return here(*address, *what, worker.as_ref(), why, args.within);
+    }
     if args.keepers.is_empty() {
         return Err(FleetError::Usage(
             "no keepers: name them with --keepers 1=127.0.0.1:7501,2=... or in PEBBLEPOST_KEEPERS".to_owned(),
@@ -171,6 +202,63 @@
     runtime.block_on(desk.carry_out(args.what))
 }
 
+/// One line to a dispatcher's agent, and its answer.
+fn here(address: SocketAddr, what: Here, worker: Option<&Name>, why: &Text, within: f64) -> Result<()> {
+    let failed = |e: &dyn std::fmt::Display| FleetError::Failed(format!("{address}: {e}"));
+    if !(0.01..=3_600.0).contains(&within) {
+        return Err(FleetError::Usage("--within: 0.01 to 3600 seconds".to_owned()));
+    }
+    let ask = match what {
+        Here::Show => json!({"show": true}),
+        Here::Drain => json!({"drain": worker, "why": why}),
+        Here::Undrain => json!({"undrain": worker}),
+    };
+    let limit = Duration::from_secs_f64(within);
+    let mut stream = TcpStream::connect_timeout(&address, limit).map_err(|e| failed(&e))?;
+    stream.set_read_timeout(Some(limit)).map_err(|e| failed(&e))?;
+    writeln!(stream, "{ask}").map_err(|e| failed(&e))?;
+    let mut line = String::new();
+    BufReader::new(stream).read_line(&mut line).map_err(|e| failed(&e))?;
+    let reply: Json = serde_json::from_str(&line).map_err(|e| failed(&e))?;
+    match reply.get("error").and_then(Json::as_str) {
+        Some(why) => Err(failed(&why)),
+        None => {
+            let _ = writeln!(std::io::stdout(), "{reply}");
+            Ok(())
+        }
+    }
+}
+
+/// The drains and settings in a file of the old store: a checksum, then registers as JSON.
+fn old_store(path: &Path) -> Result<Vec<Op>> {
+    let wrong = |what: &dyn std::fmt::Display| FleetError::Usage(format!("{}: {what}", path.display()));
+    let text = std::fs::read_to_string(path).map_err(|e| wrong(&e))?;
+    let (sum, body) =
+        text.trim_end().split_once('\n').ok_or_else(|| wrong(&"not a file of the old store"))?;
+    let found: String = Sha256::digest(body.as_bytes()).iter().map(|b| format!("{b:02x}")).collect();
+    if sum != found {
+        return Err(wrong(&"torn, or not a file of the old store"));
+    }
+    let json: Json = serde_json::from_str(body).map_err(|e| wrong(&e))?;
+    let registers = json.get("registers").and_then(Json::as_object).ok_or_else(|| wrong(&"no registers"))?;
+    let mut ops = Vec::new();
+    for (key, register) in registers {
+        // [VALUE, COUNTER, NODE]
+        let value = register.get(0).unwrap_or(&Json::Null);
+        match key.split_once('/') {
+            Some(("drain", worker)) if value == true => {
+                ops.push(Op::Drain(worker.parse().map_err(|e| wrong(&e))?));
+            }
+            Some(("setting", name)) if value.is_number() => {
+                let name = name.parse().map_err(|e| wrong(&e))?;
+                ops.push(Op::Set(name, value.as_f64().unwrap_or(f64::NAN)));
+            }
+            _ => {}
+        }
+    }
+    Ok(ops)
+}
+
 struct Desk {
     client: Client,
     keepers: BTreeMap<u64, String>,
@@ -270,6 +358,13 @@
                 let reason = Reason { why: Text::default(), expect: None };
                 self.change_all([Op::Dismiss(member)], reason).await
             }
+            What::Here { .. } => Ok(()), // Carried out before: it needs no keeper.
+            What::Import { file } => {
+                let ops = old_store(&file)?;
+                let why = format!("taken over from {}", file.display());
+                let why = why.parse().map_err(|e| FleetError::Usage(format!("{}: {e}", file.display())))?;
+                self.change_all(ops, Reason { why, expect: None }).await
+            }
             What::Add { id, address } => self.add(id, address).await,
             What::Remove { id } => {
                 let status = self.leader().await?;
--- a/pebblepost/src/health.rs
+++ b/pebblepost/src/health.rs
@@ -54,11 +54,12 @@
     s.net.set_deadline(key, Some(PATIENCE));
 }
 
-/// Bytes have come on the health port.
-pub fn on_data(s: &mut Shared, key: ConnKey) {
+/// Bytes have come on the health port. `fleet`: what is known of the fleet and how old that is, for the answer's body.
+pub fn on_data(s: &mut Shared, key: ConnKey, fleet: &str) {
     while let Some(conn) = s.net.get(key)
         && matches!(conn.role, Role::Health(_))
     {
+        let mut body = "";
         let (status, keep) = match http::request_head(&mut conn.input) {
             Ok(None) => break,
             Err(http::Malformed(status)) => (status, false),
@@ -71,10 +72,13 @@
                     (_, "/" | "/health" | "/ready") => 405,
                     _ => 404,
                 };
+                if head.method == "GET" && matches!(status, 200 | 503) {
+                    body = fleet;
+                }
                 (status, head.keep_alive && head.framing == http::Framing::Length(0) && !s.last_calls)
             }
         };
-        s.net.send(key, &http::answer(status, "", b"", keep));
+        s.net.send(key, &http::answer(status, "", body.as_bytes(), keep));
         if keep {
             s.net.set_deadline(key, Some(PATIENCE));
         } else {
--- a/pebblepost/src/lib.rs
+++ b/pebblepost/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod agent;
 pub mod buffer;
 pub mod config;
 pub mod deadlines;
@@ -16,6 +17,5 @@
 pub mod http;
 pub mod keep;
 pub mod net;
-pub mod store;
 pub mod turn;
 pub mod workers;
--- a/pebblepost/src/main.rs
+++ b/pebblepost/src/main.rs
@@ -4,14 +4,11 @@
 
 use clap::{Parser, Subcommand};
 use pebblepost::{config, fleet, keep, turn};
-use serde_json::{Value, json};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use std::io::{BufRead, BufReader, Write};
-use std::net::TcpStream;
+use std::io::Write;
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::Duration;
 
 /// A dispatcher for queues of jobs. Without a command it runs; README.md tells of its environment.
 #[derive(Parser)]
@@ -33,14 +30,6 @@
     },
     /// Asks the keepers, or has them change something.
     Fleet(fleet::FleetArgs),
-    /// Asks or changes the store of a running program: show, drain WORKER, undrain WORKER, set NAME SECONDS, unset NAME.
-    Ctl {
-        /// Where its store listens.
-        address: String,
-        /// What is asked.
-        #[arg(required = true)]
-        words: Vec<String>,
-    },
 }
 
 fn main() -> ExitCode {
@@ -56,7 +45,6 @@
     };
     let result = match cli.command {
         None => reload.map_err(Into::into).and_then(|reload| run(reload, cli.operator)),
-        Some(Command::Ctl { address, words }) => ctl(&address, &words),
         Some(Command::Keep { file }) => {
             log_lines();
             keep::run(&file).map_err(Into::into)
@@ -92,30 +80,3 @@
     let read = Box::new(move || config::read(var, operator.as_deref()));
     Ok(turn::Daemon::new(config, turn::Signals { stop, reload, read }, log)?.run()?)
 }
-
-/// Asks or changes the store of a running program.
-fn ctl(address: &str, words: &[String]) -> Result<(), Box<dyn std::error::Error>> {
-    let words: Vec<&str> = words.iter().map(String::as_str).collect();
-    let change = |key: String, value: Value| json!({"set": {key: value}});
-    let line = match words.as_slice() {
-        ["show"] => json!({"show": true}),
-        ["drain", worker] => change(format!("drain/{worker}"), json!(true)),
-        ["undrain", worker] => change(format!("drain/{worker}"), Value::Null),
-        ["set", name, secs] => change(format!("setting/{name}"), json!(secs.parse::<f64>()?)),
-        ["unset", name] => change(format!("setting/{name}"), Value::Null),
-        _ => return Err("ctl: see --help".into()),
-    };
-    let mut stream = TcpStream::connect(address)?;
-    stream.set_read_timeout(Some(Duration::from_secs(5)))?;
-    writeln!(stream, "{line}")?;
-    let mut reply = String::new();
-    BufReader::new(stream).read_line(&mut reply)?;
-    let reply: Value = serde_json::from_str(&reply)?;
-    match reply.get("error").and_then(Value::as_str) {
-        Some(error) => Err(error.into()),
-        None => {
-            println!("{reply:#}");
-            Ok(())
-        }
-    }
-}
--- a/pebblepost/src/net.rs
+++ b/pebblepost/src/net.rs
@@ -6,8 +6,8 @@
 use crate::discovery::{Call, TransportMap};
 use crate::engine::{self, Input};
 use crate::front::{faktory, platform};
+use crate::health;
 use crate::workers::Link;
-use crate::{health, store};
 use pebblewind::api::{RequestId, Time, WorkerId};
 use polling::{Event, PollMode, Poller};
 use slab::Slab;
@@ -51,8 +51,6 @@
     Accept,
     /// The Faktory front looks for silent workers and old answers.
     Faktory,
-    /// The store meets its peers.
-    Store,
 }
 
 /// What a connection is for, with the state of its protocol.
@@ -68,8 +66,6 @@
     Faktory(faktory::Peer),
     /// A balancer's question after health, by HTTP.
     Health(health::Asker),
-    /// A peer of the store, or an operator.
-    Store(store::Exchange),
     /// Only its last output still goes out.
     Closing,
 }
@@ -100,7 +96,7 @@
 
     fn max_input(&self) -> usize {
         match self.role {
-            Role::Worker(_) | Role::Discovery(_) | Role::Store(_) => MAX_TRUSTED_INPUT,
+            Role::Worker(_) | Role::Discovery(_) => MAX_TRUSTED_INPUT,
             _ => MAX_INPUT,
         }
     }
@@ -117,8 +113,6 @@
     Agent,
     /// Health questions by HTTP.
     Health,
-    /// Peers of the store.
-    Store,
 }
 
 /// A signal that the program listens to, each through a pipe of its own.
@@ -128,6 +122,8 @@
     Stop,
     /// SIGHUP: read the configuration anew.
     Reload,
+    /// The agent knows something new.
+    Fleet,
 }
 
 /// What became ready.
@@ -143,6 +139,7 @@
 
 const STOP: usize = usize::MAX - 1;
 const RELOAD: usize = usize::MAX - 2;
+const FLEET: usize = usize::MAX - 3;
 const DOORS: usize = usize::MAX - 64;
 
 /// A number for a name, the same at every node.
@@ -234,7 +231,11 @@
 
     /// Watches the pipe that a signal writes to.
     pub fn watch_signal(&self, signal: Signal, pipe: &impl AsRawFd) -> io::Result<()> {
-        let key = if signal == Signal::Stop { STOP } else { RELOAD };
+        let key = match signal {
+            Signal::Stop => STOP,
+            Signal::Reload => RELOAD,
+            Signal::Fleet => FLEET,
+        };
         self.poller.add_with_mode(pipe.as_raw_fd(), Event::readable(key), PollMode::Level)
     }
 
@@ -271,6 +272,7 @@
         let ready = |e: &Event| match e.key {
             STOP => Ready::Signal(Signal::Stop),
             RELOAD => Ready::Signal(Signal::Reload),
+            FLEET => Ready::Signal(Signal::Fleet),
             key if key >= DOORS => Ready::Door(key - DOORS),
             key => Ready::Conn(ConnKey(key), e.readable, e.writable),
         };
--- a/pebblepost/src/turn.rs
+++ b/pebblepost/src/turn.rs
@@ -1,6 +1,7 @@
 //! The loop. Each turn gathers all that is ready, hands it to the core in one go, and carries out what
 //! comes back.
 
+use crate::agent::Agent;
 use crate::config::{Config, ConfigError};
 use crate::discovery::{Discovery, TransportMap};
 use crate::engine::{Engine, Input, Output};
@@ -8,7 +9,6 @@
 use crate::front::platform::{Class, Platform, SenderSide};
 use crate::health::{self, Condition};
 use crate::net::{Clock, ConnKey, Door, Due, Net, Ready, Role, Shared, Signal};
-use crate::store::{Exchange, Replica};
 use crate::workers::Workers;
 use pebblewind::api::{ListKind, Status};
 use std::io::{self, Read};
@@ -37,8 +37,9 @@
     workers: Workers,
     discovery: Discovery,
     faktory: Option<Faktory>,
-    store: Replica,
-    /// As the operator's file says, where the store says nothing.
+    /// Follows the agreed store, where the operator's file sets it up.
+    agent: Option<Agent>,
+    /// As the operator's file says, where nothing is agreed.
     faktory_times: Option<(Duration, Duration)>,
     signals: Signals,
     outputs: Vec<Output>,
@@ -56,7 +57,6 @@
         let faktory = config.faktory.as_ref().map(|f| f.listen);
         let doors = [
             (Door::Faktory, faktory),
-            (Door::Store, config.store.listen),
             (Door::Platform, config.listen),
             (Door::Agent, config.agent_check),
             (Door::Health, config.health),
@@ -81,11 +81,16 @@
         let fields = config.settings.report_fields.clone();
         let faktory_times = config.faktory.as_ref().map(|f| (f.heartbeat, f.reserve_for));
         let faktory = config.faktory.map(|f| Faktory::new(&mut s, f, fields));
-        let store = Replica::new(&mut s, &config.name, &config.store).map_err(io::Error::other)?;
+        let agent =
+            config.fleet.as_ref().map(|f| Agent::start(f, &config.name, config.listen, log)).transpose()?;
+        if let Some(agent) = &agent {
+            agent.woken.set_nonblocking(true)?;
+            s.net.watch_signal(Signal::Fleet, &agent.woken)?;
+        }
         let mut daemon = Self {
             s,
             faktory,
-            store,
+            agent,
             faktory_times,
             engine,
             platform: Platform::new(classes),
@@ -94,23 +99,38 @@
             signals,
             outputs: Vec::new(),
         };
-        daemon.apply_store();
+        daemon.apply_agreed();
         Ok(daemon)
     }
 
-    /// Puts into force what the store says.
-    fn apply_store(&mut self) {
-        let registers = self.store.registers();
-        if let Some(told) = self.s.map.mark(registers.drained()) {
+    /// Puts into force what is agreed in the fleet, as far as it is known.
+    fn apply_agreed(&mut self) {
+        let Some(agent) = &self.agent else { return };
+        let known = agent.knowledge();
+        if let Some(told) = self.s.map.mark(known.drained.clone()) {
             self.s.inputs.push(told);
         }
         if let (Some(faktory), Some((heartbeat, reserve_for))) = (&mut self.faktory, self.faktory_times) {
-            let heartbeat = registers.seconds("faktory.heartbeat_s").unwrap_or(heartbeat);
-            let reserve_for = registers.seconds("faktory.reserve_for_s").unwrap_or(reserve_for);
+            let heartbeat = known.seconds("faktory.heartbeat_s").unwrap_or(heartbeat);
+            let reserve_for = known.seconds("faktory.reserve_for_s").unwrap_or(reserve_for);
             faktory.set_times(heartbeat, reserve_for);
         }
     }
 
+    /// The agent has something new.
+    fn woken(&mut self) {
+        if let Some(agent) = &mut self.agent {
+            // One byte for each; what is taken is the newest in any case.
+            while matches!((&agent.woken).read(&mut [0; 64]), Ok(1..)) {}
+        }
+        self.apply_agreed();
+    }
+
+    /// Where the agent listens to operators of this machine.
+    pub fn control(&self) -> Option<SocketAddr> {
+        self.agent.as_ref()?.control
+    }
+
     /// Where a door listens.
     pub fn address(&self, door: Door) -> Option<SocketAddr> {
         self.s.net.address(door)
@@ -125,6 +145,7 @@
                 match ready {
                     Ready::Signal(Signal::Stop) => self.stop(),
                     Ready::Signal(Signal::Reload) => self.reload(),
+                    Ready::Signal(Signal::Fleet) => self.woken(),
                     Ready::Door(index) => self.accept(index),
                     Ready::Conn(key, readable, writable) => self.serve(key, readable, writable),
                 }
@@ -210,7 +231,6 @@
         let role = |door| match door {
             Door::Health => Role::Health(health::Asker),
             Door::Agent => Role::Closing,
-            Door::Store => Role::Store(Exchange::default()),
             Door::Faktory => Role::Faktory(Peer::default()),
             _ => Role::Sender(SenderSide::Head),
         };
@@ -219,7 +239,6 @@
             match door {
                 Some(Door::Agent) => health::agent(&mut self.s, key, condition),
                 Some(Door::Health) => health::on_open(&mut self.s, key),
-                Some(Door::Store) => self.store.on_open(&mut self.s, key),
                 Some(Door::Faktory) => self.faktory.iter_mut().for_each(|f| f.on_open(&mut self.s, key)),
                 Some(Door::Platform) => self.platform.on_open(&mut self.s, key),
                 None => {}
@@ -251,8 +270,10 @@
                     }
                 }
                 Some(Role::Faktory(_)) => self.faktory.iter_mut().for_each(|f| f.on_data(&mut self.s, key)),
-                Some(Role::Store(_)) => self.exchange(key),
-                Some(Role::Health(_)) if alive => health::on_data(&mut self.s, key),
+                Some(Role::Health(_)) if alive => {
+                    let fleet = self.agent.as_ref().map(Agent::told);
+                    health::on_data(&mut self.s, key, fleet.as_deref().unwrap_or_default());
+                }
                 _ => {}
             }
             if !alive {
@@ -261,12 +282,6 @@
         }
     }
 
-    fn exchange(&mut self, key: ConnKey) {
-        if self.store.on_data(&mut self.s, key) {
-            self.apply_store();
-        }
-    }
-
     /// A connection ended or broke.
     fn closed(&mut self, key: ConnKey) {
         match self.s.net.get(key).map(|c| &c.role) {
@@ -300,7 +315,6 @@
             }
             Due::Accept => self.s.net.resume_accepting(),
             Due::Faktory => self.faktory.iter_mut().for_each(|f| f.sweep(&mut self.s)),
-            Due::Store => self.store.on_due(&mut self.s),
         }
     }
 
--- a/pebblepost/tests/common/mod.rs
+++ b/pebblepost/tests/common/mod.rs
@@ -34,6 +34,8 @@
     hangup: UnixStream,
     thread: Option<JoinHandle<()>>,
     addresses: Vec<(Door, SocketAddr)>,
+    /// Where its agent listens to operators.
+    pub control: Option<SocketAddr>,
     files: Vec<PathBuf>,
 }
 
@@ -52,14 +54,16 @@
         let (hangup, reload) = UnixStream::pair().expect("a pair of sockets");
         let signals = Signals { stop, reload, read: Box::new(read) };
         let mut daemon = Daemon::new(config, signals, |_| {}).expect("free ports");
-        let doors = [Door::Platform, Door::Faktory, Door::Agent, Door::Health, Door::Store];
+        let doors = [Door::Platform, Door::Faktory, Door::Agent, Door::Health];
         let addresses = doors.iter().filter_map(|d| Some((*d, daemon.address(*d)?))).collect();
+        let control = daemon.control();
         let thread = std::thread::spawn(move || daemon.run().expect("no fault of the poller"));
         Self {
             signal,
             hangup,
             thread: Some(thread),
             addresses,
+            control,
             files: platform.into_iter().chain(operator).collect(),
         }
     }
--- a/pebblepost/tests/doors.rs
+++ b/pebblepost/tests/doors.rs
@@ -11,7 +11,7 @@
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 
-const DOORS: [Door; 5] = [Door::Platform, Door::Faktory, Door::Agent, Door::Health, Door::Store];
+const DOORS: [Door; 4] = [Door::Platform, Door::Faktory, Door::Agent, Door::Health];
 
 fn start() -> Running {
     let serves = worker(|wire, head| {
@@ -19,7 +19,7 @@
         lines(wire, &[json!({"id": id, "state": "done", "result": "text"})]);
     });
     let listen = json!({"listen": "127.0.0.1:0"});
-    let operator = json!({"faktory": listen, "agent_check": listen, "health": listen, "store": listen});
+    let operator = json!({"faktory": listen, "agent_check": listen, "health": listen, "fleet": {"control": "127.0.0.1:0"}});
     Running::start(Some(platform(&[serves], None)), Some(operator))
 }
 
@@ -34,16 +34,14 @@
 #[test]
 fn garbage_at_any_door_leaves_the_daemon_serving() {
     let daemon = start();
-    let starts = [
-        "",
-        "HELLO {\"v\":2,\"wid\":\"w\"}\r\nFETCH default\r\n",
-        "{\"registers\":",
-        "POST /api HTTP/1.1\r\n",
-    ];
+    let starts =
+        ["", "HELLO {\"v\":2,\"wid\":\"w\"}\r\nFETCH default\r\n", "{\"drain\":", "POST /api HTTP/1.1\r\n"];
     let garbage =
-        (0..DOORS.len(), prop::sample::select(starts.to_vec()), prop::collection::vec(any::<u8>(), 0..300));
+        (0..=DOORS.len(), prop::sample::select(starts.to_vec()), prop::collection::vec(any::<u8>(), 0..300));
     let ran = runner(150).run(&garbage, |(door, start, bytes)| {
-        let mut stream = TcpStream::connect(daemon.address(DOORS[door])).expect("a listener");
+        // The last is the agent's, which is no door of the loop.
+        let address = DOORS.get(door).map_or_else(|| daemon.control.expect("set"), |d| daemon.address(*d));
+        let mut stream = TcpStream::connect(address).expect("a listener");
         // The daemon may have closed in the middle of it.
         let _ = stream.write_all(&[start.as_bytes(), &bytes].concat());
         let _ = stream.shutdown(Shutdown::Write);
--- a/pebblepost/tests/faktory.rs
+++ b/pebblepost/tests/faktory.rs
@@ -234,29 +234,34 @@
 }
 
 #[test]
-fn the_store_changes_settings_and_has_a_marked_worker_go_quiet() {
-    let listen = json!({"listen": "127.0.0.1:0"});
-    let daemon = Running::start(None, Some(json!({"faktory": listen, "store": listen})));
-    let set = |changes: Value| {
-        let mut wire = daemon.connect(Door::Store);
-        wire.say(&format!("{}\n", json!({"set": changes})));
-        assert_eq!(wire.line(), r#"{"ok":true}"#);
+fn a_drain_asked_for_here_has_the_worker_go_quiet() {
+    let operator = json!({"faktory": {"listen": "127.0.0.1:0"}, "fleet": {"control": "127.0.0.1:0"}});
+    let daemon = Running::start(None, Some(operator));
+    let say = |line: Value| {
+        let mut wire = common::Wire::new(
+            std::net::TcpStream::connect(daemon.control.expect("set")).expect("a listener"),
+        );
+        wire.say(&format!("{line}\n"));
+        wire.line()
     };
     let mut worker = hello(&daemon, Some("w"));
     assert!(fetch(&mut worker).is_none());
-    worker.say("BEAT {}\r\n");
-    assert_eq!(worker.line(), "+OK");
-    set(json!({"drain/w": true}));
-    worker.say("BEAT {}\r\n");
-    assert_eq!((worker.line().as_str(), worker.line().as_str()), ("$17", r#"{"state":"quiet"}"#));
-    set(json!({"drain/w": null, "setting/faktory.heartbeat_s": 0.5}));
-    let mut producer = hello(&daemon, None);
-    producer.say(&format!("PUSH {}\r\n", job("j")));
-    let start = Instant::now();
-    assert!(fetch(&mut worker).is_some());
-    assert_eq!(producer.line(), "-ERR failed, the job may have run", "it has not beaten");
-    assert!(start.elapsed() < Duration::from_secs(3));
-    assert!(worker.ends());
+    let beat = |worker: &mut common::Wire| {
+        worker.say("BEAT {}\r\n");
+        match worker.line() {
+            line if line == "$17" => worker.line(),
+            line => line,
+        }
+    };
+    assert_eq!(beat(&mut worker), "+OK");
+    assert_eq!(say(json!({"drain": "w"})), r#"{"ok":true}"#);
+    let limit = Duration::from_secs(2);
+    common::within(limit, "quiet", || (beat(&mut worker) == r#"{"state":"quiet"}"#).then_some(()));
+    assert_eq!(say(json!({"undrain": "w"})), r#"{"ok":true}"#);
+    common::within(limit, "not quiet", || (beat(&mut worker) == "+OK").then_some(()));
+    assert!(say(json!({"undrain": "w"})).contains("no drain mark"));
+    assert!(say(json!({"drain": ""})).contains("a name is missing"));
+    assert!(say(json!([1])).contains("error"));
 }
 
 #[test]
--- /dev/null
+++ b/pebblepost/tests/fleet.rs
@@ -0,0 +1,269 @@
+//! Keepers and dispatchers as several programs on one machine: what is agreed reaches the decisions, what is asked for
+//! at one that is cut off holds there, and serving goes on without any keeper.
+
+mod common;
+
+use common::{Running, Wire, header, lines, platform, post, within, worker};
+use pebblepost::net::Door;
+use serde_json::{Value, json};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Three keepers as processes.
+struct Keepers {
+    folder: PathBuf,
+    at: Vec<SocketAddr>,
+    running: Vec<Option<Child>>,
+}
+
+impl Keepers {
+    fn start(first: u8) -> Self {
+        let folder = common::path("keepers");
+        std::fs::create_dir_all(&folder).expect("a writable folder");
+        // On an address that nothing else here uses, a port that was free a moment ago still is.
+        let free: Vec<TcpListener> = (0..3)
+            .map(|n| {
+                TcpListener::bind((std::net::Ipv4Addr::new(127, 78, first, n + 1), 0)).expect("a free port")
+            })
+            .collect();
+        let at: Vec<SocketAddr> = free.iter().map(|l| l.local_addr().expect("bound")).collect();
+        drop(free);
+        let mut keepers = Self { folder, at, running: vec![None, None, None] };
+        (0..3).for_each(|n| keepers.run(n));
+        keepers.fleet_until(&["begin"]);
+        keepers
+    }
+
+    fn run(&mut self, n: usize) {
+        let config = self.folder.join(format!("{n}.json"));
+        let folder = self.folder.join(n.to_string());
+        let json =
+            json!({"group": "g", "id": n + 1, "listen": self.at[n], "folder": folder, "session_s": 3.0});
+        std::fs::write(&config, json.to_string()).expect("a writable folder");
+        let mut keep = Command::new(env!("CARGO_BIN_EXE_pebblepost"));
+        keep.arg("keep").arg(config).stdin(Stdio::null()).stderr(Stdio::null());
+        self.running[n] = Some(keep.spawn().expect("it starts"));
+    }
+
+    fn kill(&mut self, n: usize) {
+        if let Some(mut child) = self.running[n].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// By number, as an operator's file names them.
+    fn named(&self) -> Value {
+        (0..3).map(|n| ((n + 1).to_string(), json!(self.at[n]))).collect::<serde_json::Map<_, _>>().into()
+    }
+
+    fn fleet(&self, words: &[&str]) -> Output {
+        let named: Vec<String> = (0..3).map(|n| format!("{}={}", n + 1, self.at[n])).collect();
+        let mut fleet = Command::new(env!("CARGO_BIN_EXE_pebblepost"));
+        fleet.args(["fleet", "--keepers", &named.join(","), "--by", "tester"]).args(words);
+        fleet.output().expect("it starts")
+    }
+
+    /// Until the group takes it.
+    fn fleet_until(&self, words: &[&str]) -> String {
+        within(LIMIT, &format!("{words:?}"), || {
+            let done = self.fleet(words);
+            done.status.success().then(|| String::from_utf8_lossy(&done.stdout).into_owned())
+        })
+    }
+}
+
+impl Drop for Keepers {
+    fn drop(&mut self) {
+        (0..3).for_each(|n| self.kill(n));
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn dispatcher(name: &str, workers: &[SocketAddr], fleet: Value) -> Running {
+    let mut config = platform(workers, None);
+    config["name"] = json!(name);
+    Running::start(Some(config), Some(json!({"health": {"listen": "127.0.0.1:0"}, "fleet": fleet})))
+}
+
+fn serves(node: &Running) -> bool {
+    let mut wire = node.connect(Door::Platform);
+    wire.say(&post("t", "", ""));
+    wire.message().1 == "text"
+}
+
+fn good() -> SocketAddr {
+    worker(|wire, head| {
+        let id = header(head, "x-txn");
+        lines(wire, &[json!({"id": id, "state": "done", "result": "text"})]);
+    })
+}
+
+fn here(node: &Running, line: Value) -> Value {
+    let mut wire = Wire::new(TcpStream::connect(node.control.expect("set")).expect("a listener"));
+    wire.say(&format!("{line}\n"));
+    serde_json::from_str(&wire.line()).expect("JSON")
+}
+
+fn health(node: &Running) -> String {
+    let mut wire = node.connect(Door::Health);
+    wire.say("GET /health HTTP/1.1\r\nHost: h\r\n\r\n");
+    wire.message().1
+}
+
+#[test]
+fn what_is_agreed_reaches_every_dispatcher_and_none_needs_a_keeper_to_serve() {
+    let (mut keepers, one) = (Keepers::start(1), good());
+    let copy = common::path("copy");
+    let with =
+        |copy: Option<&PathBuf>| json!({"keepers": keepers.named(), "control": "127.0.0.1:0", "copy": copy});
+    let (fleet_a, fleet_b) = (with(None), with(Some(&copy)));
+    let (a, b) = (dispatcher("a", &[one], fleet_a), dispatcher("b", &[one], fleet_b.clone()));
+    assert!(serves(&a) && serves(&b));
+    // s-0 is the only worker: drained, nothing is served.
+    keepers.fleet_until(&["drain", "s-0", "--why", "a test"]);
+    within(LIMIT, "the drain at both", || (!serves(&a) && !serves(&b)).then_some(()));
+    within(LIMIT, "both are members", || {
+        let members = keepers.fleet_until(&["members"]);
+        (members.matches("here life 1").count() == 2).then_some(())
+    });
+    // The leader dies: what was agreed stays, and the next change is agreed by the rest.
+    let status = keepers.fleet_until(&["status", "--json"]);
+    let first: Value = serde_json::from_str(status.lines().next().expect("a line")).expect("JSON");
+    let leader = first["leader"].as_u64().expect("one leads") as usize - 1;
+    keepers.kill(leader);
+    keepers.fleet_until(&["undrain", "s-0"]);
+    within(LIMIT, "the mark is taken back at both", || (serves(&a) && serves(&b)).then_some(()));
+    // All keepers die: serving goes on, and the health tells how old its knowledge is.
+    (0..3).for_each(|n| keepers.kill(n));
+    assert!(serves(&a) && serves(&b));
+    let told = health(&a);
+    assert!(told.starts_with("fleet: revision ") && told.contains("confirmed "), "{told}");
+    // A drain asked for at one that is cut off holds there at once, also over its restart, and nowhere else.
+    assert_eq!(here(&b, json!({"drain": "s-0", "why": "smoke"})), json!({"ok": true}));
+    within(Duration::from_millis(400), "the drain here", || (!serves(&b)).then_some(()));
+    assert!(serves(&a));
+    within(LIMIT, "kept", || std::fs::read_to_string(&copy).is_ok_and(|t| t.contains("smoke")).then_some(()));
+    drop(b);
+    let b = dispatcher("b", &[one], fleet_b);
+    assert!(!serves(&b), "not forgotten over a restart without any keeper");
+    // The group comes back: the drain is offered, and is everybody's.
+    (0..3).for_each(|n| keepers.run(n));
+    within(LIMIT, "the drain at the other", || (!serves(&a)).then_some(()));
+    let history = keepers.fleet_until(&["history"]);
+    assert!(history.contains("drain/s-0 = by operator here") && history.contains("smoke"), "{history}");
+    assert_eq!(
+        here(&b, json!({"undrain": "s-0"}))["error"].as_str().map(|e| e.contains("agreed")),
+        Some(true)
+    );
+    keepers.fleet_until(&["undrain", "s-0"]);
+    within(LIMIT, "served again by both", || (serves(&a) && serves(&b)).then_some(()));
+    drop((a, b));
+    let _ = std::fs::remove_file(copy);
+}
+
+#[test]
+fn a_keeper_that_lost_its_disk_is_not_believed_and_comes_back_under_a_new_number() {
+    let mut keepers = Keepers::start(2);
+    keepers.fleet_until(&["drain", "w-1"]);
+    keepers.kill(1);
+    std::fs::remove_dir_all(keepers.folder.join("1")).expect("its disk");
+    keepers.run(1);
+    keepers.fleet_until(&["drain", "w-2"]);
+    // It listens, and nobody lets it take part: it has none of what was agreed.
+    let status = within(LIMIT, "it answers", || {
+        let all = keepers.fleet_until(&["status", "--json"]);
+        let lines: Vec<Value> = all.lines().filter_map(|l| serde_json::from_str(l).ok()).collect();
+        lines.into_iter().find(|s| s["id"] == 2 && s.get("error").is_none())
+    });
+    assert_eq!((&status["begun"], &status["revision"]), (&json!(false), &json!(0)));
+    let again = keepers.fleet(&["begin"]);
+    assert_eq!(again.status.code(), Some(1), "a group that runs is not begun again");
+    let add = keepers.fleet(&["add", "2", &keepers.at[1].to_string()]);
+    assert_eq!(add.status.code(), Some(2), "{}", String::from_utf8_lossy(&add.stderr));
+    // Under a new number, with an empty folder: it learns all that was agreed.
+    keepers.kill(1);
+    let config = keepers.folder.join("new.json");
+    let json = json!({"group": "g", "id": 4, "listen": keepers.at[1], "folder": keepers.folder.join("new")});
+    std::fs::write(&config, json.to_string()).expect("a writable folder");
+    let mut keep = Command::new(env!("CARGO_BIN_EXE_pebblepost"));
+    keepers.running[1] = Some(keep.arg("keep").arg(config).stderr(Stdio::null()).spawn().expect("it starts"));
+    keepers.fleet_until(&["add", "4", &keepers.at[1].to_string()]);
+    keepers.fleet_until(&["remove", "2"]);
+    within(LIMIT, "it has all of it", || {
+        let at = format!("4={}", keepers.at[1]);
+        let mut fleet = Command::new(env!("CARGO_BIN_EXE_pebblepost"));
+        let out = fleet.args(["fleet", "--keepers", &at, "--json", "status"]).output().expect("it starts");
+        let status: Value = serde_json::from_slice(&out.stdout).ok()?;
+        (status["revision"] == 2 && status["voters"] == json!([1, 3, 4])).then_some(())
+    });
+}
+
+#[test]
+fn a_mistake_in_a_keepers_file_or_disk_is_one_line_that_names_it() {
+    let folder = common::path("bad-keeper");
+    std::fs::create_dir_all(folder.join("disk")).expect("a writable folder");
+    let config = folder.join("keeper.json");
+    let run = |json: Value| {
+        std::fs::write(&config, json.to_string()).expect("a writable folder");
+        let mut keep = Command::new(env!("CARGO_BIN_EXE_pebblepost"));
+        let out = keep.arg("keep").arg(&config).env("RUST_LOG", "off").output().expect("it starts");
+        assert!(!out.status.success());
+        String::from_utf8_lossy(&out.stderr).into_owned()
+    };
+    let sound = json!({"group": "g", "id": 1, "listen": "127.0.0.1:1", "folder": folder.join("disk")});
+    let with = |key: &str, value: Value| {
+        let mut json = sound.clone();
+        json[key] = value;
+        json
+    };
+    for (json, words) in [
+        (with("listen", json!("10.0.0.1:7501")), "listen: listen and dial must be loopback addresses"),
+        (with("listen", json!("127.0.0.1:0")), "listen: a port is missing"),
+        (with("session_s", json!(0.1)), "session_s: 0.5 to 600 seconds"),
+        (with("colour", json!(1)), "unknown field `colour`"),
+        (json!({"group": "g"}), "missing field `id`"),
+    ] {
+        let said = run(json);
+        assert!(said.contains("keeper.json") && said.contains(words) && said.lines().count() == 1, "{said}");
+    }
+    std::fs::write(folder.join("disk").join("keeper.redb"), "not what was written")
+        .expect("a writable folder");
+    let listener = TcpListener::bind("127.78.9.1:0").expect("a free port");
+    let at = listener.local_addr().expect("bound");
+    assert!(run(with("listen", json!(at))).contains("cannot listen on"));
+    drop(listener);
+    let said = run(with("listen", json!(at)));
+    assert!(said.contains("keeper.redb: damaged") && said.contains("docs/operate/store.md"), "{said}");
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+#[test]
+fn the_file_of_the_old_store_is_taken_over_and_a_torn_one_is_refused() {
+    use sha2::{Digest, Sha256};
+    let keepers = Keepers::start(3);
+    let file = common::path("old-store");
+    let body = json!({"node": "a", "registers": {
+        "drain/s-1": [true, 3, "a"], "drain/s-2": [null, 4, "a"], "setting/faktory.heartbeat_s": [5, 1, "a"],
+    }})
+    .to_string();
+    let sum: String = Sha256::digest(body.as_bytes()).iter().map(|b| format!("{b:02x}")).collect();
+    let shown = file.display().to_string();
+    std::fs::write(&file, format!("{sum}\n{}\n", &body[1..])).expect("a writable folder");
+    let torn = keepers.fleet(&["import", &shown]);
+    assert_eq!(torn.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&torn.stderr).contains("torn"));
+    std::fs::write(&file, format!("{sum}\n{body}\n")).expect("a writable folder");
+    keepers.fleet_until(&["import", &shown]);
+    let state = keepers.fleet_until(&["show"]);
+    assert!(
+        state.contains("drain/s-1\tby tester") && state.contains("setting/faktory.heartbeat_s\t5"),
+        "{state}"
+    );
+    assert!(!state.contains("s-2") && state.contains("taken over from"), "{state}");
+    let _ = std::fs::remove_file(file);
+}
--- a/pebblepost/tests/platform.rs
+++ b/pebblepost/tests/platform.rs
@@ -415,7 +415,9 @@
     let example = root.join("examples/config.json");
     let var = |name: &str| (name == "PROXY_CONFIG").then(|| example.to_str().map(str::to_owned))?;
     let both = pebblepost::config::read(var, Some(&root.join("examples/operator.json"))).expect("sound");
-    assert!(both.faktory.is_some() && both.listen.is_some() && both.store.listen.is_some());
+    assert!(
+        both.faktory.is_some() && both.listen.is_some() && both.fleet.is_some_and(|f| f.control.is_some())
+    );
     let alone = pebblepost::config::read(|_| None, Some(&root.join("deploy/operator.json"))).expect("sound");
     assert!(alone.faktory.is_some() && alone.listen.is_none());
 }
