--- a/fleet/src/command.rs
+++ b/fleet/src/command.rs
@@ -177,6 +177,8 @@
         expected: u64,
         /// The revision that it has; 0: it is not there.
         found: u64,
+        /// The revision of the state that says so.
+        at: u64,
     },
     /// The command makes no sense.
     #[error("{what}")]
--- a/fleet/src/follow.rs
+++ b/fleet/src/follow.rs
@@ -3,10 +3,10 @@
 //! A drain asked for here is honoured at once and marked *local*. When the group is reached again it is offered, with
 //! the revision that the drain's key had when it was asked for as precondition. So **the group wins** where it has decided
 //! anything about that worker's drain meanwhile (that decision may be newer, and it stands in the history); otherwise
-//! the drain becomes agreed. The local mark goes only once the agreed one is in this copy: between the two there is no
-//! moment without a mark.
+//! the drain becomes agreed. Either way the local mark goes only once this copy has what the group decided: between the two
+//! there is no moment without a mark.
 
-use crate::command::{Act, Answer, Command, Expect, Op, RequestId};
+use crate::command::{Act, Answer, Command, Expect, Op, Refusal, RequestId};
 use crate::name::{Key, Name, Text};
 use crate::state::{Change, Entry, Snapshot, Value};
 use serde::{Deserialize, Serialize};
@@ -30,7 +30,7 @@
     pub why: Text,
     /// The key's revision here when it was asked.
     pub seen: u64,
-    /// The revision at which the group took it; the mark stays until the copy is there.
+    /// The revision at which the group took it, or had decided otherwise; the mark stays until the copy is there.
     pub taken: Option<u64>,
 }
 
@@ -74,8 +74,10 @@
 pub enum Offered {
     /// The group has it.
     Taken,
-    /// The group had decided otherwise meanwhile: the mark is gone.
+    /// The group had decided about it meanwhile: that holds, once it is in the copy.
     Overruled,
+    /// The group cannot take it now; it stays local.
+    Refused,
     /// It was none of ours any more.
     Unknown,
 }
@@ -195,20 +197,19 @@
         let Some(worker) = self.local.iter().find(|(_, l)| l.id == id).map(|(w, _)| w.clone()) else {
             return Offered::Unknown;
         };
-        match answer {
-            Ok(done) => {
-                if done.revision <= self.copy.revision {
-                    self.local.remove(&worker);
-                } else if let Some(local) = self.local.get_mut(&worker) {
-                    local.taken = Some(done.revision);
-                }
-                Offered::Taken
-            }
-            Err(_) => {
-                self.local.remove(&worker);
-                Offered::Overruled
-            }
+        // Either way the group has decided; the mark holds until this copy has what it decided.
+        let (decided, became) = match answer {
+            Ok(done) => (done.revision, Offered::Taken),
+            Err(Refusal::Conflict { at, .. }) => (*at, Offered::Overruled),
+            // There may be room later.
+            Err(_) => return Offered::Refused,
+        };
+        if decided <= self.copy.revision {
+            self.local.remove(&worker);
+        } else if let Some(local) = self.local.get_mut(&worker) {
+            local.taken = Some(decided);
         }
+        became
     }
 
     /// Workers with a drain mark, agreed or local.
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -160,7 +160,12 @@
         if found == expect.revision {
             return Ok(());
         }
-        Err(Refusal::Conflict { key: expect.key.clone(), expected: expect.revision, found })
+        Err(Refusal::Conflict {
+            key: expect.key.clone(),
+            expected: expect.revision,
+            found,
+            at: self.revision,
+        })
     }
 
     fn change(&self, command: &Command, ops: &[Op], why: &Text) -> Result<Items, Refusal> {
--- a/fleet/tests/state.rs
+++ b/fleet/tests/state.rs
@@ -68,7 +68,7 @@
     // Another changes it in between.
     desk.change(vec![Op::Undrain(name("a"))], vec![]).expect("nothing against it");
     let refused = desk.change(vec![drain("b"), drain("a")], expect(first));
-    assert_eq!(refused, Err(Refusal::Conflict { key: key("drain/a"), expected: first, found: 0 }));
+    assert_eq!(refused, Err(Refusal::Conflict { key: key("drain/a"), expected: first, found: 0, at: 2 }));
     assert!(!desk.drained("b"), "all or nothing");
     assert!(desk.change(vec![drain("b"), drain("a")], expect(0)).is_ok());
     assert!(desk.drained("a") && desk.drained("b"));
@@ -219,10 +219,13 @@
 
 #[test]
 fn the_group_wins_where_it_decided_about_that_drain_meanwhile() {
-    let (_, mut follower, answer) = cut_off(&[drain("b"), drain("a")]);
+    let (desk, mut follower, answer) = cut_off(&[drain("a"), Op::Undrain(name("a")), drain("b"), drain("a")]);
     assert!(matches!(answer, Err(Refusal::Conflict { .. })));
     assert_eq!(follower.offered(RequestId(9, 9), &answer), Offered::Overruled);
+    assert!(follower.drained().contains(&name("a")), "the group's own mark is not here yet");
+    follower.take_snapshot(Duration::ZERO, desk.state.snapshot()).expect("newer");
     assert_eq!(follower.local().count(), 0);
+    assert!(follower.drained().contains(&name("a")), "the group's own mark");
     let (desk, _, answer) = cut_off(&[drain("b")]);
     assert!(answer.is_ok() && desk.drained("a"), "what it decided about others is no matter");
 }
