Backup and restore of the agreed state; a keeper on an older copy of its disk is refused

Need: a lost group must come back, and a disk put back from a copy must not speak for a keeper that has acknowledged more.

Change: fleet backup and restore (a command through the log; revisions, sessions and incarnations never go back); at its start a keeper asks the others, and one whose log ends before what it acknowledged to the leader refuses by name.

--- a/fleet/src/command.rs
+++ b/fleet/src/command.rs
@@ -1,6 +1,7 @@
 //! What may be asked of the agreed state, and what is answered.
 
 use crate::name::{Key, Name, Text};
+use crate::state::Snapshot;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -40,6 +41,9 @@
         #[serde(default)]
         why: Text,
     },
+    /// Drains, settings and workers become what a backup says. Members stay as they are; those that only the backup knows
+    /// count as lost. Revisions, sessions and incarnations do not go back.
+    Restore(Snapshot),
     /// A member begins a session; the one it had before ends.
     Join {
         /// Which.
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -7,6 +7,7 @@
 use crate::command::{Act, Answer, Card, Command, Done, Expect, Op, Refusal, RequestId, Worker};
 use crate::name::{Key, Name, Text};
 use crate::setting;
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -22,11 +23,14 @@
 pub const MAX_LOGGED: usize = 16_384;
 /// Answers kept, so that a request asked again gets the same one.
 pub const MAX_ANSWERS: usize = 8_192;
+/// A restored state goes on this far behind the larger of its own revision and the backup's: whoever follows may have seen
+/// revisions that the backup has not.
+pub const RESTORE_JUMP: u64 = 1 << 20;
 /// Lives of a member that are remembered, so that an old process does not take its name back.
 const MAX_LIVES: usize = 8;
 
 /// What stands at a key.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum Value {
     /// A drain mark: who set it, when by that one's clock, and why.
@@ -47,7 +51,7 @@
 }
 
 /// A member of the fleet.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct Member {
     /// What it says of itself.
     pub card: Card,
@@ -62,7 +66,7 @@
 }
 
 /// Whether a member is there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum Presence {
     /// Its session goes on.
@@ -74,7 +78,7 @@
 }
 
 /// A value and the revision at which it was set.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct Entry {
     /// The value.
     pub value: Value,
@@ -98,7 +102,7 @@
 }
 
 /// The whole state at a revision, for a follower.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct Snapshot {
     /// The revision.
     pub revision: u64,
@@ -127,15 +131,69 @@
         if let Some((_, answer)) = self.answers.iter().rev().find(|(id, _)| *id == command.id) {
             return answer.clone();
         }
+        if let Act::Restore(backup) = &command.act {
+            let answer = self.restore(command, backup);
+            self.answered(command.id, &answer);
+            return answer;
+        }
         let answer = self.decide(command).map(|(items, session, why)| {
             self.commit(command, items, why);
             Done { revision: self.revision, session: session.then_some(self.revision) }
         });
-        self.answers.push_back((command.id, answer.clone()));
+        self.answered(command.id, &answer);
+        answer
+    }
+
+    fn answered(&mut self, id: RequestId, answer: &Answer) {
+        self.answers.push_back((id, answer.clone()));
         if self.answers.len() > MAX_ANSWERS {
             self.answers.pop_front();
         }
-        answer
+    }
+
+    fn restore(&mut self, command: &Command, backup: &Snapshot) -> Answer {
+        for (key, entry) in &backup.entries {
+            let fits = match (key, &entry.value) {
+                (Key::Drain(_), Value::Drain { .. })
+                | (Key::Worker(_), Value::Worker(_))
+                | (Key::Member(_), Value::Member(_)) => true,
+                (Key::Setting(name), Value::Setting(v)) => {
+                    setting::find(name.as_str()).is_some_and(|s| s.takes(*v))
+                }
+                _ => false,
+            };
+            if !fits {
+                return Err(Refusal::Invalid { what: format!("{key} in the backup holds no such value") });
+            }
+        }
+        let bounds: [(fn(&Key) -> bool, &str, usize); 3] = [
+            (|k| matches!(k, Key::Worker(_)), "workers", MAX_WORKERS),
+            (|k| matches!(k, Key::Drain(_)), "drain marks", MAX_DRAINS),
+            (|k| matches!(k, Key::Member(_)), "members", MAX_MEMBERS / 2),
+        ];
+        for (kind, what, most) in bounds {
+            if backup.entries.keys().filter(|k| kind(k)).count() > most {
+                return Err(Refusal::Full { what: what.to_owned(), most });
+            }
+        }
+        let revision = self.revision.max(backup.revision).saturating_add(RESTORE_JUMP);
+        self.entries.retain(|key, _| matches!(key, Key::Member(_)));
+        for (key, entry) in &backup.entries {
+            let value = match &entry.value {
+                Value::Member(_) if self.entries.contains_key(key) => continue,
+                Value::Member(m) => Value::Member(Member { presence: Presence::Lost, ..m.clone() }),
+                other => other.clone(),
+            };
+            self.entries.insert(key.clone(), Entry { value, revision });
+        }
+        self.revision = revision;
+        // Whoever follows takes the whole state; the history tells that there was a restore.
+        self.log.clear();
+        (self.logged, self.compacted) = (0, revision);
+        let why = format!("restored from revision {}", backup.revision).parse().unwrap_or_default();
+        let (by, at_ms, items) = (command.by.clone(), command.at_ms, Vec::new());
+        self.log.push_back(Change { revision, by, at_ms, why, items });
+        Ok(Done { revision, session: None })
     }
 
     /// What a command would change, and whether that begins a session; nothing has changed yet.
@@ -145,6 +203,8 @@
                 expect.iter().try_for_each(|e| self.holds(e))?;
                 Ok((self.change(command, ops, why)?, false, why.clone()))
             }
+            // Carried out by itself, as it replaces the log as well: `restore`.
+            Act::Restore(_) => Ok((Vec::new(), false, Text::default())),
             Act::Join { member, life, card } => Ok((self.join(member, *life, card)?, true, Text::default())),
             Act::Leave { member, session } => {
                 Ok((self.end(member, *session, Presence::Left)?, false, Text::default()))
--- a/fleet/tests/state.rs
+++ b/fleet/tests/state.rs
@@ -249,6 +249,38 @@
     assert_eq!(follower.drained().len(), 3);
 }
 
+#[test]
+fn a_backup_brings_back_what_was_agreed_and_no_number_goes_back() {
+    let mut desk = Desk::default();
+    desk.change(vec![drain("a"), Op::Know(name("w"), worker())], vec![]).expect("nothing against it");
+    let old = desk.join("n0", 1).expect("nothing against it").session.expect("a join");
+    let backup = desk.state.snapshot();
+    let mut follower = Follower::default();
+    desk.change(vec![Op::Undrain(name("a")), drain("b")], vec![]).expect("nothing against it");
+    follower.take_snapshot(Duration::ZERO, desk.state.snapshot()).expect("newer");
+    // In the group that goes on, and in a new one that has lost everything.
+    let mut fresh = Desk { next: 1_000, ..Desk::default() };
+    for desk in [&mut desk, &mut fresh] {
+        let mut follower = follower.clone();
+        let before = desk.state.revision();
+        let done = desk.ask(Act::Restore(backup.clone())).expect("a sound backup");
+        assert!(done.revision > before.max(backup.revision));
+        assert!(desk.drained("a") && !desk.drained("b"));
+        assert_eq!(desk.state.changes_after(follower.revision(), 10), None, "all take the whole state");
+        follower.take_snapshot(Duration::ZERO, desk.state.snapshot()).expect("no number goes back");
+        assert!(follower.drained().contains(&name("a")));
+        let new = desk.join("n0", 2).expect("nothing against it").session.expect("a join");
+        assert!(new > old && desk.state.member(&name("n0")).is_some_and(|m| m.incarnation == 2));
+        assert!(desk.join("n0", 1).is_err(), "the old life is remembered");
+    }
+    let mut bad = backup;
+    let entry = bad.entries.remove(&key("drain/a")).expect("it is there");
+    bad.entries.insert(key("worker/a"), entry);
+    let before = desk.state.clone();
+    assert!(matches!(desk.ask(Act::Restore(bad)), Err(Refusal::Invalid { .. })));
+    assert_eq!(desk.state.snapshot(), before.snapshot(), "nothing lost");
+}
+
 proptest! {
     #![proptest_config(Config { rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..Config::with_cases(60) })]
 
--- a/pebblepost/src/fleet.rs
+++ b/pebblepost/src/fleet.rs
@@ -107,6 +107,16 @@
         #[arg(long, default_value = "")]
         why: Text,
     },
+    /// Writes the agreed state to a file, which must not exist.
+    Backup {
+        /// The file.
+        file: PathBuf,
+    },
+    /// Drains, settings and workers become what a backup says; members stay as they are.
+    Restore {
+        /// The file.
+        file: PathBuf,
+    },
     /// Takes over the file of the store that the program had before it had keepers: its drains and settings.
     Import {
         /// The file.
@@ -229,17 +239,30 @@
     }
 }
 
-/// The drains and settings in a file of the old store: a checksum, then registers as JSON.
-fn old_store(path: &Path) -> Result<Vec<Op>> {
+fn checksum(body: &str) -> String {
+    Sha256::digest(body.as_bytes()).iter().map(|b| format!("{b:02x}")).collect()
+}
+
+/// The body of a file that begins with its checksum on a line of its own.
+fn checked(path: &Path) -> Result<String> {
     let wrong = |what: &dyn std::fmt::Display| FleetError::Usage(format!("{}: {what}", path.display()));
     let text = std::fs::read_to_string(path).map_err(|e| wrong(&e))?;
-    let (sum, body) =
-        text.trim_end().split_once('\n').ok_or_else(|| wrong(&"not a file of the old store"))?;
-    let found: String = Sha256::digest(body.as_bytes()).iter().map(|b| format!("{b:02x}")).collect();
-    if sum != found {
-        return Err(wrong(&"torn, or not a file of the old store"));
+    match text.trim_end().split_once('\n') {
+        Some((sum, body)) if sum == checksum(body) => Ok(body.to_owned()),
+        _ => Err(wrong(&"torn, or no such file as is wanted here: its checksum is not that of its body")),
     }
-    let json: Json = serde_json::from_str(body).map_err(|e| wrong(&e))?;
+}
+
+fn read_backup(path: &Path) -> Result<Snapshot> {
+    let body = checked(path)?;
+    serde_json::from_str(&body).map_err(|e| FleetError::Usage(format!("{}: no backup: {e}", path.display())))
+}
+
+/// The drains and settings in a file of the old store: a checksum, then registers as JSON.
+fn old_store(path: &Path) -> Result<Vec<Op>> {
+    let wrong = |what: &dyn std::fmt::Display| FleetError::Usage(format!("{}: {what}", path.display()));
+    let body = checked(path)?;
+    let json: Json = serde_json::from_str(&body).map_err(|e| wrong(&e))?;
     let registers = json.get("registers").and_then(Json::as_object).ok_or_else(|| wrong(&"no registers"))?;
     let mut ops = Vec::new();
     for (key, register) in registers {
@@ -359,6 +382,11 @@
                 self.change_all([Op::Dismiss(member)], reason).await
             }
             What::Here { .. } => Ok(()), // Carried out before: it needs no keeper.
+            What::Backup { file } => self.backup(&file).await,
+            What::Restore { file } => {
+                let backup = read_backup(&file)?;
+                self.command(Act::Restore(backup)).await
+            }
             What::Import { file } => {
                 let ops = old_store(&file)?;
                 let why = format!("taken over from {}", file.display());
@@ -509,8 +537,25 @@
         let ops: Vec<Op> = ops.into_iter().collect();
         let expect = ops.iter().map(Op::key).zip(std::iter::repeat(reason.expect));
         let expect = expect.filter_map(|(key, revision)| Some(Expect { key, revision: revision? })).collect();
+        self.command(Act::Change { ops, expect, why: reason.why }).await
+    }
+
+    async fn backup(&mut self, file: &Path) -> Result<()> {
+        let failed = |e: &dyn std::fmt::Display| FleetError::Failed(format!("{}: {e}", file.display()));
+        let (revision, entries) = match self.ask(&Ask::Get(Vec::new())).await? {
+            Say::Found { revision, entries } => (revision, entries),
+            other => return Err(misplaced(&other)),
+        };
+        let body = json!(Snapshot { revision, entries }).to_string();
+        let mut out = std::fs::File::create_new(file).map_err(|e| failed(&e))?;
+        let text = format!("{}\n{body}\n", checksum(&body));
+        out.write_all(text.as_bytes()).and_then(|()| out.sync_all()).map_err(|e| failed(&e))?;
+        self.say(json!({"revision": revision}), &|| format!("revision {revision} in {}", file.display()));
+        Ok(())
+    }
+
+    async fn command(&mut self, act: Act) -> Result<()> {
         let at_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
-        let act = Act::Change { ops, expect, why: reason.why };
         let command = Command { id: request_id(), by: self.by.clone(), at_ms, act };
         let done = self.client.command(&command, self.within).await??;
         self.say(json!({"revision": done.revision}), &|| format!("agreed at revision {}", done.revision));
--- a/pebblepost/tests/fleet.rs
+++ b/pebblepost/tests/fleet.rs
@@ -203,6 +203,33 @@
     });
 }
 
+#[test]
+fn a_keeper_on_an_older_copy_of_its_disk_is_refused_by_name_and_the_others_go_on() {
+    let mut keepers = Keepers::start(4);
+    keepers.fleet_until(&["drain", "w-1"]);
+    let status = keepers.fleet_until(&["status", "--json"]);
+    let first: Value = serde_json::from_str(status.lines().next().expect("a line")).expect("JSON");
+    let follower = (first["leader"].as_u64().expect("one leads") % 3) as usize;
+    keepers.kill(follower);
+    let disk = keepers.folder.join(follower.to_string()).join("keeper.redb");
+    let older = std::fs::read(&disk).expect("its disk");
+    keepers.run(follower);
+    keepers.fleet_until(&["drain", "w-2"]);
+    within(LIMIT, "it has caught up", || {
+        let all = keepers.fleet_until(&["status", "--json"]);
+        let lines: Vec<Value> = all.lines().filter_map(|l| serde_json::from_str(l).ok()).collect();
+        lines.iter().any(|s| s["id"] == follower + 1 && s["revision"] == 2).then_some(())
+    });
+    keepers.kill(follower);
+    std::fs::write(&disk, older).expect("a writable folder");
+    let config = keepers.folder.join(format!("{follower}.json"));
+    let mut keep = Command::new(env!("CARGO_BIN_EXE_pebblepost"));
+    let out = keep.arg("keep").arg(config).env("RUST_LOG", "off").output().expect("it starts");
+    let said = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(!out.status.success() && said.contains("keeper.redb: an older copy"), "{said}");
+    keepers.fleet_until(&["drain", "w-3"]);
+}
+
 #[test]
 fn a_mistake_in_a_keepers_file_or_disk_is_one_line_that_names_it() {
     let folder = common::path("bad-keeper");
@@ -265,5 +292,18 @@
         "{state}"
     );
     assert!(!state.contains("s-2") && state.contains("taken over from"), "{state}");
-    let _ = std::fs::remove_file(file);
+    // A backup of it, what came after it taken back, and the backup in a group that lost everything.
+    let backup = common::path("backup");
+    let named = backup.display().to_string();
+    keepers.fleet_until(&["backup", &named]);
+    assert_eq!(keepers.fleet(&["backup", &named]).status.code(), Some(1), "none is written over");
+    keepers.fleet_until(&["undrain", "s-1"]);
+    let other = Keepers::start(5);
+    for group in [&keepers, &other] {
+        group.fleet_until(&["restore", &named]);
+        assert!(group.fleet_until(&["show"]).contains("drain/s-1\tby tester"));
+    }
+    std::fs::write(&backup, "0\n{}\n").expect("a writable folder");
+    assert_eq!(other.fleet(&["restore", &named]).status.code(), Some(2));
+    let _ = (std::fs::remove_file(file), std::fs::remove_file(backup));
 }
--- a/store/src/disk.rs
+++ b/store/src/disk.rs
@@ -4,12 +4,13 @@
 //! whole or was never acknowledged. At each start the whole file is checked; a damaged one is refused by name, as a
 //! keeper that silently goes back to an older commit would have forgotten what it acknowledged.
 
-use crate::group::{Group, LogId};
+use crate::group::{Group, LogId, Peer};
 use openraft::storage::{LogFlushed, LogState, RaftLogReader, RaftLogStorage};
-use openraft::{AnyError, Entry, OptionalSend, RaftLogId, StorageError, StorageIOError, Vote};
+use openraft::{AnyError, Entry, EntryPayload, OptionalSend, RaftLogId, StorageError, StorageIOError, Vote};
 use redb::{Builder, Database, ReadableDatabase, ReadableTable, TableDefinition, WriteTransaction};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::fmt::Debug;
 use std::ops::{Bound, RangeBounds};
 use std::path::{Path, PathBuf};
@@ -44,6 +45,24 @@
         /// What is wrong.
         why: String,
     },
+    /// It is a copy from before what the keeper has acknowledged.
+    #[error(
+        "{path}: an older copy: its log ends at {ours}, but keeper {leader}, which leads in term {term}, had {theirs} acknowledged \
+         by this keeper. It has forgotten what it acknowledged: replace the keeper under a new number \
+         (docs/operate/store.md, replacing a disk)"
+    )]
+    Older {
+        /// The file.
+        path: PathBuf,
+        /// Last index of its log.
+        ours: u64,
+        /// Last index that it acknowledged to the leader.
+        theirs: u64,
+        /// The leader.
+        leader: u64,
+        /// Its term.
+        term: u64,
+    },
     /// It belongs to another keeper.
     #[error("{path}: belongs to keeper {found}, not to {wanted}")]
     Foreign {
@@ -67,6 +86,17 @@
     pub disk: u64,
 }
 
+/// What a disk says of the group.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LastKnown {
+    /// Last index of the log.
+    pub last: u64,
+    /// Term of the vote.
+    pub term: u64,
+    /// The keepers.
+    pub keepers: BTreeMap<u64, Peer>,
+}
+
 /// An open disk.
 #[derive(Clone, Debug)]
 pub struct Disk {
@@ -184,6 +214,22 @@
         Ok(disk)
     }
 
+    /// What it says of the group: the last index of its log, the term of its vote, and the keepers.
+    pub fn last_known(&self) -> Inside<LastKnown> {
+        let kept: Option<crate::machine::Kept> = self.get("snapshot")?;
+        let purged: Option<LogId> = self.get("purged")?;
+        let vote: Option<Vote<u64>> = self.get("vote")?;
+        let in_snapshot = kept.as_ref().and_then(|k| k.meta.last_log_id);
+        let last = [self.last_entry()?, purged, in_snapshot].into_iter().flatten().map(|l| l.index).max();
+        let in_log = self.entries(..)?.into_iter().rev().find_map(|entry| match entry.payload {
+            EntryPayload::Membership(members) => Some(members),
+            _ => None,
+        });
+        let members = in_log.or(kept.map(|k| k.meta.last_membership.membership().clone()));
+        let keepers = members.iter().flat_map(|m| m.nodes()).map(|(id, peer)| (*id, peer.clone())).collect();
+        Ok(LastKnown { last: last.unwrap_or(0), term: vote.map_or(0, |v| v.leader_id.term), keepers })
+    }
+
     /// Reads every entry once, so that what cannot be read is found at the start and not in the middle.
     fn read_all(&self) -> Inside<()> {
         let transaction = self.db.begin_read()?;
--- a/store/src/keeper.rs
+++ b/store/src/keeper.rs
@@ -103,6 +103,7 @@
     let listener = TcpListener::bind(listen).await.map_err(|e| KeeperError::Listen(listen, e))?;
     let disk = Disk::open(&settings.folder, &settings.group, settings.id, rand::random())?;
     let machine = Machine::open(disk.clone()).map_err(|e| stopped(&e))?;
+    not_older(&disk, &settings).await?;
     let heartbeat = u64::try_from(settings.heartbeat.as_millis()).unwrap_or(100).max(1);
     let config = Config {
         cluster_name: settings.group.clone(),
@@ -135,6 +136,29 @@
     result
 }
 
+/// Whether the disk is a copy from before what this keeper has acknowledged, as far as a leader that can be reached knows.
+/// A leader of an earlier term than the disk's vote proves nothing: what it was sent may have been replaced since.
+async fn not_older(disk: &Disk, settings: &Settings) -> Result<(), KeeperError> {
+    let known = disk.last_known().map_err(|e| KeeperError::Stopped(e.to_string()))?;
+    let others = known.keepers.iter().filter(|(id, _)| **id != settings.id);
+    let asked = others.map(async |(id, peer)| {
+        let address = settings.dial.get(id).unwrap_or(&peer.address);
+        match timeout(Duration::from_secs(1), ask_once(address, &Ask::Status)).await {
+            Ok(Ok(Say::Status(status))) => Some(*status),
+            _ => None,
+        }
+    });
+    for status in futures_util::future::join_all(asked).await.into_iter().flatten() {
+        let theirs = status.acknowledged.get(&settings.id).copied().unwrap_or(0);
+        if status.leader == Some(status.id) && status.term >= known.term && theirs > known.last {
+            let (path, ours) = (disk.path().to_owned(), known.last);
+            let (leader, term) = (status.id, status.term);
+            return Err(DiskError::Older { path, ours, theirs, leader, term }.into());
+        }
+    }
+    Ok(())
+}
+
 impl Keeper {
     /// Waits until the group member inside has stopped, and says why.
     async fn broken(&self) -> String {
@@ -373,6 +397,12 @@
             last_log: metrics.last_log_index.unwrap_or(0),
             applied: metrics.last_applied.map_or(0, |l| l.index),
             revision: self.machine.read().revision(),
+            acknowledged: metrics
+                .replication
+                .iter()
+                .flatten()
+                .filter_map(|(id, at)| Some((*id, at.as_ref()?.index)))
+                .collect(),
             voters: members.voter_ids().collect(),
             keepers: members.nodes().map(|(id, peer)| (*id, peer.clone())).collect(),
         }
--- a/store/src/machine.rs
+++ b/store/src/machine.rs
@@ -15,8 +15,8 @@
 
 /// A snapshot as it is kept on disk and carried to other keepers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-struct Kept {
-    meta: Meta,
+pub(crate) struct Kept {
+    pub(crate) meta: Meta,
     data: String,
 }
 
--- a/store/src/wire.rs
+++ b/store/src/wire.rs
@@ -139,6 +139,9 @@
     pub applied: u64,
     /// The revision of its state.
     pub revision: u64,
+    /// Where it leads: the last index that each keeper has acknowledged to it.
+    #[serde(default)]
+    pub acknowledged: BTreeMap<u64, u64>,
     /// Keepers with a vote.
     pub voters: Vec<u64>,
     /// All keepers of the group.
