--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -166,16 +166,13 @@
                 return Err(Refusal::Invalid { what: format!("{key} in the backup holds no such value") });
             }
         }
-        let bounds: [(fn(&Key) -> bool, &str, usize); 3] = [
-            (|k| matches!(k, Key::Worker(_)), "workers", MAX_WORKERS),
-            (|k| matches!(k, Key::Drain(_)), "drain marks", MAX_DRAINS),
-            (|k| matches!(k, Key::Member(_)), "members", MAX_MEMBERS / 2),
-        ];
-        for (kind, what, most) in bounds {
-            if backup.entries.keys().filter(|k| kind(k)).count() > most {
-                return Err(Refusal::Full { what: what.to_owned(), most });
-            }
-        }
+        let fits = |kind: fn(&Key) -> bool, what: &str, most: usize| {
+            let count = backup.entries.keys().filter(|k| kind(k)).count();
+            if count > most { Err(Refusal::Full { what: what.to_owned(), most }) } else { Ok(()) }
+        };
+        fits(|k| matches!(k, Key::Worker(_)), "workers", MAX_WORKERS)?;
+        fits(|k| matches!(k, Key::Drain(_)), "drain marks", MAX_DRAINS)?;
+        fits(|k| matches!(k, Key::Member(_)), "members", MAX_MEMBERS / 2)?;
         let revision = self.revision.max(backup.revision).saturating_add(RESTORE_JUMP);
         self.entries.retain(|key, _| matches!(key, Key::Member(_)));
         for (key, entry) in &backup.entries {
