--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -54,6 +54,9 @@
     /// Measures instead what the store does to the clients of dispatchers, over so many rounds.
     #[arg(long, value_name = "ROUNDS")]
     serving: Option<usize>,
+    /// Has so many dispatchers come back at once instead.
+    #[arg(long, value_name = "DISPATCHERS", conflicts_with = "serving")]
+    herd: Option<usize>,
     /// Leaves out the faults of these numbers, to shrink a finding.
     #[arg(long, value_delimiter = ',')]
     without: Vec<usize>,
@@ -179,6 +182,11 @@
         return Ok(());
     }
     let program = args.program.map_or_else(dispatcher::built, Ok)?;
+    if let Some(dispatchers) = args.herd {
+        let herd = threads()?.block_on(store::herd::measure(&program, dispatchers.clamp(1, 1_000)))?;
+        println!("{}", serde_json::to_string(&herd)?);
+        return Ok(());
+    }
     if let Some(rounds) = args.serving {
         let serving =
             threads()?.block_on(store::serving::measure(&program, args.seconds, rounds, args.seed))?;
--- /dev/null
+++ b/rig/src/store/herd.rs
@@ -0,0 +1,110 @@
+//! Many dispatchers that come back at once: each joins, and no election is lost through it.
+
+use super::desk::{Desk, Leader};
+use super::group::{Group, until};
+use crate::fault::process::Victim;
+use anyhow::{Context, Result, bail};
+use serde::Serialize;
+use serde_json::{Value, json};
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// What came of it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Herd {
+    /// Dispatchers.
+    pub dispatchers: usize,
+    /// From their first start until the group had all of them as members, in seconds.
+    pub joined_s: f64,
+    /// The same after all were killed and started again at once.
+    pub joined_again_s: f64,
+    /// Revisions that it took: two for each is one join and one more.
+    pub revisions: u64,
+    /// Elections while they came.
+    pub elections: u64,
+    /// Slowest change of a desk while they came back, in milliseconds.
+    pub slowest_change_ms: f64,
+}
+
+fn start(program: &Path, folder: &Path, number: usize, keepers: &Value) -> Result<Victim> {
+    let listen: SocketAddr = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    let class = json!({"name": "segment", "effect": "idempotency_key", "group": "all", "window": 10_000_000_000_u64,
+                       "onTime": 600_000_000, "deadline": 6_000_000_000_u64, "worth": 1.0});
+    let config = json!({
+        "name": format!("n{number}"), "listen": listen.to_string(), "seed": format!("{number:x}"),
+        "limits": {"sockets": 64}, "settings": {"discovery": "push", "classes": [class]},
+    });
+    let files = ["config", "operator"].map(|what| folder.join(format!("{what}-{number}.json")));
+    std::fs::write(&files[0], config.to_string())?;
+    std::fs::write(&files[1], json!({"fleet": {"keepers": keepers}}).to_string())?;
+    let [config, operator] = &files;
+    let mut command = Command::new(program);
+    command.env("PROXY_CONFIG", config).env("PEBBLEPOST_OPERATOR", operator);
+    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+    Ok(Victim::new(command))
+}
+
+/// Members that are there in that life, and the revision.
+async fn here(desk: &mut Desk, life: u64) -> Result<(usize, u64)> {
+    let say = desk.ask(&json!({"get": []}), Duration::from_secs(5)).await?;
+    let found = say.get("found").with_context(|| say.to_string())?;
+    let members = found["entries"].as_object().into_iter().flatten().filter(|(_, entry)| {
+        let member = &entry["value"]["member"];
+        member["presence"] == "here" && member["incarnation"] == life
+    });
+    Ok((members.count(), found["revision"].as_u64().unwrap_or(0)))
+}
+
+async fn term(desk: &mut Desk) -> Result<u64> {
+    let say = desk.ask(&json!("status"), Duration::from_secs(5)).await?;
+    say.pointer("/status/term").and_then(Value::as_u64).with_context(|| say.to_string())
+}
+
+/// Plays it.
+pub async fn measure(program: &Path, dispatchers: usize) -> Result<Herd> {
+    let folder = std::env::temp_dir().join(format!("pebblepost-rig-herd-{}", std::process::id()));
+    let group = Group::start(program, 3, folder).await?;
+    let named = |(i, at): (usize, &SocketAddr)| ((i + 1).to_string(), json!(at));
+    let keepers = Value::Object(group.outside().iter().enumerate().map(named).collect());
+    let mut desk = Desk::new(group.outside(), Leader::default());
+    here(&mut desk, 1).await?;
+    let first_term = term(&mut desk).await?;
+    let mut herd = Vec::new();
+    for number in 0..dispatchers {
+        herd.push(start(program, group.folder(), number, &keepers)?);
+    }
+    let mut took = Vec::new();
+    let (mut slowest, mut revisions) = (Duration::ZERO, 0);
+    for life in 1..=2 {
+        herd.iter_mut().for_each(Victim::kill);
+        let began = Instant::now();
+        for one in &mut herd {
+            one.start()?;
+        }
+        let mut number = 0;
+        until(Duration::from_secs(120), async || {
+            number += 1;
+            let (asked, change) =
+                (Instant::now(), Desk::command((life, number), "none", number % 2 == 0, ""));
+            desk.ask(&change, Duration::from_secs(10)).await?;
+            slowest = slowest.max(asked.elapsed());
+            let (count, revision) = here(&mut desk, life).await?;
+            revisions = revision;
+            if count < dispatchers { bail!("{count} of {dispatchers} have joined") } else { Ok(()) }
+        })
+        .await?;
+        took.push(began.elapsed().as_secs_f64());
+    }
+    let elections = term(&mut desk).await?.saturating_sub(first_term);
+    let slowest_change_ms = slowest.as_secs_f64() * 1e3;
+    Ok(Herd {
+        dispatchers,
+        joined_s: took[0],
+        joined_again_s: took[1],
+        revisions,
+        elections,
+        slowest_change_ms,
+    })
+}
