--- a/rig/src/store/herd.rs
+++ b/rig/src/store/herd.rs
@@ -6,7 +6,7 @@
 use anyhow::{Context, Result, bail};
 use serde::Serialize;
 use serde_json::{Value, json};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
@@ -29,7 +29,9 @@
 }
 
 fn start(program: &Path, folder: &Path, number: usize, keepers: &Value) -> Result<Victim> {
-    let listen: SocketAddr = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    // An address of its own: among hundreds of processes a port that was free a moment ago is none any more.
+    let [high, low] = u16::try_from(number)?.to_be_bytes();
+    let listen = SocketAddr::from(([127, 3, high, low], 8081));
     let class = json!({"name": "segment", "effect": "idempotency_key", "group": "all", "window": 10_000_000_000_u64,
                        "onTime": 600_000_000, "deadline": 6_000_000_000_u64, "worth": 1.0});
     let config = json!({
