--- a/pebblepost/src/agent.rs
+++ b/pebblepost/src/agent.rs
@@ -176,7 +176,8 @@
 impl Agent {
     /// Starts it, with what was kept before. `address`: where this dispatcher takes clients.
     pub fn start(fleet: &Fleet, name: &str, address: Option<SocketAddr>, log: fn(&str)) -> io::Result<Self> {
-        let member: Name = name.parse().map_err(io::Error::other)?;
+        let member: Name =
+            name.parse().map_err(|e| io::Error::other(format!("fleet: name {name:?}: {e}")))?;
         let control = fleet.control.map(TcpListener::bind).transpose()?;
         if let Some(listener) = &control {
             listener.set_nonblocking(true)?;
@@ -341,16 +342,20 @@
     }
 }
 
-/// Offers every local drain to the group, until one gets no answer.
+/// Offers every local drain to the group, until one gets no answer or cannot be taken now.
 async fn offer(shared: &Shared, client: &mut Client) {
     loop {
         let Some(command) = lock(&shared.follower).offer() else { return };
         let Ok(answer) = client.command(&command, PATIENCE).await else { return };
-        let became = shared.with(|follower| follower.offered(command.id, &answer));
-        if became == Offered::Overruled
-            && let Err(why) = answer
-        {
-            (shared.log)(&format!("fleet: a local drain was taken back: {why}"));
+        match (shared.with(|follower| follower.offered(command.id, &answer)), answer) {
+            (Offered::Overruled, Err(why)) => {
+                (shared.log)(&format!("fleet: a local drain gives way to the group's decision: {why}"));
+            }
+            (Offered::Refused, Err(why)) => {
+                // It stays local, and is offered again with the next beat.
+                return (shared.log)(&format!("fleet: a drain stays local: {why}"));
+            }
+            _ => {}
         }
     }
 }
--- a/pebblepost/src/keep.rs
+++ b/pebblepost/src/keep.rs
@@ -55,7 +55,8 @@
     Io(#[from] std::io::Error),
 }
 
-fn read(path: &Path) -> Result<Settings, ConfigError> {
+/// Reads a keeper's file.
+pub fn read(path: &Path) -> Result<Settings, ConfigError> {
     let file: File = check::read(path)?;
     let wrong = |key: &str, what: &str| Err(check::wrong(path, key, what));
     if file.group.is_empty() || file.group.len() > 100 {
