--- a/store/src/client.rs
+++ b/store/src/client.rs
@@ -11,8 +11,8 @@
 
 /// One keeper is waited for so long before the next is asked.
 const EACH: Duration = Duration::from_secs(2);
-/// Between two rounds over all keepers.
-const PAUSE: Duration = Duration::from_millis(50);
+/// Between two rounds over all keepers: the first pause, doubled with each round, and the longest.
+const PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 
 /// Why nothing was answered.
 #[derive(Debug, Error)]
@@ -100,8 +100,10 @@
                 }
             }
             tried += 1;
-            if tried % self.keepers.len().max(1) == 0 {
-                sleep(PAUSE).await;
+            let (rounds, rest) = (tried / self.keepers.len().max(1), tried % self.keepers.len().max(1));
+            if rest == 0 {
+                let (first, longest) = PAUSES;
+                sleep((first * (1 << (rounds - 1).min(4))).min(longest)).await;
             }
         }
         Err(Unreachable { within, last })
