Keepers' numbers and changes of the group are judged where applied

Now Act::Admit is a rule of the state (a number belongs to its first disk for ever, also once left out), and a keeper is promoted or removed by relative changes; fleet add with another disk is refused by the group (exit code 1 for 2). Act::Restore is no special case of apply any more; the checksum files, the wall clock and fresh commands have one owner each.

--- a/fleet/src/command.rs
+++ b/fleet/src/command.rs
@@ -44,6 +44,13 @@
     /// Drains, settings and workers become what a backup says. Members stay as they are; those that only the backup knows
     /// count as lost. Revisions, sessions and incarnations do not go back.
     Restore(Snapshot),
+    /// A keeper of this number and disk may be taken in.
+    Admit {
+        /// Its number.
+        keeper: u64,
+        /// Its disk.
+        disk: u64,
+    },
     /// A member begins a session; the one it had before ends.
     Join {
         /// Which.
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -17,6 +17,8 @@
 pub const MAX_DRAINS: usize = 20_000;
 /// See [`MAX_WORKERS`].
 pub const MAX_MEMBERS: usize = 5_000;
+/// Most numbers of keepers, those that were left out among them.
+pub const MAX_KEEPERS: usize = 1_024;
 /// Most changes in one command.
 pub const MAX_OPS: usize = 1_024;
 /// Most changed keys in the log; the oldest changes go first.
@@ -120,6 +122,9 @@
     /// Revision of the newest change that the log no longer has.
     compacted: u64,
     answers: VecDeque<(RequestId, Answer)>,
+    /// The disk of each keeper that there ever was, by number.
+    #[serde(default)]
+    keepers: BTreeMap<u64, u64>,
 }
 
 /// What a command makes of the keys it touches.
@@ -131,19 +136,63 @@
         if let Some((_, answer)) = self.answers.iter().rev().find(|(id, _)| *id == command.id) {
             return answer.clone();
         }
-        if let Act::Restore(backup) = &command.act {
-            let answer = self.restore(command, backup);
-            self.answered(command.id, &answer);
-            return answer;
-        }
-        let answer = self.decide(command).map(|(items, session, why)| {
-            self.commit(command, items, why);
-            Done { revision: self.revision, session: session.then_some(self.revision) }
-        });
+        let answer = self.carry_out(command);
         self.answered(command.id, &answer);
         answer
     }
 
+    /// Either all of it happens or nothing.
+    fn carry_out(&mut self, command: &Command) -> Answer {
+        match &command.act {
+            Act::Change { ops, expect, why } => {
+                expect.iter().try_for_each(|e| self.holds(e))?;
+                let items = self.change(command, ops, why)?;
+                Ok(self.commit(command, items, why.clone()))
+            }
+            Act::Restore(backup) => self.restore(command, backup),
+            Act::Join { member, life, card } => {
+                let items = self.join(member, *life, card)?;
+                let done = self.commit(command, items, Text::default());
+                Ok(Done { session: Some(done.revision), ..done })
+            }
+            Act::Leave { member, session } => {
+                let items = self.end(member, *session, Presence::Left)?;
+                Ok(self.commit(command, items, Text::default()))
+            }
+            Act::Expire { member, session } => {
+                let items = self.end(member, *session, Presence::Lost)?;
+                Ok(self.commit(command, items, Text::default()))
+            }
+            Act::Admit { keeper, disk } => self.admit(*keeper, *disk),
+        }
+    }
+
+    /// A keeper's number belongs to the first disk that had it, for ever: with another one it has forgotten what it
+    /// voted for and acknowledged, and the old one may still run.
+    fn admit(&mut self, keeper: u64, disk: u64) -> Answer {
+        match self.keepers.get(&keeper) {
+            Some(known) if *known != disk => Err(Refusal::Invalid {
+                what: format!(
+                    "keeper {keeper} has been in the group with another disk; a new disk takes a new number"
+                ),
+            }),
+            None if self.keepers.len() >= MAX_KEEPERS => {
+                Err(Refusal::Full { what: "numbers of keepers".to_owned(), most: MAX_KEEPERS })
+            }
+            _ => {
+                self.keepers.insert(keeper, disk);
+                Ok(Done { revision: self.revision, session: None })
+            }
+        }
+    }
+
+    /// The group has these keepers, each with its disk.
+    pub fn seat(&mut self, keepers: impl IntoIterator<Item = (u64, u64)>) {
+        for (keeper, disk) in keepers {
+            self.keepers.entry(keeper).or_insert(disk);
+        }
+    }
+
     fn answered(&mut self, id: RequestId, answer: &Answer) {
         self.answers.push_back((id, answer.clone()));
         if self.answers.len() > MAX_ANSWERS {
@@ -193,25 +242,6 @@
         Ok(Done { revision, session: None })
     }
 
-    /// What a command would change, and whether that begins a session; nothing has changed yet.
-    fn decide(&self, command: &Command) -> Result<(Items, bool, Text), Refusal> {
-        match &command.act {
-            Act::Change { ops, expect, why } => {
-                expect.iter().try_for_each(|e| self.holds(e))?;
-                Ok((self.change(command, ops, why)?, false, why.clone()))
-            }
-            // Carried out by itself, as it replaces the log as well: `restore`.
-            Act::Restore(_) => Ok((Vec::new(), false, Text::default())),
-            Act::Join { member, life, card } => Ok((self.join(member, *life, card)?, true, Text::default())),
-            Act::Leave { member, session } => {
-                Ok((self.end(member, *session, Presence::Left)?, false, Text::default()))
-            }
-            Act::Expire { member, session } => {
-                Ok((self.end(member, *session, Presence::Lost)?, false, Text::default()))
-            }
-        }
-    }
-
     fn holds(&self, expect: &Expect) -> Result<(), Refusal> {
         let found = self.entries.get(&expect.key).map_or(0, |e| e.revision);
         if found == expect.revision {
@@ -328,9 +358,10 @@
         }
     }
 
-    fn commit(&mut self, command: &Command, items: Items, why: Text) {
+    /// Makes the next revision of what is changed; of nothing none.
+    fn commit(&mut self, command: &Command, items: Items, why: Text) -> Done {
         if items.is_empty() {
-            return;
+            return Done { revision: self.revision, session: None };
         }
         self.revision += 1;
         let revision = self.revision;
@@ -353,6 +384,7 @@
             self.logged -= oldest.items.len();
             self.compacted = oldest.revision;
         }
+        Done { revision, session: None }
     }
 
     /// The revision of the last change.
--- a/fleet/tests/state.rs
+++ b/fleet/tests/state.rs
@@ -281,6 +281,22 @@
     assert_eq!(desk.state.snapshot(), before.snapshot(), "nothing lost");
 }
 
+#[test]
+fn a_keepers_number_belongs_to_its_first_disk_for_ever() {
+    let mut desk = Desk::default();
+    let admit = |keeper, disk| Act::Admit { keeper, disk };
+    desk.state.seat([(1, 11), (2, 22)]);
+    assert!(desk.ask(admit(2, 22)).is_ok() && desk.ask(admit(3, 33)).is_ok());
+    // The second was left out since; its number does not come free.
+    desk.state.seat([(1, 11), (3, 33)]);
+    desk.state = serde_json::from_str(&serde_json::to_string(&desk.state).expect("text")).expect("the same");
+    for (keeper, disk) in [(2, 23), (3, 34)] {
+        assert!(matches!(desk.ask(admit(keeper, disk)), Err(Refusal::Invalid { .. })), "{keeper}");
+    }
+    desk.state.seat([(2, 23)]);
+    assert!(desk.ask(admit(2, 23)).is_err(), "the first one stays");
+}
+
 proptest! {
     #![proptest_config(Config { rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..Config::with_cases(60) })]
 
--- a/pebblepost/src/agent.rs
+++ b/pebblepost/src/agent.rs
@@ -10,15 +10,14 @@
 //! `{"error":WHY}`. A drain asked for here holds here at once and is offered to the group.
 
 use crate::config::Fleet;
-use pebblepost_fleet::command::{Act, Card, Command, Role};
+use crate::kept;
+use pebblepost_fleet::command::{Act, Card, Role};
 use pebblepost_fleet::follow::{Follower, Offered};
 use pebblepost_fleet::setting::SETTINGS;
 use pebblepost_fleet::{Name, Refusal, RequestId, Text};
-use pebblepost_store::client::Client;
-use pebblepost_store::keeper::request_id;
+use pebblepost_store::client::{Client, command, request_id, unix_ms};
 use pebblepost_store::wire::{Ask, Say};
 use rand::RngExt;
-use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashSet};
 use std::io::{self, Write};
@@ -27,7 +26,7 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, Semaphore, oneshot};
@@ -97,42 +96,12 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// A copy as it is kept in a file.
-#[derive(Serialize, Deserialize)]
-struct Kept {
-    sum: String,
-    copy: String,
-}
-
-fn checksum(text: &str) -> String {
-    use sha2::Digest;
-    sha2::Sha256::digest(text.as_bytes()).iter().map(|b| format!("{b:02x}")).collect()
-}
-
-fn load(path: &Path) -> Result<Option<Follower>, String> {
-    let text = match std::fs::read_to_string(path) {
-        Ok(text) => text,
-        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
-        Err(e) => return Err(e.to_string()),
-    };
-    let kept: Kept = serde_json::from_str(&text).map_err(|e| e.to_string())?;
-    if checksum(&kept.copy) != kept.sum {
-        return Err("torn or not a copy".to_owned());
+fn load(path: &Path) -> io::Result<Option<Follower>> {
+    match kept::read(path) {
+        Ok(body) => Ok(Some(serde_json::from_str(&body)?)),
+        Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(e) => Err(e),
     }
-    serde_json::from_str(&kept.copy).map(Some).map_err(|e| e.to_string())
-}
-
-/// Writes the copy so that a crash leaves the old file or the new one, whole.
-fn save(path: &Path, follower: &Follower) -> io::Result<()> {
-    let copy = serde_json::to_string(follower)?;
-    let text = serde_json::to_string(&Kept { sum: checksum(&copy), copy })?;
-    let fresh = path.with_extension("new");
-    let mut file = std::fs::File::create(&fresh)?;
-    file.write_all(text.as_bytes())?;
-    file.sync_all()?;
-    std::fs::rename(&fresh, path)?;
-    let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
-    std::fs::File::open(folder)?.sync_all()
 }
 
 impl Shared {
@@ -295,10 +264,6 @@
     }
 }
 
-fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(0))
-}
-
 /// Keeps a session, and offers what was asked for here.
 async fn member_of(shared: &Shared, fleet: &Fleet, member: Name, card: Card) {
     if fleet.keepers.is_empty() {
@@ -311,8 +276,7 @@
         match session {
             None => {
                 let act = Act::Join { member: member.clone(), life, card: card.clone() };
-                let command = Command { id: request_id(), by: member.clone(), at_ms: unix_ms(), act };
-                match client.command(&command, PATIENCE).await {
+                match client.command(&command(member.clone(), act), PATIENCE).await {
                     Ok(Ok(done)) => (session, tries) = (done.session, 0),
                     Ok(Err(refused @ Refusal::Superseded { .. })) => {
                         // Another process has the name. This one goes on serving by what it hears.
@@ -367,7 +331,8 @@
         shared.changed.notified().await;
         let (path, copy) = (path.to_owned(), lock(&shared.follower).clone());
         let shown = path.display().to_string();
-        let saved = tokio::task::spawn_blocking(move || save(&path, &copy)).await;
+        let save = move || kept::replace(&path, &serde_json::to_string(&copy)?);
+        let saved = tokio::task::spawn_blocking(save).await;
         if let Ok(Err(why)) = saved {
             (shared.log)(&format!("fleet.copy: {shown}: {why}"));
         }
--- a/pebblepost/src/fleet.rs
+++ b/pebblepost/src/fleet.rs
@@ -1,21 +1,21 @@
 //! `pebblepost fleet`: an operator asks the keepers, or has them change something.
 
+use crate::kept;
 use clap::{Args, Subcommand, ValueEnum};
-use pebblepost_fleet::command::{Act, Command, Op};
+use pebblepost_fleet::command::{Act, Op};
 use pebblepost_fleet::state::{Change, Entry, Presence, Snapshot, Value};
 use pebblepost_fleet::{Expect, Key, Name, Refusal, Text};
-use pebblepost_store::client::{Client, Unreachable};
+use pebblepost_store::client::{Client, Unreachable, command};
 use pebblepost_store::group::Peer;
-use pebblepost_store::keeper::{ask_once, request_id};
+use pebblepost_store::keeper::ask_once;
 use pebblepost_store::wire::{Ask, Say, Status};
 use serde_json::{Value as Json, json};
-use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use thiserror::Error;
 
 /// Who is asked, and how it is told.
@@ -239,29 +239,16 @@
     }
 }
 
-fn checksum(body: &str) -> String {
-    Sha256::digest(body.as_bytes()).iter().map(|b| format!("{b:02x}")).collect()
-}
-
-/// The body of a file that begins with its checksum on a line of its own.
-fn checked(path: &Path) -> Result<String> {
-    let wrong = |what: &dyn std::fmt::Display| FleetError::Usage(format!("{}: {what}", path.display()));
-    let text = std::fs::read_to_string(path).map_err(|e| wrong(&e))?;
-    match text.trim_end().split_once('\n') {
-        Some((sum, body)) if sum == checksum(body) => Ok(body.to_owned()),
-        _ => Err(wrong(&"torn, or no such file as is wanted here: its checksum is not that of its body")),
-    }
-}
-
 fn read_backup(path: &Path) -> Result<Snapshot> {
-    let body = checked(path)?;
-    serde_json::from_str(&body).map_err(|e| FleetError::Usage(format!("{}: no backup: {e}", path.display())))
+    let wrong = |what: &dyn std::fmt::Display| FleetError::Usage(format!("{}: {what}", path.display()));
+    let body = kept::read(path).map_err(|e| wrong(&e))?;
+    serde_json::from_str(&body).map_err(|e| wrong(&format!("no backup: {e}")))
 }
 
 /// The drains and settings in a file of the old store: a checksum, then registers as JSON.
 fn old_store(path: &Path) -> Result<Vec<Op>> {
     let wrong = |what: &dyn std::fmt::Display| FleetError::Usage(format!("{}: {what}", path.display()));
-    let body = checked(path)?;
+    let body = kept::read(path).map_err(|e| wrong(&e))?;
     let json: Json = serde_json::from_str(&body).map_err(|e| wrong(&e))?;
     let registers = json.get("registers").and_then(Json::as_object).ok_or_else(|| wrong(&"no registers"))?;
     let mut ops = Vec::new();
@@ -394,14 +381,7 @@
                 self.change_all(ops, Reason { why, expect: None }).await
             }
             What::Add { id, address } => self.add(id, address).await,
-            What::Remove { id } => {
-                let status = self.leader().await?;
-                let left: Vec<u64> = status.voters.into_iter().filter(|v| *v != id).collect();
-                if left.is_empty() {
-                    return Err(FleetError::Usage(format!("keeper {id} is the last one")));
-                }
-                self.done(&Ask::Voters(left)).await
-            }
+            What::Remove { id } => self.done(&Ask::Remove(id)).await,
         }
     }
 
@@ -459,16 +439,6 @@
         Ok(())
     }
 
-    /// The status of the keeper that most of those who answer say leads.
-    async fn leader(&mut self) -> Result<Status> {
-        let all = self.statuses().await;
-        let leads = |(id, s): &(u64, std::result::Result<Status, String>)| {
-            s.as_ref().ok().filter(|s| s.leader == Some(*id)).cloned()
-        };
-        let newest = all.iter().filter_map(leads).max_by_key(|s| s.term);
-        newest.ok_or_else(|| FleetError::Failed("nobody leads now; look at `fleet status`".to_owned()))
-    }
-
     async fn add(&mut self, id: u64, address: SocketAddr) -> Result<()> {
         let address = address.to_string();
         let status = match ask_once(&address, &Ask::Status).await {
@@ -479,21 +449,11 @@
             Ok(other) => return Err(misplaced(&other)),
             Err(error) => return Err(FleetError::Failed(format!("{address}: {error}"))),
         };
-        let leader = self.leader().await?;
-        if let Some(known) = leader.keepers.get(&id)
-            && known.disk != status.disk
-        {
-            return Err(FleetError::Usage(format!(
-                "keeper {id} has been in the group with another disk; a new disk takes a new number"
-            )));
-        }
         match self.ask(&Ask::Learn(id, Peer { address, disk: status.disk })).await? {
-            Say::Done => {}
-            other => return Err(misplaced(&other)),
+            Say::Done => self.done(&Ask::Promote(id)).await,
+            Say::Answer(Err(refused)) => Err(refused.into()),
+            other => Err(misplaced(&other)),
         }
-        let mut voters = leader.voters;
-        voters.push(id);
-        self.done(&Ask::Voters(voters)).await
     }
 
     async fn show(&mut self, keys: Vec<Key>, hit: fn(&Key) -> bool) -> Result<()> {
@@ -547,16 +507,13 @@
             other => return Err(misplaced(&other)),
         };
         let body = json!(Snapshot { revision, entries }).to_string();
-        let mut out = std::fs::File::create_new(file).map_err(|e| failed(&e))?;
-        let text = format!("{}\n{body}\n", checksum(&body));
-        out.write_all(text.as_bytes()).and_then(|()| out.sync_all()).map_err(|e| failed(&e))?;
+        kept::create(file, &body).map_err(|e| failed(&e))?;
         self.say(json!({"revision": revision}), &|| format!("revision {revision} in {}", file.display()));
         Ok(())
     }
 
     async fn command(&mut self, act: Act) -> Result<()> {
-        let at_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
-        let command = Command { id: request_id(), by: self.by.clone(), at_ms, act };
+        let command = command(self.by.clone(), act);
         let done = self.client.command(&command, self.within).await??;
         self.say(json!({"revision": done.revision}), &|| format!("agreed at revision {}", done.revision));
         Ok(())
--- a/pebblepost/src/keep.rs
+++ b/pebblepost/src/keep.rs
@@ -89,6 +89,9 @@
 /// Runs a keeper until SIGTERM or SIGINT.
 pub fn run(path: &Path) -> Result<(), KeepError> {
     let settings = read(path)?;
+    // Which fault happens when is in the environment (`FAILPOINTS`).
+    #[cfg(feature = "faults")]
+    let _faults = fail::FailScenario::setup();
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
     runtime.block_on(async {
         let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
--- a/pebblepost/src/lib.rs
+++ b/pebblepost/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod health;
 pub mod http;
 pub mod keep;
+pub mod kept;
 pub mod net;
 pub mod turn;
 pub mod workers;
--- /dev/null
+++ b/pebblepost/tests/common/keepers.rs
@@ -0,0 +1,117 @@
+//! Three keepers as processes of the program.
+
+use super::within;
+use serde_json::{Value, json};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
+
+/// Waiting is bounded generously; what is judged is what comes of it.
+pub const LIMIT: Duration = Duration::from_secs(30);
+
+/// Three keepers as processes.
+pub struct Keepers {
+    pub folder: PathBuf,
+    pub at: Vec<SocketAddr>,
+    pub running: Vec<Option<Child>>,
+}
+
+impl Keepers {
+    pub fn start(first: u8) -> Self {
+        let folder = super::path("keepers");
+        std::fs::create_dir_all(&folder).expect("a writable folder");
+        // On an address that nothing else here uses, a port that was free a moment ago still is.
+        let free: Vec<TcpListener> = (0..3)
+            .map(|n| {
+                TcpListener::bind((std::net::Ipv4Addr::new(127, 78, first, n + 1), 0)).expect("a free port")
+            })
+            .collect();
+        let at: Vec<SocketAddr> = free.iter().map(|l| l.local_addr().expect("bound")).collect();
+        drop(free);
+        let mut keepers = Self { folder, at, running: vec![None, None, None] };
+        (0..3).for_each(|n| keepers.run(n));
+        keepers.fleet_until(&["begin"]);
+        keepers
+    }
+
+    pub fn run(&mut self, n: usize) {
+        self.run_with(n, Stdio::null(), &[]);
+    }
+
+    /// Starts one with these variables in its environment.
+    pub fn run_with(&mut self, n: usize, errors: Stdio, variables: &[(&str, &str)]) {
+        let config = self.folder.join(format!("{n}.json"));
+        let folder = self.folder.join(n.to_string());
+        let json =
+            json!({"group": "g", "id": n + 1, "listen": self.at[n], "folder": folder, "session_s": 3.0});
+        std::fs::write(&config, json.to_string()).expect("a writable folder");
+        let mut keep = Command::new(env!("CARGO_BIN_EXE_pebblepost"));
+        keep.arg("keep").arg(config).stdin(Stdio::null()).stderr(errors).env("RUST_LOG", "off");
+        keep.envs(variables.iter().copied());
+        self.running[n] = Some(keep.spawn().expect("it starts"));
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        if let Some(mut child) = self.running[n].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits for one that must end by itself, with its errors piped; what it said.
+    pub fn ends(&mut self, n: usize) -> String {
+        let mut child = self.running[n].take().expect("started");
+        within(LIMIT, "it ends by itself", || {
+            let ended = child.try_wait().expect("a child");
+            ended.map(|status| assert!(!status.success(), "by an error"))
+        });
+        let said = child.wait_with_output().expect("ended");
+        String::from_utf8_lossy(&said.stderr).into_owned()
+    }
+
+    /// Starts one that must refuse to go on; what it said.
+    pub fn refuses(&mut self, n: usize) -> String {
+        self.run_with(n, Stdio::piped(), &[]);
+        self.ends(n)
+    }
+
+    /// The keeper that leads, by index, and the revision that each one has.
+    pub fn look(&self) -> (usize, Vec<u64>) {
+        within(LIMIT, "one leads", || {
+            let all = self.fleet(&["status", "--json"]).stdout;
+            let all = String::from_utf8_lossy(&all).into_owned();
+            let lines: Vec<Value> = all.lines().filter_map(|l| serde_json::from_str(l).ok()).collect();
+            let leader = lines.iter().find(|s| s["leader"].is_u64() && s["leader"] == s["id"])?;
+            let revisions = lines.iter().map(|s| s["revision"].as_u64().unwrap_or(0)).collect();
+            Some((leader["id"].as_u64()? as usize - 1, revisions))
+        })
+    }
+
+    /// By number, as an operator's file names them.
+    pub fn named(&self) -> Value {
+        (0..3).map(|n| ((n + 1).to_string(), json!(self.at[n]))).collect::<serde_json::Map<_, _>>().into()
+    }
+
+    pub fn fleet(&self, words: &[&str]) -> Output {
+        let named: Vec<String> = (0..3).map(|n| format!("{}={}", n + 1, self.at[n])).collect();
+        let mut fleet = Command::new(env!("CARGO_BIN_EXE_pebblepost"));
+        fleet.args(["fleet", "--keepers", &named.join(","), "--by", "tester"]).args(words);
+        fleet.output().expect("it starts")
+    }
+
+    /// Until the group takes it.
+    pub fn fleet_until(&self, words: &[&str]) -> String {
+        within(LIMIT, &format!("{words:?}"), || {
+            let done = self.fleet(words);
+            done.status.success().then(|| String::from_utf8_lossy(&done.stdout).into_owned())
+        })
+    }
+}
+
+impl Drop for Keepers {
+    fn drop(&mut self) {
+        (0..3).for_each(|n| self.kill(n));
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- a/pebblepost/tests/common/mod.rs
+++ b/pebblepost/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)] // Each test file uses its part.
 
+pub mod keepers;
+
 use pebblepost::config;
 use pebblepost::net::Door;
 use pebblepost::turn::{Daemon, Signals};
--- a/store/src/client.rs
+++ b/store/src/client.rs
@@ -1,10 +1,10 @@
 //! How members and operators reach the keepers: any of them is asked, the one that leads answers.
 
 use crate::wire::{Ask, Say, Wire};
-use pebblepost_fleet::{Answer, Command};
+use pebblepost_fleet::{Act, Answer, Command, Name, RequestId};
 use std::collections::BTreeMap;
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -14,6 +14,21 @@
 /// Between two rounds over all keepers: the first pause, doubled with each round, and the longest.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 
+/// A request id that nobody else draws.
+pub fn request_id() -> RequestId {
+    RequestId(rand::random(), rand::random())
+}
+
+/// This machine's wall clock, in Unix time in milliseconds.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(0))
+}
+
+/// A command that is asked for now, for the first time.
+pub fn command(by: Name, act: Act) -> Command {
+    Command { id: request_id(), by, at_ms: unix_ms(), act }
+}
+
 /// Why nothing was answered.
 #[derive(Debug, Error)]
 #[error("no keeper answered within {within:?}: {last}")]
--- a/store/src/keeper.rs
+++ b/store/src/keeper.rs
@@ -1,13 +1,14 @@
 //! A keeper: it listens, takes part in the group, and answers members, operators and other keepers.
 
+use crate::client::command;
 use crate::disk::{Disk, DiskError};
 use crate::group::Raft;
 use crate::machine::Machine;
 use crate::network::Network;
 use crate::wire::{Ask, Envelope, Message, Reply, Say, Status, Wire};
 use openraft::error::{ClientWriteError, RaftError};
-use openraft::{Config, SnapshotPolicy};
-use pebblepost_fleet::command::{Act, Command, RequestId};
+use openraft::{ChangeMembers, Config, SnapshotPolicy};
+use pebblepost_fleet::command::{Act, Command};
 use pebblepost_fleet::session::{Beat, Sessions, Ttl};
 use pebblepost_fleet::{Key, Name};
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,7 +17,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
@@ -79,20 +80,13 @@
     disk: Disk,
     machine: Machine,
     raft: Raft,
+    /// As it asks for something itself.
+    name: Name,
     started: Instant,
     /// Beats heard as the leader of a term.
     sessions: Arc<Mutex<Option<(u64, Sessions)>>>,
 }
 
-fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(0))
-}
-
-/// A request id that nobody else draws.
-pub fn request_id() -> RequestId {
-    RequestId(rand::random(), rand::random())
-}
-
 /// Runs a keeper until `stop`. `ready` is told where it listens.
 pub async fn run(
     settings: Settings, ready: impl FnOnce(SocketAddr), stop: impl Future<Output = ()>,
@@ -123,7 +117,8 @@
     let raft = Raft::new(settings.id, config, network, disk.clone(), machine.clone());
     let raft = raft.await.map_err(|e| stopped(&e))?;
     let (settings, started) = (Arc::new(settings), Instant::now());
-    let keeper = Keeper { settings, disk, machine, raft, started, sessions: Arc::default() };
+    let name = format!("keeper {}", settings.id).parse().map_err(|e| stopped(&e))?;
+    let keeper = Keeper { settings, disk, machine, raft, name, started, sessions: Arc::default() };
     tracing::info!(id = keeper.settings.id, %listen, "keeper runs");
     ready(listener.local_addr().map_err(|e| KeeperError::Listen(listen, e))?);
     let result = tokio::select! {
@@ -252,11 +247,10 @@
                 }
                 Ask::Status => Say::Status(Box::new(self.status().await)),
                 Ask::Begin(keepers) => self.begin(keepers).await,
-                Ask::Learn(id, peer) => self.done(self.raft.add_learner(id, peer, true).await),
-                Ask::Voters(ids) => {
-                    let voters: BTreeSet<u64> = ids.into_iter().collect();
-                    self.done(self.raft.change_membership(voters, false).await)
-                }
+                Ask::Learn(id, peer) => self.learn(id, peer).await,
+                // Changes, not whole lists: of two operators none undoes what the other did.
+                Ask::Promote(id) => self.members(ChangeMembers::AddVoterIds(BTreeSet::from([id]))).await,
+                Ask::Remove(id) => self.members(ChangeMembers::RemoveVoters(BTreeSet::from([id]))).await,
                 Ask::Watch(_) => Say::Failed("a watch has a connection of its own".to_owned()),
             }
         };
@@ -317,6 +311,19 @@
         }
     }
 
+    async fn members(&self, change: ChangeMembers<u64, crate::group::Peer>) -> Say {
+        self.done(self.raft.change_membership(change, false).await)
+    }
+
+    /// Whether the number may be had with this disk is agreed first.
+    async fn learn(&self, id: u64, peer: crate::group::Peer) -> Say {
+        let act = Act::Admit { keeper: id, disk: peer.disk };
+        match self.command(command(self.name.clone(), act)).await {
+            Say::Answer(Ok(_)) => self.done(self.raft.add_learner(id, peer, true).await),
+            refused => refused,
+        }
+    }
+
     fn done<T>(&self, result: Result<T, RaftError<u64, ClientWriteError<u64, crate::group::Peer>>>) -> Say {
         result.map_or_else(|e| self.refused(e), |_| Say::Done)
     }
@@ -355,10 +362,8 @@
             let now = self.started.elapsed();
             let overdue = self.with_sessions(|s| s.overdue(now, &self.machine.read())).unwrap_or_default();
             for act in overdue {
-                let Ok(by) = format!("keeper {}", self.settings.id).parse() else { continue };
-                let command = Command { id: request_id(), by, at_ms: unix_ms(), act };
                 // If it comes to nothing the next look asks again.
-                let _ = timeout(PATIENCE, self.raft.client_write(command)).await;
+                let _ = timeout(PATIENCE, self.raft.client_write(command(self.name.clone(), act))).await;
             }
         }
     }
--- a/store/src/wire.rs
+++ b/store/src/wire.rs
@@ -46,8 +46,10 @@
     Begin(BTreeMap<u64, Peer>),
     /// Takes a keeper in as a learner, and waits until it has caught up.
     Learn(u64, Peer),
-    /// These keepers vote from now on; others are left out.
-    Voters(Vec<u64>),
+    /// A learner votes from now on.
+    Promote(u64),
+    /// A keeper is left out.
+    Remove(u64),
 }
 
 /// A message of Raft, with whom it is for: a keeper with another disk must not take it.
