--- a/pebblepost/tests/common/keepers.rs
+++ b/pebblepost/tests/common/keepers.rs
@@ -47,7 +47,12 @@
             json!({"group": "g", "id": n + 1, "listen": self.at[n], "folder": folder, "session_s": 3.0});
         std::fs::write(&config, json.to_string()).expect("a writable folder");
         let mut keep = Command::new(env!("CARGO_BIN_EXE_pebblepost"));
-        keep.arg("keep").arg(config).stdin(Stdio::null()).stderr(errors).env("RUST_LOG", "off");
+        keep.arg("keep")
+            .arg(config)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(errors)
+            .env("RUST_LOG", "off");
         keep.envs(variables.iter().copied());
         self.running[n] = Some(keep.spawn().expect("it starts"));
     }
@@ -61,11 +66,12 @@
 
     /// Waits for one that must end by itself, with its errors piped; what it said.
     pub fn ends(&mut self, n: usize) -> String {
-        let mut child = self.running[n].take().expect("started");
+        // It stays among those that are killed at the end until it has ended.
         within(LIMIT, "it ends by itself", || {
-            let ended = child.try_wait().expect("a child");
+            let ended = self.running[n].as_mut().expect("started").try_wait().expect("a child");
             ended.map(|status| assert!(!status.success(), "by an error"))
         });
+        let child = self.running[n].take().expect("started");
         let said = child.wait_with_output().expect("ended");
         String::from_utf8_lossy(&said.stderr).into_owned()
     }
