--- a/rig/src/record.rs
+++ b/rig/src/record.rs
@@ -130,20 +130,20 @@
 /// A thing seen, with when: seconds from the start.
 pub type Entry = (f64, Seen);
 
-/// The list.
+/// The list, of what one kind of run sees.
 #[derive(Debug)]
-pub struct Record {
+pub struct Record<T = Seen> {
     start: Instant,
-    list: Mutex<Vec<Entry>>,
+    list: Mutex<Vec<(f64, T)>>,
 }
 
-impl Default for Record {
+impl<T> Default for Record<T> {
     fn default() -> Self {
         Self { start: Instant::now(), list: Mutex::default() }
     }
 }
 
-impl Record {
+impl<T> Record<T> {
     /// Seconds from the start.
     pub fn now(&self) -> f64 {
         self.start.elapsed().as_secs_f64()
@@ -155,13 +155,13 @@
     }
 
     /// Notes a thing as seen now.
-    pub fn note(&self, seen: Seen) {
+    pub fn note(&self, seen: T) {
         let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
         list.push((self.now(), seen)); // Timed under the lock, so that the list is in order.
     }
 
     /// All that was seen, in order.
-    pub fn take(&self) -> Vec<Entry> {
+    pub fn take(&self) -> Vec<(f64, T)> {
         std::mem::take(&mut *self.list.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
--- a/rig/src/store/run.rs
+++ b/rig/src/store/run.rs
@@ -304,7 +304,7 @@
     follower.abort();
     group.look()?;
     let copy = lock(&copy);
-    let seen = shared.witness.take();
+    let seen: Vec<Seen> = shared.witness.take().into_iter().map(|(_, seen)| seen).collect();
     let verdict = judge(&seen, &end);
     let mut broken = copy.wrong.clone();
     broken.extend(group.crashed.clone());
--- a/rig/src/store/witness.rs
+++ b/rig/src/store/witness.rs
@@ -1,7 +1,6 @@
 //! What was asked of the group and what it answered, with when. Nobody here knows what a keeper thinks.
 
-use std::sync::{Mutex, PoisonError};
-use std::time::Instant;
+use crate::record::Record;
 
 /// An operation on one worker's drain mark.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -27,31 +26,5 @@
     pub answered: Option<(f64, Option<String>)>,
 }
 
-/// The list of them.
-pub struct Witness {
-    start: Instant,
-    seen: Mutex<Vec<Seen>>,
-}
-
-impl Default for Witness {
-    fn default() -> Self {
-        Self { start: Instant::now(), seen: Mutex::default() }
-    }
-}
-
-impl Witness {
-    /// Seconds from the start.
-    pub fn now(&self) -> f64 {
-        self.start.elapsed().as_secs_f64()
-    }
-
-    /// Notes one that has ended, or was given up.
-    pub fn note(&self, seen: Seen) {
-        self.seen.lock().unwrap_or_else(PoisonError::into_inner).push(seen);
-    }
-
-    /// All of them.
-    pub fn take(&self) -> Vec<Seen> {
-        std::mem::take(&mut *self.seen.lock().unwrap_or_else(PoisonError::into_inner))
-    }
-}
+/// The list of them; each is noted when it has ended or was given up.
+pub type Witness = Record<Seen>;
