Watch is kept up where lists are pushed; a request's tenant is read

The decisions then never ask for a watch, and the daemon watched only when asked (turn.rs carried out Output::Watch, nothing else called Discovery::watch), so it went on with the list of its start: no drain, no new worker. The tenant in X-Org was never read (platform.rs, engine.rs set 0). Change: where settings say push and an address is named, the daemon takes the watch up itself, and again 100 ms after its end. X-Org names the tenant. Result: a test with an agent that drops the watch once failed before (no call came) and passes.

--- a/pebblepost/src/config.rs
+++ b/pebblepost/src/config.rs
@@ -114,6 +114,8 @@
     pub settings: Settings,
     /// Names of classes that the platform's clients use, with their deadlines.
     pub classes: Vec<(String, Duration)>,
+    /// Names of tenants, in the settings' order.
+    pub tenants: Vec<String>,
     /// Names of zones, kinds and values of a load report.
     pub zones: Vec<String>,
     /// See `zones`.
@@ -401,6 +403,7 @@
         sockets,
         known: json.get("known").filter(|k| k.is_object()).cloned(),
         classes: classes.into_iter().zip(deadlines).collect(),
+        tenants: names(&settings_json, "/tenants"),
         zones: names(&settings_json, "/failureDomains"),
         kinds: names(&settings_json, "/kinds"),
         report_names: names(&settings_json, "/report/names"),
--- a/pebblepost/src/discovery.rs
+++ b/pebblepost/src/discovery.rs
@@ -3,7 +3,7 @@
 use crate::buffer::Buffer;
 use crate::engine::Input;
 use crate::http::{self, Body, Head};
-use crate::net::{Clock, ConnKey, Role, Shared, number};
+use crate::net::{Clock, ConnKey, Due, Role, Shared, number};
 use pebblewind::api::{CellId, Entry, KindId, ListKind, WorkerId, WorkerState, ZoneId};
 use serde_json::Value;
 use std::collections::{HashMap, HashSet};
@@ -17,6 +17,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Discovery itself ends calls that waited for 2 s; one that brings nothing for longer has failed.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Where lists are pushed the agent stands on this machine and a call costs it nothing: a watch that ended is taken
+/// up again after this.
+const AGAIN: Duration = Duration::from_millis(100);
 /// Longest object of discovery.
 const MAX_LINE: usize = 768 * 1024;
 
@@ -262,12 +265,22 @@
     unheard: bool,
     fetching: Option<ConnKey>,
     healthy: bool,
+    /// Lists are pushed: the decisions never ask, so the watch is kept up here.
+    pushed: bool,
 }
 
 impl Discovery {
     /// No call is out. Without an address every call fails.
-    pub fn new(address: Option<SocketAddr>) -> Self {
-        Self { address, watching: None, leaving: None, unheard: false, fetching: None, healthy: true }
+    pub fn new(address: Option<SocketAddr>, pushed: bool) -> Self {
+        let pushed = pushed && address.is_some();
+        Self { address, watching: None, leaving: None, unheard: false, fetching: None, healthy: true, pushed }
+    }
+
+    /// Takes up the watch where nobody will ask for one.
+    pub fn keep_up(&mut self, s: &mut Shared) {
+        if self.pushed {
+            self.watch(s);
+        }
     }
 
     /// Subscribes to changes, unless that is under way.
@@ -328,6 +341,10 @@
         if std::mem::replace(&mut self.healthy, false) {
             (s.log)("discovery: call failed");
         }
+        if self.pushed {
+            s.net.deadlines.set(s.net.now + AGAIN, Due::Watch);
+            return;
+        }
         s.inputs.push(Input::Members(ListKind::Failed, Vec::new()));
     }
 
--- a/pebblepost/src/engine.rs
+++ b/pebblepost/src/engine.rs
@@ -27,6 +27,8 @@
     pub work: Option<Duration>,
     /// What it is about, as a number; 0: nothing.
     pub key: u64,
+    /// Whose it is.
+    pub tenant: TenantId,
 }
 
 /// One attempt to deliver a request to a worker.
@@ -215,8 +217,7 @@
                 let deadline = now + envelope.time_left;
                 self.requests.insert(id, Request { deadline, answered: false, attempts: Vec::new() });
                 self.unanswered += 1;
-                let Envelope { class, time_left, repeat, slots, memory, work, key } = envelope;
-                let tenant = TenantId(0);
+                let Envelope { class, time_left, repeat, slots, memory, work, key, tenant } = envelope;
                 let request =
                     Event::Request { id, class, tenant, time_left, repeat, slots, memory, work, key };
                 self.tell(now, request);
--- a/pebblepost/src/front/faktory.rs
+++ b/pebblepost/src/front/faktory.rs
@@ -326,8 +326,16 @@
         let id = s.next_id();
         let q = &self.config.queues[queue];
         let (class, time_left) = (ClassId(q.class), q.deadline);
-        let envelope =
-            Envelope { class, time_left, repeat: false, slots: 1.0, memory: 0.0, work: None, key: 0 };
+        let envelope = Envelope {
+            class,
+            time_left,
+            repeat: false,
+            slots: 1.0,
+            memory: 0.0,
+            work: None,
+            key: 0,
+            tenant: TenantId(0),
+        };
         let (jid, payload) = (jid.to_owned(), payload.as_bytes().to_vec());
         let job = Job { key: repeat_key.clone(), jid, payload, queue, reserve_for, delivered: false };
         self.jobs.insert(id, job);
--- a/pebblepost/src/front/platform.rs
+++ b/pebblepost/src/front/platform.rs
@@ -5,7 +5,7 @@
 use crate::engine::{Answer, Envelope, Input};
 use crate::http::{self, Body, Head, Malformed};
 use crate::net::{ConnKey, Role, Shared, number};
-use pebblewind::api::{ClassId, RequestId};
+use pebblewind::api::{ClassId, RequestId, TenantId};
 use std::collections::HashMap;
 use std::fmt::Write;
 use std::time::Duration;
@@ -50,17 +50,24 @@
     pub deadline: Duration,
 }
 
+/// Whose a request is. One that the settings do not name counts as the first, as where there are none.
+pub fn tenant(names: &[String], named: Option<&str>) -> TenantId {
+    let at = named.and_then(|named| names.iter().position(|name| name == named));
+    TenantId(at.and_then(|at| u16::try_from(at).ok()).unwrap_or(0))
+}
+
 /// Requests of the platform's clients.
 #[derive(Debug)]
 pub struct Platform {
     classes: Vec<Class>,
+    tenants: Vec<String>,
     jobs: HashMap<RequestId, Job>,
 }
 
 impl Platform {
     /// Nobody has asked yet.
-    pub fn new(classes: Vec<Class>) -> Self {
-        Self { classes, jobs: HashMap::new() }
+    pub fn new(classes: Vec<Class>, tenants: Vec<String>) -> Self {
+        Self { classes, tenants, jobs: HashMap::new() }
     }
 
     /// A client connected.
@@ -205,10 +212,11 @@
         // The subject of the request, if it has one.
         let cookies = head.header("cookie").unwrap_or("").split(';').map(str::trim);
         let key = cookies.filter_map(|c| c.strip_prefix("k=")).next().map_or(0, number);
+        let tenant = tenant(&self.tenants, head.header("x-org"));
         let repeat = head.header("x-resent") == Some("1");
         // A day is longer than any client waits, and keeps sums of times in range.
         let time_left = time_left.min(Duration::from_secs(86_400));
-        Some((txn.to_owned(), Envelope { class, time_left, repeat, slots, memory, work, key }))
+        Some((txn.to_owned(), Envelope { class, time_left, repeat, slots, memory, work, key, tenant }))
     }
 
     /// Answers a request that the core never saw; the framing is intact, so the connection goes on.
--- a/pebblepost/src/net.rs
+++ b/pebblepost/src/net.rs
@@ -49,6 +49,8 @@
     LastCalls,
     /// Listeners that ran out of descriptors try again.
     Accept,
+    /// Discovery that pushes its lists is watched again.
+    Watch,
     /// The Faktory front looks for silent workers and old answers.
     Faktory,
 }
--- a/pebblepost/src/turn.rs
+++ b/pebblepost/src/turn.rs
@@ -71,6 +71,7 @@
         if let Some(log) = trace {
             log(&format!("trace settings {:?}", config.settings));
         }
+        let pushed = config.settings.discovery == pebblewind::api::Discovery::Push;
         let engine = Engine::new(config.settings.clone(), config.seed, net.now).tracing(trace);
         let mut map = TransportMap::new(config.zones, config.kinds);
         let known = config.known.as_ref().and_then(|k| map.apply(k, Some(ListKind::Cached), &clock));
@@ -93,12 +94,13 @@
             agent,
             faktory_times,
             engine,
-            platform: Platform::new(classes),
+            platform: Platform::new(classes, config.tenants),
             workers: Workers::new(&config.settings, config.connect_timeout, config.report_names),
-            discovery: Discovery::new(config.discovery),
+            discovery: Discovery::new(config.discovery, pushed),
             signals,
             outputs: Vec::new(),
         };
+        daemon.discovery.keep_up(&mut daemon.s);
         daemon.apply_agreed();
         Ok(daemon)
     }
@@ -313,6 +315,7 @@
                 self.s.net.shut(Door::Faktory);
                 self.platform.close_idle(&mut self.s);
             }
+            Due::Watch => self.discovery.keep_up(&mut self.s),
             Due::Accept => self.s.net.resume_accepting(),
             Due::Faktory => self.faktory.iter_mut().for_each(|f| f.sweep(&mut self.s)),
         }
--- a/pebblepost/tests/discovery.rs
+++ b/pebblepost/tests/discovery.rs
@@ -250,3 +250,29 @@
     }
     assert!(served > 0, "cold ones take their part");
 }
+
+/// Where lists are pushed the decisions never ask, so nothing that was told would ever be read: a worker added after the
+/// start got no work, and a drain was never heard of.
+#[test]
+fn where_lists_are_pushed_the_watch_is_kept_up_without_being_asked_for() {
+    let ((drained, asked), next) = (unwanted(), worker(serves));
+    let (address, calls) = discovery(move |wire, n| match n {
+        // Its connection ends at once, as an agent's does that is restarted.
+        0 => chunk(wire, &list(2, true, &[host("s-drained", drained, "ready")])),
+        _ => {
+            let news = [host("s-drained", drained, "draining"), host("s-next", next, "ready")];
+            chunk(wire, &list(3, false, &news));
+            stay(wire);
+        }
+    });
+    let mut config = platform(&[], Some(address));
+    config["settings"]["discovery"] = json!("push");
+    let daemon = Running::start(Some(config), None);
+    for _ in 0..2 {
+        calls.recv_timeout(LIMIT).expect("the watch is taken up, and again after its end");
+    }
+    within(LIMIT, "the worker that was added serves", || served_by(&daemon).then_some(()));
+    let before = asked.load(Ordering::Relaxed);
+    (0..20).for_each(|_| assert!(served_by(&daemon)));
+    assert_eq!(asked.load(Ordering::Relaxed), before, "nothing new to a drained worker");
+}
--- a/pebblepost/tests/engine.rs
+++ b/pebblepost/tests/engine.rs
@@ -113,7 +113,7 @@
                     let id = RequestId(requests.len() as u32);
                     requests.push(id);
                     let (class, time_left) = (ClassId(0), Duration::from_secs(3));
-                    let envelope = Envelope { class, time_left, repeat: false, slots: 1.0, memory: 0.0, work: None, key: 0 };
+                    let envelope = Envelope { class, time_left, repeat: false, slots: 1.0, memory: 0.0, work: None, key: 0, tenant: TenantId(0) };
                     w.turn(&mut engine, Input::Request(id, envelope));
                 }
                 Step::Gone(i) if !requests.is_empty() => {
--- a/pebblepost/tests/platform.rs
+++ b/pebblepost/tests/platform.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{Running, Wire, header, lines, platform, post, worker};
+use pebblepost::front::platform::tenant;
 use pebblepost::net::Door;
 use serde_json::{Value, json};
 use std::io::Write;
@@ -451,3 +452,14 @@
     }
     [config, operator].iter().for_each(|f| drop(std::fs::remove_file(f)));
 }
+
+/// The tenant was never read: everybody's requests counted as the first one's.
+#[test]
+fn a_tenant_is_known_by_its_name() {
+    let names = ["office".to_owned(), "studio".to_owned()];
+    assert_eq!(tenant(&names, Some("studio")).0, 1);
+    assert_eq!(
+        (tenant(&names, Some("nobody")).0, tenant(&names, None).0, tenant(&[], Some("x")).0),
+        (0, 0, 0)
+    );
+}
