--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,8 @@
 //!
 //! * [`api`]: settings, events and actions.
 //! * [`policy`]: every decision, in one module.
+//! * [`keys`]: where to find what jobs of one key need.
+//! * [`means`]: running means, waits and shares as a node learns them.
 //! * [`room`]: what is held for large jobs.
 //! * [`wire`]: the byte protocol of the operators' bench, translated into [`api`] types.
 
@@ -13,6 +15,8 @@
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod keys;
+pub mod means;
 pub mod policy;
 pub mod room;
 pub mod wire;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,6 +7,8 @@
 #![allow(clippy::too_many_arguments)] // The caller's out-list and the clock go everywhere.
 
 use crate::api::*;
+use crate::keys::{self, Kept};
+use crate::means::{GAIN, Rate, Shares, Timing, Waits, blend, secs, span};
 use crate::room::{Outlook, Room};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -14,7 +16,6 @@
 use std::time::Duration;
 
 const D: usize = 2; // d: two choices bring most of the gain, and probes are priced.
-const GAIN: f64 = 0.05; // Weight of a new observation in running means: about the last 20 count.
 const PACE_GAIN: f64 = 0.2; // For the pace of a kind: a node of a large fleet sees few jobs of each.
 const MUTE: Duration = Duration::from_secs(1); // Out of the draws after a failed probe; in a row 2 s, 4 s.
 const DRAWS: usize = 8; // Random draws tried in a pool before it is taken to hold nobody eligible.
@@ -33,14 +34,6 @@
     k - [8.0, 34.0].iter().filter(|from| k >= **from).count() as f64
 }
 
-fn secs(span: Duration) -> f64 {
-    span.as_secs_f64()
-}
-
-fn span(secs: f64) -> Duration {
-    Duration::try_from_secs_f64(secs.max(0.0)).unwrap_or(Duration::MAX)
-}
-
 /// Rule of placement: a property of the class, whatever the state of the workers it leaves.
 fn permits(class: &Class, worker: &Worker) -> bool {
     class.kind.is_none_or(|k| k == worker.kind)
@@ -48,52 +41,6 @@
         && class.only_zones.as_ref().is_none_or(|zones| zones.contains(&worker.zone))
 }
 
-/// Scatters numbers evenly (the last steps of SplitMix64).
-fn mix(n: u64) -> u64 {
-    let n = (n ^ n >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let n = (n ^ n >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
-    n ^ n >> 31
-}
-
-fn blend(mean: &mut f64, seen: f64, gain: f64) {
-    *mean += gain * (seen - *mean);
-}
-
-/// Events a second, over about the last `memory`.
-#[derive(Clone, Copy, Debug)]
-struct Rate {
-    per_s: f64,
-    last: Time,
-}
-
-impl Rate {
-    fn count(&mut self, now: Time, memory: f64, tick: Duration) {
-        let gap = secs(now.since(self.last)).max(secs(tick));
-        let keep = (-gap / memory).exp();
-        self.per_s = self.per_s * keep + (1.0 - keep) / gap;
-        self.last = now;
-    }
-}
-
-/// A time with its spread; `usual` is what few exceed (as TCP reckons its time-out).
-#[derive(Clone, Copy, Debug)]
-struct Timing {
-    mean: f64,
-    spread: f64,
-}
-
-impl Timing {
-    fn learn(&mut self, seen: f64) {
-        let off = (seen - self.mean).abs();
-        blend(&mut self.mean, seen, GAIN);
-        blend(&mut self.spread, off, GAIN);
-    }
-
-    fn usual(&self) -> Duration {
-        span(self.mean + 4.0 * self.spread)
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 enum Asker {
     Request(RequestId, u32),       // A request, in this turn of its.
@@ -123,6 +70,8 @@
     reported: Time,
     /// Own attempts that are out: when sent, slots, whether known to have started, when expected to end.
     own: Vec<(Time, f64, bool, Time)>,
+    waits: Waits,
+    kept: Kept,
     idle: VecDeque<Time>,    // Since when its connections have been idle, oldest first.
     probes: VecDeque<Asker>, // Who waits for each probe that is out, oldest first.
     bad: u32,                // Strikes for bad work.
@@ -186,7 +135,8 @@
     deadline: Time,
     slots: f64,
     memory: f64,
-    cost: f64,         // Work, in mean jobs: by its hint where there is one, else by its class.
+    cost: f64, // Work, in mean jobs: by its hint where there is one, else by its class.
+    tenant: usize,
     key: u64,          // What it is about, or 0.
     work: Option<f64>, // Its own work by its hint, in seconds, and whether that is large.
     large: bool,
@@ -237,8 +187,7 @@
     room_share: f64,
     mean_busy: f64,
     arrivals: Rate,
-    /// Learned: own draws a second, at home and away; by machine kind, mean K, multiple of usual times, and
-    /// mean time and hint of jobs (not of their ratios: what a job has to fetch does not grow with it).
+    /// Learned: own draws a second, at home and away; by kind, K, part of usual times, mean time and hint.
     draws: [Rate; 2],
     kinds: BTreeMap<KindId, (f64, f64, f64, f64)>,
     mean_hint: f64,
@@ -255,6 +204,7 @@
     meaning: [f64; LEVELS],
     mean_meaning: f64,
     turned_away: f64, // Learned: share of own sends that were refused.
+    shares: Shares,
     subscribed: bool,
     asks: u32,
 }
@@ -281,7 +231,6 @@
             draws: [Rate { per_s: 0.0, last: now }; 2],
             kinds: BTreeMap::new(),
             mean_hint: 0.0,
-            // Between the youngest and the oldest that would matter, until evidence comes.
             age: span((tick * secs(settings.fall)).sqrt()),
             checks: 0,
             round_trip: Timing { mean: 4.0 * tick, spread: tick },
@@ -295,6 +244,7 @@
             turned_away: 0.0,
             subscribed: false,
             asks: 0,
+            shares: Shares::new(settings.tenants.iter().map(|t| t.fraction)),
             settings,
         }
     }
@@ -303,8 +253,8 @@
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Members { kind, entries } => self.members(now, kind, &entries, out),
-            Event::Request { id, class, time_left, repeat, slots, memory, work, key, .. } => {
-                let needs = (f64::from(slots), f64::from(memory), work, key);
+            Event::Request { id, class, time_left, repeat, slots, memory, work, key, tenant } => {
+                let needs = (f64::from(slots), f64::from(memory), work, key, usize::from(tenant.0));
                 self.request(now, id, class, time_left, repeat, needs, out);
             }
             Event::Started { id, attempt } => self.has_started(now, id, attempt),
@@ -334,6 +284,7 @@
         let (level, w, sent, queued, idle) = (a.level, a.worker, a.sent, a.queued, a.idle);
         let ends = now + self.run(now, id, w);
         self.reservations.release(id);
+        self.workers[w].waits.started(now, now.since(sent));
         self.workers[w].own.iter_mut().filter(|o| o.0 == sent).for_each(|o| (o.2, o.3) = (true, ends));
         if !queued {
             self.start_delay.learn(secs(now.since(sent)));
@@ -344,8 +295,7 @@
         self.learn_meaning(w, level, late);
     }
 
-    /// A job has not started, though a report made since shows room for it: its connection, which had been
-    /// idle, is taken to be lost. If it may be repeated it is called back, and sent again once that is sure.
+    /// A job has not started, though there is room by now: its connection, idle before, is taken to be lost.
     fn silent(&mut self, now: Time, id: RequestId, no: AttemptNo, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         let a = r.attempts.get(usize::from(no.0)).filter(|a| a.open && a.started.is_none());
@@ -358,8 +308,7 @@
         self.idle_limit = self.idle_limit.min(idle / 2).max(self.settings.tick);
     }
 
-    /// Exception: connections idle for longer than has proved safe are closed before a send. Returns how long
-    /// the one to be used may have been idle.
+    /// Exception: connections idle for longer than proved safe are closed first. How long this one was idle.
     fn refresh(&mut self, now: Time, w: usize, out: &mut Vec<Action>) -> Option<Duration> {
         let worker = &mut self.workers[w];
         while worker.idle.front().is_some_and(|since| *since + self.settings.keepalive <= now) {
@@ -383,7 +332,7 @@
 
     fn request(
         &mut self, now: Time, id: RequestId, class: ClassId, time_left: Duration, repeat: bool,
-        (slots, memory, work, key): (f64, f64, Option<Duration>, u64), out: &mut Vec<Action>,
+        (slots, memory, work, key, tenant): (f64, f64, Option<Duration>, u64, usize), out: &mut Vec<Action>,
     ) {
         let class = usize::from(class.0);
         if class >= self.settings.classes.len() || self.requests.contains_key(&id) {
@@ -393,6 +342,7 @@
         // Rate over the life of the node at first, then over its last connections' lifetime.
         let life = secs(now.since(self.started).max(self.settings.tick));
         self.arrivals.count(now, life.min(secs(self.settings.keepalive)), self.settings.tick);
+        self.shares.count(tenant);
         let cost = self.cost(class, work);
         let slots = if slots > 0.0 { slots } else { 1.0 };
         let work = work.map(secs).filter(|hint| *hint > 0.0);
@@ -407,6 +357,7 @@
             memory,
             cost,
             key,
+            tenant,
             work,
             large,
             ..Request::default()
@@ -619,10 +570,35 @@
         match self.misled(w) {
             true => self.meaning[self.level(w)],
             false if self.busy(w) < k => self.busy(w).round() / k - 1.0,
-            false => self.wait(now, id, w),
+            false => self.wait(now, id, w) + self.fetching(id, w),
         }
     }
 
+    /// How long a job would wait, where that is not told: as those that started of late, and for own ones.
+    fn queueing(&self, now: Time, w: usize) -> f64 {
+        let worker = &self.workers[w];
+        let waiting = worker.own.iter().find(|o| !o.2).map_or(Duration::ZERO, |o| now.since(o.0));
+        let pace = self.kinds.get(&worker.kind).map_or(1.0, |kind| kind.1);
+        let own = (worker.own.len() as f64 + 1.0) / self.k_of_kind(w).max(1.0) * self.mean_service * pace;
+        worker.waits.expected(now, waiting) + own
+    }
+
+    /// A job's time, where a worker has to fetch first what the job is about.
+    fn fetching(&self, id: RequestId, w: usize) -> f64 {
+        let fetches = self.requests.get(&id).is_some_and(|r| !self.workers[w].kept.has(r.key));
+        f64::from(u8::from(fetches)) * self.mean_service
+    }
+
+    /// Where in the fleet a job is expected to wait least.
+    fn shortest(&self, now: Time, id: RequestId) -> Option<usize> {
+        let r = self.requests.get(&id)?;
+        let sound = |w: &usize| now >= self.workers[*w].bad_until && !r.refused.contains(w);
+        let open = self.pools.get(r.class)?.iter().flatten().copied().filter(sound);
+        let open = open.filter(|w| self.eligible(now, id, *w));
+        let cost = |w: &usize| self.queueing(now, *w) + self.fetching(id, *w);
+        open.min_by(|a, b| cost(a).total_cmp(&cost(b)))
+    }
+
     /// Fewest busy of all probed; ties at random.
     fn choose(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
@@ -639,10 +615,11 @@
         if let Some(w) = best.filter(takes).filter(in_time) {
             return self.place(now, id, w, out);
         }
-        // Exception: if all probed at home are full, by reports that can be believed, more are probed away:
-        // three where most of those have room, one in a crowd, where probes find little and cost.
+        // Exception: all at home are full, by credible reports: more are probed away, fewer in a crowd. Where
+        // late answers keep some worth, it queues instead where it is expected to wait least in the fleet.
+        let by_waits = self.by_waits(id);
         let misled = best.is_some_and(|w| self.misled(w));
-        if !misled && phase != (Phase::More(true)) {
+        if !misled && !by_waits && phase != (Phase::More(true)) {
             if let Some(r) = self.requests.get_mut(&id) {
                 r.phase = Phase::More(true);
             }
@@ -651,6 +628,7 @@
                 return self.set_turn_timer(now, id, self.patience_for_probe(), out);
             }
         }
+        let best = if by_waits { self.shortest(now, id).or(best) } else { best };
         if let Some(w) = best
             && (self.worth_queueing(now, id, w) || self.misled(w))
         {
@@ -673,6 +651,7 @@
         let worker = &mut self.workers[w];
         self.queued += usize::from(queued);
         worker.own.push((now, r.slots, false, ends));
+        worker.kept.sent(r.key);
         r.turn += 1;
         r.phase = Phase::Placed;
         let no = r.attempts.len() as u32;
@@ -698,7 +677,7 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let pause =
             reserved.map_or(base * (1 << r.holds.min(8)), |from| from.since(now).clamp(base / 8, base));
-        let late_counts = self.settings.classes[r.class].late_value > 0.0;
+        let late_counts = self.settings.classes[r.class].late_value >= 1.0;
         let over = !late_counts && reserved.is_none() && (r.holds > 0 || !r.answered.is_empty());
         r.turn += 1;
         r.holds += 1;
@@ -709,8 +688,7 @@
         self.set_turn_timer(now, id, pause, out);
     }
 
-    /// Exception: a large job that no probed worker can take in time holds a part of one that is expected
-    /// to have room for it by its latest start. Returns when that is.
+    /// Exception: a large job that nobody probed can take holds a part of a worker that will; from when on.
     fn reserve(&mut self, now: Time, id: RequestId, only: Option<usize>) -> Option<Time> {
         let r = self.requests.get(&id).filter(|r| r.large && r.holds < MOST_HOLDS)?;
         let pool = self.pools.get(r.class)?.iter().flatten().copied();
@@ -738,15 +716,12 @@
         let free = self.free(w) - (self.k_of_kind(w) - slots).max(0.0);
         let own = worker.holding(self.settings.queues_in_order).collect();
         let (others, run) = (span(self.mean_service * pace), self.run(now, id, w));
-        // Not told how many wait: others queue as this node does, in the mean and (three at most) here, and
-        // up to two jobs more, the less of the traffic it sees.
-        let told = self.tells(ReportField::Queue) || self.tells(ReportField::InFlight);
+        // Not told how many wait: others as this node's here and in the mean, and two more in a small part.
         let here = worker.own.iter().filter(|o| !o.2).count() as f64;
         let mean = self.queued as f64 / (self.fleet[0] + self.fleet[1]).max(1.0);
         let n = f64::from(self.settings.nodes) - 1.0;
         let guess = n * mean / 2.0 + n.min(3.0) * here + 2.0 * n / (n + 10.0);
-        let waiting = if told { worker.queue } else { guess };
-        // Who came last waits no less than who came first has waited by now.
+        let waiting = if self.tells_queue() { worker.queue } else { guess };
         let passed = |o: &&(Time, f64, bool, Time)| o.2 || o.1 > 1.0 && !self.settings.queues_in_order;
         let first = worker.own.iter().find(|o| !passed(o)).filter(|_| self.settings.tells_start);
         let waited = first.map_or(Duration::ZERO, |o| now.since(o.0));
@@ -918,17 +893,23 @@
         let recent = span(0.03 * self.mean_service);
         let full = |w: &usize| self.workers[*w].reported + recent > now && !self.room(now, *w, r.slots, 0.0);
         let sound = |w: &usize| now >= self.workers[*w].bad_until && wide(w) && fresh(w) && !full(w);
-        // Exception: a large job goes back to the worker that is held for it and, beyond its random first
-        // probe, on to those where it is expected to end first.
+        // Exception: a large job goes back to the worker held for it, then on to where it would end first.
         let held =
             self.reservations.of(id).map(|held| held.worker).filter(|w| r.drawn.is_empty() && fresh(w));
         let end = |w: &usize| self.outlook(now, id, *w).end(now, r.slots);
         let more = r.large && !r.drawn.is_empty();
         let first = held.or_else(|| pool.iter().copied().filter(|w| more && sound(w)).min_by_key(end));
-        // Exception: a job that is about something is drawn for in an order that this gives to workers,
-        // the same at every node, as one that has had such a job need not fetch what it takes.
-        let place = |w: &usize| mix(r.key ^ mix(self.workers[*w].name));
-        let keyed = || pool.iter().copied().filter(|w| r.key != 0 && sound(w)).min_by_key(place);
+        // Exception: a job that is about something is drawn for in an order that its key gives all nodes.
+        let weight = |w: usize| self.kinds.get(&self.workers[w].kind).map_or(1.0, |k| k.0.round().max(1.0));
+        let place = |w: &usize| keys::place(r.key, self.workers[*w].name, weight(*w));
+        // At home if this node had such jobs there of late, else the fleet's first; the next draw: the other.
+        let [home, others] = self.pools.get(r.class)?;
+        let keyed = || {
+            let here = home.iter().copied().filter(sound).min_by_key(place);
+            let all = home.iter().chain(others).copied().filter(sound).min_by_key(place);
+            let kept = here.is_some_and(|w| self.workers[w].kept.has(r.key));
+            here.filter(|_| kept == r.drawn.len().is_multiple_of(2)).or(all).filter(|_| r.key != 0)
+        };
         if let Some(w) = first.or_else(keyed) {
             return Some(w);
         }
@@ -946,8 +927,7 @@
         None
     }
 
-    /// Exception: where handshakes are priced, a node draws from the first workers of its own seeded order,
-    /// to use connections again before they close. Where open ones cost too, it is no more than they save.
+    /// Exception: where handshakes are priced, draws come from the first workers of an order of the node's.
     fn spread(&self, size: usize) -> usize {
         let prices = &self.settings.prices;
         if prices.handshake <= 0.0 {
@@ -1034,6 +1014,10 @@
         }
     }
 
+    fn tells_queue(&self) -> bool {
+        self.tells(ReportField::Queue) || self.tells(ReportField::InFlight)
+    }
+
     fn tells(&self, field: ReportField) -> bool {
         self.settings.report_fields.contains(&field)
     }
@@ -1158,6 +1142,15 @@
         }
     }
 
+    /// A late answer keeps some worth, and workers tell of starts but not of their queues.
+    fn by_waits(&self, id: RequestId) -> bool {
+        self.late_value(id) > 0.0 && self.settings.tells_start && !self.tells_queue()
+    }
+
+    fn late_value(&self, id: RequestId) -> f64 {
+        self.requests.get(&id).map_or(0.0, |r| self.settings.classes[r.class].late_value)
+    }
+
     fn in_time_until(&self, id: RequestId) -> Time {
         self.requests.get(&id).map_or(Time(0), |r| r.arrived + self.patience(id))
     }
@@ -1165,8 +1158,8 @@
     /// From here on it is not worth starting: late or, where that keeps some worth, half its time gone.
     fn last_start(&self, id: RequestId) -> Time {
         let Some(r) = self.requests.get(&id) else { return Time(0) };
-        let late_counts = self.settings.classes[r.class].late_value > 0.0;
-        r.arrived + if late_counts { r.deadline.since(r.arrived) / 2 } else { self.patience(id) }
+        r.arrived
+            + if self.late_value(id) > 0.0 { r.deadline.since(r.arrived) / 2 } else { self.patience(id) }
     }
 
     /// How long a job would wait at a worker for its slots, in seconds.
@@ -1205,16 +1198,19 @@
     }
 
     fn worth_queueing(&self, now: Time, id: RequestId, w: usize) -> bool {
-        let worker = &self.workers[w];
-        let ahead = (self.busy(w) - worker.k + 1.0).max(0.0);
-        let wait = self.wait(now, id, w);
         if self.requests.get(&id).is_some_and(|r| r.work.is_some()) {
             return self.ends_in_time(now, id, w);
         }
+        // By the waits seen; less for whoever is over its share.
+        if self.by_waits(id) {
+            let over = self.requests.get(&id).map_or(1.0, |r| self.shares.over(r.tenant));
+            return self.queueing(now, w) * over <= secs(self.patience(id));
+        }
+        let ahead = (self.busy(w) - self.workers[w].k + 1.0).max(0.0);
+        let wait = self.wait(now, id, w);
         // Where a late answer keeps some worth, one job ahead is never too many.
-        let late_value = self.requests.get(&id).map_or(0.0, |r| self.settings.classes[r.class].late_value);
         now + span(wait * if ahead > 1.0 { 2.0 } else { 1.0 }) <= self.in_time_until(id)
-            || late_value > 0.0 && ahead <= 1.0
+            || self.late_value(id) > 0.0 && ahead <= 1.0
     }
 
     // ---- Discovery ----
@@ -1265,6 +1261,7 @@
             // A new process: what was held against the old one is gone with it.
             worker.started = e.started;
             (worker.bad, worker.bad_until) = (0, Time(0));
+            (worker.kept, worker.waits) = (Kept::default(), Waits::default());
         }
         w
     }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -1090,3 +1090,92 @@
     }
     assert_eq!(n.sends(), vec![(200, 1)]);
 }
+
+/// Settings like those of permits-main: reports tell no queue, starts are told, a late answer keeps half its worth.
+fn late_counts() -> Settings {
+    let mut s = Settings { tells_start: true, nodes: 1, ..settings() };
+    s.report_fields = vec![ReportField::FreeSlots];
+    s.classes.iter_mut().for_each(|c| (c.late_value, c.aim) = (0.5, Duration::from_millis(300)));
+    s
+}
+
+/// Sends a job of a tenant where all that are probed are full; returns how many were.
+fn to_the_full(n: &mut Node, id: u32, tenant: u16) -> usize {
+    n.actions.clear();
+    n.event(Event::Request {
+        id: RequestId(id),
+        class: ClassId(SAFE as u16),
+        tenant: TenantId(tenant),
+        time_left: Duration::from_secs(5),
+        repeat: false,
+        slots: 1.0,
+        memory: 0.0,
+        work: None,
+        key: 0,
+    });
+    let mut probed = 0;
+    for _ in 0..4 {
+        let asked = n.probes();
+        probed += asked.len();
+        asked.into_iter().for_each(|w| n.report_free(w, 0.0));
+    }
+    probed
+}
+
+fn all_known(s: Settings, workers: u32) -> Node {
+    let mut n = Node::new(s, workers);
+    (0..3).for_each(|_| (0..workers).for_each(|w| n.report_free(w, 2.0)));
+    n
+}
+
+/// permits-main: what found no room was held and probed for again, eleven probes a request; workers meanwhile ran dry.
+#[test]
+fn where_late_answers_count_a_job_waits_in_the_shortest_queue_of_the_fleet() {
+    let mut n = all_known(late_counts(), 8);
+    let mut got = std::collections::BTreeMap::new();
+    for id in 0..16 {
+        assert!(to_the_full(&mut n, id, 0) <= 2);
+        let [(_, w)] = n.sends()[..] else { panic!("job {id} is not sent") };
+        *got.entry(w).or_insert(0) += 1;
+    }
+    assert_eq!(got.into_values().collect::<Vec<_>>(), vec![2; 8], "at home and away");
+}
+
+/// permits-main: a job that queued beyond its time was answered late, and so was all that came after it.
+#[test]
+fn beyond_the_waits_seen_a_job_is_refused_at_once() {
+    let mut n = all_known(late_counts(), 4);
+    for id in 0..4 {
+        to_the_full(&mut n, id, 0);
+    }
+    n.advance(Duration::from_secs(1));
+    for id in 0..4 {
+        n.event(Event::Started { id: RequestId(id), attempt: AttemptNo(0) });
+    }
+    assert_eq!((to_the_full(&mut n, 10, 0), n.finals()), (2, vec![(10, "refuse")]));
+    // Those waits are long past.
+    n.advance(Duration::from_secs(4));
+    to_the_full(&mut n, 11, 0);
+    assert_eq!(n.sends().len(), 1);
+}
+
+/// permits-main: traffic beyond a tenant's share, which is worth little, took the place of all others alike.
+#[test]
+fn who_is_over_its_share_queues_for_less() {
+    let mut s = late_counts();
+    s.tenants = vec![Tenant { fraction: 0.2, quota_per_s: 1.0 }, Tenant { fraction: 0.8, quota_per_s: 4.0 }];
+    let mut n = all_known(s, 1);
+    for id in 0..400 {
+        to_the_full(&mut n, id, u16::from(id % 2 == 0));
+        n.event(Event::ClientGone { id: RequestId(id) });
+        n.outcome(id, 0, 0, Status::Cancelled, true);
+    }
+    let queued = |n: &mut Node, tenant: u16| {
+        (0..).position(|i| {
+            to_the_full(n, 1000 * u32::from(tenant) + 1000 + i, tenant) > 9 || n.sends().is_empty()
+        })
+    };
+    let over = queued(&mut n, 0).expect("bounded");
+    let within = queued(&mut n, 1).expect("bounded");
+    assert!(over < within, "{over} of who is over its share and then {within} of who is not");
+}
