A key's jobs go on as many workers as it needs; only own jobs that wait count as a wait

Own running jobs counted as a wait (a node with half the traffic refused a third of its jobs), and each zone kept keys of its own. Change: keys.rs counts how often a node is asked for each key; a key's jobs go on its first workers in the fleet's order, as many as 1.5 times its part of the jobs is of the fleet, at home among those first. Only own jobs that wait count in the expected wait; a fetch counts as two jobs.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,7 +7,7 @@
 #![allow(clippy::too_many_arguments)] // The caller's out-list and the clock go everywhere.
 
 use crate::api::*;
-use crate::keys::{self, Kept};
+use crate::keys::{self, Asked, Kept};
 use crate::means::{GAIN, Rate, Shares, Timing, Waits, blend, secs, span};
 use crate::room::{Outlook, Room};
 use rand::{RngExt, SeedableRng};
@@ -205,6 +205,7 @@
     mean_meaning: f64,
     turned_away: f64, // Learned: share of own sends that were refused.
     shares: Shares,
+    asked: Asked,
     subscribed: bool,
     asks: u32,
 }
@@ -244,6 +245,7 @@
             turned_away: 0.0,
             subscribed: false,
             asks: 0,
+            asked: Asked::default(),
             shares: Shares::new(settings.tenants.iter().map(|t| t.fraction)),
             settings,
         }
@@ -343,6 +345,7 @@
         let life = secs(now.since(self.started).max(self.settings.tick));
         self.arrivals.count(now, life.min(secs(self.settings.keepalive)), self.settings.tick);
         self.shares.count(tenant);
+        self.asked.count(key);
         let cost = self.cost(class, work);
         let slots = if slots > 0.0 { slots } else { 1.0 };
         let work = work.map(secs).filter(|hint| *hint > 0.0);
@@ -564,7 +567,6 @@
         self.room(now, w, slots, memory) && below
     }
 
-    /// What is compared among the probed: busy slots and waiting jobs, or what their report means.
     fn burden(&self, now: Time, id: RequestId, w: usize) -> f64 {
         let k = self.workers[w].k.max(1.0);
         match self.misled(w) {
@@ -579,14 +581,16 @@
         let worker = &self.workers[w];
         let waiting = worker.own.iter().find(|o| !o.2).map_or(Duration::ZERO, |o| now.since(o.0));
         let pace = self.kinds.get(&worker.kind).map_or(1.0, |kind| kind.1);
-        let own = (worker.own.len() as f64 + 1.0) / self.k_of_kind(w).max(1.0) * self.mean_service * pace;
+        let own = (worker.own.iter().filter(|o| !o.2).count() as f64 + 1.0) / self.k_of_kind(w).max(1.0)
+            * self.mean_service
+            * pace;
         worker.waits.expected(now, waiting) + own
     }
 
-    /// A job's time, where a worker has to fetch first what the job is about.
+    /// Two jobs' time if a worker must fetch what the job is about: its own, and that of others in the store.
     fn fetching(&self, id: RequestId, w: usize) -> f64 {
-        let fetches = self.requests.get(&id).is_some_and(|r| !self.workers[w].kept.has(r.key));
-        f64::from(u8::from(fetches)) * self.mean_service
+        let kept = self.requests.get(&id).is_none_or(|r| self.workers[w].kept.has(r.key));
+        if kept { 0.0 } else { 2.0 * self.mean_service }
     }
 
     /// Where in the fleet a job is expected to wait least.
@@ -902,18 +906,14 @@
         // Exception: a job that is about something is drawn for in an order that its key gives all nodes.
         let weight = |w: usize| self.kinds.get(&self.workers[w].kind).map_or(1.0, |k| k.0.round().max(1.0));
         let place = |w: &usize| keys::place(r.key, self.workers[*w].name, weight(*w));
-        // At home if this node had such jobs there of late, else the fleet's first; the next draw: the other.
-        let [home, others] = self.pools.get(r.class)?;
         let keyed = || {
-            let here = home.iter().copied().filter(sound).min_by_key(place);
-            let all = home.iter().chain(others).copied().filter(sound).min_by_key(place);
-            let kept = here.is_some_and(|w| self.workers[w].kept.has(r.key));
-            here.filter(|_| kept == r.drawn.len().is_multiple_of(2)).or(all).filter(|_| r.key != 0)
+            let all = self.pools[r.class].iter().flatten().copied().filter(|w| r.key != 0 && sound(w));
+            let near = self.asked.replicas(r.key, self.pools[r.class].iter().map(Vec::len).sum());
+            keys::first(all, near, place).into_iter().min_by_key(|w| (self.side(*w), place(w)))
         };
         if let Some(w) = first.or_else(keyed) {
             return Some(w);
         }
-        // Nearly all are suspects: that is the network or overload, so suspicion says nothing.
         for (size, suspects) in [(self.spread(pool.len()), false), (pool.len(), false), (pool.len(), true)] {
             for _ in 0..DRAWS {
                 let w = pool[self.rng.random_range(0..size)];
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -1,7 +1,7 @@
 //! The order that keys give workers, what is remembered of keys, and what a node learns of waits and shares.
 
 use pebblewind::api::Time;
-use pebblewind::keys::{Kept, place};
+use pebblewind::keys::{Asked, Kept, first as first_of, place};
 use pebblewind::means::{Shares, Waits};
 use std::time::Duration;
 
@@ -61,3 +61,17 @@
     assert!((1.8..2.2).contains(&shares.over(0)) && (0.6..0.75).contains(&shares.over(1)));
     assert_eq!((shares.over(7), Shares::new(std::iter::empty()).over(0)), (1.0, 1.0), "none was agreed");
 }
+
+/// kumamoto-main: a key that drew a fifth of all jobs went to one worker of thirteen, and its jobs were refused.
+/// permits-main: with three workers for each key, one a zone, each fetched what another had.
+#[test]
+fn a_key_has_as_many_workers_as_its_part_of_the_jobs_needs() {
+    let mut asked = Asked::default();
+    (0..2560).for_each(|i| asked.count(if i % 5 == 0 { 7 } else { 100 + i % 160 }));
+    assert_eq!((asked.replicas(7, 13), asked.replicas(101, 13), asked.replicas(9999, 13)), (4, 1, 1));
+    assert_eq!((asked.replicas(7, 1), asked.replicas(7, 0)), (1, 1));
+    // What is no longer asked for goes back to one.
+    (0..256).for_each(|i| asked.count(1000 + i));
+    assert_eq!(asked.replicas(7, 13), 1);
+    assert_eq!(first_of(0..5, 2, |w| 10 - *w as u64), vec![4, 3]);
+}
