A request that a worker rejects is failed at once and held against nobody

Change: 4xx but 408, 425 and 429 is a word on the request: it is answered as failed at once, not sent again, and the decisions hear of an attempt that is over, not of an error.

--- a/pebblepost/src/engine.rs
+++ b/pebblepost/src/engine.rs
@@ -55,6 +55,8 @@
     Progress(DeliveryAttempt, f32),
     /// An attempt ended; with the answer's body if it was served.
     Ended(DeliveryAttempt, Status, Report, Vec<u8>),
+    /// A worker said that the request itself is wrong: no other would take it either, and it is not to blame.
+    Rejected(DeliveryAttempt),
     /// A probe ended.
     Probed(WorkerId, Status, Duration, Report),
     /// A deadline that the core had set is due.
@@ -247,6 +249,16 @@
                     self.tell(now, event);
                 }
             }
+            Input::Rejected(attempt) => {
+                // Answered here, as what is served is: there is nothing left to decide.
+                if self.is_open(attempt.id, attempt.no) {
+                    self.answer(attempt.id, Answer::Failed, out);
+                }
+                let ended = self.end(now, attempt, Status::Cancelled, Vec::new(), Vec::new(), out);
+                if let Some(event) = ended {
+                    self.tell(now, event);
+                }
+            }
             Input::Probed(worker, status, latency, report) => {
                 self.tell(now, Event::Probed { worker, status, latency, report });
             }
--- a/pebblepost/src/workers.rs
+++ b/pebblepost/src/workers.rs
@@ -43,6 +43,7 @@
     Ended(Status, Report, Vec<u8>),
     Started,
     Progress(f32),
+    Rejected,
 }
 
 /// All links.
@@ -196,12 +197,8 @@
                 None => None,
             },
             Task::Attempt(_) if done => {
-                let turned_away =
-                    matches!(head.status, 503 | 504) && head.header("x-turned-away") == Some("1");
-                let status = if turned_away { Status::Full } else { Status::Error };
-                let report = report_of_header(&self.fields, head);
                 link.lines.consume(link.lines.len());
-                Some(Verdict::Ended(status, report, Vec::new()))
+                Some(verdict_of(&self.fields, head))
             }
             _ => None,
         };
@@ -222,6 +219,13 @@
                 s.inputs.push(Input::Progress(attempt, share));
                 true
             }
+            (Task::Attempt(attempt), Some(Verdict::Rejected)) => {
+                link.task = Task::Tail;
+                self.attempts.remove(&attempt);
+                s.inputs.push(Input::Rejected(attempt));
+                s.net.set_deadline(key, Some(TAIL));
+                true
+            }
             (task, Some(Verdict::Ended(status, report, result))) => {
                 link.task = Task::Tail;
                 match task {
@@ -280,10 +284,15 @@
             && head.status != 200
         {
             // The end of the connection is the end of such an answer.
-            let turned_away = head.header("x-turned-away") == Some("1") && matches!(head.status, 503 | 504);
-            let status = if turned_away { Status::Full } else { Status::Error };
-            if let Some(Role::Worker(link)) = s.net.close(key) {
-                self.end(s, link, status);
+            let verdict = verdict_of(&self.fields, head);
+            match (s.net.close(key), verdict) {
+                (Some(Role::Worker(Link { task: Task::Attempt(attempt), .. })), Verdict::Rejected) => {
+                    self.attempts.remove(&attempt);
+                    s.inputs.push(Input::Rejected(attempt));
+                }
+                (Some(Role::Worker(link)), Verdict::Ended(status, ..)) => self.end(s, link, status),
+                (Some(Role::Worker(link)), _) => self.end(s, link, Status::Error),
+                _ => {}
             }
             return;
         }
@@ -315,6 +324,19 @@
     }
 }
 
+/// What an answer other than 200 says of a job.
+fn verdict_of(fields: &[String], head: &Head) -> Verdict {
+    match head.status {
+        503 | 504 if head.header("x-turned-away") == Some("1") => {
+            Verdict::Ended(Status::Full, report_of_header(fields, head), Vec::new())
+        }
+        // These three speak of the moment, all others of 400 to 499 of the request.
+        408 | 425 | 429 => Verdict::Ended(Status::Error, report_of_header(fields, head), Vec::new()),
+        400..=499 => Verdict::Rejected,
+        _ => Verdict::Ended(Status::Error, report_of_header(fields, head), Vec::new()),
+    }
+}
+
 /// Reads a line of a job's answer.
 fn read_line(fields: &[String], line: &[u8]) -> Option<Verdict> {
     let line: Value = serde_json::from_slice(line).ok()?;
--- a/pebblepost/tests/platform.rs
+++ b/pebblepost/tests/platform.rs
@@ -463,3 +463,35 @@
         (0, 0, 0)
     );
 }
+
+/// permits-main, rude clients: what a worker said was no request of its was sent to six of them and held against each, so
+/// that a hundred bad requests kept all workers out of the draws.
+#[test]
+fn a_request_that_a_worker_rejects_is_failed_at_once_and_nobody_is_blamed() {
+    let asked = Arc::new(AtomicU32::new(0));
+    let count = asked.clone();
+    let address = worker(move |wire, head| {
+        let id = header(head, "x-txn").expect("an id");
+        if let Some(code) = id.strip_prefix("bad-") {
+            count.fetch_add(1, Ordering::Relaxed);
+            return wire.say(&format!("HTTP/1.1 {code} No\r\nContent-Length: 0\r\n\r\n"));
+        }
+        lines(wire, &[json!({"id": id, "state": "done", "result": "text"})]);
+    });
+    let daemon = Running::start(Some(platform(&[address], None)), None);
+    let answer = |id: &str| {
+        let mut wire = daemon.connect(Door::Platform);
+        wire.say(&post(id, "", ""));
+        let (head, body) = wire.message();
+        (head.first().cloned().unwrap_or_default(), body)
+    };
+    for (n, code) in [400, 404, 422].into_iter().enumerate() {
+        let (status, _) = answer(&format!("bad-{code}"));
+        assert!(status.contains(" 502 "), "{status}");
+        assert_eq!(asked.load(Ordering::Relaxed), n as u32 + 1, "one attempt for {code}");
+        assert_eq!(answer("good").1, "text");
+    }
+    // These speak of the moment: the class may be repeated, and is.
+    answer("bad-429");
+    assert_eq!(asked.load(Ordering::Relaxed), 3 + 3);
+}
