Where jobs queue by key, draws keep to the key's first workers; eight keys remembered

Change: that exception holds only where jobs do not queue by the waits seen; eight keys are remembered.

--- a/src/keys.rs
+++ b/src/keys.rs
@@ -10,7 +10,7 @@
 
 /// Keys remembered for each worker. Workers keep fewer for each of their slots, but what one node sees is a part of
 /// what they get, and what is often asked for stays in front.
-const MEMORY: usize = 16;
+const MEMORY: usize = 8;
 
 /// Scatters numbers evenly (the last steps of SplitMix64).
 fn mix(n: u64) -> u64 {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -894,8 +894,8 @@
         let fresh = |w: &usize| !r.drawn.contains(w) && !r.refused.contains(w);
         let wide = |w: &usize| self.workers[*w].reports < 2 || self.k_of_kind(*w) >= r.slots;
         // One seen without room a moment ago has none now: a client that repeats at once goes on to others.
-        let recent = span(0.03 * self.mean_service);
-        let full = |w: &usize| self.workers[*w].reported + recent > now && !self.room(now, *w, r.slots, 0.0);
+        let from = if self.by_waits(id) { now } else { now - span(0.03 * self.mean_service) };
+        let full = |w: &usize| self.workers[*w].reported > from && !self.room(now, *w, r.slots, 0.0);
         let sound = |w: &usize| now >= self.workers[*w].bad_until && wide(w) && fresh(w) && !full(w);
         // Exception: a large job goes back to the worker held for it, then on to where it would end first.
         let held =
