A class that a worker leaves lying goes elsewhere, and what is left lying holds no slot

Nobody looked past the connection: the look for silence asked whether the worker has room, and by the node's books its own lost jobs filled it, so 33 jobs held all slots of four workers until their clients gave up, and 60% was refused beside free slots. Change: what is held against a worker is in health.rs: strikes, failed probes, and new, classes that it leaves lying. The look goes by the report alone and follows queued jobs too; a job found lying holds no slot, its class stays away for half a cold worker's fall, doubled each time a trial fails, until one starts.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! * [`api`]: settings, events and actions.
 //! * [`policy`]: every decision, in one module.
+//! * [`health`]: what is held against a worker.
 //! * [`keys`]: where to find what jobs of one key need.
 //! * [`means`]: running means, waits and shares as a node learns them.
 //! * [`room`]: what is held for large jobs.
@@ -15,6 +16,7 @@
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod health;
 pub mod keys;
 pub mod means;
 pub mod policy;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,6 +7,7 @@
 #![allow(clippy::too_many_arguments)] // The caller's out-list and the clock go everywhere.
 
 use crate::api::*;
+use crate::health::Health;
 use crate::keys::{self, Asked, Kept};
 use crate::means::{GAIN, Rate, Shares, Timing, Waits, blend, secs, span};
 use crate::room::{Outlook, Room};
@@ -17,7 +18,6 @@
 
 const D: usize = 2; // d: two choices bring most of the gain, and probes are priced.
 const PACE_GAIN: f64 = 0.2; // For the pace of a kind: a node of a large fleet sees few jobs of each.
-const MUTE: Duration = Duration::from_secs(1); // Out of the draws after a failed probe; in a row 2 s, 4 s.
 const DRAWS: usize = 8; // Random draws tried in a pool before it is taken to hold nobody eligible.
 const USES_PER_CONNECTION: f64 = 4.0; // The spread is such that each connection is used this often.
 const MIN_SPREAD: f64 = 8.0; // Smallest spread: as many as are probed for a job, with one in four failing.
@@ -26,7 +26,6 @@
 const AWAY_PART: f64 = 0.25; // Part of a cold worker's budget for nodes of other zones: they draw seldom.
 const LIKELY: f64 = 1.6; // Speed of a cold worker, in the least it may have: 1.2 to 2.1 were traced.
 const LEVELS: usize = 16; // Levels of load told apart: up to half as many free slots, or as many waiting.
-const MAX_STRIKES: u32 = 4; // Suspicion at most doubles this often.
 const MOST_HOLDS: u32 = 16; // Rounds of probes for a large job that holds a part of a worker.
 
 /// L for K slots: the paper's optimum at load 0.8 (its figure 3).
@@ -74,9 +73,7 @@
     kept: Kept,
     idle: VecDeque<Time>,    // Since when its connections have been idle, oldest first.
     probes: VecDeque<Asker>, // Who waits for each probe that is out, oldest first.
-    bad: u32,                // Strikes for bad work.
-    mute: u32,               // Probes that failed in a row.
-    bad_until: Time,         // How long either keeps it out of the draws.
+    health: Health,
 }
 
 impl Worker {
@@ -280,13 +277,14 @@
     }
 
     fn has_started(&mut self, now: Time, id: RequestId, no: AttemptNo) {
-        let late = now > self.in_time_until(id);
+        let (late, class) = (now > self.in_time_until(id), self.requests.get(&id).map_or(0, |r| r.class));
         let Some(a) = self.attempt(id, no).filter(|a| a.open && a.started.is_none()) else { return };
         a.started = Some(now);
         let (level, w, sent, queued, idle) = (a.level, a.worker, a.sent, a.queued, a.idle);
         let ends = now + self.run(now, id, w);
         self.reservations.release(id);
         self.workers[w].waits.started(now, now.since(sent));
+        self.workers[w].health.started(class);
         self.workers[w].own.iter_mut().filter(|o| o.0 == sent).for_each(|o| (o.2, o.3) = (true, ends));
         if !queued {
             self.start_delay.learn(secs(now.since(sent)));
@@ -297,17 +295,21 @@
         self.learn_meaning(w, level, late);
     }
 
-    /// A job has not started, though there is room by now: its connection, idle before, is taken to be lost.
+    /// A job has not started, though there is room: its connection, if idle before, is taken to be lost, and no
+    /// more of its class go there for now. One that may be repeated is called back and sent again.
     fn silent(&mut self, now: Time, id: RequestId, no: AttemptNo, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         let a = r.attempts.get(usize::from(no.0)).filter(|a| a.open && a.started.is_none());
-        let Some(a) = a.filter(|a| self.room(now, a.worker, r.slots, r.memory)) else { return };
-        let Some(idle) = a.idle else { return };
+        let fits = |w: &Worker| w.free >= r.slots && w.queue < 1.0 && w.memory >= r.memory.min(w.k_memory);
+        let Some(a) = a.filter(|a| fits(&self.workers[a.worker])) else { return };
         let more = (r.attempts.len() as u32) < self.settings.max_attempts && now < self.last_start(id);
         if self.settings.cancelling && self.may_repeat(now, r) && more && r.phase == Phase::Placed {
             out.push(Action::Cancel { id, attempt: no });
         }
-        self.idle_limit = self.idle_limit.min(idle / 2).max(self.settings.tick);
+        self.workers[a.worker].own.retain(|o| o.0 != a.sent); // It holds no slot there.
+        self.workers[a.worker].health.left_lying(now, r.class, self.settings.fall / 2);
+        let least = a.idle.map_or(self.idle_limit, |idle| idle / 2);
+        self.idle_limit = self.idle_limit.min(least).max(self.settings.tick);
     }
 
     /// Exception: connections idle for longer than proved safe are closed first. How long this one was idle.
@@ -596,7 +598,7 @@
     /// Where in the fleet a job is expected to wait least.
     fn shortest(&self, now: Time, id: RequestId) -> Option<usize> {
         let r = self.requests.get(&id)?;
-        let sound = |w: &usize| now >= self.workers[*w].bad_until && !r.refused.contains(w);
+        let sound = |w: &usize| self.workers[*w].health.sound(now, r.class) && !r.refused.contains(w);
         let open = self.pools.get(r.class)?.iter().flatten().copied().filter(sound);
         let open = open.filter(|w| self.eligible(now, id, *w));
         let cost = |w: &usize| self.queueing(now, *w) + self.fetching(id, *w);
@@ -651,6 +653,7 @@
             self.reserve(now, id, Some(w)); // What it waits for is not given away meanwhile.
         }
         let silence = self.start_delay.usual().max(self.patience(id) / 4).max(2 * self.lag());
+        let silence = silence + if queued { 2 * span(self.queueing(now, w)) } else { Duration::ZERO };
         let Some(r) = self.requests.get_mut(&id) else { return };
         let worker = &mut self.workers[w];
         self.queued += usize::from(queued);
@@ -662,7 +665,7 @@
         let attempt = Attempt { worker: w, sent: now, slots: r.slots, open: true, ..Attempt::default() };
         r.attempts.push(Attempt { idle, queued, level, found, ..attempt });
         out.push(Action::Send { id, worker: worker.id, timeout: None });
-        if self.settings.tells_start && self.settings.probing && !queued {
+        if self.settings.tells_start && self.settings.probing {
             out.push(Action::SetTimer { at: now + silence, token: token(Timer::Silence, no, id.0) });
         }
         // The age of reports is looked at with each of the first sends, then with some.
@@ -696,7 +699,7 @@
     fn reserve(&mut self, now: Time, id: RequestId, only: Option<usize>) -> Option<Time> {
         let r = self.requests.get(&id).filter(|r| r.large && r.holds < MOST_HOLDS)?;
         let pool = self.pools.get(r.class)?.iter().flatten().copied();
-        let sound = |w: &usize| now >= self.workers[*w].bad_until && !r.refused.contains(w);
+        let sound = |w: &usize| self.workers[*w].health.sound(now, r.class) && !r.refused.contains(w);
         let known = |w: &usize| self.warm(now, *w) && self.workers[*w].reports >= 2;
         let known = pool.filter(sound).filter(known);
         let mut outlooks: Vec<Outlook> = known.map(|w| self.outlook(now, id, w)).collect();
@@ -801,7 +804,7 @@
         }
         match status {
             Status::Ok => {
-                worker.bad = worker.bad.saturating_sub(1);
+                worker.health.served();
                 if let Some(class) = class {
                     let usual = self.service[class].max(f64::MIN_POSITIVE);
                     let kind = self.kinds.get_mut(&worker.kind);
@@ -896,7 +899,8 @@
         // One seen without room a moment ago has none now: a client that repeats at once goes on to others.
         let from = if self.by_waits(id) { now } else { now - span(0.03 * self.mean_service) };
         let full = |w: &usize| self.workers[*w].reported > from && !self.room(now, *w, r.slots, 0.0);
-        let sound = |w: &usize| now >= self.workers[*w].bad_until && wide(w) && fresh(w) && !full(w);
+        let sound =
+            |w: &usize| self.workers[*w].health.sound(now, r.class) && wide(w) && fresh(w) && !full(w);
         // Exception: a large job goes back to the worker held for it, then on to where it would end first.
         let held =
             self.reservations.of(id).map(|held| held.worker).filter(|w| r.drawn.is_empty() && fresh(w));
@@ -919,7 +923,7 @@
                 let w = pool[self.rng.random_range(0..size)];
                 let taken = r.drawn.contains(&w) || r.refused.contains(&w);
                 let narrow = self.workers[w].reports >= 2 && self.k_of_kind(w) < r.slots;
-                if !taken && !narrow && (suspects || now >= self.workers[w].bad_until) {
+                if !taken && !narrow && (suspects || self.workers[w].health.sound(now, r.class)) {
                     return Some(w);
                 }
             }
@@ -1048,13 +1052,11 @@
         let (waiting, ok) = (worker.probes.pop_front(), status == Status::Ok);
         worker.failed(now, status);
         if ok {
-            worker.mute = 0;
+            worker.health.probe_answered();
             self.report(now, w, report);
             self.round_trip.learn(secs(latency));
         } else {
-            // It drains or has gone and the list does not say so yet: the next draws go elsewhere.
-            worker.bad_until = worker.bad_until.max(now + MUTE * (1 << worker.mute));
-            worker.mute = (worker.mute + 1).min(2);
+            worker.health.probe_failed(now); // The next draws go elsewhere.
         }
         self.close_idle(w, out);
         match waiting {
@@ -1069,9 +1071,7 @@
     fn strike(&mut self, now: Time, w: usize) {
         let pool = self.pools.last().map_or(0, |p| self.spread(p[0].len()));
         let revisit = span(2.0 * pool as f64 / self.arrivals.per_s.max(0.1)).min(self.settings.keepalive);
-        let strikes = (self.workers[w].bad + 1).min(MAX_STRIKES);
-        self.workers[w].bad = strikes;
-        self.workers[w].bad_until = now + self.settings.fall.max(revisit) * (1 << (strikes - 1));
+        self.workers[w].health.struck(now, self.settings.fall.max(revisit));
     }
 
     /// Probes the worker of an attempt that is out: to learn the age of reports, or if it has not started.
@@ -1260,8 +1260,7 @@
         if e.started > worker.started {
             // A new process: what was held against the old one is gone with it.
             worker.started = e.started;
-            (worker.bad, worker.bad_until) = (0, Time(0));
-            (worker.kept, worker.waits) = (Kept::default(), Waits::default());
+            (worker.health, worker.kept, worker.waits) = Default::default();
         }
         w
     }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -1179,3 +1179,24 @@
     let within = queued(&mut n, 1).expect("bounded");
     assert!(over < within, "{over} of who is over its share and then {within} of who is not");
 }
+
+/// permits-main, wide: see `tests/health.rs`. All slots of a worker were held by jobs that it had never begun.
+#[test]
+fn a_class_that_a_worker_leaves_lying_goes_elsewhere_and_holds_no_slot() {
+    let mut n = all_known(late_counts(), 1);
+    let send = |n: &mut Node, id, class| {
+        n.actions.clear();
+        n.request(id, class);
+        n.probes().into_iter().for_each(|w| n.report_free(w, 2.0));
+        n.sends().len()
+    };
+    assert_eq!((send(&mut n, 1, UNSAFE), send(&mut n, 2, UNSAFE)), (1, 1));
+    n.actions.clear();
+    n.wait(Duration::from_millis(400));
+    let looked = n.probes();
+    assert!(!looked.is_empty(), "neither has started: the worker is looked at");
+    looked.into_iter().for_each(|w| n.report_free(w, 2.0));
+    let again = n.actions.iter().any(|a| matches!(a, Action::Cancel { .. } | Action::Send { .. }));
+    assert!(!again, "what must not run twice is left alone");
+    assert_eq!(send(&mut n, 3, SAFE), 1, "its slots are free for others");
+}
