--- a/src/policy.rs
+++ b/src/policy.rs
@@ -295,8 +295,8 @@
         self.learn_meaning(w, level, late);
     }
 
-    /// A job has not started, though there is room: its connection, if idle before, is taken to be lost, and no
-    /// more of its class go there for now. One that may be repeated is called back and sent again.
+    /// A job has not started, though there is room: its connection, if idle before, is held to be lost,
+    /// and no more of its class go there for now. One that may be repeated is called back and sent again.
     fn silent(&mut self, now: Time, id: RequestId, no: AttemptNo, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         let a = r.attempts.get(usize::from(no.0)).filter(|a| a.open && a.started.is_none());
