A broken or silent connection is held against nobody while its worker is heard

Change: a reset is no strike and no reason to leave a worker out; a probe that timed out is none if the worker was heard after it was sent; a class is not left lying if one that was sent later has started (health.rs).

--- a/src/health.rs
+++ b/src/health.rs
@@ -18,8 +18,8 @@
     strikes: u32,
     failed_probes: u32,
     until: Time,
-    /// Classes that it leaves lying: their numbers, how often in a row, and until when they are kept from it.
-    silent: Vec<(usize, u32, Time)>,
+    /// By class: when the latest that it started had been sent, how often in a row it left one lying, and until when none goes there.
+    classes: Vec<(usize, Time, u32, Time)>,
 }
 
 impl Health {
@@ -45,27 +45,33 @@
         self.failed_probes = 0;
     }
 
-    /// It has room and has not started a job of this class: none goes there for `base`, then one is tried.
-    pub fn left_lying(&mut self, now: Time, class: usize, base: Duration) {
-        let at = self.silent.iter().position(|(c, ..)| *c == class).unwrap_or_else(|| {
-            self.silent.push((class, 0, now));
-            self.silent.len() - 1
+    fn class(&mut self, class: usize) -> &mut (usize, Time, u32, Time) {
+        let at = self.classes.iter().position(|c| c.0 == class).unwrap_or_else(|| {
+            self.classes.push((class, Time(0), 0, Time(0)));
+            self.classes.len() - 1
         });
-        let (_, times, until) = &mut self.silent[at];
+        &mut self.classes[at]
+    }
+
+    /// It has room and has not started a job of this class that was sent then: none goes there for `base`, then one
+    /// is tried. If it has started one that was sent later, a connection was lost and not the class.
+    pub fn left_lying(&mut self, now: Time, class: usize, sent: Time, base: Duration) {
+        let (_, started, times, until) = self.class(class);
         // Jobs sent before the first was missed are missed after it: they are the same offence.
-        if now >= *until {
+        if now >= *until && *started <= sent {
             *times = (*times + 1).min(MOST);
             *until = now + base * (1 << (*times - 1));
         }
     }
 
-    /// It started a job of this class.
-    pub fn started(&mut self, class: usize) {
-        self.silent.retain(|(c, ..)| *c != class);
+    /// It started a job of this class that was sent then.
+    pub fn started(&mut self, sent: Time, class: usize) {
+        let latest = self.class(class).1.max(sent);
+        *self.class(class) = (class, latest, 0, Time(0));
     }
 
     /// Whether nothing speaks against a job of this class.
     pub fn sound(&self, now: Time, class: usize) -> bool {
-        now >= self.until && !self.silent.iter().any(|(c, _, until)| *c == class && now < *until)
+        now >= self.until && !self.classes.iter().any(|(c, _, _, until)| *c == class && now < *until)
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -284,7 +284,7 @@
         let ends = now + self.run(now, id, w);
         self.reservations.release(id);
         self.workers[w].waits.started(now, now.since(sent));
-        self.workers[w].health.started(class);
+        self.workers[w].health.started(sent, class);
         self.workers[w].own.iter_mut().filter(|o| o.0 == sent).for_each(|o| (o.2, o.3) = (true, ends));
         if !queued {
             self.start_delay.learn(secs(now.since(sent)));
@@ -307,7 +307,7 @@
             out.push(Action::Cancel { id, attempt: no });
         }
         self.workers[a.worker].own.retain(|o| o.0 != a.sent); // It holds no slot there.
-        self.workers[a.worker].health.left_lying(now, r.class, self.settings.fall / 2);
+        self.workers[a.worker].health.left_lying(now, r.class, a.sent, self.settings.fall / 2);
         let least = a.idle.map_or(self.idle_limit, |idle| idle / 2);
         self.idle_limit = self.idle_limit.min(least).max(self.settings.tick);
     }
@@ -813,8 +813,8 @@
                     blend(&mut self.mean_service, secs(latency), GAIN);
                 }
             }
-            Status::Error | Status::Timeout | Status::Reset => self.strike(now, w),
-            Status::Full | Status::ConnectFailed | Status::Cancelled | Status::Moot => {}
+            Status::Error | Status::Timeout => self.strike(now, w),
+            Status::Full | Status::ConnectFailed | Status::Reset | Status::Cancelled | Status::Moot => {}
         }
     }
 
@@ -1055,8 +1055,9 @@
             worker.health.probe_answered();
             self.report(now, w, report);
             self.round_trip.learn(secs(latency));
-        } else {
-            worker.health.probe_failed(now); // The next draws go elsewhere.
+        } else if status != Status::Reset && worker.reported + latency <= now {
+            // A broken connection says nothing, nor does a silent one of a worker heard since.
+            worker.health.probe_failed(now);
         }
         self.close_idle(w, out);
         match waiting {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -1200,3 +1200,26 @@
     assert!(!again, "what must not run twice is left alone");
     assert_eq!(send(&mut n, 3, SAFE), 1, "its slots are free for others");
 }
+
+/// permits-main, resets and silent connections: each broken probe kept a worker out of the draws for a second and more, and
+/// five of nine got no work though they were idle.
+#[test]
+fn a_broken_connection_keeps_no_worker_out() {
+    let failed = |status, heard: bool| {
+        let mut n = Node::new(settings(), 8);
+        n.learn_all(2.0);
+        n.request(0, SAFE);
+        let w = n.probes()[0];
+        n.advance(Duration::from_millis(500));
+        if heard {
+            n.report(w, 2.0, 0.0);
+        }
+        let (worker, latency) = (WorkerId(w), Duration::from_millis(500));
+        n.event(Event::Probed { worker, status, latency, report: vec![] });
+        n.actions.clear();
+        (1..100).for_each(|id| n.request(id, SAFE));
+        n.probes().contains(&w)
+    };
+    assert!(failed(Status::Reset, false) && failed(Status::Timeout, true));
+    assert!(!failed(Status::Timeout, false) && !failed(Status::ConnectFailed, false));
+}
