--- a/pebblepost/src/workers.rs
+++ b/pebblepost/src/workers.rs
@@ -146,7 +146,6 @@
 
     /// Reads one thing off the input; `true`: there may be more.
     fn read_on(&mut self, s: &mut Shared, key: ConnKey) -> bool {
-        let now = s.net.now;
         let Some(conn) = s.net.get(key) else { return false };
         let Role::Worker(link) = &mut conn.role else { return false };
         let task = link.task;
@@ -219,29 +218,12 @@
                 s.inputs.push(Input::Progress(attempt, share));
                 true
             }
-            (Task::Attempt(attempt), Some(Verdict::Rejected)) => {
-                link.task = Task::Tail;
-                self.attempts.remove(&attempt);
-                s.inputs.push(Input::Rejected(attempt));
-                s.net.set_deadline(key, Some(TAIL));
-                true
-            }
-            (task, Some(Verdict::Ended(status, report, result))) => {
+            (task, Some(verdict)) => {
                 link.task = Task::Tail;
-                match task {
-                    Task::Attempt(attempt) => {
-                        self.attempts.remove(&attempt);
-                        s.inputs.push(Input::Ended(attempt, status, report, result));
-                    }
-                    Task::Probe(sent) => {
-                        s.inputs.push(Input::Probed(worker, status, now.since(sent), report))
-                    }
-                    Task::Tail | Task::Idle => {}
-                }
+                self.end(s, worker, task, verdict);
                 s.net.set_deadline(key, Some(TAIL));
                 true
             }
-            _ => false,
         }
     }
 
@@ -268,7 +250,7 @@
     /// Garbage came: this attempt or probe ends, and the link with it.
     fn broken_answer(&mut self, s: &mut Shared, key: ConnKey) -> bool {
         if let Some(Role::Worker(link)) = s.net.abort(key) {
-            self.end(s, link, Status::Error);
+            self.end(s, link.worker, link.task, ended(Status::Error));
         }
         false
     }
@@ -285,32 +267,38 @@
         {
             // The end of the connection is the end of such an answer.
             let verdict = verdict_of(&self.fields, head);
-            match (s.net.close(key), verdict) {
-                (Some(Role::Worker(Link { task: Task::Attempt(attempt), .. })), Verdict::Rejected) => {
-                    self.attempts.remove(&attempt);
-                    s.inputs.push(Input::Rejected(attempt));
-                }
-                (Some(Role::Worker(link)), Verdict::Ended(status, ..)) => self.end(s, link, status),
-                (Some(Role::Worker(link)), _) => self.end(s, link, Status::Error),
-                _ => {}
+            if let Some(Role::Worker(link)) = s.net.close(key) {
+                self.end(s, link.worker, link.task, verdict);
             }
             return;
         }
         if let Some(Role::Worker(link)) = s.net.close(key) {
-            self.end(s, link, if unsent { Status::ConnectFailed } else { Status::Reset });
+            self.end(
+                s,
+                link.worker,
+                link.task,
+                ended(if unsent { Status::ConnectFailed } else { Status::Reset }),
+            );
         }
     }
 
-    fn end(&mut self, s: &mut Shared, link: Link, status: Status) {
-        match link.task {
-            Task::Attempt(attempt) => {
+    fn end(&mut self, s: &mut Shared, worker: WorkerId, task: Task, verdict: Verdict) {
+        match (task, verdict) {
+            (Task::Attempt(attempt), Verdict::Ended(status, report, result)) => {
+                self.attempts.remove(&attempt);
+                s.inputs.push(Input::Ended(attempt, status, report, result));
+            }
+            (Task::Attempt(attempt), Verdict::Rejected) => {
                 self.attempts.remove(&attempt);
-                s.inputs.push(Input::Ended(attempt, status, Vec::new(), Vec::new()));
+                s.inputs.push(Input::Rejected(attempt));
             }
-            Task::Probe(sent) => {
-                s.inputs.push(Input::Probed(link.worker, status, s.net.now.since(sent), Vec::new()));
+            (Task::Probe(sent), verdict) => {
+                let Verdict::Ended(status, report, _) = verdict else {
+                    return self.end(s, worker, task, ended(Status::Error));
+                };
+                s.inputs.push(Input::Probed(worker, status, s.net.now.since(sent), report));
             }
-            Task::Tail | Task::Idle => {}
+            _ => {}
         }
     }
 
@@ -319,21 +307,26 @@
         let Some(conn) = s.net.get(key) else { return };
         let status = if conn.connected { Status::Timeout } else { Status::ConnectFailed };
         if let Some(Role::Worker(link)) = s.net.close(key) {
-            self.end(s, link, status);
+            self.end(s, link.worker, link.task, ended(status));
         }
     }
 }
 
+/// The end of what brought neither a report nor a result.
+fn ended(status: Status) -> Verdict {
+    Verdict::Ended(status, Vec::new(), Vec::new())
+}
+
 /// What an answer other than 200 says of a job.
 fn verdict_of(fields: &[String], head: &Head) -> Verdict {
+    let report = || report_of_header(fields, head);
     match head.status {
         503 | 504 if head.header("x-turned-away") == Some("1") => {
-            Verdict::Ended(Status::Full, report_of_header(fields, head), Vec::new())
+            Verdict::Ended(Status::Full, report(), Vec::new())
         }
         // These three speak of the moment, all others of 400 to 499 of the request.
-        408 | 425 | 429 => Verdict::Ended(Status::Error, report_of_header(fields, head), Vec::new()),
-        400..=499 => Verdict::Rejected,
-        _ => Verdict::Ended(Status::Error, report_of_header(fields, head), Vec::new()),
+        400..=499 if !matches!(head.status, 408 | 425 | 429) => Verdict::Rejected,
+        _ => Verdict::Ended(Status::Error, report(), Vec::new()),
     }
 }
 
--- a/src/means.rs
+++ b/src/means.rs
@@ -63,6 +63,40 @@
     }
 }
 
+/// What a node has learned of the machines of one kind.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    /// Slots, by the most seen free at each worker of the kind.
+    pub slots: f64,
+    /// Its times for jobs without a hint, as a multiple of what is usual in the fleet.
+    pub pace: f64,
+    /// Mean time and mean hint of its jobs, in seconds, and not the mean of their ratios: what a job has to fetch does
+    /// not grow with it.
+    time: f64,
+    hint: f64,
+}
+
+impl Kind {
+    /// Weight of a hinted job: a node of a large fleet sees few of each kind.
+    const GAIN: f64 = 0.2;
+
+    /// A kind of which one worker has been seen with so many free slots.
+    pub fn new(slots: f64) -> Self {
+        Self { slots, pace: 1.0, time: 1.0, hint: 1.0 }
+    }
+
+    /// A job that was hinted to take so long took this long.
+    pub fn ran(&mut self, took: Duration, hint: f64) {
+        blend(&mut self.time, secs(took), Self::GAIN);
+        blend(&mut self.hint, hint, Self::GAIN);
+    }
+
+    /// Seconds that a second of hinted work takes.
+    pub fn per_hint(&self) -> f64 {
+        self.time / self.hint
+    }
+}
+
 /// How long jobs wait in a queue whose length is not told, by the last that was seen to start.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Waits {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -9,7 +9,7 @@
 use crate::api::*;
 use crate::health::Health;
 use crate::keys::{self, Asked, Kept};
-use crate::means::{GAIN, Rate, Shares, Timing, Waits, blend, secs, span};
+use crate::means::{GAIN, Kind, Rate, Shares, Timing, Waits, blend, secs, span};
 use crate::room::{Outlook, Room};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -17,7 +17,6 @@
 use std::time::Duration;
 
 const D: usize = 2; // d: two choices bring most of the gain, and probes are priced.
-const PACE_GAIN: f64 = 0.2; // For the pace of a kind: a node of a large fleet sees few jobs of each.
 const DRAWS: usize = 8; // Random draws tried in a pool before it is taken to hold nobody eligible.
 const USES_PER_CONNECTION: f64 = 4.0; // The spread is such that each connection is used this often.
 const MIN_SPREAD: f64 = 8.0; // Smallest spread: as many as are probed for a job, with one in four failing.
@@ -184,9 +183,9 @@
     room_share: f64,
     mean_busy: f64,
     arrivals: Rate,
-    /// Learned: own draws a second, at home and away; by kind, K, part of usual times, mean time and hint.
+    /// Learned: own draws a second, at home and away; what machines of a kind are like.
     draws: [Rate; 2],
-    kinds: BTreeMap<KindId, (f64, f64, f64, f64)>,
+    kinds: BTreeMap<KindId, Kind>,
     mean_hint: f64,
     age: Duration, // Learned: age of reports, probe round trip and its spread, service time by class.
     checks: u32,
@@ -229,6 +228,7 @@
             draws: [Rate { per_s: 0.0, last: now }; 2],
             kinds: BTreeMap::new(),
             mean_hint: 0.0,
+            // Between the youngest and the oldest that would matter, until evidence comes.
             age: span((tick * secs(settings.fall)).sqrt()),
             checks: 0,
             round_trip: Timing { mean: 4.0 * tick, spread: tick },
@@ -529,7 +529,7 @@
     /// K of the worker or, as one that has just started may never have been seen free, of its kind.
     fn k_of_kind(&self, w: usize) -> f64 {
         let worker = &self.workers[w];
-        self.kinds.get(&worker.kind).map_or(worker.k, |kind| kind.0.max(worker.k))
+        self.kinds.get(&worker.kind).map_or(worker.k, |kind| kind.slots.max(worker.k))
     }
 
     fn room(&self, now: Time, w: usize, slots: f64, memory: f64) -> bool {
@@ -582,11 +582,8 @@
     fn queueing(&self, now: Time, w: usize) -> f64 {
         let worker = &self.workers[w];
         let waiting = worker.own.iter().find(|o| !o.2).map_or(Duration::ZERO, |o| now.since(o.0));
-        let pace = self.kinds.get(&worker.kind).map_or(1.0, |kind| kind.1);
-        let own = (worker.own.iter().filter(|o| !o.2).count() as f64 + 1.0) / self.k_of_kind(w).max(1.0)
-            * self.mean_service
-            * pace;
-        worker.waits.expected(now, waiting) + own
+        let own = (worker.own.iter().filter(|o| !o.2).count() as f64 + 1.0) / self.k_of_kind(w).max(1.0);
+        worker.waits.expected(now, waiting) + own * self.mean_service * self.pace(w)
     }
 
     /// Two jobs' time if a worker must fetch what the job is about: its own, and that of others in the store.
@@ -719,10 +716,10 @@
 
     fn outlook(&self, now: Time, id: RequestId, w: usize) -> Outlook {
         let worker = &self.workers[w];
-        let (slots, pace) = (self.usable(now, w), self.kinds.get(&worker.kind).map_or(1.0, |kind| kind.1));
+        let slots = self.usable(now, w);
         let free = self.free(w) - (self.k_of_kind(w) - slots).max(0.0);
         let own = worker.holding(self.settings.queues_in_order).collect();
-        let (others, run) = (span(self.mean_service * pace), self.run(now, id, w));
+        let (others, run) = (span(self.mean_service * self.pace(w)), self.run(now, id, w));
         // Not told how many wait: others as this node's here and in the mean, and two more in a small part.
         let here = worker.own.iter().filter(|o| !o.2).count() as f64;
         let mean = self.queued as f64 / (self.fleet[0] + self.fleet[1]).max(1.0);
@@ -749,8 +746,7 @@
         let took = a.started.map_or(latency, |at| now.since(at));
         let work = r.work.filter(|_| status == Status::Ok && a.started.is_some());
         if let (Some(work), Some(kind)) = (work, self.kinds.get_mut(&self.workers[a.worker].kind)) {
-            blend(&mut kind.2, secs(took), PACE_GAIN);
-            blend(&mut kind.3, work, PACE_GAIN);
+            kind.ran(took, work);
         }
         let known = (a.started.is_some() || !queued).then_some(r.class);
         if status == Status::Full && !queued && !self.stale(w) {
@@ -808,7 +804,7 @@
                 if let Some(class) = class {
                     let usual = self.service[class].max(f64::MIN_POSITIVE);
                     let kind = self.kinds.get_mut(&worker.kind);
-                    kind.into_iter().for_each(|kind| blend(&mut kind.1, secs(latency) / usual, GAIN));
+                    kind.into_iter().for_each(|kind| blend(&mut kind.pace, secs(latency) / usual, GAIN));
                     blend(&mut self.service[class], secs(latency), GAIN);
                     blend(&mut self.mean_service, secs(latency), GAIN);
                 }
@@ -899,16 +895,16 @@
         // One seen without room a moment ago has none now: a client that repeats at once goes on to others.
         let from = if self.by_waits(id) { now } else { now - span(0.03 * self.mean_service) };
         let full = |w: &usize| self.workers[*w].reported > from && !self.room(now, *w, r.slots, 0.0);
-        let sound =
-            |w: &usize| self.workers[*w].health.sound(now, r.class) && wide(w) && fresh(w) && !full(w);
+        let well = |w: &usize| self.workers[*w].health.sound(now, r.class) && wide(w);
+        let sound = |w: &usize| well(w) && fresh(w) && !full(w);
         // Exception: a large job goes back to the worker held for it, then on to where it would end first.
-        let held =
-            self.reservations.of(id).map(|held| held.worker).filter(|w| r.drawn.is_empty() && fresh(w));
+        let held = self.reservations.of(id).map(|h| h.worker).filter(|w| r.drawn.is_empty() && fresh(w));
         let end = |w: &usize| self.outlook(now, id, *w).end(now, r.slots);
         let more = r.large && !r.drawn.is_empty();
         let first = held.or_else(|| pool.iter().copied().filter(|w| more && sound(w)).min_by_key(end));
         // Exception: a job that is about something is drawn for in an order that its key gives all nodes.
-        let weight = |w: usize| self.kinds.get(&self.workers[w].kind).map_or(1.0, |k| k.0.round().max(1.0));
+        let weight =
+            |w: usize| self.kinds.get(&self.workers[w].kind).map_or(1.0, |k| k.slots.round().max(1.0));
         let place = |w: &usize| keys::place(r.key, self.workers[*w].name, weight(*w));
         let keyed = || {
             let all = self.pools[r.class].iter().flatten().copied().filter(|w| r.key != 0 && sound(w));
@@ -990,8 +986,8 @@
                 ReportField::FreeSlots => {
                     worker.free = value.round();
                     worker.k = worker.k.max(worker.free);
-                    let kind = self.kinds.entry(worker.kind).or_insert((worker.k, 1.0, 1.0, 1.0));
-                    blend(&mut kind.0, worker.k, GAIN);
+                    let kind = self.kinds.entry(worker.kind).or_insert(Kind::new(worker.k));
+                    blend(&mut kind.slots, worker.k, GAIN);
                 }
                 ReportField::FreeMemory => {
                     worker.memory = value;
@@ -1097,8 +1093,8 @@
         }
         // Hints are rough, and many light jobs press as well: none counts as less than a mean one.
         let Some(cost) = self.requests.get(&id).map(|r| r.cost.max(1.0)) else { return false };
-        let pace = self.kinds.get(&self.workers[w].kind).map_or(1.0, |kind| kind.1);
-        let rate = warmth * self.k_of_kind(w).max(1.0) / (self.mean_service * pace).max(f64::MIN_POSITIVE);
+        let rate =
+            warmth * self.k_of_kind(w).max(1.0) / (self.mean_service * self.pace(w)).max(f64::MIN_POSITIVE);
         let bearable = (0.5 * self.settings.tip_multiple * rate).max(0.5 / secs(self.lag()));
         let side = self.side(w);
         let draws = self.draws[side].per_s / self.fleet[side].max(1.0);
@@ -1178,16 +1174,21 @@
 
     /// Time that a second of hinted work takes on the fastest kind of machine.
     fn best_pace(&self) -> f64 {
-        self.kinds.values().map(|k| k.2 / k.3).reduce(f64::min).unwrap_or(1.0)
+        self.kinds.values().map(Kind::per_hint).reduce(f64::min).unwrap_or(1.0)
+    }
+
+    /// Its kind's times as a multiple of what is usual.
+    fn pace(&self, w: usize) -> f64 {
+        self.kinds.get(&self.workers[w].kind).map_or(1.0, |kind| kind.pace)
     }
 
     /// How long a request would run there: by its hint, at the pace learned for the kind, slower while cold.
     fn run(&self, now: Time, id: RequestId, w: usize) -> Duration {
         let warm = (LIKELY * self.workers[w].warmth(now, &self.settings)).min(1.0);
-        let kind = self.kinds.get(&self.workers[w].kind);
+        let per_hint = self.kinds.get(&self.workers[w].kind).map_or(1.0, Kind::per_hint);
         match self.requests.get(&id).and_then(|r| r.work) {
-            Some(work) => span(work * kind.map_or(1.0, |kind| kind.2 / kind.3) / warm),
-            None => span(self.mean_service * kind.map_or(1.0, |kind| kind.1)),
+            Some(work) => span(work * per_hint / warm),
+            None => span(self.mean_service * self.pace(w)),
         }
     }
 
