Rig store: dispatchers with clients, spoilt disks, clocks that are off, a slow keeper

Change: rig/src/store/run.rs plays dispatchers through the same relays; fault::schedule draws lost, torn and flipped disks, group.rs has the damaged keeper refused by name, then a new number learns, the old one goes, the new one votes; store/src/clock.rs is the one place of the store's clocks, with a switch in the fault build.

--- a/pebblepost/src/agent.rs
+++ b/pebblepost/src/agent.rs
@@ -15,7 +15,8 @@
 use pebblepost_fleet::follow::{Follower, Offered};
 use pebblepost_fleet::setting::SETTINGS;
 use pebblepost_fleet::{Name, Refusal, RequestId, Text};
-use pebblepost_store::client::{Client, command, request_id, unix_ms};
+use pebblepost_store::client::{Client, command, request_id};
+use pebblepost_store::clock::{since, unix_ms};
 use pebblepost_store::wire::{Ask, Say};
 use rand::RngExt;
 use serde_json::{Value, json};
@@ -106,7 +107,7 @@
 
 impl Shared {
     fn now(&self) -> Duration {
-        self.started.elapsed()
+        since(self.started)
     }
 
     /// Changes the copy, and tells the loop if that changes what it goes by.
--- a/pebblepost/tests/faults.rs
+++ b/pebblepost/tests/faults.rs
@@ -1,10 +1,12 @@
-//! A disk that is full in the middle of a group's work (the build with faults).
+//! A disk that is full in the middle of a group's work, and clocks that are off (the build with faults).
 
 mod common;
 
 use common::keepers::{Keepers, LIMIT};
-use common::within;
+use common::{Running, platform, within};
+use serde_json::json;
 use std::process::Stdio;
+use std::time::Duration;
 
 #[test]
 fn a_full_disk_ends_one_keeper_by_name_and_the_others_lose_nothing_and_go_on() {
@@ -34,3 +36,38 @@
     let state = keepers.fleet_until(&["show"]);
     assert_eq!(state.matches("drain/").count(), agreed as usize);
 }
+
+/// Restarts all keepers with clocks of this rate, an hour ahead.
+fn with_clocks(keepers: &mut Keepers, rate: &str) {
+    for n in 0..3 {
+        keepers.kill(n);
+        let clocks = [("PEBBLEPOST_FAULT_CLOCK_RATE", rate), ("PEBBLEPOST_FAULT_CLOCK_JUMP_S", "3600")];
+        keepers.run_with(n, Stdio::null(), &clocks);
+    }
+    keepers.look();
+}
+
+#[test]
+fn clocks_within_their_bounds_end_no_session_and_one_far_beyond_them_does() {
+    let mut keepers = Keepers::start(7);
+    with_clocks(&mut keepers, "1.05");
+    let fleet = json!({"keepers": keepers.named()});
+    let mut config = platform(&[], None);
+    config["name"] = json!("a");
+    let _node = Running::start(Some(config), Some(json!({"fleet": fleet})));
+    let session = |keepers: &Keepers| {
+        within(LIMIT, "it is a member", || {
+            let members = keepers.fleet_until(&["members"]);
+            let words = members.lines().find(|l| l.contains("here life"))?.split("session ").nth(1)?.to_owned();
+            words.split(' ').next()?.parse::<u64>().ok()
+        })
+    };
+    let first = session(&keepers);
+    // Two lengths of a session, by the keepers' clocks.
+    std::thread::sleep(Duration::from_secs(6));
+    assert_eq!(session(&keepers), first, "a clock ahead by an hour and fast by a twentieth ended a session");
+    with_clocks(&mut keepers, "60");
+    within(LIMIT, "a session that lasts a twentieth of a second ends", || {
+        keepers.fleet_until(&["members"]).contains("lost life").then_some(())
+    });
+}
--- a/rig/src/fault/schedule.rs
+++ b/rig/src/fault/schedule.rs
@@ -27,9 +27,28 @@
     Deaf(usize),
     /// All connections from one process to another are reset.
     Reset(usize, usize),
+    /// A process is killed and its disk spoilt: it must say so, and is replaced by a new one at the end.
+    Disk(usize, Damage),
+}
+
+/// What becomes of a disk.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Damage {
+    /// Nothing is left of it.
+    Gone,
+    /// Its second half is missing.
+    Torn,
+    /// A bit is another: the one of this number, counted round.
+    Flipped(u64),
 }
 
 impl What {
+    /// Whether a process is not there while it lasts.
+    pub fn ends(&self, process: usize) -> bool {
+        matches!(*self, Self::Kill(o) | Self::Stop(o) | Self::Disk(o, _) if o == process)
+    }
+
     /// Its kind, for counting.
     pub fn kind(&self) -> &'static str {
         match self {
@@ -44,6 +63,9 @@
             Self::Apart(_) => "apart",
             Self::Deaf(_) => "deaf",
             Self::Reset(..) => "reset",
+            Self::Disk(_, Damage::Gone) => "disk_gone",
+            Self::Disk(_, Damage::Torn) => "disk_torn",
+            Self::Disk(_, Damage::Flipped(_)) => "disk_flipped",
         }
     }
 }
@@ -93,7 +115,7 @@
             }
             let one = rng.random_range(0..draw.processes);
             let other = (one + rng.random_range(1..draw.processes.max(2))) % draw.processes;
-            let what = match rng.random_range(0..20) {
+            let what = match rng.random_range(0..21) {
                 0..10 => What::Kill(one),
                 10 => What::Stop(one),
                 11 | 12 => What::Pause(one),
@@ -107,7 +129,15 @@
                 },
                 17 => What::Wire(one, other, Wire::Late(rng.random_range(20..800))),
                 18 => What::Wire(one, other, Wire::Trickles(rng.random_range(200..5_000))),
-                _ => What::Reset(one, other),
+                19 => What::Reset(one, other),
+                _ => What::Disk(
+                    one,
+                    match rng.random_range(0..3) {
+                        0 => Damage::Gone,
+                        1 => Damage::Torn,
+                        _ => Damage::Flipped(rng.random()),
+                    },
+                ),
             };
             faults.push(Fault { number: faults.len(), at, lasts, what });
         }
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -36,6 +36,9 @@
     /// Desks that change and read at the same time.
     #[arg(long, default_value_t = 6)]
     desks: usize,
+    /// Dispatchers that follow the group while clients ask them for work.
+    #[arg(long, default_value_t = 2)]
+    dispatchers: usize,
     /// Seconds of work under faults.
     #[arg(long, default_value_t = 60.0)]
     seconds: f64,
@@ -171,6 +174,7 @@
         seconds: args.seconds.max(1.0),
         seed: args.seed,
         pause_ms: args.pause_ms,
+        dispatchers: args.dispatchers.min(50),
     };
     let schedule = match &args.schedule {
         Some(path) => serde_json::from_str(&std::fs::read_to_string(path)?)?,
--- a/rig/src/store/desk.rs
+++ b/rig/src/store/desk.rs
@@ -89,7 +89,8 @@
                 Ok(Ok(say)) => {
                     let leader = say.get("elsewhere").map(|l| l.as_u64().unwrap_or(0) as usize);
                     match leader {
-                        Some(leader @ 1..) if leader <= count && leader - 1 != at => at = leader - 1,
+                        // The numbers go round the places, as disks are replaced.
+                        Some(leader @ 1..) if (leader - 1) % count != at => at = (leader - 1) % count,
                         Some(_) => at = next,
                         None if say.get("failed").is_some() => at = next,
                         None => {
--- a/rig/src/store/group.rs
+++ b/rig/src/store/group.rs
@@ -1,9 +1,9 @@
 //! Keepers as processes, a relay on each directed pair, and the faults that happen to both.
 
-use super::desk::Frames;
+use super::desk::{Desk, Frames, Leader};
 use crate::fault::process::Victim;
 use crate::fault::relay::{Relay, Wire};
-use crate::fault::schedule::{Fault, What};
+use crate::fault::schedule::{Damage, Fault, What};
 use anyhow::{Context, Result, bail};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -12,17 +12,32 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-/// A group of keepers, and the wires between them and to them. Keeper `i` has the number `i + 1`; the place after the
-/// last keeper is the outside: the desks.
+/// So many numbers each place may have, one after another, as its disks are replaced.
+const LIVES: usize = 256;
+/// A keeper on a damaged disk must have ended within this.
+const REFUSES: Duration = Duration::from_secs(5);
+/// A replacement must have a vote within this, faults or not.
+const REPLACED: Duration = Duration::from_secs(120);
+
+/// A group of keepers, and the wires between them and to them. The keeper at place `i` of `n` has the number `i + 1`, and
+/// `n` more with each disk that is replaced; the place after the last keeper is the outside: the desks.
 pub struct Group {
+    program: PathBuf,
     keepers: Vec<Victim>,
+    /// Their numbers, by place.
+    numbers: Vec<usize>,
     addresses: Vec<SocketAddr>,
     relays: BTreeMap<(usize, usize), Relay>,
     active: Vec<Fault>,
     folder: PathBuf,
-    /// Keepers that ended by themselves.
+    /// The replacement that is being taken in: one at a time, or a majority might have forgotten.
+    mending: Option<JoinHandle<Result<()>>>,
+    /// Disks replaced, and those of them that the program refused by name before.
+    pub disks: (usize, usize),
+    /// Keepers that ended by themselves, or did not where they had to.
     pub crashed: Vec<String>,
 }
 
@@ -45,30 +60,52 @@
                 relays.insert((from, to), Relay::open(at(from), addresses[to]).await?);
             }
         }
-        let mut keepers = Vec::new();
+        let mut group = Self {
+            program: program.to_owned(),
+            keepers: Vec::new(),
+            numbers: (1..=count).collect(),
+            addresses,
+            relays,
+            active: Vec::new(),
+            folder,
+            mending: None,
+            disks: (0, 0),
+            crashed: Vec::new(),
+        };
         for place in 0..count {
-            let others = (0..count).filter(|to| *to != place);
-            let dial: BTreeMap<String, String> =
-                others.map(|to| ((to + 1).to_string(), relays[&(place, to)].address.to_string())).collect();
-            let config = json!({
-                "group": "rig", "id": place + 1, "listen": addresses[place].to_string(),
-                "folder": folder.join(format!("keeper-{}", place + 1)), "dial": dial, "session_s": 3.0,
-            });
-            let path = folder.join(format!("keeper-{}.json", place + 1));
-            std::fs::write(&path, config.to_string())?;
-            let log =
-                File::options().create(true).append(true).open(folder.join(format!("{}.log", place + 1)))?;
-            let mut command = Command::new(program);
-            command.arg("keep").arg(path).stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
-            let mut keeper = Victim::new(command);
+            let mut keeper = group.keeper(place)?;
             keeper.start()?;
-            keepers.push(keeper);
+            group.keepers.push(keeper);
         }
-        let group = Self { keepers, addresses, relays, active: Vec::new(), folder, crashed: Vec::new() };
         group.begin().await?;
         Ok(group)
     }
 
+    fn disk(&self, place: usize) -> PathBuf {
+        self.folder.join(format!("keeper-{}", self.numbers[place]))
+    }
+
+    /// The keeper at a place, with its present number; not started.
+    fn keeper(&self, place: usize) -> Result<Victim> {
+        let (number, count) = (self.numbers[place], self.addresses.len());
+        let mut dial = BTreeMap::new();
+        for to in (0..count).filter(|to| *to != place) {
+            let through = self.relays[&(place, to)].address.to_string();
+            dial.extend((0..LIVES).map(|life| ((to + 1 + life * count).to_string(), through.clone())));
+        }
+        let config = json!({
+            "group": "rig", "id": number, "listen": self.addresses[place].to_string(),
+            "folder": self.disk(place), "dial": dial, "session_s": 3.0,
+        });
+        let path = self.folder.join(format!("keeper-{number}.json"));
+        std::fs::write(&path, config.to_string())?;
+        let log = self.folder.join(format!("{}.log", place + 1));
+        let log = File::options().create(true).append(true).open(log)?;
+        let mut command = Command::new(&self.program);
+        command.arg("keep").arg(path).stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+        Ok(Victim::new(command))
+    }
+
     async fn begin(&self) -> Result<()> {
         let mut peers = serde_json::Map::new();
         for (place, address) in self.addresses.iter().enumerate() {
@@ -105,22 +142,82 @@
             }
             What::Pause(k) => self.keepers[k].pause(),
             What::Reset(from, to) => self.relays[&(from, to)].reset(),
+            What::Disk(k, damage) => {
+                self.keepers[k].kill();
+                if !self.being_mended()
+                    && let Err(error) = self.spoil(k, damage)
+                {
+                    self.crashed.push(format!("the disk of keeper {}: {error:#}", self.numbers[k]));
+                }
+            }
             What::Wire(..) | What::Alone(_) | What::Apart(_) | What::Deaf(_) => {}
         }
         self.active.push(fault);
         self.rewire();
     }
 
+    fn being_mended(&self) -> bool {
+        self.mending.as_ref().is_some_and(|mending| !mending.is_finished())
+    }
+
+    /// Spoils the disk of a keeper that was killed. Where something is left of it the keeper must end by itself, naming
+    /// it; then it gets a new number and an empty disk, and asks to be taken in once it is started.
+    fn spoil(&mut self, k: usize, damage: Damage) -> Result<()> {
+        let file = self.disk(k).join("keeper.redb");
+        match damage {
+            Damage::Gone => std::fs::remove_file(&file)?,
+            Damage::Torn => {
+                let half = std::fs::metadata(&file)?.len() / 2;
+                File::options().write(true).open(&file)?.set_len(half)?;
+            }
+            Damage::Flipped(bit) => {
+                let mut bytes = std::fs::read(&file)?;
+                let at = usize::try_from(bit)? % (bytes.len() * 8);
+                bytes[at / 8] ^= 1 << (at % 8);
+                std::fs::write(&file, bytes)?;
+            }
+        }
+        if damage != Damage::Gone {
+            let keeper = &mut self.keepers[k];
+            keeper.start()?;
+            let end = Instant::now() + REFUSES;
+            while Instant::now() < end && keeper.runs() {
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            let refused = keeper.ended().is_some_and(|status| !status.success());
+            keeper.kill();
+            self.disks.1 += usize::from(refused);
+            // A flipped bit may be one that nothing reads.
+            if !refused && damage == Damage::Torn {
+                bail!("torn, and served");
+            }
+        }
+        self.disks.0 += 1;
+        let old = self.numbers[k];
+        self.numbers[k] += self.addresses.len();
+        self.keepers[k] = self.keeper(k)?;
+        let (new, at, outside) = (self.numbers[k], self.addresses[k], self.outside());
+        self.mending = Some(tokio::spawn(take_in(old, new, at, outside)));
+        Ok(())
+    }
+
+    /// Waits until a replacement that is being taken in has its vote.
+    pub async fn mended(&mut self) -> Result<()> {
+        match self.mending.take() {
+            Some(mending) => mending.await?,
+            None => Ok(()),
+        }
+    }
+
     /// A fault is over.
     pub fn end_fault(&mut self, number: usize) -> Result<()> {
         let Some(i) = self.active.iter().position(|f| f.number == number) else { return Ok(()) };
         let fault = self.active.remove(i);
         self.rewire();
-        let held =
-            |k: usize| self.active.iter().any(|f| matches!(f.what, What::Kill(o) | What::Stop(o) if o == k));
+        let held = |k: usize| self.active.iter().any(|f| f.what.ends(k));
         let paused = |k: usize| self.active.iter().any(|f| matches!(f.what, What::Pause(o) if o == k));
         match fault.what {
-            What::Kill(k) | What::Stop(k) if !held(k) => self.keepers[k].start()?,
+            What::Kill(k) | What::Stop(k) | What::Disk(k, _) if !held(k) => self.keepers[k].start()?,
             What::Pause(k) if !paused(k) => self.keepers[k].resume(),
             _ => {}
         }
@@ -145,11 +242,10 @@
     /// Notes keepers that ended though no fault was theirs, and starts them again.
     pub fn look(&mut self) -> Result<()> {
         for (k, keeper) in self.keepers.iter_mut().enumerate() {
-            let mine = |f: &Fault| matches!(f.what, What::Kill(o) | What::Stop(o) if o == k);
             if let Some(status) = keeper.ended()
-                && !self.active.iter().any(mine)
+                && !self.active.iter().any(|f| f.what.ends(k))
             {
-                self.crashed.push(format!("keeper {} ended by itself: {status}", k + 1));
+                self.crashed.push(format!("keeper {} ended by itself: {status}", self.numbers[k]));
                 keeper.start()?;
             }
         }
@@ -183,6 +279,33 @@
     }
 }
 
+/// Has a keeper with a new disk take the place of one whose disk is lost: it learns, the old number goes, and it gets a
+/// vote. In this order no majority is ever larger than that of the keepers that are left.
+async fn take_in(old: usize, new: usize, at: SocketAddr, outside: Vec<SocketAddr>) -> Result<()> {
+    let (mut desk, end) = (Desk::new(outside, Leader::default()), Instant::now() + REPLACED);
+    let disk = loop {
+        match ask(at, &json!("status")).await {
+            Ok(status) => {
+                break status.pointer("/status/disk").cloned().with_context(|| status.to_string())?;
+            }
+            Err(error) if Instant::now() >= end => return Err(error),
+            Err(_) => sleep(Duration::from_millis(50)).await,
+        }
+    };
+    let learn = json!({"learn": [new, {"address": at.to_string(), "disk": disk}]});
+    for step in [learn, json!({"remove": old}), json!({"promote": new})] {
+        loop {
+            match desk.ask(&step, Duration::from_secs(8)).await {
+                Ok(said) if said == json!("done") => break,
+                Ok(said) => bail!("{step}: {said}"),
+                Err(error) if Instant::now() >= end => return Err(error),
+                Err(_) => {}
+            }
+        }
+    }
+    Ok(())
+}
+
 async fn ask(address: SocketAddr, message: &Value) -> Result<Value> {
     let work = async {
         let mut frames = Frames::open(address).await?;
--- a/rig/src/store/run.rs
+++ b/rig/src/store/run.rs
@@ -4,7 +4,10 @@
 use super::group::{Group, until};
 use super::verdict::{Verdict, judge};
 use super::witness::{Op, Seen, Witness};
+use crate::clients::Outcome;
 use crate::fault::schedule::{Draw, Schedule, What};
+use crate::run::Run;
+use crate::scenario::Scenario;
 use crate::standin::lock;
 use anyhow::{Context, Result};
 use hdrhistogram::Histogram;
@@ -14,7 +17,7 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -40,6 +43,8 @@
     pub seed: u64,
     /// Pause between two operations of a desk, in milliseconds.
     pub pause_ms: u64,
+    /// Dispatchers that follow the group while clients ask them for work; 0: none.
+    pub dispatchers: usize,
 }
 
 /// What came of it.
@@ -54,9 +59,15 @@
     pub unknown: usize,
     /// Keepers killed.
     pub kills: usize,
+    /// Disks of keepers that were lost and replaced, and those of them that were damaged and refused by name before.
+    pub disks_replaced: usize,
+    /// See `disks_replaced`.
+    pub disks_refused: usize,
+    /// Part of the clients' requests that the dispatchers served; `None` without dispatchers.
+    pub served_share: Option<f64>,
     /// Faults by kind.
     pub faults: BTreeMap<&'static str, usize>,
-    /// What else broke: a follower's gap, a keeper that ended by itself.
+    /// What else broke: a follower's gap, a keeper that ended by itself or served a torn disk, a rule of the dispatchers.
     pub rules_broken: usize,
     /// Time of an acknowledged change, median and 99th percentile.
     pub write_p50_ms: f64,
@@ -256,6 +267,23 @@
     Ok(())
 }
 
+/// What the clients of dispatchers saw: the part of their requests that was served, and the rules broken.
+type Served = (f64, Vec<String>);
+
+/// Dispatchers that follow the group through the same wires as the desks, with stand-in workers and clients around them.
+async fn serving(plan: Plan, program: PathBuf, keepers: Vec<SocketAddr>) -> Result<Served> {
+    let named = |(i, at): (usize, &SocketAddr)| ((i + 1).to_string(), json!(at));
+    let keepers: serde_json::Map<_, _> = keepers.iter().enumerate().map(named).collect();
+    let operator = json!({"fleet": {"keepers": keepers}});
+    let (dispatchers, faults) = (plan.dispatchers, 0.0);
+    let scenario = Scenario { dispatchers, faults, ..Scenario::mixed(plan.seconds, 0.6) };
+    let run = Run { scenario: &scenario, seed: plan.seed, program: &program, operator: &operator };
+    let played = run.play().await?;
+    let served = played.fates.iter().filter(|f| matches!(f.outcome, Outcome::Served(_))).count();
+    let broken = played.broken.iter().map(|b| format!("{:?}: {}", b.rule, b.what)).collect();
+    Ok((served as f64 / played.fates.len().max(1) as f64, broken))
+}
+
 /// Draws the schedule of a plan.
 pub fn schedule(plan: &Plan) -> Schedule {
     let every = 0.85;
@@ -281,12 +309,19 @@
     let follower = tokio::spawn(follow(group.outside(), copy.clone()));
     let desks: Vec<_> =
         (0..plan.desks).map(|n| tokio::spawn(work(shared.clone(), n, group.outside()))).collect();
+    let serving = (plan.dispatchers > 0)
+        .then(|| tokio::spawn(serving(plan.clone(), program.to_owned(), group.outside())));
     play(&shared, &mut group, schedule).await?;
     shared.stop.store(true, Ordering::Relaxed);
     group.heal()?;
     for desk in desks {
         desk.await?;
     }
+    group.mended().await.context("a keeper with a new disk is not taken in after all faults")?;
+    let served = match serving {
+        Some(serving) => Some(serving.await??),
+        None => None,
+    };
     // All faults are over: the group must answer again, and the follower must come to the same.
     let mut desk = Desk::new(group.outside(), shared.leader.clone());
     let (revision, end) = until(Duration::from_secs(60), async || {
@@ -308,6 +343,7 @@
     let verdict = judge(&seen, &end);
     let mut broken = copy.wrong.clone();
     broken.extend(group.crashed.clone());
+    broken.extend(served.iter().flat_map(|(_, rules)| rules.clone()));
     broken.extend(caught_up.err().map(|e| e.to_string()));
     let forgotten: Vec<&String> = end.keys().filter(|w| !copy.drains.contains_key(*w)).collect();
     let (writes, gaps) = (lock(&shared.writes), lock(&shared.gap).1.clone());
@@ -324,6 +360,9 @@
         drains_forgotten: forgotten.len(),
         unknown: seen.iter().filter(|s| s.answered.is_none()).count(),
         kills: faults.get("kill").copied().unwrap_or(0),
+        disks_replaced: group.disks.0,
+        disks_refused: group.disks.1,
+        served_share: served.map(|(share, _)| share),
         faults,
         rules_broken: broken.len(),
         write_p50_ms: ms(0.5),
--- a/rig/tests/store.rs
+++ b/rig/tests/store.rs
@@ -2,12 +2,14 @@
 //! is bounded generously and not judged.
 
 use pebblepost_rig::dispatcher;
+use pebblepost_rig::fault::relay::Wire;
+use pebblepost_rig::fault::schedule::{Damage, Fault, Schedule, What};
 use pebblepost_rig::store::run::{Plan, run, schedule};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn nothing_acknowledged_is_lost_and_no_read_is_old_whatever_happens_between_three_keepers() {
     let program = dispatcher::built().expect("the program builds");
-    let plan = Plan { keepers: 3, desks: 4, seconds: 20.0, seed: 2, pause_ms: 20 };
+    let plan = Plan { keepers: 3, desks: 4, seconds: 20.0, seed: 2, pause_ms: 20, dispatchers: 2 };
     let schedule = schedule(&plan);
     assert!(schedule.kinds()["kill"] >= 8, "{:?}", schedule.kinds());
     let (summary, found) = run(&plan, &schedule, &program).await.expect("the group answers after all faults");
@@ -15,4 +17,41 @@
     let (v, s) = (&summary.verdict, &summary);
     assert_eq!((v.lost, v.stale_reads, s.drains_forgotten, s.rules_broken), (0, 0, 0, 0), "{found:#?}");
     assert!(v.committed > 50, "only {} changes were acknowledged", v.committed);
+    assert!(s.served_share > Some(0.5), "served {:?} meanwhile", s.served_share);
+}
+
+/// A schedule of these, each from its second on for so long.
+fn faults(all: impl IntoIterator<Item = (f64, f64, What)>) -> Schedule {
+    let one = |(number, (at, lasts, what))| Fault { number, at, lasts, what };
+    Schedule(all.into_iter().enumerate().map(one).collect())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_keeper_that_answers_in_seconds_does_not_hold_up_the_rest() {
+    let program = dispatcher::built().expect("the program builds");
+    let plan = Plan { keepers: 3, desks: 4, seconds: 12.0, seed: 3, pause_ms: 20, dispatchers: 0 };
+    let late = Wire::Late(1_500);
+    let slow = [(0, 2), (1, 2), (2, 0), (2, 1)].map(|(from, to)| (0.0, 12.0, What::Wire(from, to, late)));
+    let (summary, found) = run(&plan, &faults(slow), &program).await.expect("the group answers");
+    let v = &summary.verdict;
+    assert_eq!((v.lost, v.stale_reads, v.linearizable), (0, 0, true), "{found:#?}");
+    // At the pace of the slow one a change would take three seconds, and the desks would come to some twenty.
+    assert!(v.committed > 200 && summary.write_p50_ms < 750.0, "{summary:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn disks_that_are_lost_or_damaged_are_named_and_replaced_while_the_group_goes_on() {
+    let program = dispatcher::built().expect("the program builds");
+    let plan = Plan { keepers: 3, desks: 4, seconds: 16.0, seed: 4, pause_ms: 20, dispatchers: 0 };
+    let spoilt = [
+        (1.0, 1.0, What::Disk(0, Damage::Gone)),
+        (6.0, 1.0, What::Disk(1, Damage::Torn)),
+        (11.0, 1.0, What::Disk(2, Damage::Gone)),
+    ];
+    let (summary, found) = run(&plan, &faults(spoilt), &program).await.expect("the group answers");
+    let (v, s) = (&summary.verdict, &summary);
+    assert_eq!((v.lost, v.stale_reads, s.drains_forgotten, s.rules_broken), (0, 0, 0, 0), "{found:#?}");
+    // None of the three disks that the group began with is left.
+    assert_eq!((s.disks_replaced, s.disks_refused), (3, 1), "{found:#?}");
+    assert!(v.linearizable && v.committed > 50, "{found:#?}");
 }
--- a/store/src/client.rs
+++ b/store/src/client.rs
@@ -1,10 +1,11 @@
 //! How members and operators reach the keepers: any of them is asked, the one that leads answers.
 
+use crate::clock::unix_ms;
 use crate::wire::{Ask, Say, Wire};
 use pebblepost_fleet::{Act, Answer, Command, Name, RequestId};
 use std::collections::BTreeMap;
 use std::io;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -19,11 +20,6 @@
     RequestId(rand::random(), rand::random())
 }
 
-/// This machine's wall clock, in Unix time in milliseconds.
-pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(0))
-}
-
 /// A command that is asked for now, for the first time.
 pub fn command(by: Name, act: Act) -> Command {
     Command { id: request_id(), by, at_ms: unix_ms(), act }
--- a/store/src/keeper.rs
+++ b/store/src/keeper.rs
@@ -1,6 +1,7 @@
 //! A keeper: it listens, takes part in the group, and answers members, operators and other keepers.
 
 use crate::client::command;
+use crate::clock::since;
 use crate::disk::{Disk, DiskError};
 use crate::group::Raft;
 use crate::machine::Machine;
@@ -347,7 +348,7 @@
     /// A beat counts at the leader only; a keeper that wrongly believes it leads can extend nothing, as only the real
     /// one can have a session ended.
     fn beat(&self, member: &Name, session: u64) -> Say {
-        let now = self.started.elapsed();
+        let now = since(self.started);
         let beat = self.with_sessions(|s| s.beat(now, &self.machine.read(), member, session));
         match beat {
             Some(beat) => Say::Beat(beat == Beat::Counted),
@@ -359,7 +360,7 @@
     async fn look(self) {
         loop {
             sleep(LOOK).await;
-            let now = self.started.elapsed();
+            let now = since(self.started);
             let overdue = self.with_sessions(|s| s.overdue(now, &self.machine.read())).unwrap_or_default();
             for act in overdue {
                 // If it comes to nothing the next look asks again.
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -8,6 +8,7 @@
 #![warn(missing_docs)]
 
 pub mod client;
+pub mod clock;
 pub mod disk;
 pub mod group;
 pub mod keeper;
