--- a/fleet/tests/model.rs
+++ b/fleet/tests/model.rs
@@ -438,3 +438,107 @@
     println!("local drains: {} states, {} unique", checker.state_count(), checker.unique_state_count());
     assert!(checker.unique_state_count() > 1_000, "{}", checker.unique_state_count());
 }
+
+// ---- A keeper that restarts between apply and snapshot ----
+
+/// What clients may ask for, over and over: two of them touch one mark.
+const ASKED: usize = 3;
+
+/// One keeper's log, how far it has applied it, its state, and the snapshot on its disk.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Kept {
+    log: Vec<usize>,
+    applied: usize,
+    /// As text, as it lies on the disk.
+    state: String,
+    snapshot: (usize, String),
+    /// What was answered to each request first.
+    answers: [Option<String>; ASKED],
+    /// A request asked again was answered otherwise, or the log applied anew gave another state.
+    differs: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Turn {
+    Ask(usize),
+    Apply,
+    Snapshot,
+    Restart,
+}
+
+struct KeptModel;
+
+fn written(state: &State) -> String {
+    serde_json::to_string(state).expect("plain data")
+}
+
+fn asked(number: usize) -> Command {
+    let op = if number == 1 { Op::Undrain(name("w")) } else { Op::Drain(name("w")) };
+    let act = Act::Change { ops: vec![op], expect: Vec::new(), why: Text::default() };
+    Command { id: RequestId(9, number as u64), by: name(&format!("o{number}")), at_ms: 0, act }
+}
+
+impl Model for KeptModel {
+    type State = Kept;
+    type Action = Turn;
+
+    fn init_states(&self) -> Vec<Kept> {
+        let state = written(&State::default());
+        let (snapshot, answers) = ((0, state.clone()), Default::default());
+        vec![Kept { log: Vec::new(), applied: 0, state, snapshot, answers, differs: false }]
+    }
+
+    fn actions(&self, kept: &Kept, actions: &mut Vec<Turn>) {
+        if kept.log.len() < 5 {
+            actions.extend((0..ASKED).map(Turn::Ask));
+        }
+        if kept.applied < kept.log.len() {
+            actions.push(Turn::Apply);
+        }
+        actions.extend([Turn::Snapshot, Turn::Restart]);
+    }
+
+    fn next_state(&self, kept: &Kept, turn: Turn) -> Option<Kept> {
+        let mut kept = kept.clone();
+        let read = |text: &str| serde_json::from_str::<State>(text).expect("as it was written");
+        match turn {
+            Turn::Ask(number) => kept.log.push(number),
+            Turn::Apply => {
+                let (number, mut state) = (kept.log[kept.applied], read(&kept.state));
+                let answer = format!("{:?}", state.apply(&asked(number)));
+                let first = kept.answers[number].get_or_insert_with(|| answer.clone());
+                kept.differs |= *first != answer;
+                (kept.applied, kept.state) = (kept.applied + 1, written(&state));
+            }
+            Turn::Snapshot => kept.snapshot = (kept.applied, kept.state.clone()),
+            Turn::Restart => {
+                let mut state = read(&kept.snapshot.1);
+                for number in &kept.log[kept.snapshot.0..kept.applied] {
+                    state.apply(&asked(*number));
+                }
+                kept.differs |= written(&state) != kept.state;
+                kept.state = written(&state);
+            }
+        }
+        Some(kept)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("a request has one answer, and a restart changes nothing", |_, k: &Kept| {
+                !k.differs
+            }),
+            Property::sometimes("a request is asked again after it was undone", |_, k: &Kept| {
+                k.applied >= 3 && k.log.starts_with(&[0, 1, 0])
+            }),
+        ]
+    }
+}
+
+#[test]
+fn a_restart_between_apply_and_snapshot_applies_nothing_twice() {
+    let checker = KeptModel.checker().spawn_bfs().join();
+    checker.assert_properties();
+    println!("restarts: {} states, {} unique", checker.state_count(), checker.unique_state_count());
+    assert!(checker.unique_state_count() > 1_000, "{}", checker.unique_state_count());
+}
--- a/pebblepost/tests/faults.rs
+++ b/pebblepost/tests/faults.rs
@@ -58,7 +58,8 @@
     let session = |keepers: &Keepers| {
         within(LIMIT, "it is a member", || {
             let members = keepers.fleet_until(&["members"]);
-            let words = members.lines().find(|l| l.contains("here life"))?.split("session ").nth(1)?.to_owned();
+            let words =
+                members.lines().find(|l| l.contains("here life"))?.split("session ").nth(1)?.to_owned();
             words.split(' ').next()?.parse::<u64>().ok()
         })
     };
