--- a/fleet/src/command.rs
+++ b/fleet/src/command.rs
@@ -1,6 +1,7 @@
 //! What may be asked of the agreed state, and what is answered.
 
 use crate::name::{Key, Name, Text};
+use crate::permit::{Budget, Kind, Subject};
 use crate::state::Snapshot;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -41,8 +42,8 @@
         #[serde(default)]
         why: Text,
     },
-    /// Drains, settings and workers become what a backup says. Members stay as they are; those that only the backup knows
-    /// count as lost. Revisions, sessions and incarnations do not go back.
+    /// Drains, settings, budgets and workers become what a backup says. Members, permits and halts stay as they are; members
+    /// that only the backup knows count as lost. Revisions, sessions and incarnations do not go back.
     Restore(Snapshot),
     /// A keeper of this number and disk may be taken in.
     Admit {
@@ -60,6 +61,17 @@
         /// The rest.
         card: Card,
     },
+    /// A member takes new clients from now on, or none.
+    Report {
+        /// Which.
+        member: Name,
+        /// The session.
+        session: u64,
+        /// Counts its reports in this session, from 1: one that comes late changes nothing.
+        number: u64,
+        /// Whether it does.
+        ready: bool,
+    },
     /// A member ends its session of its own accord.
     Leave {
         /// Which.
@@ -94,6 +106,31 @@
     Forget(Name),
     /// A member that is not there is known no more, nor are its former lives.
     Dismiss(Name),
+    /// So many of a kind may be out at once.
+    Budget(Kind, Budget),
+    /// No budget any more: nothing of the kind may go out.
+    Unbudget(Kind),
+    /// Nothing more of the kind goes out until it is resumed. What is out already may come back.
+    Halt(Kind),
+    /// The end of a halt.
+    Resume(Kind),
+    /// One wants to go out. It is granted as soon as it fits; asked for again, it is the same permit.
+    Ask {
+        /// Which.
+        subject: Subject,
+        /// Goes before those that are not.
+        #[serde(default)]
+        urgent: bool,
+        /// The version that a dispatcher must have to count as back; empty: any.
+        #[serde(default)]
+        want: Text,
+    },
+    /// One that waits does not want to go any more. A granted permit is not taken back: its subject may be going already.
+    Withdraw(Subject),
+    /// A worker is back: the permit granted at that revision ends, and the drain mark with it.
+    Back(Subject, u64),
+    /// An operator answers for it that a subject counts as back.
+    Force(Subject),
 }
 
 impl Op {
@@ -104,6 +141,12 @@
             Self::Set(name, _) | Self::Unset(name) => Key::Setting(name.clone()),
             Self::Know(name, _) | Self::Forget(name) => Key::Worker(name.clone()),
             Self::Dismiss(name) => Key::Member(name.clone()),
+            Self::Budget(kind, _) | Self::Unbudget(kind) => Key::Budget(*kind),
+            Self::Halt(kind) | Self::Resume(kind) => Key::Halt(*kind),
+            Self::Ask { subject, .. }
+            | Self::Withdraw(subject)
+            | Self::Back(subject, _)
+            | Self::Force(subject) => Key::Permit(subject.clone()),
         }
     }
 }
@@ -153,6 +196,9 @@
     /// Its zone.
     #[serde(default)]
     pub zone: Text,
+    /// Whether it takes new clients; see [`Act::Report`].
+    #[serde(default)]
+    pub ready: bool,
 }
 
 /// What a member is.
--- a/fleet/src/follow.rs
+++ b/fleet/src/follow.rs
@@ -8,6 +8,7 @@
 
 use crate::command::{Act, Answer, Command, Expect, Op, Refusal, RequestId};
 use crate::name::{Key, Name, Text};
+use crate::permit::{Kind, Subject};
 use crate::state::{Change, Entry, Snapshot, Value};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -226,6 +227,16 @@
         self.local.iter()
     }
 
+    /// The revision at which this life of a dispatcher was permitted to end, if it was.
+    pub fn permitted(&self, dispatcher: &Name, life: RequestId) -> Option<u64> {
+        let subject = Subject { kind: Kind::Dispatcher, name: dispatcher.clone() };
+        match &self.copy.entries.get(&Key::Permit(subject))?.value {
+            // One for a life before this one is none for this one, however old the copy is.
+            Value::Permit(permit) if permit.life == Some(life) => permit.granted,
+            _ => None,
+        }
+    }
+
     /// A setting's agreed value.
     pub fn setting(&self, name: &str) -> Option<f64> {
         match self.copy.entries.get(&Key::Setting(name.parse().ok()?))?.value {
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! * [`command`]: what may be asked for, and what is answered.
 //! * [`state`]: the state, its revisions and its bounded log of changes.
+//! * [`permit`]: who may be out at once: budgets, permits and their queue.
 //! * [`session`]: which members are there, as the leader of the keepers reckons it from their beats.
 //! * [`follow`]: a dispatcher's copy, its age, and the drains asked for while it was cut off.
 
@@ -15,10 +16,12 @@
 pub mod command;
 pub mod follow;
 pub mod name;
+pub mod permit;
 pub mod session;
 pub mod setting;
 pub mod state;
 
 pub use command::{Act, Answer, Command, Done, Expect, Op, Refusal, RequestId};
 pub use name::{Key, Name, Text};
+pub use permit::{Budget, Kind, Limit, Permit, Subject};
 pub use state::{Change, Snapshot, State};
--- a/fleet/src/name.rs
+++ b/fleet/src/name.rs
@@ -1,5 +1,6 @@
 //! Names and keys: short, printable, checked where they are made, so that no later code has to.
 
+use crate::permit::{Kind, Subject};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -24,7 +25,10 @@
     #[error("a control character in it")]
     Control,
     /// It names no part of the state.
-    #[error("{0:?} is none of drain/WORKER, worker/WORKER, setting/NAME, member/NAME")]
+    #[error(
+        "{0:?} is none of drain/WORKER, worker/WORKER, setting/NAME, member/NAME, budget/KIND, halt/KIND, permit/KIND/NAME \
+         (KIND: dispatcher, worker)"
+    )]
     Kind(String),
 }
 
@@ -91,7 +95,8 @@
 }
 text_like!(Name, Text);
 
-/// A place in the state. As text: `drain/WORKER`, `worker/WORKER`, `setting/NAME`, `member/NAME`.
+/// A place in the state. As text: `drain/WORKER`, `worker/WORKER`, `setting/NAME`, `member/NAME`, `budget/KIND`, `halt/KIND`,
+/// `permit/KIND/NAME`. Permits come last in their order: see [`State`](crate::State).
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema)]
 #[serde(try_from = "String", into = "String")]
 #[schemars(with = "String")]
@@ -104,18 +109,26 @@
     Setting(Name),
     /// A dispatcher or a keeper.
     Member(Name),
+    /// How many of a kind may be out at once.
+    Budget(Kind),
+    /// Whether nothing more of a kind may go out.
+    Halt(Kind),
+    /// Whether one may go out.
+    Permit(Subject),
 }
 
 impl TryFrom<String> for Key {
     type Error = BadName;
     fn try_from(text: String) -> Result<Self, BadName> {
         let (kind, name) = text.split_once('/').ok_or_else(|| BadName::Kind(text.clone()))?;
-        let name = || name.parse();
         match kind {
-            "drain" => Ok(Self::Drain(name()?)),
-            "worker" => Ok(Self::Worker(name()?)),
-            "setting" => Ok(Self::Setting(name()?)),
-            "member" => Ok(Self::Member(name()?)),
+            "drain" => Ok(Self::Drain(name.parse()?)),
+            "worker" => Ok(Self::Worker(name.parse()?)),
+            "setting" => Ok(Self::Setting(name.parse()?)),
+            "member" => Ok(Self::Member(name.parse()?)),
+            "budget" => Ok(Self::Budget(name.parse()?)),
+            "halt" => Ok(Self::Halt(name.parse()?)),
+            "permit" => Ok(Self::Permit(name.parse()?)),
             _ => Err(BadName::Kind(text.clone())),
         }
     }
@@ -136,11 +149,14 @@
 
 impl fmt::Display for Key {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (kind, name) = match self {
+        let (kind, name): (_, &dyn fmt::Display) = match self {
             Self::Drain(name) => ("drain", name),
             Self::Worker(name) => ("worker", name),
             Self::Setting(name) => ("setting", name),
             Self::Member(name) => ("member", name),
+            Self::Budget(kind) => ("budget", kind),
+            Self::Halt(kind) => ("halt", kind),
+            Self::Permit(subject) => ("permit", subject),
         };
         write!(f, "{kind}/{name}")
     }
--- /dev/null
+++ b/fleet/src/permit.rs
@@ -0,0 +1,322 @@
+//! Who may be out at once. A *permit* lets one dispatcher or one worker go; a *budget* says how many of a kind may be out.
+//!
+//! Nobody grants: whoever wants something out asks, and the state itself grants whatever fits, in the order of the queue,
+//! with each command that it takes in. So no driver, however late, paused or doubled, can go over a budget. What is out
+//! without having been asked (lost, not ready, drained by hand) uses the budget up like what was.
+
+use crate::command::RequestId;
+use crate::name::{BadName, Name, Text};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::str::FromStr;
+
+/// What is taken out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A dispatcher: it ends itself once it has its permit, and is back in a new life.
+    Dispatcher,
+    /// A worker: it has a drain mark for as long as its permit lasts.
+    Worker,
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Dispatcher => "dispatcher",
+            Self::Worker => "worker",
+        })
+    }
+}
+
+impl FromStr for Kind {
+    type Err = BadName;
+    fn from_str(text: &str) -> Result<Self, BadName> {
+        match text {
+            "dispatcher" => Ok(Self::Dispatcher),
+            "worker" => Ok(Self::Worker),
+            _ => Err(BadName::Kind(text.to_owned())),
+        }
+    }
+}
+
+/// One dispatcher or worker. As text: `dispatcher/NAME`, `worker/NAME`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema)]
+#[serde(try_from = "String", into = "String")]
+#[schemars(with = "String")]
+pub struct Subject {
+    /// What it is.
+    pub kind: Kind,
+    /// Its name.
+    pub name: Name,
+}
+
+impl TryFrom<String> for Subject {
+    type Error = BadName;
+    fn try_from(text: String) -> Result<Self, BadName> {
+        text.parse()
+    }
+}
+
+impl From<Subject> for String {
+    fn from(subject: Subject) -> Self {
+        subject.to_string()
+    }
+}
+
+impl FromStr for Subject {
+    type Err = BadName;
+    fn from_str(text: &str) -> Result<Self, BadName> {
+        let (kind, name) = text.split_once('/').ok_or_else(|| BadName::Kind(text.to_owned()))?;
+        Ok(Self { kind: kind.parse()?, name: name.parse()? })
+    }
+}
+
+impl fmt::Display for Subject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind, self.name)
+    }
+}
+
+/// So many, or such a part of all.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Limit {
+    /// So many.
+    Count(u32),
+    /// Such a part, 0 to 1, of those that there are, rounded down.
+    Share(f64),
+}
+
+impl Limit {
+    /// How many of `all` that is.
+    pub fn of(self, all: usize) -> usize {
+        match self {
+            Self::Count(count) => count as usize,
+            // A hair more, so that a tenth of thirty is three.
+            Self::Share(share) => (all as f64 * share.clamp(0.0, 1.0) + 1e-9) as usize,
+        }
+    }
+
+    /// Whether it makes sense.
+    pub fn is_sound(self) -> bool {
+        !matches!(self, Self::Share(share) if !(0.0..=1.0).contains(&share))
+    }
+}
+
+impl FromStr for Limit {
+    type Err = String;
+    /// `3` or `10%`.
+    fn from_str(text: &str) -> Result<Self, String> {
+        let limit = match text.strip_suffix('%') {
+            Some(part) => part.parse().map(|p: f64| Self::Share(p / 100.0)).map_err(|e| e.to_string()),
+            None => text.parse().map(Self::Count).map_err(|e| e.to_string()),
+        };
+        let limit = limit.map_err(|e| format!("{text:?} is neither a count nor a percentage: {e}"))?;
+        if limit.is_sound() { Ok(limit) } else { Err(format!("{text:?} is not within 0% and 100%")) }
+    }
+}
+
+impl fmt::Display for Limit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Count(count) => write!(f, "{count}"),
+            Self::Share(share) => write!(f, "{}%", share * 100.0),
+        }
+    }
+}
+
+/// How many of one kind may be out at once.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Budget {
+    /// In the fleet.
+    pub most: Limit,
+    /// In each zone; `None`: as many as in the fleet.
+    #[serde(default)]
+    pub most_in_zone: Option<Limit>,
+    /// So many stay in each zone.
+    #[serde(default)]
+    pub least_in_zone: u32,
+}
+
+/// A permit, waiting or granted.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct Permit {
+    /// Who asked.
+    pub by: Name,
+    /// When, by that one's clock, in Unix time in milliseconds.
+    pub at_ms: u64,
+    /// Why.
+    pub why: Text,
+    /// Goes before those that are not urgent; not over the budget.
+    pub urgent: bool,
+    /// The version that a dispatcher must have to count as back; empty: any.
+    pub want: Text,
+    /// The revision at which it was asked for: its place among its equals.
+    pub asked: u64,
+    /// The revision at which it was granted. Nothing but the subject's return, or an operator's force, ends it then.
+    pub granted: Option<u64>,
+    /// The life of the dispatcher that is to end.
+    pub life: Option<RequestId>,
+}
+
+/// How one of a kind stands.
+#[derive(Clone, Copy, Debug)]
+pub struct Standing<'a> {
+    /// Its zone.
+    pub zone: &'a str,
+    /// Whether it is out: by a permit, or without one.
+    pub out: bool,
+    /// Its permit.
+    pub permit: Option<&'a Permit>,
+}
+
+/// All of one kind, and what holds for them.
+#[derive(Clone, Debug, Default)]
+pub struct Roll<'a> {
+    /// How each stands.
+    pub all: BTreeMap<&'a Name, Standing<'a>>,
+    /// The budget; without one nothing is granted.
+    pub budget: Option<Budget>,
+    /// Nothing is granted until an operator resumes.
+    pub halted: bool,
+}
+
+/// Why a permit has to wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Waits {
+    /// There is no budget.
+    NoBudget,
+    /// An operator, or a release, has halted.
+    Halted,
+    /// So many others are out, and no more may be.
+    Fleet(usize),
+    /// So many others are out in its zone, and no more may be.
+    Zone(usize),
+}
+
+impl fmt::Display for Waits {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoBudget => f.write_str("there is no budget for its kind"),
+            Self::Halted => f.write_str("halted"),
+            Self::Fleet(out) => write!(f, "{out} others are out, no more may be"),
+            Self::Zone(out) => write!(f, "{out} others are out in its zone, no more may be"),
+        }
+    }
+}
+
+/// How many there are and how many of them are out, in the fleet and in each zone.
+#[derive(Debug, Default)]
+struct Counts<'a> {
+    all: usize,
+    out: usize,
+    zones: BTreeMap<&'a str, (usize, usize)>,
+}
+
+impl<'a> Counts<'a> {
+    fn zone(&self, standing: Option<&Standing<'a>>) -> (usize, usize) {
+        self.zones.get(standing.map_or("", |s| s.zone)).copied().unwrap_or_default()
+    }
+
+    fn goes_out(&mut self, standing: &Standing<'a>) {
+        self.out += 1;
+        self.zones.entry(standing.zone).or_default().1 += 1;
+    }
+}
+
+impl<'a> Roll<'a> {
+    /// How many are out.
+    pub fn out(&self) -> usize {
+        self.all.values().filter(|s| s.out).count()
+    }
+
+    fn counts(&self) -> Counts<'a> {
+        let mut counts = Counts { all: self.all.len(), ..Counts::default() };
+        for standing in self.all.values() {
+            counts.zones.entry(standing.zone).or_default().0 += 1;
+            if standing.out {
+                counts.goes_out(standing);
+            }
+        }
+        counts
+    }
+
+    /// How many may be out in a zone of so many.
+    fn most_in_zone(budget: Budget, all: usize) -> usize {
+        let most = budget.most_in_zone.map_or(usize::MAX, |limit| limit.of(all));
+        most.min(all.saturating_sub(budget.least_in_zone as usize))
+    }
+
+    /// Whether one of them may go now. One that is out already has its own place in the budget, and no more: it may be
+    /// merely cut off, and go later.
+    pub fn fits(&self, name: &Name) -> Result<(), Waits> {
+        self.fits_beside(&self.counts(), name)
+    }
+
+    fn fits_beside(&self, counts: &Counts<'a>, name: &Name) -> Result<(), Waits> {
+        let budget = self.budget.ok_or(Waits::NoBudget)?;
+        if self.halted {
+            return Err(Waits::Halted);
+        }
+        let standing = self.all.get(name);
+        #[cfg(feature = "faults")]
+        if std::env::var_os("PEBBLEPOST_FAULT_BUDGET").is_some() {
+            return Ok(());
+        }
+        let itself = usize::from(standing.is_some_and(|s| s.out));
+        let others = counts.out - itself;
+        if others + 1 > budget.most.of(counts.all) {
+            return Err(Waits::Fleet(others));
+        }
+        let (all, out) = counts.zone(standing);
+        let others = out - itself;
+        if others + 1 > Self::most_in_zone(budget, all) { Err(Waits::Zone(others)) } else { Ok(()) }
+    }
+
+    /// Why one of them could never go, even if nothing else were out; `None`: it could.
+    pub fn never(&self, name: &Name) -> Option<String> {
+        let budget = self.budget?;
+        let counts = self.counts();
+        if budget.most.of(counts.all) == 0 {
+            return Some(format!("the budget of {} lets none of {} out", budget.most, counts.all));
+        }
+        let standing = self.all.get(name);
+        let (all, _) = counts.zone(standing);
+        let zone = standing.map_or("", |s| s.zone);
+        (Self::most_in_zone(budget, all) == 0)
+            .then(|| format!("the budget lets none of the {all} in zone {zone:?} out"))
+    }
+
+    /// Those that wait, in their order: urgent ones first, then by when they were asked for.
+    pub fn queue(&self) -> Vec<&'a Name> {
+        let mut queue: Vec<(bool, u64, &Name)> = self
+            .all
+            .iter()
+            .filter_map(|(name, s)| Some((*name, s.permit?)))
+            .filter(|(_, permit)| permit.granted.is_none())
+            .map(|(name, permit)| (!permit.urgent, permit.asked, name))
+            .collect();
+        queue.sort();
+        queue.into_iter().map(|(_, _, name)| name).collect()
+    }
+
+    /// Those of the queue that may go now. One whose zone is full lets others pass; it is the first again as soon as
+    /// anything changes.
+    pub fn grants(&self) -> Vec<Name> {
+        let mut counts = self.counts();
+        let mut grants = Vec::new();
+        for name in self.queue() {
+            if self.fits_beside(&counts, name).is_ok() {
+                if let Some(standing) = self.all.get(name).filter(|s| !s.out) {
+                    counts.goes_out(standing);
+                }
+                grants.push(name.clone());
+            }
+        }
+        grants
+    }
+}
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -4,8 +4,9 @@
 //! last. The last changes stay in a bounded log, so that a follower goes on where it was; one that is further behind
 //! takes a [`Snapshot`].
 
-use crate::command::{Act, Answer, Card, Command, Done, Expect, Op, Refusal, RequestId, Worker};
+use crate::command::{Act, Answer, Card, Command, Done, Expect, Op, Refusal, RequestId, Role, Worker};
 use crate::name::{Key, Name, Text};
+use crate::permit::{Budget, Kind, Limit, Permit, Roll, Standing, Subject};
 use crate::setting;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -17,6 +18,8 @@
 pub const MAX_DRAINS: usize = 20_000;
 /// See [`MAX_WORKERS`].
 pub const MAX_MEMBERS: usize = 5_000;
+/// See [`MAX_WORKERS`].
+pub const MAX_PERMITS: usize = 5_000;
 /// Most numbers of keepers, those that were left out among them.
 pub const MAX_KEEPERS: usize = 1_024;
 /// Most changes in one command.
@@ -50,6 +53,19 @@
     Setting(f64),
     /// A member.
     Member(Member),
+    /// How many may be out at once.
+    Budget(Budget),
+    /// Nothing more goes out: who said so, when by that one's clock, and why.
+    Halt {
+        /// Who.
+        by: Name,
+        /// Unix time in milliseconds.
+        at_ms: u64,
+        /// Why.
+        why: Text,
+    },
+    /// A permit.
+    Permit(Permit),
 }
 
 /// A member of the fleet.
@@ -63,10 +79,25 @@
     pub session: u64,
     /// Whether that goes on.
     pub presence: Presence,
+    /// Its last report in this session.
+    #[serde(default)]
+    pub reports: u64,
     /// The present life, and those before it, the last first.
     lives: VecDeque<RequestId>,
 }
 
+impl Member {
+    /// The present life.
+    pub fn life(&self) -> Option<RequestId> {
+        self.lives.front().copied()
+    }
+
+    /// Whether it cannot be counted on: not there, of unknown state, or not ready.
+    fn is_out(&self) -> bool {
+        self.presence != Presence::Here || !self.card.ready
+    }
+}
+
 /// Whether a member is there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
@@ -112,6 +143,46 @@
     pub entries: BTreeMap<Key, Entry>,
 }
 
+impl Snapshot {
+    /// All of one kind, and how they stand.
+    pub fn roll(&self, kind: Kind) -> Roll<'_> {
+        roll(&self.entries, kind)
+    }
+}
+
+/// All of one kind, and how they stand.
+fn roll(entries: &BTreeMap<Key, Entry>, kind: Kind) -> Roll<'_> {
+    let mut roll = Roll {
+        halted: entries.contains_key(&Key::Halt(kind)),
+        budget: match entries.get(&Key::Budget(kind)).map(|e| &e.value) {
+            Some(Value::Budget(budget)) => Some(*budget),
+            _ => None,
+        },
+        ..Roll::default()
+    };
+    let stands = |zone, out| Standing { zone, out, permit: None };
+    for (key, entry) in entries {
+        match (kind, key, &entry.value) {
+            (Kind::Dispatcher, Key::Member(name), Value::Member(m)) if m.card.role == Role::Dispatcher => {
+                roll.all.insert(name, stands(m.card.zone.as_str(), m.is_out()));
+            }
+            (Kind::Worker, Key::Drain(name), _) => {
+                roll.all.insert(name, stands("", true));
+            }
+            (Kind::Worker, Key::Worker(name), Value::Worker(worker)) => {
+                roll.all.entry(name).or_insert(stands("", false)).zone = worker.zone.as_str();
+            }
+            (_, Key::Permit(subject), Value::Permit(permit)) if subject.kind == kind => {
+                let standing = roll.all.entry(&subject.name).or_insert(stands("", false));
+                standing.out |= permit.granted.is_some();
+                standing.permit = Some(permit);
+            }
+            _ => {}
+        }
+    }
+    roll
+}
+
 /// The agreed state.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
@@ -155,6 +226,16 @@
                 let done = self.commit(command, items, Text::default());
                 Ok(Done { session: Some(done.revision), ..done })
             }
+            Act::Report { member, session, number, ready } => {
+                let now = self.in_session(member, *session)?;
+                let mut items = Vec::new();
+                if *number > now.reports {
+                    let card = Card { ready: *ready, ..now.card.clone() };
+                    let value = Value::Member(Member { card, reports: *number, ..now.clone() });
+                    items.push((Key::Member(member.clone()), Some(value)));
+                }
+                Ok(self.commit(command, items, Text::default()))
+            }
             Act::Leave { member, session } => {
                 let items = self.end(member, *session, Presence::Left)?;
                 Ok(self.commit(command, items, Text::default()))
@@ -205,7 +286,12 @@
             let fits = match (key, &entry.value) {
                 (Key::Drain(_), Value::Drain { .. })
                 | (Key::Worker(_), Value::Worker(_))
-                | (Key::Member(_), Value::Member(_)) => true,
+                | (Key::Member(_), Value::Member(_))
+                | (Key::Halt(_), Value::Halt { .. })
+                | (Key::Permit(_), Value::Permit(_)) => true,
+                (Key::Budget(_), Value::Budget(b)) => {
+                    b.most.is_sound() && b.most_in_zone.is_none_or(Limit::is_sound)
+                }
                 (Key::Setting(name), Value::Setting(v)) => {
                     setting::find(name.as_str()).is_some_and(|s| s.takes(*v))
                 }
@@ -223,10 +309,19 @@
         fits(|k| matches!(k, Key::Drain(_)), "drain marks", MAX_DRAINS)?;
         fits(|k| matches!(k, Key::Member(_)), "members", MAX_MEMBERS / 2)?;
         let revision = self.revision.max(backup.revision).saturating_add(RESTORE_JUMP);
-        self.entries.retain(|key, _| matches!(key, Key::Member(_)));
+        // Who is out, and that nothing more may go, are facts of now.
+        let out = |(s, p): (&Subject, &Permit)| {
+            (s.kind == Kind::Worker && p.granted.is_some()).then(|| s.name.clone())
+        };
+        let out: BTreeSet<Name> = self.permits().filter_map(out).collect();
+        self.entries.retain(|key, _| match key {
+            Key::Drain(worker) => out.contains(worker),
+            _ => matches!(key, Key::Member(_) | Key::Permit(_) | Key::Halt(_)),
+        });
         for (key, entry) in &backup.entries {
             let value = match &entry.value {
-                Value::Member(_) if self.entries.contains_key(key) => continue,
+                Value::Permit(_) => continue,
+                Value::Member(_) | Value::Halt { .. } if self.entries.contains_key(key) => continue,
                 Value::Member(m) => Value::Member(Member { presence: Presence::Lost, ..m.clone() }),
                 other => other.clone(),
             };
@@ -286,15 +381,48 @@
                         "{name} is there; only a member that left or is lost is dismissed"
                     ));
                 }
-                Op::Undrain(_) | Op::Unset(_) | Op::Forget(_) | Op::Dismiss(_) => None,
+                Op::Dismiss(name)
+                    if self.permit(&Subject { kind: Kind::Dispatcher, name: name.clone() }).is_some() =>
+                {
+                    return invalid(&format!("{name} has a permit: withdraw or force that first"));
+                }
+                Op::Undrain(name)
+                    if self
+                        .permit(&Subject { kind: Kind::Worker, name: name.clone() })
+                        .is_some_and(|p| p.granted.is_some()) =>
+                {
+                    return invalid(&format!("{name} is out by a permit: that ends it, by back or force"));
+                }
+                Op::Budget(_, budget) => {
+                    if ![Some(budget.most), budget.most_in_zone].into_iter().flatten().all(Limit::is_sound) {
+                        return invalid("a budget's share is not within 0 and 1");
+                    }
+                    Some(Value::Budget(*budget))
+                }
+                Op::Halt(_) => {
+                    Some(Value::Halt { by: command.by.clone(), at_ms: command.at_ms, why: why.clone() })
+                }
+                Op::Ask { .. } | Op::Withdraw(_) | Op::Back(..) | Op::Force(_) => {
+                    items.extend(self.change_permit(command, op, why)?);
+                    continue;
+                }
+                Op::Undrain(_)
+                | Op::Unset(_)
+                | Op::Forget(_)
+                | Op::Dismiss(_)
+                | Op::Unbudget(_)
+                | Op::Resume(_) => None,
             };
             items.push((op.key(), value));
         }
         self.fits(&items, |key| matches!(key, Key::Worker(_)), "workers", MAX_WORKERS)?;
         self.fits(&items, |key| matches!(key, Key::Drain(_)), "drain marks", MAX_DRAINS)?;
+        self.fits(&items, |key| matches!(key, Key::Permit(_)), "permits", MAX_PERMITS)?;
         // What is already so changes nothing: a mark set twice keeps its first author and time.
         items.retain(|(key, new)| match (self.entries.get(key).map(|e| &e.value), new) {
-            (None, None) | (Some(Value::Drain { .. }), Some(Value::Drain { .. })) => false,
+            (None, None)
+            | (Some(Value::Drain { .. }), Some(Value::Drain { .. }))
+            | (Some(Value::Halt { .. }), Some(Value::Halt { .. })) => false,
             (old, new) => old != new.as_ref(),
         });
         Ok(items)
@@ -325,10 +453,11 @@
                     return Err(Refusal::Full { what: "members".to_owned(), most: MAX_MEMBERS });
                 }
                 let lives = VecDeque::from([life]);
-                Member { card: card.clone(), incarnation: 1, session, presence: Presence::Here, lives }
+                let (card, presence) = (card.clone(), Presence::Here);
+                Member { card, incarnation: 1, session, presence, reports: 0, lives }
             }
             Some(old) => {
-                let mut member = Member { card: card.clone(), session, ..old.clone() };
+                let mut member = Member { card: card.clone(), session, reports: 0, ..old.clone() };
                 member.presence = Presence::Here;
                 if member.lives.front() != Some(&life) {
                     // A process that was replaced and has woken up must not take the name back.
@@ -348,24 +477,140 @@
         Ok(vec![(key, Some(Value::Member(member)))])
     }
 
+    /// The member of that session, if it goes on.
+    fn in_session(&self, name: &Name, session: u64) -> Result<&Member, Refusal> {
+        let member = self.member(name).filter(|m| m.session == session && m.presence == Presence::Here);
+        member.ok_or_else(|| Refusal::Ended { member: name.clone(), session })
+    }
+
     fn end(&self, name: &Name, session: u64, presence: Presence) -> Result<Items, Refusal> {
-        let key = Key::Member(name.clone());
-        match self.member(name) {
-            Some(m) if m.session == session && m.presence == Presence::Here => {
-                Ok(vec![(key, Some(Value::Member(Member { presence, ..m.clone() })))])
+        let member = Member { presence, ..self.in_session(name, session)?.clone() };
+        Ok(vec![(Key::Member(name.clone()), Some(Value::Member(member)))])
+    }
+
+    /// All of one kind, and how they stand.
+    pub fn roll(&self, kind: Kind) -> Roll<'_> {
+        roll(&self.entries, kind)
+    }
+
+    /// A permit.
+    pub fn permit(&self, subject: &Subject) -> Option<&Permit> {
+        match &self.entries.get(&Key::Permit(subject.clone()))?.value {
+            Value::Permit(permit) => Some(permit),
+            _ => None,
+        }
+    }
+
+    /// All permits, and whose they are.
+    pub fn permits(&self) -> impl Iterator<Item = (&Subject, &Permit)> {
+        // They are the last keys in their order.
+        self.entries.iter().rev().map_while(|(key, entry)| match (key, &entry.value) {
+            (Key::Permit(subject), Value::Permit(permit)) => Some((subject, permit)),
+            _ => None,
+        })
+    }
+
+    /// Ends the permits of dispatchers that are back, and grants what waits and fits now. Whatever a command changed, this
+    /// is the only place that grants.
+    fn settle_permits(&mut self, revision: u64) -> Items {
+        let mut items = Items::new();
+        let back = |subject: &Subject, permit: &Permit| {
+            subject.kind == Kind::Dispatcher
+                && permit.granted.is_some()
+                && self.member(&subject.name).is_some_and(|m| {
+                    let anew = m.life() != permit.life;
+                    let wanted = permit.want.as_str().is_empty() || permit.want == m.card.version;
+                    anew && wanted && !m.is_out()
+                })
+        };
+        for subject in self.permits().filter(|(s, p)| back(s, p)).map(|(s, _)| s.clone()).collect::<Vec<_>>()
+        {
+            items.push((Key::Permit(subject), None));
+        }
+        self.put(revision, &items);
+        for kind in [Kind::Dispatcher, Kind::Worker] {
+            if !self.permits().any(|(s, p)| s.kind == kind && p.granted.is_none()) {
+                continue;
+            }
+            let mut granted = Items::new();
+            for name in self.roll(kind).grants() {
+                let life = self.member(&name).filter(|_| kind == Kind::Dispatcher).and_then(Member::life);
+                let subject = Subject { kind, name };
+                let Some(permit) = self.permit(&subject) else { continue };
+                let drain = Key::Drain(subject.name.clone());
+                if kind == Kind::Worker && !self.entries.contains_key(&drain) {
+                    let (by, at_ms, why) = (permit.by.clone(), permit.at_ms, permit.why.clone());
+                    granted.push((drain, Some(Value::Drain { by, at_ms, why })));
+                }
+                let permit = Permit { granted: Some(revision), life, ..permit.clone() };
+                granted.push((Key::Permit(subject), Some(Value::Permit(permit))));
             }
-            _ => Err(Refusal::Ended { member: name.clone(), session }),
+            self.put(revision, &granted);
+            items.extend(granted);
         }
+        items
     }
 
-    /// Makes the next revision of what is changed; of nothing none.
-    fn commit(&mut self, command: &Command, items: Items, why: Text) -> Done {
-        if items.is_empty() {
-            return Done { revision: self.revision, session: None };
+    /// What an operation on a permit makes of it, and of the drain mark that goes with it.
+    fn change_permit(&self, command: &Command, op: &Op, why: &Text) -> Result<Items, Refusal> {
+        let invalid = |what: String| Err(Refusal::Invalid { what });
+        let Key::Permit(subject) = op.key() else { return Ok(Items::new()) };
+        let permit = self.permit(&subject);
+        let ended = |subject: Subject| {
+            let drain = (subject.kind == Kind::Worker).then(|| (Key::Drain(subject.name.clone()), None));
+            std::iter::once((Key::Permit(subject), None)).chain(drain).collect()
+        };
+        match (op, permit) {
+            // Asked for again: it is the same one.
+            (Op::Ask { .. }, Some(_)) => Ok(Items::new()),
+            (Op::Ask { urgent, want, .. }, None) => {
+                let roll = self.roll(subject.kind);
+                if subject.kind == Kind::Dispatcher && !roll.all.contains_key(&subject.name) {
+                    return invalid(format!("no dispatcher {} has ever joined", subject.name));
+                }
+                if subject.kind == Kind::Worker && !want.as_str().is_empty() {
+                    return invalid(
+                        "a worker is back when whoever asked says so, whatever its version".to_owned(),
+                    );
+                }
+                if let Some(never) = roll.never(&subject.name) {
+                    return invalid(format!("{subject} could never go: {never}"));
+                }
+                let permit = Permit {
+                    by: command.by.clone(),
+                    at_ms: command.at_ms,
+                    why: why.clone(),
+                    urgent: *urgent,
+                    want: want.clone(),
+                    asked: self.revision + 1,
+                    granted: None,
+                    life: None,
+                };
+                Ok(vec![(Key::Permit(subject), Some(Value::Permit(permit)))])
+            }
+            (Op::Withdraw(_), Some(permit)) if permit.granted.is_some() => invalid(format!(
+                "{subject} may be going already: its permit ends when it is back, or by force"
+            )),
+            (Op::Back(_, at), Some(permit)) if permit.granted != Some(*at) => invalid(format!(
+                "{subject} has another permit by now, granted at revision {}",
+                permit.granted.unwrap_or(0)
+            )),
+            (Op::Back(..), Some(_)) if subject.kind == Kind::Dispatcher => {
+                invalid(format!("{subject} is back when it is seen in a new life, ready"))
+            }
+            (Op::Force(_), Some(_)) if why.as_str().is_empty() => {
+                invalid("a force needs a reason, for the history".to_owned())
+            }
+            (Op::Withdraw(_), Some(_)) => Ok(vec![(Key::Permit(subject), None)]),
+            (Op::Back(..) | Op::Force(_), Some(_)) => Ok(ended(subject)),
+            (_, None) => Ok(Items::new()),
+            (_, Some(_)) => invalid(format!("{subject} has a permit")),
         }
-        self.revision += 1;
-        let revision = self.revision;
-        for (key, value) in &items {
+    }
+
+    /// Puts values at their keys.
+    fn put(&mut self, revision: u64, items: &Items) {
+        for (key, value) in items {
             match value {
                 Some(value) => {
                     self.entries.insert(key.clone(), Entry { value: value.clone(), revision });
@@ -375,6 +620,17 @@
                 }
             }
         }
+    }
+
+    /// Makes the next revision of what is changed; of nothing none.
+    fn commit(&mut self, command: &Command, mut items: Items, why: Text) -> Done {
+        if items.is_empty() {
+            return Done { revision: self.revision, session: None };
+        }
+        self.revision += 1;
+        let revision = self.revision;
+        self.put(revision, &items);
+        items.extend(self.settle_permits(revision));
         self.logged += items.len();
         let (by, at_ms) = (command.by.clone(), command.at_ms);
         self.log.push_back(Change { revision, by, at_ms, why, items });
--- a/fleet/tests/model.rs
+++ b/fleet/tests/model.rs
@@ -158,6 +158,7 @@
                     version: Text::default(),
                     address: None,
                     zone: Text::default(),
+                    ready: true,
                 };
                 let (sent, life) = (world.now, RequestId(0, world.lives[i].number));
                 let answer = world.command(Act::Join { member: name("m"), life, card });
@@ -514,7 +515,7 @@
             Turn::Restart => {
                 let mut state = read(&kept.snapshot.1);
                 for number in &kept.log[kept.snapshot.0..kept.applied] {
-                    state.apply(&asked(*number));
+                    let _ = state.apply(&asked(*number));
                 }
                 kept.differs |= written(&state) != kept.state;
                 kept.state = written(&state);
--- /dev/null
+++ b/fleet/tests/permits.rs
@@ -0,0 +1,459 @@
+//! Budgets and permits: who may be out at once, and what every order of commands makes of it.
+
+use pebblepost_fleet::command::{Act, Card, Command, RequestId, Role, Worker};
+use pebblepost_fleet::permit::Waits;
+use pebblepost_fleet::state::State;
+use pebblepost_fleet::{Answer, Budget, Key, Kind, Limit, Name, Op, Refusal, Subject, Text};
+use stateright::{Checker, Model, Property};
+use std::hash::{Hash, Hasher};
+
+fn name(text: &str) -> Name {
+    text.parse().expect("a sound name")
+}
+
+fn subject(text: &str) -> Subject {
+    text.parse().expect("a sound subject")
+}
+
+/// A fleet, and the number of the next request.
+#[derive(Clone, Debug, Default)]
+struct Fleet {
+    state: State,
+    next: u64,
+}
+
+impl Fleet {
+    /// Dispatchers by name and zone, ready in their first life.
+    fn of(dispatchers: &[(&str, &str)]) -> Self {
+        let mut fleet = Self::default();
+        for (n, (member, zone)) in dispatchers.iter().enumerate() {
+            fleet.joins(member, zone, n as u64 * 100, "", true);
+        }
+        fleet
+    }
+
+    fn act(&mut self, act: Act) -> Answer {
+        self.next += 1;
+        let (id, by) = (RequestId(1, self.next), name("o"));
+        self.state.apply(&Command { id, by, at_ms: 0, act })
+    }
+
+    fn op(&mut self, op: Op) -> Answer {
+        let why = "a test".parse().expect("a sound text");
+        self.act(Act::Change { ops: vec![op], expect: Vec::new(), why })
+    }
+
+    fn joins(&mut self, member: &str, zone: &str, life: u64, version: &str, ready: bool) -> u64 {
+        let text = |t: &str| t.parse::<Text>().expect("a sound text");
+        let card =
+            Card { role: Role::Dispatcher, version: text(version), address: None, zone: text(zone), ready };
+        let act = Act::Join { member: name(member), life: RequestId(7, life), card };
+        self.act(act).expect("it may join").session.expect("a session")
+    }
+
+    fn budget(&mut self, kind: Kind, most: Limit, most_in_zone: Option<Limit>, least_in_zone: u32) {
+        let budget = Budget { most, most_in_zone, least_in_zone };
+        self.op(Op::Budget(kind, budget)).expect("a sound budget");
+    }
+
+    fn ask(&mut self, who: &str, urgent: bool, want: &str) -> Answer {
+        let want = want.parse().expect("a sound text");
+        self.op(Op::Ask { subject: subject(who), urgent, want })
+    }
+
+    /// Those with a granted permit.
+    fn granted(&self) -> Vec<String> {
+        let mut granted: Vec<String> =
+            self.state.permits().filter(|(_, p)| p.granted.is_some()).map(|(s, _)| s.to_string()).collect();
+        granted.sort();
+        granted
+    }
+
+    fn waits(&self, kind: Kind, who: &str) -> Option<Waits> {
+        self.state.roll(kind).fits(&name(who)).err()
+    }
+}
+
+const FOUR: [(&str, &str); 4] = [("a", "x"), ("b", "x"), ("c", "y"), ("d", "y")];
+
+#[test]
+fn what_is_asked_is_granted_in_turn_and_ends_only_with_a_new_life_that_is_ready_and_as_wanted() {
+    let mut fleet = Fleet::of(&FOUR);
+    // Without a budget nothing goes.
+    fleet.ask("dispatcher/a", false, "2").expect("it waits");
+    assert_eq!(fleet.waits(Kind::Dispatcher, "a"), Some(Waits::NoBudget));
+    assert!(fleet.granted().is_empty());
+    fleet.budget(Kind::Dispatcher, Limit::Count(1), None, 0);
+    assert_eq!(fleet.granted(), ["dispatcher/a"]);
+    fleet.ask("dispatcher/b", false, "2").expect("it waits");
+    fleet.ask("dispatcher/c", true, "2").expect("it waits, before b");
+    assert_eq!(fleet.waits(Kind::Dispatcher, "b"), Some(Waits::Fleet(1)));
+    // Asked again by a second driver: the same permit.
+    let before = fleet.state.permit(&subject("dispatcher/a")).cloned();
+    fleet.ask("dispatcher/a", true, "").expect("it has one");
+    assert_eq!(fleet.state.permit(&subject("dispatcher/a")).cloned(), before);
+    // The same life again, a new one that is not ready, one of the wrong version: still out.
+    fleet.joins("a", "x", 0, "2", true);
+    assert_eq!(fleet.granted(), ["dispatcher/a"]);
+    fleet.joins("a", "x", 1, "1", true);
+    assert_eq!(fleet.granted(), ["dispatcher/a"]);
+    let session = fleet.joins("a", "x", 2, "2", false);
+    assert_eq!(fleet.granted(), ["dispatcher/a"]);
+    let report = |number, ready| Act::Report { member: name("a"), session, number, ready };
+    fleet.act(report(2, true)).expect("its session goes on");
+    assert_eq!(fleet.granted(), ["dispatcher/c"], "a is back, and the urgent one goes");
+    // A report that comes late changes nothing.
+    fleet.act(report(1, false)).expect("its session goes on");
+    assert!(fleet.state.member(&name("a")).expect("it joined").card.ready);
+    // One whose grant is out cannot be taken back by a driver, only by an operator with a reason.
+    assert!(matches!(fleet.op(Op::Withdraw(subject("dispatcher/c"))), Err(Refusal::Invalid { .. })));
+    let silent = Act::Change {
+        ops: vec![Op::Force(subject("dispatcher/c"))],
+        expect: Vec::new(),
+        why: Text::default(),
+    };
+    assert!(matches!(fleet.act(silent), Err(Refusal::Invalid { .. })));
+    assert!(fleet.op(Op::Dismiss(name("c"))).is_err());
+    fleet.op(Op::Force(subject("dispatcher/c"))).expect("with a reason");
+    assert_eq!(fleet.granted(), ["dispatcher/b"]);
+}
+
+#[test]
+fn whoever_is_lost_or_not_ready_uses_the_budget_up_and_may_go_itself() {
+    let mut fleet = Fleet::of(&FOUR);
+    fleet.budget(Kind::Dispatcher, Limit::Share(0.5), Some(Limit::Count(1)), 0);
+    let session = fleet.state.member(&name("a")).expect("it joined").session;
+    fleet.act(Act::Expire { member: name("a"), session }).expect("its session goes on");
+    fleet.ask("dispatcher/b", false, "").expect("it waits");
+    assert_eq!(fleet.waits(Kind::Dispatcher, "b"), Some(Waits::Zone(1)), "a is out in its zone");
+    // Of another zone: it passes b.
+    fleet.ask("dispatcher/c", false, "").expect("it goes");
+    assert_eq!(fleet.granted(), ["dispatcher/c"]);
+    fleet.ask("dispatcher/d", false, "").expect("it waits");
+    assert_eq!(fleet.waits(Kind::Dispatcher, "d"), Some(Waits::Fleet(2)));
+    // The lost one is out already: its own place is all that it takes.
+    fleet.ask("dispatcher/a", false, "").expect("it goes");
+    assert_eq!(fleet.granted(), ["dispatcher/a", "dispatcher/c"]);
+    fleet.joins("a", "x", 1, "", true);
+    assert_eq!(fleet.granted(), ["dispatcher/b", "dispatcher/c"]);
+    // Lowered below what is out: nothing more goes, and nobody is called back.
+    fleet.budget(Kind::Dispatcher, Limit::Count(1), None, 0);
+    fleet.joins("b", "x", 101, "", true);
+    assert_eq!(fleet.granted(), ["dispatcher/c"]);
+    fleet.joins("c", "y", 201, "", true);
+    assert_eq!(fleet.granted(), ["dispatcher/d"]);
+}
+
+#[test]
+fn a_halt_lets_nothing_more_out_until_it_is_resumed_and_outlasts_a_restore() {
+    let mut fleet = Fleet::of(&FOUR);
+    fleet.budget(Kind::Dispatcher, Limit::Count(1), None, 0);
+    let backup = fleet.state.snapshot();
+    fleet.op(Op::Halt(Kind::Dispatcher)).expect("a halt");
+    fleet.ask("dispatcher/a", true, "").expect("it waits");
+    assert_eq!(fleet.waits(Kind::Dispatcher, "a"), Some(Waits::Halted));
+    fleet.act(Act::Restore(backup)).expect("a sound backup");
+    fleet.ask("dispatcher/b", true, "").expect("it waits");
+    assert!(fleet.granted().is_empty());
+    fleet.op(Op::Resume(Kind::Dispatcher)).expect("the end of it");
+    assert_eq!(fleet.granted(), ["dispatcher/a"]);
+    // A backup of a time when it was not out does not call it back.
+    let earlier = Fleet::of(&FOUR).state.snapshot();
+    fleet.act(Act::Restore(earlier)).expect("a sound backup");
+    assert_eq!(fleet.granted(), ["dispatcher/a"]);
+}
+
+#[test]
+fn what_can_never_go_is_refused_at_once_with_its_cause() {
+    let mut fleet = Fleet::of(&[("a", "x"), ("b", "y"), ("c", "y")]);
+    fleet.budget(Kind::Dispatcher, Limit::Share(0.3), None, 0);
+    let none = fleet.ask("dispatcher/a", false, "").expect_err("30% of three are none");
+    assert!(none.to_string().contains("lets none of 3 out"), "{none}");
+    fleet.budget(Kind::Dispatcher, Limit::Count(2), None, 1);
+    let last = fleet.ask("dispatcher/a", false, "").expect_err("the last of its zone");
+    assert!(last.to_string().contains("none of the 1 in zone \"x\""), "{last}");
+    fleet.ask("dispatcher/b", false, "").expect("one of two may");
+    assert!(fleet.ask("dispatcher/e", false, "").is_err(), "it has never joined");
+    let bad = Budget { most: Limit::Share(1.5), most_in_zone: None, least_in_zone: 0 };
+    assert!(fleet.op(Op::Budget(Kind::Dispatcher, bad)).is_err());
+}
+
+#[test]
+fn a_workers_permit_is_its_drain_and_only_the_one_that_is_seen_is_ended() {
+    let mut fleet = Fleet::default();
+    for (worker, zone) in [("w-1", "x"), ("w-2", "x"), ("w-3", "y")] {
+        let known = Worker {
+            dial: ([127, 0, 0, 1], 9_000).into(),
+            zone: zone.parse().expect("a sound text"),
+            kind: Text::default(),
+            born_ms: 0,
+            slots: 4,
+        };
+        fleet.op(Op::Know(name(worker), known)).expect("room");
+    }
+    fleet.budget(Kind::Worker, Limit::Count(2), Some(Limit::Count(1)), 0);
+    let drained = |fleet: &Fleet, w: &str| fleet.state.get(&Key::Drain(name(w))).is_some();
+    fleet.ask("worker/w-1", false, "").expect("it goes");
+    assert!(drained(&fleet, "w-1"));
+    let at = fleet.state.permit(&subject("worker/w-1")).and_then(|p| p.granted).expect("granted");
+    // Out by hand, without a permit: it uses the budget up as well.
+    fleet.op(Op::Drain(name("w-3"))).expect("room");
+    fleet.ask("worker/w-2", false, "").expect("it waits");
+    assert_eq!(fleet.waits(Kind::Worker, "w-2"), Some(Waits::Fleet(2)));
+    assert!(!drained(&fleet, "w-2"));
+    assert!(fleet.op(Op::Undrain(name("w-1"))).is_err(), "its permit ends that");
+    assert!(fleet.op(Op::Back(subject("worker/w-1"), at + 1)).is_err(), "another permit");
+    fleet.op(Op::Back(subject("worker/w-1"), at)).expect("it is back");
+    assert!(!drained(&fleet, "w-1") && drained(&fleet, "w-2"), "and the next one goes in the same change");
+    // A restore from before keeps the mark of the one that is out.
+    let before = Fleet::default().state.snapshot();
+    fleet.act(Act::Restore(before)).expect("a sound backup");
+    assert!(drained(&fleet, "w-2") && !drained(&fleet, "w-3"));
+}
+
+// ---- Every order: drivers that are doubled, answers that are lost, processes that crash and are cut off ----
+
+const MOST: usize = 1;
+const RULES: [&str; 3] = [
+    "nothing is granted over the budget",
+    "no more have gone by a permit than the budget has room for",
+    "who was asked for has a permit, or has come back since",
+];
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Process {
+    /// Counts its lives, from 1.
+    life: u64,
+    runs: bool,
+    joined: bool,
+    /// It ended because it was permitted to.
+    asked: bool,
+    /// The life whose grant it has seen in its copy, which may be old.
+    seen: Option<u64>,
+}
+
+#[derive(Clone, Debug)]
+struct World {
+    state: State,
+    all: Vec<Process>,
+    /// The life in which each was, as the state knew it, when it was first asked for.
+    wanted: Vec<Option<u64>>,
+    /// Requests that have arrived, by driver and process.
+    delivered: Vec<(usize, usize)>,
+    crashes: u32,
+    cuts: u32,
+    /// A permit was granted though too many were out.
+    over: bool,
+}
+
+impl World {
+    /// All that decides what may happen from here on, without the numbers of revisions.
+    fn text(&self) -> String {
+        let members: Vec<_> =
+            self.state.members().map(|(_, m)| (m.presence, m.card.ready, m.life())).collect();
+        let mut permits: Vec<_> = self
+            .state
+            .permits()
+            .map(|(s, p)| (p.asked, s.to_string(), p.granted.is_some(), p.life))
+            .collect();
+        permits.sort();
+        let permits: Vec<_> =
+            permits.into_iter().map(|(_, who, granted, life)| (who, granted, life)).collect();
+        let rest = (&self.all, &self.wanted, &self.delivered, self.crashes, self.cuts, self.over);
+        format!("{members:?}{permits:?}{rest:?}")
+    }
+
+    fn apply(&mut self, id: RequestId, act: Act) {
+        let granted = |state: &State| {
+            let granted = state.permits().filter(|(_, p)| p.granted.is_some());
+            granted.map(|(s, _)| s.name.clone()).collect::<Vec<Name>>()
+        };
+        let before = granted(&self.state);
+        let _ = self.state.apply(&Command { id, by: name("o"), at_ms: 0, act });
+        let newly = granted(&self.state).into_iter().any(|n| !before.contains(&n));
+        self.over |= newly && self.state.roll(Kind::Dispatcher).out() > MOST;
+    }
+}
+
+impl PartialEq for World {
+    fn eq(&self, other: &Self) -> bool {
+        self.text() == other.text()
+    }
+}
+
+impl Eq for World {}
+
+impl Hash for World {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.text().hash(hasher);
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Step {
+    /// A driver's request for one arrives, for the first time or again.
+    Ask(usize, usize),
+    /// A process takes in the newest state.
+    See(usize),
+    /// It ends, as permitted by what it has seen.
+    End(usize),
+    Crash(usize),
+    Start(usize),
+    Join(usize),
+    /// The keepers lose it, whether or not it runs.
+    Lose(usize),
+}
+
+struct PermitModel {
+    processes: usize,
+}
+
+impl Model for PermitModel {
+    type State = World;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<World> {
+        let names: Vec<String> = (0..self.processes).map(|i| format!("d{i}")).collect();
+        let mut fleet = Fleet::of(&names.iter().map(|n| (n.as_str(), "x")).collect::<Vec<_>>());
+        fleet.budget(Kind::Dispatcher, Limit::Count(1), None, 0);
+        let process = Process { life: 1, runs: true, joined: true, asked: false, seen: None };
+        let (all, wanted) = (vec![process; self.processes], vec![None; self.processes]);
+        let (delivered, crashes, cuts) = (Vec::new(), 0, 0);
+        vec![World { state: fleet.state, all, wanted, delivered, crashes, cuts, over: false }]
+    }
+
+    fn actions(&self, world: &World, actions: &mut Vec<Step>) {
+        for (i, process) in world.all.iter().enumerate() {
+            actions.extend([Step::Ask(0, i), Step::Ask(1, i)]);
+            match process.runs {
+                true => {
+                    actions.push(Step::See(i));
+                    if process.seen == Some(process.life) {
+                        actions.push(Step::End(i));
+                    }
+                    if world.crashes < 1 {
+                        actions.push(Step::Crash(i));
+                    }
+                    if !process.joined {
+                        actions.push(Step::Join(i));
+                    }
+                }
+                false => actions.push(Step::Start(i)),
+            }
+            if !process.runs || world.cuts < 1 {
+                actions.push(Step::Lose(i));
+            }
+        }
+    }
+
+    fn next_state(&self, world: &World, step: Step) -> Option<World> {
+        let mut world = world.clone();
+        let (Step::Ask(_, i)
+        | Step::See(i)
+        | Step::End(i)
+        | Step::Crash(i)
+        | Step::Start(i)
+        | Step::Join(i)
+        | Step::Lose(i)) = step;
+        let member = name(&format!("d{i}"));
+        let who = Subject { kind: Kind::Dispatcher, name: member.clone() };
+        // A life as the state knows it: the first ones joined in `Fleet::of`.
+        let known = |life: u64| RequestId(7, i as u64 * 100 + life - 1);
+        match step {
+            Step::Ask(driver, _) => {
+                let op = Op::Ask { subject: who, urgent: false, want: Text::default() };
+                let act = Act::Change { ops: vec![op], expect: Vec::new(), why: Text::default() };
+                let id = RequestId(2 + driver as u64, 1_000 + i as u64);
+                let life = world.state.member(&member)?.incarnation;
+                world.wanted[i].get_or_insert(life);
+                if !world.delivered.contains(&(driver, i)) {
+                    world.delivered.push((driver, i));
+                    world.delivered.sort();
+                }
+                world.apply(id, act);
+            }
+            Step::See(_) => {
+                let permit = world.state.permit(&who).filter(|p| p.granted.is_some());
+                let life = permit.and_then(|p| p.life);
+                world.all[i].seen = life.map(|RequestId(_, number)| number - i as u64 * 100 + 1);
+            }
+            Step::End(_) => {
+                world.all[i].runs = false;
+                world.all[i].asked = true;
+            }
+            Step::Crash(_) => {
+                world.crashes += 1;
+                world.all[i].runs = false;
+            }
+            Step::Start(_) => {
+                // Its copy is as old as it was.
+                let seen = world.all[i].seen;
+                let life = world.all[i].life + 1;
+                world.all[i] = Process { life, runs: true, joined: false, asked: world.all[i].asked, seen };
+            }
+            Step::Join(_) => {
+                let card = Card {
+                    role: Role::Dispatcher,
+                    version: Text::default(),
+                    address: None,
+                    zone: "x".parse().expect("a sound text"),
+                    ready: true,
+                };
+                let life = known(world.all[i].life);
+                world.all[i].joined = true;
+                world.all[i].asked = false;
+                let id = RequestId(5, world.state.revision() * 10 + i as u64);
+                world.apply(id, Act::Join { member, life, card });
+            }
+            Step::Lose(_) => {
+                let session = world.state.member(&member)?.session;
+                world.cuts += u32::from(world.all[i].runs);
+                // It hears so, and joins again.
+                world.all[i].joined = false;
+                let id = RequestId(6, world.state.revision() * 10 + i as u64);
+                world.apply(id, Act::Expire { member, session });
+            }
+        }
+        Some(world)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always(RULES[0], |_, w: &World| !w.over),
+            Property::always(RULES[1], |_, w: &World| w.all.iter().filter(|p| p.asked).count() <= MOST),
+            Property::always(RULES[2], |_, w: &World| {
+                let kept = |(i, wanted): (usize, &Option<u64>)| {
+                    let who = subject(&format!("dispatcher/d{i}"));
+                    let back = |life| w.state.member(&who.name).is_some_and(|m| m.incarnation > life);
+                    wanted.is_none_or(|life| w.state.permit(&who).is_some() || back(life))
+                };
+                w.wanted.iter().enumerate().all(kept)
+            }),
+            Property::sometimes("all have been out and are back", |_, w: &World| {
+                w.all.iter().all(|p| p.life > 1 && p.joined) && w.state.permits().next().is_none()
+            }),
+        ]
+    }
+}
+
+#[test]
+fn no_order_of_messages_crashes_and_doubled_drivers_goes_over_the_budget_or_loses_a_permit() {
+    for (processes, depth) in [(2, 12), (3, 8)] {
+        let checker =
+            PermitModel { processes }.checker().threads(4).target_max_depth(depth).spawn_bfs().join();
+        println!(
+            "permits of {processes}: {} states, {} unique",
+            checker.state_count(),
+            checker.unique_state_count()
+        );
+        // A path is long: its steps tell enough.
+        for rule in RULES {
+            let path = checker.discovery(rule).map(|path| path.into_actions());
+            assert_eq!(path, None, "{rule}");
+        }
+        assert!(checker.unique_state_count() > 1_000);
+        if processes == 2 {
+            assert!(checker.discovery("all have been out and are back").is_some());
+        }
+    }
+}
--- a/fleet/tests/state.rs
+++ b/fleet/tests/state.rs
@@ -37,8 +37,13 @@
     }
 
     fn join(&mut self, member: &str, life: u64) -> Answer {
-        let card =
-            Card { role: Role::Dispatcher, version: Text::default(), address: None, zone: Text::default() };
+        let card = Card {
+            role: Role::Dispatcher,
+            version: Text::default(),
+            address: None,
+            zone: Text::default(),
+            ready: true,
+        };
         self.ask(Act::Join { member: name(member), life: RequestId(0, life), card })
     }
 
--- a/pebblepost/src/agent.rs
+++ b/pebblepost/src/agent.rs
@@ -25,7 +25,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
 use std::path::Path;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -59,16 +59,19 @@
     pub local: usize,
     /// Agreed settings.
     pub settings: BTreeMap<&'static str, f64>,
+    /// The revision at which this process was permitted to end.
+    pub permitted: Option<u64>,
 }
 
 impl Knowledge {
-    fn of(follower: &Follower) -> Self {
+    fn of(follower: &Follower, (name, life): &(Name, RequestId)) -> Self {
         let settings = SETTINGS.iter().filter_map(|s| Some((s.name, follower.setting(s.name)?))).collect();
         Self {
             revision: follower.revision(),
             drained: follower.drained().into_iter().map(|name| name.to_string()).collect(),
             local: follower.local().count(),
             settings,
+            permitted: follower.permitted(name, *life),
         }
     }
 
@@ -80,6 +83,10 @@
 
 /// What both threads hold.
 struct Shared {
+    /// Its name, and its life: drawn once, it tells this process from those before and after it.
+    me: (Name, RequestId),
+    /// Whether the loop takes new clients.
+    ready: AtomicBool,
     /// The newest, whether or not the loop has taken it.
     knowledge: Mutex<Arc<Knowledge>>,
     /// When the keepers last confirmed it, in milliseconds from `started`; 0: never.
@@ -118,7 +125,7 @@
             let heard = self.now().saturating_sub(age).as_millis().max(1);
             self.heard_ms.store(u64::try_from(heard).unwrap_or(u64::MAX), Ordering::Relaxed);
         }
-        let knowledge = Knowledge::of(&follower);
+        let knowledge = Knowledge::of(&follower, &self.me);
         drop(follower);
         let mut held = lock(&self.knowledge);
         if **held != knowledge {
@@ -164,8 +171,11 @@
         };
         let (woken, wake) = UnixStream::pair()?;
         wake.set_nonblocking(true)?;
+        let me = (member, request_id());
         let shared = Arc::new(Shared {
-            knowledge: Mutex::new(Arc::new(Knowledge::of(&follower))),
+            knowledge: Mutex::new(Arc::new(Knowledge::of(&follower, &me))),
+            me,
+            ready: AtomicBool::new(false),
             heard_ms: AtomicU64::new(0),
             started: Instant::now(),
             follower: Mutex::new(follower),
@@ -179,9 +189,10 @@
         let (inside, fleet) = (shared.clone(), fleet.clone());
         let card = Card {
             role: Role::Dispatcher,
-            version: env!("CARGO_PKG_VERSION").parse().unwrap_or_default(),
+            version: fleet.version.parse().unwrap_or_default(),
             address,
             zone: fleet.zone.parse().unwrap_or_default(),
+            ready: false,
         };
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let work = move || {
@@ -189,7 +200,7 @@
                 tokio::select! {
                     _ = stopped => {}
                     () = follow(&inside, &fleet) => {}
-                    () = member_of(&inside, &fleet, member, card) => {}
+                    () = member_of(&inside, &fleet, card) => {}
                     () = keep(&inside, fleet.copy.as_deref()) => {}
                     () = listen(inside.clone(), control) => {}
                 }
@@ -204,6 +215,12 @@
         lock(&self.shared.knowledge).clone()
     }
 
+    /// The loop takes new clients, or none, from now on.
+    pub fn takes_clients(&self, ready: bool) {
+        self.shared.ready.store(ready, Ordering::Relaxed);
+        self.shared.offers.notify_one();
+    }
+
     /// What is known and how old it is, in one line.
     pub fn told(&self) -> String {
         let knowledge = self.knowledge();
@@ -266,19 +283,22 @@
 }
 
 /// Keeps a session, and offers what was asked for here.
-async fn member_of(shared: &Shared, fleet: &Fleet, member: Name, card: Card) {
+async fn member_of(shared: &Shared, fleet: &Fleet, mut card: Card) {
     if fleet.keepers.is_empty() {
         return std::future::pending().await;
     }
     let mut client = Client::new(fleet.keepers.clone());
-    let life = request_id();
-    let (mut session, mut tries) = (None, 0);
+    let (member, life) = shared.me.clone();
+    let (mut session, mut tries, mut reports, mut told) = (None, 0, 0, None);
     loop {
         match session {
             None => {
+                card.ready = shared.ready.load(Ordering::Relaxed);
                 let act = Act::Join { member: member.clone(), life, card: card.clone() };
                 match client.command(&command(member.clone(), act), PATIENCE).await {
-                    Ok(Ok(done)) => (session, tries) = (done.session, 0),
+                    Ok(Ok(done)) => {
+                        (session, tries, reports, told) = (done.session, 0, 0, Some(card.ready));
+                    }
                     Ok(Err(refused @ Refusal::Superseded { .. })) => {
                         // Another process has the name. This one goes on serving by what it hears.
                         (shared.log)(&format!("fleet: {refused}"));
@@ -291,6 +311,19 @@
                     Err(_) => tries += 1,
                 }
             }
+            Some(session_now) if told != Some(shared.ready.load(Ordering::Relaxed)) => {
+                let ready = shared.ready.load(Ordering::Relaxed);
+                reports += 1;
+                let (member, number) = (member.clone(), reports);
+                let act = Act::Report { member: member.clone(), session: session_now, number, ready };
+                told = None;
+                match client.command(&command(member, act), PATIENCE).await {
+                    Ok(Ok(_)) => told = Some(ready),
+                    Ok(Err(_)) => session = None,
+                    // It may have been taken or not: it is said again.
+                    Err(_) => {}
+                }
+            }
             Some(number) => {
                 let beat = Ask::Beat { member: member.clone(), session: number };
                 if let Ok(Say::Beat(false)) = client.ask(&beat, PATIENCE).await {
--- a/pebblepost/src/config.rs
+++ b/pebblepost/src/config.rs
@@ -88,9 +88,16 @@
     pub control: Option<SocketAddr>,
     /// Where the copy of the agreed state is kept over a restart; `None`: nowhere.
     pub copy: Option<PathBuf>,
-    /// The zone, for the list of members.
+    /// The zone, for the list of members and the budgets.
     #[serde(default)]
     pub zone: String,
+    /// What this installation calls its version; the program's own by default.
+    #[serde(default = "own_version")]
+    pub version: String,
+}
+
+fn own_version() -> String {
+    env!("CARGO_PKG_VERSION").to_owned()
 }
 
 /// All that the program is told.
@@ -326,8 +333,10 @@
     if let Some(far) = addresses.iter().find(|a| !a.ip().is_loopback()) {
         return wrong(file, "fleet", format!("{far}: control and keepers must be loopback addresses"));
     }
-    if fleet.zone.parse::<pebblepost_fleet::Text>().is_err() {
-        return wrong(file, "fleet.zone", "too long, or with control characters");
+    for (key, text) in [("fleet.zone", &fleet.zone), ("fleet.version", &fleet.version)] {
+        if text.parse::<pebblepost_fleet::Text>().is_err() {
+            return wrong(file, key, "too long, or with control characters");
+        }
     }
     Ok(fleet)
 }
--- a/pebblepost/src/fleet.rs
+++ b/pebblepost/src/fleet.rs
@@ -4,7 +4,7 @@
 use clap::{Args, Subcommand, ValueEnum};
 use pebblepost_fleet::command::{Act, Op};
 use pebblepost_fleet::state::{Change, Entry, Presence, Snapshot, Value};
-use pebblepost_fleet::{Expect, Key, Name, Refusal, Text};
+use pebblepost_fleet::{Budget, Expect, Key, Kind, Limit, Name, Refusal, Subject, Text};
 use pebblepost_store::client::{Client, Unreachable, command};
 use pebblepost_store::group::Peer;
 use pebblepost_store::keeper::ask_once;
@@ -122,6 +122,53 @@
         /// The file.
         file: PathBuf,
     },
+    /// Says how many dispatchers or workers may be out at once, or shows what is out and what waits.
+    Budget {
+        /// Of what: dispatcher or worker; both are shown, if none is named.
+        kind: Option<Kind>,
+        /// Most in the fleet: a count, or a percentage such as 10%. Without it the budget is shown.
+        #[arg(long, requires = "kind")]
+        most: Option<Limit>,
+        /// Most in each zone.
+        #[arg(long, requires = "most")]
+        zone: Option<Limit>,
+        /// Least that stay in each zone.
+        #[arg(long, requires = "most", default_value_t = 0)]
+        least: u32,
+        /// Takes the budget away: nothing of the kind may go out.
+        #[arg(long, requires = "kind", conflicts_with = "most")]
+        none: bool,
+    },
+    /// Permits to go out: for a dispatcher to end and come back, for a worker to be switched off.
+    Permit {
+        /// What becomes of them.
+        what: PermitWhat,
+        /// Which: dispatcher/NAME or worker/NAME.
+        #[arg(required = true)]
+        subjects: Vec<Subject>,
+        /// Goes before those that are not urgent; not over the budget.
+        #[arg(long)]
+        urgent: bool,
+        /// The version that a dispatcher must have to count as back.
+        #[arg(long, default_value = "")]
+        want: Text,
+        /// Why, for the history; `force` needs one.
+        #[arg(long, default_value = "")]
+        why: Text,
+    },
+    /// Nothing more of a kind goes out until it is resumed.
+    Halt {
+        /// Of what: dispatcher or worker.
+        kind: Kind,
+        /// Why, for the history.
+        #[arg(long, default_value = "")]
+        why: Text,
+    },
+    /// Ends a halt.
+    Resume {
+        /// Of what: dispatcher or worker.
+        kind: Kind,
+    },
     /// Forgets a member that has left or is lost.
     Dismiss {
         /// Its name.
@@ -129,6 +176,18 @@
     },
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum PermitWhat {
+    /// Asks for them; one that has a permit keeps it.
+    Ask,
+    /// Those that wait do not want it any more.
+    Withdraw,
+    /// Workers are back.
+    Back,
+    /// They count as back, whatever is seen; with a reason.
+    Force,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 enum Here {
     Drain,
@@ -155,6 +214,12 @@
     expect: Option<u64>,
 }
 
+impl Reason {
+    fn none() -> Self {
+        Self { why: Text::default(), expect: None }
+    }
+}
+
 /// Why a command came to nothing. The exit code tells the kinds apart.
 #[derive(Debug, Error)]
 pub enum FleetError {
@@ -294,14 +359,28 @@
                 Presence::Lost => "lost",
             };
             let address = m.card.address.map_or_else(|| "-".to_owned(), |a| a.to_string());
+            let ready = if m.card.ready { "ready" } else { "not ready" };
             format!(
-                "{presence} life {} session {} version {} zone {} at {address}",
+                "{presence} life {} session {} version {} zone {} at {address}, {ready}",
                 m.incarnation, m.session, m.card.version, m.card.zone
             )
         }
+        Value::Budget(b) => told_budget(b),
+        Value::Halt { by, at_ms, why } => format!("by {by} at {at_ms}: {why}"),
+        Value::Permit(p) => {
+            let stage = p.granted.map_or_else(|| "waits".to_owned(), |at| format!("granted at {at}"));
+            let urgent = if p.urgent { ", urgent" } else { "" };
+            let want = if p.want.as_str().is_empty() { "" } else { ", back as " };
+            format!("{stage}{urgent}{want}{}, asked by {} at {}: {}", p.want, p.by, p.asked, p.why)
+        }
     }
 }
 
+fn told_budget(b: &Budget) -> String {
+    let zone = b.most_in_zone.map_or_else(String::new, |z| format!(", {z} in a zone"));
+    format!("at most {} out{zone}, at least {} stay in a zone", b.most, b.least_in_zone)
+}
+
 impl Desk {
     fn say(&self, json: serde_json::Value, text: &dyn Fn() -> String) {
         let line = if self.json { json.to_string() } else { text() };
@@ -364,10 +443,20 @@
                 let op = value.map_or_else(|| Op::Unset(name.clone()), |v| Op::Set(name.clone(), v));
                 self.change_all([op], reason).await
             }
-            What::Dismiss { member } => {
-                let reason = Reason { why: Text::default(), expect: None };
-                self.change_all([Op::Dismiss(member)], reason).await
+            What::Dismiss { member } => self.change_all([Op::Dismiss(member)], Reason::none()).await,
+            What::Budget { kind: Some(kind), most: Some(most), zone, least, .. } => {
+                let budget = Budget { most, most_in_zone: zone, least_in_zone: least };
+                self.change_all([Op::Budget(kind, budget)], Reason::none()).await
             }
+            What::Budget { kind: Some(kind), none: true, .. } => {
+                self.change_all([Op::Unbudget(kind)], Reason::none()).await
+            }
+            What::Budget { kind, .. } => self.budgets(kind).await,
+            What::Permit { what, subjects, urgent, want, why } => {
+                self.permits(what, subjects, urgent, &want, why).await
+            }
+            What::Halt { kind, why } => self.change_all([Op::Halt(kind)], Reason { why, expect: None }).await,
+            What::Resume { kind } => self.change_all([Op::Resume(kind)], Reason::none()).await,
             What::Here { .. } => Ok(()), // Carried out before: it needs no keeper.
             What::Backup { file } => self.backup(&file).await,
             What::Restore { file } => {
@@ -467,6 +556,72 @@
         }
     }
 
+    /// The whole state as of now.
+    async fn all(&mut self) -> Result<Snapshot> {
+        match self.ask(&Ask::Get(Vec::new())).await? {
+            Say::Found { revision, entries } => Ok(Snapshot { revision, entries }),
+            other => Err(misplaced(&other)),
+        }
+    }
+
+    /// What is out and what waits, and why.
+    async fn budgets(&mut self, only: Option<Kind>) -> Result<()> {
+        let snapshot = self.all().await?;
+        for kind in [Kind::Dispatcher, Kind::Worker].into_iter().filter(|k| only.is_none_or(|o| o == *k)) {
+            let roll = snapshot.roll(kind);
+            let waits = |name: &Name| roll.fits(name).err().map_or_else(String::new, |w| w.to_string());
+            let queue: Vec<Json> =
+                roll.queue().into_iter().map(|n| json!({"name": n, "waits": waits(n)})).collect();
+            let out: Vec<Json> = roll
+                .all
+                .iter()
+                .filter(|(_, s)| s.out)
+                .map(|(n, s)| json!({"name": n, "permit": s.permit.and_then(|p| p.granted)}))
+                .collect();
+            let told = json!({
+                "kind": kind, "all": roll.all.len(), "out": out, "queue": queue,
+                "budget": roll.budget, "halted": roll.halted,
+            });
+            self.say(told, &|| {
+                let budget = roll.budget.map_or("no budget".to_owned(), |b| told_budget(&b));
+                let halted = if roll.halted { ", halted" } else { "" };
+                let mut text = format!("{kind}: {} of {} out; {budget}{halted}", roll.out(), roll.all.len());
+                for (name, standing) in roll.all.iter().filter(|(_, s)| s.out) {
+                    let why = match standing.permit.and_then(|p| p.granted) {
+                        Some(at) => format!("by a permit of revision {at}"),
+                        None => "without a permit".to_owned(),
+                    };
+                    text.push_str(&format!("\n  out    {name}\t{why}"));
+                }
+                for (place, name) in roll.queue().into_iter().enumerate() {
+                    text.push_str(&format!("\n  waits  {name}\t{} in the queue: {}", place + 1, waits(name)));
+                }
+                text
+            });
+        }
+        Ok(())
+    }
+
+    async fn permits(
+        &mut self, what: PermitWhat, subjects: Vec<Subject>, urgent: bool, want: &Text, why: Text,
+    ) -> Result<()> {
+        let mut ops = Vec::new();
+        // A permit that another one has taken the place of must not be ended: the one that is seen now is named.
+        let now = if what == PermitWhat::Back { self.all().await? } else { Snapshot::default() };
+        for subject in subjects {
+            ops.push(match what {
+                PermitWhat::Ask => Op::Ask { subject, urgent, want: want.clone() },
+                PermitWhat::Withdraw => Op::Withdraw(subject),
+                PermitWhat::Force => Op::Force(subject),
+                PermitWhat::Back => match now.entries.get(&Key::Permit(subject.clone())).map(|e| &e.value) {
+                    Some(Value::Permit(permit)) => Op::Back(subject, permit.granted.unwrap_or(0)),
+                    _ => return Err(FleetError::Usage(format!("{subject} has no permit"))),
+                },
+            });
+        }
+        self.change_all(ops, Reason { why, expect: None }).await
+    }
+
     async fn watch(&mut self, from: u64) -> Result<()> {
         let mut at = from;
         loop {
@@ -502,11 +657,8 @@
 
     async fn backup(&mut self, file: &Path) -> Result<()> {
         let failed = |e: &dyn std::fmt::Display| FleetError::Failed(format!("{}: {e}", file.display()));
-        let (revision, entries) = match self.ask(&Ask::Get(Vec::new())).await? {
-            Say::Found { revision, entries } => (revision, entries),
-            other => return Err(misplaced(&other)),
-        };
-        let body = json!(Snapshot { revision, entries }).to_string();
+        let snapshot = self.all().await?;
+        let (revision, body) = (snapshot.revision, json!(snapshot).to_string());
         kept::create(file, &body).map_err(|e| failed(&e))?;
         self.say(json!({"revision": revision}), &|| format!("revision {revision} in {}", file.display()));
         Ok(())
--- a/pebblepost/src/turn.rs
+++ b/pebblepost/src/turn.rs
@@ -112,6 +112,9 @@
         if let Some(told) = self.s.map.mark(known.drained.clone()) {
             self.s.inputs.push(told);
         }
+        if let Some(revision) = known.permitted {
+            self.stop(&format!("permitted to end at revision {revision}"));
+        }
         if let (Some(faktory), Some((heartbeat, reserve_for))) = (&mut self.faktory, self.faktory_times) {
             let heartbeat = known.seconds("faktory.heartbeat_s").unwrap_or(heartbeat);
             let reserve_for = known.seconds("faktory.reserve_for_s").unwrap_or(reserve_for);
@@ -145,7 +148,10 @@
             let more = !self.s.inputs.is_empty();
             for ready in self.s.net.wait(&self.s.clock, more)? {
                 match ready {
-                    Ready::Signal(Signal::Stop) => self.stop(),
+                    Ready::Signal(Signal::Stop) => {
+                        let _ = (&self.signals.stop).read(&mut [0; 16]);
+                        self.stop("SIGTERM");
+                    }
                     Ready::Signal(Signal::Reload) => self.reload(),
                     Ready::Signal(Signal::Fleet) => self.woken(),
                     Ready::Door(index) => self.accept(index),
@@ -176,6 +182,9 @@
         if ready != self.s.ready {
             self.s.ready = ready;
             (self.s.log)(if ready { "ready" } else { "not ready" });
+            if let Some(agent) = &self.agent {
+                agent.takes_clients(ready);
+            }
         }
     }
 
@@ -321,12 +330,10 @@
         }
     }
 
-    fn stop(&mut self) {
-        let mut byte = [0; 16];
-        let _ = (&self.signals.stop).read(&mut byte);
+    fn stop(&mut self, why: &str) {
         if !self.s.stopping {
             self.s.stopping = true;
-            (self.s.log)("SIGTERM: finishing what was taken");
+            (self.s.log)(&format!("{why}: finishing what was taken"));
             self.s.net.deadlines.set(self.s.net.now + LAST_CALLS, Due::LastCalls);
         }
     }
