Rig release: doubled drivers, restarts by permit, a witness of who was out

Change: rig/src/supervisor.rs starts dispatchers again with the version wanted and notes from outside when each was out and why; rig/src/release has two drivers per release, killed on the way, a halt in the middle of each, keepers and dispatchers killed, paused and cut; release/witness.rs judges. checker::Killed tells one that ended itself, which has to answer what it had taken. Permits of a worker that nobody knows yet are taken. Group::play is shared by rig store and rig release.

--- a/fleet/src/permit.rs
+++ b/fleet/src/permit.rs
@@ -280,13 +280,15 @@
     /// Why one of them could never go, even if nothing else were out; `None`: it could.
     pub fn never(&self, name: &Name) -> Option<String> {
         let budget = self.budget?;
-        let counts = self.counts();
-        if budget.most.of(counts.all) == 0 {
-            return Some(format!("the budget of {} lets none of {} out", budget.most, counts.all));
+        let (counts, standing) = (self.counts(), self.all.get(name));
+        // One that nobody knows yet is one more.
+        let itself = usize::from(standing.is_none());
+        let all = counts.all + itself;
+        if budget.most.of(all) == 0 {
+            return Some(format!("the budget of {} lets none of {all} out", budget.most));
         }
-        let standing = self.all.get(name);
-        let (all, _) = counts.zone(standing);
         let zone = standing.map_or("", |s| s.zone);
+        let all = counts.zone(standing).0 + itself;
         (Self::most_in_zone(budget, all) == 0)
             .then(|| format!("the budget lets none of the {all} in zone {zone:?} out"))
     }
--- a/pebblepost/tests/common/mod.rs
+++ b/pebblepost/tests/common/mod.rs
@@ -88,6 +88,10 @@
         let _ = self.hangup.write_all(b"x");
     }
 
+    pub fn has_ended(&self) -> bool {
+        self.thread.as_ref().is_none_or(JoinHandle::is_finished)
+    }
+
     pub fn wait(&mut self) {
         self.thread.take().expect("not yet waited for").join().expect("no panic");
     }
--- /dev/null
+++ b/pebblepost/tests/release.rs
@@ -0,0 +1,87 @@
+//! Permits between three keepers, which are processes that die, dispatchers, and an operator's commands. Many dispatchers
+//! as processes, and faults between all of them, are in the rig (`rig/tests/release.rs`).
+
+mod common;
+
+use common::keepers::{Keepers, LIMIT};
+use common::{Running, platform, within, worker};
+use serde_json::json;
+use std::time::Duration;
+
+fn dispatcher(name: &str, zone: &str, version: &str, keepers: &Keepers) -> Running {
+    let one = worker(|_, _| {});
+    let mut config = platform(&[one], None);
+    config["name"] = json!(name);
+    let fleet = json!({"keepers": keepers.named(), "zone": zone, "version": version});
+    Running::start(Some(config), Some(json!({"fleet": fleet})))
+}
+
+fn ends(node: &mut Running) {
+    within(LIMIT, "it ends itself", || node.has_ended().then_some(()));
+}
+
+#[test]
+fn a_dispatcher_ends_itself_once_it_is_permitted_and_the_next_waits_until_it_is_back() {
+    let mut keepers = Keepers::start(8);
+    let mut a = dispatcher("a", "x", "1", &keepers);
+    let mut b = dispatcher("b", "x", "1", &keepers);
+    within(LIMIT, "both are ready members", || {
+        (keepers.fleet_until(&["members"]).matches(", ready").count() == 2).then_some(())
+    });
+    // What can never be is refused with its cause; what is asked for before there is a budget waits.
+    let ask = ["permit", "ask", "dispatcher/a", "dispatcher/b", "--want", "2", "--why", "release 2"];
+    keepers.fleet_until(&["budget", "dispatcher", "--most", "0"]);
+    let refused = keepers.fleet(&ask);
+    assert_eq!(refused.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&refused.stderr).contains("lets none of 2 out"));
+    keepers.fleet_until(&["budget", "dispatcher", "--most", "1", "--least", "1"]);
+    keepers.fleet_until(&["halt", "dispatcher", "--why", "not yet"]);
+    keepers.fleet_until(&ask);
+    let shown = keepers.fleet_until(&["budget", "dispatcher"]);
+    assert!(shown.contains("0 of 2 out") && shown.contains("waits  a\t1 in the queue: halted"), "{shown}");
+    // The keeper that leads is killed while the first is granted: one of them goes, and only one.
+    let (leader, _) = keepers.look();
+    keepers.fleet_until(&["resume", "dispatcher"]);
+    keepers.kill(leader);
+    ends(&mut a);
+    std::thread::sleep(Duration::from_millis(500));
+    assert!(!b.has_ended(), "the second went while the first was out");
+    let shown = keepers.fleet_until(&["budget", "dispatcher"]);
+    assert!(shown.contains("out    a\tby a permit") && shown.contains("waits  b"), "{shown}");
+    let taken_back = keepers.fleet(&["permit", "withdraw", "dispatcher/a"]);
+    assert_eq!(taken_back.status.code(), Some(1), "it is going already");
+    // Back as the wrong version it is still out; as the right one it lets the next go.
+    let mut a = dispatcher("a", "x", "1", &keepers);
+    within(LIMIT, "it has joined anew", || {
+        keepers.fleet_until(&["members"]).contains("here life 2").then_some(())
+    });
+    std::thread::sleep(Duration::from_millis(500));
+    assert!(!b.has_ended(), "the second went though the first was not back as wanted");
+    a.stop();
+    let _a = dispatcher("a", "x", "2", &keepers);
+    ends(&mut b);
+    let _b = dispatcher("b", "x", "2", &keepers);
+    within(LIMIT, "no permit is left", || {
+        keepers.fleet_until(&["budget", "dispatcher"]).contains("0 of 2 out").then_some(())
+    });
+    assert!(!keepers.fleet_until(&["show"]).contains("permit/"));
+}
+
+#[test]
+fn a_worker_that_goes_by_a_permit_is_drained_until_it_is_back() {
+    let keepers = Keepers::start(9);
+    keepers.fleet_until(&["budget", "worker", "--most", "1"]);
+    keepers.fleet_until(&["permit", "ask", "worker/w-1", "worker/w-2", "--why", "new fans"]);
+    let shown = keepers.fleet_until(&["budget", "worker"]);
+    assert!(shown.contains("out    w-1\tby a permit") && shown.contains("waits  w-2"), "{shown}");
+    assert!(keepers.fleet_until(&["show"]).contains("drain/w-1\tby tester"));
+    assert_eq!(keepers.fleet(&["undrain", "w-1"]).status.code(), Some(1), "its permit ends that");
+    keepers.fleet_until(&["permit", "back", "worker/w-1"]);
+    let shown = keepers.fleet_until(&["show"]);
+    assert!(!shown.contains("drain/w-1") && shown.contains("drain/w-2"), "{shown}");
+    let silent = keepers.fleet(&["permit", "force", "worker/w-2"]);
+    assert!(String::from_utf8_lossy(&silent.stderr).contains("needs a reason"));
+    keepers.fleet_until(&["permit", "force", "worker/w-2", "--why", "it was never switched off"]);
+    assert!(!keepers.fleet_until(&["show"]).contains("drain/"));
+    assert!(keepers.fleet_until(&["history"]).contains("permit/worker/w-2 is gone"));
+}
--- a/rig/src/checker.rs
+++ b/rig/src/checker.rs
@@ -153,7 +153,7 @@
     (knowing, all)
 }
 
-/// A dispatcher that was killed.
+/// A dispatcher that was killed, or ended itself.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Killed {
     /// Which.
@@ -162,6 +162,8 @@
     pub from: f64,
     /// When it took clients again.
     pub back: f64,
+    /// What it had taken before went with it. One that ended itself has to answer that; what comes later finds no door.
+    pub abrupt: bool,
 }
 
 /// The record without the ends of those tries that a killed dispatcher took with it: asked before it was back, still
@@ -175,7 +177,10 @@
     }
     let lost = |end: f64, txn: &String| {
         asked.get(txn).is_some_and(|&(dispatcher, at, until)| {
-            let hit = |k: &Killed| k.dispatcher == dispatcher && at <= k.back && until.min(end) >= k.from;
+            let hit = |k: &Killed| {
+                let after = at <= k.back && until.min(end) >= k.from;
+                k.dispatcher == dispatcher && after && (k.abrupt || at >= k.from)
+            };
             killed.iter().any(hit)
         })
     };
@@ -405,14 +410,20 @@
             (7.1, Seen::Cut { txn: "early".into() }),
             (7.5, asked("lost", "l")),
             (8.0, Seen::Cut { txn: "lost".into() }),
+            (8.5, asked("no door", "o")),
+            (8.5, Seen::Cut { txn: "no door".into() }),
             (9.5, asked("after", "m")),
             (9.6, Seen::Cut { txn: "after".into() }),
             (9.7, Seen::Cut { txn: "before".into() }),
         ];
-        let killed = Killed { dispatcher: 0, from: 8.0, back: 9.0 };
-        let left = check(&without_killed(record, &[killed]), &Figures::default());
-        let left: Vec<&str> = left.iter().filter_map(|b| b.what.split(':').next()).collect();
-        assert_eq!(left, ["early", "after", "before"]);
+        let killed = Killed { dispatcher: 0, from: 8.0, back: 9.0, abrupt: true };
+        let left = |killed| {
+            let left = check(&without_killed(record.clone(), &[killed]), &Figures::default());
+            left.iter().filter_map(|b| Some(b.what.split(':').next()?.to_owned())).collect::<Vec<_>>()
+        };
+        assert_eq!(left(killed), ["early", "after", "before"]);
+        // One that ended itself has to answer what it had taken.
+        assert_eq!(left(Killed { abrupt: false, ..killed }), ["early", "lost", "after", "before"]);
     }
 
     #[test]
--- a/rig/src/cpu.rs
+++ b/rig/src/cpu.rs
@@ -57,7 +57,13 @@
     let (mut of_a, mut of_b) = (Vec::new(), Vec::new());
     for round in 0..=rounds {
         for (side, list) in [(a, &mut of_a), (b, &mut of_b)] {
-            let run = Run { scenario: &scenario, seed, program: side.program, operator: side.operator };
+            let run = Run {
+                scenario: &scenario,
+                seed,
+                program: side.program,
+                operator: side.operator,
+                supervisor: None,
+            };
             let played = run.play().await?;
             let served = played.fates.iter().filter(|f| matches!(f.outcome, Outcome::Served(_))).count();
             if round > 0 {
--- a/rig/src/dispatcher.rs
+++ b/rig/src/dispatcher.rs
@@ -23,16 +23,20 @@
     /// How long each of its starts took until it took clients.
     pub ready: Vec<Duration>,
     config: Value,
+    operator: Value,
     files: [PathBuf; 2],
     /// CPU of lives that have ended, in seconds.
     spent: f64,
 }
 
+/// The buildings; dispatcher `n` is in the one of number `n`, counted round.
+pub const ZONES: [&str; 3] = ["honkan", "bekkan", "soko"];
+
 /// The settings of the site's kind, as a platform gives them.
 fn settings(dispatchers: usize, queue_order: &str) -> Value {
     json!({
         "instances": dispatchers, "locality": 0, "discovery": "ask", "tick": 2_000_000, "worthBy": "work",
-        "failureDomains": ["honkan", "bekkan", "soko"], "kinds": ["small-fast", "mid-three", "wide-five"],
+        "failureDomains": ZONES, "kinds": ["small-fast", "mid-three", "wide-five"],
         "classes": [{
             "name": "segment", "effect": "idempotency_key", "group": "all", "window": 10_000_000_000_u64,
             "onTime": 600_000_000, "deadline": 6_000_000_000_u64, "worth": 1.0, "lateValue": 0.0, "streamed": false,
@@ -88,7 +92,11 @@
         let id = format!("{}-{}", std::process::id(), address.port());
         let files =
             ["config", "operator"].map(|w| start.folder.join(format!("pebblepost-rig-{id}-{w}.json")));
-        for (path, json) in files.iter().zip([&config, start.operator]) {
+        let mut operator = start.operator.clone();
+        if let Some(fleet) = operator.get_mut("fleet") {
+            fleet["zone"] = ZONES[start.number % ZONES.len()].into();
+        }
+        for (path, json) in files.iter().zip([&config, &operator]) {
             write(path, json)?;
         }
         let log = match std::env::var_os("PEBBLEPOST_RIG_LOG") {
@@ -100,7 +108,8 @@
         command.env("PROXY_CONFIG", config_file).env("PEBBLEPOST_OPERATOR", operator_file);
         command.stdin(Stdio::null()).stderr(log);
         let child = command.spawn().with_context(|| start.program.display().to_string())?;
-        let mut process = Self { command, child, address, ready: Vec::new(), config, files, spent: 0.0 };
+        let ready = Vec::new();
+        let mut process = Self { command, child, address, ready, config, operator, files, spent: 0.0 };
         process.wait_until_ready().await?;
         Ok(process)
     }
@@ -112,7 +121,55 @@
         let _ = self.child.wait();
     }
 
-    /// Starts one that was killed anew, at its address, from the list that it had at first.
+    fn signal(&mut self, signal: Signal) {
+        // One that has ended has no number any more that is its own.
+        if self.runs()
+            && let Ok(pid) = i32::try_from(self.child.id())
+        {
+            let _ = kill(Pid::from_raw(pid), signal);
+        }
+    }
+
+    /// SIGTERM.
+    pub fn stop(&mut self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// SIGSTOP.
+    pub fn pause(&mut self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// SIGCONT.
+    pub fn resume(&mut self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Whether it has ended, and then whether without an error.
+    pub fn ended(&mut self) -> Option<bool> {
+        let status = self.child.try_wait().ok().flatten()?;
+        Some(status.success())
+    }
+
+    /// The version that it has from its next start on.
+    pub fn set_version(&mut self, version: &str) -> Result<()> {
+        if let Some(fleet) = self.operator.get_mut("fleet") {
+            fleet["version"] = version.into();
+        }
+        write(&self.files[1], &self.operator)
+    }
+
+    /// Whether it says so, within a quarter of a second.
+    pub async fn is_ready(&self) -> bool {
+        let ask = async {
+            let http: Client<_, Empty<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+            let uri: Uri = format!("http://{}/ready", self.address).parse().ok()?;
+            Some(http.get(uri).await.ok()?.status().is_success())
+        };
+        tokio::time::timeout(Duration::from_millis(250), ask).await.ok().flatten().unwrap_or(false)
+    }
+
+    /// Starts one that has ended anew, at its address, from the list that it had at first.
     pub async fn start_again(&mut self) -> Result<()> {
         self.config["seed"] =
             format!("{}{:x}", self.config["seed"].as_str().unwrap_or(""), self.ready.len()).into();
@@ -153,12 +210,8 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
-        // One that has ended has no number any more that is its own.
-        if self.runs()
-            && let Ok(pid) = i32::try_from(self.child.id())
-        {
-            let _ = kill(Pid::from_raw(pid), Signal::SIGTERM);
-        }
+        self.resume();
+        self.stop();
         let limit = Instant::now() + Duration::from_secs(8);
         while Instant::now() < limit && self.runs() {
             std::thread::sleep(Duration::from_millis(20));
--- a/rig/src/fault/schedule.rs
+++ b/rig/src/fault/schedule.rs
@@ -101,7 +101,7 @@
 }
 
 impl Schedule {
-    /// Draws one. Half of the faults are kills.
+    /// Draws one. About half of the faults are kills.
     pub fn draw(draw: Draw, seed: u64) -> Self {
         let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xfa17);
         let (mut at, mut faults) = (0.0, Vec::new());
@@ -165,7 +165,7 @@
 
     #[test]
     fn a_schedule_is_the_same_for_its_seed_survives_printing_and_shrinks() {
-        let draw = Draw { processes: 3, seconds: 600.0, every: 0.9, longest: 2.5 };
+        let draw = Draw { processes: 3, seconds: 600.0, every: 0.85, longest: 2.0 };
         let one = Schedule::draw(draw, 7);
         assert!(one == Schedule::draw(draw, 7) && one != Schedule::draw(draw, 8));
         let text = serde_json::to_string(&one).expect("plain data");
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -138,7 +138,7 @@
     let operator = json!({});
     let (mut lines, mut all) = (Vec::new(), Summary::default());
     for (name, scenario) in &scenarios(size) {
-        let played = Run { scenario, seed, program, operator: &operator }.play().await?;
+        let played = Run { scenario, seed, program, operator: &operator, supervisor: None }.play().await?;
         let s = summary(&played);
         lines.push(format!("{name:<9} {}", serde_json::to_string(&s)?));
         let told = |b: &Broken| format!("broken: {:?} at {:.2} s: {}", b.rule, b.at, b.what);
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`clients`], [`dispatcher`]: open-loop clients, and the processes under test
 //! * [`record`], [`checker`], [`report`]: what was seen, the rules, the figures
 //! * [`fault`]: faults between processes; [`store`]: keepers of the agreed store under them
+//! * [`supervisor`]: who starts dispatchers again; [`release`]: releases under faults
 //! * [`run`]: one run of all of it; [`room`], [`cpu`]: measurements made of runs
 
 #![forbid(unsafe_code)]
@@ -19,9 +20,11 @@
 pub mod fleet;
 pub mod machine;
 pub mod record;
+pub mod release;
 pub mod report;
 pub mod room;
 pub mod run;
 pub mod scenario;
 pub mod standin;
 pub mod store;
+pub mod supervisor;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -5,7 +5,7 @@
 use anyhow::Result;
 use clap::{Args, Parser, Subcommand};
 use pebblepost_rig::scenario::{Hints, Order, Scenario};
-use pebblepost_rig::{cpu, dispatcher, fleet, room, store};
+use pebblepost_rig::{cpu, dispatcher, fleet, release, room, store};
 use std::path::PathBuf;
 
 /// Measured runs of real pebblepost processes on loopback.
@@ -26,6 +26,45 @@
     Fleet(Fleet),
     /// Keepers of the agreed store under faults between them: what was acknowledged must last, and no read be old.
     Store(Store),
+    /// Releases by doubled drivers under faults: never more dispatchers out than the budget allows.
+    Release(Release),
+}
+
+#[derive(Args)]
+struct Release {
+    /// Dispatchers.
+    #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u16).range(1..=200))]
+    dispatchers: u16,
+    /// Workers.
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u16).range(1..=200))]
+    workers: u16,
+    /// Keepers.
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(1..=9))]
+    keepers: u8,
+    /// Most dispatchers out at once.
+    #[arg(long, default_value_t = 3)]
+    budget: u32,
+    /// Most of them in a zone.
+    #[arg(long, default_value_t = 2)]
+    budget_in_zone: u32,
+    /// Seconds of faults and releases.
+    #[arg(long, default_value_t = 120.0)]
+    seconds: f64,
+    /// Seed of all draws.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Nothing goes wrong.
+    #[arg(long)]
+    no_faults: bool,
+    /// How dispatchers are brought to a new version.
+    #[arg(long, default_value = "permits")]
+    mode: release::run::Mode,
+    /// Print one JSON object as the last line.
+    #[arg(long)]
+    json: bool,
+    /// The program to measure; built and taken from beside this one by default.
+    #[arg(long)]
+    program: Option<PathBuf>,
 }
 
 #[derive(Args)]
@@ -164,6 +203,7 @@
         Command::Cpu(args) => play_cpu(args),
         Command::Fleet(args) => play_fleet(args),
         Command::Store(args) => play_store(args),
+        Command::Release(args) => play_release(args),
     }
 }
 
@@ -203,6 +243,24 @@
     Ok(())
 }
 
+fn play_release(args: Release) -> Result<()> {
+    let plan = release::run::Plan {
+        dispatchers: usize::from(args.dispatchers),
+        workers: usize::from(args.workers),
+        keepers: usize::from(args.keepers),
+        budget: (args.budget, args.budget_in_zone),
+        seconds: args.seconds.max(1.0),
+        seed: args.seed,
+        faults: !args.no_faults,
+        mode: args.mode,
+    };
+    let program = args.program.map_or_else(dispatcher::built, Ok)?;
+    let (summary, found) = threads()?.block_on(release::run::run(&plan, &program))?;
+    found.iter().for_each(|line| println!("found: {line}"));
+    println!("{}", if args.json { serde_json::to_string(&summary)? } else { format!("{summary:#?}") });
+    Ok(())
+}
+
 fn threads() -> Result<tokio::runtime::Runtime> {
     Ok(tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?)
 }
--- /dev/null
+++ b/rig/src/release/mod.rs
@@ -0,0 +1,7 @@
+//! Releases under faults: real dispatchers that are restarted one version after another, by drivers that are doubled and
+//! killed, while keepers and dispatchers break; and a judge that knows only what was seen from outside.
+//!
+//! [`witness`] judges the outages that the supervisor saw, [`run`] puts all together.
+
+pub mod run;
+pub mod witness;
--- /dev/null
+++ b/rig/src/release/witness.rs
@@ -0,0 +1,66 @@
+//! Judges outages by what was seen from outside: who was ready when, who ended itself, and what operators were told.
+
+use crate::supervisor::{How, Outage};
+
+/// The most that were out at once, and for how long, in seconds, that was more than a budget.
+pub fn most_at_once(outages: &[&Outage], budget: usize) -> (usize, f64) {
+    let mut edges: Vec<(f64, i32)> = outages.iter().flat_map(|o| [(o.from, 1), (o.to, -1)]).collect();
+    // One that is back at the moment at which the next one goes was not out beside it.
+    edges.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    let (mut out, mut most, mut over, mut since) = (0_i32, 0, 0.0, 0.0);
+    for (at, step) in edges {
+        if out as usize > budget {
+            over += at - since;
+        }
+        (out, since) = (out + step, at);
+        most = most.max(out);
+    }
+    (usize::try_from(most).unwrap_or(0), over)
+}
+
+/// Those that went of their own accord, as a program does that was permitted to.
+pub fn by_permit(outages: &[Outage]) -> Vec<&Outage> {
+    outages.iter().filter(|o| o.how == How::Itself).collect()
+}
+
+/// A halt: when it was acknowledged, and when its end was asked for.
+pub type Halt = (f64, f64);
+
+/// How long after each halt was acknowledged the last one went, in seconds; 0: none did.
+pub fn late_after(outages: &[&Outage], halts: &[Halt]) -> Vec<f64> {
+    let late = |(from, to): &Halt| {
+        let begun = outages.iter().map(|o| o.from).filter(|at| (*from..*to).contains(at));
+        begun.map(|at| at - from).fold(0.0, f64::max)
+    };
+    halts.iter().map(late).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn out(dispatcher: usize, from: f64, to: f64, how: How) -> Outage {
+        Outage { dispatcher, from, to, how }
+    }
+
+    #[test]
+    fn outages_beside_each_other_count_and_those_one_after_another_do_not() {
+        let all = [
+            out(0, 1.0, 2.0, How::Itself),
+            out(1, 2.0, 4.0, How::Itself),
+            out(2, 3.0, 3.5, How::Itself),
+            out(3, 3.0, 9.0, How::Ordered),
+        ];
+        let asked = by_permit(&all);
+        assert_eq!(most_at_once(&asked, 1), (2, 0.5));
+        assert_eq!(most_at_once(&asked, 2), (2, 0.0));
+        assert_eq!(most_at_once(&all.iter().collect::<Vec<_>>(), 2).0, 3);
+    }
+
+    #[test]
+    fn only_what_goes_during_a_halt_is_late() {
+        let all =
+            [out(0, 1.0, 2.0, How::Itself), out(1, 2.25, 4.0, How::Itself), out(2, 6.0, 7.0, How::Itself)];
+        assert_eq!(late_after(&by_permit(&all), &[(2.0, 5.0), (7.0, 8.0)]), [0.25, 0.0]);
+    }
+}
--- a/rig/src/room.rs
+++ b/rig/src/room.rs
@@ -51,7 +51,9 @@
     let (on_file, off_file) = (operator(true), operator(false));
     let (mut on, mut off) = (Vec::new(), Vec::new());
     let scenarios: Vec<_> = loads.iter().map(|load| Scenario { load: *load, ..scenario.clone() }).collect();
-    let run = |scenario, operator| async move { Run { scenario, seed, program, operator }.play().await };
+    let run = |scenario, operator| async move {
+        Run { scenario, seed, program, operator, supervisor: None }.play().await
+    };
     let both = scenarios.iter().map(|s| async { tokio::try_join!(run(s, &on_file), run(s, &off_file)) });
     for played in futures_util::future::try_join_all(both).await? {
         on.push(played.0);
--- a/rig/src/run.rs
+++ b/rig/src/run.rs
@@ -7,6 +7,7 @@
 use crate::record::{Record, Seen, Told};
 use crate::scenario::{Order, Plan, Scenario};
 use crate::standin::{Counts, Fleet};
+use crate::supervisor::Supervisor;
 use anyhow::Result;
 use serde_json::Value;
 use std::path::Path;
@@ -25,6 +26,8 @@
     pub program: &'a Path,
     /// The dispatchers' operator's file.
     pub operator: &'a Value,
+    /// Who starts them again, whenever they end.
+    pub supervisor: Option<&'a Supervisor>,
 }
 
 /// What came of it.
@@ -80,8 +83,24 @@
         let behind = [tokio::spawn(fleet.clone().drive()), tokio::spawn(discovery.clone().run(changed))];
         let addresses: Vec<_> = processes.iter().map(|p| p.address).collect();
         let clients = Clients::new(plan.clone(), record.clone(), &addresses);
-        let (fates, killed) = tokio::join!(clients.play(), self.herd(&mut processes, &record));
-        let killed = killed?;
+        let (fates, killed) = match self.supervisor {
+            None => {
+                let (fates, killed) = tokio::join!(clients.play(), self.herd(&mut processes, &record));
+                (fates, killed?)
+            }
+            Some(supervisor) => {
+                let workers = self.scenario.workers;
+                let each = processes.iter_mut().enumerate();
+                let kept = each.map(|(n, process)| supervisor.keep(n, process, &record, workers));
+                let fates = tokio::select! {
+                    fates = clients.play() => fates,
+                    ended = futures_util::future::try_join_all(kept) => {
+                        anyhow::bail!("the supervisor ended: {:?}", ended.err())
+                    }
+                };
+                (fates, supervisor.killed())
+            }
+        };
         let cpu = processes.iter().map(Process::cpu).sum();
         let ready = processes.iter().flat_map(|p| p.ready.iter().copied()).collect();
         let (counts, discovery_calls) = (fleet.counts(), discovery.calls());
@@ -109,7 +128,7 @@
                 record.note(Seen::Told { dispatcher, worker, what: Told::Ready { cold: false } });
             }
             process.start_again().await?;
-            anyhow::Ok(Killed { dispatcher, from, back: record.now() })
+            anyhow::Ok(Killed { dispatcher, from, back: record.now(), abrupt: true })
         });
         futures_util::future::try_join_all(again).await
     }
--- a/rig/src/store/group.rs
+++ b/rig/src/store/group.rs
@@ -3,7 +3,7 @@
 use super::desk::{Desk, Frames, Leader};
 use crate::fault::process::Victim;
 use crate::fault::relay::{Relay, Wire};
-use crate::fault::schedule::{Damage, Fault, What};
+use crate::fault::schedule::{Damage, Fault, Schedule, What};
 use anyhow::{Context, Result, bail};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -239,6 +239,29 @@
         }
     }
 
+    /// Plays a schedule: begins and ends its faults at their times. `begins` is told of each before it begins.
+    pub async fn play(&mut self, schedule: &Schedule, mut begins: impl FnMut(&Fault)) -> Result<()> {
+        let start = Instant::now();
+        let mut steps: Vec<(f64, Option<Fault>, usize)> = Vec::new();
+        for fault in &schedule.0 {
+            steps.push((fault.at, Some(*fault), fault.number));
+            steps.push((fault.at + fault.lasts, None, fault.number));
+        }
+        steps.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (at, fault, number) in steps {
+            sleep(Duration::from_secs_f64((at - start.elapsed().as_secs_f64()).max(0.0))).await;
+            self.look()?;
+            match fault {
+                Some(fault) => {
+                    begins(&fault);
+                    tokio::task::block_in_place(|| self.begin_fault(fault));
+                }
+                None => self.end_fault(number)?,
+            }
+        }
+        Ok(())
+    }
+
     /// Notes keepers that ended though no fault was theirs, and starts them again.
     pub fn look(&mut self) -> Result<()> {
         for (k, keeper) in self.keepers.iter_mut().enumerate() {
--- a/rig/src/store/run.rs
+++ b/rig/src/store/run.rs
@@ -5,7 +5,7 @@
 use super::verdict::{Verdict, judge};
 use super::witness::{Op, Seen, Witness};
 use crate::clients::Outcome;
-use crate::fault::schedule::{Draw, Schedule, What};
+use crate::fault::schedule::{Draw, Fault, Schedule, What};
 use crate::run::Run;
 use crate::scenario::Scenario;
 use crate::standin::lock;
@@ -241,32 +241,6 @@
     }
 }
 
-/// Plays a schedule: begins and ends its faults at their times, and tells of leaders that are killed.
-async fn play(shared: &Shared, group: &mut Group, schedule: &Schedule) -> Result<()> {
-    let start = Instant::now();
-    let mut steps: Vec<(f64, Option<usize>, usize)> = Vec::new();
-    for (i, fault) in schedule.0.iter().enumerate() {
-        steps.push((fault.at, Some(i), fault.number));
-        steps.push((fault.at + fault.lasts, None, fault.number));
-    }
-    steps.sort_by(|a, b| a.0.total_cmp(&b.0));
-    for (at, begins, number) in steps {
-        sleep(Duration::from_secs_f64((at - start.elapsed().as_secs_f64()).max(0.0))).await;
-        group.look()?;
-        match begins {
-            Some(i) => {
-                let fault = schedule.0[i];
-                if fault.what == What::Kill(shared.leader.load(Ordering::Relaxed)) {
-                    lock(&shared.gap).0.get_or_insert_with(Instant::now);
-                }
-                tokio::task::block_in_place(|| group.begin_fault(fault));
-            }
-            None => group.end_fault(number)?,
-        }
-    }
-    Ok(())
-}
-
 /// What the clients of dispatchers saw: the part of their requests that was served, and the rules broken.
 type Served = (f64, Vec<String>);
 
@@ -277,7 +251,13 @@
     let operator = json!({"fleet": {"keepers": keepers}});
     let (dispatchers, faults) = (plan.dispatchers, 0.0);
     let scenario = Scenario { dispatchers, faults, ..Scenario::mixed(plan.seconds, 0.6) };
-    let run = Run { scenario: &scenario, seed: plan.seed, program: &program, operator: &operator };
+    let run = Run {
+        scenario: &scenario,
+        seed: plan.seed,
+        program: &program,
+        operator: &operator,
+        supervisor: None,
+    };
     let played = run.play().await?;
     let served = played.fates.iter().filter(|f| matches!(f.outcome, Outcome::Served(_))).count();
     let broken = played.broken.iter().map(|b| format!("{:?}: {}", b.rule, b.what)).collect();
@@ -311,7 +291,12 @@
         (0..plan.desks).map(|n| tokio::spawn(work(shared.clone(), n, group.outside()))).collect();
     let serving = (plan.dispatchers > 0)
         .then(|| tokio::spawn(serving(plan.clone(), program.to_owned(), group.outside())));
-    play(&shared, &mut group, schedule).await?;
+    let leader_killed = |fault: &Fault| {
+        if fault.what == What::Kill(shared.leader.load(Ordering::Relaxed)) {
+            lock(&shared.gap).0.get_or_insert_with(Instant::now);
+        }
+    };
+    group.play(schedule, leader_killed).await?;
     shared.stop.store(true, Ordering::Relaxed);
     group.heal()?;
     for desk in desks {
--- a/rig/src/store/serving.rs
+++ b/rig/src/store/serving.rs
@@ -123,7 +123,8 @@
     for round in 0..rounds.max(1) {
         let seed = seed + round as u64;
         let play = async |operator: &Value| {
-            let played = Run { scenario: &scenario, seed, program, operator }.play().await?;
+            let played =
+                Run { scenario: &scenario, seed, program, operator, supervisor: None }.play().await?;
             anyhow::Ok(side(&played))
         };
         sides[0].push(play(&json!({})).await?);
--- /dev/null
+++ b/rig/tests/release.rs
@@ -0,0 +1,25 @@
+//! Releases of real dispatchers by doubled drivers that are killed, while keepers and dispatchers break. What is judged is
+//! safety, as seen from outside; how long anything takes is bounded generously and not judged.
+
+use pebblepost_rig::dispatcher;
+use pebblepost_rig::release::run::{Mode, Plan, run};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_more_dispatchers_go_at_once_than_the_budget_allows_whatever_breaks() {
+    let program = dispatcher::built().expect("the program builds");
+    let plan = Plan {
+        dispatchers: 4,
+        workers: 6,
+        keepers: 3,
+        budget: (2, 1),
+        seconds: 30.0,
+        seed: 3,
+        faults: true,
+        mode: Mode::Permits,
+    };
+    let (s, found) = run(&plan, &program).await.expect("all answer after all faults");
+    assert!(s.completed >= 1 && s.completed == s.releases, "{found:#?} {s:?}");
+    assert_eq!((s.stuck_permits, s.rules_broken), (0, 0), "{found:#?}");
+    assert!(s.max_out_dispatchers <= 2 && s.max_out_in_zone <= 1 && s.over_budget_ms == 0.0, "{found:#?}");
+    assert!(s.went >= 3, "only {} went by themselves", s.went);
+}
--- a/rig/tests/run.rs
+++ b/rig/tests/run.rs
@@ -12,7 +12,7 @@
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("threads");
     let runs = scenarios.iter().map(|scenario| {
         let (program, operator) = (&program, &operator);
-        async move { Run { scenario, seed: 5, program, operator }.play().await }
+        async move { Run { scenario, seed: 5, program, operator, supervisor: None }.play().await }
     });
     runtime.block_on(futures_util::future::try_join_all(runs)).expect("runs")
 }
