Releases wave by wave: how far a version gets is a rule of the state; a way back

GoBack binds anew those that came back as the version given up. pebblepost fleet release start|drive|back|status. Result: fleet/tests/release.rs: ten dispatchers, waves of 1, 25%, all; a bad version stays in its wave; six of ten that never went are left alone on the way back.

--- a/fleet/src/command.rs
+++ b/fleet/src/command.rs
@@ -1,7 +1,7 @@
 //! What may be asked of the agreed state, and what is answered.
 
 use crate::name::{Key, Name, Text};
-use crate::permit::{Budget, Kind, Subject};
+use crate::permit::{Budget, Kind, Limit, Subject};
 use crate::state::Snapshot;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -131,6 +131,21 @@
     Back(Subject, u64),
     /// An operator answers for it that a subject counts as back.
     Force(Subject),
+    /// All dispatchers are to have this version, so many of them in each wave. All that have another one are asked for with
+    /// it; begun again, it is the same release.
+    Release {
+        /// The version.
+        want: Text,
+        /// How many may have it in each wave, those of the waves before among them.
+        waves: Vec<Limit>,
+    },
+    /// The release is given up: all that have its version, or may be going over to it, go back to this one, those that are
+    /// out first, and without waves.
+    GoBack(Text),
+    /// The wave of this number, counted from 0, is all back and was watched: the next one begins.
+    Advance(u32),
+    /// The release is over: all have its version.
+    EndRelease,
 }
 
 impl Op {
@@ -143,6 +158,9 @@
             Self::Dismiss(name) => Key::Member(name.clone()),
             Self::Budget(kind, _) | Self::Unbudget(kind) => Key::Budget(*kind),
             Self::Halt(kind) | Self::Resume(kind) => Key::Halt(*kind),
+            Self::Release { .. } | Self::GoBack(_) | Self::Advance(_) | Self::EndRelease => {
+                Key::Release(Kind::Dispatcher)
+            }
             Self::Ask { subject, .. }
             | Self::Withdraw(subject)
             | Self::Back(subject, _)
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`command`]: what may be asked for, and what is answered.
 //! * [`state`]: the state, its revisions and its bounded log of changes.
 //! * [`permit`]: who may be out at once: budgets, permits and their queue.
+//! * [`driver`]: when a release goes on to its next wave, and what halts it.
 //! * [`session`]: which members are there, as the leader of the keepers reckons it from their beats.
 //! * [`follow`]: a dispatcher's copy, its age, and the drains asked for while it was cut off.
 
@@ -14,6 +15,7 @@
 #![warn(missing_docs)]
 
 pub mod command;
+pub mod driver;
 pub mod follow;
 pub mod name;
 pub mod permit;
--- a/fleet/src/name.rs
+++ b/fleet/src/name.rs
@@ -26,7 +26,7 @@
     Control,
     /// It names no part of the state.
     #[error(
-        "{0:?} is none of drain/WORKER, worker/WORKER, setting/NAME, member/NAME, budget/KIND, halt/KIND, permit/KIND/NAME \
+        "{0:?} is none of drain/WORKER, worker/WORKER, setting/NAME, member/NAME, budget/KIND, halt/KIND, release/KIND, permit/KIND/NAME \
          (KIND: dispatcher, worker)"
     )]
     Kind(String),
@@ -96,7 +96,7 @@
 text_like!(Name, Text);
 
 /// A place in the state. As text: `drain/WORKER`, `worker/WORKER`, `setting/NAME`, `member/NAME`, `budget/KIND`, `halt/KIND`,
-/// `permit/KIND/NAME`. Permits come last in their order: see [`State`](crate::State).
+/// `release/KIND`, `permit/KIND/NAME`. Permits come last in their order: see [`State`](crate::State).
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema)]
 #[serde(try_from = "String", into = "String")]
 #[schemars(with = "String")]
@@ -113,6 +113,8 @@
     Budget(Kind),
     /// Whether nothing more of a kind may go out.
     Halt(Kind),
+    /// The release that goes on.
+    Release(Kind),
     /// Whether one may go out.
     Permit(Subject),
 }
@@ -128,6 +130,7 @@
             "member" => Ok(Self::Member(name.parse()?)),
             "budget" => Ok(Self::Budget(name.parse()?)),
             "halt" => Ok(Self::Halt(name.parse()?)),
+            "release" => Ok(Self::Release(name.parse()?)),
             "permit" => Ok(Self::Permit(name.parse()?)),
             _ => Err(BadName::Kind(text.clone())),
         }
@@ -156,6 +159,7 @@
             Self::Member(name) => ("member", name),
             Self::Budget(kind) => ("budget", kind),
             Self::Halt(kind) => ("halt", kind),
+            Self::Release(kind) => ("release", kind),
             Self::Permit(subject) => ("permit", subject),
         };
         write!(f, "{kind}/{name}")
--- a/fleet/src/permit.rs
+++ b/fleet/src/permit.rs
@@ -163,6 +163,38 @@
     pub life: Option<RequestId>,
 }
 
+/// A release: all dispatchers go over to a version, wave by wave. How many have reached it is a rule of the state as well:
+/// a version that turns out bad never gets past its wave, whoever drives the release.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct Release {
+    /// The version that all are to have.
+    pub want: Text,
+    /// The version that is given up, on a way back: whoever comes back as that one goes again.
+    pub from: Option<Text>,
+    /// How many may have it in each wave, those of the waves before among them.
+    pub waves: Vec<Limit>,
+    /// The present wave, counted from 0.
+    pub wave: u32,
+    /// Who began it.
+    pub by: Name,
+    /// When, by that one's clock, in Unix time in milliseconds.
+    pub at_ms: u64,
+}
+
+impl Release {
+    /// How many of `all` may have its version by now.
+    pub fn cap(&self, all: usize) -> usize {
+        let wave = (self.wave as usize).min(self.waves.len().saturating_sub(1));
+        // A wave of a small part is one at least, or it would never end.
+        self.waves.get(wave).map_or(all, |limit| limit.of(all).max(1))
+    }
+
+    /// Whether the present wave is the last one.
+    pub fn is_last(&self) -> bool {
+        self.wave as usize + 1 >= self.waves.len()
+    }
+}
+
 /// How one of a kind stands.
 #[derive(Clone, Copy, Debug)]
 pub struct Standing<'a> {
@@ -170,10 +202,20 @@
     pub zone: &'a str,
     /// Whether it is out: by a permit, or without one.
     pub out: bool,
+    /// Its version, or empty.
+    pub version: &'a str,
     /// Its permit.
     pub permit: Option<&'a Permit>,
 }
 
+impl Standing<'_> {
+    /// Whether it has a version, or is on its way to it.
+    fn has(&self, version: &str) -> bool {
+        let goes = self.permit.is_some_and(|p| p.granted.is_some() && p.want.as_str() == version);
+        self.version == version || goes
+    }
+}
+
 /// All of one kind, and what holds for them.
 #[derive(Clone, Debug, Default)]
 pub struct Roll<'a> {
@@ -183,6 +225,8 @@
     pub budget: Option<Budget>,
     /// Nothing is granted until an operator resumes.
     pub halted: bool,
+    /// The release that goes on.
+    pub release: Option<&'a Release>,
 }
 
 /// Why a permit has to wait.
@@ -196,6 +240,8 @@
     Fleet(usize),
     /// So many others are out in its zone, and no more may be.
     Zone(usize),
+    /// So many have the version of the release, and no more may in this wave.
+    Wave(usize),
 }
 
 impl fmt::Display for Waits {
@@ -204,6 +250,7 @@
             Self::NoBudget => f.write_str("there is no budget for its kind"),
             Self::Halted => f.write_str("halted"),
             Self::Fleet(out) => write!(f, "{out} others are out, no more may be"),
+            Self::Wave(reached) => write!(f, "{reached} have its version, no more may in this wave"),
             Self::Zone(out) => write!(f, "{out} others are out in its zone, no more may be"),
         }
     }
@@ -214,6 +261,8 @@
 struct Counts<'a> {
     all: usize,
     out: usize,
+    /// Those that have the version of the release, or are on their way to it.
+    reached: usize,
     zones: BTreeMap<&'a str, (usize, usize)>,
 }
 
@@ -234,6 +283,20 @@
         self.all.values().filter(|s| s.out).count()
     }
 
+    /// How many have the version of the release, or are on their way to it.
+    pub fn reached(&self) -> usize {
+        let has = |r: &Release| self.all.values().filter(|s| s.has(r.want.as_str())).count();
+        self.release.map_or(0, has)
+    }
+
+    /// Whether all of the present wave have the version of the release, and are not out.
+    pub fn wave_is_back(&self) -> bool {
+        self.release.is_some_and(|r| {
+            let back = |s: &&Standing<'_>| s.version == r.want.as_str() && !s.out;
+            self.all.values().filter(back).count() >= r.cap(self.all.len())
+        })
+    }
+
     fn counts(&self) -> Counts<'a> {
         let mut counts = Counts { all: self.all.len(), ..Counts::default() };
         for standing in self.all.values() {
@@ -242,6 +305,7 @@
                 counts.goes_out(standing);
             }
         }
+        counts.reached = self.reached();
         counts
     }
 
@@ -267,6 +331,13 @@
         if std::env::var_os("PEBBLEPOST_FAULT_BUDGET").is_some() {
             return Ok(());
         }
+        if let Some(release) = self.release
+            && let Some(standing) = standing.filter(|s| s.permit.is_some_and(|p| p.want == release.want))
+            && !standing.has(release.want.as_str())
+            && counts.reached + 1 > release.cap(counts.all)
+        {
+            return Err(Waits::Wave(counts.reached));
+        }
         let itself = usize::from(standing.is_some_and(|s| s.out));
         let others = counts.out - itself;
         if others + 1 > budget.most.of(counts.all) {
@@ -313,8 +384,13 @@
         let mut grants = Vec::new();
         for name in self.queue() {
             if self.fits_beside(&counts, name).is_ok() {
-                if let Some(standing) = self.all.get(name).filter(|s| !s.out) {
-                    counts.goes_out(standing);
+                if let Some(standing) = self.all.get(name) {
+                    if !standing.out {
+                        counts.goes_out(standing);
+                    }
+                    let wanted = self.release.map_or("", |r| r.want.as_str());
+                    let goes_there = standing.permit.is_some_and(|p| p.want.as_str() == wanted);
+                    counts.reached += usize::from(goes_there && !standing.has(wanted));
                 }
                 grants.push(name.clone());
             }
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -6,7 +6,7 @@
 
 use crate::command::{Act, Answer, Card, Command, Done, Expect, Op, Refusal, RequestId, Role, Worker};
 use crate::name::{Key, Name, Text};
-use crate::permit::{Budget, Kind, Limit, Permit, Roll, Standing, Subject};
+use crate::permit::{Budget, Kind, Limit, Permit, Release, Roll, Standing, Subject};
 use crate::setting;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -20,6 +20,8 @@
 pub const MAX_MEMBERS: usize = 5_000;
 /// See [`MAX_WORKERS`].
 pub const MAX_PERMITS: usize = 5_000;
+/// Most waves of a release.
+pub const MAX_WAVES: usize = 32;
 /// Most numbers of keepers, those that were left out among them.
 pub const MAX_KEEPERS: usize = 1_024;
 /// Most changes in one command.
@@ -64,6 +66,8 @@
         /// Why.
         why: Text,
     },
+    /// A release.
+    Release(Release),
     /// A permit.
     Permit(Permit),
 }
@@ -158,13 +162,19 @@
             Some(Value::Budget(budget)) => Some(*budget),
             _ => None,
         },
+        release: match entries.get(&Key::Release(kind)).map(|e| &e.value) {
+            Some(Value::Release(release)) => Some(release),
+            _ => None,
+        },
         ..Roll::default()
     };
-    let stands = |zone, out| Standing { zone, out, permit: None };
+    let stands = |zone, out| Standing { zone, out, version: "", permit: None };
     for (key, entry) in entries {
         match (kind, key, &entry.value) {
             (Kind::Dispatcher, Key::Member(name), Value::Member(m)) if m.card.role == Role::Dispatcher => {
-                roll.all.insert(name, stands(m.card.zone.as_str(), m.is_out()));
+                let version = m.card.version.as_str();
+                let standing = Standing { version, ..stands(m.card.zone.as_str(), m.is_out()) };
+                roll.all.insert(name, standing);
             }
             (Kind::Worker, Key::Drain(name), _) => {
                 roll.all.insert(name, stands("", true));
@@ -288,6 +298,7 @@
                 | (Key::Worker(_), Value::Worker(_))
                 | (Key::Member(_), Value::Member(_))
                 | (Key::Halt(_), Value::Halt { .. })
+                | (Key::Release(_), Value::Release(_))
                 | (Key::Permit(_), Value::Permit(_)) => true,
                 (Key::Budget(_), Value::Budget(b)) => {
                     b.most.is_sound() && b.most_in_zone.is_none_or(Limit::is_sound)
@@ -316,11 +327,11 @@
         let out: BTreeSet<Name> = self.permits().filter_map(out).collect();
         self.entries.retain(|key, _| match key {
             Key::Drain(worker) => out.contains(worker),
-            _ => matches!(key, Key::Member(_) | Key::Permit(_) | Key::Halt(_)),
+            _ => matches!(key, Key::Member(_) | Key::Permit(_) | Key::Halt(_) | Key::Release(_)),
         });
         for (key, entry) in &backup.entries {
             let value = match &entry.value {
-                Value::Permit(_) => continue,
+                Value::Permit(_) | Value::Release(_) => continue,
                 Value::Member(_) | Value::Halt { .. } if self.entries.contains_key(key) => continue,
                 Value::Member(m) => Value::Member(Member { presence: Presence::Lost, ..m.clone() }),
                 other => other.clone(),
@@ -406,6 +417,10 @@
                     items.extend(self.change_permit(command, op, why)?);
                     continue;
                 }
+                Op::Release { .. } | Op::GoBack(_) | Op::Advance(_) | Op::EndRelease => {
+                    items.extend(self.change_release(command, op, why)?);
+                    continue;
+                }
                 Op::Undrain(_)
                 | Op::Unset(_)
                 | Op::Forget(_)
@@ -528,6 +543,9 @@
             items.push((Key::Permit(subject), None));
         }
         self.put(revision, &items);
+        let again = self.gone_the_wrong_way();
+        self.put(revision, &again);
+        items.extend(again);
         for kind in [Kind::Dispatcher, Kind::Worker] {
             if !self.permits().any(|(s, p)| s.kind == kind && p.granted.is_none()) {
                 continue;
@@ -551,6 +569,117 @@
         items
     }
 
+    /// On a way back: permits of those that came back as the version that is given up. They bind the new life, so that it
+    /// ends itself as well.
+    fn gone_the_wrong_way(&self) -> Items {
+        let Some(release) = self.release() else { return Items::new() };
+        let again = |(subject, permit): (&Subject, &Permit)| {
+            let member = self.member(&subject.name)?;
+            let wrong = release.from.as_ref() == Some(&member.card.version);
+            let bound = permit.granted.is_none() || permit.life == member.life();
+            if subject.kind != Kind::Dispatcher || permit.want != release.want || !wrong || bound {
+                return None;
+            }
+            let permit = Permit { life: member.life(), ..permit.clone() };
+            Some((Key::Permit(subject.clone()), Some(Value::Permit(permit))))
+        };
+        self.permits().filter_map(again).collect()
+    }
+
+    /// The release that goes on.
+    pub fn release(&self) -> Option<&Release> {
+        match &self.entries.get(&Key::Release(Kind::Dispatcher))?.value {
+            Value::Release(release) => Some(release),
+            _ => None,
+        }
+    }
+
+    /// What an operation on the release makes of it, and of the permits that go with it.
+    fn change_release(&self, command: &Command, op: &Op, why: &Text) -> Result<Items, Refusal> {
+        let invalid = |what: &str| Err(Refusal::Invalid { what: what.to_owned() });
+        let key = || Key::Release(Kind::Dispatcher);
+        match (op, self.release()) {
+            (Op::Release { want, .. }, Some(now)) if now.want == *want => Ok(Items::new()),
+            (Op::Release { .. }, Some(now)) => {
+                invalid(&format!("the release of {} goes on: end it, or go back, first", now.want))
+            }
+            (Op::Release { want, waves }, None) => {
+                let sound =
+                    !waves.is_empty() && waves.len() <= MAX_WAVES && waves.iter().all(|w| w.is_sound());
+                if want.as_str().is_empty() || !sound {
+                    return invalid(&format!("a release wants a version, and 1 to {MAX_WAVES} waves"));
+                }
+                let roll = self.roll(Kind::Dispatcher);
+                if waves.last().map(|w| w.of(roll.all.len())) < Some(roll.all.len()) {
+                    return invalid("the last wave must reach all, or the release would never end");
+                }
+                if let Some(never) = roll.all.keys().find_map(|name| roll.never(name)) {
+                    return invalid(&format!("it would never end: {never}"));
+                }
+                let (by, at_ms) = (command.by.clone(), command.at_ms);
+                let release =
+                    Release { want: want.clone(), from: None, waves: waves.clone(), wave: 0, by, at_ms };
+                Ok(self.all_to(command, release, why, |version| version != want))
+            }
+            (Op::GoBack(to), Some(now)) if now.from.is_some() && now.want == *to => Ok(Items::new()),
+            (Op::GoBack(to), Some(now)) if to.as_str().is_empty() || *to == now.want => {
+                invalid("a way back wants a version other than the release's")
+            }
+            (Op::GoBack(to), Some(now)) => {
+                let (by, at_ms) = (command.by.clone(), command.at_ms);
+                let (from, waves) = (Some(now.want.clone()), vec![Limit::Share(1.0)]);
+                let release = Release { want: to.clone(), from, waves, wave: 0, by, at_ms };
+                let given_up = now.want.clone();
+                Ok(self.all_to(command, release, why, |version| *version == given_up))
+            }
+            (Op::Advance(wave), Some(now)) if now.wave != *wave => Ok(Items::new()),
+            (Op::Advance(_), Some(now)) if now.is_last() => invalid("this is the last wave"),
+            (Op::Advance(_), Some(now)) => {
+                if !self.roll(Kind::Dispatcher).wave_is_back() {
+                    return invalid("not all of the wave have the version and are ready");
+                }
+                let release = Release { wave: now.wave + 1, ..now.clone() };
+                Ok(vec![(key(), Some(Value::Release(release)))])
+            }
+            (Op::EndRelease, Some(now)) => {
+                let left = self.permits().filter(|(_, p)| p.want == now.want).count();
+                match left {
+                    0 => Ok(vec![(key(), None)]),
+                    _ => invalid(&format!("{left} dispatchers have not come back as {}", now.want)),
+                }
+            }
+            (Op::EndRelease, None) => Ok(Items::new()),
+            _ => invalid("no release goes on"),
+        }
+    }
+
+    /// A release, and permits with its version for all that are to go: those that have one keep their place, granted ones
+    /// stay granted, and those that are out go first. Others that wait for another version do so no more.
+    fn all_to(&self, command: &Command, release: Release, why: &Text, goes: impl Fn(&Text) -> bool) -> Items {
+        let mut items = Items::new();
+        for (name, member) in self.members().filter(|(_, m)| m.card.role == Role::Dispatcher) {
+            let subject = Subject { kind: Kind::Dispatcher, name: name.clone() };
+            let permit = match self.permit(&subject) {
+                // It may be going already, to whichever version was wanted: it is to come back as this one.
+                Some(p) if p.granted.is_some() => Some(Permit { want: release.want.clone(), ..p.clone() }),
+                _ if goes(&member.card.version) => Some(Permit {
+                    by: command.by.clone(),
+                    at_ms: command.at_ms,
+                    why: why.clone(),
+                    urgent: release.from.is_some() && member.is_out(),
+                    want: release.want.clone(),
+                    asked: self.revision + 1,
+                    granted: None,
+                    life: None,
+                }),
+                _ => None,
+            };
+            items.push((Key::Permit(subject), permit.map(Value::Permit)));
+        }
+        items.push((Key::Release(Kind::Dispatcher), Some(Value::Release(release))));
+        items
+    }
+
     /// What an operation on a permit makes of it, and of the drain mark that goes with it.
     fn change_permit(&self, command: &Command, op: &Op, why: &Text) -> Result<Items, Refusal> {
         let invalid = |what: String| Err(Refusal::Invalid { what });
--- /dev/null
+++ b/fleet/tests/release.rs
@@ -0,0 +1,169 @@
+//! Releases: how far a version gets, what halts it, and the way back.
+
+use pebblepost_fleet::command::{Act, Card, Command, RequestId, Role};
+use pebblepost_fleet::driver::{Driver, Next, Pace};
+use pebblepost_fleet::state::State;
+use pebblepost_fleet::{Answer, Budget, Kind, Limit, Name, Op, Subject, Text};
+use std::time::Duration;
+
+fn name(text: &str) -> Name {
+    text.parse().expect("a sound name")
+}
+
+fn text(text: &str) -> Text {
+    text.parse().expect("a sound text")
+}
+
+/// Ten dispatchers, of which three may be out.
+struct Fleet {
+    state: State,
+    next: u64,
+    /// The life of each.
+    lives: Vec<u64>,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let mut fleet = Self { state: State::default(), next: 0, lives: vec![0; 10] };
+        (0..10).for_each(|n| fleet.comes_back(n, "1", true));
+        let budget = Budget { most: Limit::Count(3), most_in_zone: None, least_in_zone: 0 };
+        fleet.op(Op::Budget(Kind::Dispatcher, budget)).expect("a sound budget");
+        fleet
+    }
+
+    fn act(&mut self, act: Act) -> Answer {
+        self.next += 1;
+        self.state.apply(&Command { id: RequestId(1, self.next), by: name("o"), at_ms: 0, act })
+    }
+
+    fn op(&mut self, op: Op) -> Answer {
+        self.act(Act::Change { ops: vec![op], expect: Vec::new(), why: text("a test") })
+    }
+
+    fn start(&mut self, want: &str, waves: &[Limit]) -> Answer {
+        self.op(Op::Release { want: text(want), waves: waves.to_vec() })
+    }
+
+    /// A new life, with a version.
+    fn comes_back(&mut self, n: usize, version: &str, ready: bool) {
+        self.lives[n] += 1;
+        let (version, zone) = (text(version), Text::default());
+        let card = Card { role: Role::Dispatcher, version, address: None, zone, ready };
+        let (member, life) = (name(&format!("d{n}")), RequestId(n as u64, self.lives[n]));
+        self.act(Act::Join { member, life, card }).expect("it may join");
+    }
+
+    /// Those whose present life is permitted to end.
+    fn going(&self) -> Vec<usize> {
+        let bound = |n: &usize| {
+            let subject = Subject { kind: Kind::Dispatcher, name: name(&format!("d{n}")) };
+            let permit = self.state.permit(&subject);
+            permit
+                .is_some_and(|p| p.granted.is_some() && p.life == Some(RequestId(*n as u64, self.lives[*n])))
+        };
+        (0..10).filter(bound).collect()
+    }
+
+    /// All that may go do so, and come back as this version, until nobody goes any more.
+    fn all_go(&mut self, version: &str, ready: bool) -> usize {
+        let mut gone = 0;
+        while let [first, ..] = self.going()[..] {
+            assert!(self.going().len() <= 3, "over the budget: {:?}", self.going());
+            self.comes_back(first, version, ready);
+            gone += 1;
+        }
+        gone
+    }
+
+    fn of(&self, version: &str) -> usize {
+        self.state.members().filter(|(_, m)| m.card.version.as_str() == version).count()
+    }
+}
+
+const WAVES: [Limit; 3] = [Limit::Count(1), Limit::Share(0.25), Limit::Share(1.0)];
+const PACE: Pace = Pace { pause: Duration::from_secs(10), patience: Duration::from_secs(60), crashes: 3 };
+
+#[test]
+fn no_wave_begins_before_the_last_one_is_back_was_watched_and_the_driver_says_so() {
+    let mut fleet = Fleet::new();
+    assert!(fleet.start("2", &[Limit::Share(0.5)]).is_err(), "it would never end");
+    fleet.start("2", &WAVES).expect("sound waves");
+    let before = fleet.state.clone();
+    fleet.start("2", &WAVES).expect("the same release");
+    assert_eq!(fleet.state.revision(), before.revision(), "started twice it is one");
+    assert!(fleet.start("3", &WAVES).is_err(), "one at a time");
+    let mut driver = Driver::new(PACE);
+    let second = Duration::from_secs(1);
+    // A tenth of the fleet goes, and no more, whoever asks and however often.
+    assert_eq!(driver.look(second, &fleet.state.snapshot()), Next::Wait);
+    assert!(fleet.op(Op::Advance(0)).is_err(), "the wave is not back");
+    assert_eq!(fleet.all_go("2", true), 1);
+    assert_eq!(driver.look(2 * second, &fleet.state.snapshot()), Next::Wait, "it is watched");
+    let Next::Ask(advance, _) = driver.look(13 * second, &fleet.state.snapshot()) else {
+        panic!("it was watched")
+    };
+    fleet.op(advance.clone()).expect("the next wave");
+    assert_eq!(fleet.all_go("2", true), 1, "a quarter of ten is two");
+    // A second driver that comes late with the same says nothing new.
+    fleet.op(advance).expect("it is so already");
+    assert_eq!((fleet.of("2"), fleet.going().len()), (2, 0));
+    fleet.op(Op::Advance(1)).expect("the last wave");
+    assert_eq!(fleet.all_go("2", true), 8);
+    assert_eq!(
+        driver.look(20 * second, &fleet.state.snapshot()),
+        Next::Ask(Op::EndRelease, "all have it".into())
+    );
+    fleet.op(Op::EndRelease).expect("all have it");
+    assert_eq!(driver.look(21 * second, &fleet.state.snapshot()), Next::Over);
+}
+
+#[test]
+fn a_version_that_is_never_ready_or_crashes_stays_in_its_wave_and_halts_the_release() {
+    let second = Duration::from_secs(1);
+    let mut fleet = Fleet::new();
+    fleet.start("bad", &WAVES).expect("sound waves");
+    let mut driver = Driver::new(PACE);
+    assert_eq!(fleet.all_go("bad", false), 1);
+    assert_eq!(driver.look(second, &fleet.state.snapshot()), Next::Wait);
+    let Next::Ask(halt, why) = driver.look(62 * second, &fleet.state.snapshot()) else { panic!("it waits") };
+    assert!(why.contains("wave 0 is not back"), "{why}");
+    fleet.op(halt).expect("a halt");
+    assert_eq!(driver.look(63 * second, &fleet.state.snapshot()), Next::Halted);
+    assert_eq!((fleet.of("bad"), fleet.going().len()), (1, 0));
+    // One that is ready and crashes again and again: three lives that nobody asked for.
+    let mut fleet = Fleet::new();
+    fleet.start("bad", &WAVES).expect("sound waves");
+    let mut driver = Driver::new(PACE);
+    fleet.all_go("bad", true);
+    let bad = (0..10).find(|n| fleet.lives[*n] == 2).expect("one went");
+    assert_eq!(driver.look(second, &fleet.state.snapshot()), Next::Wait);
+    (0..3).for_each(|_| fleet.comes_back(bad, "bad", true));
+    let Next::Ask(Op::Halt(_), why) = driver.look(2 * second, &fleet.state.snapshot()) else {
+        panic!("it goes on")
+    };
+    assert!(why.contains("3 crashes"), "{why}");
+}
+
+#[test]
+fn the_way_back_takes_those_that_have_the_bad_version_and_those_that_are_out_first() {
+    let mut fleet = Fleet::new();
+    fleet.start("bad", &[Limit::Count(4), Limit::Share(1.0)]).expect("sound waves");
+    // One is back and looks well, one is not ready, one is out, and one of the wave still waits.
+    let going = fleet.going();
+    assert_eq!(going.len(), 3);
+    fleet.comes_back(going[0], "bad", true);
+    fleet.comes_back(going[1], "bad", false);
+    assert_eq!(fleet.going().len(), 2, "the one that was out, and the last of the wave");
+    fleet.op(Op::GoBack(text("1"))).expect("a release goes on");
+    fleet.op(Op::GoBack(text("1"))).expect("it is so already");
+    // The one that came back as the bad version, not ready, is bound anew and goes again.
+    assert!(fleet.going().contains(&going[1]), "{:?}", fleet.going());
+    // The one that was out is started with the bad version all the same: it goes again as well.
+    fleet.comes_back(going[2], "bad", true);
+    assert!(fleet.going().contains(&going[2]), "{:?}", fleet.going());
+    fleet.all_go("1", true);
+    assert_eq!((fleet.of("1"), fleet.state.permits().count()), (10, 0));
+    let untouched = (0..10).filter(|n| fleet.lives[*n] == 1).count();
+    assert_eq!(untouched, 6, "those that never went are left alone");
+    fleet.op(Op::EndRelease).expect("all are back");
+}
--- a/pebblepost/src/fleet.rs
+++ b/pebblepost/src/fleet.rs
@@ -3,6 +3,7 @@
 use crate::kept;
 use clap::{Args, Subcommand, ValueEnum};
 use pebblepost_fleet::command::{Act, Op};
+use pebblepost_fleet::driver::{Driver, Next, Pace};
 use pebblepost_fleet::state::{Change, Entry, Presence, Snapshot, Value};
 use pebblepost_fleet::{Budget, Expect, Key, Kind, Limit, Name, Refusal, Subject, Text};
 use pebblepost_store::client::{Client, Unreachable, command};
@@ -15,7 +16,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 
 /// Who is asked, and how it is told.
@@ -156,6 +157,9 @@
         #[arg(long, default_value = "")]
         why: Text,
     },
+    /// A release: all dispatchers go over to a version, wave by wave.
+    #[command(subcommand)]
+    Release(ReleaseWhat),
     /// Nothing more of a kind goes out until it is resumed.
     Halt {
         /// Of what: dispatcher or worker.
@@ -176,6 +180,43 @@
     },
 }
 
+#[derive(Subcommand, Debug)]
+enum ReleaseWhat {
+    /// Begins it, for all that have another version; nothing more than the first wave goes until it is driven.
+    Start {
+        /// The version.
+        want: Text,
+        /// How many may have it in each wave, those of the waves before among them.
+        #[arg(long, value_delimiter = ',', default_value = "1,5%,25%,100%")]
+        waves: Vec<Limit>,
+        /// Why, for the history.
+        #[arg(long, default_value = "")]
+        why: Text,
+    },
+    /// Drives it to its end, or until a sign halts it (exit code 1). It may be killed and started again, and run twice.
+    Drive {
+        /// A wave that is back is watched for so many seconds before the next one begins.
+        #[arg(long, default_value_t = 60.0)]
+        pause_s: f64,
+        /// A wave that is not back within so many seconds halts the release.
+        #[arg(long, default_value_t = 600.0)]
+        patience_s: f64,
+        /// So many crashes of dispatchers with the new version halt it.
+        #[arg(long, default_value_t = 3)]
+        crashes: u64,
+    },
+    /// Gives it up: all that have its version, or may be going over to it, go back to this one.
+    Back {
+        /// The version.
+        to: Text,
+        /// Why, for the history.
+        #[arg(long, default_value = "")]
+        why: Text,
+    },
+    /// Shows how far it is.
+    Status,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 enum PermitWhat {
     /// Asks for them; one that has a permit keeps it.
@@ -367,6 +408,10 @@
         }
         Value::Budget(b) => told_budget(b),
         Value::Halt { by, at_ms, why } => format!("by {by} at {at_ms}: {why}"),
+        Value::Release(r) => {
+            let waves: Vec<String> = r.waves.iter().map(ToString::to_string).collect();
+            format!("{} in waves of {}, now wave {}, begun by {}", r.want, waves.join(", "), r.wave + 1, r.by)
+        }
         Value::Permit(p) => {
             let stage = p.granted.map_or_else(|| "waits".to_owned(), |at| format!("granted at {at}"));
             let urgent = if p.urgent { ", urgent" } else { "" };
@@ -455,6 +500,25 @@
             What::Permit { what, subjects, urgent, want, why } => {
                 self.permits(what, subjects, urgent, &want, why).await
             }
+            What::Release(ReleaseWhat::Start { want, waves, why }) => {
+                self.change_all([Op::Release { want, waves }], Reason { why, expect: None }).await
+            }
+            What::Release(ReleaseWhat::Back { to, why }) => {
+                self.change_all([Op::GoBack(to)], Reason { why, expect: None }).await
+            }
+            What::Release(ReleaseWhat::Status) => {
+                let snapshot = self.all().await?;
+                self.release_status(&snapshot);
+                Ok(())
+            }
+            What::Release(ReleaseWhat::Drive { pause_s, patience_s, crashes }) => {
+                let seconds = |name: &str, s: f64| {
+                    Duration::try_from_secs_f64(s)
+                        .map_err(|e| FleetError::Usage(format!("--{name}: {s}: {e}")))
+                };
+                let (pause, patience) = (seconds("pause-s", pause_s)?, seconds("patience-s", patience_s)?);
+                self.drive(Pace { pause, patience, crashes }).await
+            }
             What::Halt { kind, why } => self.change_all([Op::Halt(kind)], Reason { why, expect: None }).await,
             What::Resume { kind } => self.change_all([Op::Resume(kind)], Reason::none()).await,
             What::Here { .. } => Ok(()), // Carried out before: it needs no keeper.
@@ -602,6 +666,56 @@
         Ok(())
     }
 
+    fn release_status(&self, snapshot: &Snapshot) {
+        let roll = snapshot.roll(Kind::Dispatcher);
+        let (all, out, reached, queue) = (roll.all.len(), roll.out(), roll.reached(), roll.queue().len());
+        let cap = roll.release.map(|r| r.cap(all));
+        let told = json!({
+            "release": roll.release, "all": all, "reached": reached, "wave_allows": cap, "out": out,
+            "waiting": queue, "halted": roll.halted, "revision": snapshot.revision,
+        });
+        self.say(told, &|| match roll.release {
+            None => format!("no release goes on; {out} of {all} dispatchers out"),
+            Some(r) => format!(
+                "release {}{}: wave {} of {}, {reached} of {all} have it or go to it, {} may by now; {out} out, {queue} wait{}",
+                r.want,
+                r.from.as_ref().map_or_else(String::new, |from| format!(" (back from {from})")),
+                r.wave + 1,
+                r.waves.len(),
+                cap.unwrap_or(all),
+                if roll.halted { ", halted" } else { "" }
+            ),
+        });
+    }
+
+    /// Drives a release. What it asks for is refused if it makes no sense by then; it looks again.
+    async fn drive(&mut self, pace: Pace) -> Result<()> {
+        let (began, mut driver, mut shown) = (Instant::now(), Driver::new(pace), 0);
+        loop {
+            // Without keepers nothing goes on, and nothing can be done about that here.
+            if let Ok(snapshot) = self.all().await {
+                let next = driver.look(began.elapsed(), &snapshot);
+                if std::mem::replace(&mut shown, snapshot.revision) != snapshot.revision {
+                    self.release_status(&snapshot);
+                }
+                match next {
+                    Next::Wait => {}
+                    Next::Over => return Ok(()),
+                    Next::Halted => return Err(FleetError::Failed("the release is halted".to_owned())),
+                    Next::Ask(op, why) => {
+                        let why = why.parse().unwrap_or_default();
+                        let act = Act::Change { ops: vec![op], expect: Vec::new(), why };
+                        let asked = self.client.command(&command(self.by.clone(), act), self.within).await;
+                        if let Ok(Err(refused)) = asked {
+                            tracing::info!(%refused, "not by now");
+                        }
+                    }
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(250)).await;
+        }
+    }
+
     async fn permits(
         &mut self, what: PermitWhat, subjects: Vec<Subject>, urgent: bool, want: &Text, why: Text,
     ) -> Result<()> {
