--- a/fleet/src/driver.rs
+++ b/fleet/src/driver.rs
@@ -41,6 +41,8 @@
     began: Duration,
     /// Since when all of the wave are back.
     back: Option<Duration>,
+    /// Crashes seen so far.
+    crashes: u64,
     /// Lives of dispatchers with the new version when each was first seen with it.
     lives: BTreeMap<Name, u64>,
 }
@@ -48,7 +50,7 @@
 impl Driver {
     /// One that has seen nothing.
     pub fn new(pace: Pace) -> Self {
-        Self { pace, wave: None, began: Duration::ZERO, back: None, lives: BTreeMap::new() }
+        Self { pace, wave: None, began: Duration::ZERO, back: None, crashes: 0, lives: BTreeMap::new() }
     }
 
     /// New lives that nobody asked for, of dispatchers with the version.
@@ -74,11 +76,15 @@
             (self.wave, self.began, self.back) = (Some(release.wave), now, None);
         }
         let crashes = self.crashes(release, state);
+        if std::mem::replace(&mut self.crashes, crashes) != crashes {
+            // One that was back a moment after its crash: the watch begins anew.
+            self.back = None;
+        }
         if roll.halted {
             return Next::Halted;
         }
         if crashes >= self.pace.crashes {
-            self.lives.clear();
+            (self.crashes, self.lives) = (0, BTreeMap::new());
             let why = format!("{crashes} crashes of dispatchers with version {}", release.want);
             return Next::Ask(Op::Halt(Kind::Dispatcher), why);
         }
--- a/fleet/src/permit.rs
+++ b/fleet/src/permit.rs
@@ -169,7 +169,7 @@
 pub struct Release {
     /// The version that all are to have.
     pub want: Text,
-    /// The version that is given up, on a way back: whoever comes back as that one goes again.
+    /// The version that is given up, on a way back.
     pub from: Option<Text>,
     /// How many may have it in each wave, those of the waves before among them.
     pub waves: Vec<Limit>,
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -569,15 +569,17 @@
         items
     }
 
-    /// On a way back: permits of those that came back as the version that is given up. They bind the new life, so that it
-    /// ends itself as well.
+    /// Permits of those that came back as another version than wanted: started by whoever knew of no permit, or on a way back
+    /// by whoever did not know of that. They bind the new life, so that it ends itself as well; a halt stops that too.
     fn gone_the_wrong_way(&self) -> Items {
-        let Some(release) = self.release() else { return Items::new() };
+        if self.entries.contains_key(&Key::Halt(Kind::Dispatcher)) {
+            return Items::new();
+        }
         let again = |(subject, permit): (&Subject, &Permit)| {
+            permit.granted.filter(|_| subject.kind == Kind::Dispatcher)?;
             let member = self.member(&subject.name)?;
-            let wrong = release.from.as_ref() == Some(&member.card.version);
-            let bound = permit.granted.is_none() || permit.life == member.life();
-            if subject.kind != Kind::Dispatcher || permit.want != release.want || !wrong || bound {
+            let wrong = !permit.want.as_str().is_empty() && permit.want != member.card.version;
+            if !wrong || permit.life == member.life() {
                 return None;
             }
             let permit = Permit { life: member.life(), ..permit.clone() };
