--- a/rig/src/release/run.rs
+++ b/rig/src/release/run.rs
@@ -400,6 +400,7 @@
     let (course, ended) = work.await?;
     found.extend(ended.err().map(|error| error.to_string()));
     let stuck = progress(&mut desk, "").await?.permits;
+    supervisor.is_over();
     let played = played.await??;
     Ok(judge(&shared, &played, course, stuck, lock(&counts).clone(), found))
 }
--- a/rig/src/run.rs
+++ b/rig/src/run.rs
@@ -92,8 +92,14 @@
                 let workers = self.scenario.workers;
                 let each = processes.iter_mut().enumerate();
                 let kept = each.map(|(n, process)| supervisor.keep(n, process, &record, workers));
+                let course = async {
+                    let fates = clients.play().await;
+                    // What is being done to the dispatchers may take longer than their clients stay.
+                    supervisor.until_over().await;
+                    fates
+                };
                 let fates = tokio::select! {
-                    fates = clients.play() => fates,
+                    fates = course => fates,
                     ended = futures_util::future::try_join_all(kept) => {
                         anyhow::bail!("the supervisor ended: {:?}", ended.err())
                     }
--- a/rig/src/supervisor.rs
+++ b/rig/src/supervisor.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 
 /// A version whose name begins with this is bad: it crashes so long after each of its starts.
@@ -69,6 +70,8 @@
     killed: Mutex<Vec<Killed>>,
     /// Dispatchers that were ever started with each version.
     reached: Mutex<BTreeMap<String, BTreeSet<usize>>>,
+    /// Nobody needs the dispatchers any more.
+    over: Notify,
     /// When the record began.
     began: Mutex<Option<Instant>>,
 }
@@ -111,6 +114,16 @@
         bad.map(|(_, who)| who.len()).max().unwrap_or(0)
     }
 
+    /// The dispatchers may end, once their clients have.
+    pub fn is_over(&self) {
+        self.over.notify_one();
+    }
+
+    /// Waits for [`Self::is_over`].
+    pub async fn until_over(&self) {
+        self.over.notified().await;
+    }
+
     /// Seconds of the record.
     pub fn now(&self) -> f64 {
         lock(&self.began).map_or(0.0, |began| began.elapsed().as_secs_f64())
