--- /dev/null
+++ b/fleet/examples/release_size.rs
@@ -0,0 +1,105 @@
+//! A release at size, without sockets: the state machine with N dispatchers that end and come back after times drawn from a
+//! seed. Prints a table: how long it takes, and how many commands and bytes of changes for each dispatcher.
+//!
+//! `cargo run --release -p pebblepost-fleet --example release_size`
+
+#![forbid(unsafe_code)]
+
+use pebblepost_fleet::command::{Act, Card, Command, RequestId, Role};
+use pebblepost_fleet::driver::{Driver, Next, Pace};
+use pebblepost_fleet::state::State;
+use pebblepost_fleet::{Budget, Kind, Limit, Name, Op, Text};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+/// A linear congruential generator: enough to spread times, and the same on every run.
+struct Draws(u64);
+
+impl Draws {
+    fn between(&mut self, least: u64, most: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        least + (self.0 >> 33) % (most - least)
+    }
+}
+
+struct Fleet {
+    state: State,
+    /// The number of the last request.
+    last: u64,
+    commands: u64,
+    bytes: usize,
+}
+
+impl Fleet {
+    fn act(&mut self, by: &str, act: Act) {
+        (self.commands, self.last) = (self.commands + 1, self.last + 1);
+        let (id, by) = (RequestId(1, self.last), by.parse().expect("a sound name"));
+        let before = self.state.revision();
+        self.state.apply(&Command { id, by, at_ms: 0, act }).expect("it makes sense");
+        let changes = self.state.changes_after(before, 1).unwrap_or_default();
+        self.bytes += serde_json::to_string(&changes).map_or(0, |text| text.len());
+    }
+
+    fn op(&mut self, op: Op) {
+        self.act("operator", Act::Change { ops: vec![op], expect: Vec::new(), why: Text::default() });
+    }
+
+    fn joins(&mut self, n: u64, life: u64, version: &str) {
+        let text = |t: String| t.parse::<Text>().expect("a sound text");
+        let (version, zone) = (text(version.to_owned()), text(format!("z{}", n % 3)));
+        let card = Card { role: Role::Dispatcher, version, address: None, zone, ready: true };
+        let member: Name = format!("d{n}").parse().expect("a sound name");
+        self.act(&format!("d{n}"), Act::Join { member, life: RequestId(n, life), card });
+    }
+
+    /// Those whose first life is permitted to end.
+    fn going(&self) -> BTreeSet<u64> {
+        let granted = self.state.permits().filter(|(_, p)| p.granted.is_some());
+        granted.filter_map(|(_, p)| p.life).filter(|l| l.1 == 1).map(|l| l.0).collect()
+    }
+}
+
+fn main() {
+    println!("| dispatchers | release | commands for each | bytes of changes for each | CPU, simulation and all |");
+    println!("| --- | --- | --- | --- | --- |");
+    for dispatchers in [30, 300, 1_000, 3_000] {
+        let mut fleet = Fleet { state: State::default(), last: 0, commands: 0, bytes: 0 };
+        (0..dispatchers).for_each(|n| fleet.joins(n, 1, "1"));
+        let budget = Budget { most: Limit::Share(0.1), most_in_zone: None, least_in_zone: 1 };
+        fleet.op(Op::Budget(Kind::Dispatcher, budget));
+        (fleet.commands, fleet.bytes) = (0, 0);
+        let (began, mut draws) = (Instant::now(), Draws(7));
+        let waves = vec![Limit::Count(1), Limit::Share(0.05), Limit::Share(0.25), Limit::Share(1.0)];
+        fleet.op(Op::Release { want: "2".parse().expect("a sound text"), waves });
+        let pause = Duration::from_secs(60);
+        let mut driver = Driver::new(Pace { pause, patience: Duration::from_secs(600), crashes: 3 });
+        // In tenths of a second: each hears of its permit, ends what it has, and is started again within 2 to 8 s.
+        let (mut now, mut back): (u64, BTreeMap<u64, BTreeSet<u64>>) = (0, BTreeMap::new());
+        let mut out = BTreeSet::new();
+        loop {
+            for n in fleet.going().difference(&out.clone()) {
+                back.entry(now + draws.between(20, 80)).or_default().insert(*n);
+                out.insert(*n);
+            }
+            for n in back.remove(&now).unwrap_or_default() {
+                fleet.joins(n, 2, "2");
+            }
+            if now.is_multiple_of(10) {
+                match driver.look(Duration::from_millis(now * 100), &fleet.state.snapshot()) {
+                    Next::Ask(op, _) => fleet.op(op),
+                    Next::Over => break,
+                    Next::Wait | Next::Halted => {}
+                }
+            }
+            now += 1;
+        }
+        let each = |all: f64| all / dispatchers as f64;
+        println!(
+            "| {dispatchers} | {} s | {:.2} | {:.0} | {:.0} ms |",
+            now / 10,
+            each(fleet.commands as f64),
+            each(fleet.bytes as f64),
+            began.elapsed().as_secs_f64() * 1e3
+        );
+    }
+}
