--- a/fleet/examples/release_size.rs
+++ b/fleet/examples/release_size.rs
@@ -60,7 +60,9 @@
 }
 
 fn main() {
-    println!("| dispatchers | release | commands for each | bytes of changes for each | CPU, simulation and all |");
+    println!(
+        "| dispatchers | release | commands for each | bytes of changes for each | CPU, simulation and all |"
+    );
     println!("| --- | --- | --- | --- | --- |");
     for dispatchers in [30, 300, 1_000, 3_000] {
         let mut fleet = Fleet { state: State::default(), last: 0, commands: 0, bytes: 0 };
--- a/rig/src/dispatcher.rs
+++ b/rig/src/dispatcher.rs
@@ -23,6 +23,7 @@
     /// How long each of its starts took until it took clients.
     pub ready: Vec<Duration>,
     config: Value,
+    seed: u64,
     operator: Value,
     files: [PathBuf; 2],
     /// CPU of lives that have ended, in seconds.
@@ -111,7 +112,8 @@
         command.stdin(Stdio::null()).stderr(log);
         let child = command.spawn().with_context(|| start.program.display().to_string())?;
         let ready = Vec::new();
-        let mut process = Self { command, child, address, ready, config, operator, files, spent: 0.0 };
+        let mut process =
+            Self { command, child, address, ready, config, seed: start.seed, operator, files, spent: 0.0 };
         process.wait_until_ready().await?;
         Ok(process)
     }
@@ -173,8 +175,9 @@
 
     /// Starts one that has ended anew, at its address, from the list that it had at first.
     pub async fn start_again(&mut self) -> Result<()> {
-        self.config["seed"] =
-            format!("{}{:x}", self.config["seed"].as_str().unwrap_or(""), self.ready.len()).into();
+        // Another one in each life, and never longer than a seed may be.
+        let life = (self.ready.len() as u64) << 40;
+        self.config["seed"] = format!("{:x}", self.seed ^ life).into();
         write(&self.files[0], &self.config)?;
         self.child = self.command.spawn()?;
         self.wait_until_ready().await
