Review: no circle of files in fleet; guards of permits each with a test; one way to ask /ready

Cause: read again as who takes it over. name.rs and permit.rs, and command.rs and permit.rs, used each other; Key and Subject spelt out the same conversions; the example drew with a generator of its own; the rig asked /ready in two places; two guards (a copy permits only the life that was granted; a halt keeps a dispatcher of the wrong version) had no test. Change: Kind, Subject and RequestId stand with the names; a macro for what has a text; rand in the example; Process::is_ready alone asks; two tests. Result: behaviour as before.

--- a/fleet/examples/release_size.rs
+++ b/fleet/examples/release_size.rs
@@ -9,19 +9,11 @@
 use pebblepost_fleet::driver::{Driver, Next, Pace};
 use pebblepost_fleet::state::State;
 use pebblepost_fleet::{Budget, Kind, Limit, Name, Op, Text};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-/// A linear congruential generator: enough to spread times, and the same on every run.
-struct Draws(u64);
-
-impl Draws {
-    fn between(&mut self, least: u64, most: u64) -> u64 {
-        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        least + (self.0 >> 33) % (most - least)
-    }
-}
-
 struct Fleet {
     state: State,
     /// The number of the last request.
@@ -70,7 +62,7 @@
         let budget = Budget { most: Limit::Share(0.1), most_in_zone: None, least_in_zone: 1 };
         fleet.op(Op::Budget(Kind::Dispatcher, budget));
         (fleet.commands, fleet.bytes) = (0, 0);
-        let (began, mut draws) = (Instant::now(), Draws(7));
+        let (began, mut draws) = (Instant::now(), Pcg64Mcg::seed_from_u64(7));
         let waves = vec![Limit::Count(1), Limit::Share(0.05), Limit::Share(0.25), Limit::Share(1.0)];
         fleet.op(Op::Release { want: "2".parse().expect("a sound text"), waves });
         let pause = Duration::from_secs(60);
@@ -80,7 +72,7 @@
         let mut out = BTreeSet::new();
         loop {
             for n in fleet.going().difference(&out.clone()) {
-                back.entry(now + draws.between(20, 80)).or_default().insert(*n);
+                back.entry(now + draws.random_range(20..80)).or_default().insert(*n);
                 out.insert(*n);
             }
             for n in back.remove(&now).unwrap_or_default() {
--- a/fleet/src/command.rs
+++ b/fleet/src/command.rs
@@ -1,18 +1,14 @@
 //! What may be asked of the agreed state, and what is answered.
 
-use crate::name::{Key, Name, Text};
-use crate::permit::{Budget, Kind, Limit, Subject};
+pub use crate::name::RequestId;
+use crate::name::{Key, Kind, Name, Subject, Text};
+use crate::permit::{Budget, Limit};
 use crate::state::Snapshot;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use thiserror::Error;
 
-/// Tells one request from another, so that one asked again (its answer was lost) is applied once. Drawn at random by
-/// whoever asks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
-pub struct RequestId(pub u64, pub u64);
-
 /// A request for a change of the agreed state.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
--- a/fleet/src/driver.rs
+++ b/fleet/src/driver.rs
@@ -3,8 +3,8 @@
 //! comes as an argument.
 
 use crate::command::Op;
-use crate::name::{Key, Name};
-use crate::permit::{Kind, Release};
+use crate::name::{Key, Kind, Name};
+use crate::permit::Release;
 use crate::state::{Snapshot, Value};
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/fleet/src/follow.rs
+++ b/fleet/src/follow.rs
@@ -7,8 +7,7 @@
 //! there is no moment without a mark.
 
 use crate::command::{Act, Answer, Command, Expect, Op, Refusal, RequestId};
-use crate::name::{Key, Name, Text};
-use crate::permit::{Kind, Subject};
+use crate::name::{Key, Kind, Name, Subject, Text};
 use crate::state::{Change, Entry, Snapshot, Value};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -23,7 +23,7 @@
 pub mod setting;
 pub mod state;
 
-pub use command::{Act, Answer, Command, Done, Expect, Op, Refusal, RequestId};
-pub use name::{Key, Name, Text};
-pub use permit::{Budget, Kind, Limit, Permit, Subject};
+pub use command::{Act, Answer, Command, Done, Expect, Op, Refusal};
+pub use name::{Key, Kind, Name, RequestId, Subject, Text};
+pub use permit::{Budget, Limit, Permit};
 pub use state::{Change, Snapshot, State};
--- a/fleet/src/name.rs
+++ b/fleet/src/name.rs
@@ -1,6 +1,5 @@
-//! Names and keys: short, printable, checked where they are made, so that no later code has to.
+//! Names, keys and ids: short, printable, checked where they are made, so that no later code has to.
 
-use crate::permit::{Kind, Subject};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -95,6 +94,66 @@
 }
 text_like!(Name, Text);
 
+/// Tells one request from another, so that one asked again (its answer was lost) is applied once. Drawn at random by
+/// whoever asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
+pub struct RequestId(pub u64, pub u64);
+
+/// What is taken out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A dispatcher: it ends itself once it has its permit, and is back in a new life.
+    Dispatcher,
+    /// A worker: it has a drain mark for as long as its permit lasts.
+    Worker,
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Dispatcher => "dispatcher",
+            Self::Worker => "worker",
+        })
+    }
+}
+
+impl FromStr for Kind {
+    type Err = BadName;
+    fn from_str(text: &str) -> Result<Self, BadName> {
+        match text {
+            "dispatcher" => Ok(Self::Dispatcher),
+            "worker" => Ok(Self::Worker),
+            _ => Err(BadName::Kind(text.to_owned())),
+        }
+    }
+}
+
+/// One dispatcher or worker. As text: `dispatcher/NAME`, `worker/NAME`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema)]
+#[serde(try_from = "String", into = "String")]
+#[schemars(with = "String")]
+pub struct Subject {
+    /// What it is.
+    pub kind: Kind,
+    /// Its name.
+    pub name: Name,
+}
+
+impl FromStr for Subject {
+    type Err = BadName;
+    fn from_str(text: &str) -> Result<Self, BadName> {
+        let (kind, name) = text.split_once('/').ok_or_else(|| BadName::Kind(text.to_owned()))?;
+        Ok(Self { kind: kind.parse()?, name: name.parse()? })
+    }
+}
+
+impl fmt::Display for Subject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind, self.name)
+    }
+}
+
 /// A place in the state. As text: `drain/WORKER`, `worker/WORKER`, `setting/NAME`, `member/NAME`, `budget/KIND`, `halt/KIND`,
 /// `release/KIND`, `permit/KIND/NAME`. Permits come last in their order: see [`State`](crate::State).
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema)]
@@ -119,10 +178,10 @@
     Permit(Subject),
 }
 
-impl TryFrom<String> for Key {
-    type Error = BadName;
-    fn try_from(text: String) -> Result<Self, BadName> {
-        let (kind, name) = text.split_once('/').ok_or_else(|| BadName::Kind(text.clone()))?;
+impl FromStr for Key {
+    type Err = BadName;
+    fn from_str(text: &str) -> Result<Self, BadName> {
+        let (kind, name) = text.split_once('/').ok_or_else(|| BadName::Kind(text.to_owned()))?;
         match kind {
             "drain" => Ok(Self::Drain(name.parse()?)),
             "worker" => Ok(Self::Worker(name.parse()?)),
@@ -132,23 +191,28 @@
             "halt" => Ok(Self::Halt(name.parse()?)),
             "release" => Ok(Self::Release(name.parse()?)),
             "permit" => Ok(Self::Permit(name.parse()?)),
-            _ => Err(BadName::Kind(text.clone())),
+            _ => Err(BadName::Kind(text.to_owned())),
         }
     }
 }
 
-impl From<Key> for String {
-    fn from(key: Key) -> Self {
-        key.to_string()
-    }
-}
-
-impl FromStr for Key {
-    type Err = BadName;
-    fn from_str(text: &str) -> Result<Self, BadName> {
-        text.to_owned().try_into()
-    }
+/// What has a text of its own is carried as that.
+macro_rules! by_text {
+    ($($kind:ident),*) => {$(
+        impl TryFrom<String> for $kind {
+            type Error = BadName;
+            fn try_from(text: String) -> Result<Self, BadName> {
+                text.parse()
+            }
+        }
+        impl From<$kind> for String {
+            fn from(kind: $kind) -> Self {
+                kind.to_string()
+            }
+        }
+    )*};
 }
+by_text!(Key, Subject);
 
 impl fmt::Display for Key {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/fleet/src/permit.rs
+++ b/fleet/src/permit.rs
@@ -4,82 +4,13 @@
 //! with each command that it takes in. So no driver, however late, paused or doubled, can go over a budget. What is out
 //! without having been asked (lost, not ready, drained by hand) uses the budget up like what was.
 
-use crate::command::RequestId;
-use crate::name::{BadName, Name, Text};
+use crate::name::{Name, RequestId, Text};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::str::FromStr;
 
-/// What is taken out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema)]
-#[serde(rename_all = "snake_case")]
-pub enum Kind {
-    /// A dispatcher: it ends itself once it has its permit, and is back in a new life.
-    Dispatcher,
-    /// A worker: it has a drain mark for as long as its permit lasts.
-    Worker,
-}
-
-impl fmt::Display for Kind {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Dispatcher => "dispatcher",
-            Self::Worker => "worker",
-        })
-    }
-}
-
-impl FromStr for Kind {
-    type Err = BadName;
-    fn from_str(text: &str) -> Result<Self, BadName> {
-        match text {
-            "dispatcher" => Ok(Self::Dispatcher),
-            "worker" => Ok(Self::Worker),
-            _ => Err(BadName::Kind(text.to_owned())),
-        }
-    }
-}
-
-/// One dispatcher or worker. As text: `dispatcher/NAME`, `worker/NAME`.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema)]
-#[serde(try_from = "String", into = "String")]
-#[schemars(with = "String")]
-pub struct Subject {
-    /// What it is.
-    pub kind: Kind,
-    /// Its name.
-    pub name: Name,
-}
-
-impl TryFrom<String> for Subject {
-    type Error = BadName;
-    fn try_from(text: String) -> Result<Self, BadName> {
-        text.parse()
-    }
-}
-
-impl From<Subject> for String {
-    fn from(subject: Subject) -> Self {
-        subject.to_string()
-    }
-}
-
-impl FromStr for Subject {
-    type Err = BadName;
-    fn from_str(text: &str) -> Result<Self, BadName> {
-        let (kind, name) = text.split_once('/').ok_or_else(|| BadName::Kind(text.to_owned()))?;
-        Ok(Self { kind: kind.parse()?, name: name.parse()? })
-    }
-}
-
-impl fmt::Display for Subject {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}", self.kind, self.name)
-    }
-}
-
 /// So many, or such a part of all.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -5,8 +5,8 @@
 //! takes a [`Snapshot`].
 
 use crate::command::{Act, Answer, Card, Command, Done, Expect, Op, Refusal, RequestId, Role, Worker};
-use crate::name::{Key, Name, Text};
-use crate::permit::{Budget, Kind, Limit, Permit, Release, Roll, Standing, Subject};
+use crate::name::{Key, Kind, Name, Subject, Text};
+use crate::permit::{Budget, Limit, Permit, Release, Roll, Standing};
 use crate::setting;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
--- a/fleet/tests/permits.rs
+++ b/fleet/tests/permits.rs
@@ -1,11 +1,13 @@
 //! Budgets and permits: who may be out at once, and what every order of commands makes of it.
 
 use pebblepost_fleet::command::{Act, Card, Command, RequestId, Role, Worker};
+use pebblepost_fleet::follow::Follower;
 use pebblepost_fleet::permit::Waits;
 use pebblepost_fleet::state::State;
 use pebblepost_fleet::{Answer, Budget, Key, Kind, Limit, Name, Op, Refusal, Subject, Text};
 use stateright::{Checker, Model, Property};
 use std::hash::{Hash, Hasher};
+use std::time::Duration;
 
 fn name(text: &str) -> Name {
     text.parse().expect("a sound name")
@@ -211,6 +213,33 @@
     assert!(drained(&fleet, "w-2") && !drained(&fleet, "w-3"));
 }
 
+#[test]
+fn a_copy_permits_only_the_life_that_was_granted() {
+    let mut fleet = Fleet::of(&FOUR);
+    fleet.budget(Kind::Dispatcher, Limit::Count(1), None, 0);
+    fleet.ask("dispatcher/a", false, "").expect("it goes");
+    let at = fleet.state.permit(&subject("dispatcher/a")).and_then(|p| p.granted);
+    let mut copy = Follower::default();
+    copy.take_snapshot(Duration::ZERO, fleet.state.snapshot()).expect("newer than nothing");
+    assert_eq!((at.is_some(), copy.permitted(&name("a"), RequestId(7, 0))), (true, at));
+    // The next life reads the same copy, kept over its restart; another dispatcher reads it as well.
+    assert_eq!(copy.permitted(&name("a"), RequestId(7, 1)), None);
+    assert_eq!(copy.permitted(&name("b"), RequestId(7, 100)), None);
+}
+
+#[test]
+fn whoever_comes_back_as_another_version_goes_again_but_not_under_a_halt() {
+    let mut fleet = Fleet::of(&FOUR);
+    fleet.budget(Kind::Dispatcher, Limit::Count(1), None, 0);
+    fleet.ask("dispatcher/a", false, "2").expect("it goes");
+    let bound = |fleet: &Fleet| fleet.state.permit(&subject("dispatcher/a")).and_then(|p| p.life);
+    fleet.op(Op::Halt(Kind::Dispatcher)).expect("a halt");
+    fleet.joins("a", "x", 1, "1", true);
+    assert_eq!(bound(&fleet), Some(RequestId(7, 0)), "its new life stays");
+    fleet.op(Op::Resume(Kind::Dispatcher)).expect("the end of it");
+    assert_eq!(bound(&fleet), Some(RequestId(7, 1)));
+}
+
 // ---- Every order: drivers that are doubled, answers that are lost, processes that crash and are cut off ----
 
 const MOST: usize = 1;
--- a/rig/src/dispatcher.rs
+++ b/rig/src/dispatcher.rs
@@ -184,14 +184,12 @@
     }
 
     async fn wait_until_ready(&mut self) -> Result<()> {
-        let http: Client<_, Empty<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
-        let uri: Uri = format!("http://{}/ready", self.address).parse()?;
         let began = Instant::now();
         while began.elapsed() < Duration::from_secs(10) {
             if let Some(status) = self.child.try_wait()? {
                 bail!("a dispatcher ended at its start: {status}");
             }
-            if http.get(uri.clone()).await.is_ok_and(|answer| answer.status().is_success()) {
+            if self.is_ready().await {
                 self.ready.push(began.elapsed());
                 return Ok(());
             }
