--- a/rig/src/supervisor.rs
+++ b/rig/src/supervisor.rs
@@ -47,7 +47,8 @@
     Crash,
 }
 
-/// One dispatcher was out: from its first answer that was none of a ready one to its next that was.
+/// One dispatcher was surely out: from its first answer that was none of a ready one to the last look that did not find it
+/// ready. When it became ready between that look and the next is not seen; the next one may go by then.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Outage {
     /// Which.
@@ -182,7 +183,8 @@
                 let back = record.now();
                 let abrupt = how != How::Itself;
                 lock(&self.killed).push(Killed { dispatcher, from, back, abrupt });
-                lock(&self.outages).push(Outage { dispatcher, from, to: back, how });
+                let to = back - process.not_ready_at.elapsed().as_secs_f64();
+                lock(&self.outages).push(Outage { dispatcher, from, to, how });
                 (out, ordered) = (None, false);
             } else if process.is_ready().await {
                 if let Some(from) = out.take() {
