A worker may be switched off: every dispatcher's word about its drain, and nobody else's

Need: a worker's permit said that its drain is agreed, not that all dispatchers have heard of it and are done there. Change: each dispatcher tells with its beats how far it acts by what is agreed (never further than its kept copy, so that a restart forgets no confirmed drain), which drained workers it still has attempts at, and how its requests went. fleet/src/doing.rs (no I/O) says from that and the agreed members whether a worker may be switched off, and whose word is missing: behind, busy, unheard, cut off. The leader answers after asking a majority. pebblepost fleet off WORKER waits for it. Soft state, as beats are: a command from each dispatcher for each worker would be quadratic in the watchers.

--- a/fleet/src/follow.rs
+++ b/fleet/src/follow.rs
@@ -221,6 +221,12 @@
         agreed.chain(self.local.keys()).collect()
     }
 
+    /// The revision of the newest agreed drain mark.
+    pub fn newest_mark(&self) -> u64 {
+        let marks = self.copy.entries.iter().take_while(|(key, _)| matches!(key, Key::Drain(_)));
+        marks.map(|(_, entry)| entry.revision).max().unwrap_or(0)
+    }
+
     /// Workers whose drain is local.
     pub fn local(&self) -> impl Iterator<Item = (&Name, &Local)> {
         self.local.iter()
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`command`]: what may be asked for, and what is answered.
 //! * [`state`]: the state, its revisions and its bounded log of changes.
 //! * [`permit`]: who may be out at once: budgets, permits and their queue.
+//! * [`doing`]: what each dispatcher confirms and counts, and when a worker may be switched off.
 //! * [`driver`]: when a release goes on to its next wave, and what halts it.
 //! * [`session`]: which members are there, as the leader of the keepers reckons it from their beats.
 //! * [`follow`]: a dispatcher's copy, its age, and the drains asked for while it was cut off.
@@ -15,6 +16,7 @@
 #![warn(missing_docs)]
 
 pub mod command;
+pub mod doing;
 pub mod driver;
 pub mod follow;
 pub mod name;
--- a/fleet/src/session.rs
+++ b/fleet/src/session.rs
@@ -6,6 +6,7 @@
 //! leader that has just come counts all sessions from the moment it began, since it cannot know what its predecessor heard.
 
 use crate::command::Act;
+use crate::doing::Doing;
 use crate::name::Name;
 use crate::state::{Presence, State};
 use std::collections::BTreeMap;
@@ -39,11 +40,19 @@
     Ended,
 }
 
+/// What was heard of a member.
+#[derive(Debug)]
+struct Heard {
+    session: u64,
+    at: Duration,
+    doing: Option<Doing>,
+}
+
 /// The beats that the leader has heard.
 #[derive(Debug)]
 pub struct Sessions {
     ttl: Ttl,
-    heard: BTreeMap<Name, (u64, Duration)>,
+    heard: BTreeMap<Name, Heard>,
 }
 
 impl Sessions {
@@ -52,27 +61,38 @@
         Self { ttl, heard: BTreeMap::new() }
     }
 
-    /// A beat has come.
-    pub fn beat(&mut self, now: Duration, state: &State, member: &Name, session: u64) -> Beat {
+    /// A beat has come, and with it what the member does; `None`: it has said nothing of that yet.
+    pub fn beat(
+        &mut self, now: Duration, state: &State, member: &Name, session: u64, doing: Option<Doing>,
+    ) -> Beat {
         let goes_on =
             state.member(member).is_some_and(|m| m.session == session && m.presence == Presence::Here);
         if !goes_on {
             return Beat::Ended;
         }
-        self.heard.insert(member.clone(), (session, now));
+        // One that was overtaken may take the place of a newer one: what is confirmed stays true (see `doing`).
+        let before = self.heard.remove(member).filter(|h| h.session == session).and_then(|h| h.doing);
+        let doing = doing.map(Doing::bounded).or(before);
+        self.heard.insert(member.clone(), Heard { session, at: now, doing });
         Beat::Counted
     }
 
+    /// What a member does, as it told in this session.
+    pub fn doing(&self, member: &Name, session: u64) -> Option<&Doing> {
+        self.heard.get(member).filter(|h| h.session == session)?.doing.as_ref()
+    }
+
     /// The sessions that have not been heard for too long, as what to ask for.
     pub fn overdue(&mut self, now: Duration, state: &State) -> Vec<Act> {
         let here = |(_, m): &(&Name, &crate::state::Member)| m.presence == Presence::Here;
         let mut overdue = Vec::new();
         for (name, member) in state.members().filter(here) {
-            let heard = self.heard.entry(name.clone()).or_insert((member.session, now));
-            if heard.0 != member.session {
-                *heard = (member.session, now);
+            let fresh = || Heard { session: member.session, at: now, doing: None };
+            let heard = self.heard.entry(name.clone()).or_insert_with(fresh);
+            if heard.session != member.session {
+                *heard = fresh();
             }
-            if now > heard.1 + self.ttl.for_leader() {
+            if now > heard.at + self.ttl.for_leader() {
                 overdue.push(Act::Expire { member: name.clone(), session: member.session });
             }
         }
--- a/fleet/tests/model.rs
+++ b/fleet/tests/model.rs
@@ -104,7 +104,7 @@
         // What it has seen since it began, in that order.
         leader.overdue(self.secs(self.began), &self.state);
         if let Some((session, at)) = self.heard {
-            leader.beat(self.secs(at), &self.state, &name("m"), session);
+            leader.beat(self.secs(at), &self.state, &name("m"), session, None);
         }
         leader.overdue(self.secs(self.now), &self.state)
     }
@@ -179,7 +179,7 @@
             Step::Arrives(i) => {
                 let (session, number, sent) = world.beats.remove(i);
                 let mut leader = Sessions::begin(TTL);
-                let goes_on = leader.beat(world.secs(world.now), &world.state, &name("m"), session)
+                let goes_on = leader.beat(world.secs(world.now), &world.state, &name("m"), session, None)
                     == pebblepost_fleet::session::Beat::Counted;
                 if goes_on {
                     world.heard = Some((session, world.now));
--- a/fleet/tests/state.rs
+++ b/fleet/tests/state.rs
@@ -181,15 +181,15 @@
     // A leader that has just come knows of no beat: it counts from its own beginning.
     assert_eq!(leader.overdue(at(100.0), &desk.state), []);
     assert_eq!(leader.overdue(at(110.4), &desk.state), []);
-    assert_eq!(leader.beat(at(110.4), &desk.state, &name("n0"), session), Beat::Counted);
-    assert_eq!(leader.beat(at(110.4), &desk.state, &name("n0"), session + 1), Beat::Ended);
+    assert_eq!(leader.beat(at(110.4), &desk.state, &name("n0"), session, None), Beat::Counted);
+    assert_eq!(leader.beat(at(110.4), &desk.state, &name("n0"), session + 1, None), Beat::Ended);
     assert_eq!(leader.overdue(at(120.8), &desk.state), []);
     let overdue = leader.overdue(at(121.0), &desk.state);
     assert_eq!(overdue, [Act::Expire { member: name("n0"), session }]);
     // Its answer comes late: meanwhile the member has joined again.
     let fresh = desk.join("n0", 1).expect("nothing against it").session.expect("a join");
     assert!(desk.ask(overdue[0].clone()).is_err(), "an old session's end does not end the new one");
-    assert_eq!(leader.beat(at(121.0), &desk.state, &name("n0"), fresh), Beat::Counted);
+    assert_eq!(leader.beat(at(121.0), &desk.state, &name("n0"), fresh, None), Beat::Counted);
     assert_eq!(desk.state.member(&name("n0")).map(|m| m.presence), Some(Presence::Here));
 }
 
--- a/pebblepost/src/agent.rs
+++ b/pebblepost/src/agent.rs
@@ -12,6 +12,7 @@
 use crate::config::Fleet;
 use crate::kept;
 use pebblepost_fleet::command::{Act, Card, Role};
+use pebblepost_fleet::doing::{Counts, Doing};
 use pebblepost_fleet::follow::{Follower, Offered};
 use pebblepost_fleet::setting::SETTINGS;
 use pebblepost_fleet::{Name, Refusal, RequestId, Text};
@@ -20,7 +21,7 @@
 use pebblepost_store::wire::{Ask, Say};
 use rand::RngExt;
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
@@ -55,6 +56,8 @@
     pub revision: u64,
     /// Workers with a drain mark, agreed or local.
     pub drained: HashSet<String>,
+    /// The revision of the newest agreed mark.
+    pub newest_mark: u64,
     /// How many of the marks are local.
     pub local: usize,
     /// Agreed settings.
@@ -69,6 +72,7 @@
         Self {
             revision: follower.revision(),
             drained: follower.drained().into_iter().map(|name| name.to_string()).collect(),
+            newest_mark: follower.newest_mark(),
             local: follower.local().count(),
             settings,
             permitted: follower.permitted(name, *life),
@@ -95,6 +99,10 @@
     follower: Mutex<Follower>,
     /// Something was asked for here that the group should have.
     offers: Notify,
+    /// What the loop does, by its last word.
+    doing: Mutex<Doing>,
+    /// The revision that is in the kept copy; without a copy any.
+    kept: AtomicU64,
     changed: Notify,
     wake: UnixStream,
     log: fn(&str),
@@ -117,6 +125,12 @@
         since(self.started)
     }
 
+    /// What the keepers are told of it: what a restart would forget is not confirmed.
+    fn doing(&self) -> Doing {
+        let doing = lock(&self.doing).clone();
+        Doing { acts_by: doing.acts_by.min(self.kept.load(Ordering::Relaxed)), ..doing }
+    }
+
     /// Changes the copy, and tells the loop if that changes what it goes by.
     fn with<T>(&self, work: impl FnOnce(&mut Follower) -> T) -> T {
         let mut follower = lock(&self.follower);
@@ -171,6 +185,7 @@
         };
         let (woken, wake) = UnixStream::pair()?;
         wake.set_nonblocking(true)?;
+        let kept = if fleet.copy.is_some() { follower.revision() } else { u64::MAX };
         let me = (member, request_id());
         let shared = Arc::new(Shared {
             knowledge: Mutex::new(Arc::new(Knowledge::of(&follower, &me))),
@@ -180,6 +195,8 @@
             started: Instant::now(),
             follower: Mutex::new(follower),
             offers: Notify::new(),
+            doing: Mutex::default(),
+            kept: AtomicU64::new(kept),
             changed: Notify::new(),
             wake,
             log,
@@ -221,6 +238,22 @@
         self.shared.offers.notify_one();
     }
 
+    /// How the loop's requests went.
+    pub fn counts(&self, counts: Counts) {
+        lock(&self.shared.doing).counts = counts;
+    }
+
+    /// All that is agreed up to this revision is in force in the loop, which still has attempts out at these drained
+    /// workers.
+    pub fn confirms(&self, revision: u64, busy: BTreeSet<Name>) {
+        let mut doing = lock(&self.shared.doing);
+        let news = doing.busy != busy || lock(&self.shared.knowledge).newest_mark > doing.acts_by;
+        (doing.acts_by, doing.busy) = (doing.acts_by.max(revision), busy);
+        if news {
+            self.shared.offers.notify_one();
+        }
+    }
+
     /// What is known and how old it is, in one line.
     pub fn told(&self) -> String {
         let knowledge = self.knowledge();
@@ -325,7 +358,8 @@
                 }
             }
             Some(number) => {
-                let beat = Ask::Beat { member: member.clone(), session: number };
+                let doing = Some(shared.doing());
+                let beat = Ask::Beat { member: member.clone(), session: number, doing };
                 if let Ok(Say::Beat(false)) = client.ask(&beat, PATIENCE).await {
                     (shared.log)("fleet: the session has ended, joining again");
                     session = None;
@@ -365,10 +399,12 @@
         shared.changed.notified().await;
         let (path, copy) = (path.to_owned(), lock(&shared.follower).clone());
         let shown = path.display().to_string();
+        let (revision, mark) = (copy.revision(), copy.newest_mark());
         let save = move || kept::replace(&path, &serde_json::to_string(&copy)?);
-        let saved = tokio::task::spawn_blocking(save).await;
-        if let Ok(Err(why)) = saved {
-            (shared.log)(&format!("fleet.copy: {shown}: {why}"));
+        match tokio::task::spawn_blocking(save).await {
+            Ok(Ok(())) if shared.kept.swap(revision, Ordering::Relaxed) < mark => shared.offers.notify_one(),
+            Ok(Err(why)) => (shared.log)(&format!("fleet.copy: {shown}: {why}")),
+            _ => {}
         }
         sleep(KEEP).await;
     }
--- a/pebblepost/src/discovery.rs
+++ b/pebblepost/src/discovery.rs
@@ -141,11 +141,23 @@
         id
     }
 
-    /// Whether an operator's drain mark names the worker, or the process of which it is a queue.
+    /// The name in the operator's drain mark for the worker: its own, or that of the process of which it is a queue.
+    pub fn mark_of(&self, worker: WorkerId) -> Option<&str> {
+        let host = self.get(worker)?.host.as_str();
+        [host, host.split('/').next().unwrap_or_default()]
+            .into_iter()
+            .find(|name| self.drained.contains(*name))
+    }
+
+    /// Whether an operator's drain mark names the worker.
     pub fn is_marked(&self, worker: WorkerId) -> bool {
-        let process = |host: &str| host.split('/').next().unwrap_or_default().to_owned();
-        self.get(worker)
-            .is_some_and(|t| self.drained.contains(&t.host) || self.drained.contains(&process(&t.host)))
+        self.mark_of(worker).is_some()
+    }
+
+    /// All workers that an operator's drain mark names.
+    pub fn all_marked(&self) -> HashSet<WorkerId> {
+        let all = (0..self.transports.len()).map(|i| WorkerId(i as u32));
+        if self.drained.is_empty() { HashSet::new() } else { all.filter(|id| self.is_marked(*id)).collect() }
     }
 
     fn place(&mut self, host: &str) -> WorkerId {
--- a/pebblepost/src/engine.rs
+++ b/pebblepost/src/engine.rs
@@ -5,9 +5,10 @@
 //! one final answer for each envelope, no more attempts than the settings allow, nothing to a worker
 //! that was told to be draining or gone, nothing after a request's end.
 
+use pebblepost_fleet::doing::Counts;
 use pebblewind::api::*;
 use pebblewind::{Action, Dispatcher, Event};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 /// What the core is told of a request; the front keeps the rest.
@@ -134,6 +135,7 @@
     requests: HashMap<RequestId, Request>,
     workers: HashMap<WorkerId, WorkerState>,
     unanswered: usize,
+    counts: Counts,
     actions: Vec<Action>,
     /// Outcomes that the core itself makes, told to the decisions after what is in hand.
     own: Vec<Event>,
@@ -150,6 +152,7 @@
             requests: HashMap::new(),
             workers: HashMap::new(),
             unanswered: 0,
+            counts: Counts::default(),
             actions: Vec::new(),
             own: Vec::new(),
             trace: None,
@@ -183,6 +186,17 @@
         self.workers.values().filter(|state| **state == WorkerState::Ready).count()
     }
 
+    /// How its requests went.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Which of these workers have attempts out.
+    pub fn busy(&self, of: &HashSet<WorkerId>) -> HashSet<WorkerId> {
+        let open = self.requests.values().flat_map(|r| r.attempts.iter().filter(|a| a.open));
+        open.map(|a| a.worker).filter(|worker| of.contains(worker)).collect()
+    }
+
     /// Hands all that happened to the decisions and returns what is to be done, in order.
     pub fn turn(&mut self, now: Time, inputs: &mut Vec<Input>, out: &mut Vec<Output>) {
         for input in inputs.drain(..) {
@@ -320,6 +334,8 @@
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
         r.answered = true;
         self.unanswered -= 1;
+        self.counts.answered += 1;
+        self.counts.served += u64::from(matches!(answer, Answer::Served(_)));
         out.push(Output::Answer(id, answer));
         self.forget(id);
     }
--- a/pebblepost/src/fleet.rs
+++ b/pebblepost/src/fleet.rs
@@ -157,6 +157,12 @@
         #[arg(long, default_value = "")]
         why: Text,
     },
+    /// Waits until a worker that goes by a permit may be switched off: every dispatcher has confirmed its drain, and has
+    /// nothing out there. Exit code 0: it may; 1: not within `--within`.
+    Off {
+        /// The worker.
+        worker: Name,
+    },
     /// A release: all dispatchers go over to a version, wave by wave.
     #[command(subcommand)]
     Release(ReleaseWhat),
@@ -500,6 +506,7 @@
             What::Permit { what, subjects, urgent, want, why } => {
                 self.permits(what, subjects, urgent, &want, why).await
             }
+            What::Off { worker } => self.off(&worker).await,
             What::Release(ReleaseWhat::Start { want, waves, why }) => {
                 self.change_all([Op::Release { want, waves }], Reason { why, expect: None }).await
             }
@@ -736,6 +743,37 @@
         self.change_all(ops, Reason { why, expect: None }).await
     }
 
+    async fn off(&mut self, worker: &Name) -> Result<()> {
+        let (end, mut shown) = (Instant::now() + self.within, None);
+        loop {
+            let off = match self.ask(&Ask::Off(worker.clone())).await? {
+                Say::Off(off) => off,
+                other => return Err(misplaced(&other)),
+            };
+            let may = off.may_be_switched_off();
+            if shown.as_ref() != Some(&off) {
+                self.say(json!({"worker": worker, "may_be_switched_off": may, "off": off}), &|| {
+                    let Some(at) = off.granted else { return format!("{worker}: no permit is granted") };
+                    let confirmed = off.clear.len();
+                    let missing = off.waits_for.iter().map(|(name, why)| format!("\n  {name}\t{why}"));
+                    let verdict = if may { "may be switched off" } else { "may not be switched off yet" };
+                    let missing: String = missing.collect();
+                    format!(
+                        "{worker}: permit of revision {at}, {confirmed} dispatchers confirmed: {verdict}{missing}"
+                    )
+                });
+            }
+            if may {
+                return Ok(());
+            }
+            if Instant::now() >= end {
+                return Err(FleetError::Failed(format!("{worker} may not be switched off yet")));
+            }
+            shown = Some(off);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
     async fn watch(&mut self, from: u64) -> Result<()> {
         let mut at = from;
         loop {
--- a/pebblepost/src/net.rs
+++ b/pebblepost/src/net.rs
@@ -51,6 +51,8 @@
     Accept,
     /// Discovery that pushes its lists is watched again.
     Watch,
+    /// Attempts at drained workers are looked at again, for the agreed store.
+    Doing(u64),
     /// The Faktory front looks for silent workers and old answers.
     Faktory,
 }
--- a/pebblepost/src/turn.rs
+++ b/pebblepost/src/turn.rs
@@ -19,6 +19,9 @@
 /// After SIGTERM new connections are taken and old ones kept for so long, as balancers notice late.
 const LAST_CALLS: Duration = Duration::from_millis(500);
 
+/// While drained workers have attempts out, these are looked at so often.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// What is told to the program from outside while it runs.
 pub struct Signals {
     /// Becomes readable at SIGTERM.
@@ -39,6 +42,8 @@
     faktory: Option<Faktory>,
     /// Follows the agreed store, where the operator's file sets it up.
     agent: Option<Agent>,
+    /// The agreed revision that is in force once the inputs in hand are; `None`: the agent has been told.
+    to_confirm: Option<u64>,
     /// As the operator's file says, where nothing is agreed.
     faktory_times: Option<(Duration, Duration)>,
     signals: Signals,
@@ -92,6 +97,7 @@
             s,
             faktory,
             agent,
+            to_confirm: None,
             faktory_times,
             engine,
             platform: Platform::new(classes, config.tenants),
@@ -112,6 +118,7 @@
         if let Some(told) = self.s.map.mark(known.drained.clone()) {
             self.s.inputs.push(told);
         }
+        self.to_confirm = Some(known.revision);
         if let Some(revision) = known.permitted {
             self.stop(&format!("permitted to end at revision {revision}"));
         }
@@ -186,6 +193,20 @@
                 agent.takes_clients(ready);
             }
         }
+        self.confirm();
+    }
+
+    /// Tells the agent what is in force here by now, and what is still out at drained workers.
+    fn confirm(&mut self) {
+        let Some(agent) = &self.agent else { return };
+        agent.counts(self.engine.counts());
+        let Some(revision) = self.to_confirm.take() else { return };
+        let busy = self.engine.busy(&self.s.map.all_marked());
+        if !busy.is_empty() {
+            self.s.net.deadlines.set(self.s.net.now + LOOK, Due::Doing(revision));
+        }
+        let busy = busy.into_iter().filter_map(|worker| self.s.map.mark_of(worker)?.parse().ok());
+        agent.confirms(revision, busy.collect());
     }
 
     fn condition(&self) -> Condition {
@@ -326,6 +347,8 @@
             }
             Due::Watch => self.discovery.keep_up(&mut self.s),
             Due::Accept => self.s.net.resume_accepting(),
+            // Another look may be due already, or a newer revision be in force.
+            Due::Doing(revision) => self.to_confirm = self.to_confirm.max(Some(revision)),
             Due::Faktory => self.faktory.iter_mut().for_each(|f| f.sweep(&mut self.s)),
         }
     }
--- a/pebblepost/tests/release.rs
+++ b/pebblepost/tests/release.rs
@@ -4,8 +4,12 @@
 mod common;
 
 use common::keepers::{Keepers, LIMIT};
-use common::{Running, platform, within, worker};
+use common::{Running, header, lines, platform, post, within, worker};
+use pebblepost::net::Door;
 use serde_json::json;
+use std::process::Output;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 fn dispatcher(name: &str, zone: &str, version: &str, keepers: &Keepers) -> Running {
@@ -82,3 +86,56 @@
     assert!(!keepers.fleet_until(&["show"]).contains("drain/"));
     assert!(keepers.fleet_until(&["history"]).contains("permit/worker/w-2 is gone"));
 }
+
+#[test]
+fn a_worker_may_be_switched_off_only_when_each_dispatcher_is_done_there_and_a_silent_one_is_none() {
+    let mut keepers = Keepers::start(10);
+    let (go, asked) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+    let slow = {
+        let (go, asked) = (go.clone(), asked.clone());
+        worker(move |wire, head| {
+            asked.fetch_add(1, Ordering::Relaxed);
+            within(LIMIT, "the job may end", || go.load(Ordering::Relaxed).then_some(()));
+            lines(wire, &[json!({"id": header(head, "x-txn"), "state": "done", "result": "text"})]);
+        })
+    };
+    let with = |name: &str| {
+        let mut config = platform(&[slow], None);
+        config["name"] = json!(name);
+        let fleet = json!({"keepers": keepers.named(), "zone": "x", "version": "1"});
+        Running::start(Some(config), Some(json!({"fleet": fleet})))
+    };
+    let (a, b) = (with("a"), with("b"));
+    within(LIMIT, "both are members", || {
+        (keepers.fleet_until(&["members"]).matches(", ready").count() == 2).then_some(())
+    });
+    // A job of a long time runs there when the worker's permit is granted.
+    let mut wire = a.connect(Door::Platform);
+    wire.say(&post("t", "", "").replace("X-Remaining-Ms: 2000", "X-Remaining-Ms: 60000"));
+    within(LIMIT, "it runs", || (asked.load(Ordering::Relaxed) == 1).then_some(()));
+    keepers.fleet_until(&["budget", "worker", "--most", "1"]);
+    keepers.fleet_until(&["permit", "ask", "worker/s-0", "--why", "new fans"]);
+    let off = |keepers: &Keepers, within: &str| keepers.fleet(&["--within", within, "off", "s-0"]);
+    let told = |out: &Output| String::from_utf8_lossy(&out.stdout).into_owned();
+    within(LIMIT, "one is done, one is not", || {
+        let said = told(&off(&keepers, "1"));
+        (said.contains("1 dispatchers confirmed: may not") && said.contains("a\thas attempts out"))
+            .then_some(())
+    });
+    // The keeper that leads dies: its successor has heard nobody, and says so until it has.
+    let (leader, _) = keepers.look();
+    keepers.kill(leader);
+    within(LIMIT, "heard again", || told(&off(&keepers, "2")).contains("a\thas attempts out").then_some(()));
+    go.store(true, Ordering::Relaxed);
+    assert_eq!(wire.message().1, "text");
+    within(LIMIT, "both are done", || off(&keepers, "2").status.success().then_some(()));
+    // One that is gone may be merely cut off: it takes an operator's word that it sends nothing.
+    drop(b);
+    within(LIMIT, "b is lost", || {
+        let out = off(&keepers, "0.5");
+        (out.status.code() == Some(1) && told(&out).contains("b\tis cut off")).then_some(())
+    });
+    keepers.fleet_until(&["dismiss", "b"]);
+    within(LIMIT, "a's word is enough", || off(&keepers, "2").status.success().then_some(()));
+    assert_eq!(asked.load(Ordering::Relaxed), 1, "nothing more went there");
+}
--- a/store/src/keeper.rs
+++ b/store/src/keeper.rs
@@ -10,6 +10,7 @@
 use openraft::error::{ClientWriteError, RaftError};
 use openraft::{ChangeMembers, Config, SnapshotPolicy};
 use pebblepost_fleet::command::{Act, Command};
+use pebblepost_fleet::doing::{Doing, off, tallies};
 use pebblepost_fleet::session::{Beat, Sessions, Ttl};
 use pebblepost_fleet::{Key, Name};
 use std::collections::{BTreeMap, BTreeSet};
@@ -237,7 +238,9 @@
             match ask {
                 Ask::Raft(envelope) => self.raft(envelope).await,
                 Ask::Command(command) => self.command(command).await,
-                Ask::Beat { member, session } => self.beat(&member, session),
+                Ask::Beat { member, session, doing } => self.beat(&member, session, doing),
+                Ask::Off(worker) => self.off(&worker).await,
+                Ask::Tallies => self.tallies(),
                 Ask::Get(keys) => self.get(&keys).await,
                 Ask::History(most) => {
                     let state = self.machine.read();
@@ -295,7 +298,7 @@
             Ok(written) => match written.data.0 {
                 Some(answer) => {
                     if let (Some(member), Ok(done)) = (joins, &answer) {
-                        self.beat(&member, done.session.unwrap_or(0));
+                        self.beat(&member, done.session.unwrap_or(0), None);
                     }
                     Say::Answer(answer)
                 }
@@ -347,15 +350,34 @@
 
     /// A beat counts at the leader only; a keeper that wrongly believes it leads can extend nothing, as only the real
     /// one can have a session ended.
-    fn beat(&self, member: &Name, session: u64) -> Say {
+    fn beat(&self, member: &Name, session: u64, doing: Option<Doing>) -> Say {
         let now = since(self.started);
-        let beat = self.with_sessions(|s| s.beat(now, &self.machine.read(), member, session));
+        let beat = self.with_sessions(|s| s.beat(now, &self.machine.read(), member, session, doing));
         match beat {
             Some(beat) => Say::Beat(beat == Beat::Counted),
-            None => Say::Elsewhere(self.raft.metrics().borrow().current_leader),
+            None => self.elsewhere(),
         }
     }
 
+    fn elsewhere(&self) -> Say {
+        Say::Elsewhere(self.raft.metrics().borrow().current_leader)
+    }
+
+    /// Whose session is which is asked of a majority, as for any read; what each confirmed stays true.
+    async fn off(&self, worker: &Name) -> Say {
+        if let Err(why) = self.up_to_date().await {
+            return why;
+        }
+        let off = self.with_sessions(|heard| off(&self.machine.read(), heard, worker));
+        off.map_or_else(|| self.elsewhere(), Say::Off)
+    }
+
+    /// Signs and no proof: what this leader has heard is enough.
+    fn tallies(&self) -> Say {
+        let tallies = self.with_sessions(|heard| tallies(&self.machine.read(), heard));
+        tallies.map_or_else(|| self.elsewhere(), Say::Tallies)
+    }
+
     /// Has overdue sessions ended, for as long as it is polled.
     async fn look(self) {
         loop {
@@ -369,16 +391,23 @@
         }
     }
 
-    async fn get(&self, keys: &[Key]) -> Say {
+    /// A read may be answered here: this keeper leads, and a majority says so.
+    async fn up_to_date(&self) -> Result<(), Say> {
         // A leader that was paused may have been replaced: it asks a majority before it answers.
         let checked = cfg!(not(feature = "faults")) || std::env::var_os("PEBBLEPOST_FAULT_STALE").is_none();
         if !checked && self.leads().is_some() {
             tracing::warn!("read without a check (fault build)");
-        } else if let Err(error) = self.raft.ensure_linearizable().await {
-            return match error.forward_to_leader() {
-                Some(to) => Say::Elsewhere(to.leader_id),
-                None => Say::Failed(error.to_string()),
-            };
+            return Ok(());
+        }
+        self.raft.ensure_linearizable().await.map(drop).map_err(|error| match error.forward_to_leader() {
+            Some(to) => Say::Elsewhere(to.leader_id),
+            None => Say::Failed(error.to_string()),
+        })
+    }
+
+    async fn get(&self, keys: &[Key]) -> Say {
+        if let Err(why) = self.up_to_date().await {
+            return why;
         }
         let state = self.machine.read();
         let entries = match keys {
--- a/store/src/wire.rs
+++ b/store/src/wire.rs
@@ -7,6 +7,7 @@
     AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, InstallSnapshotResponse,
     VoteRequest, VoteResponse,
 };
+use pebblepost_fleet::doing::{Doing, Off, Tally};
 use pebblepost_fleet::state::{Change, Entry, Snapshot};
 use pebblepost_fleet::{Answer, Command, Key, Name};
 use serde::de::DeserializeOwned;
@@ -33,7 +34,14 @@
         member: Name,
         /// Its session.
         session: u64,
+        /// What it does.
+        #[serde(default)]
+        doing: Option<Doing>,
     },
+    /// Whether this worker may be switched off, as of now.
+    Off(Name),
+    /// How the requests of all dispatchers go.
+    Tallies,
     /// What stands at these keys, as of now; all keys, if none is named.
     Get(Vec<Key>),
     /// The last changes, the newest last, at most so many.
@@ -100,6 +108,10 @@
     Changes(Vec<Change>),
     /// To `Watch`: nothing has changed since this revision.
     Current(u64),
+    /// To `Off`.
+    Off(Off),
+    /// To `Tallies`.
+    Tallies(BTreeMap<Name, Tally>),
     /// To `Status`.
     Status(Box<Status>),
     /// To a change of the group.
