Rig release: hands switch workers off by permits; nothing may come to one that is off

Need: releases in the rig never took a worker out, so who has confirmed a drain was never judged from outside. Change: hands (one more than the workers' budget) ask for permits by the operator's program, which is killed on the way, wait for the keepers' word that a worker may be switched off, and bring it back. The record of the stand-in workers tells what came to one meanwhile or ran on there. Dispatchers have kept copies, so that a killed one knows its drains when it starts. What operators do moved into a file of its own.

--- a/pebblepost/src/agent.rs
+++ b/pebblepost/src/agent.rs
@@ -128,6 +128,10 @@
     /// What the keepers are told of it: what a restart would forget is not confirmed.
     fn doing(&self) -> Doing {
         let doing = lock(&self.doing).clone();
+        #[cfg(feature = "faults")]
+        if std::env::var_os("PEBBLEPOST_FAULT_CONFIRM").is_some() {
+            return Doing { acts_by: u64::MAX, busy: BTreeSet::new(), ..doing };
+        }
         Doing { acts_by: doing.acts_by.min(self.kept.load(Ordering::Relaxed)), ..doing }
     }
 
--- a/rig/src/dispatcher.rs
+++ b/rig/src/dispatcher.rs
@@ -100,6 +100,9 @@
         let mut operator = start.operator.clone();
         if let Some(fleet) = operator.get_mut("fleet") {
             fleet["zone"] = ZONES[start.number % ZONES.len()].into();
+            if let Some(folder) = fleet["copy"].as_str().map(PathBuf::from) {
+                fleet["copy"] = json!(folder.join(format!("n{}", start.number)));
+            }
         }
         for (path, json) in files.iter().zip([&config, &operator]) {
             write(path, json)?;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -47,6 +47,9 @@
     /// Most of them in a zone.
     #[arg(long, default_value_t = 2)]
     budget_in_zone: u32,
+    /// Most workers out at once.
+    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u32).range(1..=50))]
+    worker_budget: u32,
     /// Seconds of faults and releases.
     #[arg(long, default_value_t = 120.0)]
     seconds: f64,
@@ -249,6 +252,7 @@
         workers: usize::from(args.workers),
         keepers: usize::from(args.keepers),
         budget: (args.budget, args.budget_in_zone),
+        worker_budget: args.worker_budget,
         seconds: args.seconds.max(1.0),
         seed: args.seed,
         faults: !args.no_faults,
--- /dev/null
+++ b/rig/src/release/hands.rs
@@ -0,0 +1,155 @@
+//! Hands: they switch workers off and on again, each by a permit, and only once the keepers say that a worker may be switched
+//! off. A worker goes on taking jobs meanwhile, so that the record shows who sent it any.
+
+use super::office::{Office, PATIENCE, TAIL, insist};
+use crate::checker::Killed;
+use crate::record::{Entry, Seen};
+use crate::standin::lock;
+use crate::supervisor::Supervisor;
+use anyhow::{Result, bail};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{Value, json};
+use std::collections::{HashMap, HashSet};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// A worker was switched off.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Off {
+    /// Which.
+    pub worker: usize,
+    /// From when, in seconds of the record.
+    pub from: f64,
+    /// Until when.
+    pub to: f64,
+    /// How long it took from the request to this, in seconds.
+    pub waited: f64,
+}
+
+/// All hands, and what they have done.
+#[derive(Debug, Default)]
+pub struct Hands {
+    /// What was off when.
+    pub offs: Mutex<Vec<Off>>,
+}
+
+impl Hands {
+    /// Takes one of these workers after the other off and on, until there is enough.
+    pub async fn work(
+        &self, office: &Office, supervisor: &Supervisor, hosts: &[(usize, String)], seed: u64,
+        enough: &AtomicBool,
+    ) -> Result<()> {
+        let (mut rng, mut desk) = (Pcg64Mcg::seed_from_u64(seed), office.desk());
+        let mut number = 0;
+        while !enough.load(Ordering::Relaxed) {
+            let (worker, host) = &hosts[rng.random_range(0..hosts.len())];
+            let subject = format!("worker/{host}");
+            let asked = supervisor.now();
+            office.start(&["permit", "ask", &subject, "--why", "new fans"], rng.random()).await?;
+            let end = Instant::now() + TAIL;
+            let granted = loop {
+                if let Ok(say) = desk.ask(&json!({"off": host}), PATIENCE).await {
+                    let off = &say["off"];
+                    let missing = off["waits_for"].as_object().map_or(1, serde_json::Map::len);
+                    if let (Some(granted), 0) = (off["granted"].as_u64(), missing) {
+                        break granted;
+                    }
+                    if Instant::now() >= end {
+                        bail!("{subject} may not be switched off: {off}");
+                    }
+                } else if Instant::now() >= end {
+                    bail!("nobody says whether {subject} may be switched off");
+                }
+                sleep(Duration::from_millis(50)).await;
+            };
+            let from = supervisor.now();
+            sleep(Duration::from_millis(rng.random_range(300..2_000))).await;
+            lock(&self.offs).push(Off { worker: *worker, from, to: supervisor.now(), waited: from - asked });
+            number += 1;
+            let back: Value = json!({"back": [subject, granted]});
+            insist(&mut desk, (seed, number), &back).await?;
+            sleep(Duration::from_millis(rng.random_range(100..1_500))).await;
+        }
+        Ok(())
+    }
+}
+
+/// The most workers that were off at once.
+pub fn most_off(offs: &[Off]) -> usize {
+    let at = |t: f64| offs.iter().filter(|o| (o.from..o.to).contains(&t)).count();
+    offs.iter().map(|o| at(o.from)).max().unwrap_or(0)
+}
+
+/// What workers got, or still had to do, while they were off: attempts that arrived, and jobs that ran on and were served
+/// from there. A dispatcher that was killed or paused is excused from what it had out by then, and from nothing new.
+pub fn work_while_off(record: &[Entry], offs: &[Off], killed: &[Killed]) -> Vec<String> {
+    let (mut found, mut attempts) = (Vec::new(), HashMap::<&str, usize>::new());
+    let mut open: HashMap<(&str, usize), (f64, usize)> = HashMap::new();
+    let mut ran_on: HashSet<&str> = HashSet::new();
+    for (at, seen) in record {
+        match seen {
+            Seen::Arrived { txn, dispatcher, worker, .. } => {
+                *attempts.entry(txn).or_insert(0) += 1;
+                open.insert((txn, *worker), (*at, *dispatcher));
+                if let Some(off) = offs.iter().find(|o| o.worker == *worker && (o.from..o.to).contains(at)) {
+                    found.push(format!(
+                        "dispatcher {dispatcher} sent {txn} to worker {worker} at {at:.3}, off since {:.3}",
+                        off.from
+                    ));
+                }
+            }
+            Seen::Ended { txn, worker, .. } => {
+                let Some((began, by)) = open.remove(&(txn.as_str(), *worker)) else { continue };
+                let ran = |o: &&Off| o.worker == *worker && began < o.from && *at >= o.from;
+                let excused = |o: &Off| killed.iter().any(|k| k.dispatcher == by && k.from <= o.from);
+                if offs.iter().find(ran).is_some_and(|o| !excused(o)) {
+                    ran_on.insert(txn);
+                }
+            }
+            // Of several attempts another one may have been the answer.
+            Seen::Answered { txn, status: 200, .. }
+                if ran_on.contains(txn.as_str()) && attempts.get(txn.as_str()) == Some(&1) =>
+            {
+                found
+                    .push(format!("{txn} was served at {at:.3} by a worker that was switched off meanwhile"));
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::record::End;
+
+    #[test]
+    fn jobs_that_arrive_or_run_on_at_a_worker_that_is_off_are_found() {
+        let text = str::to_owned;
+        let arrived = |txn, worker| Seen::Arrived { txn: text(txn), key: text("k"), dispatcher: 0, worker };
+        let ended = |txn, worker| Seen::Ended { txn: text(txn), worker, end: End::Done };
+        let answered = |txn| Seen::Answered { txn: text(txn), status: 200, body: text("") };
+        let off = |worker, from, to| Off { worker, from, to, waited: 0.0 };
+        let record = [
+            (1.0, arrived("before", 1)),
+            (1.5, ended("before", 1)),
+            (1.6, answered("before")),
+            (1.8, arrived("on", 1)),
+            (2.5, arrived("new", 1)),
+            (2.5, arrived("elsewhere", 2)),
+            (2.7, ended("on", 1)),
+            (2.8, answered("on")),
+        ];
+        let offs = [off(1, 2.0, 3.0), off(2, 3.0, 4.0)];
+        let found = work_while_off(&record, &offs, &[]);
+        assert_eq!(found.len(), 2, "{found:?}");
+        assert!(found[0].contains("sent new to worker 1") && found[1].contains("on was served"));
+        let killed = [Killed { dispatcher: 0, from: 1.9, back: 2.9, abrupt: true }];
+        assert_eq!(work_while_off(&record, &offs, &killed).len(), 1, "nothing new is excused");
+        assert_eq!((most_off(&offs), most_off(&[off(1, 1.0, 3.0), off(2, 2.0, 4.0)])), (1, 2));
+    }
+}
--- a/rig/src/release/run.rs
+++ b/rig/src/release/run.rs
@@ -1,5 +1,7 @@
 //! `rig release`: releases one after another, each by two drivers, under a schedule of faults.
 
+use super::hands::{Hands, most_off, work_while_off};
+use super::office::{Office, PATIENCE, TAIL, insist};
 use super::witness::{Halt, by_permit, late_after, most_at_once};
 use crate::clients::Outcome;
 use crate::dispatcher::ZONES;
@@ -7,7 +9,7 @@
 use crate::run::{Played, Run};
 use crate::scenario::Scenario;
 use crate::standin::lock;
-use crate::store::desk::{Desk, Leader};
+use crate::store::desk::Desk;
 use crate::store::group::{Group, until};
 use crate::supervisor::{BAD, How, Order, Outage, Supervisor};
 use anyhow::{Context, Result, bail};
@@ -18,18 +20,16 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
+/// What a dispatcher's permit begins with.
+const GOES: &str = "permit/dispatcher/";
 /// The second wave; the first is one dispatcher, the last is all.
 const WAVE: &str = "50%";
-/// After the faults a release must have ended within this.
-const TAIL: Duration = Duration::from_secs(90);
-const PATIENCE: Duration = Duration::from_secs(4);
 
 /// How dispatchers are brought to a new version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, clap::ValueEnum)]
@@ -54,6 +54,8 @@
     pub keepers: usize,
     /// Most dispatchers out at once, and in each zone.
     pub budget: (u32, u32),
+    /// Most workers out at once; one hand more switches them off and on.
+    pub worker_budget: u32,
     /// Seconds of faults and releases.
     pub seconds: f64,
     /// The seed.
@@ -93,6 +95,18 @@
     pub max_out_for_any_reason: usize,
     /// Permits that are left once all faults are over.
     pub stuck_permits: usize,
+    /// How often a worker was switched off by a permit, and the most at once.
+    pub workers_off: usize,
+    /// See `workers_off`.
+    pub max_out_workers: usize,
+    /// What the budget allows.
+    pub budget_workers: u32,
+    /// From the request for a worker's permit until it might be switched off: median and 99th percentile.
+    pub off_after_p50_ms: f64,
+    /// See `off_after_p50_ms`.
+    pub off_after_p99_ms: f64,
+    /// Jobs that came to a worker, or ran on there, while it was switched off.
+    pub work_while_off: usize,
     /// How long after a halt was acknowledged the last one went: 99th percentile of the halts.
     pub halt_p99_ms: f64,
     /// Part of the clients' requests that was served.
@@ -107,39 +121,12 @@
 
 struct Shared {
     plan: Plan,
-    program: PathBuf,
-    outside: Vec<SocketAddr>,
+    office: Office,
     supervisor: Arc<Supervisor>,
     /// No further release begins.
     enough: AtomicBool,
     halts: Mutex<Vec<Halt>>,
-    drivers_killed: Mutex<usize>,
-}
-
-impl Shared {
-    fn desk(&self) -> Desk {
-        Desk::new(self.outside.clone(), Leader::default())
-    }
-}
-
-/// A command with one operation.
-fn operation(id: (u64, u64), op: &Value) -> Value {
-    let act = json!({"change": {"ops": [op], "expect": [], "why": "rig"}});
-    json!({"command": {"id": [id.0, id.1], "by": "rig", "at_ms": 0, "act": act}})
-}
-
-/// Has an operation done, however long that takes under faults.
-async fn insist(desk: &mut Desk, id: (u64, u64), op: &Value) -> Result<()> {
-    let command = operation(id, op);
-    let end = Instant::now() + TAIL;
-    loop {
-        match desk.ask(&command, PATIENCE).await {
-            Ok(say) if say.pointer("/answer/Ok").is_some() => return Ok(()),
-            Ok(say) => bail!("{op}: {say}"),
-            Err(error) if Instant::now() >= end => return Err(error),
-            Err(_) => {}
-        }
-    }
+    hands: Hands,
 }
 
 /// How far a release is.
@@ -154,7 +141,8 @@
     release: bool,
 }
 
-async fn progress(desk: &mut Desk, version: &str) -> Result<Progress> {
+/// `of`: what the permits begin with that count.
+async fn progress(desk: &mut Desk, version: &str, of: &str) -> Result<Progress> {
     let say = desk.ask(&json!({"get": []}), PATIENCE).await?;
     let entries = say.pointer("/found/entries").and_then(Value::as_object);
     let entries = entries.with_context(|| format!("no entries: {say}"))?;
@@ -167,51 +155,21 @@
     };
     Ok(Progress {
         there: entries.values().filter(there).count(),
-        permits: entries.keys().filter(|k| k.starts_with("permit/")).count(),
+        permits: entries.keys().filter(|k| k.starts_with(of)).count(),
         halted: entries.contains_key("halt/dispatcher"),
         release: entries.contains_key("release/dispatcher"),
     })
 }
 
-/// The operator's program, asked for this.
-fn operator(shared: &Shared, words: &[&str]) -> Result<tokio::process::Child> {
-    let named = shared.outside.iter().enumerate().map(|(i, at)| format!("{}={at}", i + 1));
-    let keepers = named.collect::<Vec<_>>().join(",");
-    let mut program = tokio::process::Command::new(&shared.program);
-    program.args(["fleet", "--keepers", &keepers, "--by", "driver", "--within", "4"]).args(words);
-    program.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null()).kill_on_drop(true);
-    Ok(program.spawn()?)
-}
-
-/// Has the program ask for something; it is killed the first times, wherever it is by then.
-async fn start(shared: &Shared, words: &[&str], mut rng: Pcg64Mcg) -> Result<()> {
-    let mut kills = rng.random_range(0..3);
-    let end = Instant::now() + TAIL;
-    loop {
-        let mut program = operator(shared, words)?;
-        if kills > 0 {
-            kills -= 1;
-            let _ = timeout(Duration::from_millis(rng.random_range(1..60)), program.wait()).await;
-            program.kill().await?;
-            *lock(&shared.drivers_killed) += 1;
-            sleep(Duration::from_millis(rng.random_range(0..300))).await;
-        } else if program.wait().await?.success() {
-            return Ok(());
-        } else if Instant::now() >= end {
-            bail!("{words:?} is not taken");
-        }
-    }
-}
-
 /// Drives the present release, as a process that is killed again and again, for as long as it is polled.
 async fn drive(shared: &Shared, mut rng: Pcg64Mcg) -> Result<()> {
     loop {
         let words = ["release", "drive", "--pause-s", "3", "--patience-s", "40", "--crashes", "2"];
-        let mut driver = operator(shared, &words)?;
+        let mut driver = shared.office.operator(&words)?;
         let lives = Duration::from_millis(rng.random_range(2_000..15_000));
         if timeout(lives, driver.wait()).await.is_err() {
             driver.kill().await?;
-            *lock(&shared.drivers_killed) += 1;
+            *lock(&shared.office.killed) += 1;
         }
         sleep(Duration::from_millis(rng.random_range(100..600))).await;
     }
@@ -219,11 +177,11 @@
 
 /// Waits until all have a version and no permit is left. A halt that nobody here made is resumed, unless `until_halted`.
 async fn ends(shared: &Shared, number: u64, version: &str, until_halted: bool) -> Result<()> {
-    let mut desk = shared.desk();
+    let mut desk = shared.office.desk();
     let all = shared.plan.dispatchers;
     let end = Instant::now() + TAIL + Duration::from_secs(6 * all as u64);
     for round in 0.. {
-        let now = progress(&mut desk, version).await;
+        let now = progress(&mut desk, version, GOES).await;
         match &now {
             Ok(now) if now.halted && until_halted => return Ok(()),
             Ok(now) if now.halted => {
@@ -244,16 +202,17 @@
 /// its drivers, and all go back.
 async fn release(shared: &Shared, number: u64, version: &str, before: &str) -> Result<bool> {
     let mut rng = Pcg64Mcg::seed_from_u64(shared.plan.seed.wrapping_mul(7_919) ^ number);
-    let mut fork = || Pcg64Mcg::seed_from_u64(rng.random());
+    let mut fork = || rng.random::<u64>();
     let waves = format!("1,{},100%", WAVE);
     let words = ["release", "start", version, "--waves", &waves];
-    tokio::try_join!(start(shared, &words, fork()), start(shared, &words, fork()))?;
-    let (one, other, mut rng) = (fork(), fork(), fork());
+    tokio::try_join!(shared.office.start(&words, fork()), shared.office.start(&words, fork()))?;
+    let seeded = Pcg64Mcg::seed_from_u64;
+    let (one, other, mut rng) = (seeded(fork()), seeded(fork()), seeded(fork()));
     let course = async {
-        let mut desk = shared.desk();
+        let mut desk = shared.office.desk();
         if version.starts_with(BAD.0) {
             ends(shared, number * 10, version, true).await?;
-            start(shared, &["release", "back", before], Pcg64Mcg::seed_from_u64(rng.random())).await?;
+            shared.office.start(&["release", "back", before], rng.random()).await?;
             insist(&mut desk, (32, number), &json!({"resume": "dispatcher"})).await?;
             ends(shared, number * 10 + 1, before, false).await?;
             return Ok(true);
@@ -337,15 +296,43 @@
     )
 }
 
-async fn clients(
-    plan: Plan, program: PathBuf, operator: Value, supervisor: Arc<Supervisor>,
-) -> Result<Played> {
-    let scenario = Scenario {
+fn scenario(plan: &Plan) -> Scenario {
+    Scenario {
         dispatchers: plan.dispatchers,
         workers: plan.workers,
         faults: 0.0,
         ..Scenario::mixed(plan.seconds + 15.0, 0.5)
-    };
+    }
+}
+
+/// All hands, each with workers of its own, until there is enough.
+async fn hands(shared: Arc<Shared>) -> Result<()> {
+    let drawn = crate::scenario::Plan::draw(&scenario(&shared.plan), shared.plan.seed)?;
+    let count = shared.plan.worker_budget as usize + 1;
+    let all = (0..count).map(|hand| {
+        let hosts: Vec<(usize, String)> = drawn
+            .workers
+            .iter()
+            .enumerate()
+            .skip(hand)
+            .step_by(count)
+            .map(|(n, w)| (n, w.host.clone()))
+            .collect();
+        let (shared, seed) = (&shared, shared.plan.seed.wrapping_mul(65_537) ^ (hand as u64 + 1) << 32);
+        async move {
+            if hosts.is_empty() {
+                return Ok(());
+            }
+            shared.hands.work(&shared.office, &shared.supervisor, &hosts, seed, &shared.enough).await
+        }
+    });
+    futures_util::future::try_join_all(all).await.map(drop)
+}
+
+async fn clients(
+    plan: Plan, program: PathBuf, operator: Value, supervisor: Arc<Supervisor>,
+) -> Result<Played> {
+    let scenario = scenario(&plan);
     let (scenario, operator, supervisor) = (&scenario, &operator, Some(supervisor.as_ref()));
     Run { scenario, seed: plan.seed, program: &program, operator, supervisor }.play().await
 }
@@ -355,30 +342,35 @@
     let folder =
         std::env::temp_dir().join(format!("pebblepost-rig-release-{}-{}", std::process::id(), plan.seed));
     let schedule = schedule(plan);
-    let mut group = Group::start(program, plan.keepers, folder).await?;
+    let mut group = Group::start(program, plan.keepers, folder.clone()).await?;
     let named = |(i, at): (usize, &SocketAddr)| ((i + 1).to_string(), json!(at));
     let keepers: serde_json::Map<_, _> = group.outside().iter().enumerate().map(named).collect();
-    let operator = json!({"fleet": {"keepers": keepers, "version": "v0"}});
+    // With a copy each: what one has confirmed it knows over a restart.
+    let copies = folder.join("copies");
+    std::fs::create_dir_all(&copies)?;
+    let operator = json!({"fleet": {"keepers": keepers, "version": "v0", "copy": copies}});
     let supervisor = Arc::new(Supervisor::of("v0", group.outside()));
     let shared = Arc::new(Shared {
         plan: plan.clone(),
-        program: program.to_owned(),
-        outside: group.outside(),
+        office: Office { program: program.to_owned(), keepers: group.outside(), killed: Mutex::default() },
         supervisor: supervisor.clone(),
         enough: AtomicBool::new(false),
         halts: Mutex::default(),
-        drivers_killed: Mutex::default(),
+        hands: Hands::default(),
     });
-    let mut desk = shared.desk();
+    let mut desk = shared.office.desk();
     let budget = json!({"most": {"count": plan.budget.0}, "most_in_zone": {"count": plan.budget.1}});
     insist(&mut desk, (30, 0), &json!({"budget": ["dispatcher", budget]})).await?;
+    let budget = json!({"most": {"count": plan.worker_budget}});
+    insist(&mut desk, (30, 1), &json!({"budget": ["worker", budget]})).await?;
     let played = tokio::spawn(clients(plan.clone(), program.to_owned(), operator, supervisor.clone()));
-    until(Duration::from_secs(60), async || match progress(&mut desk, "").await? {
+    until(Duration::from_secs(60), async || match progress(&mut desk, "", GOES).await? {
         now if now.there >= plan.dispatchers => Ok(()),
         now => bail!("{} of {} dispatchers have joined and are ready", now.there, plan.dispatchers),
     })
     .await?;
     let work = tokio::spawn(releases(shared.clone()));
+    let hands = tokio::spawn(hands(shared.clone()));
     let counts = Mutex::new(schedule.kinds());
     let ends = Instant::now() + Duration::from_secs_f64((plan.seconds - 20.0).max(5.0));
     let until_end = async {
@@ -399,7 +391,8 @@
     let mut found = Vec::new();
     let (course, ended) = work.await?;
     found.extend(ended.err().map(|error| error.to_string()));
-    let stuck = progress(&mut desk, "").await?.permits;
+    found.extend(hands.await?.err().map(|error| error.to_string()));
+    let stuck = progress(&mut desk, "", "permit/").await?.permits;
     supervisor.is_over();
     let played = played.await??;
     Ok(judge(&shared, &played, course, stuck, lock(&counts).clone(), found))
@@ -427,12 +420,29 @@
         outages.iter().filter(crash).map(|o| format!("dispatcher {} crashed at {:.3}", o.dispatcher, o.from)),
     );
     found.extend(played.broken.iter().map(|b| format!("{:?} at {:.3}: {}", b.rule, b.at, b.what)));
+    let offs = lock(&shared.hands.offs).clone();
+    let off_most = most_off(&offs);
+    if off_most > plan.worker_budget as usize {
+        found.push(format!("{off_most} workers were off at once"));
+    }
+    let worked = work_while_off(&played.seen, &offs, &shared.supervisor.killed());
+    let mut waited: Vec<f64> = offs.iter().map(|o| o.waited * 1e3).collect();
+    waited.sort_by(f64::total_cmp);
+    let waited = |part: f64| waited.get((waited.len() as f64 * part) as usize).copied().unwrap_or(0.0);
     let halts = lock(&shared.halts).clone();
     let mut late = late_after(&asked, &halts);
     late.sort_by(f64::total_cmp);
     let p99 = late.get((late.len() as f64 * 0.99).ceil() as usize - usize::from(!late.is_empty()));
     let served = played.fates.iter().filter(|f| matches!(f.outcome, Outcome::Served(_))).count();
+    let work_while_off = worked.len();
+    found.extend(worked);
     let summary = Summary {
+        workers_off: offs.len(),
+        max_out_workers: off_most,
+        budget_workers: plan.worker_budget,
+        off_after_p50_ms: waited(0.5),
+        off_after_p99_ms: waited(0.99),
+        work_while_off,
         releases: course.begun,
         completed: course.completed,
         rolled_back: course.taken_back,
@@ -448,7 +458,7 @@
         stuck_permits,
         halt_p99_ms: p99.copied().unwrap_or(0.0) * 1e3,
         served_share: served as f64 / played.fates.len().max(1) as f64,
-        drivers_killed: *lock(&shared.drivers_killed),
+        drivers_killed: *lock(&shared.office.killed),
         faults,
         rules_broken: played.broken.len() + outages.iter().filter(crash).count(),
     };
--- a/rig/src/run.rs
+++ b/rig/src/run.rs
@@ -4,7 +4,7 @@
 use crate::clients::{Clients, Fate};
 use crate::discovery::Discovery;
 use crate::dispatcher::{Process, Start};
-use crate::record::{Record, Seen, Told};
+use crate::record::{Entry, Record, Seen, Told};
 use crate::scenario::{Order, Plan, Scenario};
 use crate::standin::{Counts, Fleet};
 use crate::supervisor::Supervisor;
@@ -32,6 +32,8 @@
 
 /// What came of it.
 pub struct Played {
+    /// All that was seen.
+    pub seen: Vec<Entry>,
     /// What was asked.
     pub plan: Arc<Plan>,
     /// How each request went.
@@ -119,7 +121,18 @@
         broken.extend(check(&seen, &figures));
         let slowest_drain = slowest_drain(&seen, &figures);
         let cold_multiples = cold_multiples(&seen, &figures);
-        Ok(Played { cold_multiples, plan, fates, broken, cpu, ready, slowest_drain, counts, discovery_calls })
+        Ok(Played {
+            seen,
+            cold_multiples,
+            plan,
+            fates,
+            broken,
+            cpu,
+            ready,
+            slowest_drain,
+            counts,
+            discovery_calls,
+        })
     }
 
     /// Kills some dispatchers at once and starts all of them anew, each from the list that it had at first.
--- a/rig/tests/release.rs
+++ b/rig/tests/release.rs
@@ -12,6 +12,7 @@
         workers: 6,
         keepers: 3,
         budget: (2, 1),
+        worker_budget: 2,
         seconds: 30.0,
         seed: 3,
         faults: true,
@@ -21,5 +22,8 @@
     assert!(s.completed >= 1 && s.completed + s.rolled_back == s.releases, "{found:#?} {s:?}");
     assert_eq!((s.stuck_permits, s.rules_broken), (0, 0), "{found:#?}");
     assert!(s.max_out_dispatchers <= 2 && s.max_out_in_zone <= 1 && s.over_budget_ms == 0.0, "{found:#?}");
+    // Workers go as well, one hand more than the budget lets out: nothing comes to one that is off.
+    assert!(s.workers_off >= 3 && s.max_out_workers <= 2, "{s:?}");
+    assert_eq!(s.work_while_off, 0, "{found:#?}");
     assert!(s.went >= 3, "only {} went by themselves", s.went);
 }
