Releases: halted by the share that the new version serves; played through before they begin

Need: crashes and waves that are not back halted a release; a version that refuses, or answers nothing, went on. Nobody was told how long a release takes, or that it stands still on a dispatcher that is lost. A release of a fleet without dispatchers is refused.

--- a/fleet/examples/release_size.rs
+++ b/fleet/examples/release_size.rs
@@ -66,7 +66,13 @@
         let waves = vec![Limit::Count(1), Limit::Share(0.05), Limit::Share(0.25), Limit::Share(1.0)];
         fleet.op(Op::Release { want: "2".parse().expect("a sound text"), waves });
         let pause = Duration::from_secs(60);
-        let mut driver = Driver::new(Pace { pause, patience: Duration::from_secs(600), crashes: 3 });
+        let mut driver = Driver::new(Pace {
+            pause,
+            patience: Duration::from_secs(600),
+            crashes: 3,
+            drop: 0.05,
+            sample: 200,
+        });
         // In tenths of a second: each hears of its permit, ends what it has, and is started again within 2 to 8 s.
         let (mut now, mut back): (u64, BTreeMap<u64, BTreeSet<u64>>) = (0, BTreeMap::new());
         let mut out = BTreeSet::new();
@@ -79,7 +85,8 @@
                 fleet.joins(n, 2, "2");
             }
             if now.is_multiple_of(10) {
-                match driver.look(Duration::from_millis(now * 100), &fleet.state.snapshot()) {
+                match driver.look(Duration::from_millis(now * 100), &fleet.state.snapshot(), &BTreeMap::new())
+                {
                     Next::Ask(op, _) => fleet.op(op),
                     Next::Over => break,
                     Next::Wait | Next::Halted => {}
--- a/fleet/src/driver.rs
+++ b/fleet/src/driver.rs
@@ -3,7 +3,8 @@
 //! comes as an argument.
 
 use crate::command::Op;
-use crate::name::{Key, Kind, Name};
+use crate::doing::{Counts, Tally};
+use crate::name::{Key, Kind, Name, Text};
 use crate::permit::Release;
 use crate::state::{Snapshot, Value};
 use std::collections::BTreeMap;
@@ -18,6 +19,36 @@
     pub patience: Duration,
     /// So many new lives without a permit, of dispatchers with the new version, halt it as well.
     pub crashes: u64,
+    /// While a wave is watched the share of requests that the new version serves may be lower by this than that of the old
+    /// one, and no more.
+    pub drop: f64,
+    /// Shares of fewer answers than this tell nothing.
+    pub sample: u64,
+}
+
+/// How requests went while a wave is watched, at those with the release's version and at the others.
+#[derive(Clone, Debug, Default)]
+struct Shares {
+    /// By member: its session, and its counts at the last look.
+    last: BTreeMap<Name, (u64, Counts)>,
+    new: Counts,
+    old: Counts,
+}
+
+impl Shares {
+    fn add(&mut self, want: &Text, tallies: &BTreeMap<Name, Tally>) {
+        for (name, Tally { session, version, counts }) in tallies {
+            let before = match self.last.insert(name.clone(), (*session, *counts)) {
+                Some((of, before)) if of == *session => before,
+                // Not looked at before: what went by then is not of this watch.
+                _ => *counts,
+            };
+            let sum = if version == want { &mut self.new } else { &mut self.old };
+            sum.answered += counts.answered.saturating_sub(before.answered);
+            sum.served += counts.served.saturating_sub(before.served);
+        }
+        self.last.retain(|name, _| tallies.contains_key(name));
+    }
 }
 
 /// What is to be done next.
@@ -45,12 +76,24 @@
     crashes: u64,
     /// Lives of dispatchers with the new version when each was first seen with it.
     lives: BTreeMap<Name, u64>,
+    shares: Shares,
+    /// The share that the old version served when there was enough of it to tell.
+    old_share: Option<f64>,
 }
 
 impl Driver {
     /// One that has seen nothing.
     pub fn new(pace: Pace) -> Self {
-        Self { pace, wave: None, began: Duration::ZERO, back: None, crashes: 0, lives: BTreeMap::new() }
+        Self {
+            pace,
+            wave: None,
+            began: Duration::ZERO,
+            back: None,
+            crashes: 0,
+            lives: BTreeMap::new(),
+            shares: Shares::default(),
+            old_share: None,
+        }
     }
 
     /// New lives that nobody asked for, of dispatchers with the version.
@@ -67,8 +110,24 @@
         crashes
     }
 
-    /// What is to be done, as the state is now.
-    pub fn look(&mut self, now: Duration, state: &Snapshot) -> Next {
+    /// Why the new version is not to go on, by how its requests go beside those of the old one.
+    fn worse(&mut self, watched: bool) -> Option<String> {
+        let Shares { new, old, .. } = self.shares;
+        let share = |c: Counts| (c.answered >= self.pace.sample).then(|| c.served as f64 / c.answered as f64);
+        self.old_share = share(old).or(self.old_share);
+        match (share(new), self.old_share) {
+            (Some(new), Some(old)) if new < old - self.pace.drop => {
+                Some(format!("the new version serves {new:.3} of its requests, the old one {old:.3}"))
+            }
+            (None, _) if watched && new.answered == 0 && share(old).is_some() => {
+                Some(format!("the new version answers nothing, the old one {} requests", old.answered))
+            }
+            _ => None,
+        }
+    }
+
+    /// What is to be done, as the state is now and as requests go.
+    pub fn look(&mut self, now: Duration, state: &Snapshot, tallies: &BTreeMap<Name, Tally>) -> Next {
         let roll = state.roll(Kind::Dispatcher);
         let Some(release) = roll.release else { return Next::Over };
         if self.wave != Some(release.wave) || roll.halted {
@@ -96,12 +155,24 @@
             let why = format!("wave {} is not back within {:?}", release.wave, self.pace.patience);
             return Next::Ask(Op::Halt(Kind::Dispatcher), why);
         }
+        if self.back.is_none() {
+            self.shares = Shares::default();
+        }
         let since = *self.back.get_or_insert(now);
+        self.shares.add(&release.want, tallies);
+        let watched = now.saturating_sub(since) >= self.pace.pause;
+        // On a way back nothing is compared: what is left is what was there before.
+        if release.from.is_none()
+            && let Some(why) = self.worse(watched)
+        {
+            self.back = None;
+            return Next::Ask(Op::Halt(Kind::Dispatcher), why);
+        }
         match release.is_last() {
             // Of a way back some may still be out that had never gone.
             true if roll.all.values().any(|s| s.permit.is_some()) => Next::Wait,
             true => Next::Ask(Op::EndRelease, "all have it".to_owned()),
-            false if now.saturating_sub(since) < self.pace.pause => Next::Wait,
+            false if !watched => Next::Wait,
             false => Next::Ask(Op::Advance(release.wave), format!("wave {} was watched", release.wave)),
         }
     }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`permit`]: who may be out at once: budgets, permits and their queue.
 //! * [`doing`]: what each dispatcher confirms and counts, and when a worker may be switched off.
 //! * [`driver`]: when a release goes on to its next wave, and what halts it.
+//! * [`rehearsal`]: a release played through before it begins.
 //! * [`session`]: which members are there, as the leader of the keepers reckons it from their beats.
 //! * [`follow`]: a dispatcher's copy, its age, and the drains asked for while it was cut off.
 
@@ -21,6 +22,7 @@
 pub mod follow;
 pub mod name;
 pub mod permit;
+pub mod rehearsal;
 pub mod session;
 pub mod setting;
 pub mod state;
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -212,6 +212,12 @@
 type Items = Vec<(Key, Option<Value>)>;
 
 impl State {
+    /// A state that goes on from a snapshot, without the history before it.
+    pub fn of(snapshot: Snapshot) -> Self {
+        let Snapshot { revision, entries } = snapshot;
+        Self { revision, entries, compacted: revision, ..Self::default() }
+    }
+
     /// Takes in a command. This is where all rules are checked.
     pub fn apply(&mut self, command: &Command) -> Answer {
         if let Some((_, answer)) = self.answers.iter().rev().find(|(id, _)| *id == command.id) {
@@ -612,6 +618,9 @@
                     return invalid(&format!("a release wants a version, and 1 to {MAX_WAVES} waves"));
                 }
                 let roll = self.roll(Kind::Dispatcher);
+                if roll.all.is_empty() {
+                    return invalid("no dispatcher has ever joined");
+                }
                 if waves.last().map(|w| w.of(roll.all.len())) < Some(roll.all.len()) {
                     return invalid("the last wave must reach all, or the release would never end");
                 }
--- a/fleet/tests/release.rs
+++ b/fleet/tests/release.rs
@@ -1,9 +1,12 @@
 //! Releases: how far a version gets, what halts it, and the way back.
 
 use pebblepost_fleet::command::{Act, Card, Command, RequestId, Role};
+use pebblepost_fleet::doing::{Counts, Tally};
 use pebblepost_fleet::driver::{Driver, Next, Pace};
+use pebblepost_fleet::rehearsal::{Never, Play, rehearse};
 use pebblepost_fleet::state::State;
 use pebblepost_fleet::{Answer, Budget, Kind, Limit, Name, Op, Subject, Text};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 fn name(text: &str) -> Name {
@@ -81,7 +84,17 @@
 }
 
 const WAVES: [Limit; 3] = [Limit::Count(1), Limit::Share(0.25), Limit::Share(1.0)];
-const PACE: Pace = Pace { pause: Duration::from_secs(10), patience: Duration::from_secs(60), crashes: 3 };
+const PACE: Pace = Pace {
+    pause: Duration::from_secs(10),
+    patience: Duration::from_secs(60),
+    crashes: 3,
+    drop: 0.05,
+    sample: 100,
+};
+
+fn look(driver: &mut Driver, at: Duration, fleet: &Fleet) -> Next {
+    driver.look(at, &fleet.state.snapshot(), &BTreeMap::new())
+}
 
 #[test]
 fn no_wave_begins_before_the_last_one_is_back_was_watched_and_the_driver_says_so() {
@@ -95,13 +108,11 @@
     let mut driver = Driver::new(PACE);
     let second = Duration::from_secs(1);
     // A tenth of the fleet goes, and no more, whoever asks and however often.
-    assert_eq!(driver.look(second, &fleet.state.snapshot()), Next::Wait);
+    assert_eq!(look(&mut driver, second, &fleet), Next::Wait);
     assert!(fleet.op(Op::Advance(0)).is_err(), "the wave is not back");
     assert_eq!(fleet.all_go("2", true), 1);
-    assert_eq!(driver.look(2 * second, &fleet.state.snapshot()), Next::Wait, "it is watched");
-    let Next::Ask(advance, _) = driver.look(13 * second, &fleet.state.snapshot()) else {
-        panic!("it was watched")
-    };
+    assert_eq!(look(&mut driver, 2 * second, &fleet), Next::Wait, "it is watched");
+    let Next::Ask(advance, _) = look(&mut driver, 13 * second, &fleet) else { panic!("it was watched") };
     fleet.op(advance.clone()).expect("the next wave");
     assert_eq!(fleet.all_go("2", true), 1, "a quarter of ten is two");
     // A second driver that comes late with the same says nothing new.
@@ -109,12 +120,9 @@
     assert_eq!((fleet.of("2"), fleet.going().len()), (2, 0));
     fleet.op(Op::Advance(1)).expect("the last wave");
     assert_eq!(fleet.all_go("2", true), 8);
-    assert_eq!(
-        driver.look(20 * second, &fleet.state.snapshot()),
-        Next::Ask(Op::EndRelease, "all have it".into())
-    );
+    assert_eq!(look(&mut driver, 20 * second, &fleet), Next::Ask(Op::EndRelease, "all have it".into()));
     fleet.op(Op::EndRelease).expect("all have it");
-    assert_eq!(driver.look(21 * second, &fleet.state.snapshot()), Next::Over);
+    assert_eq!(look(&mut driver, 21 * second, &fleet), Next::Over);
 }
 
 #[test]
@@ -124,11 +132,11 @@
     fleet.start("bad", &WAVES).expect("sound waves");
     let mut driver = Driver::new(PACE);
     assert_eq!(fleet.all_go("bad", false), 1);
-    assert_eq!(driver.look(second, &fleet.state.snapshot()), Next::Wait);
-    let Next::Ask(halt, why) = driver.look(62 * second, &fleet.state.snapshot()) else { panic!("it waits") };
+    assert_eq!(look(&mut driver, second, &fleet), Next::Wait);
+    let Next::Ask(halt, why) = look(&mut driver, 62 * second, &fleet) else { panic!("it waits") };
     assert!(why.contains("wave 0 is not back"), "{why}");
     fleet.op(halt).expect("a halt");
-    assert_eq!(driver.look(63 * second, &fleet.state.snapshot()), Next::Halted);
+    assert_eq!(look(&mut driver, 63 * second, &fleet), Next::Halted);
     assert_eq!((fleet.of("bad"), fleet.going().len()), (1, 0));
     // One that is ready and crashes again and again: three lives that nobody asked for.
     let mut fleet = Fleet::new();
@@ -136,16 +144,14 @@
     let mut driver = Driver::new(PACE);
     fleet.all_go("bad", true);
     let bad = (0..10).find(|n| fleet.lives[*n] == 2).expect("one went");
-    assert_eq!(driver.look(second, &fleet.state.snapshot()), Next::Wait);
+    assert_eq!(look(&mut driver, second, &fleet), Next::Wait);
     // After each it is back at once: that does not count as watched.
     for crash in 1..3 {
         fleet.comes_back(bad, "bad", true);
-        assert_eq!(driver.look(9 * crash * second, &fleet.state.snapshot()), Next::Wait);
+        assert_eq!(look(&mut driver, 9 * crash * second, &fleet), Next::Wait);
     }
     fleet.comes_back(bad, "bad", true);
-    let Next::Ask(Op::Halt(_), why) = driver.look(20 * second, &fleet.state.snapshot()) else {
-        panic!("it goes on")
-    };
+    let Next::Ask(Op::Halt(_), why) = look(&mut driver, 20 * second, &fleet) else { panic!("it goes on") };
     assert!(why.contains("3 crashes"), "{why}");
 }
 
@@ -172,3 +178,77 @@
     assert_eq!(untouched, 6, "those that never went are left alone");
     fleet.op(Op::EndRelease).expect("all are back");
 }
+
+#[test]
+fn a_version_that_serves_less_than_the_old_one_or_nothing_halts_the_release_and_a_slow_day_does_not() {
+    // By each second of a watch of ten: how many of ten requests those with the new version answer and serve, and the others.
+    let watch = |new: (u64, u64), old: (u64, u64)| {
+        let mut fleet = Fleet::new();
+        fleet.start("2", &[Limit::Count(2), Limit::Share(1.0)]).expect("sound waves");
+        fleet.all_go("2", true);
+        let (mut driver, mut last) = (Driver::new(PACE), Next::Wait);
+        for second in 0..=11_u64 {
+            let tallies = fleet.state.members().map(|(name, member)| {
+                let version = member.card.version.clone();
+                let (answered, served) = if version.as_str() == "2" { new } else { old };
+                // What was before the watch does not count: all had refused everything.
+                let counts = Counts { answered: 1_000 + second * answered, served: second * served };
+                (name.clone(), Tally { session: member.session, version, counts })
+            });
+            let tallies: BTreeMap<Name, Tally> = tallies.collect();
+            last = driver.look(Duration::from_secs(second), &fleet.state.snapshot(), &tallies);
+            if last != Next::Wait {
+                break;
+            }
+        }
+        match last {
+            Next::Ask(Op::Halt(_), why) => why,
+            Next::Ask(Op::Advance(0), _) => "goes on".to_owned(),
+            other => panic!("{other:?}"),
+        }
+    };
+    assert_eq!(
+        watch((100, 80), (100, 98)),
+        "the new version serves 0.800 of its requests, the old one 0.980"
+    );
+    assert_eq!(watch((100, 95), (100, 98)), "goes on");
+    assert_eq!(watch((100, 60), (100, 62)), "goes on", "a day that is bad for all is no sign");
+    assert_eq!(watch((2, 1), (100, 98)), "goes on", "40 answers tell nothing");
+    assert!(watch((0, 0), (100, 98)).contains("answers nothing"));
+    assert_eq!(watch((0, 0), (1, 1)), "goes on", "nobody asks for anything");
+}
+
+#[test]
+fn a_release_is_played_through_before_it_begins_and_what_stands_still_is_said() {
+    let mut fleet = Fleet::new();
+    let play = |want: &str| Play {
+        want: text(want),
+        waves: WAVES.to_vec(),
+        pause: Duration::from_secs(30),
+        restart: Duration::from_secs(10),
+    };
+    let before = fleet.state.snapshot();
+    let waves = rehearse(&before, &name("o"), &play("2")).expect("it ends");
+    // One; two of ten less that one; the other eight, three at a time.
+    let told: Vec<(f64, f64, usize, usize)> =
+        waves.iter().map(|w| (w.from_s, w.back_s, w.goes.len(), w.most_out)).collect();
+    assert_eq!(told, [(0.0, 10.0, 1, 1), (40.0, 50.0, 1, 1), (80.0, 110.0, 8, 3)]);
+    assert_eq!(fleet.state.snapshot(), before, "nothing has begun");
+    // One that is lost does not come back by itself: with it the last wave stands still, and it is named.
+    let session = fleet.state.member(&name("d9")).expect("a member").session;
+    fleet.act(Act::Expire { member: name("d9"), session }).expect("it is there");
+    let Err(Never::StandsStill { wave, why, .. }) = rehearse(&fleet.state.snapshot(), &name("o"), &play("2"))
+    else {
+        panic!("it ends")
+    };
+    assert!(wave == 3 && why.contains("d9"), "wave {wave}: {why}");
+    // What would be refused is refused here.
+    fleet.op(Op::Unbudget(Kind::Dispatcher)).expect("a budget");
+    let Err(Never::StandsStill { why, .. }) = rehearse(&fleet.state.snapshot(), &name("o"), &play("2"))
+    else {
+        panic!("it ends")
+    };
+    assert!(why.contains("no budget"), "{why}");
+    let none = State::default().snapshot();
+    assert!(matches!(rehearse(&none, &name("o"), &play("2")), Err(Never::Refused(_))));
+}
--- a/pebblepost/src/fleet.rs
+++ b/pebblepost/src/fleet.rs
@@ -4,6 +4,7 @@
 use clap::{Args, Subcommand, ValueEnum};
 use pebblepost_fleet::command::{Act, Op};
 use pebblepost_fleet::driver::{Driver, Next, Pace};
+use pebblepost_fleet::rehearsal::{Never, Play, rehearse};
 use pebblepost_fleet::state::{Change, Entry, Presence, Snapshot, Value};
 use pebblepost_fleet::{Budget, Expect, Key, Kind, Limit, Name, Refusal, Subject, Text};
 use pebblepost_store::client::{Client, Unreachable, command};
@@ -199,6 +200,20 @@
         #[arg(long, default_value = "")]
         why: Text,
     },
+    /// Plays it through without beginning it: which dispatchers go in each wave, and when; or why it would never end.
+    Plan {
+        /// The version.
+        want: Text,
+        /// How many may have it in each wave, those of the waves before among them.
+        #[arg(long, value_delimiter = ',', default_value = "1,5%,25%,100%")]
+        waves: Vec<Limit>,
+        /// A wave that is back is watched for so many seconds before the next one begins.
+        #[arg(long, default_value_t = 60.0)]
+        pause_s: f64,
+        /// From a dispatcher's permit until it is back, in seconds.
+        #[arg(long, default_value_t = 10.0)]
+        restart_s: f64,
+    },
     /// Drives it to its end, or until a sign halts it (exit code 1). It may be killed and started again, and run twice.
     Drive {
         /// A wave that is back is watched for so many seconds before the next one begins.
@@ -210,6 +225,12 @@
         /// So many crashes of dispatchers with the new version halt it.
         #[arg(long, default_value_t = 3)]
         crashes: u64,
+        /// The share of requests that the new version serves may be lower by this than the old one's, while a wave is watched.
+        #[arg(long, default_value_t = 0.05)]
+        drop: f64,
+        /// Shares of fewer answers than this tell nothing.
+        #[arg(long, default_value_t = 200)]
+        sample: u64,
     },
     /// Gives it up: all that have its version, or may be going over to it, go back to this one.
     Back {
@@ -381,6 +402,10 @@
     Ok(ops)
 }
 
+fn seconds(name: &str, s: f64) -> Result<Duration> {
+    Duration::try_from_secs_f64(s).map_err(|e| FleetError::Usage(format!("--{name}: {s}: {e}")))
+}
+
 struct Desk {
     client: Client,
     keepers: BTreeMap<u64, String>,
@@ -518,13 +543,16 @@
                 self.release_status(&snapshot);
                 Ok(())
             }
-            What::Release(ReleaseWhat::Drive { pause_s, patience_s, crashes }) => {
-                let seconds = |name: &str, s: f64| {
-                    Duration::try_from_secs_f64(s)
-                        .map_err(|e| FleetError::Usage(format!("--{name}: {s}: {e}")))
-                };
+            What::Release(ReleaseWhat::Plan { want, waves, pause_s, restart_s }) => {
+                let (pause, restart) = (seconds("pause-s", pause_s)?, seconds("restart-s", restart_s)?);
+                self.plan(&Play { want, waves, pause, restart }).await
+            }
+            What::Release(ReleaseWhat::Drive { pause_s, patience_s, crashes, drop, sample }) => {
                 let (pause, patience) = (seconds("pause-s", pause_s)?, seconds("patience-s", patience_s)?);
-                self.drive(Pace { pause, patience, crashes }).await
+                if !(0.0..=1.0).contains(&drop) {
+                    return Err(FleetError::Usage(format!("--drop: {drop} is not within 0 and 1")));
+                }
+                self.drive(Pace { pause, patience, crashes, drop, sample }).await
             }
             What::Halt { kind, why } => self.change_all([Op::Halt(kind)], Reason { why, expect: None }).await,
             What::Resume { kind } => self.change_all([Op::Resume(kind)], Reason::none()).await,
@@ -695,13 +723,45 @@
         });
     }
 
+    /// Says what a release would do.
+    async fn plan(&mut self, play: &Play) -> Result<()> {
+        let snapshot = self.all().await?;
+        let waves = rehearse(&snapshot, &self.by, play).map_err(|never| match never {
+            Never::Refused(refused) => FleetError::Refused(refused),
+            stands_still => FleetError::Failed(stands_still.to_string()),
+        })?;
+        for (n, wave) in waves.iter().enumerate() {
+            self.say(json!({"wave": n + 1, "plan": wave}), &|| {
+                let (goes, most) = (wave.goes.len(), wave.most_out);
+                let names: Vec<&str> = wave.goes.iter().take(5).map(Name::as_str).collect();
+                let more = if goes > names.len() { ", ..." } else { "" };
+                let (from, back, names) = (wave.from_s, wave.back_s, names.join(", "));
+                format!(
+                    "wave {}: {from:.0} to {back:.0} s, {goes} go, at most {most} out: {names}{more}",
+                    n + 1
+                )
+            });
+        }
+        let (all, whole) =
+            (waves.iter().map(|w| w.goes.len()).sum::<usize>(), waves.last().map_or(0.0, |w| w.back_s));
+        self.say(json!({"dispatchers": all, "seconds": whole, "revision": snapshot.revision}), &|| {
+            format!("{all} dispatchers in {whole:.0} s, as the state is at revision {}", snapshot.revision)
+        });
+        Ok(())
+    }
+
     /// Drives a release. What it asks for is refused if it makes no sense by then; it looks again.
     async fn drive(&mut self, pace: Pace) -> Result<()> {
         let (began, mut driver, mut shown) = (Instant::now(), Driver::new(pace), 0);
         loop {
             // Without keepers nothing goes on, and nothing can be done about that here.
             if let Ok(snapshot) = self.all().await {
-                let next = driver.look(began.elapsed(), &snapshot);
+                // Without word of how requests go it is driven by the rest of the signs.
+                let tallies = match self.ask(&Ask::Tallies).await {
+                    Ok(Say::Tallies(tallies)) => tallies,
+                    _ => BTreeMap::new(),
+                };
+                let next = driver.look(began.elapsed(), &snapshot, &tallies);
                 if std::mem::replace(&mut shown, snapshot.revision) != snapshot.revision {
                     self.release_status(&snapshot);
                 }
