Workers that most dispatchers see dead, draining or cold take their place in the budget

Need: a worker counted as out only with a drain mark; unasked losses and cold starts were known to nobody in the agreed state, nor which workers there are. Change: each dispatcher tells with its beats what it sees of the workers that differs from the agreed list (at most 64, the first by name); what more than half of those that are there tell alike the leader asks for (Act::Sighted, checked where it is applied). So the list follows discovery, one that is cut off changes nothing, and a list that is right costs nothing. Ready, cold and out count by it; who is no more is forgotten. A mute worker: probes failed for 2 s and none answered (pebblepost/src/sight.rs, no I/O). Result: rules: two of three are believed, one is not; processes: three keepers, three dispatchers, a worker that answers nobody is out and the next waits until it is back.

--- a/fleet/src/command.rs
+++ b/fleet/src/command.rs
@@ -3,6 +3,7 @@
 pub use crate::name::RequestId;
 use crate::name::{Key, Kind, Name, Subject, Text};
 use crate::permit::{Budget, Limit};
+use crate::sight::{Different, Seen, Sight};
 use crate::state::Snapshot;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -75,6 +76,11 @@
         /// The session.
         session: u64,
     },
+    /// These workers are seen so by most dispatchers. Asked by the leader of the keepers.
+    Sighted {
+        /// How each stands; `None`: it is no more.
+        workers: Different,
+    },
     /// A member has not been heard for too long. Asked by the leader of the keepers.
     Expire {
         /// Which.
@@ -176,11 +182,12 @@
 }
 
 /// A worker as it was last known.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Worker {
-    /// Where it is reached.
-    pub dial: SocketAddr,
+    /// Where it is reached, if all reach it at one address.
+    #[serde(default)]
+    pub dial: Option<SocketAddr>,
     /// Its zone.
     #[serde(default)]
     pub zone: Text,
@@ -193,6 +200,16 @@
     /// Most slots seen free.
     #[serde(default)]
     pub slots: u32,
+    /// How most dispatchers see it; `None`: they have told nothing of it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sight: Option<Sight>,
+}
+
+impl Worker {
+    /// It as most dispatchers see it.
+    pub fn seen(&self) -> Option<Seen> {
+        Some(Seen { zone: self.zone.clone(), kind: self.kind.clone(), sight: self.sight? })
+    }
 }
 
 /// What a member says of itself.
--- a/fleet/src/doing.rs
+++ b/fleet/src/doing.rs
@@ -1,19 +1,12 @@
-//! What each dispatcher does, as it tells with its beats: how far it acts by what is agreed, at which drained workers it
-//! still has attempts out, and how its requests go. Like the beats themselves this is soft state at the leader of the
-//! keepers and is not agreed: it would be a command from each dispatcher for each worker that goes.
-//!
-//! That is enough for saying that a worker may be switched off, because what a dispatcher confirms stays true: a drain mark
-//! stands until the worker's permit ends, a dispatcher sends nothing more where it knows of one, and one that keeps a copy
-//! confirms only what the copy has, so that its next life knows of it from the start. A new session confirms anew.
+//! What a dispatcher does, as it tells with its beats: how far it acts by what is agreed, at which drained workers it still has
+//! attempts out, how its requests go, and what it sees of the workers. Like the beats themselves this is soft state at the
+//! leader of the keepers and is not agreed: it would be a command from each dispatcher for each worker that goes.
 
-use crate::command::Role;
-use crate::name::{Key, Kind, Name, Subject, Text};
-use crate::session::Sessions;
-use crate::state::{Presence, State};
+use crate::name::Name;
+use crate::sight::{Different, MAX_DIFFERENT};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
+use std::collections::BTreeSet;
 
 /// Most workers that a dispatcher names as busy. With more it confirms nothing.
 pub const MAX_BUSY: usize = 64;
@@ -27,11 +20,17 @@
     pub busy: BTreeSet<Name>,
     /// How its requests went.
     pub counts: Counts,
+    /// What it sees of the workers that differs from the agreed list.
+    #[serde(default)]
+    pub differs: Different,
 }
 
 impl Doing {
-    /// With the busy workers bounded: what cannot be named in full is not confirmed at all.
-    pub fn bounded(self) -> Self {
+    /// With the lists bounded: busy workers that cannot be named in full are not confirmed at all.
+    pub fn bounded(mut self) -> Self {
+        if self.differs.len() > MAX_DIFFERENT {
+            self.differs.clear();
+        }
         match self.busy.len() {
             0..=MAX_BUSY => self,
             _ => Self { acts_by: 0, busy: BTreeSet::new(), ..self },
@@ -47,94 +46,3 @@
     /// Those of them that were served.
     pub served: u64,
 }
-
-/// Why a dispatcher keeps a worker from being switched off.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[serde(rename_all = "snake_case")]
-pub enum Because {
-    /// It acts by this revision, from before the drain.
-    Behind(u64),
-    /// It has attempts out there.
-    Busy,
-    /// It has not been heard in its present session, or by the present leader.
-    Unheard,
-    /// It was not heard for so long that its session ended, or it left. It may run all the same, and then goes on by what it
-    /// knows: only its return, or an operator who dismisses it, tells.
-    CutOff,
-}
-
-impl fmt::Display for Because {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Behind(at) => write!(f, "acts by revision {at}, from before the drain"),
-            Self::Busy => f.write_str("has attempts out there"),
-            Self::Unheard => f.write_str("has not been heard yet"),
-            Self::CutOff => {
-                f.write_str("is cut off, or has ended: it is back, or dismissed, before this is known")
-            }
-        }
-    }
-}
-
-/// Whether a worker may be switched off, and whose word is missing.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-pub struct Off {
-    /// The revision at which its permit was granted; `None`: it has none, or it waits.
-    pub granted: Option<u64>,
-    /// Dispatchers that have confirmed the drain and have nothing out there.
-    pub clear: Vec<Name>,
-    /// The others.
-    pub waits_for: BTreeMap<Name, Because>,
-}
-
-impl Off {
-    /// Whether every dispatcher's word is there.
-    pub fn may_be_switched_off(&self) -> bool {
-        self.granted.is_some() && self.waits_for.is_empty()
-    }
-}
-
-/// Whether a worker may be switched off, as the state is and as far as the leader has heard.
-pub fn off(state: &State, heard: &Sessions, worker: &Name) -> Off {
-    let subject = Subject { kind: Kind::Worker, name: worker.clone() };
-    let Some(granted) = state.permit(&subject).and_then(|p| p.granted) else { return Off::default() };
-    // A drain mark that was there before the permit says nothing less; one that is newer says when.
-    let since = state.get(&Key::Drain(worker.clone())).map_or(granted, |e| e.revision.min(granted));
-    let mut off = Off { granted: Some(granted), ..Off::default() };
-    for (name, member) in state.members().filter(|(_, m)| m.card.role == Role::Dispatcher) {
-        let because = match (member.presence, heard.doing(name, member.session)) {
-            (Presence::Lost | Presence::Left, _) => Some(Because::CutOff),
-            (Presence::Here, None) => Some(Because::Unheard),
-            (Presence::Here, Some(doing)) if doing.acts_by < since => Some(Because::Behind(doing.acts_by)),
-            (Presence::Here, Some(doing)) if doing.busy.contains(worker) => Some(Because::Busy),
-            (Presence::Here, Some(_)) => None,
-        };
-        match because {
-            Some(because) => drop(off.waits_for.insert(name.clone(), because)),
-            None => off.clear.push(name.clone()),
-        }
-    }
-    off
-}
-
-/// How the requests of one dispatcher went in one life.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-pub struct Tally {
-    /// Its session.
-    pub session: u64,
-    /// Its version.
-    pub version: Text,
-    /// How they went.
-    pub counts: Counts,
-}
-
-/// How the requests of all dispatchers went that are there and were heard.
-pub fn tallies(state: &State, heard: &Sessions) -> BTreeMap<Name, Tally> {
-    let here = state.members().filter(|(_, m)| m.presence == Presence::Here);
-    here.filter_map(|(name, member)| {
-        let counts = heard.doing(name, member.session)?.counts;
-        let (session, version) = (member.session, member.card.version.clone());
-        Some((name.clone(), Tally { session, version, counts }))
-    })
-    .collect()
-}
--- a/fleet/src/driver.rs
+++ b/fleet/src/driver.rs
@@ -3,13 +3,17 @@
 //! comes as an argument.
 
 use crate::command::Op;
-use crate::doing::{Counts, Tally};
+use crate::doing::Counts;
 use crate::name::{Key, Kind, Name, Text};
 use crate::permit::Release;
+use crate::reckon::Tally;
 use crate::state::{Snapshot, Value};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// A watch lasts for at most so many pauses, while the new version has too few answers.
+const LONGEST: u32 = 3;
+
 /// When it asks for what.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Pace {
@@ -160,7 +164,11 @@
         }
         let since = *self.back.get_or_insert(now);
         self.shares.add(&release.want, tallies);
-        let watched = now.saturating_sub(since) >= self.pace.pause;
+        // Where there are requests, those of the new version are waited for: too few answers tell nothing.
+        let tells = |c: Counts| c.answered >= self.pace.sample;
+        let waits = tells(self.shares.old) && !tells(self.shares.new);
+        let pause = self.pace.pause * if waits { LONGEST } else { 1 };
+        let watched = now.saturating_sub(since) >= pause;
         // On a way back nothing is compared: what is left is what was there before.
         if release.from.is_none()
             && let Some(why) = self.worse(watched)
--- a/fleet/src/follow.rs
+++ b/fleet/src/follow.rs
@@ -8,6 +8,7 @@
 
 use crate::command::{Act, Answer, Command, Expect, Op, Refusal, RequestId};
 use crate::name::{Key, Kind, Name, Subject, Text};
+use crate::sight::{Different, MAX_DIFFERENT, Seen};
 use crate::state::{Change, Entry, Snapshot, Value};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -242,6 +243,27 @@
         }
     }
 
+    /// What a dispatcher that sees these workers has to tell of them.
+    pub fn differs(&self, seen: &BTreeMap<Name, Seen>) -> Different {
+        let agreed = |name: &Name| match self.copy.entries.get(&Key::Worker(name.clone())).map(|e| &e.value) {
+            Some(Value::Worker(worker)) => worker.seen(),
+            _ => None,
+        };
+        let new = seen.iter().filter(|(name, now)| agreed(name).as_ref() != Some(*now));
+        let mut different: Different = new.map(|(name, now)| (name.clone(), Some(now.clone()))).collect();
+        let gone = self.copy.entries.iter().filter_map(|(key, entry)| match (key, &entry.value) {
+            (Key::Worker(name), Value::Worker(w)) if w.seen().is_some() && !seen.contains_key(name) => {
+                Some(name)
+            }
+            _ => None,
+        });
+        different.extend(gone.map(|name| (name.clone(), None)));
+        if let Some(beyond) = different.keys().nth(MAX_DIFFERENT).cloned() {
+            different.split_off(&beyond);
+        }
+        different
+    }
+
     /// A setting's agreed value.
     pub fn setting(&self, name: &str) -> Option<f64> {
         match self.copy.entries.get(&Key::Setting(name.parse().ok()?))?.value {
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -7,7 +7,7 @@
 //! * [`command`]: what may be asked for, and what is answered.
 //! * [`state`]: the state, its revisions and its bounded log of changes.
 //! * [`permit`]: who may be out at once: budgets, permits and their queue.
-//! * [`doing`]: what each dispatcher confirms and counts, and when a worker may be switched off.
+//! * [`doing`], [`sight`]: what a dispatcher tells with its beats; [`reckon`]: what the leader makes of it.
 //! * [`driver`]: when a release goes on to its next wave, and what halts it.
 //! * [`rehearsal`]: a release played through before it begins.
 //! * [`session`]: which members are there, as the leader of the keepers reckons it from their beats.
@@ -22,9 +22,11 @@
 pub mod follow;
 pub mod name;
 pub mod permit;
+pub mod reckon;
 pub mod rehearsal;
 pub mod session;
 pub mod setting;
+pub mod sight;
 pub mod state;
 
 pub use command::{Act, Answer, Command, Done, Expect, Op, Refusal};
--- a/fleet/src/name.rs
+++ b/fleet/src/name.rs
@@ -45,7 +45,7 @@
 pub struct Name(#[schemars(length(min = 1, max = 200))] String);
 
 /// A reason or the like: at most [`MAX_TEXT`] bytes, no control characters, may be empty.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
 #[serde(try_from = "String", into = "String")]
 pub struct Text(#[schemars(length(max = 400))] String);
 
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -8,6 +8,7 @@
 use crate::name::{Key, Kind, Name, Subject, Text};
 use crate::permit::{Budget, Limit, Permit, Release, Roll, Standing};
 use crate::setting;
+use crate::sight::{Different, Seen, Sight};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -96,6 +97,11 @@
         self.lives.front().copied()
     }
 
+    /// Whether it dispatches.
+    pub fn is_dispatcher(&self) -> bool {
+        self.card.role == Role::Dispatcher
+    }
+
     /// Whether it cannot be counted on: not there, of unknown state, or not ready.
     fn is_out(&self) -> bool {
         self.presence != Presence::Here || !self.card.ready
@@ -180,7 +186,9 @@
                 roll.all.insert(name, stands("", true));
             }
             (Kind::Worker, Key::Worker(name), Value::Worker(worker)) => {
-                roll.all.entry(name).or_insert(stands("", false)).zone = worker.zone.as_str();
+                let standing = roll.all.entry(name).or_insert(stands("", false));
+                standing.zone = worker.zone.as_str();
+                standing.out |= worker.sight.is_some_and(|sight| sight != Sight::Ready);
             }
             (_, Key::Permit(subject), Value::Permit(permit)) if subject.kind == kind => {
                 let standing = roll.all.entry(&subject.name).or_insert(stands("", false));
@@ -260,10 +268,35 @@
                 let items = self.end(member, *session, Presence::Lost)?;
                 Ok(self.commit(command, items, Text::default()))
             }
+            Act::Sighted { workers } => {
+                let items = self.sighted(workers)?;
+                Ok(self.commit(command, items, Text::default()))
+            }
             Act::Admit { keeper, disk } => self.admit(*keeper, *disk),
         }
     }
 
+    /// What was known of a worker besides stays; one that is no more is forgotten, but for its drain mark and its permit.
+    fn sighted(&self, workers: &Different) -> Result<Items, Refusal> {
+        if workers.len() > MAX_OPS {
+            let what = format!("at most {MAX_OPS} workers in one command, not {}", workers.len());
+            return Err(Refusal::Invalid { what });
+        }
+        let mut items = Items::new();
+        for (name, seen) in workers {
+            let now = self.worker(name);
+            let new = seen.clone().map(|Seen { zone, kind, sight }| {
+                let known = now.cloned().unwrap_or_default();
+                Worker { zone, kind, sight: Some(sight), ..known }
+            });
+            if now != new.as_ref() {
+                items.push((Key::Worker(name.clone()), new.map(Value::Worker)));
+            }
+        }
+        self.fits(&items, |key| matches!(key, Key::Worker(_)), "workers", MAX_WORKERS)?;
+        Ok(items)
+    }
+
     /// A keeper's number belongs to the first disk that had it, for ever: with another one it has forgotten what it
     /// voted for and acknowledged, and the old one may still run.
     fn admit(&mut self, keeper: u64, disk: u64) -> Answer {
@@ -798,6 +831,19 @@
         self.entries.iter()
     }
 
+    /// A worker.
+    pub fn worker(&self, name: &Name) -> Option<&Worker> {
+        match &self.entries.get(&Key::Worker(name.clone()))?.value {
+            Value::Worker(worker) => Some(worker),
+            _ => None,
+        }
+    }
+
+    /// How many workers are known.
+    pub fn workers(&self) -> usize {
+        self.count(|key| matches!(key, Key::Worker(_)))
+    }
+
     /// A member.
     pub fn member(&self, name: &Name) -> Option<&Member> {
         match &self.entries.get(&Key::Member(name.clone()))?.value {
--- a/pebblepost/src/agent.rs
+++ b/pebblepost/src/agent.rs
@@ -15,6 +15,7 @@
 use pebblepost_fleet::doing::{Counts, Doing};
 use pebblepost_fleet::follow::{Follower, Offered};
 use pebblepost_fleet::setting::SETTINGS;
+use pebblepost_fleet::sight::Seen;
 use pebblepost_fleet::{Name, Refusal, RequestId, Text};
 use pebblepost_store::client::{Client, command, request_id};
 use pebblepost_store::clock::{since, unix_ms};
@@ -101,6 +102,8 @@
     offers: Notify,
     /// What the loop does, by its last word.
     doing: Mutex<Doing>,
+    /// How it sees the workers; `None`: it knows too little.
+    seen: Mutex<Option<BTreeMap<Name, Seen>>>,
     /// The revision that is in the kept copy; without a copy any.
     kept: AtomicU64,
     changed: Notify,
@@ -132,7 +135,9 @@
         if std::env::var_os("PEBBLEPOST_FAULT_CONFIRM").is_some() {
             return Doing { acts_by: u64::MAX, busy: BTreeSet::new(), ..doing };
         }
-        Doing { acts_by: doing.acts_by.min(self.kept.load(Ordering::Relaxed)), ..doing }
+        let acts_by = doing.acts_by.min(self.kept.load(Ordering::Relaxed));
+        let differs = lock(&self.seen).as_ref().map(|seen| lock(&self.follower).differs(seen));
+        Doing { acts_by, differs: differs.unwrap_or_default(), ..doing }
     }
 
     /// Changes the copy, and tells the loop if that changes what it goes by.
@@ -200,6 +205,7 @@
             follower: Mutex::new(follower),
             offers: Notify::new(),
             doing: Mutex::default(),
+            seen: Mutex::default(),
             kept: AtomicU64::new(kept),
             changed: Notify::new(),
             wake,
@@ -258,6 +264,11 @@
         }
     }
 
+    /// How the loop sees the workers.
+    pub fn sees(&self, seen: BTreeMap<Name, Seen>) {
+        *lock(&self.shared.seen) = Some(seen);
+    }
+
     /// What is known and how old it is, in one line.
     pub fn told(&self) -> String {
         let knowledge = self.knowledge();
--- a/pebblepost/src/discovery.rs
+++ b/pebblepost/src/discovery.rs
@@ -4,9 +4,12 @@
 use crate::engine::Input;
 use crate::http::{self, Body, Head};
 use crate::net::{Clock, ConnKey, Due, Role, Shared, number};
-use pebblewind::api::{CellId, Entry, KindId, ListKind, WorkerId, WorkerState, ZoneId};
+use crate::sight::Mute;
+use pebblepost_fleet::sight::{Seen, Sight};
+use pebblepost_fleet::{Name, Text};
+use pebblewind::api::{CellId, Entry, KindId, ListKind, Time, WorkerId, WorkerState, ZoneId};
 use serde_json::Value;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -154,6 +157,29 @@
         self.mark_of(worker).is_some()
     }
 
+    /// The workers on discovery's list as this dispatcher sees them; `None`: discovery has not spoken yet.
+    pub fn seen(&self, now: Time, warm_up: Duration, mute: &Mute) -> Option<BTreeMap<Name, Seen>> {
+        let name = |names: &[String], at: u16| -> Text {
+            let name = names.get(usize::from(at)).cloned().unwrap_or_else(|| at.to_string());
+            name.parse().unwrap_or_default()
+        };
+        let listed =
+            self.transports.iter().filter(|t| t.dial.is_some() && t.entry.state != WorkerState::Gone);
+        let seen = listed.filter_map(|t| {
+            let cold = t.entry.started.is_some_and(|start| now < start + warm_up);
+            let sight = match t.entry.state {
+                WorkerState::Ready if mute.is_mute(now, t.entry.worker) => Sight::Out,
+                WorkerState::Ready if cold => Sight::Cold,
+                WorkerState::Ready => Sight::Ready,
+                _ => Sight::Out,
+            };
+            let zone = name(&self.zones, t.entry.zone.0);
+            let kind = name(&self.kinds, t.entry.kind.0);
+            Some((t.host.parse().ok()?, Seen { zone, kind, sight }))
+        });
+        self.transports.iter().any(|t| t.heard && t.dial.is_some()).then(|| seen.collect())
+    }
+
     /// All workers that an operator's drain mark names.
     pub fn all_marked(&self) -> HashSet<WorkerId> {
         let all = (0..self.transports.len()).map(|i| WorkerId(i as u32));
--- a/pebblepost/src/fleet.rs
+++ b/pebblepost/src/fleet.rs
@@ -5,6 +5,7 @@
 use pebblepost_fleet::command::{Act, Op};
 use pebblepost_fleet::driver::{Driver, Next, Pace};
 use pebblepost_fleet::rehearsal::{Never, Play, rehearse};
+use pebblepost_fleet::sight::Sight;
 use pebblepost_fleet::state::{Change, Entry, Presence, Snapshot, Value};
 use pebblepost_fleet::{Budget, Expect, Key, Kind, Limit, Name, Refusal, Subject, Text};
 use pebblepost_store::client::{Client, Unreachable, command};
@@ -422,7 +423,16 @@
     match value {
         Value::Drain { by, at_ms, why } if why.as_str().is_empty() => format!("by {by} at {at_ms}"),
         Value::Drain { by, at_ms, why } => format!("by {by} at {at_ms}: {why}"),
-        Value::Worker(w) => format!("{} zone {} kind {} slots {}", w.dial, w.zone, w.kind, w.slots),
+        Value::Worker(w) => {
+            let at = w.dial.map_or_else(|| "-".to_owned(), |at| at.to_string());
+            let seen = match w.sight {
+                Some(Sight::Ready) => ", ready",
+                Some(Sight::Cold) => ", cold",
+                Some(Sight::Out) => ", drains or does not answer",
+                None => "",
+            };
+            format!("{at} zone {} kind {} slots {}{seen}", w.zone, w.kind, w.slots)
+        }
         Value::Setting(value) => value.to_string(),
         Value::Member(m) => {
             let presence = match m.presence {
--- a/pebblepost/src/lib.rs
+++ b/pebblepost/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod keep;
 pub mod kept;
 pub mod net;
+pub mod sight;
 pub mod turn;
 pub mod workers;
--- a/pebblepost/src/net.rs
+++ b/pebblepost/src/net.rs
@@ -51,8 +51,8 @@
     Accept,
     /// Discovery that pushes its lists is watched again.
     Watch,
-    /// Attempts at drained workers are looked at again, for the agreed store.
-    Doing(u64),
+    /// What the agreed store is told of this program is looked at again.
+    Doing,
     /// The Faktory front looks for silent workers and old answers.
     Faktory,
 }
--- a/pebblepost/src/turn.rs
+++ b/pebblepost/src/turn.rs
@@ -9,6 +9,7 @@
 use crate::front::platform::{Class, Platform, SenderSide};
 use crate::health::{self, Condition};
 use crate::net::{Clock, ConnKey, Door, Due, Net, Ready, Role, Shared, Signal};
+use crate::sight::Mute;
 use crate::workers::Workers;
 use pebblewind::api::{ListKind, Status};
 use std::io::{self, Read};
@@ -19,8 +20,8 @@
 /// After SIGTERM new connections are taken and old ones kept for so long, as balancers notice late.
 const LAST_CALLS: Duration = Duration::from_millis(500);
 
-/// While drained workers have attempts out, these are looked at so often.
-const LOOK: Duration = Duration::from_millis(100);
+/// Where there is an agent it is told this often what is still out at drained workers, and how the workers stand.
+const LOOK: Duration = Duration::from_millis(200);
 
 /// What is told to the program from outside while it runs.
 pub struct Signals {
@@ -42,8 +43,10 @@
     faktory: Option<Faktory>,
     /// Follows the agreed store, where the operator's file sets it up.
     agent: Option<Agent>,
-    /// The agreed revision that is in force once the inputs in hand are; `None`: the agent has been told.
-    to_confirm: Option<u64>,
+    /// The agreed revision that is in force once the inputs in hand are, and whether the agent is to be told.
+    acts_by: u64,
+    to_confirm: bool,
+    mute: Mute,
     /// As the operator's file says, where nothing is agreed.
     faktory_times: Option<(Duration, Duration)>,
     signals: Signals,
@@ -97,7 +100,9 @@
             s,
             faktory,
             agent,
-            to_confirm: None,
+            acts_by: 0,
+            to_confirm: false,
+            mute: Mute::default(),
             faktory_times,
             engine,
             platform: Platform::new(classes, config.tenants),
@@ -108,6 +113,9 @@
         };
         daemon.discovery.keep_up(&mut daemon.s);
         daemon.apply_agreed();
+        if daemon.agent.is_some() {
+            daemon.s.net.deadlines.set(daemon.s.net.now + LOOK, Due::Doing);
+        }
         Ok(daemon)
     }
 
@@ -118,7 +126,7 @@
         if let Some(told) = self.s.map.mark(known.drained.clone()) {
             self.s.inputs.push(told);
         }
-        self.to_confirm = Some(known.revision);
+        (self.acts_by, self.to_confirm) = (known.revision, true);
         if let Some(revision) = known.permitted {
             self.stop(&format!("permitted to end at revision {revision}"));
         }
@@ -179,6 +187,13 @@
         self.bury();
         if !self.s.inputs.is_empty() {
             let mut inputs = std::mem::take(&mut self.s.inputs);
+            if self.agent.is_some() {
+                for input in &inputs {
+                    if let Input::Probed(worker, status, ..) = input {
+                        self.mute.probed(self.s.net.now, *worker, *status);
+                    }
+                }
+            }
             self.engine.turn(self.s.net.now, &mut inputs, &mut self.outputs);
             for output in std::mem::take(&mut self.outputs) {
                 self.carry_out(output);
@@ -200,13 +215,15 @@
     fn confirm(&mut self) {
         let Some(agent) = &self.agent else { return };
         agent.counts(self.engine.counts());
-        let Some(revision) = self.to_confirm.take() else { return };
-        let busy = self.engine.busy(&self.s.map.all_marked());
-        if !busy.is_empty() {
-            self.s.net.deadlines.set(self.s.net.now + LOOK, Due::Doing(revision));
+        if !std::mem::take(&mut self.to_confirm) {
+            return;
         }
+        let busy = self.engine.busy(&self.s.map.all_marked());
         let busy = busy.into_iter().filter_map(|worker| self.s.map.mark_of(worker)?.parse().ok());
-        agent.confirms(revision, busy.collect());
+        agent.confirms(self.acts_by, busy.collect());
+        if let Some(seen) = self.s.map.seen(self.s.net.now, self.engine.settings().warm_up, &self.mute) {
+            agent.sees(seen);
+        }
     }
 
     fn condition(&self) -> Condition {
@@ -347,8 +364,10 @@
             }
             Due::Watch => self.discovery.keep_up(&mut self.s),
             Due::Accept => self.s.net.resume_accepting(),
-            // Another look may be due already, or a newer revision be in force.
-            Due::Doing(revision) => self.to_confirm = self.to_confirm.max(Some(revision)),
+            Due::Doing => {
+                self.to_confirm = true;
+                self.s.net.deadlines.set(self.s.net.now + LOOK, Due::Doing);
+            }
             Due::Faktory => self.faktory.iter_mut().for_each(|f| f.sweep(&mut self.s)),
         }
     }
--- a/pebblepost/tests/release.rs
+++ b/pebblepost/tests/release.rs
@@ -4,9 +4,10 @@
 mod common;
 
 use common::keepers::{Keepers, LIMIT};
-use common::{Running, header, lines, platform, post, within, worker};
+use common::{Running, Wire, header, lines, platform, post, within, worker};
 use pebblepost::net::Door;
-use serde_json::json;
+use serde_json::{Value, json};
+use std::net::{SocketAddr, TcpListener};
 use std::process::Output;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -20,6 +21,63 @@
     Running::start(Some(config), Some(json!({"fleet": fleet})))
 }
 
+/// A worker that serves, or that closes every connection unanswered while it is to be dead.
+fn probed_worker(dead: Arc<AtomicBool>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let dead = dead.clone();
+            std::thread::spawn(move || {
+                let mut wire = Wire::new(stream);
+                loop {
+                    let (head, _) = wire.message();
+                    match head.first() {
+                        Some(_) if dead.load(Ordering::Relaxed) => return,
+                        Some(line) if line.starts_with("GET ") => {
+                            let body = r#"{"util":0.1,"eps":0.0,"x0":4}"#;
+                            let length = body.len();
+                            wire.say(&format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"));
+                        }
+                        Some(_) => {
+                            let id = header(&head, "x-txn");
+                            lines(&mut wire, &[json!({"id": id, "state": "done", "result": "text"})]);
+                        }
+                        None => return,
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// A discovery that tells of these hosts and of no change.
+fn told(hosts: Value) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let hosts = hosts.clone();
+            std::thread::spawn(move || {
+                let mut wire = Wire::new(stream);
+                if wire.message().0.is_empty() {
+                    return;
+                }
+                let list = format!("{}\n", json!({"seq": 2, "whole": true, "hosts": hosts}));
+                wire.say(&format!(
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{list}\r\n",
+                    list.len()
+                ));
+                while wire.try_say("1\r\n\n\r\n") {
+                    std::thread::sleep(Duration::from_millis(500));
+                }
+            });
+        }
+    });
+    address
+}
+
 fn ends(node: &mut Running) {
     within(LIMIT, "it ends itself", || node.has_ended().then_some(()));
 }
@@ -139,3 +197,49 @@
     within(LIMIT, "a's word is enough", || off(&keepers, "2").status.success().then_some(()));
     assert_eq!(asked.load(Ordering::Relaxed), 1, "nothing more went there");
 }
+
+#[test]
+fn a_worker_that_most_dispatchers_see_dead_is_out_and_others_wait_until_it_is_back() {
+    let keepers = Keepers::start(11);
+    // Two workers, each of which can be made to answer no probe.
+    let dead = [false; 2].map(|dead| Arc::new(AtomicBool::new(dead)));
+    let at: Vec<_> = dead.iter().map(|dead| probed_worker(dead.clone())).collect();
+    let with = |name: &str| {
+        let host = |n: usize| {
+            let (host, dial) = (format!("s-{n}"), at[n]);
+            json!({"host": host, "dial": dial, "site": "a", "class": "m", "block": 0, "health": "ready", "born_ms": 0})
+        };
+        let mut config = platform(&at, Some(told(json!([host(0), host(1)]))));
+        config["name"] = json!(name);
+        let fleet = json!({"keepers": keepers.named(), "zone": "x", "version": "1"});
+        Running::start(Some(config), Some(json!({"fleet": fleet})))
+    };
+    let nodes: Vec<Running> = ["a", "b", "c"].map(with).into_iter().collect();
+    // Jobs keep the probes going: a worker that nobody has to do with is not seen.
+    let (over, asked) = (Arc::new(AtomicBool::new(false)), AtomicUsize::new(0));
+    std::thread::scope(|scope| {
+        for node in &nodes {
+            let (over, asked) = (over.clone(), &asked);
+            scope.spawn(move || {
+                while !over.load(Ordering::Relaxed) {
+                    let mut wire = node.connect(Door::Platform);
+                    wire.say(&post(&format!("t{}", asked.fetch_add(1, Ordering::Relaxed)), "", ""));
+                    wire.message();
+                    std::thread::sleep(Duration::from_millis(50));
+                }
+            });
+        }
+        let shows = |what: &str, part: &str| {
+            within(LIMIT, what, || keepers.fleet_until(&["budget", "worker"]).contains(part).then_some(()));
+        };
+        keepers.fleet_until(&["budget", "worker", "--most", "1"]);
+        shows("both are on the agreed list", "0 of 2 out");
+        dead[0].store(true, Ordering::Relaxed);
+        shows("the dead one is out", "out    s-0\twithout a permit");
+        keepers.fleet_until(&["permit", "ask", "worker/s-1", "--why", "new fans"]);
+        shows("the other waits", "waits  s-1\t1 in the queue: 1 others are out");
+        dead[0].store(false, Ordering::Relaxed);
+        shows("and goes once that one answers again", "out    s-1\tby a permit");
+        over.store(true, Ordering::Relaxed);
+    });
+}
--- a/store/src/keeper.rs
+++ b/store/src/keeper.rs
@@ -10,7 +10,8 @@
 use openraft::error::{ClientWriteError, RaftError};
 use openraft::{ChangeMembers, Config, SnapshotPolicy};
 use pebblepost_fleet::command::{Act, Command};
-use pebblepost_fleet::doing::{Doing, off, tallies};
+use pebblepost_fleet::doing::Doing;
+use pebblepost_fleet::reckon::{off, settled, tallies};
 use pebblepost_fleet::session::{Beat, Sessions, Ttl};
 use pebblepost_fleet::{Key, Name};
 use std::collections::{BTreeMap, BTreeSet};
@@ -378,13 +379,18 @@
         tallies.map_or_else(|| self.elsewhere(), Say::Tallies)
     }
 
-    /// Has overdue sessions ended, for as long as it is polled.
+    /// Has overdue sessions ended, and the list of workers be what most see, for as long as it is polled.
     async fn look(self) {
         loop {
             sleep(LOOK).await;
             let now = since(self.started);
-            let overdue = self.with_sessions(|s| s.overdue(now, &self.machine.read())).unwrap_or_default();
-            for act in overdue {
+            let due = |s: &mut Sessions| {
+                let state = self.machine.read();
+                let mut due = s.overdue(now, &state);
+                due.extend(settled(&state, s));
+                due
+            };
+            for act in self.with_sessions(due).unwrap_or_default() {
                 // If it comes to nothing the next look asks again.
                 let _ = timeout(PATIENCE, self.raft.client_write(command(self.name.clone(), act))).await;
             }
--- a/store/src/wire.rs
+++ b/store/src/wire.rs
@@ -7,7 +7,8 @@
     AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, InstallSnapshotResponse,
     VoteRequest, VoteResponse,
 };
-use pebblepost_fleet::doing::{Doing, Off, Tally};
+use pebblepost_fleet::doing::Doing;
+use pebblepost_fleet::reckon::{Off, Tally};
 use pebblepost_fleet::state::{Change, Entry, Snapshot};
 use pebblepost_fleet::{Answer, Command, Key, Name};
 use serde::de::DeserializeOwned;
