--- a/fleet/src/command.rs
+++ b/fleet/src/command.rs
@@ -140,6 +140,9 @@
         want: Text,
         /// How many may have it in each wave, those of the waves before among them.
         waves: Vec<Limit>,
+        /// Zones in the order in which they go; see [`Release`](crate::permit::Release).
+        #[serde(default)]
+        zones: Vec<Text>,
     },
     /// The release is given up: all that have its version, or may be going over to it, go back to this one, those that are
     /// out first, and without waves.
--- a/fleet/src/permit.rs
+++ b/fleet/src/permit.rs
@@ -7,7 +7,7 @@
 use crate::name::{Name, RequestId, Text};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::str::FromStr;
 
@@ -68,11 +68,21 @@
     /// In each zone; `None`: as many as in the fleet.
     #[serde(default)]
     pub most_in_zone: Option<Limit>,
+    /// Of each kind of machine; `None`: as many as in the fleet.
+    #[serde(default)]
+    pub most_in_kind: Option<Limit>,
     /// So many stay in each zone.
     #[serde(default)]
     pub least_in_zone: u32,
 }
 
+impl Budget {
+    /// Whether it makes sense.
+    pub fn is_sound(&self) -> bool {
+        [Some(self.most), self.most_in_zone, self.most_in_kind].into_iter().flatten().all(Limit::is_sound)
+    }
+}
+
 /// A permit, waiting or granted.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct Permit {
@@ -106,6 +116,9 @@
     pub waves: Vec<Limit>,
     /// The present wave, counted from 0.
     pub wave: u32,
+    /// Zones in the order in which they go, those not named last: nobody goes while one of an earlier zone waits.
+    #[serde(default)]
+    pub zones: Vec<Text>,
     /// Who began it.
     pub by: Name,
     /// When, by that one's clock, in Unix time in milliseconds.
@@ -120,6 +133,11 @@
         self.waves.get(wave).map_or(all, |limit| limit.of(all).max(1))
     }
 
+    /// The place of a zone in the order in which they go.
+    fn turn(&self, zone: &str) -> usize {
+        self.zones.iter().position(|z| z.as_str() == zone).unwrap_or(self.zones.len())
+    }
+
     /// Whether the present wave is the last one.
     pub fn is_last(&self) -> bool {
         self.wave as usize + 1 >= self.waves.len()
@@ -131,6 +149,8 @@
 pub struct Standing<'a> {
     /// Its zone.
     pub zone: &'a str,
+    /// Its kind of machine, or empty.
+    pub kind: &'a str,
     /// Whether it is out: by a permit, or without one.
     pub out: bool,
     /// Its version, or empty.
@@ -171,8 +191,12 @@
     Fleet(usize),
     /// So many others are out in its zone, and no more may be.
     Zone(usize),
+    /// So many others of its kind of machine are out, and no more may be.
+    MachineKind(usize),
     /// So many have the version of the release, and no more may in this wave.
     Wave(usize),
+    /// Some of a zone that goes before its own wait.
+    Turn,
 }
 
 impl fmt::Display for Waits {
@@ -181,6 +205,8 @@
             Self::NoBudget => f.write_str("there is no budget for its kind"),
             Self::Halted => f.write_str("halted"),
             Self::Fleet(out) => write!(f, "{out} others are out, no more may be"),
+            Self::MachineKind(out) => write!(f, "{out} others of its kind are out, no more may be"),
+            Self::Turn => f.write_str("a zone before its own is not done"),
             Self::Wave(reached) => write!(f, "{reached} have its version, no more may in this wave"),
             Self::Zone(out) => write!(f, "{out} others are out in its zone, no more may be"),
         }
@@ -195,6 +221,9 @@
     /// Those that have the version of the release, or are on their way to it.
     reached: usize,
     zones: BTreeMap<&'a str, (usize, usize)>,
+    kinds: BTreeMap<&'a str, (usize, usize)>,
+    /// The first zone in the order of the release of which some still wait.
+    turn: usize,
 }
 
 impl<'a> Counts<'a> {
@@ -202,9 +231,14 @@
         self.zones.get(standing.map_or("", |s| s.zone)).copied().unwrap_or_default()
     }
 
+    fn kind(&self, standing: Option<&Standing<'a>>) -> (usize, usize) {
+        self.kinds.get(standing.map_or("", |s| s.kind)).copied().unwrap_or_default()
+    }
+
     fn goes_out(&mut self, standing: &Standing<'a>) {
         self.out += 1;
         self.zones.entry(standing.zone).or_default().1 += 1;
+        self.kinds.entry(standing.kind).or_default().1 += 1;
     }
 }
 
@@ -232,14 +266,26 @@
         let mut counts = Counts { all: self.all.len(), ..Counts::default() };
         for standing in self.all.values() {
             counts.zones.entry(standing.zone).or_default().0 += 1;
+            counts.kinds.entry(standing.kind).or_default().0 += 1;
             if standing.out {
                 counts.goes_out(standing);
             }
         }
         counts.reached = self.reached();
+        counts.turn = self.turn(&BTreeSet::new());
         counts
     }
 
+    /// The first zone, in the order of the release, of which one waits that is not among those that go already.
+    fn turn(&self, go: &BTreeSet<&Name>) -> usize {
+        let Some(release) = self.release else { return usize::MAX };
+        let waits = |(name, s): &(&&Name, &Standing<'_>)| {
+            !go.contains(**name) && s.permit.is_some_and(|p| p.granted.is_none() && p.want == release.want)
+        };
+        let turns = self.all.iter().filter(waits).map(|(_, s)| release.turn(s.zone));
+        turns.min().unwrap_or(usize::MAX)
+    }
+
     /// How many may be out in a zone of so many.
     fn most_in_zone(budget: Budget, all: usize) -> usize {
         let most = budget.most_in_zone.map_or(usize::MAX, |limit| limit.of(all));
@@ -264,10 +310,13 @@
         }
         if let Some(release) = self.release
             && let Some(standing) = standing.filter(|s| s.permit.is_some_and(|p| p.want == release.want))
-            && !standing.has(release.want.as_str())
-            && counts.reached + 1 > release.cap(counts.all)
         {
-            return Err(Waits::Wave(counts.reached));
+            if !standing.has(release.want.as_str()) && counts.reached + 1 > release.cap(counts.all) {
+                return Err(Waits::Wave(counts.reached));
+            }
+            if release.turn(standing.zone) > counts.turn {
+                return Err(Waits::Turn);
+            }
         }
         let itself = usize::from(standing.is_some_and(|s| s.out));
         let others = counts.out - itself;
@@ -276,7 +325,13 @@
         }
         let (all, out) = counts.zone(standing);
         let others = out - itself;
-        if others + 1 > Self::most_in_zone(budget, all) { Err(Waits::Zone(others)) } else { Ok(()) }
+        if others + 1 > Self::most_in_zone(budget, all) {
+            return Err(Waits::Zone(others));
+        }
+        let (all, out) = counts.kind(standing);
+        let others = out - itself;
+        let most = budget.most_in_kind.map_or(usize::MAX, |limit| limit.of(all));
+        if others + 1 > most { Err(Waits::MachineKind(others)) } else { Ok(()) }
     }
 
     /// Why one of them could never go, even if nothing else were out; `None`: it could.
@@ -291,28 +346,34 @@
         }
         let zone = standing.map_or("", |s| s.zone);
         let all = counts.zone(standing).0 + itself;
-        (Self::most_in_zone(budget, all) == 0)
-            .then(|| format!("the budget lets none of the {all} in zone {zone:?} out"))
+        if Self::most_in_zone(budget, all) == 0 {
+            return Some(format!("the budget lets none of the {all} in zone {zone:?} out"));
+        }
+        let kind = standing.map_or("", |s| s.kind);
+        let all = counts.kind(standing).0 + itself;
+        let none = budget.most_in_kind.is_some_and(|limit| limit.of(all) == 0);
+        none.then(|| format!("the budget lets none of the {all} of kind {kind:?} out"))
     }
 
-    /// Those that wait, in their order: urgent ones first, then by when they were asked for.
+    /// Those that wait, in their order: urgent ones first, then by their zone's turn in a release, then by when they were asked for.
     pub fn queue(&self) -> Vec<&'a Name> {
-        let mut queue: Vec<(bool, u64, &Name)> = self
+        let turn = |zone| self.release.map_or(0, |r| r.turn(zone));
+        let mut queue: Vec<(bool, usize, u64, &Name)> = self
             .all
             .iter()
-            .filter_map(|(name, s)| Some((*name, s.permit?)))
-            .filter(|(_, permit)| permit.granted.is_none())
-            .map(|(name, permit)| (!permit.urgent, permit.asked, name))
+            .filter_map(|(name, s)| Some((*name, s.zone, s.permit?)))
+            .filter(|(_, _, permit)| permit.granted.is_none())
+            .map(|(name, zone, permit)| (!permit.urgent, turn(zone), permit.asked, name))
             .collect();
         queue.sort();
-        queue.into_iter().map(|(_, _, name)| name).collect()
+        queue.into_iter().map(|(_, _, _, name)| name).collect()
     }
 
     /// Those of the queue that may go now. One whose zone is full lets others pass; it is the first again as soon as
     /// anything changes.
     pub fn grants(&self) -> Vec<Name> {
         let mut counts = self.counts();
-        let mut grants = Vec::new();
+        let (mut grants, mut go) = (Vec::new(), BTreeSet::new());
         for name in self.queue() {
             if self.fits_beside(&counts, name).is_ok() {
                 if let Some(standing) = self.all.get(name) {
@@ -324,6 +385,8 @@
                     counts.reached += usize::from(goes_there && !standing.has(wanted));
                 }
                 grants.push(name.clone());
+                go.insert(name);
+                counts.turn = self.turn(&go);
             }
         }
         grants
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -174,7 +174,7 @@
         },
         ..Roll::default()
     };
-    let stands = |zone, out| Standing { zone, out, version: "", permit: None };
+    let stands = |zone, out| Standing { zone, kind: "", out, version: "", permit: None };
     for (key, entry) in entries {
         match (kind, key, &entry.value) {
             (Kind::Dispatcher, Key::Member(name), Value::Member(m)) if m.card.role == Role::Dispatcher => {
@@ -187,7 +187,7 @@
             }
             (Kind::Worker, Key::Worker(name), Value::Worker(worker)) => {
                 let standing = roll.all.entry(name).or_insert(stands("", false));
-                standing.zone = worker.zone.as_str();
+                (standing.zone, standing.kind) = (worker.zone.as_str(), worker.kind.as_str());
                 standing.out |= worker.sight.is_some_and(|sight| sight != Sight::Ready);
             }
             (_, Key::Permit(subject), Value::Permit(permit)) if subject.kind == kind => {
@@ -339,9 +339,7 @@
                 | (Key::Halt(_), Value::Halt { .. })
                 | (Key::Release(_), Value::Release(_))
                 | (Key::Permit(_), Value::Permit(_)) => true,
-                (Key::Budget(_), Value::Budget(b)) => {
-                    b.most.is_sound() && b.most_in_zone.is_none_or(Limit::is_sound)
-                }
+                (Key::Budget(_), Value::Budget(b)) => b.is_sound(),
                 (Key::Setting(name), Value::Setting(v)) => {
                     setting::find(name.as_str()).is_some_and(|s| s.takes(*v))
                 }
@@ -444,7 +442,7 @@
                     return invalid(&format!("{name} is out by a permit: that ends it, by back or force"));
                 }
                 Op::Budget(_, budget) => {
-                    if ![Some(budget.most), budget.most_in_zone].into_iter().flatten().all(Limit::is_sound) {
+                    if !budget.is_sound() {
                         return invalid("a budget's share is not within 0 and 1");
                     }
                     Some(Value::Budget(*budget))
@@ -644,11 +642,13 @@
             (Op::Release { .. }, Some(now)) => {
                 invalid(&format!("the release of {} goes on: end it, or go back, first", now.want))
             }
-            (Op::Release { want, waves }, None) => {
+            (Op::Release { want, waves, zones }, None) => {
                 let sound =
                     !waves.is_empty() && waves.len() <= MAX_WAVES && waves.iter().all(|w| w.is_sound());
-                if want.as_str().is_empty() || !sound {
-                    return invalid(&format!("a release wants a version, and 1 to {MAX_WAVES} waves"));
+                if want.as_str().is_empty() || !sound || zones.len() > MAX_WAVES {
+                    return invalid(&format!(
+                        "a release wants a version, 1 to {MAX_WAVES} waves, and at most {MAX_WAVES} zones in order"
+                    ));
                 }
                 let roll = self.roll(Kind::Dispatcher);
                 if roll.all.is_empty() {
@@ -657,12 +657,16 @@
                 if waves.last().map(|w| w.of(roll.all.len())) < Some(roll.all.len()) {
                     return invalid("the last wave must reach all, or the release would never end");
                 }
+                let zones = zones.clone();
+                if let Some(zone) = zones.iter().find(|z| roll.all.values().all(|s| s.zone != z.as_str())) {
+                    return invalid(&format!("no dispatcher is in zone {zone}"));
+                }
                 if let Some(never) = roll.all.keys().find_map(|name| roll.never(name)) {
                     return invalid(&format!("it would never end: {never}"));
                 }
                 let (by, at_ms) = (command.by.clone(), command.at_ms);
-                let release =
-                    Release { want: want.clone(), from: None, waves: waves.clone(), wave: 0, by, at_ms };
+                let (wanted, waves, from) = (want.clone(), waves.clone(), None);
+                let release = Release { want: wanted, from, waves, wave: 0, zones, by, at_ms };
                 Ok(self.all_to(command, release, why, |version| version != want))
             }
             (Op::GoBack(to), Some(now)) if now.from.is_some() && now.want == *to => Ok(Items::new()),
@@ -672,7 +676,8 @@
             (Op::GoBack(to), Some(now)) => {
                 let (by, at_ms) = (command.by.clone(), command.at_ms);
                 let (from, waves) = (Some(now.want.clone()), vec![Limit::Share(1.0)]);
-                let release = Release { want: to.clone(), from, waves, wave: 0, by, at_ms };
+                let release =
+                    Release { want: to.clone(), from, waves, wave: 0, zones: Vec::new(), by, at_ms };
                 let given_up = now.want.clone();
                 Ok(self.all_to(command, release, why, |version| *version == given_up))
             }
--- a/pebblepost/src/fleet.rs
+++ b/pebblepost/src/fleet.rs
@@ -135,6 +135,9 @@
         /// Most in each zone.
         #[arg(long, requires = "most")]
         zone: Option<Limit>,
+        /// Most of each kind of machine, for workers.
+        #[arg(long, requires = "most")]
+        machine_kind: Option<Limit>,
         /// Least that stay in each zone.
         #[arg(long, requires = "most", default_value_t = 0)]
         least: u32,
@@ -197,6 +200,9 @@
         /// How many may have it in each wave, those of the waves before among them.
         #[arg(long, value_delimiter = ',', default_value = "1,5%,25%,100%")]
         waves: Vec<Limit>,
+        /// Zones in the order in which they go: nobody goes while one of an earlier zone waits.
+        #[arg(long, value_delimiter = ',')]
+        zones: Vec<Text>,
         /// Why, for the history.
         #[arg(long, default_value = "")]
         why: Text,
@@ -208,6 +214,9 @@
         /// How many may have it in each wave, those of the waves before among them.
         #[arg(long, value_delimiter = ',', default_value = "1,5%,25%,100%")]
         waves: Vec<Limit>,
+        /// Zones in the order in which they go: nobody goes while one of an earlier zone waits.
+        #[arg(long, value_delimiter = ',')]
+        zones: Vec<Text>,
         /// A wave that is back is watched for so many seconds before the next one begins.
         #[arg(long, default_value_t = 60.0)]
         pause_s: f64,
@@ -464,7 +473,8 @@
 
 fn told_budget(b: &Budget) -> String {
     let zone = b.most_in_zone.map_or_else(String::new, |z| format!(", {z} in a zone"));
-    format!("at most {} out{zone}, at least {} stay in a zone", b.most, b.least_in_zone)
+    let machines = b.most_in_kind.map_or_else(String::new, |k| format!(", {k} of a kind of machine"));
+    format!("at most {} out{zone}{machines}, at least {} stay in a zone", b.most, b.least_in_zone)
 }
 
 impl Desk {
@@ -530,8 +540,9 @@
                 self.change_all([op], reason).await
             }
             What::Dismiss { member } => self.change_all([Op::Dismiss(member)], Reason::none()).await,
-            What::Budget { kind: Some(kind), most: Some(most), zone, least, .. } => {
-                let budget = Budget { most, most_in_zone: zone, least_in_zone: least };
+            What::Budget { kind: Some(kind), most: Some(most), zone, machine_kind, least, .. } => {
+                let (most_in_zone, most_in_kind) = (zone, machine_kind);
+                let budget = Budget { most, most_in_zone, most_in_kind, least_in_zone: least };
                 self.change_all([Op::Budget(kind, budget)], Reason::none()).await
             }
             What::Budget { kind: Some(kind), none: true, .. } => {
@@ -542,8 +553,8 @@
                 self.permits(what, subjects, urgent, &want, why).await
             }
             What::Off { worker } => self.off(&worker).await,
-            What::Release(ReleaseWhat::Start { want, waves, why }) => {
-                self.change_all([Op::Release { want, waves }], Reason { why, expect: None }).await
+            What::Release(ReleaseWhat::Start { want, waves, zones, why }) => {
+                self.change_all([Op::Release { want, waves, zones }], Reason { why, expect: None }).await
             }
             What::Release(ReleaseWhat::Back { to, why }) => {
                 self.change_all([Op::GoBack(to)], Reason { why, expect: None }).await
@@ -553,9 +564,9 @@
                 self.release_status(&snapshot);
                 Ok(())
             }
-            What::Release(ReleaseWhat::Plan { want, waves, pause_s, restart_s }) => {
+            What::Release(ReleaseWhat::Plan { want, waves, zones, pause_s, restart_s }) => {
                 let (pause, restart) = (seconds("pause-s", pause_s)?, seconds("restart-s", restart_s)?);
-                self.plan(&Play { want, waves, pause, restart }).await
+                self.plan(&Play { want, waves, zones, pause, restart }).await
             }
             What::Release(ReleaseWhat::Drive { pause_s, patience_s, crashes, drop, sample }) => {
                 let (pause, patience) = (seconds("pause-s", pause_s)?, seconds("patience-s", patience_s)?);
