--- a/fleet/examples/release_size.rs
+++ b/fleet/examples/release_size.rs
@@ -1,7 +1,7 @@
 //! A release at size, without sockets: the state machine with N dispatchers that end and come back after times drawn from a
 //! seed. Prints a table: how long it takes, and how many commands and bytes of changes for each dispatcher.
 //!
-//! `cargo run --release -p pebblepost-fleet --example release_size`
+//! `cargo run --release -p pebblepost-fleet --example release_size [PLOT.svg]`
 
 #![forbid(unsafe_code)]
 
@@ -9,6 +9,7 @@
 use pebblepost_fleet::driver::{Driver, Next, Pace};
 use pebblepost_fleet::state::State;
 use pebblepost_fleet::{Budget, Kind, Limit, Name, Op, Text};
+use plotters::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
@@ -51,12 +52,48 @@
     }
 }
 
-fn main() {
+/// One size: how long the release took, in seconds, and for each dispatcher how many commands and bytes of changes.
+struct Point {
+    dispatchers: u64,
+    seconds: u64,
+    commands: f64,
+    bytes: f64,
+}
+
+/// Draws commands and bytes for each dispatcher, and the length of the release, over the size.
+fn plot(path: &str, points: &[Point]) -> Result<(), Box<dyn std::error::Error>> {
+    type Row = (&'static str, fn(&Point) -> f64, f64);
+    let rows: [Row; 3] = [
+        ("length of the release, s", |p| p.seconds as f64, 300.0),
+        ("commands for each dispatcher", |p| p.commands, 1.5),
+        ("bytes of changes for each dispatcher", |p| p.bytes, 750.0),
+    ];
+    let whole = SVGBackend::new(path, (640, 720)).into_drawing_area();
+    whole.fill(&WHITE)?;
+    let sizes = 20.0..4_000.0;
+    for (area, (name, value, most)) in whole.split_evenly((3, 1)).iter().zip(rows) {
+        let mut chart = ChartBuilder::on(area)
+            .caption(name, ("sans-serif", 15))
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(48)
+            .build_cartesian_2d(sizes.clone().log_scale(), 0.0..most)?;
+        chart.configure_mesh().x_desc("dispatchers").draw()?;
+        let line = points.iter().map(|p| (p.dispatchers as f64, value(p)));
+        chart.draw_series(LineSeries::new(line.clone(), &BLUE))?;
+        chart.draw_series(line.map(|at| Circle::new(at, 3, BLUE.filled())))?;
+    }
+    whole.present()?;
+    Ok(())
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let mut points = Vec::new();
     println!(
         "| dispatchers | release | commands for each | bytes of changes for each | CPU, simulation and all |"
     );
     println!("| --- | --- | --- | --- | --- |");
-    for dispatchers in [30, 300, 1_000, 3_000] {
+    for dispatchers in [30, 100, 300, 1_000, 3_000] {
         let mut fleet = Fleet { state: State::default(), last: 0, commands: 0, bytes: 0 };
         (0..dispatchers).for_each(|n| fleet.joins(n, 1, "1"));
         let budget =
@@ -96,12 +133,18 @@
             now += 1;
         }
         let each = |all: f64| all / dispatchers as f64;
+        let (commands, bytes) = (each(fleet.commands as f64), each(fleet.bytes as f64));
+        points.push(Point { dispatchers, seconds: now / 10, commands, bytes });
         println!(
             "| {dispatchers} | {} s | {:.2} | {:.0} | {:.0} ms |",
             now / 10,
-            each(fleet.commands as f64),
-            each(fleet.bytes as f64),
+            commands,
+            bytes,
             began.elapsed().as_secs_f64() * 1e3
         );
     }
+    match std::env::args().nth(1) {
+        Some(path) => plot(&path, &points),
+        None => Ok(()),
+    }
 }
--- a/rig/src/release/run.rs
+++ b/rig/src/release/run.rs
@@ -113,6 +113,14 @@
     pub halt_p99_ms: f64,
     /// Part of the clients' requests that was served.
     pub served_share: f64,
+    /// Parts that were refused, and lost: no whole answer came.
+    pub refused_share: f64,
+    /// See `refused_share`.
+    pub lost_share: f64,
+    /// How long a dispatcher was out that ended by itself, and one that was ended by an order: medians.
+    pub out_itself_p50_ms: f64,
+    /// See `out_itself_p50_ms`.
+    pub out_ordered_p50_ms: f64,
     /// Drivers that were killed.
     pub drivers_killed: usize,
     /// Faults of the keepers by kind, and orders to dispatchers.
@@ -291,12 +299,16 @@
     let mut rng = Pcg64Mcg::seed_from_u64(shared.plan.seed ^ 0xd15);
     loop {
         sleep(Duration::from_secs_f64(rng.random_range(3.0..9.0))).await;
-        let (order, kind) = match rng.random_range(0..3) {
-            0 | 1 => (Order::Kill, "dispatcher_kill"),
+        let (one, all) = (rng.random_range(0..shared.plan.dispatchers), 0..shared.plan.dispatchers);
+        let zone = one % ZONES.len();
+        let (order, kind, whom): (_, _, Vec<usize>) = match rng.random_range(0..18) {
+            0..10 => (Order::Kill, "dispatcher_kill", vec![one]),
+            10 => (Order::Kill, "zone_kill", all.filter(|n| n % ZONES.len() == zone).collect()),
+            11 => (Order::Kill, "fleet_kill", all.collect()),
             // Longer than a session lasts, and shorter.
-            _ => (Order::Pause(rng.random_range(0.5..6.0)), "dispatcher_pause"),
+            _ => (Order::Pause(rng.random_range(0.5..6.0)), "dispatcher_pause", vec![one]),
         };
-        shared.supervisor.order(rng.random_range(0..shared.plan.dispatchers), order);
+        whom.into_iter().for_each(|n| shared.supervisor.order(n, order));
         *lock(counts).entry(kind).or_insert(0) += 1;
     }
 }
@@ -449,7 +461,15 @@
     let mut late = late_after(&asked, &halts);
     late.sort_by(f64::total_cmp);
     let p99 = late.get((late.len() as f64 * 0.99).ceil() as usize - usize::from(!late.is_empty()));
-    let served = played.fates.iter().filter(|f| matches!(f.outcome, Outcome::Served(_))).count();
+    let share = |hit: fn(&Outcome) -> bool| {
+        let count = played.fates.iter().filter(|f| hit(&f.outcome)).count();
+        count as f64 / played.fates.len().max(1) as f64
+    };
+    let median_out = |how: How| {
+        let mut all: Vec<f64> = outages.iter().filter(|o| o.how == how).map(|o| o.to - o.from).collect();
+        all.sort_by(f64::total_cmp);
+        all.get(all.len() / 2).copied().unwrap_or(0.0) * 1e3
+    };
     let work_while_off = worked.len();
     found.extend(worked);
     let summary = Summary {
@@ -473,7 +493,11 @@
         max_out_for_any_reason: most_at_once(&outages.iter().collect::<Vec<_>>(), 0).0,
         stuck_permits,
         halt_p99_ms: p99.copied().unwrap_or(0.0) * 1e3,
-        served_share: served as f64 / played.fates.len().max(1) as f64,
+        served_share: share(|o| matches!(o, Outcome::Served(_))),
+        refused_share: share(|o| matches!(o, Outcome::Refused)),
+        lost_share: share(|o| matches!(o, Outcome::Lost)),
+        out_itself_p50_ms: median_out(How::Itself),
+        out_ordered_p50_ms: median_out(How::Ordered),
         drivers_killed: *lock(&shared.office.killed),
         faults,
         rules_broken: played.broken.len() + outages.iter().filter(crash).count(),
