Rig release: a scribe reckons each grant by its own reading; drivers are paused too

Need: grants and grants over the budget were not counted, and drivers were killed but never paused and woken. Change: a scribe follows the keepers' changes and reckons at each grant, by its own reading of members, permits, drains and workers, how many are out in the fleet and in the worst zone; a third of the drivers stand still for 2 to 8 s before they are killed. release plan is run as a command in a test with processes.

--- a/pebblepost/tests/release.rs
+++ b/pebblepost/tests/release.rs
@@ -90,6 +90,11 @@
     within(LIMIT, "both are ready members", || {
         (keepers.fleet_until(&["members"]).matches(", ready").count() == 2).then_some(())
     });
+    keepers.fleet_until(&["budget", "dispatcher", "--most", "1"]);
+    let plan = ["release", "plan", "2", "--waves", "1,100%", "--pause-s", "60", "--restart-s", "10"];
+    let told = keepers.fleet_until(&plan);
+    assert!(told.contains("wave 2: 70 to 80 s, 1 go, at most 1 out: b"), "{told}");
+    assert!(told.contains("2 dispatchers in 80 s"), "{told}");
     // What can never be is refused with its cause; what is asked for before there is a budget waits.
     let ask = ["permit", "ask", "dispatcher/a", "dispatcher/b", "--want", "2", "--why", "release 2"];
     keepers.fleet_until(&["budget", "dispatcher", "--most", "0"]);
--- a/rig/src/release/run.rs
+++ b/rig/src/release/run.rs
@@ -2,6 +2,7 @@
 
 use super::hands::{Hands, most_off, work_while_off};
 use super::office::{Office, PATIENCE, TAIL, insist};
+use super::scribe::{self, Notes};
 use super::witness::{Halt, by_permit, late_after, most_at_once};
 use crate::clients::Outcome;
 use crate::dispatcher::ZONES;
@@ -13,6 +14,8 @@
 use crate::store::group::{Group, until};
 use crate::supervisor::{Flaw, How, Order, Outage, Supervisor};
 use anyhow::{Context, Result, bail};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
@@ -79,6 +82,14 @@
     pub rolled_back: usize,
     /// The most dispatchers that ever ran one bad version.
     pub bad_version_reached: usize,
+    /// Those that a driver halted; each is taken back.
+    pub halted: usize,
+    /// Permits granted, as the keepers tell of their changes, to dispatchers and to workers.
+    pub grants: usize,
+    /// See `grants`.
+    pub grants_to_workers: usize,
+    /// Grants after which more were out, for whatever reason, than a budget allows.
+    pub grants_over_budget: usize,
     /// Halts made by hand in the middle of one.
     pub halts: usize,
     /// Dispatchers that ended themselves, each by a permit.
@@ -137,6 +148,7 @@
     enough: AtomicBool,
     halts: Mutex<Vec<Halt>>,
     hands: Hands,
+    notes: Mutex<Notes>,
 }
 
 /// How far a release is.
@@ -171,6 +183,14 @@
     })
 }
 
+/// A process stands still for so long.
+async fn pause(process: &tokio::process::Child, lasts: Duration) {
+    let Some(pid) = process.id().and_then(|id| i32::try_from(id).ok()).map(Pid::from_raw) else { return };
+    let _ = kill(pid, Signal::SIGSTOP);
+    sleep(lasts).await;
+    let _ = kill(pid, Signal::SIGCONT);
+}
+
 /// Drives the present release, as a process that is killed again and again, for as long as it is polled.
 async fn drive(shared: &Shared, mut rng: Pcg64Mcg) -> Result<()> {
     loop {
@@ -191,6 +211,11 @@
         let mut driver = shared.office.operator(&words)?;
         let lives = Duration::from_millis(rng.random_range(2_000..15_000));
         if timeout(lives, driver.wait()).await.is_err() {
+            if rng.random_range(0..3) == 0 {
+                // It wakes up after others have gone on, and asks for what made sense when it was paused.
+                pause(&driver, Duration::from_millis(rng.random_range(2_000..8_000))).await;
+                let _ = timeout(Duration::from_secs(1), driver.wait()).await;
+            }
             driver.kill().await?;
             *lock(&shared.office.killed) += 1;
         }
@@ -385,6 +410,7 @@
         enough: AtomicBool::new(false),
         halts: Mutex::default(),
         hands: Hands::default(),
+        notes: Mutex::default(),
     });
     let mut desk = shared.office.desk();
     let budget = json!({"most": {"count": plan.budget.0}, "most_in_zone": {"count": plan.budget.1}});
@@ -399,6 +425,10 @@
     .await?;
     let work = tokio::spawn(releases(shared.clone()));
     let hands = tokio::spawn(hands(shared.clone()));
+    let scribe = tokio::spawn({
+        let shared = shared.clone();
+        async move { scribe::follow(&shared.office.keepers, &shared.notes).await }
+    });
     let counts = Mutex::new(schedule.kinds());
     let ends = Instant::now() + Duration::from_secs_f64((plan.seconds - 20.0).max(5.0));
     let until_end = async {
@@ -420,6 +450,7 @@
     let (course, ended) = work.await?;
     found.extend(ended.err().map(|error| error.to_string()));
     found.extend(hands.await?.err().map(|error| error.to_string()));
+    scribe.abort();
     let stuck = progress(&mut desk, "", "permit/").await?.permits;
     supervisor.is_over();
     let played = played.await??;
@@ -457,6 +488,8 @@
     let mut waited: Vec<f64> = offs.iter().map(|o| o.waited * 1e3).collect();
     waited.sort_by(f64::total_cmp);
     let waited = |part: f64| waited.get((waited.len() as f64 * part) as usize).copied().unwrap_or(0.0);
+    let notes = lock(&shared.notes).clone();
+    found.extend(notes.over.iter().cloned());
     let halts = lock(&shared.halts).clone();
     let mut late = late_after(&asked, &halts);
     late.sort_by(f64::total_cmp);
@@ -483,6 +516,10 @@
         completed: course.completed,
         rolled_back: course.taken_back,
         bad_version_reached: shared.supervisor.bad_reached(),
+        halted: course.taken_back,
+        grants: notes.grants[0],
+        grants_to_workers: notes.grants[1],
+        grants_over_budget: notes.over.len(),
         halts: halts.len(),
         went: asked.len(),
         max_out_dispatchers: most,
@@ -500,7 +537,7 @@
         out_ordered_p50_ms: median_out(How::Ordered),
         drivers_killed: *lock(&shared.office.killed),
         faults,
-        rules_broken: played.broken.len() + outages.iter().filter(crash).count(),
+        rules_broken: notes.over.len() + played.broken.len() + outages.iter().filter(crash).count(),
     };
     (summary, found)
 }
--- /dev/null
+++ b/rig/src/release/scribe.rs
@@ -0,0 +1,154 @@
+//! A scribe: follows all changes at the keepers, and reckons at each grant, by a reading of its own, how many are out by then.
+
+use crate::dispatcher::ZONES;
+use crate::standin::lock;
+use crate::store::desk::Frames;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// A watch says something every half second; quiet for so long, it is taken up elsewhere.
+const QUIET: Duration = Duration::from_secs(2);
+
+/// What was read.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Notes {
+    /// Permits granted, to dispatchers and to workers.
+    pub grants: [usize; 2],
+    /// Grants after which more were out than the budget allows, in words.
+    pub over: Vec<String>,
+    revision: u64,
+    entries: BTreeMap<String, Value>,
+}
+
+/// Kinds, as the keys name them.
+const KINDS: [&str; 2] = ["dispatcher", "worker"];
+
+impl Notes {
+    /// Those of a kind that are out, and the zone of each.
+    fn out(&self, kind: usize) -> BTreeMap<&str, &str> {
+        let mut out = BTreeSet::new();
+        let mut zones = BTreeMap::new();
+        for (key, value) in &self.entries {
+            let (of, name) = key.split_once('/').unwrap_or_default();
+            match (kind, of) {
+                (0, "member") if value["member"]["card"]["role"] == "dispatcher" => {
+                    let member = &value["member"];
+                    zones.insert(name, member["card"]["zone"].as_str().unwrap_or_default());
+                    if member["presence"] != "here" || member["card"]["ready"] != true {
+                        out.insert(name);
+                    }
+                }
+                (1, "worker") => {
+                    let worker = &value["worker"];
+                    zones.insert(name, worker["zone"].as_str().unwrap_or_default());
+                    if worker["sight"].as_str().is_some_and(|sight| sight != "ready") {
+                        out.insert(name);
+                    }
+                }
+                (1, "drain") => drop(out.insert(name)),
+                (_, "permit") if value["permit"]["granted"].is_u64() => {
+                    out.extend(name.strip_prefix(KINDS[kind]).and_then(|n| n.strip_prefix('/')));
+                }
+                _ => {}
+            }
+        }
+        out.into_iter().map(|name| (name, zones.get(name).copied().unwrap_or_default())).collect()
+    }
+
+    fn change(&mut self, change: &Value) {
+        let revision = change["revision"].as_u64().unwrap_or(0);
+        if revision <= self.revision {
+            return;
+        }
+        self.revision = revision;
+        let mut granted = [0; 2];
+        for item in change["items"].as_array().into_iter().flatten() {
+            let key = item[0].as_str().unwrap_or_default().to_owned();
+            let is_granted = |v: Option<&Value>| v.is_some_and(|v| v["permit"]["granted"].is_u64());
+            let before = is_granted(self.entries.get(&key));
+            match &item[1] {
+                Value::Null => drop(self.entries.remove(&key)),
+                value => drop(self.entries.insert(key.clone(), value.clone())),
+            }
+            let kind = KINDS.iter().position(|kind| key.starts_with(&format!("permit/{kind}/")));
+            if let Some(kind) = kind.filter(|_| !before && is_granted(self.entries.get(&key))) {
+                granted[kind] += 1;
+            }
+        }
+        for kind in (0..KINDS.len()).filter(|kind| granted[*kind] > 0) {
+            self.grants[kind] += granted[kind];
+            let budget =
+                &self.entries.get(&format!("budget/{}", KINDS[kind])).cloned().unwrap_or_default()["budget"];
+            let most = |name: &str| budget[name]["count"].as_u64().unwrap_or(u64::MAX) as usize;
+            let out = self.out(kind);
+            let in_zone = |zone: &&str| out.values().filter(|z| *z == zone).count();
+            let worst = ZONES.iter().map(in_zone).max().unwrap_or(0);
+            if out.len() > most("most") || worst > most("most_in_zone") {
+                let who: Vec<&str> = out.into_keys().collect();
+                self.over.push(format!("granted at revision {revision}, with {} out: {who:?}", KINDS[kind]));
+            }
+        }
+    }
+
+    fn snapshot(&mut self, snapshot: &Value) {
+        let entries = snapshot["entries"].as_object().into_iter().flatten();
+        self.entries = entries.map(|(key, entry)| (key.clone(), entry["value"].clone())).collect();
+        self.revision = snapshot["revision"].as_u64().unwrap_or(0);
+    }
+}
+
+/// Follows the keepers for as long as it is polled.
+pub async fn follow(keepers: &[SocketAddr], notes: &Mutex<Notes>) {
+    for at in (0..keepers.len()).cycle() {
+        if let Ok(Ok(mut frames)) = timeout(QUIET, Frames::open(keepers[at])).await {
+            let from = lock(notes).revision;
+            if frames.send(&json!({"watch": from})).await.is_ok() {
+                while let Ok(Ok(say)) = timeout(QUIET, frames.next()).await {
+                    let mut notes = lock(notes);
+                    if let Some(changes) = say["changes"].as_array() {
+                        changes.iter().for_each(|change| notes.change(change));
+                    } else if say["snapshot"]["revision"].as_u64() > Some(notes.revision) {
+                        notes.snapshot(&say["snapshot"]);
+                    }
+                }
+            }
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_grant_beside_one_that_is_out_already_is_over_a_budget_of_one_and_one_after_another_is_not() {
+        let member = |ready: bool| {
+            let card = json!({"role": "dispatcher", "zone": ZONES[0], "ready": ready});
+            json!({"member": {"presence": "here", "card": card}})
+        };
+        let permit = json!({"permit": {"granted": 7}});
+        let mut notes = Notes::default();
+        let entries = json!({
+            "member/a": {"value": member(true)}, "member/b": {"value": member(true)},
+            "budget/dispatcher": {"value": {"budget": {"most": {"count": 1}, "most_in_zone": null}}},
+        });
+        notes.snapshot(&json!({"revision": 3, "entries": entries}));
+        let change = |revision: u64, items: Value| json!({"revision": revision, "items": items});
+        notes.change(&change(4, json!([["permit/dispatcher/a", permit]])));
+        assert_eq!((notes.grants, notes.over.len()), ([1, 0], 0));
+        // Told again by another keeper: nothing new.
+        notes.change(&change(4, json!([["permit/dispatcher/b", permit]])));
+        notes.change(&change(5, json!([["permit/dispatcher/a", null], ["permit/dispatcher/b", permit]])));
+        assert_eq!((notes.grants, notes.over.len()), ([2, 0], 0));
+        notes.change(&change(6, json!([["permit/dispatcher/b", null], ["member/b", member(false)]])));
+        notes.change(&change(7, json!([["permit/dispatcher/a", permit]])));
+        assert_eq!((notes.grants, notes.over.len()), ([3, 0], 1), "b is out as it is not ready");
+        notes.change(&change(8, json!([["drain/w", {}], ["permit/worker/w", permit]])));
+        assert_eq!((notes.grants, notes.over.len()), ([3, 1], 1), "no budget is known for workers");
+    }
+}
