Leases: one holder by its session, fences that only grow; the release's signs wait to be heard

Need: fleet-wide tasks want one holder. Change: the driver waits, for up to three pauses, until all are heard or the new version has answered enough; counts go by lives, so that a gap of hearing loses none.

--- a/fleet/src/command.rs
+++ b/fleet/src/command.rs
@@ -76,6 +76,34 @@
         /// The session.
         session: u64,
     },
+    /// A member wants tasks: each is granted as soon as it is free and the member is its next.
+    Acquire {
+        /// Which.
+        member: Name,
+        /// Its session.
+        session: u64,
+        /// The tasks.
+        tasks: Vec<Name>,
+    },
+    /// A holder has stopped acting and gives a task back, or one that waits does so no more.
+    GiveBack {
+        /// Which.
+        member: Name,
+        /// Its session when it was granted.
+        session: u64,
+        /// The task.
+        task: Name,
+        /// Who is to have it next.
+        #[serde(default)]
+        to: Option<Name>,
+    },
+    /// A session that was replaced has surely run out, so that its leases are free. Asked by the leader of the keepers.
+    Lapse {
+        /// Whose it was.
+        member: Name,
+        /// The session.
+        session: u64,
+    },
     /// These workers are seen so by most dispatchers. Asked by the leader of the keepers.
     Sighted {
         /// How each stands; `None`: it is no more.
@@ -151,6 +179,16 @@
     Advance(u32),
     /// The release is over: all have its version.
     EndRelease,
+    /// The holder of a task, by the fence of its grant, is to give it back; somebody named has it next.
+    Revoke {
+        /// The task.
+        task: Name,
+        /// The fence.
+        fence: u64,
+        /// Who has it next.
+        #[serde(default)]
+        to: Option<Name>,
+    },
 }
 
 impl Op {
@@ -166,6 +204,7 @@
             Self::Release { .. } | Self::GoBack(_) | Self::Advance(_) | Self::EndRelease => {
                 Key::Release(Kind::Dispatcher)
             }
+            Self::Revoke { task, .. } => Key::Lease(task.clone()),
             Self::Ask { subject, .. }
             | Self::Withdraw(subject)
             | Self::Back(subject, _)
--- a/fleet/src/driver.rs
+++ b/fleet/src/driver.rs
@@ -4,7 +4,7 @@
 
 use crate::command::Op;
 use crate::doing::Counts;
-use crate::name::{Key, Kind, Name, Text};
+use crate::name::{Key, Kind, Name, RequestId, Text};
 use crate::permit::Release;
 use crate::reckon::Tally;
 use crate::state::{Snapshot, Value};
@@ -26,24 +26,24 @@
     /// While a wave is watched the share of requests that the new version serves may be lower by this than that of the old
     /// one, and no more.
     pub drop: f64,
-    /// Shares of fewer answers than this tell nothing.
+    /// Shares of fewer answers than this tell nothing. 0: shares are not looked at.
     pub sample: u64,
 }
 
 /// How requests went while a wave is watched, at those with the release's version and at the others.
 #[derive(Clone, Debug, Default)]
 struct Shares {
-    /// By member: its session, and its counts at the last look.
-    last: BTreeMap<Name, (u64, Counts)>,
+    /// By member: its life, and its counts when it was last heard. Who is not heard for a while, as leaders change, loses nothing.
+    last: BTreeMap<Name, (RequestId, Counts)>,
     new: Counts,
     old: Counts,
 }
 
 impl Shares {
     fn add(&mut self, want: &Text, tallies: &BTreeMap<Name, Tally>) {
-        for (name, Tally { session, version, counts }) in tallies {
-            let before = match self.last.insert(name.clone(), (*session, *counts)) {
-                Some((of, before)) if of == *session => before,
+        for (name, Tally { life, version, counts }) in tallies {
+            let before = match self.last.insert(name.clone(), (*life, *counts)) {
+                Some((of, before)) if of == *life => before,
                 // Not looked at before: what went by then is not of this watch.
                 _ => *counts,
             };
@@ -51,7 +51,6 @@
             sum.answered += counts.answered.saturating_sub(before.answered);
             sum.served += counts.served.saturating_sub(before.served);
         }
-        self.last.retain(|name, _| tallies.contains_key(name));
     }
 }
 
@@ -117,6 +116,9 @@
     /// Why the new version is not to go on, by how its requests go beside those of the old one.
     fn worse(&mut self, watched: bool) -> Option<String> {
         let Shares { new, old, .. } = self.shares;
+        if self.pace.sample == 0 {
+            return None;
+        }
         let share = |c: Counts| (c.answered >= self.pace.sample).then(|| c.served as f64 / c.answered as f64);
         self.old_share = share(old).or(self.old_share);
         match (share(new), self.old_share) {
@@ -164,9 +166,13 @@
         }
         let since = *self.back.get_or_insert(now);
         self.shares.add(&release.want, tallies);
-        // Where there are requests, those of the new version are waited for: too few answers tell nothing.
+        // Too few answers of the new version tell nothing, and are waited for, unless all are heard and there are few requests.
         let tells = |c: Counts| c.answered >= self.pace.sample;
-        let waits = tells(self.shares.old) && !tells(self.shares.new);
+        let all_heard = state.entries.iter().all(|(key, entry)| match (key, &entry.value) {
+            (Key::Member(name), Value::Member(m)) => !m.is_dispatcher() || tallies.contains_key(name),
+            _ => true,
+        });
+        let waits = !tells(self.shares.new) && (tells(self.shares.old) || !all_heard);
         let pause = self.pace.pause * if waits { LONGEST } else { 1 };
         let watched = now.saturating_sub(since) >= pause;
         // On a way back nothing is compared: what is left is what was there before.
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`doing`], [`sight`]: what a dispatcher tells with its beats; [`reckon`]: what the leader makes of it.
 //! * [`driver`]: when a release goes on to its next wave, and what halts it.
 //! * [`rehearsal`]: a release played through before it begins.
+//! * [`lease`]: who does a task for the whole fleet, and for how long it may rely on that.
 //! * [`session`]: which members are there, as the leader of the keepers reckons it from their beats.
 //! * [`follow`]: a dispatcher's copy, its age, and the drains asked for while it was cut off.
 
@@ -20,6 +21,7 @@
 pub mod doing;
 pub mod driver;
 pub mod follow;
+pub mod lease;
 pub mod name;
 pub mod permit;
 pub mod reckon;
--- a/fleet/src/name.rs
+++ b/fleet/src/name.rs
@@ -25,7 +25,7 @@
     Control,
     /// It names no part of the state.
     #[error(
-        "{0:?} is none of drain/WORKER, worker/WORKER, setting/NAME, member/NAME, budget/KIND, halt/KIND, release/KIND, permit/KIND/NAME \
+        "{0:?} is none of drain/WORKER, worker/WORKER, setting/NAME, member/NAME, budget/KIND, halt/KIND, release/KIND, lease/TASK, permit/KIND/NAME \
          (KIND: dispatcher, worker)"
     )]
     Kind(String),
@@ -49,6 +49,13 @@
 #[serde(try_from = "String", into = "String")]
 pub struct Text(#[schemars(length(max = 400))] String);
 
+impl Name {
+    /// Comes before all others in their order.
+    pub(crate) fn first() -> Self {
+        Self(String::new())
+    }
+}
+
 impl TryFrom<String> for Name {
     type Error = BadName;
     fn try_from(text: String) -> Result<Self, BadName> {
@@ -155,7 +162,7 @@
 }
 
 /// A place in the state. As text: `drain/WORKER`, `worker/WORKER`, `setting/NAME`, `member/NAME`, `budget/KIND`, `halt/KIND`,
-/// `release/KIND`, `permit/KIND/NAME`. Permits come last in their order: see [`State`](crate::State).
+/// `release/KIND`, `lease/TASK`, `permit/KIND/NAME`. Permits come last in their order: see [`State`](crate::State).
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema)]
 #[serde(try_from = "String", into = "String")]
 #[schemars(with = "String")]
@@ -174,6 +181,8 @@
     Halt(Kind),
     /// The release that goes on.
     Release(Kind),
+    /// Who does a task for the whole fleet.
+    Lease(Name),
     /// Whether one may go out.
     Permit(Subject),
 }
@@ -190,6 +199,7 @@
             "budget" => Ok(Self::Budget(name.parse()?)),
             "halt" => Ok(Self::Halt(name.parse()?)),
             "release" => Ok(Self::Release(name.parse()?)),
+            "lease" => Ok(Self::Lease(name.parse()?)),
             "permit" => Ok(Self::Permit(name.parse()?)),
             _ => Err(BadName::Kind(text.to_owned())),
         }
@@ -224,6 +234,7 @@
             Self::Budget(kind) => ("budget", kind),
             Self::Halt(kind) => ("halt", kind),
             Self::Release(kind) => ("release", kind),
+            Self::Lease(name) => ("lease", name),
             Self::Permit(subject) => ("permit", subject),
         };
         write!(f, "{kind}/{name}")
--- a/fleet/src/reckon.rs
+++ b/fleet/src/reckon.rs
@@ -7,7 +7,7 @@
 
 use crate::command::Act;
 use crate::doing::Counts;
-use crate::name::{Key, Kind, Name, Subject, Text};
+use crate::name::{Key, Kind, Name, RequestId, Subject, Text};
 use crate::session::Sessions;
 use crate::sight::{Different, Seen};
 use crate::state::{MAX_OPS, MAX_WORKERS, Presence, State};
@@ -88,8 +88,8 @@
 /// How the requests of one dispatcher went in one life.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct Tally {
-    /// Its session.
-    pub session: u64,
+    /// Its life.
+    pub life: RequestId,
     /// Its version.
     pub version: Text,
     /// How they went.
@@ -101,8 +101,8 @@
     let here = state.members().filter(|(_, m)| m.presence == Presence::Here);
     here.filter_map(|(name, member)| {
         let counts = heard.doing(name, member.session)?.counts;
-        let (session, version) = (member.session, member.card.version.clone());
-        Some((name.clone(), Tally { session, version, counts }))
+        let (life, version) = (member.life()?, member.card.version.clone());
+        Some((name.clone(), Tally { life, version, counts }))
     })
     .collect()
 }
--- a/fleet/src/rehearsal.rs
+++ b/fleet/src/rehearsal.rs
@@ -107,8 +107,7 @@
 pub fn rehearse(now: &Snapshot, by: &Name, play: &Play) -> Result<Vec<Wave>, Never> {
     let mut stage = Stage { state: State::of(now.clone()), requests: 0 };
     // What stands still is seen below, without waiting.
-    let pace =
-        Pace { pause: play.pause, patience: Duration::MAX, crashes: u64::MAX, drop: 1.0, sample: u64::MAX };
+    let pace = Pace { pause: play.pause, patience: Duration::MAX, crashes: u64::MAX, drop: 1.0, sample: 0 };
     let mut driver = Driver::new(pace);
     let (want, waves, zones) = (play.want.clone(), play.waves.clone(), play.zones.clone());
     stage.op(by, Op::Release { want, waves, zones })?;
--- a/fleet/src/session.rs
+++ b/fleet/src/session.rs
@@ -9,7 +9,7 @@
 use crate::doing::Doing;
 use crate::name::Name;
 use crate::state::{Presence, State};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Clocks of two machines differ in rate by at most this part.
@@ -41,7 +41,7 @@
 }
 
 /// What was heard of a member.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Heard {
     session: u64,
     at: Duration,
@@ -49,16 +49,18 @@
 }
 
 /// The beats that the leader has heard.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Sessions {
     ttl: Ttl,
     heard: BTreeMap<Name, Heard>,
+    /// Sessions that were replaced and hold leases yet: since when this leader has seen that.
+    replaced: BTreeMap<(Name, u64), Duration>,
 }
 
 impl Sessions {
     /// A leader that begins: it has heard nobody, and counts each session from when it first looks at it.
     pub fn begin(ttl: Ttl) -> Self {
-        Self { ttl, heard: BTreeMap::new() }
+        Self { ttl, heard: BTreeMap::new(), replaced: BTreeMap::new() }
     }
 
     /// A beat has come, and with it what the member does; `None`: it has said nothing of that yet.
@@ -82,6 +84,26 @@
         self.heard.get(member).filter(|h| h.session == session)?.doing.as_ref()
     }
 
+    /// Sessions that were replaced and hold leases, once whoever had them surely relies on them no more: it may have sent a beat
+    /// just before this leader saw that, and was answered.
+    fn lapsed(&mut self, now: Duration, state: &State) -> Vec<Act> {
+        let goes_on = |member: &Name, session: u64| {
+            state.member(member).is_some_and(|m| m.session == session && m.presence == Presence::Here)
+        };
+        let holders = state.leases().filter_map(|(_, lease)| lease.holder.as_ref());
+        let replaced = holders.filter(|h| !goes_on(&h.member, h.session));
+        let replaced: BTreeSet<(Name, u64)> = replaced.map(|h| (h.member.clone(), h.session)).collect();
+        self.replaced.retain(|of, _| replaced.contains(of));
+        let mut lapsed = Vec::new();
+        for (member, session) in replaced {
+            let since = *self.replaced.entry((member.clone(), session)).or_insert(now);
+            if now > since + self.ttl.for_leader() {
+                lapsed.push(Act::Lapse { member, session });
+            }
+        }
+        lapsed
+    }
+
     /// The sessions that have not been heard for too long, as what to ask for.
     pub fn overdue(&mut self, now: Duration, state: &State) -> Vec<Act> {
         let here = |(_, m): &(&Name, &crate::state::Member)| m.presence == Presence::Here;
@@ -96,6 +118,7 @@
                 overdue.push(Act::Expire { member: name.clone(), session: member.session });
             }
         }
+        overdue.extend(self.lapsed(now, state));
         self.heard.retain(|name, _| state.member(name).is_some_and(|m| m.presence == Presence::Here));
         overdue
     }
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -5,6 +5,7 @@
 //! takes a [`Snapshot`].
 
 use crate::command::{Act, Answer, Card, Command, Done, Expect, Op, Refusal, RequestId, Role, Worker};
+use crate::lease::{Lease, MAX_WAITING};
 use crate::name::{Key, Kind, Name, Subject, Text};
 use crate::permit::{Budget, Limit, Permit, Release, Roll, Standing};
 use crate::setting;
@@ -21,6 +22,8 @@
 pub const MAX_MEMBERS: usize = 5_000;
 /// See [`MAX_WORKERS`].
 pub const MAX_PERMITS: usize = 5_000;
+/// See [`MAX_WORKERS`].
+pub const MAX_LEASES: usize = 20_000;
 /// Most waves of a release.
 pub const MAX_WAVES: usize = 32;
 /// Most numbers of keepers, those that were left out among them.
@@ -69,6 +72,8 @@
     },
     /// A release.
     Release(Release),
+    /// A task and its holder.
+    Lease(Lease),
     /// A permit.
     Permit(Permit),
 }
@@ -261,11 +266,30 @@
                 Ok(self.commit(command, items, Text::default()))
             }
             Act::Leave { member, session } => {
-                let items = self.end(member, *session, Presence::Left)?;
+                let mut items = self.end(member, *session, Presence::Left)?;
+                items.extend(self.free(member, *session));
                 Ok(self.commit(command, items, Text::default()))
             }
             Act::Expire { member, session } => {
-                let items = self.end(member, *session, Presence::Lost)?;
+                // Counted conservatively on both sides: whoever had the session relies on it no more.
+                let mut items = self.end(member, *session, Presence::Lost)?;
+                items.extend(self.free(member, *session));
+                Ok(self.commit(command, items, Text::default()))
+            }
+            Act::Acquire { member, session, tasks } => {
+                let items = self.acquire(member, *session, tasks)?;
+                Ok(self.commit(command, items, Text::default()))
+            }
+            Act::GiveBack { member, session, task, to } => {
+                let items = self.give_back(member, *session, task, to.as_ref());
+                Ok(self.commit(command, items, Text::default()))
+            }
+            Act::Lapse { member, session } => {
+                if self.in_session(member, *session).is_ok() {
+                    let what = format!("session {session} of {member} goes on");
+                    return Err(Refusal::Invalid { what });
+                }
+                let items = self.free(member, *session);
                 Ok(self.commit(command, items, Text::default()))
             }
             Act::Sighted { workers } => {
@@ -276,6 +300,80 @@
         }
     }
 
+    /// A lease.
+    pub fn lease(&self, task: &Name) -> Option<&Lease> {
+        match &self.entries.get(&Key::Lease(task.clone()))?.value {
+            Value::Lease(lease) => Some(lease),
+            _ => None,
+        }
+    }
+
+    /// All leases, by task.
+    pub fn leases(&self) -> impl Iterator<Item = (&Name, &Lease)> {
+        let from = Key::Lease(Name::first());
+        self.entries.range(from..).map_while(|(key, entry)| match (key, &entry.value) {
+            (Key::Lease(task), Value::Lease(lease)) => Some((task, lease)),
+            _ => None,
+        })
+    }
+
+    fn acquire(&self, member: &Name, session: u64, tasks: &[Name]) -> Result<Items, Refusal> {
+        self.in_session(member, session)?;
+        if tasks.len() > MAX_OPS {
+            let what = format!("at most {MAX_OPS} tasks in one command, not {}", tasks.len());
+            return Err(Refusal::Invalid { what });
+        }
+        let mut items = Items::new();
+        for task in tasks.iter().collect::<BTreeSet<_>>() {
+            let now = self.lease(task);
+            let full = || Refusal::Full { what: format!("members wait for {task}"), most: MAX_WAITING };
+            let wanted = now.cloned().unwrap_or_default().wanted_by(member, session).ok_or_else(full)?;
+            if now != Some(&wanted) {
+                items.push((Key::Lease(task.clone()), Some(Value::Lease(wanted))));
+            }
+        }
+        self.fits(&items, |key| matches!(key, Key::Lease(_)), "tasks", MAX_LEASES)?;
+        Ok(items)
+    }
+
+    /// Whoever has it no more, or waits no more; what another holder has is not touched.
+    fn give_back(&self, member: &Name, session: u64, task: &Name, to: Option<&Name>) -> Items {
+        let Some(now) = self.lease(task) else { return Items::new() };
+        let lease = if now.is_held_by(member, session) {
+            Lease { next: to.or(now.next.as_ref()).cloned(), ..now.freed() }
+        } else {
+            let queue = now.queue.iter().filter(|n| *n != member).cloned().collect();
+            Lease { queue, ..now.clone() }
+        };
+        if lease == *now { Items::new() } else { vec![(Key::Lease(task.clone()), Some(Value::Lease(lease)))] }
+    }
+
+    /// All leases of a session that nobody acts by any more.
+    fn free(&self, member: &Name, session: u64) -> Items {
+        let held = self.leases().filter(|(_, lease)| lease.is_held_by(member, session));
+        held.map(|(task, lease)| (Key::Lease(task.clone()), Some(Value::Lease(lease.freed())))).collect()
+    }
+
+    /// Grants what is free to whoever waits and may have it: one that is there, ready, and has no permit to go. This is the
+    /// only place that grants leases.
+    fn settle_leases(&mut self, revision: u64) -> Items {
+        let session = |name: &Name| {
+            let subject = Subject { kind: Kind::Dispatcher, name: name.clone() };
+            let goes = self.permit(&subject).is_some_and(|p| p.granted.is_some());
+            let member = self.member(name).filter(|m| !goes && !m.is_out())?;
+            Some(member.session)
+        };
+        let mut items = Items::new();
+        for (task, lease) in self.leases() {
+            let settled = lease.settled(revision, session);
+            if settled.is_some() || lease.is_idle() {
+                items.push((Key::Lease(task.clone()), settled.map(Value::Lease)));
+            }
+        }
+        self.put(revision, &items);
+        items
+    }
+
     /// What was known of a worker besides stays; one that is no more is forgotten, but for its drain mark and its permit.
     fn sighted(&self, workers: &Different) -> Result<Items, Refusal> {
         if workers.len() > MAX_OPS {
@@ -338,6 +436,7 @@
                 | (Key::Member(_), Value::Member(_))
                 | (Key::Halt(_), Value::Halt { .. })
                 | (Key::Release(_), Value::Release(_))
+                | (Key::Lease(_), Value::Lease(_))
                 | (Key::Permit(_), Value::Permit(_)) => true,
                 (Key::Budget(_), Value::Budget(b)) => b.is_sound(),
                 (Key::Setting(name), Value::Setting(v)) => {
@@ -364,11 +463,14 @@
         let out: BTreeSet<Name> = self.permits().filter_map(out).collect();
         self.entries.retain(|key, _| match key {
             Key::Drain(worker) => out.contains(worker),
-            _ => matches!(key, Key::Member(_) | Key::Permit(_) | Key::Halt(_) | Key::Release(_)),
+            _ => matches!(
+                key,
+                Key::Member(_) | Key::Lease(_) | Key::Permit(_) | Key::Halt(_) | Key::Release(_)
+            ),
         });
         for (key, entry) in &backup.entries {
             let value = match &entry.value {
-                Value::Permit(_) | Value::Release(_) => continue,
+                Value::Permit(_) | Value::Lease(_) | Value::Release(_) => continue,
                 Value::Member(_) | Value::Halt { .. } if self.entries.contains_key(key) => continue,
                 Value::Member(m) => Value::Member(Member { presence: Presence::Lost, ..m.clone() }),
                 other => other.clone(),
@@ -450,6 +552,12 @@
                 Op::Halt(_) => {
                     Some(Value::Halt { by: command.by.clone(), at_ms: command.at_ms, why: why.clone() })
                 }
+                Op::Revoke { task, fence, to } => match self.lease(task) {
+                    Some(lease) if lease.holder.as_ref().is_some_and(|h| h.fence == *fence) => {
+                        Some(Value::Lease(Lease { ends: true, next: to.clone(), ..lease.clone() }))
+                    }
+                    _ => return invalid(&format!("nobody has {task} by a grant of revision {fence}")),
+                },
                 Op::Ask { .. } | Op::Withdraw(_) | Op::Back(..) | Op::Force(_) => {
                     items.extend(self.change_permit(command, op, why)?);
                     continue;
@@ -809,6 +917,10 @@
         let revision = self.revision;
         self.put(revision, &items);
         items.extend(self.settle_permits(revision));
+        // Whoever came, went or is to go may have made one free, or may have one now.
+        if items.iter().any(|(key, _)| matches!(key, Key::Member(_) | Key::Lease(_) | Key::Permit(_))) {
+            items.extend(self.settle_leases(revision));
+        }
         self.logged += items.len();
         let (by, at_ms) = (command.by.clone(), command.at_ms);
         self.log.push_back(Change { revision, by, at_ms, why, items });
--- a/fleet/tests/release.rs
+++ b/fleet/tests/release.rs
@@ -95,8 +95,13 @@
     sample: 100,
 };
 
+/// All are heard, and nobody asks for anything.
 fn look(driver: &mut Driver, at: Duration, fleet: &Fleet) -> Next {
-    driver.look(at, &fleet.state.snapshot(), &BTreeMap::new())
+    let tallies = fleet.state.members().map(|(name, member)| {
+        let (life, version) = (member.life().expect("joined"), member.card.version.clone());
+        (name.clone(), Tally { life, version, counts: Counts::default() })
+    });
+    driver.look(at, &fleet.state.snapshot(), &tallies.collect())
 }
 
 #[test]
@@ -196,7 +201,7 @@
                 let (answered, served) = if version.as_str() == "2" { new } else { old };
                 // What was before the watch does not count: all had refused everything.
                 let counts = Counts { answered: 1_000 + second * answered, served: second * served };
-                (name.clone(), Tally { session: member.session, version, counts })
+                (name.clone(), Tally { life: member.life().expect("joined"), version, counts })
             });
             let tallies: BTreeMap<Name, Tally> = tallies.collect();
             last = driver.look(Duration::from_secs(second), &fleet.state.snapshot(), &tallies);
@@ -220,6 +225,14 @@
     assert!(watch((2, 1), (100, 98)).contains("serves 0.500"), "they are waited for");
     assert!(watch((0, 0), (100, 98)).contains("answers nothing"));
     assert_eq!(watch((0, 0), (1, 1)), "goes on", "nobody asks for anything");
+    // Of whom nothing is heard, as the leader of the keepers is new, nothing is known: that is waited for, within bounds.
+    let mut fleet = Fleet::new();
+    fleet.start("2", &[Limit::Count(2), Limit::Share(1.0)]).expect("sound waves");
+    fleet.all_go("2", true);
+    let (mut driver, none, state) = (Driver::new(PACE), BTreeMap::new(), fleet.state.snapshot());
+    let mut at = |second| driver.look(Duration::from_secs(second), &state, &none);
+    assert_eq!((at(0), at(12), at(29)), (Next::Wait, Next::Wait, Next::Wait));
+    assert!(matches!(at(30), Next::Ask(Op::Advance(0), _)));
 }
 
 #[test]
--- a/pebblepost/src/fleet.rs
+++ b/pebblepost/src/fleet.rs
@@ -238,7 +238,7 @@
         /// The share of requests that the new version serves may be lower by this than the old one's, while a wave is watched.
         #[arg(long, default_value_t = 0.05)]
         drop: f64,
-        /// Shares of fewer answers than this tell nothing.
+        /// Shares of fewer answers than this tell nothing. 0: shares are not looked at.
         #[arg(long, default_value_t = 200)]
         sample: u64,
     },
@@ -462,6 +462,14 @@
             let waves: Vec<String> = r.waves.iter().map(ToString::to_string).collect();
             format!("{} in waves of {}, now wave {}, begun by {}", r.want, waves.join(", "), r.wave + 1, r.by)
         }
+        Value::Lease(l) => {
+            let holder = l.holder.as_ref().map_or_else(
+                || "free".to_owned(),
+                |h| format!("held by {} (session {}), fence {}", h.member, h.session, h.fence),
+            );
+            let ends = if l.ends { ", asked back" } else { "" };
+            format!("{holder}{ends}, {} wait", l.queue.len())
+        }
         Value::Permit(p) => {
             let stage = p.granted.map_or_else(|| "waits".to_owned(), |at| format!("granted at {at}"));
             let urgent = if p.urgent { ", urgent" } else { "" };
