A watch in which not all dispatchers are heard halts a release

Need: what is not heard for three pauses was taken as quiet, and a version that refuses could go on under keepers that break. Change: a watch of that length with dispatchers that are there and not heard asks for a halt (the issue's sign of a lost majority of keepers); those that are lost do not count.

--- a/fleet/src/driver.rs
+++ b/fleet/src/driver.rs
@@ -7,7 +7,7 @@
 use crate::name::{Key, Kind, Name, RequestId, Text};
 use crate::permit::Release;
 use crate::reckon::Tally;
-use crate::state::{Snapshot, Value};
+use crate::state::{Presence, Snapshot, Value};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -169,15 +169,20 @@
         // Too few answers of the new version tell nothing, and are waited for, unless all are heard and there are few requests.
         let tells = |c: Counts| c.answered >= self.pace.sample;
         let all_heard = state.entries.iter().all(|(key, entry)| match (key, &entry.value) {
-            (Key::Member(name), Value::Member(m)) => !m.is_dispatcher() || tallies.contains_key(name),
+            (Key::Member(name), Value::Member(m)) if m.is_dispatcher() => {
+                m.presence != Presence::Here || tallies.contains_key(name)
+            }
             _ => true,
         });
         let waits = !tells(self.shares.new) && (tells(self.shares.old) || !all_heard);
         let pause = self.pace.pause * if waits { LONGEST } else { 1 };
         let watched = now.saturating_sub(since) >= pause;
+        let unheard = watched && !all_heard && self.pace.sample > 0;
+        let unheard =
+            unheard.then(|| "not all dispatchers that are there are heard by the keepers".to_owned());
         // On a way back nothing is compared: what is left is what was there before.
         if release.from.is_none()
-            && let Some(why) = self.worse(watched)
+            && let Some(why) = self.worse(watched).or(unheard)
         {
             self.back = None;
             return Next::Ask(Op::Halt(Kind::Dispatcher), why);
--- a/fleet/tests/release.rs
+++ b/fleet/tests/release.rs
@@ -225,14 +225,15 @@
     assert!(watch((2, 1), (100, 98)).contains("serves 0.500"), "they are waited for");
     assert!(watch((0, 0), (100, 98)).contains("answers nothing"));
     assert_eq!(watch((0, 0), (1, 1)), "goes on", "nobody asks for anything");
-    // Of whom nothing is heard, as the leader of the keepers is new, nothing is known: that is waited for, within bounds.
+    // Of whom nothing is heard nothing is known: that is waited for, as the leader of the keepers may be new, and halts then.
     let mut fleet = Fleet::new();
     fleet.start("2", &[Limit::Count(2), Limit::Share(1.0)]).expect("sound waves");
     fleet.all_go("2", true);
     let (mut driver, none, state) = (Driver::new(PACE), BTreeMap::new(), fleet.state.snapshot());
     let mut at = |second| driver.look(Duration::from_secs(second), &state, &none);
     assert_eq!((at(0), at(12), at(29)), (Next::Wait, Next::Wait, Next::Wait));
-    assert!(matches!(at(30), Next::Ask(Op::Advance(0), _)));
+    let Next::Ask(Op::Halt(_), why) = at(30) else { panic!("it goes on") };
+    assert!(why.contains("not all dispatchers"), "{why}");
 }
 
 #[test]
