A comment on the workers' list says what the code does

Need: the list that a dispatcher is started with counts as one, as the review of the change found; the comment said that discovery had to speak first. Change: the comment. Result: nothing else changes; tests as before.

--- a/pebblepost/src/discovery.rs
+++ b/pebblepost/src/discovery.rs
@@ -157,7 +157,7 @@
         self.mark_of(worker).is_some()
     }
 
-    /// The workers on discovery's list as this dispatcher sees them; `None`: discovery has not spoken yet.
+    /// The workers on discovery's list as this dispatcher sees them; `None`: it has no list yet.
     pub fn seen(&self, now: Time, warm_up: Duration, mute: &Mute) -> Option<BTreeMap<Name, Seen>> {
         let name = |names: &[String], at: u16| -> Text {
             let name = names.get(usize::from(at)).cloned().unwrap_or_else(|| at.to_string());
