--- a/pebblepost/tests/common/mod.rs
+++ b/pebblepost/tests/common/mod.rs
@@ -195,16 +195,24 @@
 
 /// A worker that answers probes, and jobs as `job` says: it gets the connection after a job's head and body.
 pub fn worker(job: impl Fn(&mut Wire, &[String]) + Send + Sync + Clone + 'static) -> SocketAddr {
+    mortal(|| true, job)
+}
+
+/// The same, but while it does not live it closes every connection unanswered.
+pub fn mortal(
+    lives: impl Fn() -> bool + Send + Sync + Clone + 'static,
+    job: impl Fn(&mut Wire, &[String]) + Send + Sync + Clone + 'static,
+) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("bound");
     std::thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
-            let job = job.clone();
+            let (lives, job) = (lives.clone(), job.clone());
             std::thread::spawn(move || {
                 let mut wire = Wire::new(stream);
                 loop {
                     let (head, _) = wire.message();
-                    match head.first() {
+                    match head.first().filter(|_| lives()) {
                         None => return,
                         Some(line) if line.starts_with("GET /status/load ") => {
                             let body = r#"{"util":0.1,"eps":0.0,"x0":4}"#;
--- a/pebblepost/tests/release.rs
+++ b/pebblepost/tests/release.rs
@@ -21,35 +21,15 @@
     Running::start(Some(config), Some(json!({"fleet": fleet})))
 }
 
-/// A worker that serves, or that closes every connection unanswered while it is to be dead.
-fn probed_worker(dead: Arc<AtomicBool>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("bound");
-    std::thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let dead = dead.clone();
-            std::thread::spawn(move || {
-                let mut wire = Wire::new(stream);
-                loop {
-                    let (head, _) = wire.message();
-                    match head.first() {
-                        Some(_) if dead.load(Ordering::Relaxed) => return,
-                        Some(line) if line.starts_with("GET ") => {
-                            let body = r#"{"util":0.1,"eps":0.0,"x0":4}"#;
-                            let length = body.len();
-                            wire.say(&format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"));
-                        }
-                        Some(_) => {
-                            let id = header(&head, "x-txn");
-                            lines(&mut wire, &[json!({"id": id, "state": "done", "result": "text"})]);
-                        }
-                        None => return,
-                    }
-                }
-            });
-        }
-    });
-    address
+/// A worker that serves, unless it is to be dead.
+fn serves(dead: Arc<AtomicBool>) -> SocketAddr {
+    common::mortal(
+        move || !dead.load(Ordering::Relaxed),
+        |wire, head| {
+            let id = header(head, "x-txn");
+            lines(wire, &[json!({"id": id, "state": "done", "result": "text"})]);
+        },
+    )
 }
 
 /// A discovery that tells of these hosts and of no change.
@@ -208,7 +188,7 @@
     let keepers = Keepers::start(11);
     // Two workers, each of which can be made to answer no probe.
     let dead = [false; 2].map(|dead| Arc::new(AtomicBool::new(dead)));
-    let at: Vec<_> = dead.iter().map(|dead| probed_worker(dead.clone())).collect();
+    let at: Vec<_> = dead.iter().map(|dead| serves(dead.clone())).collect();
     let with = |name: &str| {
         let host = |n: usize| {
             let (host, dial) = (format!("s-{n}"), at[n]);
