Rig release: how long a wave is watched is an option

The rig's clients send 1.6 requests a second to each dispatcher, so that a first wave of one gives about 14 answers in the longest watch of 9 s, where 10 are wanted and a dispatcher may be paused meanwhile.

--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -50,6 +50,9 @@
     /// Most workers out at once.
     #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u32).range(1..=50))]
     worker_budget: u32,
+    /// Seconds for which a wave that is back is watched, three times that at most while too few answers tell.
+    #[arg(long, default_value_t = 3.0)]
+    watch_s: f64,
     /// Seconds of faults and releases.
     #[arg(long, default_value_t = 120.0)]
     seconds: f64,
@@ -253,6 +256,7 @@
         keepers: usize::from(args.keepers),
         budget: (args.budget, args.budget_in_zone),
         worker_budget: args.worker_budget,
+        watch_s: args.watch_s.clamp(0.1, 60.0),
         seconds: args.seconds.max(1.0),
         seed: args.seed,
         faults: !args.no_faults,
--- a/rig/src/release/run.rs
+++ b/rig/src/release/run.rs
@@ -61,6 +61,8 @@
     pub budget: (u32, u32),
     /// Most workers out at once; one hand more switches them off and on.
     pub worker_budget: u32,
+    /// Seconds for which a driver watches a wave that is back.
+    pub watch_s: f64,
     /// Seconds of faults and releases.
     pub seconds: f64,
     /// The seed.
@@ -193,12 +195,13 @@
 
 /// Drives the present release, as a process that is killed again and again, for as long as it is polled.
 async fn drive(shared: &Shared, mut rng: Pcg64Mcg) -> Result<()> {
+    let watch = shared.plan.watch_s.to_string();
     loop {
         let words = [
             "release",
             "drive",
             "--pause-s",
-            "3",
+            &watch,
             "--patience-s",
             "40",
             "--crashes",
--- a/rig/tests/release.rs
+++ b/rig/tests/release.rs
@@ -13,6 +13,7 @@
         keepers: 3,
         budget: (2, 1),
         worker_budget: 2,
+        watch_s: 3.0,
         seconds: 30.0,
         seed: 3,
         faults: true,
