Rig release: a version that refuses a fifth is not near what halts a release

Few answers, the first guess, are so not the whole cause: one refusing dispatcher among twelve finds workers free, as the others' jobs leave room, and refuses about what the rig's drivers let pass (0.2 less served, of 10 answers). Change: the rig's drivers halt at 0.1 less of 20 answers, and live for up to 30 s so that a watch can end.

--- a/rig/src/release/run.rs
+++ b/rig/src/release/run.rs
@@ -30,7 +30,9 @@
 use tokio::time::{Instant, sleep, timeout};
 
 /// So many answers tell how well a version serves: what a dispatcher gets in a watch.
-const SAMPLE: &str = "10";
+const SAMPLE: &str = "20";
+/// A version that serves so much less of its requests is halted. One that refuses a fifth must not be near it.
+const DROP: &str = "0.1";
 /// What a dispatcher's permit begins with.
 const GOES: &str = "permit/dispatcher/";
 /// The second wave; the first is one dispatcher, the last is all.
@@ -207,12 +209,12 @@
             "--crashes",
             "2",
             "--drop",
-            "0.2",
+            DROP,
             "--sample",
             SAMPLE,
         ];
         let mut driver = shared.office.operator(&words)?;
-        let lives = Duration::from_millis(rng.random_range(2_000..15_000));
+        let lives = Duration::from_millis(rng.random_range(2_000..30_000));
         if timeout(lives, driver.wait()).await.is_err() {
             if rng.random_range(0..3) == 0 {
                 // It wakes up after others have gone on, and asks for what made sense when it was paused.
