Rename: an envelope is a request

Engine, fronts, tests and pages: Envelope is engine::Request, what the engine keeps of one is Tracked.

--- a/pebblepost/src/engine.rs
+++ b/pebblepost/src/engine.rs
@@ -1,8 +1,8 @@
-//! The core: requests (envelopes), delivery attempts and outcomes around the [`Dispatcher`].
+//! The core: requests, delivery attempts and outcomes around the [`Dispatcher`].
 //!
 //! It knows no wire, opens no socket and reads no clock: a turn takes everything that has happened
 //! and returns what is to be done. Whatever the decisions ask for, it holds on its own to these:
-//! one final answer for each envelope, no more attempts than the settings allow, nothing to a worker
+//! one final answer for each request, no more attempts than the settings allow, nothing to a worker
 //! that was told to be draining or gone, nothing after a request's end.
 
 use pebblepost_fleet::doing::Counts;
@@ -13,7 +13,7 @@
 
 /// What the core is told of a request; the front keeps the rest.
 #[derive(Clone, Debug)]
-pub struct Envelope {
+pub struct Request {
     /// Index of its class.
     pub class: ClassId,
     /// How long its client will wait.
@@ -45,7 +45,7 @@
 #[derive(Debug)]
 pub enum Input {
     /// A request came; its id was never used before.
-    Request(RequestId, Envelope),
+    Request(RequestId, Request),
     /// The sender side of a request is gone.
     SenderGone(RequestId),
     /// The list of workers changed.
@@ -115,13 +115,13 @@
 }
 
 #[derive(Debug)]
-struct Request {
+struct Tracked {
     deadline: Time,
     answered: bool,
     attempts: Vec<Attempt>,
 }
 
-impl Request {
+impl Tracked {
     fn open(&self) -> bool {
         self.attempts.iter().any(|a| a.open)
     }
@@ -132,7 +132,7 @@
 pub struct Engine {
     dispatcher: Dispatcher,
     settings: Settings,
-    requests: HashMap<RequestId, Request>,
+    requests: HashMap<RequestId, Tracked>,
     workers: HashMap<WorkerId, WorkerState>,
     unanswered: usize,
     counts: Counts,
@@ -229,14 +229,13 @@
 
     fn take(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         match input {
-            Input::Request(id, envelope) => {
-                let deadline = now + envelope.time_left;
-                self.requests.insert(id, Request { deadline, answered: false, attempts: Vec::new() });
+            Input::Request(id, request) => {
+                let deadline = now + request.time_left;
+                self.requests.insert(id, Tracked { deadline, answered: false, attempts: Vec::new() });
                 self.unanswered += 1;
-                let Envelope { class, time_left, repeat, slots, memory, work, key, tenant } = envelope;
-                let request =
-                    Event::Request { id, class, tenant, time_left, repeat, slots, memory, work, key };
-                self.tell(now, request);
+                let Request { class, time_left, repeat, slots, memory, work, key, tenant } = request;
+                let event = Event::Request { id, class, tenant, time_left, repeat, slots, memory, work, key };
+                self.tell(now, event);
                 // Set after the decisions' own timer, so that these have the first word at equal times.
                 out.push(Output::Set(deadline, Due::Client(id)));
             }
@@ -380,7 +379,7 @@
         let ready = self.workers.get(&worker) == Some(&WorkerState::Ready);
         let most = self.settings.max_attempts.clamp(1, 255) as usize;
         let copies = self.settings.second_copies;
-        let allowed = |r: &&mut Request| {
+        let allowed = |r: &&mut Tracked| {
             ready && !r.answered && now < r.deadline && r.attempts.len() < most && (copies || !r.open())
         };
         let Some(r) = self.requests.get_mut(&id).filter(allowed) else {
--- a/pebblepost/src/front/faktory.rs
+++ b/pebblepost/src/front/faktory.rs
@@ -6,7 +6,7 @@
 //! from two queues is two workers to the core, with the same slots.
 
 use crate::config;
-use crate::engine::{Answer, DeliveryAttempt, Envelope, Input};
+use crate::engine::{Answer, DeliveryAttempt, Input, Request};
 use crate::net::{ConnKey, Due, Role, Shared};
 use pebblewind::api::*;
 use serde_json::{Value, json};
@@ -326,7 +326,7 @@
         let id = s.next_id();
         let q = &self.config.queues[queue];
         let (class, time_left) = (ClassId(q.class), q.deadline);
-        let envelope = Envelope {
+        let request = Request {
             class,
             time_left,
             repeat: false,
@@ -342,7 +342,7 @@
         self.recent.insert(repeat_key, Recent { id, first: now, waiting: vec![key], answer: None });
         self.pushed += 1;
         self.set_wait(s, key, Wait::Answer);
-        s.inputs.push(Input::Request(id, envelope));
+        s.inputs.push(Input::Request(id, request));
     }
 
     fn set_wait(&mut self, s: &mut Shared, key: ConnKey, wait: Wait) {
--- a/pebblepost/src/front/platform.rs
+++ b/pebblepost/src/front/platform.rs
@@ -2,7 +2,7 @@
 //! after it waits.
 
 use crate::buffer::Buffer;
-use crate::engine::{Answer, Envelope, Input};
+use crate::engine::{Answer, Input, Request};
 use crate::http::{self, Body, Head, Malformed};
 use crate::net::{ConnKey, Role, Shared, number};
 use pebblewind::api::{ClassId, RequestId, TenantId};
@@ -163,7 +163,7 @@
             _ if head.method != "POST" => return self.reject(s, key, head, 405, "Allow: POST\r\n"),
             _ => {}
         }
-        let Some((txn, envelope)) = self.envelope(head) else { return self.reject(s, key, head, 400, "") };
+        let Some((txn, request)) = self.read_request(head) else { return self.reject(s, key, head, 400, "") };
         let mut passed = format!("POST {} HTTP/1.1\r\nX-Txn: {txn}\r\n", head.target);
         let host = head.header("host").unwrap_or("api.internal");
         let _ = write!(passed, "Host: {host}\r\nContent-Length: {}\r\n", body.len());
@@ -178,11 +178,11 @@
         if let Some(conn) = s.net.get(key) {
             conn.role = Role::Sender(SenderSide::Waiting(id));
         }
-        s.inputs.push(Input::Request(id, envelope));
+        s.inputs.push(Input::Request(id, request));
     }
 
     /// Reads what the core is told; `None`: a figure or name is wrong or missing.
-    fn envelope(&self, head: &Head) -> Option<(String, Envelope)> {
+    fn read_request(&self, head: &Head) -> Option<(String, Request)> {
         let txn =
             head.header("x-txn").filter(|t| !t.is_empty() && t.bytes().all(|b| b.is_ascii_graphic()))?;
         let lane = head.header("x-lane")?;
@@ -216,7 +216,7 @@
         let repeat = head.header("x-resent") == Some("1");
         // A day is longer than any client waits, and keeps sums of times in range.
         let time_left = time_left.min(Duration::from_secs(86_400));
-        Some((txn.to_owned(), Envelope { class, time_left, repeat, slots, memory, work, key, tenant }))
+        Some((txn.to_owned(), Request { class, time_left, repeat, slots, memory, work, key, tenant }))
     }
 
     /// Answers a request that the core never saw; the framing is intact, so the connection goes on.
--- a/pebblepost/tests/engine.rs
+++ b/pebblepost/tests/engine.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use pebblepost::config::read_settings;
-use pebblepost::engine::{Answer, DeliveryAttempt, Due, Engine, Envelope, Input, Output};
+use pebblepost::engine::{Answer, DeliveryAttempt, Due, Engine, Input, Output, Request};
 use pebblewind::api::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -113,8 +113,8 @@
                     let id = RequestId(requests.len() as u32);
                     requests.push(id);
                     let (class, time_left) = (ClassId(0), Duration::from_secs(3));
-                    let envelope = Envelope { class, time_left, repeat: false, slots: 1.0, memory: 0.0, work: None, key: 0, tenant: TenantId(0) };
-                    w.turn(&mut engine, Input::Request(id, envelope));
+                    let request = Request { class, time_left, repeat: false, slots: 1.0, memory: 0.0, work: None, key: 0, tenant: TenantId(0) };
+                    w.turn(&mut engine, Input::Request(id, request));
                 }
                 Step::Gone(i) if !requests.is_empty() => {
                     let id = requests[i % requests.len()];
