--- a/pebblepost/src/engine.rs
+++ b/pebblepost/src/engine.rs
@@ -46,8 +46,8 @@
 pub enum Input {
     /// A request came; its id was never used before.
     Request(RequestId, Request),
-    /// The sender side of a request is gone.
-    SenderGone(RequestId),
+    /// The client of a request is gone.
+    ClientGone(RequestId),
     /// The list of workers changed.
     Members(ListKind, Vec<Entry>),
     /// The job of an attempt has started.
@@ -239,7 +239,7 @@
                 // Set after the decisions' own timer, so that these have the first word at equal times.
                 out.push(Output::Set(deadline, Due::Client(id)));
             }
-            Input::SenderGone(id) => self.sender_gone(now, id),
+            Input::ClientGone(id) => self.client_gone(now, id),
             Input::Members(kind, entries) => {
                 if matches!(kind, ListKind::Full | ListKind::Cached) {
                     self.workers.clear();
@@ -285,7 +285,7 @@
                 self.settle(now, out);
                 // The decisions answer before this; should they not, the client still gets an answer.
                 self.answer(id, Answer::Failed, out);
-                self.sender_gone(now, id);
+                self.client_gone(now, id);
             }
         }
     }
@@ -298,7 +298,7 @@
     }
 
     /// The client is gone or has its answer late: nothing more is owed.
-    fn sender_gone(&mut self, now: Time, id: RequestId) {
+    fn client_gone(&mut self, now: Time, id: RequestId) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         if !std::mem::replace(&mut r.answered, true) {
             self.unanswered -= 1;
--- a/pebblepost/src/front/faktory.rs
+++ b/pebblepost/src/front/faktory.rs
@@ -564,7 +564,7 @@
         if first.waiting.is_empty() && self.jobs.get(&id).is_some_and(|job| !job.delivered) {
             self.jobs.remove(&id);
             self.recent.remove(&name);
-            s.inputs.push(Input::SenderGone(id));
+            s.inputs.push(Input::ClientGone(id));
         }
     }
 
--- a/pebblepost/src/front/platform.rs
+++ b/pebblepost/src/front/platform.rs
@@ -19,9 +19,9 @@
 const PASSED_ON: [&str; 8] =
     ["x-txn", "idempotency-key", "x-lane", "x-estimate", "x-labels", "x-resent", "cookie", "content-type"];
 
-/// The sender side of a connection.
+/// The client of a connection.
 #[derive(Debug, Default)]
-pub enum SenderSide {
+pub enum ClientState {
     /// Between requests, or within a head.
     #[default]
     Head,
@@ -34,7 +34,7 @@
 /// What is kept of a request for as long as it may be sent to a worker.
 #[derive(Debug)]
 struct Job {
-    sender: ConnKey,
+    client: ConnKey,
     keep_alive: bool,
     /// The request as a worker gets it, but for how long its client will wait.
     line_and_headers: String,
@@ -95,10 +95,10 @@
     /// Reads on; `true`: there may be more to read.
     fn read_on(&mut self, s: &mut Shared, key: ConnKey) -> Result<bool, Malformed> {
         let Some(conn) = s.net.get(key) else { return Ok(false) };
-        let Role::Sender(side) = &mut conn.role else { return Ok(false) };
+        let Role::Client(side) = &mut conn.role else { return Ok(false) };
         match side {
-            SenderSide::Waiting(_) => Ok(false),
-            SenderSide::Head => match http::request_head(&mut conn.input)? {
+            ClientState::Waiting(_) => Ok(false),
+            ClientState::Head => match http::request_head(&mut conn.input)? {
                 Some(head) => {
                     if head.header("expect").is_some_and(|e| e.eq_ignore_ascii_case("100-continue"))
                         && conn.input.is_empty()
@@ -107,7 +107,8 @@
                     }
                     let body = Body::new(head.framing);
                     if let Some(conn) = s.net.get(key) {
-                        conn.role = Role::Sender(SenderSide::Body(Box::new((head, body, Buffer::default()))));
+                        conn.role =
+                            Role::Client(ClientState::Body(Box::new((head, body, Buffer::default()))));
                         conn.idle_since = None;
                     }
                     self.bound(s, key);
@@ -122,7 +123,7 @@
                     Ok(false)
                 }
             },
-            SenderSide::Body(parts) => {
+            ClientState::Body(parts) => {
                 let (_, body, bytes) = &mut **parts;
                 body.decode(&mut conn.input, bytes)?;
                 if bytes.len() > http::MAX_BODY {
@@ -131,7 +132,7 @@
                 if !body.done() {
                     return Ok(false);
                 }
-                if let SenderSide::Body(parts) = std::mem::take(side) {
+                if let ClientState::Body(parts) = std::mem::take(side) {
                     let (head, _, bytes) = *parts;
                     s.net.set_deadline(key, None);
                     self.take(s, key, &head, bytes.data().to_vec());
@@ -143,7 +144,7 @@
 
     /// Bounds the time that a request may take to come in; counts from its first byte.
     fn bound(&mut self, s: &mut Shared, key: ConnKey) {
-        let started = matches!(s.net.get(key).map(|c| &c.role), Some(Role::Sender(SenderSide::Body(_))));
+        let started = matches!(s.net.get(key).map(|c| &c.role), Some(Role::Client(ClientState::Body(_))));
         if !started || !s.net.has_deadline(key) {
             s.net.set_deadline(key, Some(SLOW));
         }
@@ -173,10 +174,10 @@
             let _ = write!(passed, "{name}: {value}\r\n");
         }
         let id = s.next_id();
-        let job = Job { sender: key, keep_alive: head.keep_alive, line_and_headers: passed, body };
+        let job = Job { client: key, keep_alive: head.keep_alive, line_and_headers: passed, body };
         self.jobs.insert(id, job);
         if let Some(conn) = s.net.get(key) {
-            conn.role = Role::Sender(SenderSide::Waiting(id));
+            conn.role = Role::Client(ClientState::Waiting(id));
         }
         s.inputs.push(Input::Request(id, request));
     }
@@ -232,7 +233,7 @@
         }
         let now = s.net.now;
         if let Some(conn) = s.net.get(key) {
-            conn.role = Role::Sender(SenderSide::Head);
+            conn.role = Role::Client(ClientState::Head);
             conn.idle_since = Some(now);
             s.net.set_deadline(key, Some(IDLE));
         }
@@ -254,23 +255,23 @@
             Answer::Deferred(after) => http::answer(503, &http::retry_after(*after), b"", keep),
             Answer::Failed => http::answer(502, "", b"", keep),
         };
-        self.reply(s, job.sender, &bytes, keep);
-        self.on_data(s, job.sender); // The next request may be there already.
+        self.reply(s, job.client, &bytes, keep);
+        self.on_data(s, job.client); // The next request may be there already.
         true
     }
 
     /// The client's connection ended.
     pub fn on_closed(&mut self, s: &mut Shared, key: ConnKey) {
-        if let Some(Role::Sender(SenderSide::Waiting(id))) = s.net.close(key) {
+        if let Some(Role::Client(ClientState::Waiting(id))) = s.net.close(key) {
             self.jobs.remove(&id);
-            s.inputs.push(Input::SenderGone(id));
+            s.inputs.push(Input::ClientGone(id));
         }
     }
 
     /// The connection was idle or a request came in too slowly.
     pub fn on_deadline(&mut self, s: &mut Shared, key: ConnKey) {
         let Some(conn) = s.net.get(key) else { return };
-        let idle = matches!(conn.role, Role::Sender(SenderSide::Head)) && conn.input.is_empty();
+        let idle = matches!(conn.role, Role::Client(ClientState::Head)) && conn.input.is_empty();
         if !idle {
             s.net.send(key, &http::answer(408, "", b"", false));
         }
@@ -281,7 +282,7 @@
     pub fn close_idle(&mut self, s: &mut Shared) {
         for key in s.net.keys() {
             if s.net.get(key).is_some_and(|c| {
-                matches!(c.role, Role::Sender(SenderSide::Head)) && c.input.is_empty() && c.written()
+                matches!(c.role, Role::Client(ClientState::Head)) && c.input.is_empty() && c.written()
             }) {
                 s.net.close_gently(key);
             }
--- a/pebblepost/src/net.rs
+++ b/pebblepost/src/net.rs
@@ -61,7 +61,7 @@
 #[derive(Debug)]
 pub enum Role {
     /// A client of the platform's front.
-    Sender(platform::SenderSide),
+    Client(platform::ClientState),
     /// A link to a worker.
     Worker(Link),
     /// A call to discovery.
--- a/pebblepost/src/turn.rs
+++ b/pebblepost/src/turn.rs
@@ -6,7 +6,7 @@
 use crate::discovery::{Discovery, TransportMap};
 use crate::engine::{Engine, Input, Output};
 use crate::front::faktory::{Faktory, Peer};
-use crate::front::platform::{Class, Platform, SenderSide};
+use crate::front::platform::{Class, ClientState, Platform};
 use crate::health::{self, Condition};
 use crate::net::{Clock, ConnKey, Door, Due, Net, Ready, Role, Shared, Signal};
 use crate::sight::Mute;
@@ -281,7 +281,7 @@
             Door::Health => Role::Health(health::Asker),
             Door::Agent => Role::Closing,
             Door::Faktory => Role::Faktory(Peer::default()),
-            _ => Role::Sender(SenderSide::Head),
+            _ => Role::Client(ClientState::Head),
         };
         let (door, condition) = (self.s.net.door(index), self.condition());
         for key in self.s.net.accept(index, role) {
@@ -311,7 +311,7 @@
         if readable {
             let alive = self.s.net.read(key);
             match self.s.net.get(key).map(|c| &c.role) {
-                Some(Role::Sender(_)) if alive => self.platform.on_data(&mut self.s, key),
+                Some(Role::Client(_)) if alive => self.platform.on_data(&mut self.s, key),
                 Some(Role::Worker(_)) => self.workers.on_data(&mut self.s, key),
                 Some(Role::Discovery(_)) => {
                     for worker in self.discovery.on_data(&mut self.s, key) {
@@ -334,7 +334,7 @@
     /// A connection ended or broke.
     fn closed(&mut self, key: ConnKey) {
         match self.s.net.get(key).map(|c| &c.role) {
-            Some(Role::Sender(_)) => self.platform.on_closed(&mut self.s, key),
+            Some(Role::Client(_)) => self.platform.on_closed(&mut self.s, key),
             Some(Role::Worker(_)) => self.workers.on_closed(&mut self.s, key),
             Some(Role::Discovery(_)) => self.discovery.on_closed(&mut self.s, key),
             Some(Role::Faktory(_)) => self.faktory.iter_mut().for_each(|f| f.on_closed(&mut self.s, key)),
@@ -349,7 +349,7 @@
             Due::Core(due) => self.s.inputs.push(Input::Due(due)),
             Due::Write(key) => self.closed(key),
             Due::Conn(key) => match self.s.net.get(key).map(|c| &c.role) {
-                Some(Role::Sender(_)) => self.platform.on_deadline(&mut self.s, key),
+                Some(Role::Client(_)) => self.platform.on_deadline(&mut self.s, key),
                 Some(Role::Worker(_)) => self.workers.on_deadline(&mut self.s, key),
                 Some(Role::Faktory(_)) => {
                     self.faktory.iter_mut().for_each(|f| f.on_deadline(&mut self.s, key))
@@ -399,7 +399,7 @@
             && self.engine.unanswered() == 0
             && !self.s.net.keys().into_iter().any(|key| {
                 self.s.net.get(key).is_some_and(|c| match &c.role {
-                    Role::Sender(_) => true,
+                    Role::Client(_) => true,
                     Role::Closing | Role::Faktory(_) => !c.written(),
                     _ => false,
                 })
--- a/pebblepost/tests/engine.rs
+++ b/pebblepost/tests/engine.rs
@@ -121,7 +121,7 @@
                     if !w.answers.contains_key(&id) {
                         w.left.insert(id);
                     }
-                    w.turn(&mut engine, Input::SenderGone(id));
+                    w.turn(&mut engine, Input::ClientGone(id));
                 }
                 Step::Members(n, state, whole) => {
                     let state = [WorkerState::Ready, WorkerState::Draining, WorkerState::Gone][usize::from(state)];
