--- a/pebblepost/src/discovery.rs
+++ b/pebblepost/src/discovery.rs
@@ -1,4 +1,4 @@
-//! Discovery: the watch and the fetch, and the transport map that both keep up to date.
+//! Discovery: the watch and the fetch, and the registry that both keep up to date.
 
 use crate::buffer::Buffer;
 use crate::engine::Input;
@@ -28,7 +28,7 @@
 
 /// What is known of a worker.
 #[derive(Clone, Debug)]
-pub struct Transport {
+pub struct Endpoint {
     /// Its name, the same at every dispatcher.
     pub host: String,
     /// Where it is reached by HTTP; `None`: by another front.
@@ -41,9 +41,9 @@
 
 /// Discovery's list, and how each worker on it is reached.
 #[derive(Debug, Default)]
-pub struct TransportMap {
+pub struct Registry {
     by_host: HashMap<String, WorkerId>,
-    transports: Vec<Transport>,
+    endpoints: Vec<Endpoint>,
     zones: Vec<String>,
     kinds: Vec<String>,
     drained: HashSet<String>,
@@ -120,15 +120,15 @@
     u16::try_from(at).unwrap_or(u16::MAX)
 }
 
-impl TransportMap {
+impl Registry {
     /// Knows the names of zones and kinds and no worker.
     pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Self {
         Self { zones, kinds, ..Self::default() }
     }
 
     /// What is known of a worker.
-    pub fn get(&self, worker: WorkerId) -> Option<&Transport> {
-        self.transports.get(worker.0 as usize)
+    pub fn get(&self, worker: WorkerId) -> Option<&Endpoint> {
+        self.endpoints.get(worker.0 as usize)
     }
 
     /// The worker of that name.
@@ -139,7 +139,7 @@
     /// Enters a worker that another front reaches, or changes its state.
     pub fn enter(&mut self, host: &str, kind: KindId, state: WorkerState) -> WorkerId {
         let id = self.place(host);
-        let t = &mut self.transports[id.0 as usize];
+        let t = &mut self.endpoints[id.0 as usize];
         (t.entry.kind, t.entry.state) = (kind, state);
         id
     }
@@ -163,8 +163,7 @@
             let name = names.get(usize::from(at)).cloned().unwrap_or_else(|| at.to_string());
             name.parse().unwrap_or_default()
         };
-        let listed =
-            self.transports.iter().filter(|t| t.dial.is_some() && t.entry.state != WorkerState::Gone);
+        let listed = self.endpoints.iter().filter(|t| t.dial.is_some() && t.entry.state != WorkerState::Gone);
         let seen = listed.filter_map(|t| {
             let cold = t.entry.started.is_some_and(|start| now < start + warm_up);
             let sight = match t.entry.state {
@@ -177,12 +176,12 @@
             let kind = name(&self.kinds, t.entry.kind.0);
             Some((t.host.parse().ok()?, Seen { zone, kind, sight }))
         });
-        self.transports.iter().any(|t| t.heard && t.dial.is_some()).then(|| seen.collect())
+        self.endpoints.iter().any(|t| t.heard && t.dial.is_some()).then(|| seen.collect())
     }
 
     /// All workers that an operator's drain mark names.
     pub fn all_marked(&self) -> HashSet<WorkerId> {
-        let all = (0..self.transports.len()).map(|i| WorkerId(i as u32));
+        let all = (0..self.endpoints.len()).map(|i| WorkerId(i as u32));
         if self.drained.is_empty() { HashSet::new() } else { all.filter(|id| self.is_marked(*id)).collect() }
     }
 
@@ -190,7 +189,7 @@
         if let Some(id) = self.by_host.get(host) {
             return *id;
         }
-        let id = WorkerId(self.transports.len() as u32);
+        let id = WorkerId(self.endpoints.len() as u32);
         let entry = Entry {
             worker: id,
             zone: ZoneId(0),
@@ -201,13 +200,7 @@
             started: None,
         };
         self.by_host.insert(host.to_owned(), id);
-        self.transports.push(Transport {
-            host: host.to_owned(),
-            dial: None,
-            born_ms: 0,
-            entry,
-            heard: false,
-        });
+        self.endpoints.push(Endpoint { host: host.to_owned(), dial: None, born_ms: 0, entry, heard: false });
         id
     }
 
@@ -222,13 +215,13 @@
         if list.whole {
             let listed: HashSet<&str> = list.hosts.iter().map(|h| h.name.as_str()).collect();
             for t in
-                self.transports.iter_mut().filter(|t| t.dial.is_some() && !listed.contains(t.host.as_str()))
+                self.endpoints.iter_mut().filter(|t| t.dial.is_some() && !listed.contains(t.host.as_str()))
             {
                 t.entry.state = WorkerState::Gone;
                 stale.push(t.entry.worker);
             }
             // Those that another front brought are on the whole list as well.
-            let others = self.transports.iter().filter(|t| t.dial.is_none()).map(|t| t.entry.worker);
+            let others = self.endpoints.iter().filter(|t| t.dial.is_none()).map(|t| t.entry.worker);
             entries.extend(others.map(|id| self.marked(id)).filter(|e| e.state != WorkerState::Gone));
         }
         // An older version does not know of a drain told since, and must not take it back: only a newer one may, or a
@@ -237,7 +230,7 @@
         for host in list.hosts {
             let id = self.place(&host.name);
             let (zone, kind) = (index(&mut self.zones, &host.zone), index(&mut self.kinds, &host.kind));
-            let t = &mut self.transports[id.0 as usize];
+            let t = &mut self.endpoints[id.0 as usize];
             if host.dial.is_some() && t.dial != host.dial || host.state == WorkerState::Gone {
                 stale.push(id);
             }
@@ -262,7 +255,7 @@
 
     /// The entry as the core sees it: an operator's drain mark drains a ready worker.
     fn marked(&self, id: WorkerId) -> Entry {
-        let t = &self.transports[id.0 as usize];
+        let t = &self.endpoints[id.0 as usize];
         let drains = t.entry.state == WorkerState::Ready && self.is_marked(id);
         Entry { state: if drains { WorkerState::Draining } else { t.entry.state }, ..t.entry }
     }
@@ -278,7 +271,7 @@
 
     /// The whole map, told without claiming that discovery has spoken.
     pub fn whole(&self) -> Input {
-        let all = (0..self.transports.len()).map(|i| self.marked(WorkerId(i as u32)));
+        let all = (0..self.endpoints.len()).map(|i| self.marked(WorkerId(i as u32)));
         Input::Members(ListKind::Cached, all.filter(|e| e.state != WorkerState::Gone).collect())
     }
 }
@@ -324,7 +317,7 @@
     /// Subscribes to changes, unless that is under way.
     pub fn watch(&mut self, s: &mut Shared) {
         if self.watching.is_none() {
-            let from = if self.unheard { 0 } else { s.map.seq };
+            let from = if self.unheard { 0 } else { s.registry.seq };
             let target = format!("/v1/endpoints?watch=1&from={from}");
             self.watching = self.call(s, &target, true);
         }
@@ -469,7 +462,7 @@
 
     fn take(s: &mut Shared, json: &[u8]) -> Result<Vec<WorkerId>, ()> {
         let json = serde_json::from_slice(json).map_err(|_| ())?;
-        let (input, stale) = s.map.apply(&json, None, &s.clock).ok_or(())?;
+        let (input, stale) = s.registry.apply(&json, None, &s.clock).ok_or(())?;
         s.inputs.push(input);
         Ok(stale)
     }
--- a/pebblepost/src/front/faktory.rs
+++ b/pebblepost/src/front/faktory.rs
@@ -386,7 +386,7 @@
                 if !worker.ids.contains_key(queue) {
                     let host = format!("{wid}/{}", self.config.queues[*queue].name);
                     let kind = KindId(self.config.queues[*queue].kind);
-                    let id = s.map.enter(&host, kind, WorkerState::Ready);
+                    let id = s.registry.enter(&host, kind, WorkerState::Ready);
                     worker.ids.insert(*queue, id);
                     self.by_id.insert(id, (wid.clone(), *queue));
                     news = true;
@@ -395,7 +395,7 @@
         }
         worker.parked.push(key);
         if news {
-            s.inputs.push(s.map.whole());
+            s.inputs.push(s.registry.whole());
         }
         s.net.set_deadline(key, Some(FETCH_WAIT));
         self.set_wait(s, key, Wait::Job(queues));
@@ -489,7 +489,7 @@
         let marked = self.workers.get(&wid).is_some_and(|w| {
             w.state == WorkerState::Ready
                 && !w.ids.is_empty()
-                && w.ids.values().all(|id| s.map.is_marked(*id))
+                && w.ids.values().all(|id| s.registry.is_marked(*id))
         });
         s.net.send(key, if marked { b"$17\r\n{\"state\":\"quiet\"}\r\n".as_slice() } else { b"+OK\r\n" });
     }
@@ -500,13 +500,13 @@
         worker.state = state;
         for (queue, id) in &worker.ids {
             let queue = &self.config.queues[*queue];
-            s.map.enter(&format!("{wid}/{}", queue.name), KindId(queue.kind), state);
+            s.registry.enter(&format!("{wid}/{}", queue.name), KindId(queue.kind), state);
             if state == WorkerState::Gone {
                 self.by_id.remove(id);
             }
         }
         if !worker.ids.is_empty() {
-            s.inputs.push(s.map.whole());
+            s.inputs.push(s.registry.whole());
         }
         (s.log)(&format!(
             "faktory: worker {wid} is {}",
--- a/pebblepost/src/net.rs
+++ b/pebblepost/src/net.rs
@@ -3,7 +3,7 @@
 
 use crate::buffer::Buffer;
 use crate::deadlines::{Deadlines, Handle};
-use crate::discovery::{Call, TransportMap};
+use crate::discovery::{Call, Registry};
 use crate::engine::{self, Input};
 use crate::front::{faktory, platform};
 use crate::health;
@@ -556,7 +556,7 @@
     /// What has happened and the core has not heard yet.
     pub inputs: Vec<Input>,
     /// Discovery's list.
-    pub map: TransportMap,
+    pub registry: Registry,
     /// The clock.
     pub clock: Clock,
     /// SIGTERM came.
@@ -572,11 +572,11 @@
 
 impl Shared {
     /// Nothing has happened yet.
-    pub fn new(net: Net, map: TransportMap, clock: Clock, log: fn(&str)) -> Self {
+    pub fn new(net: Net, registry: Registry, clock: Clock, log: fn(&str)) -> Self {
         Self {
             net,
             inputs: Vec::new(),
-            map,
+            registry,
             clock,
             stopping: false,
             last_calls: false,
@@ -594,6 +594,6 @@
 
     /// The address of a worker that is reached by HTTP.
     pub fn dial(&self, worker: WorkerId) -> Option<SocketAddr> {
-        self.map.get(worker)?.dial
+        self.registry.get(worker)?.dial
     }
 }
--- a/pebblepost/src/turn.rs
+++ b/pebblepost/src/turn.rs
@@ -3,7 +3,7 @@
 
 use crate::agent::Agent;
 use crate::config::{Config, ConfigError};
-use crate::discovery::{Discovery, TransportMap};
+use crate::discovery::{Discovery, Registry};
 use crate::engine::{Engine, Input, Output};
 use crate::front::faktory::{Faktory, Peer};
 use crate::front::platform::{Class, ClientState, Platform};
@@ -81,9 +81,9 @@
         }
         let pushed = config.settings.discovery == pebblewind::api::Discovery::Push;
         let engine = Engine::new(config.settings.clone(), config.seed, net.now).tracing(trace);
-        let mut map = TransportMap::new(config.zones, config.kinds);
-        let known = config.known.as_ref().and_then(|k| map.apply(k, Some(ListKind::Cached), &clock));
-        let mut s = Shared::new(net, map, clock, log);
+        let mut registry = Registry::new(config.zones, config.kinds);
+        let known = config.known.as_ref().and_then(|k| registry.apply(k, Some(ListKind::Cached), &clock));
+        let mut s = Shared::new(net, registry, clock, log);
         // Even an empty list: it has the decisions subscribe.
         s.inputs.push(known.map_or(Input::Members(ListKind::Cached, Vec::new()), |(input, _)| input));
         let classes = config.classes.into_iter().map(|(name, deadline)| Class { name, deadline }).collect();
@@ -123,7 +123,7 @@
     fn apply_agreed(&mut self) {
         let Some(agent) = &self.agent else { return };
         let known = agent.knowledge();
-        if let Some(told) = self.s.map.mark(known.drained.clone()) {
+        if let Some(told) = self.s.registry.mark(known.drained.clone()) {
             self.s.inputs.push(told);
         }
         (self.acts_by, self.to_confirm) = (known.revision, true);
@@ -218,10 +218,10 @@
         if !std::mem::take(&mut self.to_confirm) {
             return;
         }
-        let busy = self.engine.busy(&self.s.map.all_marked());
-        let busy = busy.into_iter().filter_map(|worker| self.s.map.mark_of(worker)?.parse().ok());
+        let busy = self.engine.busy(&self.s.registry.all_marked());
+        let busy = busy.into_iter().filter_map(|worker| self.s.registry.mark_of(worker)?.parse().ok());
         agent.confirms(self.acts_by, busy.collect());
-        if let Some(seen) = self.s.map.seen(self.s.net.now, self.engine.settings().warm_up, &self.mute) {
+        if let Some(seen) = self.s.registry.seen(self.s.net.now, self.engine.settings().warm_up, &self.mute) {
             agent.sees(seen);
         }
     }
--- a/pebblepost/tests/parsers.rs
+++ b/pebblepost/tests/parsers.rs
@@ -2,7 +2,7 @@
 
 use pebblepost::buffer::Buffer;
 use pebblepost::config::flatten;
-use pebblepost::discovery::TransportMap;
+use pebblepost::discovery::Registry;
 use pebblepost::http::{self, Body, Malformed, request_head, response_head};
 use pebblepost::net::Clock;
 use proptest::prelude::*;
@@ -124,7 +124,7 @@
     ) {
         let clock = Clock::default();
         if let Ok(json) = serde_json::from_str::<Value>(&line) {
-            prop_assert!(TransportMap::default().apply(&json, None, &clock).is_none());
+            prop_assert!(Registry::default().apply(&json, None, &clock).is_none());
         }
     }
 }
