Rename: a request is rejected, not deferred; a worker's 4xx makes it invalid

Answer::Rejected in place of Deferred; what was Input::Rejected and Verdict::Rejected (a worker said that the request itself is wrong) is Invalid, as one word must not mean both.

--- a/pebblepost/src/engine.rs
+++ b/pebblepost/src/engine.rs
@@ -57,7 +57,7 @@
     /// An attempt ended; with the answer's body if it was served.
     Ended(DeliveryAttempt, Status, Report, Vec<u8>),
     /// A worker said that the request itself is wrong: no other would take it either, and it is not to blame.
-    Rejected(DeliveryAttempt),
+    Invalid(DeliveryAttempt),
     /// A probe ended.
     Probed(WorkerId, Status, Duration, Report),
     /// A deadline that the core had set is due.
@@ -80,8 +80,8 @@
 pub enum Answer {
     /// What the worker made.
     Served(Vec<u8>),
-    /// Deferred: trying again is harmless, best after this long.
-    Deferred(Duration),
+    /// Rejected: trying again is harmless, best after this long.
+    Rejected(Duration),
     /// Nothing is promised.
     Failed,
 }
@@ -262,7 +262,7 @@
                     self.tell(now, event);
                 }
             }
-            Input::Rejected(attempt) => {
+            Input::Invalid(attempt) => {
                 // Answered here, as what is served is: there is nothing left to decide.
                 if self.is_open(attempt.id, attempt.no) {
                     self.answer(attempt.id, Answer::Failed, out);
@@ -352,7 +352,7 @@
         match action {
             Action::Send { id, worker, timeout } => self.send(now, id, worker, timeout, out),
             Action::Refuse { id, retry_after } => {
-                self.answer(id, Answer::Deferred(retry_after.unwrap_or_default()), out);
+                self.answer(id, Answer::Rejected(retry_after.unwrap_or_default()), out);
             }
             Action::Fail { id } => self.answer(id, Answer::Failed, out),
             Action::Cancel { id, attempt } => {
--- a/pebblepost/src/front/faktory.rs
+++ b/pebblepost/src/front/faktory.rs
@@ -116,12 +116,12 @@
     [format!("${}\r\n", bytes.len()).as_bytes(), bytes, b"\r\n"].concat()
 }
 
-/// The reply to a push, at the time it is given. A deferred job that came back within the window would only
+/// The reply to a push, at the time it is given. A rejected job that came back within the window would only
 /// hear the same again, so it is told to stay away for the rest of it.
 fn reply(answer: &Answer, left: Duration) -> String {
     match answer {
         Answer::Served(_) => "+OK\r\n".to_owned(),
-        Answer::Deferred(after) => {
+        Answer::Rejected(after) => {
             format!("-ERR refused, come back in {:.3} s\r\n", left.max(*after).as_secs_f64())
         }
         Answer::Failed => "-ERR failed, the job may have run\r\n".to_owned(),
--- a/pebblepost/src/front/platform.rs
+++ b/pebblepost/src/front/platform.rs
@@ -252,7 +252,7 @@
         let keep = job.keep_alive && !s.last_calls;
         let bytes = match answer {
             Answer::Served(body) => http::answer(200, "", body, keep),
-            Answer::Deferred(after) => http::answer(503, &http::retry_after(*after), b"", keep),
+            Answer::Rejected(after) => http::answer(503, &http::retry_after(*after), b"", keep),
             Answer::Failed => http::answer(502, "", b"", keep),
         };
         self.reply(s, job.client, &bytes, keep);
--- a/pebblepost/src/http.rs
+++ b/pebblepost/src/http.rs
@@ -276,7 +276,7 @@
     [head.as_bytes(), body].concat()
 }
 
-/// The header that tells a deferred client when to come back, in seconds.
+/// The header that tells a rejected client when to come back, in seconds.
 pub fn retry_after(after: Duration) -> String {
     format!("Retry-After: {:.3}\r\n", after.as_secs_f64())
 }
--- a/pebblepost/src/workers.rs
+++ b/pebblepost/src/workers.rs
@@ -43,7 +43,7 @@
     Ended(Status, Report, Vec<u8>),
     Started,
     Progress(f32),
-    Rejected,
+    Invalid,
 }
 
 /// All links.
@@ -288,9 +288,9 @@
                 self.attempts.remove(&attempt);
                 s.inputs.push(Input::Ended(attempt, status, report, result));
             }
-            (Task::Attempt(attempt), Verdict::Rejected) => {
+            (Task::Attempt(attempt), Verdict::Invalid) => {
                 self.attempts.remove(&attempt);
-                s.inputs.push(Input::Rejected(attempt));
+                s.inputs.push(Input::Invalid(attempt));
             }
             (Task::Probe(sent), verdict) => {
                 let Verdict::Ended(status, report, _) = verdict else {
@@ -325,7 +325,7 @@
             Verdict::Ended(Status::Full, report(), Vec::new())
         }
         // These three speak of the moment, all others of 400 to 499 of the request.
-        400..=499 if !matches!(head.status, 408 | 425 | 429) => Verdict::Rejected,
+        400..=499 if !matches!(head.status, 408 | 425 | 429) => Verdict::Invalid,
         _ => Verdict::Ended(Status::Error, report(), Vec::new()),
     }
 }
--- a/pebblepost/tests/engine.rs
+++ b/pebblepost/tests/engine.rs
@@ -67,7 +67,7 @@
                     assert!(!self.left.contains(&id), "an answer to nobody");
                     *self.answers.entry(id).or_default() += 1;
                     assert_eq!(self.answers[&id], 1, "one final answer");
-                    if let Answer::Deferred(after) = answer {
+                    if let Answer::Rejected(after) = answer {
                         assert!(!after.is_zero(), "a refusal says when to come back");
                     }
                 }
