Rename: a door is a listener

Listener and listeners in place of Door and doors, in code and tests; tests/doors.rs is tests/listeners.rs with its two tests.

--- a/pebblepost/src/net.rs
+++ b/pebblepost/src/net.rs
@@ -108,7 +108,7 @@
 
 /// A listening socket's purpose.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Door {
+pub enum Listener {
     /// Clients of the platform.
     Platform,
     /// Faktory clients and workers.
@@ -134,7 +134,7 @@
 #[derive(Clone, Copy, Debug)]
 pub enum Ready {
     /// A listener.
-    Door(usize),
+    Listener(usize),
     /// A signal came.
     Signal(Signal),
     /// A connection.
@@ -144,7 +144,7 @@
 const STOP: usize = usize::MAX - 1;
 const RELOAD: usize = usize::MAX - 2;
 const FLEET: usize = usize::MAX - 3;
-const DOORS: usize = usize::MAX - 64;
+const LISTENERS: usize = usize::MAX - 64;
 
 /// A number for a name, the same at every node.
 pub fn number(name: &str) -> u64 {
@@ -190,7 +190,7 @@
     poller: Poller,
     conns: Slab<(u32, Conn)>,
     generation: u32,
-    doors: Vec<(Door, Option<TcpListener>)>,
+    listeners: Vec<(Listener, Option<TcpListener>)>,
     /// Every deadline of the program.
     pub deadlines: Deadlines<Due>,
     /// Connections that broke while something was carried out.
@@ -209,7 +209,7 @@
             poller: Poller::new()?,
             conns: Slab::new(),
             generation: 0,
-            doors: Vec::new(),
+            listeners: Vec::new(),
             deadlines: Deadlines::default(),
             broken: Vec::new(),
             budget: descriptors.saturating_sub(RESERVE).max(8),
@@ -220,16 +220,16 @@
     }
 
     /// Listens.
-    pub fn listen(&mut self, door: Door, address: SocketAddr) -> io::Result<()> {
+    pub fn listen(&mut self, which: Listener, address: SocketAddr) -> io::Result<()> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
         socket.bind(&address.into())?;
         socket.listen(1024)?;
         socket.set_nonblocking(true)?;
         let listener = TcpListener::from(socket);
-        let key = DOORS + self.doors.len();
+        let key = LISTENERS + self.listeners.len();
         self.poller.add_with_mode(&listener, Event::readable(key), PollMode::Level)?;
-        self.doors.push((door, Some(listener)));
+        self.listeners.push((which, Some(listener)));
         Ok(())
     }
 
@@ -244,9 +244,9 @@
     }
 
     /// Closes a listener.
-    pub fn shut(&mut self, door: Door) {
+    pub fn shut(&mut self, which: Listener) {
         // The socket itself has to go, or new connections would still come up in its backlog.
-        for (_, listener) in self.doors.iter_mut().filter(|(d, _)| *d == door) {
+        for (_, listener) in self.listeners.iter_mut().filter(|(d, _)| *d == which) {
             if let Some(listener) = listener.take() {
                 let _ = self.poller.delete(&listener);
             }
@@ -254,13 +254,13 @@
     }
 
     /// The purpose of a listener.
-    pub fn door(&self, index: usize) -> Option<Door> {
-        self.doors.get(index).map(|d| d.0)
+    pub fn listener(&self, index: usize) -> Option<Listener> {
+        self.listeners.get(index).map(|d| d.0)
     }
 
-    /// Where a door listens.
-    pub fn address(&self, door: Door) -> Option<SocketAddr> {
-        let listener = self.doors.iter().find(|(d, _)| *d == door)?.1.as_ref()?;
+    /// Where a listener listens.
+    pub fn address(&self, which: Listener) -> Option<SocketAddr> {
+        let listener = self.listeners.iter().find(|(d, _)| *d == which)?.1.as_ref()?;
         listener.local_addr().ok()
     }
 
@@ -277,7 +277,7 @@
             STOP => Ready::Signal(Signal::Stop),
             RELOAD => Ready::Signal(Signal::Reload),
             FLEET => Ready::Signal(Signal::Fleet),
-            key if key >= DOORS => Ready::Door(key - DOORS),
+            key if key >= LISTENERS => Ready::Listener(key - LISTENERS),
             key => Ready::Conn(ConnKey(key), e.readable, e.writable),
         };
         Ok(self.events.iter().map(ready).collect())
@@ -329,20 +329,20 @@
 
     /// Takes what waits at a listener. Beyond the budget it closes idle connections first, then leaves
     /// newcomers in the backlog for a moment. A part of the budget stays free for links to workers.
-    pub fn accept(&mut self, index: usize, role: impl Fn(Door) -> Role) -> Vec<ConnKey> {
+    pub fn accept(&mut self, index: usize, role: impl Fn(Listener) -> Role) -> Vec<ConnKey> {
         let mut taken = Vec::new();
-        let Some(door) = self.door(index) else { return taken };
+        let Some(which) = self.listener(index) else { return taken };
         for _ in 0..ACCEPTS {
             if self.conns.len() >= self.budget * 5 / 8 && !self.close_an_idle_one() {
                 self.pause_accepting(index);
                 break;
             }
-            let Some(listener) = &self.doors[index].1 else { break };
+            let Some(listener) = &self.listeners[index].1 else { break };
             match listener.accept() {
                 Ok((stream, _)) => {
                     let ready = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
                     if ready.is_ok()
-                        && let Ok(key) = self.adopt(stream, role(door), true)
+                        && let Ok(key) = self.adopt(stream, role(which), true)
                     {
                         taken.push(key);
                     }
@@ -359,17 +359,18 @@
     }
 
     fn pause_accepting(&mut self, index: usize) {
-        let Some(listener) = &self.doors[index].1 else { return };
-        if self.poller.modify_with_mode(listener, Event::none(DOORS + index), PollMode::Level).is_ok() {
+        let Some(listener) = &self.listeners[index].1 else { return };
+        if self.poller.modify_with_mode(listener, Event::none(LISTENERS + index), PollMode::Level).is_ok() {
             self.deadlines.set(self.now + Duration::from_millis(50), Due::Accept);
         }
     }
 
     /// Listens again after a pause.
     pub fn resume_accepting(&mut self) {
-        for (i, (_, listener)) in self.doors.iter().enumerate() {
+        for (i, (_, listener)) in self.listeners.iter().enumerate() {
             if let Some(listener) = listener {
-                let _ = self.poller.modify_with_mode(listener, Event::readable(DOORS + i), PollMode::Level);
+                let _ =
+                    self.poller.modify_with_mode(listener, Event::readable(LISTENERS + i), PollMode::Level);
             }
         }
     }
--- a/pebblepost/src/turn.rs
+++ b/pebblepost/src/turn.rs
@@ -8,7 +8,7 @@
 use crate::front::faktory::{Faktory, Peer};
 use crate::front::platform::{Class, ClientState, Platform};
 use crate::health::{self, Condition};
-use crate::net::{Clock, ConnKey, Door, Due, Net, Ready, Role, Shared, Signal};
+use crate::net::{Clock, ConnKey, Due, Listener, Net, Ready, Role, Shared, Signal};
 use crate::sight::Mute;
 use crate::workers::Workers;
 use pebblewind::api::{ListKind, Status};
@@ -63,15 +63,15 @@
             net.watch_signal(signal, pipe)?;
         }
         let faktory = config.faktory.as_ref().map(|f| f.listen);
-        let doors = [
-            (Door::Faktory, faktory),
-            (Door::Platform, config.listen),
-            (Door::Agent, config.agent_check),
-            (Door::Health, config.health),
+        let listeners = [
+            (Listener::Faktory, faktory),
+            (Listener::Platform, config.listen),
+            (Listener::Agent, config.agent_check),
+            (Listener::Health, config.health),
         ];
-        for (door, address) in doors {
+        for (listener, address) in listeners {
             if let Some(address) = address {
-                net.listen(door, address)
+                net.listen(listener, address)
                     .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))?;
             }
         }
@@ -151,9 +151,9 @@
         self.agent.as_ref()?.control
     }
 
-    /// Where a door listens.
-    pub fn address(&self, door: Door) -> Option<SocketAddr> {
-        self.s.net.address(door)
+    /// Where a listener listens.
+    pub fn address(&self, listener: Listener) -> Option<SocketAddr> {
+        self.s.net.address(listener)
     }
 
     /// Runs until SIGTERM and the last answer after it.
@@ -169,7 +169,7 @@
                     }
                     Ready::Signal(Signal::Reload) => self.reload(),
                     Ready::Signal(Signal::Fleet) => self.woken(),
-                    Ready::Door(index) => self.accept(index),
+                    Ready::Listener(index) => self.accept(index),
                     Ready::Conn(key, readable, writable) => self.serve(key, readable, writable),
                 }
             }
@@ -277,19 +277,19 @@
     }
 
     fn accept(&mut self, index: usize) {
-        let role = |door| match door {
-            Door::Health => Role::Health(health::Asker),
-            Door::Agent => Role::Closing,
-            Door::Faktory => Role::Faktory(Peer::default()),
+        let role = |listener| match listener {
+            Listener::Health => Role::Health(health::Asker),
+            Listener::Agent => Role::Closing,
+            Listener::Faktory => Role::Faktory(Peer::default()),
             _ => Role::Client(ClientState::Head),
         };
-        let (door, condition) = (self.s.net.door(index), self.condition());
+        let (listener, condition) = (self.s.net.listener(index), self.condition());
         for key in self.s.net.accept(index, role) {
-            match door {
-                Some(Door::Agent) => health::agent(&mut self.s, key, condition),
-                Some(Door::Health) => health::on_open(&mut self.s, key),
-                Some(Door::Faktory) => self.faktory.iter_mut().for_each(|f| f.on_open(&mut self.s, key)),
-                Some(Door::Platform) => self.platform.on_open(&mut self.s, key),
+            match listener {
+                Some(Listener::Agent) => health::agent(&mut self.s, key, condition),
+                Some(Listener::Health) => health::on_open(&mut self.s, key),
+                Some(Listener::Faktory) => self.faktory.iter_mut().for_each(|f| f.on_open(&mut self.s, key)),
+                Some(Listener::Platform) => self.platform.on_open(&mut self.s, key),
                 None => {}
             }
         }
@@ -358,8 +358,8 @@
             },
             Due::LastCalls => {
                 self.s.last_calls = true;
-                self.s.net.shut(Door::Platform);
-                self.s.net.shut(Door::Faktory);
+                self.s.net.shut(Listener::Platform);
+                self.s.net.shut(Listener::Faktory);
                 self.platform.close_idle(&mut self.s);
             }
             Due::Watch => self.discovery.keep_up(&mut self.s),
--- a/pebblepost/tests/common/mod.rs
+++ b/pebblepost/tests/common/mod.rs
@@ -5,7 +5,7 @@
 pub mod keepers;
 
 use pebblepost::config;
-use pebblepost::net::Door;
+use pebblepost::net::Listener;
 use pebblepost::turn::{Daemon, Signals};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -35,7 +35,7 @@
     signal: UnixStream,
     hangup: UnixStream,
     thread: Option<JoinHandle<()>>,
-    addresses: Vec<(Door, SocketAddr)>,
+    addresses: Vec<(Listener, SocketAddr)>,
     /// Where its agent listens to operators.
     pub control: Option<SocketAddr>,
     files: Vec<PathBuf>,
@@ -56,8 +56,8 @@
         let (hangup, reload) = UnixStream::pair().expect("a pair of sockets");
         let signals = Signals { stop, reload, read: Box::new(read) };
         let mut daemon = Daemon::new(config, signals, |_| {}).expect("free ports");
-        let doors = [Door::Platform, Door::Faktory, Door::Agent, Door::Health];
-        let addresses = doors.iter().filter_map(|d| Some((*d, daemon.address(*d)?))).collect();
+        let listeners = [Listener::Platform, Listener::Faktory, Listener::Agent, Listener::Health];
+        let addresses = listeners.iter().filter_map(|d| Some((*d, daemon.address(*d)?))).collect();
         let control = daemon.control();
         let thread = std::thread::spawn(move || daemon.run().expect("no fault of the poller"));
         Self {
@@ -70,12 +70,12 @@
         }
     }
 
-    pub fn address(&self, door: Door) -> SocketAddr {
-        self.addresses.iter().find(|(d, _)| *d == door).expect("an open door").1
+    pub fn address(&self, listener: Listener) -> SocketAddr {
+        self.addresses.iter().find(|(d, _)| *d == listener).expect("an open listener").1
     }
 
-    pub fn connect(&self, door: Door) -> Wire {
-        Wire::new(TcpStream::connect(self.address(door)).expect("a listener"))
+    pub fn connect(&self, listener: Listener) -> Wire {
+        Wire::new(TcpStream::connect(self.address(listener)).expect("a listener"))
     }
 
     pub fn stop(&mut self) {
--- a/pebblepost/tests/discovery.rs
+++ b/pebblepost/tests/discovery.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{Running, Wire, header, lines, platform, post, within, worker};
-use pebblepost::net::Door;
+use pebblepost::net::Listener;
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -76,7 +76,7 @@
 }
 
 fn ask(daemon: &Running, request: &str) -> (String, String) {
-    let mut wire = daemon.connect(Door::Platform);
+    let mut wire = daemon.connect(Listener::Platform);
     wire.say(request);
     let (head, body) = wire.message();
     (head.first().cloned().unwrap_or_default(), body)
@@ -219,7 +219,7 @@
     let start = Instant::now();
     let mut wires: Vec<Wire> = (0..12)
         .map(|n| {
-            let mut wire = daemon.connect(Door::Platform);
+            let mut wire = daemon.connect(Listener::Platform);
             wire.say(&post(&format!("t{n}"), "", ""));
             wire
         })
--- a/pebblepost/tests/faktory.rs
+++ b/pebblepost/tests/faktory.rs
@@ -4,7 +4,7 @@
 
 use common::{Running, Wire};
 use pebblepost::front::faktory::password_hash;
-use pebblepost::net::Door;
+use pebblepost::net::Listener;
 use serde_json::{Value, json};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -19,7 +19,7 @@
 }
 
 fn hello(daemon: &Running, wid: Option<&str>) -> Wire {
-    let mut wire = daemon.connect(Door::Faktory);
+    let mut wire = daemon.connect(Listener::Faktory);
     assert_eq!(wire.line(), r#"+HI {"v":2}"#);
     let mut hello = json!({"v": 2, "hostname": "test", "pid": 1});
     if let Some(wid) = wid {
@@ -268,7 +268,7 @@
 fn passwords_versions_and_bad_commands() {
     let daemon = start(json!({"password": "sesame"}));
     let greet = |password: &str| {
-        let mut wire = daemon.connect(Door::Faktory);
+        let mut wire = daemon.connect(Listener::Faktory);
         let hi: Value = serde_json::from_str(wire.line().trim_start_matches("+HI ")).expect("JSON");
         let rounds = u32::try_from(hi["i"].as_u64().expect("rounds")).expect("few");
         let hash = password_hash(password, hi["s"].as_str().expect("a salt"), rounds);
@@ -295,7 +295,7 @@
     assert!(wire.line().contains("\"faktory\""));
     wire.say("END\r\n");
     assert!(wire.ends());
-    let mut rude = daemon.connect(Door::Faktory);
+    let mut rude = daemon.connect(Listener::Faktory);
     rude.line();
     rude.say("PUSH {}\r\n");
     assert_eq!(rude.line(), "-ERR say HELLO first");
--- a/pebblepost/tests/fleet.rs
+++ b/pebblepost/tests/fleet.rs
@@ -5,7 +5,7 @@
 
 use common::keepers::{Keepers, LIMIT};
 use common::{Running, Wire, header, lines, platform, post, within, worker};
-use pebblepost::net::Door;
+use pebblepost::net::Listener;
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -19,7 +19,7 @@
 }
 
 fn serves(node: &Running) -> bool {
-    let mut wire = node.connect(Door::Platform);
+    let mut wire = node.connect(Listener::Platform);
     wire.say(&post("t", "", ""));
     wire.message().1 == "text"
 }
@@ -38,7 +38,7 @@
 }
 
 fn health(node: &Running) -> String {
-    let mut wire = node.connect(Door::Health);
+    let mut wire = node.connect(Listener::Health);
     wire.say("GET /health HTTP/1.1\r\nHost: h\r\n\r\n");
     wire.message().1
 }
--- a/pebblepost/tests/doors.rs
+++ b/pebblepost/tests/listeners.rs
@@ -1,9 +1,9 @@
-//! Random cuts of valid exchanges and random garbage at every door of a running daemon, from a fixed seed.
+//! Random cuts of valid exchanges and random garbage at every listener of a running daemon, from a fixed seed.
 
 mod common;
 
 use common::{Running, header, lines, platform, post, worker};
-use pebblepost::net::Door;
+use pebblepost::net::Listener;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 use serde_json::json;
@@ -11,7 +11,7 @@
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 
-const DOORS: [Door; 4] = [Door::Platform, Door::Faktory, Door::Agent, Door::Health];
+const LISTENERS: [Listener; 4] = [Listener::Platform, Listener::Faktory, Listener::Agent, Listener::Health];
 
 fn start() -> Running {
     let serves = worker(|wire, head| {
@@ -32,15 +32,19 @@
 }
 
 #[test]
-fn garbage_at_any_door_leaves_the_daemon_serving() {
+fn garbage_at_any_listener_leaves_the_daemon_serving() {
     let daemon = start();
     let starts =
         ["", "HELLO {\"v\":2,\"wid\":\"w\"}\r\nFETCH default\r\n", "{\"drain\":", "POST /api HTTP/1.1\r\n"];
-    let garbage =
-        (0..=DOORS.len(), prop::sample::select(starts.to_vec()), prop::collection::vec(any::<u8>(), 0..300));
-    let ran = runner(150).run(&garbage, |(door, start, bytes)| {
-        // The last is the agent's, which is no door of the loop.
-        let address = DOORS.get(door).map_or_else(|| daemon.control.expect("set"), |d| daemon.address(*d));
+    let garbage = (
+        0..=LISTENERS.len(),
+        prop::sample::select(starts.to_vec()),
+        prop::collection::vec(any::<u8>(), 0..300),
+    );
+    let ran = runner(150).run(&garbage, |(listener, start, bytes)| {
+        // The last is the agent's, which is no listener of the loop.
+        let address =
+            LISTENERS.get(listener).map_or_else(|| daemon.control.expect("set"), |d| daemon.address(*d));
         let mut stream = TcpStream::connect(address).expect("a listener");
         // The daemon may have closed in the middle of it.
         let _ = stream.write_all(&[start.as_bytes(), &bytes].concat());
@@ -48,27 +52,31 @@
         Ok(())
     });
     ran.expect("no failure");
-    let mut wire = daemon.connect(Door::Platform);
+    let mut wire = daemon.connect(Listener::Platform);
     wire.say(&post("t", "", ""));
     assert_eq!(wire.message().1, "text");
 }
 
 #[test]
-fn cuts_change_nothing_at_any_door() {
+fn cuts_change_nothing_at_any_listener() {
     let daemon = start();
     let talks = [
-        (Door::Platform, post("t", "Connection: close\r\n", "body"), "HTTP/1.1 200 OK\r\n"),
-        (Door::Health, "GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n".to_owned(), "HTTP/1.1 200 OK\r\n"),
+        (Listener::Platform, post("t", "Connection: close\r\n", "body"), "HTTP/1.1 200 OK\r\n"),
         (
-            Door::Faktory,
+            Listener::Health,
+            "GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n".to_owned(),
+            "HTTP/1.1 200 OK\r\n",
+        ),
+        (
+            Listener::Faktory,
             "HELLO {\"v\":2}\r\nBEAT {}\r\nEND\r\n".to_owned(),
             "+HI {\"v\":2}\r\n+OK\r\n-ERR unknown worker\r\n+OK\r\n",
         ),
     ];
     let cuts = (0..talks.len(), prop::collection::vec(any::<prop::sample::Index>(), 0..4));
     let ran = runner(30).run(&cuts, |(talk, cuts)| {
-        let (door, words, reply) = &talks[talk];
-        let mut stream = TcpStream::connect(daemon.address(*door)).expect("a listener");
+        let (listener, words, reply) = &talks[talk];
+        let mut stream = TcpStream::connect(daemon.address(*listener)).expect("a listener");
         stream.set_nodelay(true).expect("TCP");
         stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a sound time-out");
         let mut at: Vec<usize> = cuts.iter().map(|c| c.index(words.len())).chain([0, words.len()]).collect();
--- a/pebblepost/tests/platform.rs
+++ b/pebblepost/tests/platform.rs
@@ -4,7 +4,7 @@
 
 use common::{Running, Wire, header, lines, platform, post, worker};
 use pebblepost::front::platform::tenant;
-use pebblepost::net::Door;
+use pebblepost::net::Listener;
 use serde_json::{Value, json};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
@@ -21,7 +21,7 @@
 }
 
 fn ask(daemon: &Running, request: &str) -> (Vec<String>, String) {
-    let mut wire = daemon.connect(Door::Platform);
+    let mut wire = daemon.connect(Listener::Platform);
     wire.say(request);
     wire.message()
 }
@@ -35,7 +35,7 @@
         serves(wire, head);
     });
     let daemon = Running::start(Some(platform(&[good], None)), None);
-    let mut wire = daemon.connect(Door::Platform);
+    let mut wire = daemon.connect(Listener::Platform);
     wire.say("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
     assert_eq!(wire.message().0[0], "HTTP/1.1 200 OK");
     // Three sent ahead, one in chunks: each waits for the one before.
@@ -79,7 +79,7 @@
         (job.replace("Content-Length: 0", "Transfer-Encoding: gzip"), 501, true),
     ];
     for (request, status, closes) in cases {
-        let mut wire = daemon.connect(Door::Platform);
+        let mut wire = daemon.connect(Listener::Platform);
         wire.say(&request);
         let (head, _) = wire.message();
         assert!(
@@ -99,11 +99,11 @@
 #[test]
 fn silent_and_endless_clients_are_let_go_and_kept_ones_stay() {
     let daemon = Running::start(Some(platform(&[worker(serves)], None)), None);
-    let mut kept = daemon.connect(Door::Platform);
+    let mut kept = daemon.connect(Listener::Platform);
     kept.say(&post("t1", "", ""));
     assert_eq!(kept.message().1, "text");
     let (start, mut silent, mut endless) =
-        (Instant::now(), daemon.connect(Door::Platform), daemon.connect(Door::Platform));
+        (Instant::now(), daemon.connect(Listener::Platform), daemon.connect(Listener::Platform));
     endless.say("POST /api HTTP/1.1\r\n");
     for n in 0..4 {
         std::thread::sleep(Duration::from_millis(500));
@@ -191,7 +191,7 @@
         tell.send("was closed").expect("a listener");
     });
     let daemon = Running::start(Some(platform(&[waits], None)), None);
-    let mut wire = daemon.connect(Door::Platform);
+    let mut wire = daemon.connect(Listener::Platform);
     wire.say(&post("t", "", ""));
     let limit = Duration::from_secs(5);
     assert_eq!(told.recv_timeout(limit), Ok("has it"));
@@ -206,7 +206,7 @@
         serves(wire, head);
     });
     let mut daemon = Running::start(Some(platform(&[slow], None)), None);
-    let mut idle = daemon.connect(Door::Platform);
+    let mut idle = daemon.connect(Listener::Platform);
     idle.say("GET /ready HTTP/1.1\r\n\r\n");
     assert_eq!(idle.message().0[0], "HTTP/1.1 200 OK");
     daemon.stop();
@@ -214,7 +214,7 @@
         idle.say("GET /ready HTTP/1.1\r\n\r\n");
         idle.message().0[0].starts_with("HTTP/1.1 503").then_some(())
     });
-    let mut late = daemon.connect(Door::Platform);
+    let mut late = daemon.connect(Listener::Platform);
     late.say(&post("t", "", ""));
     let (head, body) = late.message();
     assert_eq!((head[0].as_str(), body.as_str()), ("HTTP/1.1 200 OK", "text"));
@@ -320,7 +320,7 @@
         tell.send(()).expect("a listener");
     });
     let daemon = Running::start(Some(platform(&[waits], None)), None);
-    let mut flood = std::net::TcpStream::connect(daemon.address(Door::Platform)).expect("a listener");
+    let mut flood = std::net::TcpStream::connect(daemon.address(Listener::Platform)).expect("a listener");
     flood.set_write_timeout(Some(Duration::from_millis(300))).expect("a sound time-out");
     flood.write_all(post("t", "", "").as_bytes()).expect("room");
     // More than the daemon will hold: it stops reading, and still notices the reset.
@@ -335,9 +335,9 @@
 fn balancers_are_told_of_the_real_state() {
     let operator = json!({"agent_check": {"listen": "127.0.0.1:0"}, "health": {"listen": "127.0.0.1:0"}});
     let mut daemon = Running::start(Some(platform(&[worker(serves)], None)), Some(operator.clone()));
-    let agent = |daemon: &Running| daemon.connect(Door::Agent).line();
+    let agent = |daemon: &Running| daemon.connect(Listener::Agent).line();
     let health = |daemon: &Running, path: &str| {
-        let mut wire = daemon.connect(Door::Health);
+        let mut wire = daemon.connect(Listener::Health);
         wire.say(&format!("GET {path} HTTP/1.0\r\n\r\n"));
         wire.message().0[0][9..12].to_owned()
     };
@@ -357,7 +357,7 @@
     // The limit of 256 leaves 140 for clients; idle ones make room for those that come.
     let mut held: Vec<Wire> = Vec::new();
     for i in 0..200 {
-        let mut wire = daemon.connect(Door::Platform);
+        let mut wire = daemon.connect(Listener::Platform);
         wire.say(&post(&format!("t{i}"), "", ""));
         assert_eq!(wire.message().1, "text");
         held.push(wire);
@@ -481,7 +481,7 @@
     config["settings"]["invariants"]["fall"] = json!(5e9); // How long whoever is blamed would be out.
     let daemon = Running::start(Some(config), None);
     let answer = |id: &str| {
-        let mut wire = daemon.connect(Door::Platform);
+        let mut wire = daemon.connect(Listener::Platform);
         wire.say(&post(id, "Cookie: k=77\r\n", "")); // Jobs of one key go to one worker.
         let (head, body) = wire.message();
         (head.first().cloned().unwrap_or_default(), body)
--- a/pebblepost/tests/release.rs
+++ b/pebblepost/tests/release.rs
@@ -5,7 +5,7 @@
 
 use common::keepers::{Keepers, LIMIT};
 use common::{Running, Wire, header, lines, platform, post, within, worker};
-use pebblepost::net::Door;
+use pebblepost::net::Listener;
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -155,7 +155,7 @@
         (keepers.fleet_until(&["members"]).matches(", ready").count() == 2).then_some(())
     });
     // A job of a long time runs there when the worker's permit is granted.
-    let mut wire = a.connect(Door::Platform);
+    let mut wire = a.connect(Listener::Platform);
     wire.say(&post("t", "", "").replace("X-Remaining-Ms: 2000", "X-Remaining-Ms: 60000"));
     within(LIMIT, "it runs", || (asked.load(Ordering::Relaxed) == 1).then_some(()));
     keepers.fleet_until(&["budget", "worker", "--most", "1"]);
@@ -216,7 +216,7 @@
             let (over, asked) = (over.clone(), &asked);
             scope.spawn(move || {
                 while !over.load(Ordering::Relaxed) {
-                    let mut wire = node.connect(Door::Platform);
+                    let mut wire = node.connect(Listener::Platform);
                     wire.say(&post(&format!("t{}", asked.fetch_add(1, Ordering::Relaxed)), "", ""));
                     wire.message();
                     std::thread::sleep(Duration::from_millis(50));
