--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run sites
 
 build:
 	cargo build --release --workspace --locked
@@ -13,3 +13,10 @@
 # PROXY_CONFIG names the configuration; the example's by default.
 run: build
 	PROXY_CONFIG=$${PROXY_CONFIG:-examples/config.json} target/release/pebblepost
+
+# What the operators' bench wants beside a site file of ours; not kept in the repository.
+GIVEN ?= ../given
+sites:
+	cp $(GIVEN)/kit/sites/real.json $(GIVEN)/kit/sites/wire.json deploy/sites/
+	cp $(GIVEN)/kit/users/unlock.txt deploy/sites/unlock.txt
+	chmod u+w deploy/sites/*
