--- a/pebblepost/tests/common/mod.rs
+++ b/pebblepost/tests/common/mod.rs
@@ -12,7 +12,8 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -30,10 +31,40 @@
     path
 }
 
+/// Where a daemon's loop stands still between two turns, so that a test can bring about what the next turn finds: the
+/// loop reads the configuration anew at a hangup, and that is where it is held.
+#[derive(Default)]
+struct Gate {
+    armed: AtomicBool,
+    inside: (Mutex<bool>, Condvar),
+}
+
+impl Gate {
+    fn pass(&self) {
+        if self.armed.swap(false, Ordering::SeqCst) {
+            let mut inside = self.inside.0.lock().expect("no panic");
+            *inside = true;
+            self.inside.1.notify_all();
+            drop(self.inside.1.wait_while(inside, |inside| *inside).expect("no panic"));
+        }
+    }
+
+    fn wait_inside(&self) {
+        let inside = self.inside.0.lock().expect("no panic");
+        drop(self.inside.1.wait_while(inside, |inside| !*inside).expect("no panic"));
+    }
+
+    fn open(&self) {
+        *self.inside.0.lock().expect("no panic") = false;
+        self.inside.1.notify_all();
+    }
+}
+
 /// A running daemon. Dropped, it gets the stop signal and must end.
 pub struct Running {
     signal: UnixStream,
     hangup: UnixStream,
+    gate: Arc<Gate>,
     thread: Option<JoinHandle<()>>,
     addresses: Vec<(Listener, SocketAddr)>,
     /// Where its agent listens to operators.
@@ -46,7 +77,10 @@
         let platform = platform.map(|json| file(&json));
         let operator = operator.map(|json| file(&json));
         let (files, op) = (platform.clone(), operator.clone());
+        let gate = Arc::new(Gate::default());
+        let held = gate.clone();
         let read = move || {
+            held.pass();
             let var =
                 |name: &str| (name == "PROXY_CONFIG").then(|| files.as_ref()?.to_str().map(str::to_owned))?;
             config::read(var, op.as_deref())
@@ -63,6 +97,7 @@
         Self {
             signal,
             hangup,
+            gate,
             thread: Some(thread),
             addresses,
             control,
@@ -88,6 +123,15 @@
         let _ = self.hangup.write_all(b"x");
     }
 
+    /// Holds the loop while `meanwhile` runs: all that it brings about is there when the next turn begins.
+    pub fn hold(&mut self, meanwhile: impl FnOnce(&mut Self)) {
+        self.gate.armed.store(true, Ordering::SeqCst);
+        let _ = self.hangup.write_all(b"x");
+        self.gate.wait_inside();
+        meanwhile(self);
+        self.gate.open();
+    }
+
     pub fn has_ended(&self) -> bool {
         self.thread.as_ref().is_none_or(JoinHandle::is_finished)
     }
@@ -155,6 +199,16 @@
         (head, String::from_utf8(body).expect("text"))
     }
 
+    /// All that comes until the end.
+    pub fn read_to_end(&mut self, rest: &mut Vec<u8>) -> std::io::Result<usize> {
+        self.0.read_to_end(rest)
+    }
+
+    /// The same connection, to be written to from elsewhere.
+    pub fn peer(&self) -> TcpStream {
+        self.0.get_ref().try_clone().expect("a descriptor")
+    }
+
     pub fn close(self) {
         let _ = self.0.get_ref().shutdown(std::net::Shutdown::Both);
     }
--- a/pebblepost/tests/discovery.rs
+++ b/pebblepost/tests/discovery.rs
@@ -39,10 +39,23 @@
     format!("{}\n", json!({"seq": seq, "whole": whole, "hosts": hosts}))
 }
 
-/// What a stand-in discovery does on the nth call for its list, from 0; the connection closes when it returns. Whoever
-/// asks for anything else (a daemon that takes the port for a worker's) is none of its callers.
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// What a stand-in discovery does on the nth call for its list, from 0, after the head of its answer; the connection closes
+/// when it returns.
 fn discovery(
     say: impl Fn(&mut Wire, usize) + Send + Sync + Clone + 'static,
+) -> (SocketAddr, Receiver<Instant>) {
+    raw_discovery(move |wire, n| {
+        wire.say(HEAD);
+        say(wire, n);
+    })
+}
+
+/// The same, from the first byte on. Whoever asks for anything else than the list (a daemon that takes the port for a
+/// worker's) is none of its callers.
+fn raw_discovery(
+    say: impl Fn(&mut Wire, usize) + Send + Sync + Clone + 'static,
 ) -> (SocketAddr, Receiver<Instant>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let (address, (called, calls)) = (listener.local_addr().expect("bound"), channel());
@@ -55,7 +68,6 @@
                 if wire.message().0.first().is_some_and(|line| line.starts_with("GET /v1/endpoints")) {
                     let n = callers.fetch_add(1, Ordering::Relaxed);
                     let _ = called.send(Instant::now());
-                    wire.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                     say(&mut wire, n);
                 }
             });
@@ -282,3 +294,168 @@
     (0..20).for_each(|_| assert!(served_by(&daemon)));
     assert_eq!(asked.load(Ordering::Relaxed), before, "nothing new to a drained worker");
 }
+
+const REFUSED: &str = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+
+/// How a watch falls silent after its first list, and what becomes of the next call: the one after that tells of a drain,
+/// and the drain is in force 6 s after the last sign of life.
+#[test]
+fn a_change_is_in_force_six_seconds_after_the_watch_fell_silent_whatever_fails() {
+    let silences: [fn(&mut Wire); 3] = [
+        |wire| assert!(wire.line().is_empty()),
+        // Half an object, and its rest in drops.
+        |wire| {
+            let mut drops = "{\"seq\":3,".chars().chain(std::iter::repeat(' '));
+            while wire.try_say(&format!("1\r\n{}\r\n", drops.next().expect("endless"))) {
+                std::thread::sleep(Duration::from_millis(200));
+            }
+        },
+        // A chunk that is never filled.
+        |wire| {
+            wire.say("ffff\r\n{");
+            assert!(wire.line().is_empty());
+        },
+    ];
+    let failures: [fn(&mut Wire); 3] = [
+        |_| {},
+        |wire| {
+            std::thread::sleep(Duration::from_secs(2));
+            let _ = wire.try_say(REFUSED);
+        },
+        |wire| {
+            let _ = wire.try_say("HTTP/1.1 200 OK\r\nTransfer-");
+        },
+    ];
+    let pairs = silences.into_iter().flat_map(|s| failures.into_iter().map(move |f| (s, f)));
+    let plays: Vec<_> = pairs
+        .map(|(silence, failure)| {
+            std::thread::spawn(move || {
+                let ((drained, asked), other) = (unwanted(), worker(serves));
+                let both = move |health| [host("s-0", drained, health), host("s-1", other, "ready")];
+                let (address, calls) = raw_discovery(move |wire, n| match n {
+                    0 => {
+                        wire.say(HEAD);
+                        chunk(wire, &list(2, true, &both("ready")));
+                        silence(wire);
+                    }
+                    1 => failure(wire),
+                    _ => {
+                        wire.say(HEAD);
+                        chunk(wire, &list(3, false, &both("draining")));
+                        stay(wire);
+                    }
+                });
+                let daemon = Running::start(Some(platform(&[drained, other], Some(address))), None);
+                let alive = calls.recv_timeout(LIMIT).expect("a first call");
+                while alive.elapsed() < Duration::from_secs(6) {
+                    served_by(&daemon);
+                    std::thread::sleep(Duration::from_millis(50));
+                }
+                let before = asked.load(Ordering::Relaxed);
+                assert!(before > 0, "it had work before");
+                (0..20).for_each(|_| assert!(served_by(&daemon)));
+                assert_eq!(asked.load(Ordering::Relaxed), before, "nothing new to a drained worker");
+            })
+        })
+        .collect();
+    plays.into_iter().for_each(|play| play.join().expect("in force in time"));
+}
+
+/// A whole list over many lines, as an operator's tool may indent it, in small pieces; then a change of the same kind.
+#[test]
+fn lists_may_be_indented() {
+    let (old, new) = (worker(serves), worker(serves));
+    let (address, _calls) = discovery(move |wire, _| {
+        let pretty = |value: Value| format!("{}\n", serde_json::to_string_pretty(&value).expect("JSON"));
+        let pieces = |wire: &mut Wire, text: &str| {
+            text.as_bytes().chunks(7).for_each(|c| chunk(wire, std::str::from_utf8(c).expect("ASCII")));
+        };
+        pieces(wire, &pretty(json!({"seq": 2, "whole": true, "hosts": [host("s-0", old, "ready")]})));
+        chunk(wire, "\n");
+        let hosts = [host("s-0", old, "draining"), host("s-new", new, "ready")];
+        pieces(wire, &pretty(json!({"seq": 3, "whole": false, "hosts": hosts})));
+        stay(wire);
+    });
+    // The known worker is closed: only the list brings one that serves.
+    let daemon = Running::start(Some(platform(&[], Some(address))), None);
+    within(Duration::from_secs(2), "the list counts", || served_by(&daemon).then_some(()));
+}
+
+/// A new process is given a list that may be old. It sends nothing by it before discovery has spoken: what changed long ago
+/// counts as told from its first moment.
+#[test]
+fn a_new_process_sends_nothing_by_the_list_it_was_given_while_discovery_answers() {
+    let ((drained, asked), other) = (unwanted(), worker(serves));
+    let (go, wait) = channel::<()>();
+    let wait = Arc::new(std::sync::Mutex::new(wait));
+    let (address, calls) = discovery(move |wire, _| {
+        let _ = wait.lock().expect("no panic").recv_timeout(LIMIT);
+        chunk(wire, &list(9, false, &[host("s-0", drained, "draining"), host("s-1", other, "ready")]));
+        stay(wire);
+    });
+    let daemon = Running::start(Some(platform(&[drained, other], Some(address))), None);
+    calls.recv_timeout(Duration::from_secs(1)).expect("a call at once");
+    let ready = || ask(&daemon, "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n").0.contains(" 200 ");
+    assert!(!ready(), "not before it knows");
+    let (status, _) = ask(&daemon, &post("t", "", ""));
+    assert!(status.contains(" 503 "), "refused at once, with when to come back: {status}");
+    go.send(()).expect("a waiting call");
+    within(Duration::from_secs(1), "ready with the list", || ready().then_some(()));
+    (0..20).for_each(|_| assert!(served_by(&daemon)));
+    assert_eq!(asked.load(Ordering::Relaxed), 0, "the drained one got work");
+}
+
+/// Processes that have all just started, with discovery down, refusing each call as late as it may, or answering in turn
+/// and too slowly for all: nine in ten are ready within 10 s, and the rest within 30 s.
+#[test]
+fn restarted_processes_are_ready_in_time_whatever_discovery_does() {
+    let good = worker(serves);
+    let closed = TcpListener::bind("127.78.1.3:0").and_then(|l| l.local_addr()).expect("a free port");
+    let (refuses, _calls) = raw_discovery(|wire, _| {
+        std::thread::sleep(Duration::from_secs(2));
+        let _ = wire.try_say(REFUSED);
+    });
+    let turn = Arc::new(std::sync::Mutex::new(()));
+    let (busy, _calls) = raw_discovery(move |wire, _| {
+        let asked = Instant::now();
+        let turn = turn.lock().expect("no panic");
+        if asked.elapsed() > Duration::from_secs(2) {
+            drop(turn);
+            let _ = wire.try_say(REFUSED);
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(200));
+        drop(turn);
+        if wire.try_say(HEAD) {
+            chunk(wire, &list(3, true, &[host("s-0", good, "ready")]));
+            stay(wire);
+        }
+    });
+    let plays: Vec<_> = [closed, refuses, busy]
+        .into_iter()
+        .map(|address| {
+            std::thread::spawn(move || {
+                let start = Instant::now();
+                let daemons = (0..20).map(|n| {
+                    let mut config = platform(&[good], Some(address));
+                    config["seed"] = json!(format!("{n}"));
+                    config["settings"]["instances"] = json!(20);
+                    Running::start(Some(config), None)
+                });
+                let daemons: Vec<Running> = daemons.collect();
+                let mut took: Vec<Duration> = daemons
+                    .iter()
+                    .map(|d| {
+                        within(Duration::from_secs(30), "ready", || {
+                            let ready = ask(d, "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n").0.contains(" 200 ");
+                            ready.then(|| start.elapsed())
+                        })
+                    })
+                    .collect();
+                took.sort();
+                assert!(took[17] < Duration::from_secs(10), "{took:?}");
+            })
+        })
+        .collect();
+    plays.into_iter().for_each(|play| play.join().expect("ready in time"));
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -27,8 +27,25 @@
     reports: Vec<(f64, usize)>,
     sent: Vec<(f64, f64)>,
     worst: f64,
+    /// The most that it was sent within the time of the fall, as a part of what it is allowed and what is chance.
+    fullest: f64,
 }
 
+/// A fleet and what its settings say of cold workers.
+#[derive(Clone, Copy, Debug)]
+struct Fleet {
+    nodes: u32,
+    tip: f64,
+    fall: f64,
+    /// They know nothing: all have just started, and forgotten what they sent.
+    fresh: bool,
+    /// Most of the traffic comes to few of them.
+    uneven: bool,
+}
+
+const FLEET: Fleet = Fleet { nodes: NODES, tip: 3.0, fall: 3.0, fresh: false, uneven: false };
+const MEAN_WORK: f64 = 0.5;
+
 impl ColdWorker {
     /// Capacity in work a second, at the least that it may have.
     fn capacity(at: f64) -> f64 {
@@ -48,34 +65,40 @@
         self.reports.iter().rev().find(|(when, _)| *when <= at - age).map_or(SLOTS, |(_, free)| *free)
     }
 
-    fn submit(&mut self, at: f64, work: f64, node: usize, id: u32) {
+    fn submit(&mut self, fleet: Fleet, at: f64, work: f64, node: usize, id: u32) {
         self.jobs.push(Job { left: work, node, id });
         self.sent.push((at, work));
-        let lately: f64 = self.sent.iter().filter(|(when, _)| *when > at - 3.0).map(|(_, w)| w).sum();
-        self.worst = self.worst.max(lately / (3.0 * Self::capacity(at)));
+        let lately: f64 = self.sent.iter().filter(|(when, _)| *when > at - fleet.fall).map(|(_, w)| w).sum();
+        self.worst = self.worst.max(lately / (fleet.fall * Self::capacity(at)));
+        // In requests of mean work: N that are allowed, and 2 x root of N + 2 put down to chance.
+        let n = fleet.tip * fleet.fall * Self::capacity(at) / MEAN_WORK;
+        self.fullest = self.fullest.max(lately / MEAN_WORK / (n + 2.0 * n.sqrt() + 2.0));
     }
 }
 
 /// Plays ten seconds of arrivals, `rate` a second over all nodes; returns the worst multiple of its capacity that the
-/// cold worker was sent within 3 s, and how many jobs it got.
-fn play(seed: u64, rate: f64, age: f64) -> (f64, usize) {
+/// cold worker was sent within the time of its fall, the fullest it was, and how many jobs it got.
+fn play(fleet: Fleet, seed: u64, rate: f64, age: f64) -> (f64, f64, usize) {
     let mut s = Settings {
-        nodes: NODES,
+        nodes: fleet.nodes,
         cold_from: COLD_FROM,
         warm_up: Duration::from_secs_f64(WARM_UP),
-        tip_multiple: 3.0,
-        fall: Duration::from_secs(3),
+        tip_multiple: fleet.tip,
+        fall: Duration::from_secs_f64(fleet.fall),
         tells_start: true,
         report_fields: vec![ReportField::FreeSlots],
         ..settings()
     };
     (s.classes[SAFE].aim, s.classes[SAFE].stretch) = (Duration::from_millis(600), 2.0);
-    let mut nodes: Vec<Node> = (0..NODES).map(|i| Node::seeded(s.clone(), 6, seed + u64::from(i))).collect();
+    let mut nodes: Vec<Node> =
+        (0..fleet.nodes).map(|i| Node::seeded(s.clone(), 6, seed + u64::from(i))).collect();
     for n in &mut nodes {
-        (0..6).for_each(|w| (0..3).for_each(|_| n.report_free(w, SLOTS as f32)));
+        if !fleet.fresh {
+            (0..6).for_each(|w| (0..3).for_each(|_| n.report_free(w, SLOTS as f32)));
+        }
         n.list(ListKind::Delta, &[(0, WorkerState::Ready, Some(START))]);
     }
-    let mut cold = ColdWorker { jobs: vec![], reports: vec![], sent: vec![], worst: 0.0 };
+    let mut cold = ColdWorker { jobs: vec![], reports: vec![], sent: vec![], worst: 0.0, fullest: 0.0 };
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut draw = |mean: f64| -mean * (1.0 - rng.random_range(0.0..1.0_f64)).ln();
     let (step, mut id, mut next) = (0.002, 0, 0.0);
@@ -87,7 +110,10 @@
         }
         while next <= at {
             (next, id) = (next + draw(1.0 / rate), id + 1);
-            let (work, node) = (draw(0.5), id as usize * 37 % NODES as usize);
+            let work = draw(MEAN_WORK);
+            let place = f64::from(id * 37 % 1009) / 1009.0;
+            let place = if fleet.uneven { place.powi(3) } else { place };
+            let node = (place * f64::from(fleet.nodes)) as usize;
             let n = &mut nodes[node];
             n.hinted(id, (work * 1e3) as u64, 1.0);
             for _ in 0..4 {
@@ -96,19 +122,36 @@
                 }
             }
             if n.sends().contains(&(id, 0)) {
-                cold.submit(at, work, node, id);
+                cold.submit(fleet, at, work, node, id);
             } else {
                 n.event(Event::ClientGone { id: RequestId(id) });
             }
         }
     }
-    (cold.worst, cold.sent.len())
+    (cold.worst, cold.fullest, cold.sent.len())
+}
+
+/// The sum of all stays within the budget that the settings give, and what is chance beyond it, whatever the number of
+/// processes, also if all have just started and have forgotten what they sent, and if few have most of the traffic.
+#[test]
+fn the_sum_of_all_stays_within_a_cold_workers_budget_for_any_number_of_processes() {
+    for nodes in [1, 5, 20, 30, 300] {
+        for (seed, fresh, uneven) in [(1, false, false), (2, true, false), (3, true, true), (4, false, true)]
+        {
+            for (tip, fall) in [(3.0, 3.0), (2.5, 1.0)] {
+                let fleet = Fleet { nodes, tip, fall, fresh, uneven };
+                let (_, fullest, jobs) = play(fleet, seed, 300.0, 0.05);
+                println!("{fleet:?}: {fullest:.2} of the budget, {jobs} jobs");
+                assert!(fullest <= 1.0, "{fleet:?}: {fullest:.2} of the budget and its chance");
+            }
+        }
+    }
 }
 
 #[test]
 fn a_hundred_dispatchers_push_no_cold_worker_over_and_do_not_leave_it_idle() {
     for (seed, rate, age) in [(1, 100.0, 0.03), (2, 300.0, 0.07), (4, 1500.0, 0.05), (5, 1500.0, 0.1)] {
-        let (worst, jobs) = play(seed, rate, age);
+        let (worst, _, jobs) = play(FLEET, seed, rate, age);
         println!("seed {seed}: {rate} a second, reports {age} s old: worst multiple {worst:.2}, {jobs} jobs");
         assert!(worst < 3.0, "seed {seed}: {worst:.2} times its capacity within 3 s");
         assert!(jobs > 10, "seed {seed}: only {jobs} jobs in 10 s");
