What came whole before a wrong chunk counts; a table of repeats; more seams tested

Lines that came whole now count first; the link ends after them. New tests: the table of effects, outcomes and second copies against WIRE's rule; what is looked at again when a late connection is up; departures first in a turn; floods; SIGHUP there and back; links that the worker closes in that turn; endless heads, lines and empty lines, foreign and missing ids. The table of worker's answers had lines without the id that the protocol demands: they have it now, or each would only show garbage.

--- a/pebblepost/src/workers.rs
+++ b/pebblepost/src/workers.rs
@@ -40,6 +40,8 @@
     id: String,
     head: Option<(Head, Body)>,
     lines: Buffer,
+    /// Its answer went wrong after what is in `lines`, which still counts.
+    spoilt: bool,
 }
 
 /// How a task went.
@@ -154,7 +156,15 @@
 
     fn new_link(&mut self, s: &mut Shared, worker: WorkerId, task: Task) -> Option<ConnKey> {
         let unsent = matches!(task, Task::Attempt(_));
-        let link = Link { worker, task, unsent, id: String::new(), head: None, lines: Buffer::default() };
+        let link = Link {
+            worker,
+            task,
+            unsent,
+            id: String::new(),
+            head: None,
+            lines: Buffer::default(),
+            spoilt: false,
+        };
         let key = s.net.connect(s.dial(worker)?, Role::Worker(link)).ok()?;
         s.net.set_deadline(key, Some(self.connect_timeout));
         Some(key)
@@ -215,10 +225,11 @@
             }
         }
         let Some((head, body)) = &mut link.head else { return false };
-        if body.decode(&mut conn.input, &mut link.lines).is_err() || link.lines.len() > MAX_LINE {
+        link.spoilt = link.spoilt || body.decode(&mut conn.input, &mut link.lines).is_err();
+        if link.lines.len() > MAX_LINE {
             return self.broken_answer(s, key);
         }
-        let done = body.done();
+        let (done, spoilt) = (body.done(), link.spoilt);
         let verdict = match task {
             Task::Tail => {
                 link.lines.consume(link.lines.len());
@@ -252,12 +263,14 @@
         };
         let worker = link.worker;
         match (task, verdict) {
+            (Task::Tail, _) if spoilt => self.broken_answer(s, key),
             (Task::Tail, _) => {
                 if done {
                     self.rest(s, key);
                 }
                 false
             }
+            (_, None) if spoilt => self.broken_answer(s, key),
             (_, None) => false,
             (Task::Attempt(attempt), Some(Verdict::Started)) => {
                 s.inputs.push(Input::Started(attempt));
--- a/pebblepost/tests/engine.rs
+++ b/pebblepost/tests/engine.rs
@@ -155,3 +155,179 @@
         prop_assert_eq!(engine.unanswered(), 0);
     }
 }
+
+/// A core with three workers: 0 and 1 in one zone, each in a cell of its own, 2 in another zone.
+struct Bench {
+    engine: Engine,
+    now: Time,
+    probes: Vec<WorkerId>,
+    sent: Vec<(DeliveryAttempt, WorkerId)>,
+    transmitted: Vec<DeliveryAttempt>,
+    given_up: Vec<DeliveryAttempt>,
+    answers: Vec<Answer>,
+}
+
+const ID: RequestId = RequestId(1);
+
+impl Bench {
+    fn new(effect: Effect, second_copies: bool) -> Self {
+        let mut settings = read_settings("test", &common::settings()).expect("sound settings");
+        settings.classes[0].effect = effect;
+        settings.second_copies = second_copies;
+        settings.zone = ZoneId(0);
+        let mut bench = Self {
+            engine: Engine::new(settings, 1, Time(1)),
+            now: Time(1),
+            probes: Vec::new(),
+            sent: Vec::new(),
+            transmitted: Vec::new(),
+            given_up: Vec::new(),
+            answers: Vec::new(),
+        };
+        let all = [0, 0, 1].into_iter().zip(0..).map(|(zone, n)| bench_entry(n, zone, WorkerState::Ready));
+        bench.turn(vec![Input::Members(ListKind::Cached, all.collect())]);
+        bench
+    }
+
+    fn turn(&mut self, mut inputs: Vec<Input>) {
+        let mut out = Vec::new();
+        self.engine.turn(self.now, &mut inputs, &mut out);
+        for output in out {
+            match output {
+                Output::Deliver(attempt, worker, _) => self.sent.push((attempt, worker)),
+                Output::Transmit(attempt, _) => self.transmitted.push(attempt),
+                Output::GiveUp(attempt) => self.given_up.push(attempt),
+                Output::Probe(worker) => self.probes.push(worker),
+                Output::Answer(_, answer) => self.answers.push(answer),
+                _ => {}
+            }
+        }
+    }
+
+    fn ask(&mut self, millis: u64) {
+        let time_left = Duration::from_millis(millis);
+        let request = Request {
+            class: ClassId(0),
+            time_left,
+            repeat: false,
+            slots: 1.0,
+            memory: 0.0,
+            work: None,
+            key: 0,
+            tenant: TenantId(0),
+        };
+        self.turn(vec![Input::Request(ID, request)]);
+    }
+
+    /// Answers all probes with room until one more attempt is sent, if one is.
+    fn answer_probes(&mut self) {
+        let before = self.sent.len();
+        for _ in 0..8 {
+            if let Some(worker) = self.probes.pop().filter(|_| self.sent.len() == before) {
+                let report = vec![0.0, 0.0, 4.0];
+                self.turn(vec![Input::Probed(worker, Status::Ok, Duration::from_millis(1), report)]);
+            }
+        }
+        self.probes.clear();
+    }
+}
+
+fn bench_entry(n: u32, zone: u16, state: WorkerState) -> Entry {
+    let (worker, cell) = (WorkerId(n), CellId(n as u16));
+    Entry { worker, zone: ZoneId(zone), kind: KindId(0), cell, state, name: u64::from(n), started: None }
+}
+
+/// WIRE's rule on effects as a table: after an attempt that ended so, where may a further one go, and may the request be
+/// refused?
+#[test]
+fn a_request_is_sent_again_and_refused_as_its_class_allows() {
+    let window = Duration::from_secs(10);
+    let keyed = |group| Effect::Keyed { group, window };
+    let (all, zone, cell) = (keyed(Group::All), keyed(Group::Zone), keyed(Group::Cell));
+    let proves = [Status::Full, Status::ConnectFailed];
+    let unsure = [Status::Error, Status::Reset, Status::Timeout, Status::Cancelled];
+    for effect in [Effect::Safe, all, zone, cell, Effect::Unsafe] {
+        for copies in [true, false] {
+            for status in proves.into_iter().chain(unsure) {
+                let never_ran = proves.contains(&status);
+                let mut again = 0;
+                let what = format!("{effect:?}, {status:?}, second copies: {copies}");
+                let mut bench = Bench::new(effect, copies);
+                bench.ask(3_000);
+                bench.answer_probes();
+                let (first, at) = bench.sent[0];
+                bench.turn(vec![Input::Ended(first, status, Vec::new(), Vec::new())]);
+                bench.answer_probes();
+                if let Some((_, to)) = bench.sent.get(1) {
+                    again += 1;
+                    let same_zone = (at.0 == 2) == (to.0 == 2);
+                    let allowed = never_ran
+                        || match effect {
+                            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+                            Effect::Keyed { group: Group::Zone, .. } => same_zone,
+                            Effect::Keyed { group: Group::Cell, .. } => to == &at,
+                            Effect::Unsafe => false,
+                        };
+                    assert!(allowed, "{what}: from {at:?} to {to:?}");
+                }
+                assert!(again == 1 || effect != Effect::Safe || bench.answers.len() == 1, "{what}: lost");
+                let refused = bench.answers.iter().any(|a| matches!(a, Answer::Rejected(_)));
+                let harmless = never_ran || matches!(effect, Effect::Safe) || effect == all;
+                assert!(harmless || !refused, "{what}: refused though it may have run");
+            }
+        }
+    }
+}
+
+/// An attempt's connection comes up after what made it right has passed: it is not sent, and ends as one that never ran.
+#[test]
+fn what_was_right_to_send_is_looked_at_again_when_the_connection_is_up() {
+    let window = Duration::from_millis(300);
+    let late: [(&str, fn(&mut Bench)); 5] = [
+        ("all is as it was", |_| {}),
+        ("its worker drains", |b| {
+            let worker = b.sent.last().expect("an attempt").1;
+            let zone = u16::from(worker.0 == 2);
+            b.turn(vec![Input::Members(
+                ListKind::Delta,
+                vec![bench_entry(worker.0, zone, WorkerState::Draining)],
+            )]);
+        }),
+        ("its worker has gone from a whole list", |b| {
+            b.turn(vec![Input::Members(ListKind::Full, Vec::new())]);
+        }),
+        ("its client has gone", |b| b.turn(vec![Input::ClientGone(ID)])),
+        ("the window for repeats has closed", |b| b.now = b.now + Duration::from_millis(301)),
+    ];
+    for (what, happens) in late {
+        let mut bench = Bench::new(Effect::Keyed { group: Group::All, window }, true);
+        bench.ask(3_000);
+        bench.answer_probes();
+        let first = bench.sent[0].0;
+        bench.turn(vec![Input::Connected(first)]);
+        assert_eq!(bench.transmitted, [first], "the first goes out");
+        bench.turn(vec![Input::Ended(first, Status::Reset, Vec::new(), Vec::new())]);
+        bench.answer_probes();
+        let second = bench.sent.get(1).expect("a further attempt").0;
+        happens(&mut bench);
+        bench.turn(vec![Input::Connected(second)]);
+        let goes = bench.transmitted.contains(&second);
+        assert_eq!(goes, what == "all is as it was", "{what}");
+        assert!(goes || bench.given_up.contains(&second), "{what}: its connection is ended");
+    }
+}
+
+/// All that one turn may find together with a client's close: nothing of it sends what the client asked for.
+#[test]
+fn a_client_that_has_gone_counts_before_all_else_in_its_turn() {
+    for close_first in [true, false] {
+        let mut bench = Bench::new(Effect::Safe, true);
+        bench.ask(3_000);
+        let worker = bench.probes.pop().expect("a probe");
+        let answer = Input::Probed(worker, Status::Ok, Duration::from_millis(1), vec![0.0, 0.0, 4.0]);
+        let gone = Input::ClientGone(ID);
+        bench.turn(if close_first { vec![gone, answer] } else { vec![answer, gone] });
+        assert!(bench.sent.is_empty() && bench.answers.is_empty());
+        assert_eq!(bench.engine.unanswered(), 0);
+    }
+}
--- a/pebblepost/tests/platform.rs
+++ b/pebblepost/tests/platform.rs
@@ -145,11 +145,34 @@
 fn whatever_a_worker_does_ends_that_attempt_only() {
     let told = |line: Value| move |wire: &mut Wire, _: &[String]| lines(wire, std::slice::from_ref(&line));
     for (what, (seen, status)) in [
-        ("failed", attempts(told(json!({"state": "failed"})))),
-        ("lost", attempts(told(json!({"state": "lost"})))),
-        ("returned", attempts(told(json!({"state": "returned"})))),
-        ("an unknown state", attempts(told(json!({"state": "dreaming"})))),
-        ("done with no result", attempts(told(json!({"state": "done"})))),
+        ("failed", attempts(told(json!({"id": "t", "state": "failed"})))),
+        ("lost", attempts(told(json!({"id": "t", "state": "lost"})))),
+        ("returned", attempts(told(json!({"id": "t", "state": "returned"})))),
+        ("an unknown state", attempts(told(json!({"id": "t", "state": "dreaming"})))),
+        ("done with no result", attempts(told(json!({"id": "t", "state": "done"})))),
+        ("another one's line", attempts(told(json!({"id": "u", "state": "done", "result": "text"})))),
+        ("no id", attempts(told(json!({"state": "done", "result": "text"})))),
+        ("an endless head", attempts(|w, _| while w.try_say("X-More: of it\r\n") {})),
+        (
+            "an endless line",
+            attempts(|w, _| {
+                w.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                while w.try_say(&format!("1000\r\n{}\r\n", "x".repeat(0x1000))) {}
+            }),
+        ),
+        (
+            "endless empty lines",
+            attempts(|w, _| {
+                w.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                while w.try_say("1\r\n\n\r\n") {
+                    std::thread::sleep(Duration::from_millis(1));
+                }
+            }),
+        ),
+        (
+            "a wrong chunk",
+            attempts(|w, _| w.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nno\r\n")),
+        ),
         ("500", attempts(|w, _| w.say("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"))),
         ("garbage", attempts(|w, _| w.say("\u{1}\u{2}garbage\r\n\r\n"))),
         ("an end with no last line", attempts(|w, _| w.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))),
--- a/pebblepost/tests/races.rs
+++ b/pebblepost/tests/races.rs
@@ -58,7 +58,9 @@
 fn a_client_that_leaves_in_the_turn_of_the_probes_answer_has_nothing_sent() {
     for close_first in [true, false] {
         let (address, probes, jobs) = held_worker();
-        let mut daemon = Running::start(Some(platform(&[address], None)), None);
+        let mut config = platform(&[address], None);
+        config["settings"]["tick"] = json!(100_000_000); // A probe is waited for longer than the loop is held.
+        let mut daemon = Running::start(Some(config), None);
         let mut client = daemon.connect(Listener::Platform);
         client.say(&post("t", "", ""));
         let mut probe = probes.recv_timeout(LIMIT).expect("a probe");
@@ -239,6 +241,105 @@
     }
 }
 
+/// What is wrong after `done` costs the request nothing, and the next one gets a link of its own.
+#[test]
+fn a_wrong_chunk_after_done_ends_the_link_only() {
+    let bad = worker(|wire, head| {
+        let id = header(head, "x-txn").expect("an id");
+        let line = format!("{}\n", json!({"id": id, "state": "done", "result": format!("for {id}")}));
+        wire.say(&format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{line}\r\nno chunk\r\n",
+            line.len()
+        ));
+    });
+    let daemon = Running::start(Some(platform(&[bad], None)), None);
+    let mut client = daemon.connect(Listener::Platform);
+    for txn in ["t", "u", "v"] {
+        assert_eq!(ask(&mut client, txn).1, format!("for {txn}"));
+    }
+}
+
+/// The worker closes its idle link in the turn in which a request would be put on it.
+#[test]
+fn an_idle_link_that_the_worker_closes_in_that_turn_costs_no_answer() {
+    let (tell, told) = channel();
+    let closes = worker(move |wire, head| {
+        serves(wire, head);
+        let _ = tell.send(wire.peer());
+    });
+    let mut daemon = Running::start(Some(platform(&[closes], None)), None);
+    let mut client = daemon.connect(Listener::Platform);
+    for n in 0..5 {
+        assert_eq!(ask(&mut client, &format!("t{n}")).1, format!("for t{n}"));
+        let link: TcpStream = told.recv_timeout(LIMIT).expect("a job");
+        daemon.hold(|_| {
+            client.say(&post(&format!("u{n}"), "", ""));
+            link.shutdown(std::net::Shutdown::Both).expect("an open link");
+        });
+        assert_eq!(client.message().1, format!("for u{n}"));
+        told.recv_timeout(LIMIT).expect("the job");
+    }
+}
+
+/// Hundreds send much at once and leave, others send a head without end, others rest: usual clients are served on.
+#[test]
+fn floods_leave_the_usual_clients_served() {
+    let mut config = platform(&[worker(serves)], None);
+    config["limits"]["sockets"] = json!(128);
+    let daemon = Running::start(Some(config), None);
+    let address = daemon.address(Listener::Platform);
+    let floods: Vec<_> = (0..4)
+        .map(|kind| {
+            std::thread::spawn(move || {
+                for n in 0..75 {
+                    let Ok(mut stream) = TcpStream::connect(address) else { continue };
+                    let _ = stream.set_write_timeout(Some(Duration::from_millis(20)));
+                    let much = post(&format!("f{kind}-{n}"), "", "").repeat(400);
+                    let _ = match kind {
+                        0 | 1 => stream.write_all(much.as_bytes()),
+                        2 => stream
+                            .write_all(format!("POST /api HTTP/1.1\r\nX: {}", "x".repeat(30_000)).as_bytes()),
+                        _ => Ok(()),
+                    };
+                }
+            })
+        })
+        .collect();
+    for n in 0..100 {
+        let mut client = daemon.connect(Listener::Platform);
+        assert_eq!(ask(&mut client, &format!("t{n}")).1, format!("for t{n}"));
+    }
+    floods.into_iter().for_each(|f| f.join().expect("no panic"));
+}
+
+/// SIGHUP to another discovery and back while the first watch there is still half open: the watch of the first counts
+/// throughout, and what it tells after the return is in force.
+#[test]
+fn a_move_of_discovery_and_back_ends_where_it_began() {
+    let (first, say) = told_discovery();
+    // The other takes the connection and says nothing.
+    let other = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let (old, new) =
+        (worker(|wire, _| wire.say("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")), worker(serves));
+    let config = platform(&[old], Some(first));
+    let mut daemon = Running::start(Some(config.clone()), None);
+    let mut balancer = daemon.connect(Listener::Platform);
+    within(LIMIT, "the watch is confirmed", || {
+        balancer.say("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+        balancer.message().0[0].contains(" 200 ").then_some(())
+    });
+    let mut moved = config.clone();
+    moved["discovery"] = json!(other.local_addr().expect("bound"));
+    daemon.reload(&moved.to_string());
+    let _half_open = other.accept().expect("a call there");
+    daemon.reload(&config.to_string());
+    let host = |name, dial: SocketAddr, health| json!({"host": name, "dial": dial, "site": "a", "class": "m", "block": 0, "health": health, "born_ms": 0});
+    let hosts = [host("s-0", old, "draining"), host("s-1", new, "ready")];
+    say.send(format!("{}\n", json!({"seq": 2, "whole": false, "hosts": hosts}))).expect("a watch");
+    let mut client = daemon.connect(Listener::Platform);
+    within(Duration::from_secs(2), "its word counts", || ask(&mut client, "t").1.eq("for t").then_some(()));
+}
+
 /// The descriptors are full, a newcomer and a request of the client that rests longest come in one turn: the client is
 /// not closed over its request.
 #[test]
