No rush after a watch that ends at once; what is sent ahead is kept up to 512 KiB

One that ends within 1 s now waits as after a call that failed (discovery.rs, on_closed). - Where lists are pushed, an agent that has no news says so after 2 s; with 0.4 s for the first line it was taken for one that is down, and a new process stood unready until two calls had failed. Once its head has come it has 2.2 s. - A client's input was dropped past 80 KiB also while no answer was pending, where it had been read in turn before. Now only while one is, and past 512 KiB (4 MiB for all). - Who goes on connecting could hold up the end of a listener: 16 turns of accepting.

Tests: a_watch_that_ends_at_once_is_not_taken_up_in_a_rush, an_agent_without_news_is_not_taken_for_one_that_is_down.

--- a/pebblepost/src/discovery.rs
+++ b/pebblepost/src/discovery.rs
@@ -38,6 +38,10 @@
 /// all. What it has then counts as told at once.
 const AGENT_TIMEOUT: Duration = Duration::from_millis(400);
 const AGENT_PAUSE: Duration = Duration::from_millis(50);
+/// Once it has begun to answer it is not down: if it has no news, its first line comes after 2 s.
+const AGENT_QUIET: Duration = Duration::from_millis(2200);
+/// A watch that ended sooner was none: the next one waits as after a call that failed.
+const SHORT: Duration = Duration::from_secs(1);
 /// So many calls in a row have to fail before a new process goes by the list that it was given at the start.
 const FAILURES_TO_RELY_ON_KNOWN: u32 = 2;
 /// Longest object of discovery.
@@ -315,6 +319,7 @@
 pub struct Call {
     head: Option<(Head, Body)>,
     objects: Buffer,
+    opened: Time,
     confirmed: bool,
 }
 
@@ -383,7 +388,7 @@
             s.net.deadlines.withdraw(next);
         }
         let from = if self.unheard { 0 } else { s.registry.seq };
-        let call = Call { head: None, objects: Buffer::default(), confirmed: false };
+        let call = Call { head: None, objects: Buffer::default(), opened: s.net.now, confirmed: false };
         match s.net.connect(address, Role::Discovery(call)) {
             Ok(key) => {
                 let request =
@@ -453,12 +458,14 @@
 
     /// The watch ended or brought garbage.
     pub fn on_closed(&mut self, s: &mut Shared, key: ConnKey) {
-        let confirmed = matches!(s.net.close(key), Some(Role::Discovery(call)) if call.confirmed);
+        let now = s.net.now;
+        let lasted = |call: &Call| call.confirmed && now >= call.opened + SHORT;
+        let lasted = matches!(s.net.close(key), Some(Role::Discovery(call)) if lasted(&call));
         self.leaving.take_if(|call| *call == key);
         if self.watching.take_if(|call| *call == key).is_none() {
             return;
         }
-        if confirmed {
+        if lasted {
             // It spoke until now: the first call after it is no repeat.
             (s.log)("discovery: the watch ended");
             return self.keep_up(s);
@@ -492,6 +499,10 @@
                 Ok(Some(head)) if head.status == 200 => {
                     let body = Body::new(head.framing);
                     call.head = Some((head, body));
+                    if self.pushed {
+                        s.net.set_deadline(key, Some(AGENT_QUIET));
+                    }
+                    return Ok(Some(Vec::new()));
                 }
                 Ok(None) => return Ok(None),
                 _ => return Err(()),
--- a/pebblepost/src/net.rs
+++ b/pebblepost/src/net.rs
@@ -20,10 +20,14 @@
 
 /// Descriptors kept free for the poller, signals, listeners, logs and files.
 pub const RESERVE: usize = 32;
-/// Above so many bytes a connection's input is not kept; one read adds 64 KiB at most. All clients that the
+/// Above so many bytes a connection's input is not read on; one read adds 64 KiB at most. All clients that the
 /// budget lets in, each holding that much and a body, stay under 192 MB.
 const MAX_INPUT: usize = 80 * 1024;
-/// A client that sends so much ahead of its answer, and more than is kept, is none to wait for.
+/// A client whose answer is pending is read on all the same, as its end would lie unseen behind what is not read: so much
+/// that it sends ahead is kept, as long as that of all together is under the second figure, and the rest is dropped.
+const MAX_AHEAD: usize = 512 * 1024;
+const MAX_AHEAD_OF_ALL: usize = 4 * 1024 * 1024;
+/// A client of which so much was dropped is none to wait for.
 const MAX_SPILLED: usize = 1024 * 1024;
 /// Input of workers and discovery may be larger: a result is escaped inside a line of JSON.
 const MAX_TRUSTED_INPUT: usize = 1024 * 1024;
@@ -82,8 +86,7 @@
     stream: TcpStream,
     /// Received and not yet consumed.
     pub input: Buffer,
-    /// Bytes of a client that came after these and were dropped: it is read on while its answer is pending, as its
-    /// end would lie unseen behind what is not read.
+    /// Bytes of a client that came after these and were dropped.
     pub spilled: usize,
     output: Buffer,
     /// The protocol.
@@ -110,6 +113,11 @@
         }
     }
 
+    /// A client whose answer is pending.
+    fn waits(&self) -> bool {
+        matches!(self.role, Role::Client(platform::ClientState::Waiting(_)))
+    }
+
     /// Whether its peer has sent nothing that was not looked at, nor ended: a close would reset away what is on its
     /// way to the peer, and a request put on it would meet what lies there.
     pub fn is_quiet(&self) -> bool {
@@ -476,7 +484,7 @@
     /// Asks the poller for what the connection now waits for.
     pub fn sync(&mut self, key: ConnKey) {
         let Some(conn) = self.get(key) else { return };
-        let reads = matches!(conn.role, Role::Client(_)) || conn.input.len() < conn.max_input();
+        let reads = conn.waits() || conn.input.len() < conn.max_input();
         let wanted = (reads, !conn.connected || !conn.output.is_empty());
         if conn.interest != wanted {
             conn.interest = wanted;
@@ -504,15 +512,20 @@
     pub fn read(&mut self, key: ConnKey) -> bool {
         let mut scratch = std::mem::take(&mut self.scratch);
         let mut alive = true;
+        let ahead = |(_, (_, c)): (usize, &(u32, Conn))| c.input.len().saturating_sub(MAX_INPUT);
+        let may_keep = || self.conns.iter().map(ahead).sum::<usize>() < MAX_AHEAD_OF_ALL;
+        let waits = self.conns.get(key.0 & 0xffff_ffff).is_some_and(|(_, c)| c.waits());
+        let ahead = (waits && may_keep()).then_some(MAX_AHEAD);
         if let Some(conn) = self.get(key) {
             // Input is full and not asked for, so what the poller reports can only be the connection's end: it
             // would go on reporting that without a pause.
             alive = conn.interest.0;
-            while alive && (conn.input.len() < conn.max_input() || matches!(conn.role, Role::Client(_))) {
+            let most = ahead.unwrap_or(conn.max_input());
+            while alive && (conn.input.len() < most || waits) {
                 match conn.stream.read(&mut scratch) {
                     Ok(0) => alive = false,
                     Ok(n) => {
-                        if conn.spilled > 0 || conn.input.len() >= conn.max_input() {
+                        if conn.spilled > 0 || conn.input.len() >= most {
                             conn.spilled += n;
                             alive = conn.spilled < MAX_SPILLED;
                         } else if !matches!(conn.role, Role::Closing) {
--- a/pebblepost/src/turn.rs
+++ b/pebblepost/src/turn.rs
@@ -20,6 +20,9 @@
 /// After SIGTERM new connections are taken and old ones kept for so long, as balancers notice late.
 const LAST_CALLS: Duration = Duration::from_millis(500);
 
+/// So many times what one turn accepts is a listener's whole backlog.
+const BACKLOG_TURNS: usize = 16;
+
 /// Where there is an agent it is told this often what is still out at drained workers, and how the workers stand.
 const LOOK: Duration = Duration::from_millis(200);
 
@@ -377,7 +380,8 @@
                 for which in [Listener::Platform, Listener::Faktory] {
                     // Whoever has connected is served: the end of the listener would reset what it has not given out.
                     if let Some(index) = self.s.net.index(which) {
-                        while self.accept(index) {}
+                        // As many as a backlog holds: who goes on connecting must not hold up the end.
+                        let _ = (0..BACKLOG_TURNS).all(|_| self.accept(index));
                     }
                     self.s.net.shut(which);
                 }
--- a/pebblepost/tests/discovery.rs
+++ b/pebblepost/tests/discovery.rs
@@ -466,3 +466,41 @@
         .collect();
     plays.into_iter().for_each(|play| play.join().expect("ready in time"));
 }
+
+/// A discovery that answers each call with the list and ends it is called as one that fails is, not without a pause.
+#[test]
+fn a_watch_that_ends_at_once_is_not_taken_up_in_a_rush() {
+    for (mode, most) in [("ask", 5), ("push", 30)] {
+        let good = worker(serves);
+        let (address, calls) =
+            discovery(move |wire, _| chunk(wire, &list(3, true, &[host("s-0", good, "ready")])));
+        let mut config = platform(&[good], Some(address));
+        config["settings"]["discovery"] = json!(mode);
+        let daemon = Running::start(Some(config), None);
+        let first = calls.recv_timeout(LIMIT).expect("a first call");
+        let more = std::iter::from_fn(|| {
+            calls.recv_timeout(Duration::from_secs(1).saturating_sub(first.elapsed())).ok()
+        });
+        let n = more.count();
+        assert!((1..most).contains(&n), "{mode}: {n} more calls within a second");
+        assert!(served_by(&daemon));
+    }
+}
+
+/// An agent that has no news begins to answer at once, and its first line comes after two seconds.
+#[test]
+fn an_agent_without_news_is_not_taken_for_one_that_is_down() {
+    let good = worker(serves);
+    let (address, calls) = discovery(|wire, _| {
+        std::thread::sleep(Duration::from_secs(2));
+        stay(wire);
+    });
+    let mut config = platform(&[good], Some(address));
+    config["settings"]["discovery"] = json!("push");
+    let daemon = Running::start(Some(config), None);
+    calls.recv_timeout(LIMIT).expect("a call");
+    within(Duration::from_secs(3), "its line says that the list is current", || {
+        served_by(&daemon).then_some(())
+    });
+    assert!(calls.try_recv().is_err(), "called once");
+}
