--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! SWIM membership without I/O or clock.
--- /dev/null
+++ b/crates/messages/src/feed.rs
@@ -0,0 +1,126 @@
+//! The feed: versioned updates that the control plane streams to agents, stores and standby
+//! control processes, and that an agent passes on to its proxy.
+
+use crate::Member;
+use nanoserde::{DeBin, SerBin};
+
+/// Whether a transcriber takes new requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, SerBin, DeBin)]
+pub enum InstanceState {
+    /// Takes requests.
+    #[default]
+    Ready,
+    /// Finishes what it has.
+    Draining,
+    /// Ended, or not heard for so long that it is taken to have ended.
+    Gone,
+}
+
+/// A model that a transcriber holds, with the version of its weights.
+#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct ModelVersion {
+    /// Name of the model.
+    pub model: String,
+    /// Version of its weights.
+    pub generation: u64,
+}
+
+/// One incarnation of a transcriber, as last announced.
+#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct Instance {
+    /// Identity of the incarnation; never used again.
+    pub id: String,
+    /// Service that it belongs to.
+    pub backend: String,
+    /// `ip:port` at which it takes requests.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub state: InstanceState,
+    /// How much longer it stays slow from its start, at the time of the announcement.
+    pub cold_remaining_ms: u32,
+    /// Models and versions that it holds.
+    pub models: Vec<ModelVersion>,
+    /// Sequence number of the announcement: a higher one replaces a lower one.
+    pub sequence: u64,
+}
+
+/// The operator's configuration, whole or as a change of the one before.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub enum ConfigurationUpdate {
+    /// The whole document.
+    Whole {
+        /// Its version.
+        generation: u64,
+        /// The document, JSON.
+        document: Vec<u8>,
+    },
+    /// A patch on the version `base`.
+    Patch {
+        /// Version that the patch builds on.
+        base: u64,
+        /// Version that it makes.
+        generation: u64,
+        /// The patch, JSON.
+        patch: Vec<u8>,
+    },
+}
+
+/// Who serves a group of batch jobs.
+#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct StoreGroup {
+    /// Number of the group.
+    pub group: u32,
+    /// Epoch of the assignment: a higher one replaces a lower one.
+    pub epoch: u64,
+    /// The primary.
+    pub primary: Member,
+    /// The in-sync replicas, the primary among them.
+    pub in_sync: Vec<Member>,
+    /// The machines that the control plane wants to hold the group.
+    pub targets: Vec<Member>,
+}
+
+/// One change of what the data plane acts by.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub enum FeedUpdate {
+    /// The configuration. A receiver ignores one that is not newer than what it has.
+    Configuration(ConfigurationUpdate),
+    /// Transcribers that changed; with `whole` the complete list: ids that are not in it are gone.
+    Instances {
+        /// The list is complete.
+        whole: bool,
+        /// The transcribers.
+        instances: Vec<Instance>,
+    },
+    /// Groups of batch jobs that changed.
+    StoreGroups(Vec<StoreGroup>),
+    /// The newest named version of each model.
+    NamedVersions(Vec<ModelVersion>),
+    /// How many proxies are connected, for shares of limits.
+    ProxyCount(u32),
+}
+
+/// Updates that are sent together.
+#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct FeedBatch {
+    /// Number of the batch on its connection, from 1; acknowledged by the receiver.
+    pub sequence: u64,
+    /// The updates, in their order.
+    pub updates: Vec<FeedUpdate>,
+}
+
+/// From an agent or proxy back to its feeder.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub enum FeedReply {
+    /// All batches up to this one are in force.
+    Acknowledge {
+        /// Number of the newest batch in force.
+        sequence: u64,
+        /// Version of the configuration in force.
+        generation: u64,
+    },
+}
--- /dev/null
+++ b/crates/transcriber/src/lib.rs
@@ -0,0 +1,187 @@
+//! HTTP client for transcribers: connections, whole answers, streams, load reports.
+//!
+//! Interface agreed with the programs. Everything runs on a current-thread `tokio` runtime.
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A transcriber to which a request is sent.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Target {
+    /// Identity of the incarnation, sent as `Target-Instance`.
+    pub instance: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// A request to send on.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// Method.
+    pub method: Method,
+    /// Path and query, unchanged.
+    pub path: String,
+    /// Headers to pass on; those of one connection only are already taken out. `Host` and
+    /// `Request-Id` are among them.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Id that must come back in the answer.
+    pub request_id: String,
+    /// Time left, sent as `Deadline-Ms`; the call ends by itself then.
+    pub deadline: Duration,
+}
+
+/// Why a call brought no answer of the transcriber's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No connection, or the connection turned out closed before a byte of the request was
+    /// written: it has not run.
+    NotSent,
+    /// The connection broke or fell silent after bytes were written: it may have run.
+    MayHaveRun,
+    /// Nothing by the deadline: it may have run.
+    TimedOut,
+}
+
+/// Load of a transcriber, as `Instance-Load` or `GET /report` tell it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Slots, where told.
+    pub slots: Option<u32>,
+    /// An order is under way.
+    pub busy: bool,
+    /// Orders taken.
+    pub sequence: u64,
+    /// Models and their versions.
+    pub models: Vec<(String, u64)>,
+}
+
+/// Head of an answer that carries the right `Request-Id`.
+#[derive(Clone, Debug)]
+pub struct AnswerHead {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers, without those of one connection only.
+    pub headers: HeaderMap,
+    /// The transcriber says that it did not run the request (`Not-Executed`, or status 421).
+    pub not_executed: bool,
+    /// Load, where the answer tells it.
+    pub load: Option<Load>,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Its head.
+    pub head: AnswerHead,
+    /// Its body, whole.
+    pub body: Bytes,
+}
+
+/// One event of a stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StreamEvent {
+    /// Its id.
+    pub id: u64,
+    /// Its data lines, joined by line feeds.
+    pub data: Vec<u8>,
+    /// Version named in it, if it changes there.
+    pub weight_version: Option<u64>,
+    /// Its bytes as they came, the empty line at its end included.
+    pub raw: Bytes,
+}
+
+/// A stream whose head has arrived. Dropping it closes the connection, and with that the run.
+#[derive(Debug)]
+pub struct EventStream;
+
+impl EventStream {
+    /// Next event; `None` at the complete end of the body. An error if the connection broke, fell
+    /// silent for `silence`, or brought bytes that are no event.
+    pub async fn next(&mut self, silence: Duration) -> Result<Option<StreamEvent>, Failure> {
+        todo!()
+    }
+}
+
+/// Answer to a request for a stream.
+#[derive(Debug)]
+pub enum StreamAnswer {
+    /// A stream begins (a 2xx with `text/event-stream`).
+    Stream(AnswerHead, EventStream),
+    /// Any other answer, whole.
+    Whole(Answer),
+}
+
+/// What the client does, counted since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClientCounts {
+    /// Connections opened.
+    pub connections: u64,
+    /// Requests sent, reports and orders included.
+    pub requests: u64,
+    /// Reports asked for.
+    pub reports: u64,
+}
+
+/// Limits of the client.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLimits {
+    /// Time for a connection to come up.
+    pub connect: Duration,
+    /// Most connections to one transcriber, idle and busy together.
+    pub most_connections_each: usize,
+    /// An idle connection is closed after this time, or earlier if `Keep-Alive` says so.
+    pub idle: Duration,
+    /// Most bytes of a whole answer.
+    pub most_body_bytes: usize,
+}
+
+/// The client; cheap to clone, shared within one thread.
+#[derive(Clone, Debug)]
+pub struct Client {
+    _shared: Rc<()>,
+}
+
+#[allow(unused_variables)]
+impl Client {
+    /// A client.
+    pub fn new(limits: ClientLimits) -> Client {
+        todo!()
+    }
+    /// Sends a request and reads its whole answer. Dropping the future closes the connection.
+    pub async fn send(&self, target: &Target, request: Outgoing) -> Result<Answer, Failure> {
+        todo!()
+    }
+    /// Sends a request whose answer may be a stream; the head must come by the deadline.
+    pub async fn open_stream(&self, target: &Target, request: Outgoing) -> Result<StreamAnswer, Failure> {
+        todo!()
+    }
+    /// Asks for the load: `GET /report`.
+    pub async fn report(&self, target: &Target, timeout: Duration) -> Result<Load, Failure> {
+        todo!()
+    }
+    /// Sends an order: `POST /order` with a JSON body; the status.
+    pub async fn order(&self, target: &Target, body: Bytes, timeout: Duration) -> Result<StatusCode, Failure> {
+        todo!()
+    }
+    /// Changes the limits (a configuration came).
+    pub fn set_limits(&self, limits: ClientLimits) {
+        todo!()
+    }
+    /// Closes the idle connections to a transcriber that drains or is gone.
+    pub fn forget(&self, target: &Target) {
+        todo!()
+    }
+    /// Counts so far.
+    pub fn counts(&self) -> ClientCounts {
+        todo!()
+    }
+}
