--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -1,12 +1,23 @@
 //! Framed TCP links between processes: bounded queues, silence detected.
 //!
-//! A frame is its length (4 bytes, little endian) and a `nanoserde` message. Interface agreed
-//! with the programs; everything runs on the caller's current-thread `tokio` runtime
-//! (`spawn_local`), so nothing here needs `Send`.
+//! Each side starts with a preamble that names the protocol and its version. A frame is its length (4 bytes,
+//! little endian) and a `nanoserde` message. Everything runs on the caller's current-thread `tokio` runtime
+//! inside a `LocalSet` (`spawn_local`), so nothing here is `Send`. The link sends nothing by itself:
+//! keep-alives are messages of the programs.
+
+mod candidates;
+pub mod control_client;
+mod frame;
+mod receiver;
+mod sender;
+mod shared;
+mod socket;
+mod writer;
+
+pub use receiver::Receiver;
+pub use sender::Sender;
+pub use socket::{Listener, connect};
 
-use eyre::Result;
-use nanoserde::{DeBin, SerBin};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Limits of a link.
@@ -21,65 +32,3 @@
     /// A link from which nothing was read for so long is closed.
     pub silence: Duration,
 }
-
-/// The writing half of a link; cheap to clone. Never blocks: what can't be queued closes the link.
-#[derive(Clone, Debug)]
-pub struct Sender;
-
-/// The reading half of a link.
-#[derive(Debug)]
-pub struct Receiver;
-
-#[allow(unused_variables)]
-impl Sender {
-    /// Queues a message. False if the link is closed or was closed by this.
-    pub fn send<M: SerBin>(&self, message: &M) -> bool {
-        todo!()
-    }
-    /// Closes the link, both halves.
-    pub fn close(&self) {
-        todo!()
-    }
-    /// Whether the link is closed.
-    pub fn is_closed(&self) -> bool {
-        todo!()
-    }
-    /// Bytes that wait to be written.
-    pub fn queued_bytes(&self) -> usize {
-        todo!()
-    }
-    /// Address of the other end.
-    pub fn peer(&self) -> SocketAddr {
-        todo!()
-    }
-}
-
-impl Receiver {
-    /// Next message. An error says why the link ended (closed, silent, a frame that can't be
-    /// read), with the peer's address.
-    pub async fn receive<M: DeBin>(&mut self) -> Result<M> {
-        todo!()
-    }
-}
-
-/// Opens a link.
-#[allow(unused_variables)]
-pub async fn connect(address: SocketAddr, limits: LinkLimits) -> Result<(Sender, Receiver)> {
-    todo!()
-}
-
-/// Accepts links.
-#[derive(Debug)]
-pub struct Listener;
-
-#[allow(unused_variables)]
-impl Listener {
-    /// Listens at an address (with address reuse; retried by the caller if the port is taken).
-    pub fn bind(address: SocketAddr, limits: LinkLimits) -> Result<Listener> {
-        todo!()
-    }
-    /// Next link.
-    pub async fn accept(&mut self) -> Result<(Sender, Receiver)> {
-        todo!()
-    }
-}
--- /dev/null
+++ b/crates/link/tests/link.rs
@@ -0,0 +1,287 @@
+//! Links over real loopback sockets.
+
+use eyre::Result;
+use nanoserde::{DeBin, SerBin};
+use pebblepost_link::{LinkLimits, Listener, Receiver, Sender, connect};
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::{LocalSet, spawn_local, yield_now};
+
+const LIMITS: LinkLimits = LinkLimits {
+    most_frame_bytes: 4 * 1024 * 1024,
+    most_queued_bytes: 8 * 1024 * 1024,
+    connect: Duration::from_secs(5),
+    silence: Duration::from_secs(60),
+};
+const PREAMBLE: &[u8] = b"pbplink1";
+
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+struct Note {
+    number: u64,
+    body: Vec<u8>,
+}
+
+fn note(number: u64, length: usize) -> Note {
+    Note { number, body: (0..length).map(|index| (index % 251) as u8).collect() }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+struct Ends {
+    left: (Sender, Receiver),
+    right: (Sender, Receiver),
+}
+
+async fn ends(limits: LinkLimits) -> Ends {
+    let mut listener = Listener::bind(loopback(), limits).unwrap();
+    let address = listener.local_address().unwrap();
+    let (left, right) = tokio::join!(connect(address, limits), listener.accept());
+    Ends { left: left.unwrap(), right: right.unwrap() }
+}
+
+/// A link whose other end writes bytes of its own.
+async fn raw_end(limits: LinkLimits) -> (TcpStream, Sender, Receiver) {
+    let mut listener = Listener::bind(loopback(), limits).unwrap();
+    let address = listener.local_address().unwrap();
+    let (stream, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
+    let (sender, receiver) = accepted.unwrap();
+    (stream.unwrap(), sender, receiver)
+}
+
+async fn error_of(receiver: &mut Receiver) -> String {
+    receiver.receive::<Note>().await.unwrap_err().to_string()
+}
+
+fn frame(body: &[u8]) -> Vec<u8> {
+    let mut bytes = PREAMBLE.to_vec();
+    bytes.extend_from_slice(&u32::try_from(body.len()).unwrap().to_le_bytes());
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+#[tokio::test]
+async fn messages_of_all_sizes_arrive_whole_and_in_order_both_ways() {
+    let exchange = async {
+        let mut ends = ends(LIMITS).await;
+        let sizes = [0, 1, 3, 4096, 65_536, 100_000, 1_500_000, 2, 0];
+        for (number, size) in sizes.into_iter().enumerate() {
+            assert!(ends.left.0.send(&note(number as u64, size)));
+            assert!(ends.right.0.send(&note(100 + number as u64, size)));
+        }
+        for (number, size) in sizes.into_iter().enumerate() {
+            assert_eq!(ends.right.1.receive::<Note>().await.unwrap(), note(number as u64, size));
+        }
+        for (number, size) in sizes.into_iter().enumerate() {
+            assert_eq!(ends.left.1.receive::<Note>().await.unwrap(), note(100 + number as u64, size));
+        }
+        assert_eq!((ends.left.0.queued_bytes(), ends.right.0.queued_bytes()), (0, 0));
+    };
+    LocalSet::new().run_until(exchange).await;
+}
+
+#[tokio::test]
+async fn a_call_that_is_dropped_loses_no_message() {
+    let exchange = async {
+        let mut ends = ends(LIMITS).await;
+        for number in 0..200 {
+            ends.left.0.send(&note(number, 5000));
+        }
+        let mut expected = 0;
+        while expected < 200 {
+            tokio::select! {
+                biased;
+                received = ends.right.1.receive::<Note>() => {
+                    assert_eq!(received.unwrap(), note(expected, 5000));
+                    expected += 1;
+                }
+                () = yield_now() => {}
+            }
+        }
+    };
+    LocalSet::new().run_until(exchange).await;
+}
+
+#[tokio::test]
+async fn what_was_queued_before_the_close_still_arrives() {
+    let exchange = async {
+        let mut ends = ends(LIMITS).await;
+        ends.left.0.send(&note(1, 300_000));
+        ends.left.0.close();
+        assert!(!ends.left.0.send(&note(2, 1)));
+        assert!(ends.left.0.is_closed());
+        assert!(error_of(&mut ends.left.1).await.ends_with("closed by this end"));
+        assert_eq!(ends.right.1.receive::<Note>().await.unwrap(), note(1, 300_000));
+        assert!(error_of(&mut ends.right.1).await.ends_with(": closed by the other end"));
+        assert!(ends.right.0.is_closed());
+        assert!(!ends.right.0.send(&note(3, 1)));
+    };
+    LocalSet::new().run_until(exchange).await;
+}
+
+#[tokio::test]
+async fn closing_wakes_a_receiver_that_waits() {
+    let exchange = async {
+        let ends = ends(LIMITS).await;
+        let (sender, mut receiver) = ends.left;
+        let waiting = spawn_local(async move { error_of(&mut receiver).await });
+        yield_now().await;
+        sender.close();
+        assert!(waiting.await.unwrap().ends_with("closed by this end"));
+    };
+    LocalSet::new().run_until(exchange).await;
+}
+
+#[tokio::test]
+async fn dropping_the_receiver_closes_the_link() {
+    let exchange = async {
+        let mut ends = ends(LIMITS).await;
+        drop(ends.left.1);
+        assert!(ends.left.0.is_closed());
+        assert!(error_of(&mut ends.right.1).await.ends_with("closed by the other end"));
+    };
+    LocalSet::new().run_until(exchange).await;
+}
+
+#[tokio::test]
+async fn an_error_names_the_peer_and_stays_the_same() {
+    let exchange = async {
+        let (stream, sender, mut receiver) = raw_end(LIMITS).await;
+        drop(stream);
+        let error = error_of(&mut receiver).await;
+        assert_eq!(error, format!("link with {}: closed by the other end", sender.peer()));
+        assert_eq!(error_of(&mut receiver).await, error);
+    };
+    LocalSet::new().run_until(exchange).await;
+}
+
+#[tokio::test]
+async fn a_half_closed_link_ends_after_its_last_message() {
+    let exchange = async {
+        let (mut stream, sender, mut receiver) = raw_end(LIMITS).await;
+        stream.write_all(&frame(&note(7, 3).serialize_bin())).await.unwrap();
+        stream.shutdown().await.unwrap();
+        assert_eq!(receiver.receive::<Note>().await.unwrap(), note(7, 3));
+        assert!(error_of(&mut receiver).await.ends_with("closed by the other end"));
+        assert!(sender.is_closed());
+        let mut rest = Vec::new();
+        stream.read_to_end(&mut rest).await.unwrap();
+    };
+    LocalSet::new().run_until(exchange).await;
+}
+
+#[tokio::test]
+async fn an_end_in_the_middle_of_a_frame_is_told() {
+    let exchange = async {
+        let (mut stream, _sender, mut receiver) = raw_end(LIMITS).await;
+        let bytes = frame(&note(7, 30).serialize_bin());
+        stream.write_all(&bytes[..bytes.len() - 1]).await.unwrap();
+        stream.shutdown().await.unwrap();
+        assert!(error_of(&mut receiver).await.ends_with("in the middle of a frame"));
+    };
+    LocalSet::new().run_until(exchange).await;
+}
+
+/// The body of a [`Note`] whose list says that it has `length` bytes.
+fn note_of_announced_length(length: u64) -> Vec<u8> {
+    let mut body = 1u64.to_le_bytes().to_vec();
+    body.extend_from_slice(&length.to_le_bytes());
+    body
+}
+
+#[rstest]
+#[case::another_protocol(b"GET / HTTP/1.1\r\n\r\n".to_vec(), "the other end speaks another protocol")]
+#[case::start_of_another_protocol(b"GE".to_vec(), "the other end speaks another protocol")]
+#[case::oversize(
+    [PREAMBLE, &u32::MAX.to_le_bytes()].concat(),
+    "a frame of 4294967295 bytes is over the 4194304 allowed"
+)]
+#[case::short_body(
+    frame(&[1, 2, 3]),
+    "a frame of 3 bytes can't be read: Bin deserialize error at:0 wanted:8 bytes but max size is 3"
+)]
+#[case::long_body(frame(&[note(1, 1).serialize_bin(), vec![0, 0]].concat()), "a frame of 19 bytes has 2 too many")]
+#[case::impossible_length(
+    frame(&note_of_announced_length(u64::MAX)),
+    "a frame of 16 bytes names an impossible length"
+)]
+#[case::empty_body(
+    frame(&[]),
+    "a frame of 0 bytes can't be read: Bin deserialize error at:0 wanted:8 bytes but max size is 0"
+)]
+#[tokio::test]
+async fn garbage_closes_the_link(#[case] bytes: Vec<u8>, #[case] reason: &str) {
+    let exchange = async {
+        let (mut stream, sender, mut receiver) = raw_end(LIMITS).await;
+        stream.write_all(&bytes).await.unwrap();
+        let error = error_of(&mut receiver).await;
+        assert_eq!(error, format!("link with {}: {reason}", sender.peer()));
+        assert!(sender.is_closed());
+    };
+    LocalSet::new().run_until(exchange).await;
+}
+
+#[tokio::test]
+async fn a_message_that_the_other_end_would_refuse_is_not_sent() {
+    let exchange = async {
+        let mut ends = ends(LinkLimits { most_frame_bytes: 1000, ..LIMITS }).await;
+        assert!(!ends.left.0.send(&note(1, 1000)));
+        assert!(error_of(&mut ends.left.1).await.ends_with("a message is over 1000 bytes"));
+    };
+    LocalSet::new().run_until(exchange).await;
+}
+
+#[tokio::test]
+async fn a_peer_that_does_not_read_gets_its_link_closed() {
+    let exchange = async {
+        let limits = LinkLimits { most_queued_bytes: 300_000, ..LIMITS };
+        let mut ends = ends(limits).await;
+        let mut sent = 0u64;
+        while ends.left.0.send(&note(sent, 50_000)) {
+            assert!(ends.left.0.queued_bytes() <= limits.most_queued_bytes);
+            sent += 1;
+            yield_now().await;
+        }
+        assert!(sent >= 5, "closed after {sent} messages");
+        assert!(ends.left.0.is_closed());
+        let error = error_of(&mut ends.left.1).await;
+        assert!(error.ends_with("bytes wait to be written, more than allowed"), "{error}");
+    };
+    LocalSet::new().run_until(exchange).await;
+}
+
+#[tokio::test]
+async fn silence_closes_the_link_and_every_read_puts_it_off() {
+    let exchange = async {
+        let silence = Duration::from_millis(1500);
+        let (mut stream, sender, mut receiver) = raw_end(LinkLimits { silence, ..LIMITS }).await;
+        tokio::time::pause();
+        stream.write_all(PREAMBLE).await.unwrap();
+        let bytes = frame(&note(7, 3).serialize_bin());
+        for _ in 0..5 {
+            tokio::time::advance(Duration::from_millis(1400)).await;
+            stream.write_all(&bytes[PREAMBLE.len()..]).await.unwrap();
+            assert_eq!(receiver.receive::<Note>().await.unwrap(), note(7, 3));
+        }
+        let last = tokio::time::Instant::now();
+        assert!(error_of(&mut receiver).await.ends_with("nothing was read for 1500 ms"));
+        // The timer rounds up to whole milliseconds.
+        assert!((1500..=1501).contains(&last.elapsed().as_millis()), "{:?}", last.elapsed());
+        assert!(sender.is_closed());
+    };
+    LocalSet::new().run_until(exchange).await;
+}
+
+#[tokio::test]
+async fn a_port_without_listener_is_an_error_with_the_address() {
+    let refused = async {
+        let address = Listener::bind(loopback(), LIMITS).unwrap().local_address().unwrap();
+        let result: Result<_> = connect(address, LIMITS).await;
+        assert_eq!(result.unwrap_err().to_string(), format!("connecting to {address}"));
+    };
+    LocalSet::new().run_until(refused).await;
+}
