Rollout: planner of weight versions, with a simulated fleet

Orders go one at a time to a transcriber and to a third of a service at once; unanswered orders are looked into by reports before another is sent. Schedules with lost answers, crashes and hangs hold the limit, load nothing twice and end current.

--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -2,8 +2,11 @@
 //!
 //! Interface agreed with the control program; times are the caller's steady clock.
 
-use pebblepost_messages::feed::Instance;
-use std::time::Duration;
+mod choice;
+mod planner;
+mod transcriber;
+
+pub use planner::Planner;
 
 /// How an order treats what runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -81,40 +84,3 @@
         generation: u64,
     },
 }
-
-/// The planner of one lease holder.
-#[derive(Debug, Default)]
-pub struct Planner;
-
-#[allow(unused_variables)]
-impl Planner {
-    /// A planner that may send its first order at `not_before` (a former holder's orders must be
-    /// `lease_ms` old by then).
-    pub fn new(not_before: Duration) -> Planner {
-        todo!()
-    }
-    /// A model's newest named version, and whether its texts must be made under one version.
-    pub fn name_version(&mut self, now: Duration, model: &str, generation: u64, single_version: bool) {
-        todo!()
-    }
-    /// A transcriber was announced, changed or ended.
-    pub fn instance(&mut self, now: Duration, instance: &Instance) {
-        todo!()
-    }
-    /// An order was answered.
-    pub fn order_answered(&mut self, now: Duration, order: &Order, answer: OrderAnswer) {
-        todo!()
-    }
-    /// A report came; `None`: it failed.
-    pub fn reported(&mut self, now: Duration, instance: &str, report: Option<Reported>) {
-        todo!()
-    }
-    /// Time passed; to be called every 50 ms or so.
-    pub fn tick(&mut self, now: Duration) {
-        todo!()
-    }
-    /// Takes what the caller must do.
-    pub fn take_outputs(&mut self) -> Vec<PlanOutput> {
-        todo!()
-    }
-}
--- /dev/null
+++ b/crates/rollout/tests/fleet.rs
@@ -0,0 +1,74 @@
+//! Properties of the planner over a simulated fleet: the limit of loads holds, no version is
+//! loaded twice or after a newer one was named, and all transcribers become current in time.
+
+mod simulation;
+
+use rstest::rstest;
+use simulation::{Faults, FleetShape, Random, Simulation, model_name};
+use std::time::Duration;
+
+const SMALL: FleetShape = FleetShape { transcribers: 9, models: 1, load: Duration::from_millis(400) };
+const THREE_MODELS: FleetShape = FleetShape { transcribers: 9, models: 3, load: Duration::from_millis(600) };
+const LARGE: FleetShape = FleetShape { transcribers: 45, models: 1, load: Duration::from_millis(250) };
+/// Schedules per case, times the transcribers of a fleet.
+const SCHEDULED_TRANSCRIBERS: u64 = 360;
+
+/// Names versions of all models at random times over 20 s.
+fn name_versions(simulation: &mut Simulation, shape: FleetShape, random: &mut Random) {
+    let mut newest = vec![1; shape.models];
+    for _ in 0..6 {
+        for (number, generation) in newest.iter_mut().enumerate() {
+            simulation.run_for(Duration::from_millis(random.below(2500)));
+            *generation += 1;
+            simulation.name_version(&model_name(number), *generation, number % 2 == 0);
+        }
+    }
+}
+
+#[rstest]
+#[case::small("small", SMALL, Duration::from_millis(3000))]
+#[case::three_models("three models", THREE_MODELS, Duration::from_millis(9000))]
+#[case::large("large", LARGE, Duration::from_millis(2500))]
+fn a_calm_fleet_is_current_soon(#[case] name: &str, #[case] shape: FleetShape, #[case] most: Duration) {
+    let mut simulation = Simulation::new(shape, Faults::default(), 7);
+    simulation.run_for(Duration::from_secs(3));
+    let named_at = simulation.now;
+    for number in 0..shape.models {
+        simulation.name_version(&model_name(number), 2, true);
+    }
+    let all = simulation.run_until_current(most);
+    for number in 0..shape.models {
+        let (first, last) = simulation.held_times[&(model_name(number), 2)];
+        println!("{name}: model {number}: first {:?}, last {:?}", first - named_at, last - named_at);
+    }
+    let (orders, asks, loads) = (simulation.orders, simulation.asks, simulation.loads);
+    println!("{name}: all after {all:?}; {loads} loads, {orders} orders, {asks} reports");
+    assert_eq!(loads, shape.transcribers * shape.models);
+    assert_eq!(orders, loads);
+    assert_eq!(simulation.most_loading, shape.transcribers.div_ceil(3));
+}
+
+#[rstest]
+#[case::calm(Faults::default())]
+#[case::lost_answers(Faults { lost_answers: 4, ..Faults::default() })]
+#[case::crashes(Faults { crash_every: Some(Duration::from_secs(2)), ..Faults::default() })]
+#[case::hangs(Faults { hang_every: Some(Duration::from_secs(2)), ..Faults::default() })]
+#[case::all(Faults {
+    lost_answers: 6,
+    crash_every: Some(Duration::from_secs(4)),
+    hang_every: Some(Duration::from_secs(3)),
+})]
+fn every_transcriber_becomes_current_whatever_happens(
+    #[case] faults: Faults, #[values(SMALL, THREE_MODELS, LARGE)] shape: FleetShape,
+) {
+    let mut longest = Duration::ZERO;
+    for seed in 0..SCHEDULED_TRANSCRIBERS / shape.transcribers as u64 {
+        let mut simulation = Simulation::new(shape, Faults::default(), seed);
+        simulation.run_for(Duration::from_secs(5));
+        simulation.faults = faults;
+        name_versions(&mut simulation, shape, &mut Random(seed + 1000));
+        simulation.faults = Faults::default();
+        longest = longest.max(simulation.run_until_current(Duration::from_secs(20)));
+    }
+    println!("{faults:?} {shape:?}: {longest:?} at the most after the last trouble");
+}
--- /dev/null
+++ b/crates/rollout/tests/planner.rs
@@ -0,0 +1,282 @@
+//! Single exchanges with the planner: which answer leads to what.
+
+use pebblepost_messages::feed::{Instance, InstanceState, ModelVersion};
+use pebblepost_rollout::{LoadMode, Order, OrderAnswer, PlanOutput, Planner, Reported};
+use rstest::rstest;
+use std::time::Duration;
+
+const MODEL: &str = "daka510000";
+
+fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+fn instance(id: &str, generation: u64, sequence: u64) -> Instance {
+    Instance {
+        id: id.to_owned(),
+        backend: "huvo11a".to_owned(),
+        address: format!("{id}:8080"),
+        zone: "celje-a".to_owned(),
+        slots: 12,
+        models: vec![ModelVersion { model: MODEL.to_owned(), generation }],
+        sequence,
+        ..Instance::default()
+    }
+}
+
+fn report(busy: bool, generation: u64) -> Option<Reported> {
+    Some(Reported { busy, models: vec![(MODEL.to_owned(), generation)], running: 0 })
+}
+
+fn orders(planner: &mut Planner) -> Vec<Order> {
+    let outputs = planner.take_outputs();
+    outputs
+        .into_iter()
+        .filter_map(|output| match output {
+            PlanOutput::Send(order) => Some(order),
+            _ => None,
+        })
+        .collect()
+}
+
+/// A planner with one transcriber that was just ordered to load version 2.
+fn one_order() -> (Planner, Order) {
+    let mut planner = Planner::new(Duration::ZERO);
+    planner.instance(ms(0), &instance("i-1", 1, 1));
+    planner.name_version(ms(0), MODEL, 2, false);
+    let order = orders(&mut planner).pop().expect("one order");
+    (planner, order)
+}
+
+fn asks(outputs: &[PlanOutput]) -> usize {
+    outputs.iter().filter(|output| matches!(output, PlanOutput::Ask { .. })).count()
+}
+
+#[test]
+fn an_order_is_followed_until_the_version_is_held() {
+    let (mut planner, order) = one_order();
+    planner.order_answered(ms(5), &order, OrderAnswer::UnderWay);
+    planner.tick(ms(300));
+    assert_eq!(planner.take_outputs(), []);
+    planner.tick(ms(355));
+    assert_eq!(asks(&planner.take_outputs()), 1);
+    planner.reported(ms(360), "i-1", report(true, 1));
+    planner.tick(ms(500));
+    assert_eq!(planner.take_outputs(), []);
+    planner.tick(ms(510));
+    assert_eq!(asks(&planner.take_outputs()), 1);
+    planner.reported(ms(515), "i-1", report(false, 2));
+    let held = PlanOutput::Holds { instance: "i-1".to_owned(), model: MODEL.to_owned(), generation: 2 };
+    assert_eq!(planner.take_outputs(), [held]);
+    assert_eq!(planner.next_wake(ms(515)), None);
+}
+
+#[test]
+fn a_busy_transcriber_does_not_count_as_done() {
+    let (mut planner, order) = one_order();
+    planner.order_answered(ms(5), &order, OrderAnswer::UnderWay);
+    planner.tick(ms(355));
+    planner.take_outputs();
+    planner.reported(ms(360), "i-1", report(true, 2));
+    assert_eq!(planner.take_outputs(), []);
+}
+
+#[rstest]
+#[case::single_version(true, LoadMode::Wait)]
+#[case::several_versions(false, LoadMode::Retain)]
+fn the_mode_follows_the_texts(#[case] single_version: bool, #[case] mode: LoadMode) {
+    let mut planner = Planner::new(Duration::ZERO);
+    planner.instance(ms(0), &instance("i-1", 1, 1));
+    planner.name_version(ms(0), MODEL, 2, single_version);
+    assert_eq!(orders(&mut planner)[0].mode, mode);
+}
+
+#[test]
+fn nothing_is_ordered_before_a_former_holder_is_out() {
+    let mut planner = Planner::new(ms(3000));
+    planner.instance(ms(0), &instance("i-1", 1, 1));
+    planner.name_version(ms(0), MODEL, 2, false);
+    assert_eq!(planner.next_wake(ms(0)), Some(ms(3000)));
+    planner.tick(ms(2999));
+    assert_eq!(planner.take_outputs(), []);
+    planner.tick(ms(3000));
+    assert_eq!(orders(&mut planner).len(), 1);
+}
+
+#[test]
+fn versions_that_were_passed_over_are_not_loaded() {
+    let mut planner = Planner::new(ms(1000));
+    planner.instance(ms(0), &instance("i-1", 1, 1));
+    planner.name_version(ms(0), MODEL, 2, false);
+    planner.name_version(ms(10), MODEL, 3, false);
+    planner.name_version(ms(20), MODEL, 2, false);
+    planner.tick(ms(1000));
+    let sent: Vec<u64> = orders(&mut planner).iter().map(|order| order.generation).collect();
+    assert_eq!(sent, [3]);
+}
+
+#[test]
+fn an_unanswered_order_is_looked_into_before_another_is_sent() {
+    let (mut planner, order) = one_order();
+    planner.order_answered(ms(100), &order, OrderAnswer::Unknown);
+    planner.tick(ms(250));
+    assert_eq!(asks(&planner.take_outputs()), 1);
+    planner.reported(ms(255), "i-1", report(false, 1));
+    assert_eq!(planner.take_outputs(), [], "the report may be older than the order");
+    planner.tick(ms(800));
+    assert_eq!(asks(&planner.take_outputs()), 1);
+    planner.reported(ms(805), "i-1", report(false, 1));
+    assert_eq!(orders(&mut planner).len(), 1);
+}
+
+#[test]
+fn an_unanswered_order_that_was_taken_is_not_repeated() {
+    let (mut planner, order) = one_order();
+    planner.order_answered(ms(100), &order, OrderAnswer::Unknown);
+    planner.tick(ms(250));
+    planner.take_outputs();
+    planner.reported(ms(255), "i-1", report(true, 1));
+    planner.tick(ms(800));
+    planner.take_outputs();
+    planner.reported(ms(805), "i-1", report(false, 2));
+    assert_eq!(orders(&mut planner), []);
+}
+
+#[test]
+fn a_conflict_is_asked_about_soon() {
+    let (mut planner, order) = one_order();
+    planner.order_answered(ms(5), &order, OrderAnswer::Conflict);
+    planner.tick(ms(100));
+    assert_eq!(planner.take_outputs(), []);
+    planner.tick(ms(205));
+    assert_eq!(asks(&planner.take_outputs()), 1);
+}
+
+#[test]
+fn a_refused_order_is_repeated_after_growing_pauses() {
+    let (mut planner, mut order) = one_order();
+    let mut now = ms(5);
+    for pause in [300, 600, 1200, 2400, 3000, 3000] {
+        planner.order_answered(now, &order, OrderAnswer::Refused);
+        planner.tick(now + ms(pause - 1));
+        assert_eq!(planner.take_outputs(), []);
+        now += ms(pause);
+        planner.tick(now);
+        order = orders(&mut planner).pop().expect("the order again");
+    }
+}
+
+#[test]
+fn a_fenced_transcriber_is_asked_later_and_not_ordered_until_then() {
+    let (mut planner, order) = one_order();
+    planner.order_answered(ms(5), &order, OrderAnswer::Fenced);
+    planner.tick(ms(1004));
+    assert_eq!(planner.take_outputs(), []);
+    planner.tick(ms(1005));
+    assert_eq!(asks(&planner.take_outputs()), 1);
+    planner.reported(ms(1010), "i-1", report(false, 1));
+    assert_eq!(orders(&mut planner).len(), 1);
+}
+
+#[test]
+fn an_older_announcement_does_not_undo_what_is_held() {
+    let (mut planner, order) = one_order();
+    planner.order_answered(ms(5), &order, OrderAnswer::AlreadyHolds);
+    planner.take_outputs();
+    planner.instance(ms(900), &instance("i-1", 1, 2));
+    planner.tick(ms(2000));
+    assert_eq!(planner.take_outputs(), []);
+}
+
+#[rstest]
+#[case::draining(InstanceState::Draining)]
+#[case::gone(InstanceState::Gone)]
+fn transcribers_that_leave_get_no_orders(#[case] state: InstanceState) {
+    let mut planner = Planner::new(Duration::ZERO);
+    planner.instance(ms(0), &instance("i-1", 1, 1));
+    planner.instance(ms(1), &Instance { state, ..instance("i-1", 1, 2) });
+    planner.name_version(ms(2), MODEL, 2, false);
+    planner.tick(ms(5000));
+    assert_eq!(planner.take_outputs(), []);
+}
+
+#[test]
+fn a_restarted_transcriber_is_ordered_under_its_new_identity() {
+    let (mut planner, order) = one_order();
+    planner.order_answered(ms(5), &order, OrderAnswer::UnderWay);
+    planner.instance(ms(50), &Instance { state: InstanceState::Gone, ..instance("i-1", 1, 1) });
+    planner.instance(ms(60), &instance("i-2", 1, 1));
+    let sent: Vec<String> = orders(&mut planner).into_iter().map(|order| order.instance).collect();
+    assert_eq!(sent, ["i-2"]);
+}
+
+#[test]
+fn a_third_of_the_transcribers_loads_at_once_spread_over_zones_least_busy_first() {
+    let mut planner = Planner::new(ms(100));
+    for number in 0..7u32 {
+        let zone = format!("zone-{}", number % 2);
+        let id = format!("i-{number}");
+        planner.instance(ms(0), &Instance { zone, ..instance(&id, 1, 1) });
+        planner.running(&id, 10 - number);
+    }
+    planner.name_version(ms(0), MODEL, 2, false);
+    planner.tick(ms(100));
+    let sent: Vec<String> = orders(&mut planner).into_iter().map(|order| order.instance).collect();
+    assert_eq!(sent, ["i-6", "i-5", "i-4"]);
+}
+
+#[test]
+fn a_silent_transcriber_gives_its_place_up_and_is_asked_now_and_then() {
+    let mut planner = Planner::new(Duration::ZERO);
+    for id in ["i-1", "i-2"] {
+        planner.instance(ms(0), &instance(id, 1, 1));
+    }
+    planner.name_version(ms(0), MODEL, 2, false);
+    let order = orders(&mut planner).pop().expect("one of two loads");
+    planner.order_answered(ms(500), &order, OrderAnswer::Unknown);
+    let mut now = ms(500);
+    let mut ordered_at = None;
+    let mut asked_after = 0;
+    while now < ms(6000) {
+        now += ms(50);
+        planner.tick(now);
+        for output in planner.take_outputs() {
+            match output {
+                PlanOutput::Ask { instance, .. } if instance == order.instance => {
+                    asked_after += usize::from(now >= ms(3000));
+                    planner.reported(now, &instance, None);
+                }
+                PlanOutput::Send(next) => ordered_at = ordered_at.or(Some((now, next.instance))),
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(ordered_at, Some((ms(2000), "i-2".to_owned())));
+    assert!((3..=4).contains(&asked_after), "asked {asked_after} times in 3 s");
+}
+
+#[test]
+fn models_of_one_transcriber_take_turns() {
+    let mut planner = Planner::new(ms(10));
+    let two = |id: &str| Instance {
+        models: ["a", "b"].map(|model| ModelVersion { model: model.to_owned(), generation: 1 }).to_vec(),
+        ..instance(id, 1, 1)
+    };
+    for number in 0..6 {
+        planner.instance(ms(0), &two(&format!("i-{number}")));
+    }
+    planner.name_version(ms(1), "a", 2, false);
+    planner.name_version(ms(2), "b", 2, false);
+    planner.tick(ms(10));
+    let mut order_of_models = Vec::new();
+    let mut open = orders(&mut planner);
+    while let Some(order) = open.pop() {
+        order_of_models.push(order.model.clone());
+        planner.order_answered(ms(20), &order, OrderAnswer::AlreadyHolds);
+        open.extend(orders(&mut planner));
+    }
+    assert_eq!(order_of_models.len(), 12);
+    for (index, pair) in order_of_models.chunks(2).enumerate() {
+        assert_ne!(pair[0], pair[1], "pair {index} of {order_of_models:?}");
+    }
+}
