--- /dev/null
+++ b/crates/batch/src/scheduler/takeover.rs
@@ -0,0 +1,41 @@
+//! The pause after a change of primary in which proxies announce the leases that they hold.
+
+use super::leases::ProxyId;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// How long a new primary waits for announcements before it leases items that it took over.
+const TAKEOVER_WAIT: Duration = Duration::from_millis(600);
+
+/// What a new primary waits for.
+#[derive(Debug)]
+pub(super) struct Takeover {
+    ends_at: Duration,
+    missing: BTreeSet<ProxyId>,
+    any_announced: bool,
+}
+
+impl Takeover {
+    /// A wait that begins now, where there is anything to take over.
+    pub(super) fn new(now: Duration, has_open_jobs: bool, connected: BTreeSet<ProxyId>) -> Takeover {
+        let ends_at = if has_open_jobs { now + TAKEOVER_WAIT } else { now };
+        Takeover { ends_at, missing: connected, any_announced: false }
+    }
+
+    /// A proxy has announced all leases that it holds.
+    pub(super) fn announced(&mut self, proxy: ProxyId) {
+        self.any_announced = true;
+        self.missing.remove(&proxy);
+    }
+
+    /// A proxy is gone.
+    pub(super) fn forget(&mut self, proxy: ProxyId) {
+        self.missing.remove(&proxy);
+    }
+
+    /// Whether nothing may be leased yet.
+    pub(super) fn holds_back(&self, now: Duration) -> bool {
+        let all_announced = self.any_announced && self.missing.is_empty();
+        now < self.ends_at && !all_announced
+    }
+}
--- /dev/null
+++ b/crates/batch/tests/scheduler.rs
@@ -0,0 +1,291 @@
+//! Which items the scheduler leases, in which order, and what becomes of leases.
+
+mod support;
+
+use pebblepost_batch::clock::GroupClock;
+use pebblepost_batch::command::Change;
+use pebblepost_batch::scheduler::{ItemProgress, ProxyId, SURPLUS_MARGIN, Scheduler};
+use pebblepost_batch::state::BatchState;
+use pebblepost_messages::batch::{Job, PartialText, WorkLease};
+use rstest::rstest;
+use support::{apply, job, listing, ms, result};
+
+const GROUP: u32 = 3;
+const FIRST: ProxyId = ProxyId(1);
+const SECOND: ProxyId = ProxyId(2);
+
+/// A primary of one group of jobs, with two proxies.
+struct Primary {
+    state: BatchState,
+    scheduler: Scheduler,
+}
+
+impl Primary {
+    fn new(jobs: Vec<Job>) -> Primary {
+        let mut scheduler = Scheduler::default();
+        scheduler.connect_proxy(FIRST);
+        scheduler.connect_proxy(SECOND);
+        scheduler.start_group(ms(0), GROUP, 5, &GroupClock::default(), &BatchState::default());
+        let mut primary = Primary { state: BatchState::default(), scheduler };
+        jobs.into_iter().for_each(|job| primary.add(0, job));
+        primary
+    }
+
+    fn add(&mut self, now: u64, job: Job) {
+        let id = job.id.clone();
+        apply(&mut self.state, now, Change::AddJob(job));
+        let stored = self.state.job(&id).expect("just added");
+        self.scheduler.add_job(ms(now), GROUP, &GroupClock::default(), stored);
+    }
+
+    fn leases(&mut self, now: u64, proxy: ProxyId, most: usize) -> Vec<WorkLease> {
+        self.scheduler.take(ms(now), proxy, most, |_| Some(&self.state))
+    }
+
+    /// Ids of the items leased, by lease.
+    fn take(&mut self, now: u64, proxy: ProxyId, most: usize) -> Vec<Vec<String>> {
+        let ids = |lease: WorkLease| lease.items.into_iter().map(|leased| leased.item.id).collect();
+        self.leases(now, proxy, most).into_iter().map(ids).collect()
+    }
+
+    fn index(&self, job: &str, item: &str) -> usize {
+        self.state.job(job).and_then(|job| job.unlisted_index(item)).expect("the item is not listed")
+    }
+
+    fn finish(&mut self, job: &str, item: &str) -> bool {
+        let index = self.index(job, item);
+        self.scheduler.finish(job, index)
+    }
+}
+
+#[rstest]
+fn groups_of_samples_are_leased_whole_and_in_order() {
+    let mut primary = Primary::new(vec![job("j", 3, 2, 3)]);
+    assert_eq!(primary.take(0, FIRST, 3), [["j-0", "j-1"], ["j-2", "j-3"]]);
+    assert_eq!(primary.take(0, SECOND, 9), [["j-4", "j-5"]]);
+    assert!(primary.take(0, SECOND, 9).is_empty());
+}
+
+#[rstest]
+fn a_large_group_is_split_by_room() {
+    let mut primary = Primary::new(vec![job("j", 1, 30, 1)]);
+    assert_eq!(primary.take(0, FIRST, 4)[0].len(), 12);
+    assert_eq!(primary.take(0, SECOND, 100)[0].len(), 18);
+}
+
+#[rstest]
+fn a_lease_says_what_the_proxy_must_know() {
+    let mut primary = Primary::new(vec![]);
+    let mut submitted = job("j", 1, 1, 1);
+    submitted.model = "m".to_owned();
+    submitted.min_version = 4;
+    primary.add(0, submitted);
+    let leases = primary.leases(1_500, FIRST, 1);
+    let lease = &leases[0];
+    assert_eq!((lease.store_group, lease.epoch, lease.job.as_str()), (GROUP, 5, "j"));
+    assert_eq!((lease.model.as_str(), lease.min_version), ("m", 4));
+    assert_eq!((lease.due_in_ms, lease.expires_in_ms), (3_500, 18_500));
+    assert_eq!(lease.items[0].partial, PartialText::default());
+}
+
+#[rstest]
+#[case::by_due_time(5_000, 1, 4_000, 2, "b")]
+#[case::by_priority(5_000, 2, 5_000, 1, "b")]
+#[case::due_time_goes_first(4_000, 9, 5_000, 0, "a")]
+fn jobs_come_in_order(
+    #[case] due_a: u64, #[case] priority_a: u32, #[case] due_b: u64, #[case] priority_b: u32,
+    #[case] first: &str,
+) {
+    let with = |id: &str, due: u64, priority: u32| {
+        let mut job = job(id, 1, 1, 1);
+        job.terms.run_deadline_ms = due;
+        job.terms.priority = priority;
+        job
+    };
+    let mut primary = Primary::new(vec![with("a", due_a, priority_a), with("b", due_b, priority_b)]);
+    assert_eq!(primary.leases(0, FIRST, 1)[0].job, first);
+}
+
+#[rstest]
+fn items_handed_back_go_first_with_what_is_known() {
+    let mut primary = Primary::new(vec![job("j", 3, 2, 3)]);
+    primary.take(0, FIRST, 2);
+    let partial = PartialText { last_event: 2, message: b"a\nb".to_vec(), versions: vec![7] };
+    let progress = ItemProgress { failed_attempts: 1, failed_scorer_attempts: 2, partial: partial.clone() };
+    let index = primary.index("j", "j-1");
+    primary.scheduler.hand_back(FIRST, "j", index, progress);
+    let leases = primary.leases(0, SECOND, 1);
+    let leased = &leases[0].items[0];
+    assert_eq!(leases[0].items.len(), 1);
+    assert_eq!((leased.item.id.as_str(), &leased.partial), ("j-1", &partial));
+    assert_eq!((leased.failed_attempts, leased.failed_scorer_attempts), (1, 2));
+}
+
+#[rstest]
+fn only_the_holder_hands_an_item_back() {
+    let mut primary = Primary::new(vec![job("j", 1, 1, 1)]);
+    primary.take(0, FIRST, 1);
+    primary.scheduler.hand_back(SECOND, "j", 0, ItemProgress::default());
+    assert!(primary.take(0, SECOND, 1).is_empty());
+}
+
+#[rstest]
+fn surplus_groups_are_held_back_until_the_results_are_nearly_due() {
+    let desired = 4;
+    let mut primary = Primary::new(vec![job("j", 10, 1, desired)]);
+    let begun = primary.take(0, FIRST, 100).len();
+    assert_eq!(begun, 4 + SURPLUS_MARGIN);
+    assert!(primary.take(2_900, FIRST, 100).is_empty());
+    assert!(primary.scheduler.take_idle(ms(2_900)).is_empty());
+    assert_eq!(primary.scheduler.take_idle(ms(3_000)), [FIRST]);
+    assert_eq!(primary.take(3_000, FIRST, 100).len(), 10 - begun);
+}
+
+#[rstest]
+fn surplus_groups_come_after_the_groups_of_other_jobs() {
+    let mut early = job("early", 10, 1, 1);
+    early.terms.run_deadline_ms = 1_000;
+    let mut primary = Primary::new(vec![early, job("late", 2, 1, 2)]);
+    primary.take(0, FIRST, 1 + SURPLUS_MARGIN);
+    let leases = primary.leases(700, FIRST, 5);
+    assert!(leases.iter().all(|lease| lease.job == "late"));
+    assert_eq!(primary.leases(700, FIRST, 1)[0].job, "early");
+}
+
+#[rstest]
+fn a_finished_item_is_not_leased_and_counts_once() {
+    let mut primary = Primary::new(vec![job("j", 1, 2, 1)]);
+    assert!(primary.finish("j", "j-0"));
+    assert!(!primary.finish("j", "j-0"));
+    assert_eq!(primary.take(0, FIRST, 9), [["j-1"]]);
+}
+
+#[rstest]
+fn the_leases_of_a_lost_proxy_end_when_their_last_renewal_does() {
+    let mut primary = Primary::new(vec![job("j", 1, 2, 1)]);
+    primary.take(0, FIRST, 2);
+    let renewed = primary.scheduler.renew(ms(400), |_| true);
+    assert_eq!(renewed, [(FIRST, vec![(GROUP, 5)])]);
+    primary.scheduler.disconnect_proxy(FIRST);
+    assert!(primary.scheduler.renew(ms(800), |_| true).is_empty());
+    primary.scheduler.end_leases(ms(1_899));
+    assert!(primary.take(1_899, SECOND, 2).is_empty());
+    primary.scheduler.end_leases(ms(1_900));
+    assert_eq!(primary.take(1_900, SECOND, 2), [["j-0", "j-1"]]);
+    assert!(primary.finish("j", "j-0"), "a late result is taken");
+}
+
+#[rstest]
+fn a_primary_that_may_not_act_renews_nothing() {
+    let mut primary = Primary::new(vec![job("j", 1, 1, 1)]);
+    primary.take(0, FIRST, 1);
+    assert!(primary.scheduler.renew(ms(400), |_| false).is_empty());
+    assert!(primary.scheduler.renew(ms(1_600), |_| true).is_empty(), "it has ended by then");
+    assert_eq!(primary.take(1_600, SECOND, 1), [["j-0"]]);
+}
+
+#[rstest]
+fn a_lease_renewed_for_ever_ends_nevertheless() {
+    let mut primary = Primary::new(vec![job("j", 1, 1, 1)]);
+    primary.take(0, FIRST, 1);
+    for step in 0..160 {
+        primary.scheduler.renew(ms(step * 400), |_| true);
+    }
+    assert_eq!(primary.scheduler.leased_items(), 0);
+}
+
+#[rstest]
+fn an_ended_job_is_not_leased() {
+    let mut primary = Primary::new(vec![job("j", 2, 1, 2)]);
+    primary.take(0, FIRST, 1);
+    primary.scheduler.remove_job("j");
+    assert!(primary.take(0, FIRST, 9).is_empty());
+    assert_eq!((primary.scheduler.open_jobs(), primary.scheduler.leased_items()), (0, 0));
+    primary.scheduler.hand_back(FIRST, "j", 0, ItemProgress::default());
+    assert!(primary.take(0, FIRST, 9).is_empty());
+}
+
+#[rstest]
+fn an_idle_proxy_is_told_of_new_work_once() {
+    let mut primary = Primary::new(vec![]);
+    assert!(primary.take(0, FIRST, 1).is_empty());
+    assert!(primary.scheduler.take_idle(ms(0)).is_empty());
+    primary.add(10, job("j", 1, 1, 1));
+    assert_eq!(primary.scheduler.take_idle(ms(10)), [FIRST]);
+    assert!(primary.scheduler.take_idle(ms(10)).is_empty());
+}
+
+#[rstest]
+fn items_are_given_up_only_when_their_time_has_come_and_nobody_runs_them() {
+    let mut primary = Primary::new(vec![job("j", 3, 1, 3)]);
+    primary.take(0, FIRST, 1);
+    assert!(primary.scheduler.take_expired(ms(19_999)).is_empty());
+    let expired = primary.scheduler.take_expired(ms(20_000));
+    assert_eq!(expired.iter().map(|expired| expired.items.as_slice()).collect::<Vec<_>>(), [[1, 2]]);
+    assert!(primary.scheduler.take_expired(ms(20_001)).is_empty());
+    assert!(primary.take(20_001, SECOND, 9).is_empty());
+    primary.scheduler.hand_back(FIRST, "j", 0, ItemProgress::default());
+    assert_eq!(primary.scheduler.take_expired(ms(20_002)).len(), 1);
+}
+
+/// A scheduler that takes over a job of four items, the first of them listed.
+fn taken_over(proxies: &[ProxyId]) -> Primary {
+    let mut state = BatchState::default();
+    apply(&mut state, 0, Change::AddJob(job("j", 2, 2, 2)));
+    apply(&mut state, 100, listing("j", vec![result("j-0", "text")]));
+    let mut scheduler = Scheduler::default();
+    proxies.iter().for_each(|proxy| scheduler.connect_proxy(*proxy));
+    scheduler.start_group(ms(1_000), GROUP, 6, &GroupClock::new(ms(1_000), 100), &state);
+    Primary { state, scheduler }
+}
+
+#[rstest]
+fn a_new_primary_waits_before_it_leases_what_it_took_over() {
+    let mut primary = taken_over(&[FIRST, SECOND]);
+    assert!(primary.take(1_599, FIRST, 9).is_empty());
+    assert_eq!(primary.take(1_600, FIRST, 9), [vec!["j-1"], vec!["j-2", "j-3"]]);
+}
+
+#[rstest]
+fn a_new_primary_waits_no_longer_than_for_the_proxies_announcements() {
+    let mut primary = taken_over(&[FIRST, SECOND]);
+    primary.scheduler.hold(ms(1_100), FIRST, "j", &[1, 2]);
+    primary.scheduler.has_announced(FIRST);
+    assert!(primary.take(1_100, SECOND, 9).is_empty());
+    primary.scheduler.has_announced(SECOND);
+    assert_eq!(primary.take(1_100, SECOND, 9), [["j-3"]]);
+    let renewed = primary.scheduler.renew(ms(1_200), |_| true);
+    assert_eq!(renewed, [(FIRST, vec![(GROUP, 6)]), (SECOND, vec![(GROUP, 6)])]);
+}
+
+#[rstest]
+fn a_proxy_that_connects_again_keeps_its_leases() {
+    let mut primary = Primary::new(vec![job("j", 1, 2, 1)]);
+    primary.take(0, FIRST, 2);
+    primary.scheduler.disconnect_proxy(FIRST);
+    let again = ProxyId(7);
+    primary.scheduler.connect_proxy(again);
+    primary.scheduler.hold(ms(300), again, "j", &[0]);
+    primary.scheduler.renew(ms(1_400), |_| true);
+    primary.scheduler.end_leases(ms(1_600));
+    assert_eq!(primary.take(1_600, SECOND, 2), [["j-1"]]);
+}
+
+#[rstest]
+fn a_held_lease_of_another_connected_proxy_stays_with_it() {
+    let mut primary = Primary::new(vec![job("j", 1, 1, 1)]);
+    primary.take(0, FIRST, 1);
+    primary.scheduler.hold(ms(10), SECOND, "j", &[0]);
+    primary.scheduler.hand_back(FIRST, "j", 0, ItemProgress::default());
+    assert_eq!(primary.take(20, SECOND, 1), [["j-0"]]);
+}
+
+#[rstest]
+fn a_stopped_group_is_forgotten() {
+    let mut primary = Primary::new(vec![job("j", 1, 2, 1)]);
+    primary.take(0, FIRST, 1);
+    primary.scheduler.stop_group(GROUP);
+    assert!(primary.take(0, SECOND, 9).is_empty());
+    assert!(!primary.scheduler.has_group(GROUP));
+    assert!(!primary.scheduler.finish("j", 0));
+}
--- /dev/null
+++ b/crates/batch/tests/state.rs
@@ -0,0 +1,210 @@
+//! The replicated state under random entries and under chosen ones.
+
+mod support;
+
+use pebblepost_batch::admission::Budget;
+use pebblepost_batch::clock::GroupClock;
+use pebblepost_batch::command::Change;
+use pebblepost_batch::state::{BatchState, Retention};
+use pebblepost_messages::batch::{ItemResult, Job};
+use pebblepost_replication::replica::StateMachine;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rstest::rstest;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use support::{apply, item_id, job, listing, ms, result};
+
+const RETENTION: Retention = Retention { ended: Duration::from_secs(120), open: Duration::from_secs(120) };
+
+/// What readers saw of each job: its results by position.
+type Seen = BTreeMap<String, Vec<ItemResult>>;
+
+/// What is wrong with what a reader sees now, given what readers saw before.
+fn violation(seen: &Seen, id: &str, results: &[ItemResult]) -> Option<String> {
+    let ids: BTreeSet<&String> = results.iter().map(|result| &result.id).collect();
+    if ids.len() != results.len() {
+        return Some(format!("job {id} lists an item twice"));
+    }
+    let before = seen.get(id).map_or(&[][..], Vec::as_slice);
+    if results.len() < before.len() || results[..before.len()] != *before {
+        return Some(format!("job {id} changed a result that was read"));
+    }
+    None
+}
+
+fn random_change(random: &mut StdRng) -> Change {
+    let id = format!("job{}", random.random_range(0..4));
+    match random.random_range(0..20) {
+        0..3 => Change::AddJob(job(&id, random.random_range(1..5), 3, 2)),
+        3..18 => {
+            let results = (0..random.random_range(1..4)).map(|_| {
+                let item = item_id(&id, random.random_range(0..14));
+                result(&item, &format!("text {}", random.random_range(0..1000)))
+            });
+            listing(&id, results.collect())
+        }
+        18 => Change::EndJob { job: id },
+        _ => Change::ForgetJobs { jobs: vec![id] },
+    }
+}
+
+#[rstest]
+fn listed_results_never_change_and_snapshots_keep_all() {
+    for seed in 0..300 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut state = BatchState::default();
+        let mut seen = Seen::new();
+        for step in 0..200 {
+            let change = random_change(&mut random);
+            if let Change::ForgetJobs { jobs } = &change {
+                jobs.iter().for_each(|id| drop(seen.remove(id)));
+            }
+            apply(&mut state, step * 7, change);
+            for stored in state.jobs() {
+                assert_eq!(violation(&seen, stored.id(), stored.results()), None, "seed {seed} step {step}");
+                seen.insert(stored.id().to_owned(), stored.results().to_vec());
+            }
+            if random.random_range(0..10) == 0 {
+                let mut restored = BatchState::default();
+                restored.restore(&state.snapshot());
+                assert_eq!(restored, state, "seed {seed} step {step}");
+                state = restored;
+            }
+        }
+    }
+}
+
+#[rstest]
+#[case::an_item_twice(&["a"], &["a", "b", "a"], "twice")]
+#[case::another_result_at_a_position(&["a", "b"], &["a", "c"], "changed")]
+#[case::a_result_is_gone(&["a", "b"], &["a"], "changed")]
+fn the_check_of_readers_catches(#[case] before: &[&str], #[case] after: &[&str], #[case] word: &str) {
+    let list = |ids: &[&str]| ids.iter().map(|id| result(id, "text")).collect::<Vec<_>>();
+    let seen = Seen::from([("j".to_owned(), list(before))]);
+    let found = violation(&seen, "j", &list(after));
+    assert!(found.is_some_and(|found| found.contains(word)));
+}
+
+#[rstest]
+fn a_job_submitted_again_changes_nothing() {
+    let mut state = BatchState::default();
+    apply(&mut state, 1, Change::AddJob(job("j", 2, 2, 1)));
+    apply(&mut state, 2, listing("j", vec![result("j-0", "text")]));
+    let before = state.job("j").cloned();
+    apply(&mut state, 3, Change::AddJob(job("j", 5, 5, 1)));
+    assert_eq!(state.job("j").cloned(), before);
+}
+
+#[rstest]
+fn the_first_result_of_an_item_counts() {
+    let mut state = BatchState::default();
+    apply(&mut state, 1, Change::AddJob(job("j", 1, 2, 1)));
+    apply(&mut state, 2, listing("j", vec![result("j-1", "first"), result("j-1", "second")]));
+    apply(
+        &mut state,
+        3,
+        listing("j", vec![result("j-1", "third"), result("other", "x"), result("j-0", "zero")]),
+    );
+    let stored = state.job("j").expect("the job is there");
+    assert_eq!(stored.results(), [result("j-1", "first"), result("j-0", "zero")]);
+    assert!(stored.is_complete());
+}
+
+#[rstest]
+fn a_listed_item_gives_no_body_and_the_others_do() {
+    let mut state = BatchState::default();
+    apply(&mut state, 1, Change::AddJob(job("j", 1, 2, 1)));
+    apply(&mut state, 2, listing("j", vec![result("j-0", "text")]));
+    let stored = state.job("j").expect("the job is there");
+    assert_eq!(stored.unlisted_index("j-0"), None);
+    let index = stored.unlisted_index("j-1").expect("not listed");
+    assert_eq!(stored.unlisted_item(index).map(|item| item.body.clone()), Some(vec![1; 8]));
+}
+
+#[rstest]
+fn an_ended_job_keeps_its_results_and_takes_no_more() {
+    let mut state = BatchState::default();
+    apply(&mut state, 1, Change::AddJob(job("j", 1, 3, 1)));
+    apply(&mut state, 2, listing("j", vec![result("j-2", "text")]));
+    apply(&mut state, 3, Change::EndJob { job: "j".to_owned() });
+    apply(&mut state, 4, Change::EndJob { job: "j".to_owned() });
+    apply(&mut state, 5, listing("j", vec![result("j-0", "late")]));
+    let stored = state.job("j").expect("the job is there");
+    assert_eq!(stored.results(), [result("j-2", "text")]);
+    assert_eq!(stored.total(), 3);
+    assert!(stored.job().items.is_empty());
+}
+
+#[rstest]
+#[case::from_the_start(0, 25, &["j-0", "j-1"])]
+#[case::later(1, 25, &["j-1", "j-2"])]
+#[case::at_least_one(1, 1, &["j-1"])]
+#[case::at_the_end(3, 25, &[])]
+#[case::beyond_the_end(9, 25, &[])]
+fn a_page_holds_what_fits(#[case] start: u64, #[case] most: usize, #[case] expected: &[&str]) {
+    let mut state = BatchState::default();
+    apply(&mut state, 1, Change::AddJob(job("j", 1, 4, 1)));
+    let results = (0..3).map(|index| result(&item_id("j", index), &"x".repeat(800)));
+    apply(&mut state, 2, listing("j", results.collect()));
+    let page = state.job("j").expect("the job is there").page(start, most * 100);
+    let ids: Vec<&str> = page.results.iter().map(|result| result.id.as_str()).collect();
+    assert_eq!((page.total, page.start, ids.as_slice()), (4, start, expected));
+}
+
+#[rstest]
+fn jobs_are_kept_as_long_as_promised() {
+    let mut state = BatchState::default();
+    apply(&mut state, 1_000, Change::AddJob(job("ended", 1, 1, 1)));
+    apply(&mut state, 1_000, Change::AddJob(job("open", 1, 1, 1)));
+    apply(&mut state, 2_000, Change::EndJob { job: "ended".to_owned() });
+    assert!(state.forgettable(121_000, RETENTION).is_empty());
+    assert_eq!(state.forgettable(121_001, RETENTION), ["ended"]);
+    assert_eq!(state.forgettable(141_001, RETENTION), ["ended", "open"]);
+    apply(&mut state, 141_001, Change::ForgetJobs { jobs: vec!["ended".to_owned(), "open".to_owned()] });
+    assert_eq!((state.jobs().count(), state.held_bytes()), (0, 0));
+}
+
+#[rstest]
+fn held_bytes_shrink_as_items_are_listed_and_jobs_end() {
+    let mut state = BatchState::default();
+    let mut bulky = job("j", 1, 4, 1);
+    bulky.items.iter_mut().for_each(|item| item.body = vec![7; 10_000]);
+    apply(&mut state, 1, Change::AddJob(bulky));
+    let open = state.held_bytes();
+    apply(&mut state, 2, listing("j", vec![result("j-0", "text")]));
+    let listed = state.held_bytes();
+    apply(&mut state, 3, Change::EndJob { job: "j".to_owned() });
+    assert!(open > listed && listed > state.held_bytes() && state.held_bytes() > 0);
+}
+
+#[rstest]
+fn what_can_not_be_read_marks_the_state_damaged() {
+    let mut state = BatchState::default();
+    state.apply(1, &[1, 2, 3]);
+    assert!(state.is_damaged());
+    let mut state = BatchState::default();
+    state.restore(&[1, 2, 3]);
+    assert!(state.is_damaged());
+}
+
+#[rstest]
+fn the_group_clock_only_rises() {
+    let mut clock = GroupClock::new(ms(500), 10_000);
+    assert_eq!(clock.now_ms(ms(700)), 10_200);
+    clock.observe(ms(700), 10_150);
+    assert_eq!(clock.now_ms(ms(700)), 10_200);
+    clock.observe(ms(700), 11_000);
+    assert_eq!(clock.now_ms(ms(800)), 11_100);
+    assert_eq!(clock.now_ms(ms(100)), 11_000);
+}
+
+#[rstest]
+fn a_budget_refuses_what_goes_beyond_it() {
+    let budget = Budget::new(1_000_000, 2_000_000);
+    assert_eq!(budget.most_bytes(), 600_000);
+    let small = job("j", 1, 10, 1);
+    assert!(budget.has_room_for(0, &small));
+    assert!(!budget.has_room_for(590_000, &small));
+    assert!(budget.has_room_for(600_000, &Job::default()));
+}
