Transcriber client: pooled connections, whole answers, streams, reports

Cause: proxies and control need one client for transcribers that knows what surely did not run. Change: HTTP/1.1 on hyper's client connections, polled by their users without a task each; idle connections are looked at before use; a request taken back unwritten goes out once more on a new one; ids, encodings, cut bodies and close-delimited bodies checked; events parsed incrementally with their raw bytes. Tests: scripted transcribers over loopback, whole exchanges approved; none sleeps.

--- a/crates/transcriber/src/lib.rs
+++ b/crates/transcriber/src/lib.rs
@@ -2,10 +2,25 @@
 //!
 //! Interface agreed with the programs. Everything runs on a current-thread `tokio` runtime.
 
+mod answer;
+mod client;
+mod connection;
+mod events;
+mod headers;
+mod pool;
+mod report;
+mod request;
+mod stream;
+
+pub use client::Client;
+pub use events::{EventParser, InvalidEvent, StreamEvent};
+pub use headers::remove_connection_headers;
+pub use report::{parse_instance_load, parse_report};
+pub use stream::{EventStream, StreamAnswer};
+
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 /// A transcriber to which a request is sent.
@@ -86,40 +101,6 @@
     pub body: Bytes,
 }
 
-/// One event of a stream.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct StreamEvent {
-    /// Its id.
-    pub id: u64,
-    /// Its data lines, joined by line feeds.
-    pub data: Vec<u8>,
-    /// Version named in it, if it changes there.
-    pub weight_version: Option<u64>,
-    /// Its bytes as they came, the empty line at its end included.
-    pub raw: Bytes,
-}
-
-/// A stream whose head has arrived. Dropping it closes the connection, and with that the run.
-#[derive(Debug)]
-pub struct EventStream;
-
-impl EventStream {
-    /// Next event; `None` at the complete end of the body. An error if the connection broke, fell
-    /// silent for `silence`, or brought bytes that are no event.
-    pub async fn next(&mut self, silence: Duration) -> Result<Option<StreamEvent>, Failure> {
-        todo!()
-    }
-}
-
-/// Answer to a request for a stream.
-#[derive(Debug)]
-pub enum StreamAnswer {
-    /// A stream begins (a 2xx with `text/event-stream`).
-    Stream(AnswerHead, EventStream),
-    /// Any other answer, whole.
-    Whole(Answer),
-}
-
 /// What the client does, counted since its start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ClientCounts {
@@ -143,45 +124,3 @@
     /// Most bytes of a whole answer.
     pub most_body_bytes: usize,
 }
-
-/// The client; cheap to clone, shared within one thread.
-#[derive(Clone, Debug)]
-pub struct Client {
-    _shared: Rc<()>,
-}
-
-#[allow(unused_variables)]
-impl Client {
-    /// A client.
-    pub fn new(limits: ClientLimits) -> Client {
-        todo!()
-    }
-    /// Sends a request and reads its whole answer. Dropping the future closes the connection.
-    pub async fn send(&self, target: &Target, request: Outgoing) -> Result<Answer, Failure> {
-        todo!()
-    }
-    /// Sends a request whose answer may be a stream; the head must come by the deadline.
-    pub async fn open_stream(&self, target: &Target, request: Outgoing) -> Result<StreamAnswer, Failure> {
-        todo!()
-    }
-    /// Asks for the load: `GET /report`.
-    pub async fn report(&self, target: &Target, timeout: Duration) -> Result<Load, Failure> {
-        todo!()
-    }
-    /// Sends an order: `POST /order` with a JSON body; the status.
-    pub async fn order(&self, target: &Target, body: Bytes, timeout: Duration) -> Result<StatusCode, Failure> {
-        todo!()
-    }
-    /// Changes the limits (a configuration came).
-    pub fn set_limits(&self, limits: ClientLimits) {
-        todo!()
-    }
-    /// Closes the idle connections to a transcriber that drains or is gone.
-    pub fn forget(&self, target: &Target) {
-        todo!()
-    }
-    /// Counts so far.
-    pub fn counts(&self) -> ClientCounts {
-        todo!()
-    }
-}
--- /dev/null
+++ b/crates/transcriber/tests/exchanges.rs
@@ -0,0 +1,319 @@
+//! Whole exchanges with scripted transcribers.
+
+mod support;
+
+use http::StatusCode;
+use pebblepost_transcriber::{Client, Failure, StreamAnswer, Target};
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::time::Duration;
+use support::{Scripted, Step, client, limits, outgoing, run};
+use tokio::sync::oneshot;
+
+const OK_A: &[u8] = b"HTTP/1.1 200 OK\r\nrequest-id: a\r\nresponse-seal: s\r\ncontent-length: 2\r\n\r\nhi";
+const OK_B: &[u8] = b"HTTP/1.1 200 OK\r\nrequest-id: b\r\ncontent-length: 2\r\n\r\nho";
+
+#[test]
+fn a_request_goes_out_as_given_with_instance_deadline_and_length() {
+    run(async {
+        let server = Scripted::start(vec![vec![Step::Read, Step::Write(OK_A)]]).await;
+        let answer = client().send(&server.target(), outgoing("a")).await.unwrap();
+        assert_eq!(answer.head.status, StatusCode::OK);
+        assert_eq!(answer.head.headers["response-seal"], "s");
+        assert_eq!(&answer.body[..], b"hi");
+        let approved = "POST /lohu930/2f?x=1 HTTP/1.1\nhost: ficu95.example\nrequest-id: a\n\
+                        model: daka\ntarget-instance: i-1\ncontent-length: 3\n\
+                        deadline-ms: (left)\n\nabc";
+        assert_eq!(server.requests(), [approved]);
+    });
+}
+
+#[test]
+fn a_connection_is_used_again_after_a_whole_answer() {
+    run(async {
+        let script = vec![Step::Read, Step::Write(OK_A), Step::Read, Step::Write(OK_B)];
+        let server = Scripted::start(vec![script]).await;
+        let client = client();
+        client.send(&server.target(), outgoing("a")).await.unwrap();
+        client.send(&server.target(), outgoing("b")).await.unwrap();
+        assert_eq!((client.counts().connections, client.counts().requests), (1, 2));
+    });
+}
+
+#[rstest]
+#[case::closing(b"HTTP/1.1 200 OK\r\nrequest-id: a\r\nconnection: close\r\ncontent-length: 0\r\n\r\n")]
+#[case::no_rest(b"HTTP/1.1 200 OK\r\nrequest-id: a\r\nkeep-alive: timeout=0\r\ncontent-length: 0\r\n\r\n")]
+#[case::surplus_bytes(b"HTTP/1.1 200 OK\r\nrequest-id: a\r\ncontent-length: 0\r\n\r\nHTTP/1.1 200 OK\r\n")]
+fn a_connection_is_not_used_again(#[case] answer: &'static [u8]) {
+    run(async move {
+        let server =
+            Scripted::start(vec![vec![Step::Read, Step::Write(answer)], vec![Step::Read, Step::Write(OK_B)]])
+                .await;
+        let client = client();
+        client.send(&server.target(), outgoing("a")).await.unwrap();
+        client.send(&server.target(), outgoing("b")).await.unwrap();
+        assert_eq!(client.counts().connections, 2);
+    });
+}
+
+#[test]
+fn a_connection_on_which_something_lies_unread_is_not_used_again() {
+    run(async {
+        let (late, wait_late) = oneshot::channel();
+        let (written, wait_written) = oneshot::channel();
+        let first = vec![
+            Step::Read,
+            Step::Write(OK_A),
+            Step::Await(wait_late),
+            Step::Write(OK_A),
+            Step::Tell(written),
+        ];
+        let server = Scripted::start(vec![first, vec![Step::Read, Step::Write(OK_B)]]).await;
+        let client = client();
+        client.send(&server.target(), outgoing("a")).await.unwrap();
+        late.send(()).unwrap();
+        wait_written.await.unwrap();
+        let answer = client.send(&server.target(), outgoing("b")).await.unwrap();
+        assert_eq!((&answer.body[..], client.counts().connections), (&b"ho"[..], 2));
+    });
+}
+
+#[test]
+fn a_connection_closed_while_idle_is_replaced_before_anything_is_sent() {
+    run(async {
+        let (told, closed) = oneshot::channel();
+        let first = vec![Step::Read, Step::Write(OK_A), Step::Tell(told), Step::Close];
+        let server = Scripted::start(vec![first, vec![Step::Read, Step::Write(OK_B)]]).await;
+        let client = client();
+        client.send(&server.target(), outgoing("a")).await.unwrap();
+        closed.await.unwrap();
+        client.send(&server.target(), outgoing("b")).await.unwrap();
+        assert_eq!(client.counts().connections, 2);
+    });
+}
+
+#[rstest]
+#[case::another_id(b"HTTP/1.1 200 OK\r\nrequest-id: z\r\ncontent-length: 0\r\n\r\n")]
+#[case::no_id(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")]
+#[case::encoded(b"HTTP/1.1 200 OK\r\nrequest-id: a\r\ncontent-encoding: gzip\r\ncontent-length: 0\r\n\r\n")]
+#[case::cut_body(b"HTTP/1.1 200 OK\r\nrequest-id: a\r\ncontent-length: 9\r\n\r\nhi")]
+#[case::cut_chunks(b"HTTP/1.1 200 OK\r\nrequest-id: a\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhi\r\n")]
+#[case::no_length(b"HTTP/1.1 200 OK\r\nrequest-id: a\r\n\r\nhi")]
+#[case::no_answer(b"")]
+#[case::garbage(b"\x00\x01 no answer at all\r\n\r\n")]
+#[case::too_large(b"HTTP/1.1 200 OK\r\nrequest-id: a\r\ncontent-length: 1001\r\n\r\n")]
+fn an_answer_that_is_not_whole_or_not_ours_may_have_run(#[case] answer: &'static [u8]) {
+    run(async move {
+        let server = Scripted::start(vec![
+            vec![Step::Read, Step::Write(answer), Step::Close],
+            vec![Step::Read, Step::Write(OK_B)],
+        ])
+        .await;
+        let client = client();
+        let failure = client.send(&server.target(), outgoing("a")).await.unwrap_err();
+        assert_eq!(failure, Failure::MayHaveRun);
+        client.send(&server.target(), outgoing("b")).await.unwrap();
+        assert_eq!(client.counts().connections, 2);
+    });
+}
+
+#[test]
+fn a_body_in_chunks_is_read_whole() {
+    run(async {
+        let answer = b"HTTP/1.1 200 OK\r\nrequest-id: a\r\ntransfer-encoding: chunked\r\n\r\n\
+                       2\r\nhi\r\n3\r\n you\r\n0\r\n\r\n";
+        let answer: &'static [u8] = Box::leak(answer.to_vec().into_boxed_slice());
+        let server = Scripted::start(vec![vec![Step::Read, Step::Write(answer)]]).await;
+        let failure = client().send(&server.target(), outgoing("a")).await;
+        assert_eq!(failure.unwrap_err(), Failure::MayHaveRun, "a chunk longer than its length");
+        let answer = b"HTTP/1.1 200 OK\r\nrequest-id: a\r\ntransfer-encoding: chunked\r\n\r\n\
+                       2\r\nhi\r\n4\r\n you\r\n0\r\n\r\n";
+        let server = Scripted::start(vec![vec![Step::Read, Step::Write(answer)]]).await;
+        let answer = client().send(&server.target(), outgoing("a")).await.unwrap();
+        assert_eq!(&answer.body[..], b"hi you");
+        assert!(!answer.head.headers.contains_key("transfer-encoding"));
+    });
+}
+
+#[test]
+fn headers_of_the_connection_stay_here() {
+    run(async {
+        let answer = b"HTTP/1.1 200 OK\r\nrequest-id: a\r\nconnection: keep-alive, x-hop\r\nx-hop: 1\r\n\
+                       keep-alive: timeout=5\r\nproxy-x: 1\r\nx-end: 2\r\ncontent-length: 0\r\n\r\n";
+        let server = Scripted::start(vec![vec![Step::Read, Step::Write(answer)]]).await;
+        let answer = client().send(&server.target(), outgoing("a")).await.unwrap();
+        let mut names: Vec<&str> = answer.head.headers.keys().map(|name| name.as_str()).collect();
+        names.sort_unstable();
+        assert_eq!(names, ["content-length", "request-id", "x-end"]);
+    });
+}
+
+#[rstest]
+#[case(b"HTTP/1.1 503 X\r\nrequest-id: a\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n", true)]
+#[case(b"HTTP/1.1 421 X\r\nrequest-id: a\r\ncontent-length: 0\r\n\r\n", true)]
+#[case(b"HTTP/1.1 503 X\r\nrequest-id: a\r\ncontent-length: 0\r\n\r\n", false)]
+fn only_not_executed_and_421_say_that_it_did_not_run(
+    #[case] answer: &'static [u8], #[case] not_executed: bool,
+) {
+    run(async move {
+        let server = Scripted::start(vec![vec![Step::Read, Step::Write(answer)]]).await;
+        let answer = client().send(&server.target(), outgoing("a")).await.unwrap();
+        assert_eq!(answer.head.not_executed, not_executed);
+    });
+}
+
+#[test]
+fn a_port_that_nobody_listens_on_was_not_sent_to() {
+    run(async {
+        let address: SocketAddr = {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            listener.local_addr().unwrap()
+        };
+        let target = Target { instance: "i-1".to_owned(), address };
+        let failure = client().send(&target, outgoing("a")).await.unwrap_err();
+        assert_eq!(failure, Failure::NotSent);
+    });
+}
+
+#[test]
+fn a_reset_after_the_request_may_have_run() {
+    run(async {
+        let server = Scripted::start(vec![vec![Step::Read, Step::Reset]]).await;
+        let failure = client().send(&server.target(), outgoing("a")).await.unwrap_err();
+        assert_eq!(failure, Failure::MayHaveRun);
+    });
+}
+
+#[test]
+fn silence_until_the_deadline_closes_the_connection() {
+    run(async {
+        let (told, closed) = oneshot::channel();
+        let server = Scripted::start(vec![vec![Step::Read, Step::AwaitClose(told)]]).await;
+        let request =
+            pebblepost_transcriber::Outgoing { deadline: Duration::from_millis(30), ..outgoing("a") };
+        let failure = client().send(&server.target(), request).await.unwrap_err();
+        assert_eq!(failure, Failure::TimedOut);
+        closed.await.unwrap();
+    });
+}
+
+#[test]
+fn dropping_a_call_closes_its_connection() {
+    run(async {
+        let (told, closed) = oneshot::channel();
+        let (begun, wait_begun) = oneshot::channel();
+        let server = Scripted::start(vec![vec![Step::Read, Step::Tell(begun), Step::AwaitClose(told)]]).await;
+        let client = client();
+        let target = server.target();
+        tokio::select! {
+            _ = client.send(&target, outgoing("a")) => panic!("no answer was sent"),
+            _ = wait_begun => {}
+        }
+        closed.await.unwrap();
+    });
+}
+
+#[test]
+fn a_call_beyond_the_most_connections_waits_for_one() {
+    run(async {
+        let (go, wait_go) = oneshot::channel();
+        let script = vec![Step::Read, Step::Await(wait_go), Step::Write(OK_A), Step::Read, Step::Write(OK_B)];
+        let server = Scripted::start(vec![script]).await;
+        let client =
+            Client::new(pebblepost_transcriber::ClientLimits { most_connections_each: 1, ..limits() });
+        let target = server.target();
+        let (first, second, third) =
+            tokio::join!(client.send(&target, outgoing("a")), client.send(&target, outgoing("b")), async {
+                let request =
+                    pebblepost_transcriber::Outgoing { deadline: Duration::from_millis(20), ..outgoing("c") };
+                let failure = client.send(&target, request).await.unwrap_err();
+                go.send(()).unwrap();
+                failure
+            });
+        assert_eq!(third, Failure::NotSent);
+        assert_eq!((&first.unwrap().body[..], &second.unwrap().body[..]), (&b"hi"[..], &b"ho"[..]));
+        assert_eq!(client.counts().connections, 1);
+    });
+}
+
+#[test]
+fn a_forgotten_transcriber_has_its_idle_connections_closed() {
+    run(async {
+        let (told, closed) = oneshot::channel();
+        let server = Scripted::start(vec![vec![Step::Read, Step::Write(OK_A), Step::AwaitClose(told)]]).await;
+        let client = client();
+        client.send(&server.target(), outgoing("a")).await.unwrap();
+        client.forget(&server.target());
+        closed.await.unwrap();
+    });
+}
+
+#[test]
+fn an_idle_connection_is_given_up_before_the_transcriber_does() {
+    run(async {
+        let answer =
+            b"HTTP/1.1 200 OK\r\nrequest-id: a\r\nkeep-alive: timeout=2\r\ncontent-length: 0\r\n\r\n";
+        let again = vec![Step::Read, Step::Write(answer), Step::Read, Step::Write(answer)];
+        let server = Scripted::start(vec![again, vec![Step::Read, Step::Write(answer)]]).await;
+        let client = client();
+        client.send(&server.target(), outgoing("a")).await.unwrap();
+        tokio::time::pause();
+        tokio::time::advance(Duration::from_millis(1600)).await;
+        tokio::time::resume();
+        client.send(&server.target(), outgoing("a")).await.unwrap();
+        assert_eq!(client.counts().connections, 1);
+        tokio::time::pause();
+        tokio::time::advance(Duration::from_millis(1701)).await;
+        tokio::time::resume();
+        client.send(&server.target(), outgoing("a")).await.unwrap();
+        assert_eq!(client.counts().connections, 2);
+    });
+}
+
+#[test]
+fn a_report_and_an_order_carry_no_request_id() {
+    run(async {
+        let report = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 26\r\n\r\n\
+                       {\"running\":12,\"waiting\":1}";
+        let accepted = b"HTTP/1.1 202 Accepted\r\ncontent-length: 0\r\n\r\n";
+        let script = vec![Step::Read, Step::Write(report), Step::Read, Step::Write(accepted)];
+        let server = Scripted::start(vec![script]).await;
+        let client = client();
+        let target = server.target();
+        let load = client.report(&target, Duration::from_secs(1)).await.unwrap();
+        assert_eq!((load.running, load.waiting), (12, 1));
+        let status = client.order(&target, "{}".into(), Duration::from_secs(1)).await.unwrap();
+        assert_eq!(status, StatusCode::ACCEPTED);
+        let host = server.address;
+        let approved = [
+            format!("GET /report HTTP/1.1\nhost: {host}\ntarget-instance: i-1\ndeadline-ms: (left)\n\n"),
+            format!(
+                "POST /order HTTP/1.1\nhost: {host}\ncontent-type: application/json\n\
+                 target-instance: i-1\ncontent-length: 2\ndeadline-ms: (left)\n\n{{}}"
+            ),
+        ];
+        assert_eq!(server.requests(), approved);
+        assert_eq!((client.counts().reports, client.counts().requests), (1, 2));
+    });
+}
+
+#[test]
+fn a_surplus_answer_is_not_taken_for_a_report() {
+    run(async {
+        let surplus = b"HTTP/1.1 200 OK\r\nrequest-id: old\r\ncontent-length: 2\r\n\r\n{}";
+        let server = Scripted::start(vec![vec![Step::Read, Step::Write(surplus)]]).await;
+        let failure = client().report(&server.target(), Duration::from_secs(1)).await.unwrap_err();
+        assert_eq!(failure, Failure::MayHaveRun);
+    });
+}
+
+#[test]
+fn an_answer_that_is_no_stream_comes_whole() {
+    run(async {
+        let server = Scripted::start(vec![vec![Step::Read, Step::Write(OK_A)]]).await;
+        match client().open_stream(&server.target(), outgoing("a")).await.unwrap() {
+            StreamAnswer::Whole(answer) => assert_eq!(&answer.body[..], b"hi"),
+            StreamAnswer::Stream(..) => panic!("no stream"),
+        }
+    });
+}
--- /dev/null
+++ b/crates/transcriber/tests/support/mod.rs
@@ -0,0 +1,167 @@
+//! Scripted transcribers over loopback.
+
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use pebblepost_transcriber::{Client, ClientLimits, Outgoing, Target};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+
+/// What a scripted transcriber does on one connection, in order.
+pub enum Step {
+    /// Reads a whole request and keeps its text.
+    Read,
+    /// Writes these bytes.
+    Write(&'static [u8]),
+    /// Closes the connection in order.
+    Close,
+    /// Resets the connection.
+    Reset,
+    /// Says nothing until the client closes, and tells that it did.
+    AwaitClose(oneshot::Sender<()>),
+    /// Waits until the test says so.
+    Await(oneshot::Receiver<()>),
+    /// Tells the test that all before was done.
+    Tell(oneshot::Sender<()>),
+}
+
+/// A transcriber that plays one script for each connection that it accepts.
+pub struct Scripted {
+    pub address: SocketAddr,
+    requests: Rc<RefCell<Vec<String>>>,
+}
+
+impl Scripted {
+    /// Starts it. Needs a `LocalSet`.
+    pub async fn start(scripts: Vec<Vec<Step>>) -> Scripted {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests = Rc::new(RefCell::new(Vec::new()));
+        let record = requests.clone();
+        tokio::task::spawn_local(async move {
+            for script in scripts {
+                let (stream, _) = listener.accept().await.unwrap();
+                tokio::task::spawn_local(play(stream, script, record.clone()));
+            }
+        });
+        Scripted { address, requests }
+    }
+
+    pub fn target(&self) -> Target {
+        Target { instance: "i-1".to_owned(), address: self.address }
+    }
+
+    /// The requests read so far, with `Deadline-Ms` left out of account.
+    pub fn requests(&self) -> Vec<String> {
+        self.requests.borrow().clone()
+    }
+}
+
+async fn play(mut stream: TcpStream, script: Vec<Step>, record: Rc<RefCell<Vec<String>>>) {
+    for step in script {
+        match step {
+            Step::Read => match read_request(&mut stream).await {
+                Some(request) => record.borrow_mut().push(request),
+                None => return,
+            },
+            Step::Write(bytes) => {
+                if stream.write_all(bytes).await.is_err() {
+                    return;
+                }
+            }
+            Step::Close => return,
+            Step::Reset => {
+                stream.set_zero_linger().unwrap();
+                return;
+            }
+            Step::AwaitClose(told) => {
+                let mut buffer = [0; 64];
+                while stream.read(&mut buffer).await.is_ok_and(|length| length > 0) {}
+                let _ = told.send(());
+                return;
+            }
+            Step::Await(signal) => {
+                let _ = signal.await;
+            }
+            Step::Tell(told) => {
+                let _ = told.send(());
+            }
+        }
+    }
+    // The connection stays open until the client closes it.
+    let mut buffer = [0; 64];
+    while stream.read(&mut buffer).await.is_ok_and(|length| length > 0) {}
+}
+
+/// Reads a head and a body with a length; hides the digits of `deadline-ms`.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let head_end = loop {
+        if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
+            break end + 4;
+        }
+        let mut buffer = [0; 1024];
+        match stream.read(&mut buffer).await {
+            Ok(length) if length > 0 => bytes.extend_from_slice(&buffer[..length]),
+            _ => return None,
+        }
+    };
+    let head = String::from_utf8(bytes[..head_end].to_vec()).unwrap();
+    let length: usize = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "))
+        .map_or(0, |value| value.parse().unwrap());
+    while bytes.len() < head_end + length {
+        let mut buffer = [0; 1024];
+        match stream.read(&mut buffer).await {
+            Ok(read) if read > 0 => bytes.extend_from_slice(&buffer[..read]),
+            _ => return None,
+        }
+    }
+    let text = String::from_utf8(bytes).unwrap();
+    let lines = text.split("\r\n").map(|line| match line.strip_prefix("deadline-ms: ") {
+        Some(value) if value.parse::<u64>().is_ok_and(|value| value > 0) => "deadline-ms: (left)",
+        _ => line,
+    });
+    Some(lines.collect::<Vec<_>>().join("\n"))
+}
+
+pub fn limits() -> ClientLimits {
+    ClientLimits {
+        connect: Duration::from_millis(500),
+        most_connections_each: 4,
+        idle: Duration::from_secs(10),
+        most_body_bytes: 1000,
+    }
+}
+
+pub fn client() -> Client {
+    Client::new(limits())
+}
+
+pub fn outgoing(id: &str) -> Outgoing {
+    let mut headers = HeaderMap::new();
+    headers.insert("host", HeaderValue::from_static("ficu95.example"));
+    headers.insert("request-id", HeaderValue::from_str(id).unwrap());
+    headers.insert(HeaderName::from_static("model"), HeaderValue::from_static("daka"));
+    Outgoing {
+        method: Method::POST,
+        path: "/lohu930/2f?x=1".to_owned(),
+        headers,
+        body: Bytes::from_static(b"abc"),
+        request_id: id.to_owned(),
+        deadline: Duration::from_secs(5),
+    }
+}
+
+/// Runs a test on a current-thread runtime with a `LocalSet`.
+pub fn run<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
