--- /dev/null
+++ b/crates/proxy/src/dispatch/attempts.rs
@@ -0,0 +1,91 @@
+//! What is known of the attempts of one request, and what that leaves to answer.
+
+use http::StatusCode;
+use pebblepost_transcriber::Answer;
+use pebblewind::api::WorkerId;
+use std::time::Duration;
+
+/// The attempts of one request, over all legs of a stream.
+#[derive(Debug)]
+pub(super) struct Attempts {
+    most: usize,
+    repeatable: bool,
+    /// Transcribers that it was sent to.
+    sent_to: Vec<WorkerId>,
+    may_have_run: bool,
+    timed_out: bool,
+    /// A failure of a transcriber's, to be passed on if nothing better comes.
+    failure: Option<Answer>,
+}
+
+/// How a request ends that no transcriber has answered.
+#[derive(Debug)]
+pub(super) enum Ending {
+    /// It has not run and never will.
+    Refused(Duration),
+    /// A transcriber's own failure.
+    Failure(Answer),
+    /// It may have run; a 502 or 504.
+    Unknown(StatusCode),
+}
+
+impl Attempts {
+    /// None so far. `most`: transcribers that it may be sent to.
+    pub(super) fn new(most: usize, repeatable: bool) -> Attempts {
+        Attempts {
+            most,
+            repeatable,
+            sent_to: Vec::new(),
+            may_have_run: false,
+            timed_out: false,
+            failure: None,
+        }
+    }
+
+    /// Whether another attempt is allowed anywhere.
+    pub(super) fn allows_more(&self) -> bool {
+        self.sent_to.len() < self.most && self.allows_repeat()
+    }
+
+    fn allows_repeat(&self) -> bool {
+        self.repeatable || !self.may_have_run
+    }
+
+    /// Whether an attempt at this transcriber is allowed.
+    pub(super) fn allows(&self, worker: WorkerId) -> bool {
+        self.allows_repeat() && (self.sent_to.contains(&worker) || self.sent_to.len() < self.most)
+    }
+
+    /// An attempt goes out.
+    pub(super) fn sent(&mut self, worker: WorkerId) {
+        if !self.sent_to.contains(&worker) {
+            self.sent_to.push(worker);
+        }
+    }
+
+    /// Not a byte of the attempt went out.
+    pub(super) fn not_sent(&mut self, worker: WorkerId) {
+        self.sent_to.retain(|sent| *sent != worker);
+    }
+
+    /// The attempt may have run, and ended like this.
+    pub(super) fn ran(&mut self, failure: Option<Answer>, timed_out: bool) {
+        self.may_have_run = true;
+        self.timed_out = timed_out;
+        if failure.is_some() {
+            self.failure = failure;
+        }
+    }
+
+    /// How the request ends now. `retry_after`: advice for a client that is refused.
+    pub(super) fn ending(&mut self, retry_after: Duration) -> Ending {
+        if !self.may_have_run {
+            return Ending::Refused(retry_after);
+        }
+        match self.failure.take() {
+            Some(answer) => Ending::Failure(answer),
+            None if self.timed_out => Ending::Unknown(StatusCode::GATEWAY_TIMEOUT),
+            None => Ending::Unknown(StatusCode::BAD_GATEWAY),
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/dispatch/workers.rs
@@ -0,0 +1,124 @@
+//! The transcribers of one service, numbered for the decisions.
+
+use log::warn;
+use pebblepost_messages::feed::{Instance, InstanceState};
+use pebblepost_transcriber::Target;
+use pebblewind::api::{CellId, Entry, KindId, Time, WorkerId, WorkerState, ZoneId};
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+/// The zone of this machine; others are numbered as they appear.
+pub(super) const HOME: ZoneId = ZoneId(0);
+
+/// A transcriber.
+#[derive(Clone, Debug)]
+struct Worker {
+    target: Target,
+    slots: u32,
+    state: WorkerState,
+    zone: ZoneId,
+}
+
+/// The transcribers of one service; those that are gone keep their numbers.
+#[derive(Debug)]
+pub(super) struct Workers {
+    zones: Vec<String>,
+    numbers: HashMap<String, WorkerId>,
+    workers: Vec<Worker>,
+}
+
+/// What an announcement changed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WorkerChange {
+    /// The entry for the decisions.
+    pub(super) entry: Entry,
+    /// Its slots, if it was not known before.
+    pub(super) new_with_slots: Option<u32>,
+}
+
+impl Workers {
+    /// No transcribers, seen from `zone`.
+    pub(super) fn new(zone: &str) -> Workers {
+        Workers { zones: vec![zone.to_owned()], numbers: HashMap::new(), workers: Vec::new() }
+    }
+
+    /// Takes an announcement in; `None` if it changes nothing that matters here. `warm_up`: how
+    /// long the decisions take a transcriber to be cold after its start.
+    pub(super) fn update(
+        &mut self, instance: &Instance, now: Time, warm_up: Duration,
+    ) -> Option<WorkerChange> {
+        let state = match instance.state {
+            InstanceState::Ready => WorkerState::Ready,
+            InstanceState::Draining => WorkerState::Draining,
+            InstanceState::Gone => WorkerState::Gone,
+        };
+        if let Some(&number) = self.numbers.get(&instance.id) {
+            let worker = &mut self.workers[number.0 as usize];
+            worker.slots = instance.slots.max(1);
+            if worker.state == state {
+                return None;
+            }
+            worker.state = state;
+            let entry = self.entry(number, &instance.id, None);
+            return Some(WorkerChange { entry, new_with_slots: None });
+        }
+        if state == WorkerState::Gone {
+            return None;
+        }
+        let Ok(address) = instance.address.parse() else {
+            warn!("transcriber {}: its address {:?} can't be read", instance.id, instance.address);
+            return None;
+        };
+        let number = WorkerId(u32::try_from(self.workers.len()).ok()?);
+        let slots = instance.slots.max(1);
+        let zone = self.zone(&instance.zone);
+        let target = Target { instance: instance.id.clone(), address };
+        self.workers.push(Worker { target, slots, state, zone });
+        self.numbers.insert(instance.id.clone(), number);
+        let cold = Duration::from_millis(instance.cold_remaining_ms.into());
+        let started = (!cold.is_zero()).then(|| now + cold - warm_up);
+        let entry = self.entry(number, &instance.id, started);
+        Some(WorkerChange { entry, new_with_slots: Some(slots) })
+    }
+
+    fn zone(&mut self, name: &str) -> ZoneId {
+        let known = self.zones.iter().position(|zone| zone == name);
+        let index = known.unwrap_or_else(|| {
+            self.zones.push(name.to_owned());
+            self.zones.len() - 1
+        });
+        ZoneId(u16::try_from(index).unwrap_or(u16::MAX))
+    }
+
+    fn entry(&self, number: WorkerId, id: &str, started: Option<Time>) -> Entry {
+        let worker = &self.workers[number.0 as usize];
+        let mut hasher = DefaultHasher::new();
+        id.hash(&mut hasher);
+        Entry {
+            worker: number,
+            zone: worker.zone,
+            kind: KindId(0),
+            cell: CellId(0),
+            state: worker.state,
+            name: hasher.finish(),
+            started,
+        }
+    }
+
+    /// A transcriber, if it takes requests at this moment.
+    pub(super) fn ready(&self, number: WorkerId) -> Option<&Target> {
+        let worker = self.workers.get(number.0 as usize)?;
+        (worker.state == WorkerState::Ready).then_some(&worker.target)
+    }
+
+    /// Slots of a transcriber.
+    pub(super) fn slots(&self, number: WorkerId) -> u32 {
+        self.workers.get(number.0 as usize).map_or(1, |worker| worker.slots)
+    }
+
+    /// Whether any transcriber takes requests.
+    pub(super) fn any_ready(&self) -> bool {
+        self.workers.iter().any(|worker| worker.state == WorkerState::Ready)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/handler.rs
@@ -0,0 +1,98 @@
+//! One request from its head to its answer.
+
+use crate::answer::{self, AnswerBody, Payload};
+use crate::context::Context;
+use crate::dispatch;
+use crate::lifecycle::Phase;
+use crate::request::{Rejection, RequestHead, WholeBody, read_body};
+use crate::tracked_stream::Activity;
+use http::header::CONNECTION;
+use http::{HeaderValue, Method, Request, Response};
+use hyper::body::Incoming;
+use log::debug;
+use pebblepost_batch_runner::BatchRunner;
+use pebblepost_configuration::{Configuration, Route, RouteKind};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A request that arrives before the first configuration waits for it so long.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(150);
+/// Answers are given this much ahead of a client's deadline.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(10);
+
+/// Answers one request on a client's connection.
+pub(crate) async fn handle(
+    context: Rc<Context>, activity: Activity, request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    activity.request_started();
+    let mut response = respond(&context, request).await.unwrap_or_else(|rejection| {
+        debug!("rejected: {rejection:?}");
+        context.counters.count(|counts| counts.rejected += 1);
+        answer::rejected(rejection)
+    });
+    let headers = response.headers_mut();
+    if context.lifecycle.phase() == Phase::Serving {
+        answer::set_keep_alive(headers, context.limits().idle_timeout);
+    } else {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response.map(|payload| AnswerBody::new(payload, activity))
+}
+
+async fn respond(context: &Rc<Context>, request: Request<Incoming>) -> Result<Response<Payload>, Rejection> {
+    let arrived = Instant::now();
+    let limits = context.limits();
+    let (parts, body) = request.into_parts();
+    let head = RequestHead::check(parts, &limits)?;
+    let body = read_body(body, &limits, &context.memory).await?;
+    context.counters.count(|counts| counts.requests += 1);
+    // Looked up when the request is whole: the newest configuration holds for it.
+    let configuration = context.configuration_within(CONFIGURATION_WAIT).await;
+    let configuration = configuration.ok_or(Rejection::NotConfigured)?;
+    if BatchRunner::is_job_call(head.path_only()) {
+        return job_call(context, &configuration, head, body).await;
+    }
+    let route = configuration.route(&head.host, head.path_only()).ok_or(Rejection::NoRoute)?;
+    if route.kind != RouteKind::Rollout {
+        let deadline = deadline(context, route, &head, arrived);
+        return Ok(dispatch::dispatch(context, route, head, body, deadline).await);
+    }
+    if head.method != Method::POST {
+        return Err(Rejection::NoRoute);
+    }
+    ask_runner(context, Some(route), head, body).await
+}
+
+/// When the client must have its answer.
+fn deadline(context: &Context, route: &Route, head: &RequestHead, arrived: Instant) -> Instant {
+    let most = head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let deadline = arrived + most.saturating_sub(DEADLINE_MARGIN);
+    context.lifecycle.end().map_or(deadline, |end| deadline.min(end))
+}
+
+/// A call about a batch job, on a host that has any route.
+async fn job_call(
+    context: &Rc<Context>, configuration: &Configuration, head: RequestHead, body: WholeBody,
+) -> Result<Response<Payload>, Rejection> {
+    let host = host_only(&head.host);
+    if !configuration.routes().iter().any(|route| route.hostname.eq_ignore_ascii_case(host)) {
+        return Err(Rejection::NoRoute);
+    }
+    ask_runner(context, None, head, body).await
+}
+
+/// A host without its port.
+fn host_only(host: &str) -> &str {
+    host.split(':').next().unwrap_or_default()
+}
+
+async fn ask_runner(
+    context: &Rc<Context>, route: Option<&Route>, head: RequestHead, body: WholeBody,
+) -> Result<Response<Payload>, Rejection> {
+    let mut request = Request::new(body.bytes.clone());
+    *request.method_mut() = head.method;
+    *request.uri_mut() = head.path.parse().map_err(|_| Rejection::Malformed)?;
+    *request.headers_mut() = head.headers;
+    Ok(context.runner.answer(route, request).await.map(Payload::Whole))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! events and seed always give the same actions.
 //!
 //! * [`api`]: settings, events and actions.
+//! * [`classes`]: classes that become known while a node runs.
 //! * [`policy`]: every decision, in one module.
 //! * [`health`]: what is held against a worker.
 //! * [`keys`]: where to find what jobs of one key need.
@@ -16,6 +17,7 @@
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod classes;
 pub mod health;
 pub mod keys;
 pub mod means;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -168,7 +168,7 @@
 /// The decisions of one node.
 #[derive(Debug)]
 pub struct Dispatcher {
-    settings: Settings,
+    pub(crate) settings: Settings,
     rng: Pcg64Mcg,
     seed: u64,
     started: Time,
@@ -190,7 +190,7 @@
     age: Duration, // Learned: age of reports, probe round trip and its spread, service time by class.
     checks: u32,
     round_trip: Timing,
-    service: Vec<f64>,
+    pub(crate) service: Vec<f64>,
     mean_service: f64,
     /// Learned: time from send to start and its spread, and how long connections outlive their last use.
     start_delay: Timing,
@@ -1276,7 +1276,7 @@
     }
 
     /// A class is drawn from the workers permitted to it only. If all are away, that is its home.
-    fn rebuild_pools(&mut self) {
+    pub(crate) fn rebuild_pools(&mut self) {
         let mut order: Vec<usize> = (0..self.workers.len()).collect();
         order.retain(|w| self.workers[*w].state == WorkerState::Ready);
         order.sort_by_key(|w| (self.workers[*w].rank, self.workers[*w].id));
--- /dev/null
+++ b/tests/classes.rs
@@ -0,0 +1,54 @@
+//! Classes that are added while a node runs.
+
+mod common;
+
+use common::*;
+use pebblewind::api::*;
+use std::time::Duration;
+
+fn unsafe_class() -> Class {
+    let mut class = settings().classes.remove(UNSAFE);
+    class.aim = Duration::from_millis(80);
+    class
+}
+
+#[test]
+fn an_added_class_follows_those_before_it() {
+    let mut node = Node::new(settings(), 4);
+    let added = node.dispatcher.add_class(unsafe_class());
+    assert_eq!(added, Some(ClassId(3)));
+    assert_eq!(node.dispatcher.add_class(unsafe_class()), Some(ClassId(4)));
+}
+
+#[test]
+fn requests_of_an_added_class_are_probed_for_and_sent() {
+    let mut node = Node::new(settings(), 4);
+    node.request(1, 3);
+    assert!(node.actions.contains(&Action::Fail { id: RequestId(1) }), "the class is not known yet");
+    node.actions.clear();
+    let added = node.dispatcher.add_class(unsafe_class()).map(|class| usize::from(class.0));
+    node.request(2, added.unwrap());
+    let probed = node.actions.iter().find_map(|action| match action {
+        Action::Probe { worker } => Some(worker.0),
+        _ => None,
+    });
+    let worker = probed.expect("its first probe");
+    node.report(worker, 4.0, 0.0);
+    node.report(worker, 4.0, 0.0);
+    let sent = Action::Send { id: RequestId(2), worker: WorkerId(worker), timeout: None };
+    assert!(node.actions.contains(&sent), "{:?}", node.actions);
+}
+
+#[test]
+fn what_was_learned_stays_when_a_class_is_added() {
+    let (mut with, mut without) = (Node::new(settings(), 4), Node::new(settings(), 4));
+    with.dispatcher.add_class(unsafe_class());
+    with.dispatcher.set_nodes(4);
+    for node in [&mut with, &mut without] {
+        for worker in 0..4 {
+            node.report(worker, 3.0, 0.0);
+        }
+        node.request(1, SAFE);
+    }
+    assert_eq!(with.actions, without.actions);
+}
