--- a/crates/system/src/main.rs
+++ b/crates/system/src/main.rs
@@ -1,29 +1,59 @@
 //! One binary with a subcommand for each role and for operators.
 
-use clap::Command;
+mod command_line;
+mod logging;
+mod operator;
+
+use clap::ArgMatches;
 use eyre::Result;
 use pebblepost_settings::Settings;
+use std::process::ExitCode;
+
+/// Exit code of a command that could not do its work.
+const FAILED: u8 = 1;
+/// Exit code of wrong settings or arguments, the same that `clap` uses.
+const BAD_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    logging::start();
+    let matches = command_line::command_line().get_matches();
+    let Some((name, arguments)) = matches.subcommand() else { return ExitCode::from(BAD_USAGE) };
+    match run(name, arguments) {
+        Ok(code) => ExitCode::from(code),
+        Err(error) => {
+            eprintln!("error: {}", one_line(&error));
+            ExitCode::from(operator::exit_code_of(&error).unwrap_or(FAILED))
+        }
+    }
+}
 
-fn command_line() -> Command {
-    Command::new("pebblepost-system")
-        .about("Rollout scheduler for trainers")
-        .subcommand_required(true)
-        .subcommand(Command::new("proxy").about("Serves clients and executes batch items (edge machines)"))
-        .subcommand(Command::new("agent").about("Feeds the proxy of its machine (edge machines)"))
-        .subcommand(Command::new("control").about("Holds the control state (core machines)"))
-        .subcommand(Command::new("store").about("Holds batch jobs (storage machines)"))
-        .subcommand(Command::new("check").about("Checks the settings file and ends"))
+fn run(name: &str, arguments: &ArgMatches) -> Result<u8> {
+    match name {
+        "proxy" => pebblepost_proxy::run(Settings::from_environment()?)?,
+        "agent" => pebblepost_agent::run(Settings::from_environment()?)?,
+        "control" => pebblepost_control::run(Settings::from_environment()?)?,
+        "store" => pebblepost_batch_store::run(Settings::from_environment()?)?,
+        "check" => return Ok(check()),
+        _ => operator::run(name, arguments)?,
+    }
+    Ok(0)
 }
 
-fn main() -> Result<()> {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let matches = command_line().get_matches();
-    let settings = Settings::from_environment()?;
-    match matches.subcommand_name() {
-        Some("proxy") => pebblepost_proxy::run(settings),
-        Some("agent") => pebblepost_agent::run(settings),
-        Some("control") => pebblepost_control::run(settings),
-        Some("store") => pebblepost_batch_store::run(settings),
-        _ => Ok(()),
+/// Checks the settings file, and says "ok" or what is wrong.
+fn check() -> u8 {
+    match Settings::from_environment() {
+        Ok(_) => {
+            println!("ok");
+            0
+        }
+        Err(error) => {
+            eprintln!("error: {}", one_line(&error));
+            BAD_USAGE
+        }
     }
 }
+
+/// An error with all its causes, in one line.
+fn one_line(error: &eyre::Report) -> String {
+    format!("{error:#}").split_whitespace().collect::<Vec<_>>().join(" ")
+}
--- /dev/null
+++ b/crates/system/src/operator/table.rs
@@ -0,0 +1,86 @@
+//! Turns a JSON state into text tables: scalars as `name value` lines, lists of objects as rows.
+
+use simd_json::OwnedValue;
+use simd_json::prelude::{ValueAsArray, ValueAsObject, ValueAsScalar, Writable};
+
+const GAP: &str = "  ";
+const NOTHING: &str = "-";
+
+/// Renders a value.
+pub fn render(value: &OwnedValue) -> String {
+    let mut text = String::new();
+    render_named(&mut text, "", value);
+    text
+}
+
+fn render_named(text: &mut String, name: &str, value: &OwnedValue) {
+    if let Some(object) = value.as_object() {
+        render_object(text, name, object);
+    } else if let Some(list) = value.as_array() {
+        render_list(text, name, list);
+    } else {
+        text.push_str(&format!("{name}{GAP}{}\n", cell(value)));
+    }
+}
+
+fn render_object(text: &mut String, name: &str, object: &simd_json::owned::Object) {
+    let mut fields: Vec<(&String, &OwnedValue)> = object.iter().collect();
+    fields.sort_by_key(|(field, _)| *field);
+    let (plain, nested): (Vec<_>, Vec<_>) = fields.into_iter().partition(|(_, value)| is_plain(value));
+    let rows = plain.iter().map(|(field, value)| vec![(*field).clone(), cell(value)]).collect::<Vec<_>>();
+    if !rows.is_empty() {
+        title(text, name);
+        write_rows(text, &rows);
+    }
+    for (field, value) in nested {
+        let path = if name.is_empty() { field.clone() } else { format!("{name}.{field}") };
+        render_named(text, &path, value);
+    }
+}
+
+fn render_list(text: &mut String, name: &str, list: &[OwnedValue]) {
+    title(text, &format!("{name} ({})", list.len()));
+    let mut columns: Vec<String> =
+        list.iter().filter_map(|entry| entry.as_object()).flat_map(|object| object.keys().cloned()).collect();
+    columns.sort();
+    columns.dedup();
+    let mut rows = Vec::new();
+    if !columns.is_empty() {
+        rows.push(columns.clone());
+    }
+    for entry in list {
+        rows.push(match entry.as_object() {
+            Some(object) => {
+                columns.iter().map(|column| object.get(column).map_or(NOTHING.into(), cell)).collect()
+            }
+            None => vec![cell(entry)],
+        });
+    }
+    write_rows(text, &rows);
+}
+
+fn title(text: &mut String, name: &str) {
+    if !name.is_empty() {
+        text.push_str(&format!("\n{name}\n"));
+    }
+}
+
+fn write_rows(text: &mut String, rows: &[Vec<String>]) {
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width_of = |column: usize| rows.iter().filter_map(|row| row.get(column)).map(String::len).max();
+    let widths: Vec<usize> = (0..columns).map(|column| width_of(column).unwrap_or(0)).collect();
+    for row in rows {
+        let cells: Vec<String> =
+            row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}")).collect();
+        text.push_str(cells.join(GAP).trim_end());
+        text.push('\n');
+    }
+}
+
+fn is_plain(value: &OwnedValue) -> bool {
+    value.as_object().is_none() && value.as_array().is_none()
+}
+
+fn cell(value: &OwnedValue) -> String {
+    value.as_str().map_or_else(|| value.encode(), str::to_owned)
+}
