--- /dev/null
+++ b/crates/control/src/core/calls.rs
@@ -0,0 +1,259 @@
+//! Calls over HTTP: answered at once, or when what they wait for has happened.
+
+use super::{CallId, Core, Output};
+use crate::api::{Answer, Call, Request};
+use crate::command::{Command, ConfigurationChange, Outcome};
+use crate::feed_server::ConnectionId;
+use crate::registry::RegistryChange;
+use pebblepost_messages::control::{FromControl, GroupEpoch};
+use pebblepost_messages::feed::{Instance, InstanceState};
+use pebblepost_replication::replica::ProposeError;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long a drain waits for the subscribers' acknowledgements.
+const DRAIN_WAIT: Duration = Duration::from_millis(300);
+/// How long a call waits until its entry is committed.
+const COMMIT_WAIT: Duration = Duration::from_secs(4);
+
+/// What a call waits for.
+#[derive(Debug)]
+pub(super) enum Waiting {
+    /// Its entry is committed.
+    Commit { index: u64, give_up: Duration },
+    /// Every subscriber acts by this flush of the feed, or the time is up.
+    Drain { flush: u64, due: Duration },
+}
+
+/// A storage machine's request that waits until its entry is committed.
+#[derive(Debug)]
+pub(super) struct WaitingChange {
+    pub(super) connection: ConnectionId,
+    pub(super) request: u64,
+    pub(super) group: u32,
+}
+
+impl Core {
+    pub(super) fn call(&mut self, now: Duration, id: CallId, call: &Call) {
+        if !self.is_acting(now) {
+            self.answer(id, self.elsewhere(now, &call.path));
+            return;
+        }
+        match Request::read(call) {
+            Ok(request) => self.request(now, id, request),
+            Err(answer) => self.answer(id, answer),
+        }
+    }
+
+    /// Where the caller should go while this process is not the acting primary.
+    fn elsewhere(&self, now: Duration, path: &str) -> Answer {
+        let address = self.live_primary(now).and_then(|primary| primary.address.parse().ok());
+        match address {
+            Some(address) => Answer::redirect(self.control_address(address), path),
+            None => Answer::unavailable("there is no primary now"),
+        }
+    }
+
+    /// Where a control process takes calls: ports are the same on all machines.
+    fn control_address(&self, link: SocketAddr) -> SocketAddr {
+        SocketAddr::new(link.ip(), self.settings.control.port())
+    }
+
+    fn request(&mut self, now: Duration, id: CallId, request: Request) {
+        match request {
+            Request::ChangeConfiguration(change) => self.change_configuration(now, id, change),
+            Request::ReadConfiguration => {
+                let document = self.state().configuration().map(|known| known.document().to_vec());
+                let missing = || Answer::error(404, "there is no configuration yet");
+                self.answer(id, document.map_or_else(missing, |document| Answer::configuration(&document)));
+            }
+            Request::NameVersion { model, generation } => self.name_version(now, id, model, generation),
+            Request::Announce(instance) => self.announce(now, id, instance),
+            Request::Remove { id: instance } => {
+                let change = self.registry.remove(&instance);
+                self.registry_changed(now, &change);
+                self.wait_for_subscribers(now, id);
+            }
+            Request::Retire { node } => self.retire(now, id, node),
+            Request::ReadRetirement { node } => {
+                let state = self.state().retirements().get(&node).copied();
+                let unknown = || Answer::error(404, "no such storage machine is being emptied");
+                self.answer(id, state.map_or_else(unknown, Answer::retirement));
+            }
+        }
+    }
+
+    fn change_configuration(&mut self, now: Duration, id: CallId, change: ConfigurationChange) {
+        if self.state().taken(&change).is_some() {
+            self.answer(id, Answer::acknowledged());
+            return;
+        }
+        if let Err(refusal) = self.state().check(&change) {
+            self.answer(id, Answer::change_refused(&refusal));
+            return;
+        }
+        self.propose_for(now, id, &Command::ChangeConfiguration(change));
+    }
+
+    fn name_version(&mut self, now: Duration, id: CallId, model: String, generation: u64) {
+        let named = self.state().named_versions().get(&model).copied().unwrap_or(0);
+        if named >= generation {
+            self.answer(id, Answer::acknowledged());
+            return;
+        }
+        self.propose_for(now, id, &Command::NameVersion { model, generation });
+    }
+
+    fn announce(&mut self, now: Duration, id: CallId, instance: Instance) {
+        let drains = instance.state == InstanceState::Draining;
+        let change = self.registry.announce(now, instance);
+        self.registry_changed(now, &change);
+        if drains {
+            self.wait_for_subscribers(now, id);
+        } else {
+            self.answer(id, Answer::announced(self.settings.control));
+        }
+    }
+
+    /// A drain is acknowledged once every subscriber acts by it.
+    fn wait_for_subscribers(&mut self, now: Duration, id: CallId) {
+        let Some(primary) = &mut self.primary else { return };
+        primary.feed.flush(now);
+        let flush = primary.feed.newest_flush();
+        self.waiting.insert(id, Waiting::Drain { flush, due: now + DRAIN_WAIT });
+    }
+
+    fn retire(&mut self, now: Duration, id: CallId, node: String) {
+        let Some(primary) = &self.primary else { return };
+        if self.state().retirements().contains_key(&node) {
+            self.answer(id, Answer::acknowledged());
+            return;
+        }
+        if let Err(refusal) = primary.stores.check_retirement(now, self.state(), &node) {
+            self.answer(id, Answer::retire_refused(refusal));
+            return;
+        }
+        let least_remaining = primary.stores.least_remaining();
+        self.propose_for(now, id, &Command::Retire { node, least_remaining });
+    }
+
+    fn propose_for(&mut self, now: Duration, id: CallId, command: &Command) {
+        match self.group.replica.propose(now, command.encode()) {
+            Ok(index) => {
+                self.waiting.insert(id, Waiting::Commit { index, give_up: now + COMMIT_WAIT });
+            }
+            Err(ProposeError::NotPrimary) => self.answer(id, Answer::unavailable("not the primary any more")),
+            Err(ProposeError::TooFewReplicas) => {
+                self.answer(id, Answer::unavailable("too few disks can take it now"));
+            }
+        }
+    }
+
+    /// A storage machine asks for a new epoch of a group.
+    pub(super) fn change_group(
+        &mut self, now: Duration, connection: ConnectionId, request: u64, group: u32, expected_epoch: u64,
+        proposed: GroupEpoch,
+    ) {
+        if !self.is_acting(now) {
+            self.redirect(now, connection);
+            return;
+        }
+        let command = Command::ChangeGroup { group, expected_epoch, proposed };
+        let proposal = self.group.replica.propose(now, command.encode());
+        let Some(primary) = &mut self.primary else { return };
+        match proposal {
+            Ok(index) => {
+                primary.changes.insert(index, WaitingChange { connection, request, group });
+            }
+            Err(_) => self.group_changed(now, connection, request, group, false),
+        }
+    }
+
+    fn group_changed(
+        &mut self, now: Duration, connection: ConnectionId, request: u64, group: u32, accepted: bool,
+    ) {
+        let known = self.state().groups().get(&group);
+        let current = known.map(|assignment| assignment.epoch.clone()).unwrap_or_default();
+        self.send(now, connection, FromControl::GroupChanged { request, group, accepted, current });
+    }
+
+    /// Entries up to an index are committed: whoever waits for them is answered.
+    pub(super) fn answer_committed(&mut self, now: Duration, committed: u64) {
+        let done = |(_, waiting): &(&CallId, &Waiting)| matches!(waiting, Waiting::Commit { index, .. } if *index <= committed);
+        let ready: Vec<CallId> = self.waiting.iter().filter(done).map(|(id, _)| *id).collect();
+        for id in ready {
+            let Some(Waiting::Commit { index, .. }) = self.waiting.remove(&id) else { continue };
+            let answer = answer_to(self.state().outcome(index));
+            self.answer(id, answer);
+        }
+        let Some(primary) = &mut self.primary else { return };
+        let later = primary.changes.split_off(&(committed + 1));
+        for (index, waiting) in std::mem::replace(&mut primary.changes, later) {
+            let outcome = self.state().outcome(index);
+            let accepted = matches!(outcome, Some(Outcome::GroupChanged { accepted: true, .. }));
+            self.group_changed(now, waiting.connection, waiting.request, waiting.group, accepted);
+        }
+    }
+
+    /// Answers the drains that every subscriber acts by, or that waited long enough.
+    pub(super) fn settle_calls(&mut self, now: Duration) {
+        if self.waiting.is_empty() || !self.is_acting(now) {
+            return;
+        }
+        let Some(primary) = &self.primary else { return };
+        let done = |(_, waiting): &(&CallId, &Waiting)| match waiting {
+            Waiting::Drain { flush, due } => now >= *due || primary.feed.is_acknowledged(*flush),
+            Waiting::Commit { .. } => false,
+        };
+        let ready: Vec<CallId> = self.waiting.iter().filter(done).map(|(id, _)| *id).collect();
+        for id in ready {
+            self.waiting.remove(&id);
+            self.answer(id, Answer::announced(self.settings.control));
+        }
+    }
+
+    /// Gives up calls that waited too long: what becomes of them is not known.
+    pub(super) fn give_up_calls(&mut self, now: Duration) {
+        let late = |(_, waiting): &(&CallId, &Waiting)| match waiting {
+            Waiting::Commit { give_up, .. } => now >= *give_up,
+            Waiting::Drain { due, .. } => now >= *due + COMMIT_WAIT,
+        };
+        let late: Vec<CallId> = self.waiting.iter().filter(late).map(|(id, _)| *id).collect();
+        for id in late {
+            self.waiting.remove(&id);
+            self.answer(id, Answer::unavailable("not known in time whether it was taken"));
+        }
+    }
+
+    /// This process stops being primary: what waits may or may not be taken.
+    pub(super) fn abandon_calls(&mut self) {
+        for (id, _) in std::mem::take(&mut self.waiting) {
+            self.answer(id, Answer::unavailable("the primary changed; it may or may not be taken"));
+        }
+    }
+
+    pub(super) fn registry_changed(&mut self, now: Duration, change: &RegistryChange) {
+        let Some(primary) = &mut self.primary else { return };
+        primary.feed.publish_instances(now, &change.instances, change.drains);
+        for instance in &change.instances {
+            primary.planner.instance(now, instance);
+        }
+    }
+
+    fn answer(&mut self, id: CallId, answer: Answer) {
+        self.outputs.push(Output::Answer { id, answer });
+    }
+}
+
+fn answer_to(outcome: Option<&Outcome>) -> Answer {
+    match outcome {
+        Some(Outcome::ConfigurationTaken { .. } | Outcome::VersionNamed | Outcome::Retiring) => {
+            Answer::acknowledged()
+        }
+        Some(Outcome::ConfigurationRefused(refusal)) => Answer::change_refused(refusal),
+        Some(Outcome::RetireRefused(refusal)) => Answer::retire_refused(*refusal),
+        Some(Outcome::GroupChanged { .. } | Outcome::Applied | Outcome::Unreadable) | None => {
+            Answer::unavailable("not known whether it was taken")
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/core/primary.rs
@@ -0,0 +1,274 @@
+//! What only the acting primary does: the feed, the storage machines, orders to transcribers, the
+//! witness set.
+
+use super::calls::WaitingChange;
+use super::{Core, Output};
+use crate::feed_server::{FeedOutput, FeedServer, PublishedConfiguration};
+use crate::orders;
+use crate::state::ControlState;
+use crate::stores::{Stores, feed_groups};
+use crate::witnesses;
+use pebblepost_feed::FeedState;
+use pebblepost_messages::feed::{FeedUpdate, ModelVersion, StoreGroup};
+use pebblepost_rollout::{Order, OrderAnswer, PlanOutput, Planner, Reported};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Added to the lease of orders before a new holder sends its first one.
+const ORDER_SLACK: Duration = Duration::from_millis(300);
+/// Pause between looks at the groups of batch jobs when nothing happened.
+const PLAN_EVERY: Duration = Duration::from_millis(250);
+/// Time in which witnesses have to be heard by a new primary.
+const WITNESS_GRACE: Duration = Duration::from_secs(2);
+
+/// What the acting primary keeps beside the replicated state.
+#[derive(Debug)]
+pub(super) struct Primary {
+    pub(super) epoch: u64,
+    pub(super) since: Duration,
+    pub(super) feed: FeedServer,
+    pub(super) stores: Stores,
+    pub(super) planner: Planner,
+    pub(super) changes: BTreeMap<u64, WaitingChange>,
+    pub(super) plan_at: Duration,
+    /// Entries of the last plan that are not committed.
+    planned: BTreeSet<u64>,
+    published_groups: BTreeMap<u32, StoreGroup>,
+    planned_generation: u64,
+    list_complete_at: Option<Duration>,
+}
+
+impl Core {
+    pub(super) fn became_primary(&mut self, now: Duration, epoch: u64) {
+        if let Some(primary) = &mut self.primary {
+            primary.epoch = epoch;
+            return;
+        }
+        log::info!("primary of epoch {epoch}");
+        self.registry.restart_clocks(now);
+        let former = self.group.former_primary;
+        let other_held_it = former.0 != 0 && former != self.settings.me.disk;
+        let wait = if other_held_it { self.settings.order_lease + ORDER_SLACK } else { Duration::ZERO };
+        let mut stores = Stores::new(self.settings.tolerance);
+        stores.restart(now);
+        self.primary = Some(Primary {
+            epoch,
+            since: now,
+            feed: self.first_feed(now),
+            stores,
+            planner: Planner::new(now + wait),
+            changes: BTreeMap::new(),
+            plan_at: now,
+            planned: BTreeSet::new(),
+            published_groups: BTreeMap::new(),
+            planned_generation: 0,
+            list_complete_at: Some(self.registry.grace_ends()),
+        });
+        self.publish(now);
+        self.teach_planner(now);
+    }
+
+    fn first_feed(&self, now: Duration) -> FeedServer {
+        let mut state = FeedState::default();
+        let instances = self.registry.live().cloned().collect();
+        state.apply(&FeedUpdate::Instances { whole: false, instances });
+        state.apply(&FeedUpdate::ProxyCount(self.proxy_count));
+        let gone = self.registry.lately_gone().cloned().collect();
+        FeedServer::new(now, state, gone)
+    }
+
+    pub(super) fn stopped(&mut self, now: Duration) {
+        let Some(primary) = self.primary.take() else { return };
+        log::info!("no primary any more (epoch {})", primary.epoch);
+        self.abandon_calls();
+        let (state, subscribers) = primary.feed.into_parts();
+        self.proxy_count = state.proxy_count();
+        let stores = self.connections.iter().filter(|(_, known)| known.store.is_some());
+        let mut told: BTreeSet<u64> = stores.map(|(connection, _)| *connection).collect();
+        told.extend(subscribers);
+        for connection in told {
+            self.redirect(now, connection);
+        }
+    }
+
+    /// Entries up to an index are committed and applied.
+    pub(super) fn committed(&mut self, now: Duration, index: u64) {
+        self.publish(now);
+        self.answer_committed(now, index);
+        if let Some(primary) = &mut self.primary {
+            primary.planned.retain(|planned| *planned > index);
+            primary.plan_at = now;
+        }
+    }
+
+    /// Passes on what changed in the replicated state.
+    fn publish(&mut self, now: Duration) {
+        let state = self.group.replica.state();
+        let Some(primary) = &mut self.primary else { return };
+        primary.feed.publish_configuration(now, state.generation(), || published(state));
+        let groups: Vec<StoreGroup> = feed_groups(state)
+            .into_iter()
+            .filter(|group| primary.published_groups.get(&group.group) != Some(group))
+            .collect();
+        for group in &groups {
+            primary.published_groups.insert(group.group, group.clone());
+        }
+        primary.feed.publish_groups(now, groups);
+        let versions = state.named_versions().iter();
+        let newer = versions.filter(|(model, named)| primary.feed.state().named_version(model) < **named);
+        let version =
+            |(model, named): (&String, &u64)| ModelVersion { model: model.clone(), generation: *named };
+        let newer: Vec<ModelVersion> = newer.map(version).collect();
+        let named = !newer.is_empty();
+        primary.feed.publish_named_versions(now, newer);
+        if named || primary.planned_generation != state.generation() {
+            self.teach_versions(now);
+        }
+    }
+
+    fn teach_versions(&mut self, now: Duration) {
+        let state = self.group.replica.state();
+        let Some(primary) = &mut self.primary else { return };
+        primary.planned_generation = state.generation();
+        for (model, generation) in state.named_versions() {
+            let single =
+                state.configuration().is_some_and(|known| orders::needs_single_version(known, model));
+            primary.planner.name_version(now, model, *generation, single);
+        }
+    }
+
+    fn teach_planner(&mut self, now: Duration) {
+        let Some(primary) = &mut self.primary else { return };
+        for instance in self.registry.live() {
+            primary.planner.instance(now, instance);
+        }
+    }
+
+    pub(super) fn order_answered(&mut self, now: Duration, order: &Order, answer: OrderAnswer) {
+        if let Some(primary) = &mut self.primary {
+            primary.planner.order_answered(now, order, answer);
+        }
+    }
+
+    pub(super) fn reported(&mut self, now: Duration, instance: &str, report: Option<Reported>) {
+        if let Some(primary) = &mut self.primary {
+            primary.planner.reported(now, instance, report);
+        }
+    }
+
+    pub(super) fn tick_primary(&mut self, now: Duration) {
+        let acting = self.is_acting(now);
+        let Some(primary) = &mut self.primary else { return };
+        if acting {
+            primary.planner.tick(now);
+        }
+        primary.feed.tick(now);
+    }
+
+    /// Looks over registrations and witnesses.
+    pub(super) fn look_over_primary(&mut self, now: Duration) {
+        if !self.is_acting(now) {
+            return;
+        }
+        let change = self.registry.expire(now);
+        self.registry_changed(now, &change);
+        if let Some(primary) = &mut self.primary
+            && primary.list_complete_at.is_some_and(|due| now >= due)
+        {
+            primary.list_complete_at = None;
+            primary.feed.complete_list(now);
+        }
+        self.look_over_witnesses(now);
+    }
+
+    fn look_over_witnesses(&mut self, now: Duration) {
+        let early =
+            self.primary.as_ref().is_none_or(|primary| now.saturating_sub(primary.since) < WITNESS_GRACE);
+        if early || self.group.is_changing() {
+            return;
+        }
+        let record = self.group.replica.record();
+        let standings = self.peers.standings(now);
+        let change = witnesses::next_change(record, &standings, self.settings.wanted_witnesses());
+        if let Some(next) = change {
+            let expected = record.epoch;
+            log::info!("changing the witnesses of epoch {expected}");
+            self.group.propose_witnesses(now, expected, next);
+        }
+    }
+
+    /// Carries out what the primary's parts want.
+    pub(super) fn settle_primary(&mut self, now: Duration) {
+        self.plan_stores(now);
+        self.settle_planner(now);
+        let Some(primary) = &mut self.primary else { return };
+        if primary.feed.due_at().is_some_and(|due| due <= now) {
+            primary.feed.flush(now);
+        }
+        for output in primary.feed.take_outputs() {
+            match output {
+                FeedOutput::Send(connection, message) => self.send(now, connection, message),
+                FeedOutput::Drop(connection) => self.redirect(now, connection),
+            }
+        }
+    }
+
+    fn plan_stores(&mut self, now: Duration) {
+        if !self.is_acting(now) {
+            return;
+        }
+        let state: &ControlState = self.group.replica.state();
+        let Some(primary) = &mut self.primary else { return };
+        if now < primary.plan_at || !primary.planned.is_empty() {
+            return;
+        }
+        primary.plan_at = now + PLAN_EVERY;
+        for command in primary.stores.plan(now, state) {
+            log::info!("storage machines: {command:?}");
+            if let Ok(index) = self.group.replica.propose(now, command.encode()) {
+                primary.planned.insert(index);
+            }
+        }
+        if !primary.planned.is_empty() {
+            self.settle_group(now);
+        }
+    }
+
+    fn settle_planner(&mut self, now: Duration) {
+        let acting = self.is_acting(now);
+        let Some(primary) = &mut self.primary else { return };
+        let epoch = primary.epoch;
+        for output in primary.planner.take_outputs() {
+            match output {
+                PlanOutput::Send(order) if acting => {
+                    log::info!(
+                        "ordering {} to load version {} of {}",
+                        order.instance,
+                        order.generation,
+                        order.model
+                    );
+                    let body = orders::body(&order, &self.settings.me.node, epoch);
+                    self.outputs.push(Output::SendOrder { order, body });
+                }
+                PlanOutput::Send(order) => self.order_answered(now, &order, OrderAnswer::Refused),
+                PlanOutput::Ask { instance, address } => {
+                    self.outputs.push(Output::AskReport { instance, address });
+                }
+                PlanOutput::Holds { instance, model, generation } => {
+                    let change = self.registry.holds(&instance, &model, generation);
+                    self.registry_changed(now, &change);
+                }
+            }
+        }
+    }
+}
+
+fn published(state: &ControlState) -> PublishedConfiguration {
+    let document = state.configuration().map(|known| known.document().to_vec());
+    let patch = state.last_patch().filter(|patch| patch.generation == state.generation());
+    PublishedConfiguration {
+        generation: state.generation(),
+        document: document.unwrap_or_default(),
+        patch: patch.map(|patch| (patch.base, patch.patch.clone())),
+    }
+}
--- /dev/null
+++ b/crates/control/src/core/status.rs
@@ -0,0 +1,94 @@
+//! The state of a control process for operators, JSON.
+
+use super::Core;
+use crate::state::RetirementState;
+use pebblepost_messages::{DiskId, Member};
+use simd_json::OwnedValue;
+use std::time::Duration;
+
+impl Core {
+    /// The state of this process, JSON.
+    pub fn status(&self, now: Duration) -> String {
+        let record = self.group.replica.record();
+        let status = simd_json::json!({
+            "node": self.settings.me.node.as_str(),
+            "disk": disk(self.settings.me.disk),
+            "role": if self.is_acting(now) { "primary" } else { "standby" },
+            "epoch": record.epoch,
+            "primary": disk(record.primary),
+            "in_sync": members(&record.in_sync),
+            "witnesses": members(&record.witnesses),
+            "generation": self.state().generation(),
+            "instances": self.registry.live().count(),
+            "subscribers": self.subscriber_status(),
+            "store_groups": self.group_status(),
+            "named_versions": self.version_status(),
+            "retirements": self.retirement_status(),
+        });
+        simd_json::to_string(&status).unwrap_or_default()
+    }
+
+    fn subscriber_status(&self) -> OwnedValue {
+        let Some(primary) = &self.primary else { return list(std::iter::empty()) };
+        let subscribers = primary.feed.subscribers().into_iter().map(|subscriber| {
+            simd_json::json!({
+                "node": subscriber.node,
+                "role": format!("{:?}", subscriber.role),
+                "generation": subscriber.generation,
+                "behind": subscriber.behind,
+            })
+        });
+        list(subscribers)
+    }
+
+    fn group_status(&self) -> OwnedValue {
+        let groups = self.state().groups().iter().map(|(group, assignment)| {
+            let targets = list(assignment.targets.iter().map(|target| disk(*target).into()));
+            simd_json::json!({
+                "group": *group,
+                "epoch": assignment.epoch.epoch,
+                "primary": disk(assignment.epoch.primary),
+                "in_sync": list(assignment.epoch.in_sync.iter().map(|member| disk(*member).into())),
+                "targets": targets,
+            })
+        });
+        list(groups)
+    }
+
+    fn version_status(&self) -> OwnedValue {
+        let versions = self.state().named_versions().iter().map(
+            |(model, generation)| simd_json::json!({ "model": model.as_str(), "generation": *generation }),
+        );
+        list(versions)
+    }
+
+    fn retirement_status(&self) -> OwnedValue {
+        let retirements = self.state().retirements().iter().map(|(node, state)| {
+            let state = match state {
+                RetirementState::Running => "running",
+                RetirementState::Completed => "completed",
+            };
+            simd_json::json!({ "node": node.as_str(), "state": state })
+        });
+        list(retirements)
+    }
+}
+
+fn disk(disk: DiskId) -> String {
+    format!("{:016x}", disk.0)
+}
+
+fn members(members: &[Member]) -> OwnedValue {
+    let member = |member: &Member| {
+        simd_json::json!({
+            "disk": disk(member.disk),
+            "node": member.node.as_str(),
+            "address": member.address.as_str(),
+        })
+    };
+    list(members.iter().map(member))
+}
+
+fn list(values: impl Iterator<Item = OwnedValue>) -> OwnedValue {
+    OwnedValue::from(values.collect::<Vec<OwnedValue>>())
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,6 +1,35 @@
 //! Program of the core machines.
+//!
+//! Everything but [`program`], its tasks and [`http`] is without I/O: [`core`] takes what happened and says
+//! what has to be done.
+//!
+//! * [`state`], [`command`], [`history`]: the replicated control state and its log's entries.
+//! * [`registry`], [`announcement`]: registrations of transcribers.
+//! * [`feed_server`]: the feed to agents, storage machines and standbys.
+//! * [`placement`], [`stores`]: groups of batch jobs on storage machines.
+//! * [`orders`]: orders to transcribers.
+//! * [`founding`], [`peers`], [`witnesses`]: the control group itself.
+//! * [`api`]: calls and answers of the HTTP interface.
 
-/// Runs the program until SIGTERM.
-pub fn run(_settings: pebblepost_settings::Settings) -> eyre::Result<()> {
-    todo!()
-}
+pub mod announcement;
+pub mod api;
+pub mod command;
+pub mod core;
+pub mod digest;
+pub mod disk_record;
+pub mod feed_server;
+pub mod founding;
+pub mod history;
+pub mod http;
+pub mod orders;
+pub mod peers;
+pub mod placement;
+pub mod program;
+pub mod registry;
+mod shell;
+pub mod state;
+pub mod stores;
+mod tasks;
+pub mod witnesses;
+
+pub use program::run;
--- /dev/null
+++ b/crates/control/src/shell.rs
@@ -0,0 +1,192 @@
+//! Carries out what the core wants: answers, links, the disk, orders.
+
+use crate::api::Answer;
+use crate::core::{CallId, Core, Input, Output};
+use crate::disk_record::ControlRecord;
+use crate::feed_server::ConnectionId;
+use crate::http::IncomingCall;
+use crate::tasks::{Event, EventSender, ask_report, keep_peer_link, send_order};
+use pebblepost_link::Sender;
+use pebblepost_ring::{Completion, Disk};
+use pebblepost_transcriber::{Client, ClientLimits};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::Instant;
+
+/// Bytes after which the disk is compacted, if a quarter of its capacity is not less.
+const MOST_SINCE_CHECKPOINT: u64 = 8 * 1024 * 1024;
+
+/// Limits of the client for orders and reports.
+const CLIENT_LIMITS: ClientLimits = ClientLimits {
+    connect: Duration::from_millis(400),
+    most_connections_each: 2,
+    idle: Duration::from_secs(2),
+    most_body_bytes: 256 * 1024,
+};
+
+/// The core and everything that it acts on.
+#[derive(Debug)]
+pub struct Shell {
+    start: Instant,
+    core: Core,
+    disk: Disk,
+    events: EventSender,
+    client: Client,
+    calls: BTreeMap<CallId, oneshot::Sender<Answer>>,
+    last_call: CallId,
+    links: HashMap<ConnectionId, Sender>,
+    peers: HashMap<String, Sender>,
+    dials: HashMap<String, AbortHandle>,
+    /// Tickets of the disk, and the core's writes that they stand for.
+    tickets: VecDeque<(u64, u64)>,
+}
+
+impl Shell {
+    /// A shell around a core. `start` is the zero of the core's clock.
+    pub fn new(start: Instant, core: Core, disk: Disk, events: EventSender) -> Shell {
+        Shell {
+            start,
+            core,
+            disk,
+            events,
+            client: Client::new(CLIENT_LIMITS),
+            calls: BTreeMap::new(),
+            last_call: 0,
+            links: HashMap::new(),
+            peers: HashMap::new(),
+            dials: HashMap::new(),
+            tickets: VecDeque::new(),
+        }
+    }
+
+    /// When a tick is wanted earlier than usual.
+    pub fn due_at(&self) -> Option<Instant> {
+        self.core.due_at().map(|due| self.start + due)
+    }
+
+    /// Something happened.
+    pub fn handle(&mut self, input: Input) {
+        self.core.handle(self.start.elapsed(), input);
+        self.carry_out();
+    }
+
+    /// A call came.
+    pub fn call(&mut self, incoming: IncomingCall) {
+        self.last_call += 1;
+        self.calls.insert(self.last_call, incoming.reply);
+        self.handle(Input::Call { id: self.last_call, call: incoming.call });
+    }
+
+    /// A task told something.
+    pub fn event(&mut self, event: Event) {
+        match event {
+            Event::Opened { connection, sender } => {
+                self.links.insert(connection, sender);
+            }
+            Event::PeerUp { address, sender } => {
+                self.peers.insert(address.clone(), sender);
+                self.handle(Input::PeerUp { address });
+            }
+            Event::Input(input) => {
+                match &input {
+                    Input::Closed { connection } => {
+                        self.links.remove(connection);
+                    }
+                    Input::PeerDown { address } => {
+                        self.peers.remove(address);
+                    }
+                    _ => {}
+                }
+                self.handle(input);
+            }
+        }
+    }
+
+    /// The disk finished something.
+    pub fn completed(&mut self, completion: Completion) {
+        match completion {
+            Completion::Synced(ticket) => {
+                let mut newest = None;
+                while let Some((_, write)) = self.tickets.pop_front_if(|(waiting, _)| *waiting <= ticket) {
+                    newest = Some(write);
+                }
+                if let Some(write) = newest {
+                    self.handle(Input::Written { write });
+                }
+            }
+            Completion::Refusing(reason) => log::warn!("the disk refuses writes: {reason}"),
+        }
+    }
+
+    /// Carries out what the core wants.
+    pub fn carry_out(&mut self) {
+        for output in self.core.take_outputs() {
+            match output {
+                Output::Answer { id, answer } => {
+                    if let Some(reply) = self.calls.remove(&id) {
+                        // The caller may have gone.
+                        reply.send(answer).ok();
+                    }
+                }
+                Output::Send { connection, message } => {
+                    if let Some(sender) = self.links.get(&connection) {
+                        sender.send(&message);
+                    }
+                }
+                Output::Close { connection } => {
+                    if let Some(sender) = self.links.remove(&connection) {
+                        sender.close();
+                    }
+                }
+                Output::SendPeer { address, message } => {
+                    if let Some(sender) = self.peers.get(&address) {
+                        sender.send(&message);
+                    }
+                }
+                Output::Dial(addresses) => self.dial(&addresses),
+                Output::Append { write, records } => self.append(write, &records),
+                Output::SendOrder { order, body } => {
+                    spawn_local(send_order(self.client.clone(), order, body, self.events.clone()));
+                }
+                Output::AskReport { instance, address } => {
+                    spawn_local(ask_report(self.client.clone(), instance, address, self.events.clone()));
+                }
+            }
+        }
+    }
+
+    fn append(&mut self, write: u64, records: &[ControlRecord]) {
+        let records = records.iter().map(ControlRecord::encode).collect();
+        let ticket = self.disk.append(records);
+        self.tickets.push_back((ticket, write));
+        let limit = MOST_SINCE_CHECKPOINT.min(self.disk.capacity() / 4);
+        if self.disk.bytes_since_checkpoint() > limit {
+            let records = self.core.checkpoint().iter().map(ControlRecord::encode).collect();
+            self.disk.checkpoint(records);
+        }
+    }
+
+    fn dial(&mut self, wanted: &BTreeSet<String>) {
+        let dropped: Vec<String> =
+            self.dials.keys().filter(|address| !wanted.contains(*address)).cloned().collect();
+        for address in dropped {
+            if let Some(task) = self.dials.remove(&address) {
+                task.abort();
+            }
+            if let Some(sender) = self.peers.remove(&address) {
+                sender.close();
+                self.core.handle(self.start.elapsed(), Input::PeerDown { address });
+            }
+        }
+        for address in wanted {
+            if self.dials.contains_key(address) {
+                continue;
+            }
+            let Ok(parsed) = address.parse() else { continue };
+            let task = spawn_local(keep_peer_link(parsed, self.events.clone()));
+            self.dials.insert(address.clone(), task.abort_handle());
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,304 @@
+//! The replicated control state. Entries change it deterministically: races between callers are
+//! settled by the order of the log.
+
+use crate::command::{
+    ChangeMethod, ChangeRefusal, Command, ConfigurationChange, FoundedGroup, Outcome, RetireRefusal,
+};
+use crate::history::History;
+use nanoserde::{DeBin, SerBin};
+use pebblepost_configuration::Configuration;
+use pebblepost_messages::control::GroupEpoch;
+use pebblepost_messages::{DiskId, Member};
+use pebblepost_replication::replica::StateMachine;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+/// Outcomes kept for their proposers.
+const MOST_OUTCOMES: usize = 1024;
+
+/// How far the emptying of a storage machine is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub enum RetirementState {
+    /// It still holds something.
+    #[default]
+    Running,
+    /// It holds nothing and may be taken away.
+    Completed,
+}
+
+/// Assignment of a group of batch jobs.
+#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct GroupAssignment {
+    /// Who holds it.
+    pub epoch: GroupEpoch,
+    /// Who should hold it.
+    pub targets: Vec<DiskId>,
+}
+
+/// A patch and the version that it was applied to, to pass the change on in its short form.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LastPatch {
+    /// Version that it builds on.
+    pub base: u64,
+    /// Version that it made.
+    pub generation: u64,
+    /// The patch, JSON.
+    pub patch: Vec<u8>,
+}
+
+/// What survives as a snapshot.
+#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+struct Snapshot {
+    document: Option<Vec<u8>>,
+    history: History,
+    named_versions: BTreeMap<String, u64>,
+    groups: BTreeMap<u32, GroupAssignment>,
+    stores: BTreeMap<u64, Member>,
+    retirements: BTreeMap<String, RetirementState>,
+}
+
+/// The replicated control state.
+#[derive(Clone, Debug, Default)]
+pub struct ControlState {
+    configuration: Option<Arc<Configuration>>,
+    history: History,
+    last_patch: Option<LastPatch>,
+    named_versions: BTreeMap<String, u64>,
+    groups: BTreeMap<u32, GroupAssignment>,
+    stores: BTreeMap<DiskId, Member>,
+    retirements: BTreeMap<String, RetirementState>,
+    outcomes: VecDeque<(u64, Outcome)>,
+}
+
+impl ControlState {
+    /// The configuration, if one was taken.
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.configuration.as_ref()
+    }
+
+    /// Version of the configuration, 0 for none.
+    pub fn generation(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |configuration| configuration.generation())
+    }
+
+    /// The patch that made the current version, if it was made by one.
+    pub fn last_patch(&self) -> Option<&LastPatch> {
+        self.last_patch.as_ref()
+    }
+
+    /// Named versions, by model.
+    pub fn named_versions(&self) -> &BTreeMap<String, u64> {
+        &self.named_versions
+    }
+
+    /// Assignments of the groups of batch jobs.
+    pub fn groups(&self) -> &BTreeMap<u32, GroupAssignment> {
+        &self.groups
+    }
+
+    /// Known disks of storage machines.
+    pub fn stores(&self) -> &BTreeMap<DiskId, Member> {
+        &self.stores
+    }
+
+    /// Storage machines that are or were emptied.
+    pub fn retirements(&self) -> &BTreeMap<String, RetirementState> {
+        &self.retirements
+    }
+
+    /// The version made by this very change, if it was taken.
+    pub fn taken(&self, change: &ConfigurationChange) -> Option<u64> {
+        self.history.taken(change)
+    }
+
+    /// What the entry at an index did, if it was applied here lately.
+    pub fn outcome(&self, index: u64) -> Option<&Outcome> {
+        self.outcomes.iter().rev().find(|(applied, _)| *applied == index).map(|(_, outcome)| outcome)
+    }
+
+    /// The configuration that a change would make now.
+    pub fn check(&self, change: &ConfigurationChange) -> Result<Configuration, ChangeRefusal> {
+        let current = self.generation();
+        if change.base != current {
+            return Err(ChangeRefusal::OtherVersion { current });
+        }
+        let invalid = |refused: pebblepost_configuration::Invalid| ChangeRefusal::Invalid(refused.0);
+        let made = match (change.method, &self.configuration) {
+            (ChangeMethod::Whole, _) => Configuration::parse(&change.body).map_err(invalid)?,
+            (ChangeMethod::Patch, Some(configuration)) => {
+                configuration.patched(&change.body).map_err(invalid)?
+            }
+            (ChangeMethod::Patch, None) => {
+                return Err(ChangeRefusal::Invalid("there is no configuration to patch".into()));
+            }
+        };
+        if made.generation() <= current {
+            let reason = format!("generation {} is not above the current {current}", made.generation());
+            return Err(ChangeRefusal::Invalid(reason));
+        }
+        Ok(made)
+    }
+
+    fn apply_command(&mut self, command: Command) -> Outcome {
+        match command {
+            Command::ChangeConfiguration(change) => self.change_configuration(change),
+            Command::NameVersion { model, generation } => self.name_version(model, generation),
+            Command::FoundStoreGroups(founded) => self.found_groups(founded),
+            Command::ChangeGroup { group, expected_epoch, proposed } => {
+                self.change_group(group, expected_epoch, proposed)
+            }
+            Command::StoreJoined(member) => self.store_joined(member),
+            Command::StoreLeft(disk) => {
+                self.stores.remove(&disk);
+                Outcome::Applied
+            }
+            Command::Retire { node, least_remaining } => self.retire(node, least_remaining),
+            Command::RetireCompleted { node } => self.complete_retirement(&node),
+            Command::SetTargets { group, targets } => self.set_targets(group, targets),
+        }
+    }
+
+    fn change_configuration(&mut self, change: ConfigurationChange) -> Outcome {
+        if let Some(generation) = self.taken(&change) {
+            return Outcome::ConfigurationTaken { generation };
+        }
+        let made = match self.check(&change) {
+            Ok(made) => made,
+            Err(refusal) => return Outcome::ConfigurationRefused(refusal),
+        };
+        let generation = made.generation();
+        self.history.note(&change, generation);
+        self.last_patch = match change.method {
+            ChangeMethod::Whole => None,
+            ChangeMethod::Patch => Some(LastPatch { base: change.base, generation, patch: change.body }),
+        };
+        self.configuration = Some(Arc::new(made));
+        Outcome::ConfigurationTaken { generation }
+    }
+
+    fn name_version(&mut self, model: String, generation: u64) -> Outcome {
+        let named = self.named_versions.entry(model).or_default();
+        *named = generation.max(*named);
+        Outcome::VersionNamed
+    }
+
+    fn found_groups(&mut self, founded: Vec<FoundedGroup>) -> Outcome {
+        if !self.groups.is_empty() {
+            return Outcome::Applied;
+        }
+        for FoundedGroup { group, primary, replicas } in founded {
+            let epoch = GroupEpoch { epoch: 1, primary, in_sync: replicas.clone() };
+            self.groups.insert(group, GroupAssignment { epoch, targets: replicas });
+        }
+        Outcome::Applied
+    }
+
+    fn change_group(&mut self, group: u32, expected_epoch: u64, proposed: GroupEpoch) -> Outcome {
+        let Some(assignment) = self.groups.get_mut(&group) else {
+            return Outcome::GroupChanged { accepted: false, current: GroupEpoch::default() };
+        };
+        let current = &mut assignment.epoch;
+        if *current == proposed {
+            return Outcome::GroupChanged { accepted: true, current: proposed };
+        }
+        let follows =
+            current.epoch == expected_epoch && expected_epoch.checked_add(1) == Some(proposed.epoch);
+        let held =
+            current.in_sync.contains(&proposed.primary) && proposed.in_sync.contains(&proposed.primary);
+        if follows && held {
+            *current = proposed;
+        }
+        Outcome::GroupChanged { accepted: follows && held, current: current.clone() }
+    }
+
+    fn store_joined(&mut self, member: Member) -> Outcome {
+        self.stores.insert(member.disk, member);
+        Outcome::Applied
+    }
+
+    fn retire(&mut self, node: String, least_remaining: u32) -> Outcome {
+        if self.retirements.contains_key(&node) {
+            return Outcome::Retiring;
+        }
+        if self.disks_of(&node).is_empty() {
+            return Outcome::RetireRefused(RetireRefusal::UnknownNode);
+        }
+        let remains = |other: &&String| **other != node && !self.retirements.contains_key(*other);
+        let nodes: BTreeSet<&String> = self.stores.values().map(|member| &member.node).collect();
+        if nodes.into_iter().filter(remains).count() < least_remaining as usize {
+            return Outcome::RetireRefused(RetireRefusal::TooFewRemain);
+        }
+        self.retirements.insert(node, RetirementState::Running);
+        Outcome::Retiring
+    }
+
+    fn complete_retirement(&mut self, node: &str) -> Outcome {
+        let disks: Vec<DiskId> = self.disks_of(node);
+        let holds = |assignment: &GroupAssignment| {
+            disks
+                .iter()
+                .any(|disk| assignment.epoch.in_sync.contains(disk) || assignment.targets.contains(disk))
+        };
+        if self.groups.values().any(holds) {
+            return Outcome::Applied;
+        }
+        if let Some(state) = self.retirements.get_mut(node) {
+            *state = RetirementState::Completed;
+        }
+        Outcome::Applied
+    }
+
+    fn set_targets(&mut self, group: u32, targets: Vec<DiskId>) -> Outcome {
+        if let Some(assignment) = self.groups.get_mut(&group) {
+            assignment.targets = targets;
+        }
+        Outcome::Applied
+    }
+
+    /// Disks that a storage machine has or had.
+    pub fn disks_of(&self, node: &str) -> Vec<DiskId> {
+        let of_node = self.stores.values().filter(|member| member.node == node);
+        of_node.map(|member| member.disk).collect()
+    }
+}
+
+impl StateMachine for ControlState {
+    fn apply(&mut self, index: u64, entry: &[u8]) {
+        let outcome = match Command::deserialize_bin(entry) {
+            Ok(command) => self.apply_command(command),
+            Err(_) => Outcome::Unreadable,
+        };
+        self.outcomes.push_back((index, outcome));
+        if self.outcomes.len() > MOST_OUTCOMES {
+            self.outcomes.pop_front();
+        }
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        let snapshot = Snapshot {
+            document: self.configuration.as_ref().map(|configuration| configuration.document().to_vec()),
+            history: self.history.clone(),
+            named_versions: self.named_versions.clone(),
+            groups: self.groups.clone(),
+            stores: self.stores.iter().map(|(disk, member)| (disk.0, member.clone())).collect(),
+            retirements: self.retirements.clone(),
+        };
+        SerBin::serialize_bin(&snapshot)
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) {
+        let Ok(snapshot) = Snapshot::deserialize_bin(snapshot) else {
+            log::error!("reading a snapshot of the control state: it is not in this program's format");
+            return;
+        };
+        let parse = |document: Vec<u8>| Configuration::parse(&document).ok().map(Arc::new);
+        self.configuration = snapshot.document.and_then(parse);
+        self.history = snapshot.history;
+        self.last_patch = None;
+        self.named_versions = snapshot.named_versions;
+        self.groups = snapshot.groups;
+        self.stores = snapshot.stores.into_iter().map(|(disk, member)| (DiskId(disk), member)).collect();
+        self.retirements = snapshot.retirements;
+        self.outcomes.clear();
+    }
+}
