Batch store: program of the storage machines, first version

Sans-I/O store (replicas of the groups of jobs, calls, leases, epochs asked of the control plane) and the loop that carries it out over links, ring and control client.

--- /dev/null
+++ b/crates/batch-store/src/store/configuration.rs
@@ -0,0 +1,126 @@
+//! What the control plane says: who serves which group.
+
+use super::Store;
+use super::epoch_changes::{Answer, record_of};
+use pebblepost_messages::Member;
+use pebblepost_messages::batch::STORE_GROUPS;
+use pebblepost_messages::control::{GroupEpoch, ToControl};
+use pebblepost_messages::feed::StoreGroup;
+use pebblepost_replication::record::EpochRecord;
+use std::time::Duration;
+
+impl Store {
+    /// A link to the control primary is up, and this machine has announced itself over it.
+    pub fn control_connected(&mut self) {
+        for message in self.changes.ask_again() {
+            self.outbox.send_to_control(message);
+        }
+    }
+
+    /// The feed says who serves some groups.
+    pub fn assign(&mut self, now: Duration, assignments: &[StoreGroup]) {
+        for assignment in assignments.iter().filter(|assignment| assignment.group < STORE_GROUPS) {
+            self.learn_members(assignment);
+            let number = assignment.group;
+            let is_old = |known: &StoreGroup| known.epoch > assignment.epoch;
+            if self.assignments.get(&number).is_some_and(is_old) {
+                continue;
+            }
+            self.assignments.insert(number, assignment.clone());
+            if self.holds(assignment) && !self.groups.contains_key(&number) {
+                self.open_group(now, number, Vec::new());
+            } else {
+                self.configure_group(now, number);
+            }
+            self.settle(now, number);
+        }
+    }
+
+    /// The control plane has answered a change of an epoch.
+    pub fn group_changed(&mut self, now: Duration, request: u64, number: u32, current: &GroupEpoch) {
+        let answer = self.changes.answered(request, number, current);
+        let record = match &answer {
+            Answer::Accepted(record) => Some(record.clone()),
+            Answer::Refused | Answer::Unasked => record_of(current, &self.members),
+        };
+        let Some(group) = self.groups.get_mut(&number) else { return };
+        if let Some(record) = record {
+            group.replica.configure(now, &record);
+        }
+        if answer != Answer::Unasked {
+            group.replica.change_ended(now);
+        }
+        self.settle(now, number);
+    }
+
+    /// Asks the control plane for another epoch.
+    pub(super) fn ask_for_epoch(&mut self, now: Duration, number: u32, expected: u64, record: EpochRecord) {
+        log::info!("group {number}: asking for epoch {} with primary {:x}", record.epoch, record.primary.0);
+        let message: ToControl = self.changes.ask(now, number, expected, record);
+        self.outbox.send_to_control(message);
+    }
+
+    pub(super) fn give_up_overdue_changes(&mut self, now: Duration) {
+        for number in self.changes.take_overdue(now) {
+            if let Some(group) = self.groups.get_mut(&number) {
+                group.replica.change_ended(now);
+            }
+            self.settle(now, number);
+        }
+    }
+
+    /// Hands the newest assignment of a group to its replica, or drops the replica if the group is
+    /// held by others.
+    pub(super) fn configure_group(&mut self, now: Duration, number: u32) {
+        let Some(assignment) = self.assignments.get(&number).cloned() else { return };
+        let holds = self.holds(&assignment);
+        let Some(group) = self.groups.get_mut(&number) else { return };
+        if !holds && assignment.epoch >= group.replica.record().epoch {
+            log::info!("group {number}: held by others in epoch {}", assignment.epoch);
+            self.stop_group(number);
+            self.groups.remove(&number);
+            return;
+        }
+        group.replica.configure(now, &epoch_record(&assignment));
+        let targets = if self.is_leaving { self.targets_of_leave(&assignment) } else { assignment.targets };
+        if let Some(group) = self.groups.get_mut(&number) {
+            group.replica.set_targets(now, targets);
+        }
+    }
+
+    /// All other machines that hold groups, as far as they are known: whichever has caught up first
+    /// may take this machine's place.
+    fn targets_of_leave(&self, assignment: &StoreGroup) -> Vec<Member> {
+        let assigned = self.assignments.values().flat_map(|other| other.in_sync.iter().chain(&other.targets));
+        let mut targets = assignment.targets.clone();
+        for member in assigned {
+            if targets.iter().all(|target| target.disk != member.disk) {
+                targets.push(member.clone());
+            }
+        }
+        targets.retain(|member| member.disk != self.settings.me.disk);
+        targets
+    }
+
+    /// Whether this machine holds a group, or should.
+    fn holds(&self, assignment: &StoreGroup) -> bool {
+        let mut members = assignment.in_sync.iter().chain(&assignment.targets);
+        members.any(|member| member.disk == self.settings.me.disk)
+    }
+
+    fn learn_members(&mut self, assignment: &StoreGroup) {
+        let members = assignment.in_sync.iter().chain(&assignment.targets).chain([&assignment.primary]);
+        for member in members.filter(|member| !member.address.is_empty()) {
+            self.members.insert(member.disk, member.clone());
+        }
+    }
+}
+
+fn epoch_record(assignment: &StoreGroup) -> EpochRecord {
+    EpochRecord {
+        epoch: assignment.epoch,
+        primary: assignment.primary.disk,
+        in_sync: assignment.in_sync.clone(),
+        ..EpochRecord::default()
+    }
+}
--- /dev/null
+++ b/crates/batch-store/src/store/status.rs
@@ -0,0 +1,69 @@
+//! State of the store for displays, as JSON.
+
+use super::outbox::LinkId;
+use super::{Caller, Store};
+use pebblepost_messages::batch::FromStore;
+use std::time::Duration;
+
+impl Store {
+    pub(super) fn answer_status(&mut self, now: Duration, link: LinkId) {
+        let status = self.status(now).into_bytes();
+        self.outbox.reply(link, FromStore::Status(status));
+    }
+
+    /// State of the store, a JSON object.
+    pub fn status(&self, now: Duration) -> String {
+        let groups: Vec<String> = self.groups.keys().map(|number| self.group_status(now, *number)).collect();
+        let is_peer = |caller: &&Caller| matches!(caller, Caller::Peer(_));
+        let peers = self.callers.values().filter(is_peer).count();
+        format!(
+            "{{\"node\":{},\"disk\":\"{:016x}\",\"proxies\":{},\"peers\":{peers},\"held_bytes\":{},\
+             \"most_bytes\":{},\"scheduled_jobs\":{},\"leased_items\":{},\"groups\":[{}]}}",
+            quoted(&self.settings.me.node),
+            self.settings.me.disk.0,
+            self.proxies().len(),
+            self.held_bytes(),
+            self.settings.budget.most_bytes(),
+            self.scheduler.open_jobs(),
+            self.scheduler.leased_items(),
+            groups.join(",")
+        )
+    }
+
+    fn group_status(&self, now: Duration, number: u32) -> String {
+        let Some(group) = self.groups.get(&number) else { return String::new() };
+        let record = group.replica.record();
+        let in_sync: Vec<String> = record.in_sync.iter().map(|member| quoted(&member.node)).collect();
+        let progress = group.replica.progress();
+        let progress: Vec<String> =
+            progress.iter().map(|(disk, index)| format!("\"{:016x}\":{index}", disk.0)).collect();
+        let results: usize = group.state().jobs().map(|job| job.results().len()).sum();
+        format!(
+            "{{\"group\":{number},\"epoch\":{},\"primary\":\"{:016x}\",\"in_sync\":[{}],\"acting\":{},\
+             \"committed\":{},\"progress\":{{{}}},\"jobs\":{},\"results\":{results}}}",
+            record.epoch,
+            record.primary.0,
+            in_sync.join(","),
+            group.is_acting(now),
+            group.replica.committed(),
+            progress.join(","),
+            group.state().jobs().count(),
+        )
+    }
+}
+
+/// A JSON string.
+fn quoted(text: &str) -> String {
+    let mut quoted = String::from("\"");
+    for character in text.chars() {
+        match character {
+            '"' | '\\' => quoted.extend(['\\', character]),
+            character if character.is_control() => {
+                quoted.push_str(&format!("\\u{:04x}", u32::from(character)))
+            }
+            character => quoted.push(character),
+        }
+    }
+    quoted.push('"');
+    quoted
+}
--- a/crates/batch/src/scheduler/mod.rs
+++ b/crates/batch/src/scheduler/mod.rs
@@ -22,6 +22,8 @@
 use std::time::Duration;
 use takeover::Takeover;
 
+/// Bytes of bodies beyond which a proxy gets no further group of samples in one answer.
+const MOST_BYTES_AT_ONCE: usize = 4 * 1024 * 1024;
 /// How many items more than asked for a proxy is given so that a group of samples stays whole.
 const MOST_ITEMS_BEYOND: usize = 8;
 
@@ -120,21 +122,21 @@
         &mut self, now: Duration, proxy: ProxyId, most_items: usize,
         states: impl Fn(u32) -> Option<&'state BatchState>,
     ) -> Vec<WorkLease> {
-        let mut given = Vec::new();
+        let mut given: Vec<WorkLease> = Vec::new();
         let mut count = 0;
         for with_surplus in [false, true] {
             if with_surplus && count > 0 {
                 break;
             }
             for key in self.order.clone() {
-                if count >= most_items {
+                if count >= most_items || body_bytes(&given) >= MOST_BYTES_AT_ONCE {
                     break;
                 }
                 let Some(job) = states(key.group).and_then(|state| state.job(&key.job)) else { continue };
                 count += self.take_from_job(now, proxy, most_items - count, with_surplus, job, &mut given);
             }
         }
-        if count < most_items {
+        if given.is_empty() || count < most_items {
             self.idle.insert(proxy);
         } else {
             self.idle.remove(&proxy);
@@ -153,7 +155,7 @@
             return 0;
         }
         let mut count = 0;
-        while count < room {
+        while count < room && body_bytes(given) < MOST_BYTES_AT_ONCE {
             let most = room - count + MOST_ITEMS_BEYOND;
             let Some(sample) = schedule.next_sample_group(now, with_surplus) else { break };
             let key = LeaseKey { group: schedule.group(), number: group.next_lease };
@@ -234,18 +236,17 @@
         }
     }
 
-    /// What to renew: for each connected proxy that holds leases, the groups and epochs for which
-    /// `is_acting` says that this machine may. A lease that was not renewed in time is not.
-    pub fn renew(
-        &mut self, now: Duration, is_acting: impl Fn(u32) -> bool,
-    ) -> Vec<(ProxyId, Vec<(u32, u64)>)> {
+    /// What to renew: for each connected proxy that holds leases, the groups for which `is_acting`
+    /// says that this machine may. A lease that was not renewed in time is not.
+    pub fn renew(&mut self, now: Duration, is_acting: impl Fn(u32) -> bool) -> Vec<(ProxyId, Vec<u32>)> {
         self.end_leases(now);
-        let mut renewals = Vec::new();
-        for (proxy, groups) in self.leases.renew(now, is_acting) {
-            let epochs = groups.into_iter().filter_map(|group| Some((group, self.groups.get(&group)?.epoch)));
-            renewals.push((proxy, epochs.collect()));
-        }
-        renewals
+        let renewed = self.leases.renew(now, is_acting).into_iter();
+        renewed.map(|(proxy, groups)| (proxy, groups.into_iter().collect())).collect()
+    }
+
+    /// Epoch in which this machine became primary of a group; its leases carry it.
+    pub fn epoch(&self, group: u32) -> Option<u64> {
+        self.groups.get(&group).map(|group| group.epoch)
     }
 
     /// Items that wait and whose time to be given up has come; they count as finished from now on.
@@ -262,18 +263,19 @@
     }
 
     /// Proxies that were told that there is nothing more, if there is something by now.
-    pub fn take_idle(&mut self, now: Duration) -> Vec<ProxyId> {
-        if self.idle.is_empty() || !self.has_work(now) {
+    pub fn take_idle(&mut self, now: Duration, is_acting: impl Fn(u32) -> bool) -> Vec<ProxyId> {
+        if self.idle.is_empty() || !self.has_work(now, is_acting) {
             return Vec::new();
         }
         std::mem::take(&mut self.idle).into_iter().collect()
     }
 
-    /// Whether an item could be leased now.
-    pub fn has_work(&self, now: Duration) -> bool {
+    /// Whether an item of a group that `is_acting` allows could be leased now.
+    pub fn has_work(&self, now: Duration, is_acting: impl Fn(u32) -> bool) -> bool {
         let can_lease = |job: &JobSchedule| {
             let held_back = |group: &GroupSchedule| group.takeover.holds_back(now);
             self.groups.get(&job.group()).is_some_and(|group| !held_back(group))
+                && is_acting(job.group())
                 && !job.has_expired(now)
                 && job.next_sample_group(now, true).is_some()
         };
@@ -291,6 +293,11 @@
     }
 }
 
+fn body_bytes(leases: &[WorkLease]) -> usize {
+    let items = leases.iter().flat_map(|lease| &lease.items);
+    items.map(|leased| leased.item.body.len() + leased.partial.message.len()).sum()
+}
+
 fn work_lease(
     now: Duration, epoch: u64, key: LeaseKey, schedule: &JobSchedule, stored: &StoredJob, indices: &[usize],
 ) -> WorkLease {
