--- a/crates/link/src/control_client.rs
+++ b/crates/link/src/control_client.rs
@@ -191,8 +191,7 @@
     async fn take(&self, connection: &mut Connection, message: FromControl) {
         if !connection.was_primary {
             connection.was_primary = true;
-            self.state.borrow_mut().link = Some(connection.sender.clone());
-            self.hand_out(ControlEvent::Connected(connection.sender.peer())).await;
+            self.announce(connection).await;
         }
         match message {
             FromControl::KeepAlive => {}
@@ -201,6 +200,15 @@
         }
     }
 
+    /// The link serves senders from the moment on at which its event can be received, so that what was meant for
+    /// the one before is not sent over it by a program that takes events first.
+    async fn announce(&self, connection: &Connection) {
+        if let Ok(permit) = self.events.reserve().await {
+            self.state.borrow_mut().link = Some(connection.sender.clone());
+            permit.send(ControlEvent::Connected(connection.sender.peer()));
+        }
+    }
+
     async fn hand_out(&self, event: ControlEvent) {
         // A closed channel ends the task.
         self.events.send(event).await.ok();
