--- /dev/null
+++ b/crates/replication/src/codec.rs
@@ -0,0 +1,87 @@
+//! Encoding of messages: decoding never panics and never reserves more than arrived.
+
+use nanoserde::{DeBin, DeBinErr, SerBin};
+use pebblepost_messages::{DiskId, Member};
+
+/// Bytes that are encoded and decoded as a whole.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Blob(pub Vec<u8>);
+
+impl SerBin for Blob {
+    fn ser_bin(&self, output: &mut Vec<u8>) {
+        self.0.len().ser_bin(output);
+        output.extend_from_slice(&self.0);
+    }
+}
+
+impl DeBin for Blob {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Self, DeBinErr> {
+        let length = decode_length(offset, bytes)?;
+        let start = *offset;
+        *offset += length;
+        Ok(Self(bytes[start..*offset].to_vec()))
+    }
+}
+
+/// A list whose decoding reserves nothing ahead.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Sequence<T>(pub Vec<T>);
+
+impl<T: SerBin> SerBin for Sequence<T> {
+    fn ser_bin(&self, output: &mut Vec<u8>) {
+        self.0.ser_bin(output);
+    }
+}
+
+impl<T: DeBin> DeBin for Sequence<T> {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Self, DeBinErr> {
+        decode_list(offset, bytes, T::de_bin).map(Self)
+    }
+}
+
+/// Decodes a whole message; `None` if it can't be read.
+pub(crate) fn decode<M: DeBin>(bytes: &[u8]) -> Option<M> {
+    M::deserialize_bin(bytes).ok()
+}
+
+/// Decodes a list of members.
+pub(crate) fn decode_members(offset: &mut usize, bytes: &[u8]) -> Result<Vec<Member>, DeBinErr> {
+    decode_list(offset, bytes, decode_member)
+}
+
+fn decode_member(offset: &mut usize, bytes: &[u8]) -> Result<Member, DeBinErr> {
+    Ok(Member {
+        disk: DiskId::de_bin(offset, bytes)?,
+        node: decode_string(offset, bytes)?,
+        address: decode_string(offset, bytes)?,
+        zone: decode_string(offset, bytes)?,
+        region: decode_string(offset, bytes)?,
+    })
+}
+
+fn decode_string(offset: &mut usize, bytes: &[u8]) -> Result<String, DeBinErr> {
+    let mut ahead = *offset;
+    decode_length(&mut ahead, bytes)?;
+    String::de_bin(offset, bytes)
+}
+
+fn decode_list<T>(
+    offset: &mut usize, bytes: &[u8], item: impl Fn(&mut usize, &[u8]) -> Result<T, DeBinErr>,
+) -> Result<Vec<T>, DeBinErr> {
+    let length = decode_length(offset, bytes)?;
+    let mut items = Vec::new();
+    for _ in 0..length {
+        items.push(item(offset, bytes)?);
+    }
+    Ok(items)
+}
+
+/// A length that the remaining bytes can hold (an item takes one byte or more).
+fn decode_length(offset: &mut usize, bytes: &[u8]) -> Result<usize, DeBinErr> {
+    let length = usize::de_bin(offset, bytes)?;
+    let remaining = bytes.len().saturating_sub(*offset);
+    if length > remaining {
+        return Err(DeBinErr::new(*offset, length, remaining));
+    }
+    Ok(length)
+}
--- a/crates/replication/src/record.rs
+++ b/crates/replication/src/record.rs
@@ -1,10 +1,12 @@
 //! The epoch record: who is primary, which replicas are in sync, which witnesses decide.
 
-use nanoserde::{DeBin, SerBin};
+use crate::codec::decode_members;
+use nanoserde::{DeBin, DeBinErr, SerBin};
 use pebblepost_messages::{DiskId, Member};
+use std::collections::BTreeSet;
 
 /// One epoch of a replicated group.
-#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin)]
 pub struct EpochRecord {
     /// Number of the epoch; 0 before the first primary.
     pub epoch: u64,
@@ -18,6 +20,62 @@
     pub former_witnesses: Vec<Member>,
 }
 
+impl DeBin for EpochRecord {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Self, DeBinErr> {
+        Ok(Self {
+            epoch: u64::de_bin(offset, bytes)?,
+            primary: DiskId::de_bin(offset, bytes)?,
+            in_sync: decode_members(offset, bytes)?,
+            witnesses: decode_members(offset, bytes)?,
+            former_witnesses: decode_members(offset, bytes)?,
+        })
+    }
+}
+
+impl EpochRecord {
+    /// Whether a disk is an in-sync replica.
+    pub fn is_in_sync(&self, disk: DiskId) -> bool {
+        contains(&self.in_sync, disk)
+    }
+
+    /// Whether a disk is a witness, of the former set too.
+    pub fn is_witness(&self, disk: DiskId) -> bool {
+        contains(&self.witnesses, disk) || contains(&self.former_witnesses, disk)
+    }
+
+    /// All witnesses, those of the former set too, each once.
+    pub fn all_witnesses(&self) -> impl Iterator<Item = &Member> {
+        let former = self.former_witnesses.iter();
+        self.witnesses.iter().chain(former.filter(|member| !contains(&self.witnesses, member.disk)))
+    }
+
+    /// The primary, if it is in the list of in-sync replicas.
+    pub fn primary_member(&self) -> Option<&Member> {
+        self.in_sync.iter().find(|member| member.disk == self.primary)
+    }
+
+    /// Whether these disks make a quorum: a majority of the witnesses and, while a change of the
+    /// witness set is unfinished, a majority of the former ones as well.
+    pub fn has_quorum(&self, disks: &BTreeSet<DiskId>) -> bool {
+        has_majority(&self.witnesses, disks)
+            && (self.former_witnesses.is_empty() || has_majority(&self.former_witnesses, disks))
+    }
+
+    /// Whether `next` is a legal successor: one epoch on, and at most one step of one change of
+    /// the witness set.
+    pub fn may_be_followed_by(&self, next: &EpochRecord) -> bool {
+        let unchanged = next.witnesses == self.witnesses && next.former_witnesses == self.former_witnesses;
+        let starts = self.former_witnesses.is_empty()
+            && next.former_witnesses == self.witnesses
+            && next.witnesses != self.witnesses
+            && !next.witnesses.is_empty();
+        let finishes = !self.former_witnesses.is_empty()
+            && next.former_witnesses.is_empty()
+            && next.witnesses == self.witnesses;
+        next.epoch == self.epoch + 1 && (unchanged || starts || finishes)
+    }
+}
+
 /// How many disks, and in how many places, must hold what is acknowledged.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Tolerance {
@@ -32,11 +90,20 @@
 impl Tolerance {
     /// Whether a set of replicas outlives the losses that are to be borne.
     pub fn is_met_by(&self, replicas: &[Member]) -> bool {
-        let distinct = |key: fn(&Member) -> &String| {
-            replicas.iter().map(key).collect::<std::collections::BTreeSet<_>>().len()
-        };
+        let distinct = |key: fn(&Member) -> &String| replicas.iter().map(key).collect::<BTreeSet<_>>().len();
         replicas.len() > self.machines
             && (self.zones == 0 || distinct(|member| &member.zone) > self.zones)
             && (self.regions == 0 || distinct(|member| &member.region) > self.regions)
     }
 }
+
+/// Whether a list of members holds a disk.
+pub(crate) fn contains(members: &[Member], disk: DiskId) -> bool {
+    members.iter().any(|member| member.disk == disk)
+}
+
+/// Whether these disks hold a majority of the members.
+pub(crate) fn has_majority(members: &[Member], disks: &BTreeSet<DiskId>) -> bool {
+    let held = members.iter().filter(|member| disks.contains(&member.disk)).count();
+    held * 2 > members.len()
+}
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -1,11 +1,33 @@
 //! A replica of a group: its log, its role, its lease.
 //!
-//! Interface agreed with the programs; times are the caller's steady clock.
+//! Primary-backup replication: an entry is committed once every in-sync replica of the current
+//! epoch has it on disk; the primary acts while all of them confirm its beacons. Times are the
+//! caller's steady clock.
 
+mod disk;
+mod follower;
+mod log;
+mod message;
+mod peer;
+mod plan;
+mod primary;
+mod recovery;
+mod succession;
+
+use crate::codec::{Blob, decode};
+use crate::guards::ReplicaGuards;
+use crate::random::Random;
 use crate::record::{EpochRecord, Tolerance};
+use disk::DiskQueue;
+use follower::Follower;
+use log::{Log, LogEntry};
+use message::ReplicaMessage;
 use nanoserde::{DeBin, SerBin};
 use pebblepost_messages::{DiskId, Member};
+use plan::PendingChange;
+use primary::Primary;
 use std::time::Duration;
+use succession::Succession;
 
 /// The replicated application: deterministic, changed by entries only.
 pub trait StateMachine {
@@ -30,7 +52,7 @@
         /// The entry.
         entry: Vec<u8>,
     },
-    /// The state up to an index; replaces all before.
+    /// The state up to an index; replaces all entries before.
     Snapshot {
         /// Index of the last entry in it.
         index: u64,
@@ -80,7 +102,7 @@
         records: Vec<DiskRecord>,
     },
     /// Ask the configuration manager for `record` to follow epoch `expected`; answer with
-    /// [`Replica::configure`] (whatever holds now) and [`Replica::change_ended`].
+    /// [`Replica::configure`] (whatever holds now) and then [`Replica::change_ended`].
     ChangeEpoch {
         /// Epoch that it builds on.
         expected: u64,
@@ -92,7 +114,8 @@
         /// Index.
         index: u64,
     },
-    /// This replica is primary, everything of earlier epochs is committed: it may act.
+    /// This replica is primary, everything of earlier epochs is committed: it may act. Not
+    /// repeated when the same replica goes on as primary of the next epoch.
     BecamePrimary {
         /// The epoch.
         epoch: u64,
@@ -110,75 +133,348 @@
     TooFewReplicas,
 }
 
+/// What a replica does in the current epoch.
+#[derive(Debug)]
+enum Role {
+    Follower(Follower),
+    Primary(Box<Primary>),
+}
+
 /// A replica.
 #[derive(Debug)]
 pub struct Replica<S> {
+    me: Member,
+    settings: ReplicaSettings,
+    guards: ReplicaGuards,
     state: S,
+    /// The newest time that the caller gave.
+    now: Duration,
+    last_tick: Duration,
+    record: EpochRecord,
+    log: Log,
+    /// Entries up to here are committed and applied.
+    committed: u64,
+    disk: DiskQueue,
+    targets: Vec<Member>,
+    role: Role,
+    change: PendingChange,
+    succession: Succession,
+    random: Random,
+    outputs: Vec<ReplicaOutput>,
 }
 
-#[allow(unused_variables)]
 impl<S: StateMachine> Replica<S> {
     /// A replica with what its disk held (records in the order written).
-    pub fn new(me: Member, settings: ReplicaSettings, state: S, recovered: Vec<DiskRecord>, now: Duration) -> Self {
-        todo!()
+    pub fn new(
+        me: Member, settings: ReplicaSettings, state: S, recovered: Vec<DiskRecord>, now: Duration,
+    ) -> Self {
+        Self::with_guards(me, settings, state, recovered, now, ReplicaGuards::default())
+    }
+
+    /// As [`Replica::new`], with guards taken out.
+    #[doc(hidden)]
+    pub fn with_guards(
+        me: Member, settings: ReplicaSettings, mut state: S, recovered: Vec<DiskRecord>, now: Duration,
+        guards: ReplicaGuards,
+    ) -> Self {
+        let recovered = recovery::recover(recovered, &mut state);
+        let mut replica = Self {
+            settings,
+            guards,
+            state,
+            now,
+            last_tick: now,
+            committed: recovered.applied,
+            disk: DiskQueue::new(recovered.log.last_index()),
+            targets: Vec::new(),
+            role: Role::Follower(Follower::default()),
+            change: PendingChange::default(),
+            succession: Succession::new(&recovered.record, now, settings.grace),
+            random: Random::new(me.disk.0 ^ now.subsec_nanos() as u64),
+            outputs: Vec::new(),
+            record: recovered.record,
+            log: recovered.log,
+            me,
+        };
+        let was_primary = replica.record.epoch > 0 && replica.record.primary == replica.me.disk;
+        if was_primary && !guards.new_life_new_epoch {
+            replica.become_primary();
+        }
+        replica
     }
+
     /// The epoch record in force, from the configuration manager; older ones are ignored.
     pub fn configure(&mut self, now: Duration, record: &EpochRecord) {
-        todo!()
+        self.advance(now);
+        if record.epoch > self.record.epoch {
+            self.enter_epoch(record.clone());
+        } else if self.record.epoch == 0 && self.record.witnesses.is_empty() {
+            self.record = record.clone();
+        }
     }
+
     /// The machines that should hold the group (the primary adds and drops towards it). Empty:
     /// whoever is in sync stays, and whoever asks to join is added.
     pub fn set_targets(&mut self, now: Duration, targets: Vec<Member>) {
-        todo!()
+        self.advance(now);
+        self.targets = targets;
     }
+
     /// An asked-for change of the epoch has ended, with or without success.
     pub fn change_ended(&mut self, now: Duration) {
-        todo!()
+        self.advance(now);
+        self.change.requests_in_flight = self.change.requests_in_flight.saturating_sub(1);
+        let pause = self.settings.beacon + self.random.below(self.settings.beacon * 2);
+        self.change.retry_at = now + pause;
     }
+
     /// Appends an entry; its index. Committed later.
     pub fn propose(&mut self, now: Duration, entry: Vec<u8>) -> Result<u64, ProposeError> {
-        todo!()
+        self.advance(now);
+        let is_primary = matches!(self.role, Role::Primary(_));
+        if is_primary && !self.settings.tolerance.is_met_by(&self.record.in_sync) {
+            return Err(ProposeError::TooFewReplicas);
+        }
+        if !self.is_acting(now) {
+            return Err(ProposeError::NotPrimary);
+        }
+        Ok(self.append_as_primary(entry))
     }
-    /// A message arrived.
+
+    /// A message arrived. What can't be read is dropped.
     pub fn receive(&mut self, now: Duration, from: &Member, message: &[u8]) {
-        todo!()
+        self.advance(now);
+        if let Some(message) = decode::<ReplicaMessage>(message) {
+            self.handle(from, message);
+        }
     }
+
     /// All up to this token is on disk.
     pub fn persisted(&mut self, now: Duration, token: u64) {
-        todo!()
+        self.advance(now);
+        self.disk.complete(token);
+        self.commit_as_primary();
     }
+
     /// Time passed. To be called every 50 ms or so.
     pub fn tick(&mut self, now: Duration) {
-        todo!()
+        self.advance(now);
+        self.forgive_own_stall();
+        self.last_tick = now;
+        match self.role {
+            Role::Primary(_) => self.tick_as_primary(),
+            Role::Follower(_) => self.tick_as_follower(),
+        }
     }
+
     /// Whether this replica is primary, has committed everything of earlier epochs and holds its
     /// lease: it may propose, and answer reads.
     pub fn is_acting(&self, now: Duration) -> bool {
-        todo!()
+        let Role::Primary(primary) = &self.role else { return false };
+        !primary.is_draining && !self.change.hands_over && self.is_leading(now)
     }
+
     /// The application's state, committed entries only.
     pub fn state(&self) -> &S {
         &self.state
     }
+
     /// Newest epoch record known.
     pub fn record(&self) -> &EpochRecord {
-        todo!()
+        &self.record
     }
+
     /// Index of the newest committed entry.
     pub fn committed(&self) -> u64 {
-        todo!()
+        self.committed
     }
+
     /// How far each known replica holds the log on disk, for displays.
     pub fn progress(&self) -> Vec<(DiskId, u64)> {
-        todo!()
+        let mut progress = vec![(self.me.disk, self.disk.log_persisted())];
+        if let Role::Primary(primary) = &self.role {
+            let peers = primary.peers.iter();
+            progress.extend(peers.map(|(disk, peer)| (*disk, peer.confirmed.unwrap_or(0))));
+        }
+        progress
     }
+
     /// Records that say all that the disk has to hold now (a snapshot at the committed index, the
     /// entries after it, the epoch), for compaction.
     pub fn checkpoint(&self) -> Vec<DiskRecord> {
-        todo!()
+        let epoch = self.log.epoch_at(self.committed).unwrap_or(0);
+        let state = self.state.snapshot();
+        let mut records = vec![DiskRecord::Snapshot { index: self.committed, epoch, state }];
+        records.extend(self.log.entries_from(self.committed + 1).map(entry_record));
+        records.push(DiskRecord::Epoch(self.record.clone()));
+        records
     }
+
     /// Takes what the caller must do.
     pub fn take_outputs(&mut self) -> Vec<ReplicaOutput> {
-        todo!()
+        if let Some((token, records)) = self.disk.flush(self.now, self.log.last_index()) {
+            self.outputs.push(ReplicaOutput::Persist { token, records });
+        }
+        match self.role {
+            Role::Primary(_) => self.flush_as_primary(),
+            Role::Follower(_) => self.flush_as_follower(),
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn advance(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+    }
+
+    fn handle(&mut self, from: &Member, message: ReplicaMessage) {
+        match message {
+            ReplicaMessage::Append { epoch, previous_index, previous_epoch, committed, entries } => {
+                if self.is_from_primary(from, epoch) {
+                    self.take_append(from, previous_index, previous_epoch, committed, entries.0);
+                }
+            }
+            ReplicaMessage::Beacon { epoch, number, committed } => {
+                if self.is_from_primary(from, epoch) {
+                    self.take_beacon(number, committed);
+                }
+            }
+            ReplicaMessage::SnapshotPart { epoch, index, index_epoch, total, offset, bytes } => {
+                if self.is_from_primary(from, epoch) {
+                    self.take_snapshot_part(from, index, index_epoch, total, offset, &bytes.0);
+                }
+            }
+            ReplicaMessage::NewEpoch { record } => self.take_new_epoch(record),
+            ReplicaMessage::EpochRequest { epoch } => self.answer_epoch_request(from, epoch),
+            ReplicaMessage::Released { epoch } => self.succession.released_epoch = Some(epoch),
+            ReplicaMessage::Probe => self.answer_probe(from),
+            ReplicaMessage::ProbeAnswer { is_empty } => self.take_probe_answer(from, is_empty),
+            to_primary => self.handle_as_primary(from, to_primary),
+        }
+    }
+
+    fn handle_as_primary(&mut self, from: &Member, message: ReplicaMessage) {
+        match message {
+            ReplicaMessage::Appended { epoch, index } if epoch == self.record.epoch => {
+                self.take_appended(from.disk, index);
+            }
+            ReplicaMessage::AppendRejected { epoch, previous_index, hint_index, hint_epoch }
+                if epoch == self.record.epoch =>
+            {
+                self.take_rejection(from.disk, previous_index, hint_index, hint_epoch);
+            }
+            ReplicaMessage::BeaconAck { epoch, number, matched } if epoch == self.record.epoch => {
+                self.take_beacon_ack(from.disk, number, matched);
+            }
+            ReplicaMessage::SnapshotReceived { epoch, index, offset } if epoch == self.record.epoch => {
+                self.take_snapshot_received(from.disk, index, offset);
+            }
+            ReplicaMessage::JoinRequest { epoch, last_index, last_epoch } => {
+                self.take_join_request(from, epoch, last_index, last_epoch);
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether a message of an epoch comes from the primary that this replica follows. Senders
+    /// that lag behind are told the newer epoch; where this replica lags, it asks.
+    fn is_from_primary(&mut self, from: &Member, epoch: u64) -> bool {
+        if epoch > self.record.epoch {
+            let request = ReplicaMessage::EpochRequest { epoch: self.record.epoch };
+            self.send(from.clone(), &request);
+            return false;
+        }
+        if epoch < self.record.epoch {
+            self.tell_epoch(from);
+            return !self.guards.old_epochs_refused && matches!(self.role, Role::Follower(_));
+        }
+        from.disk == self.record.primary && matches!(self.role, Role::Follower(_))
+    }
+
+    fn take_new_epoch(&mut self, record: EpochRecord) {
+        if record.epoch > self.record.epoch {
+            self.enter_epoch(record);
+        }
+    }
+
+    fn tell_epoch(&mut self, to: &Member) {
+        let message = ReplicaMessage::NewEpoch { record: self.record.clone() };
+        self.send(to.clone(), &message);
     }
+
+    /// Takes up a newer epoch, in whatever role it gives this replica.
+    fn enter_epoch(&mut self, record: EpochRecord) {
+        let leads = record.primary == self.me.disk;
+        let follows_directly = record.epoch == self.record.epoch + 1;
+        let former = std::mem::replace(&mut self.record, record);
+        self.disk.push(DiskRecord::Epoch(self.record.clone()));
+        self.change.decided();
+        self.succession.quiet_until = self.now + self.settings.grace;
+        let was_primary = matches!(self.role, Role::Primary(_));
+        if was_primary && leads && follows_directly {
+            self.continue_as_primary(&former);
+        } else if leads {
+            self.stop_as_primary(&former);
+            self.become_primary();
+        } else {
+            self.stop_as_primary(&former);
+            self.role = Role::Follower(Follower::default());
+        }
+    }
+
+    /// Applies entries up to an index, as far as they are here.
+    fn commit_to(&mut self, index: u64) {
+        let index = index.min(self.log.last_index());
+        if index <= self.committed {
+            return;
+        }
+        for (position, entry) in self.log.entries_from(self.committed + 1) {
+            if position > index {
+                break;
+            }
+            self.state.apply(position, &entry.data.0);
+        }
+        self.committed = index;
+        self.outputs.push(ReplicaOutput::Committed { index });
+        self.trim_log();
+    }
+
+    /// Forgets old entries; an in-sync replica that needs them must not be left to a snapshot.
+    fn trim_log(&mut self) {
+        if self.log.bytes() <= self.settings.kept_bytes {
+            return;
+        }
+        let most = self.slowest_in_sync().min(self.committed);
+        self.log.trim(most, self.settings.kept_bytes);
+    }
+
+    /// Puts an entry at the end of the log and on its way to the disk.
+    fn append_to_log(&mut self, entry: LogEntry) -> u64 {
+        let index = self.log.push(entry);
+        if let Some(entry) = self.log.entry(index) {
+            self.disk.push(entry_record((index, entry)));
+        }
+        index
+    }
+
+    fn send(&mut self, to: Member, message: &ReplicaMessage) {
+        self.outputs.push(ReplicaOutput::Send { to, message: message.serialize_bin() });
+    }
+
+    /// After a pause of this process, silence of others says nothing about them.
+    fn forgive_own_stall(&mut self) {
+        if self.now.saturating_sub(self.last_tick) <= self.settings.most_lag / 2 {
+            return;
+        }
+        let patience = self.now + self.settings.beacon * 3;
+        self.succession.quiet_until = self.succession.quiet_until.max(patience);
+        if let Role::Primary(primary) = &mut self.role {
+            primary.forgive_lag(self.now);
+        }
+    }
+}
+
+/// The disk record of an entry.
+fn entry_record((index, entry): (u64, &LogEntry)) -> DiskRecord {
+    let Blob(data) = &entry.data;
+    DiskRecord::Entry { index, epoch: entry.epoch, entry: data.clone() }
 }
--- /dev/null
+++ b/crates/replication/src/replica/log.rs
@@ -0,0 +1,101 @@
+//! The log of a replica in memory: a base that the state covers, and the entries after it.
+
+use crate::codec::Blob;
+use nanoserde::{DeBin, SerBin};
+use std::collections::VecDeque;
+
+/// An entry with the epoch in which it was first appended.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct LogEntry {
+    pub epoch: u64,
+    pub data: Blob,
+}
+
+/// The last entries of the log.
+#[derive(Debug, Default)]
+pub(super) struct Log {
+    base_index: u64,
+    base_epoch: u64,
+    entries: VecDeque<LogEntry>,
+    bytes: usize,
+}
+
+impl Log {
+    /// Index of the newest entry that is not kept; 0 at first.
+    pub(super) fn base_index(&self) -> u64 {
+        self.base_index
+    }
+
+    pub(super) fn last_index(&self) -> u64 {
+        self.base_index + self.entries.len() as u64
+    }
+
+    pub(super) fn last_epoch(&self) -> u64 {
+        self.entries.back().map_or(self.base_epoch, |entry| entry.epoch)
+    }
+
+    /// Bytes of the kept entries.
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Epoch of the entry at an index; of the base too.
+    pub(super) fn epoch_at(&self, index: u64) -> Option<u64> {
+        if index == self.base_index {
+            return Some(self.base_epoch);
+        }
+        self.entry(index).map(|entry| entry.epoch)
+    }
+
+    pub(super) fn entry(&self, index: u64) -> Option<&LogEntry> {
+        let position = index.checked_sub(self.base_index + 1)?;
+        self.entries.get(usize::try_from(position).ok()?)
+    }
+
+    /// Entries from an index on, with their indexes.
+    pub(super) fn entries_from(&self, index: u64) -> impl Iterator<Item = (u64, &LogEntry)> {
+        let first = index.max(self.base_index + 1);
+        let skipped = usize::try_from(first - self.base_index - 1).unwrap_or(usize::MAX);
+        (first..).zip(self.entries.iter().skip(skipped))
+    }
+
+    /// Appends an entry; its index.
+    pub(super) fn push(&mut self, entry: LogEntry) -> u64 {
+        self.bytes += entry.data.0.len();
+        self.entries.push_back(entry);
+        self.last_index()
+    }
+
+    /// Removes the entries at `index` and above.
+    pub(super) fn truncate_from(&mut self, index: u64) {
+        while self.last_index() >= index {
+            let Some(entry) = self.entries.pop_back() else { return };
+            self.bytes -= entry.data.0.len();
+        }
+    }
+
+    /// Forgets the oldest entries up to `most_index` until at most `most_bytes` are kept.
+    pub(super) fn trim(&mut self, most_index: u64, most_bytes: usize) {
+        while self.bytes > most_bytes && self.base_index < most_index {
+            let Some(entry) = self.entries.pop_front() else { return };
+            self.bytes -= entry.data.0.len();
+            self.base_index += 1;
+            self.base_epoch = entry.epoch;
+        }
+    }
+
+    /// Empties the log: a state covers everything up to `index`.
+    pub(super) fn reset(&mut self, index: u64, epoch: u64) {
+        *self = Self { base_index: index, base_epoch: epoch, ..Self::default() };
+    }
+
+    /// Newest index up to `most_index` whose epoch is at most `most_epoch`; `None` if it is not
+    /// kept. Logs that differ can agree no further than this.
+    pub(super) fn newest_at_most(&self, most_index: u64, most_epoch: u64) -> Option<u64> {
+        let mut index = most_index.min(self.last_index());
+        while self.epoch_at(index)? > most_epoch {
+            index = index.checked_sub(1)?;
+        }
+        Some(index)
+    }
+}
--- /dev/null
+++ b/crates/replication/src/replica/recovery.rs
@@ -0,0 +1,50 @@
+//! What a replica's disk held, read back.
+
+use super::log::{Log, LogEntry};
+use super::{DiskRecord, StateMachine};
+use crate::codec::Blob;
+use crate::record::EpochRecord;
+
+/// Log and epoch as recovered; the state is restored on the way.
+#[derive(Debug, Default)]
+pub(super) struct Recovered {
+    pub(super) log: Log,
+    pub(super) record: EpochRecord,
+    /// Index that the restored snapshot covers.
+    pub(super) applied: u64,
+}
+
+/// Folds the records of the disk, in the order written.
+pub(super) fn recover<S: StateMachine>(records: Vec<DiskRecord>, state: &mut S) -> Recovered {
+    let mut recovered = Recovered::default();
+    for record in records {
+        match record {
+            DiskRecord::Epoch(record) if record.epoch >= recovered.record.epoch => recovered.record = record,
+            DiskRecord::Epoch(_) => {}
+            DiskRecord::Snapshot { index, epoch, state: snapshot } => {
+                state.restore(&snapshot);
+                recovered.applied = index;
+                recovered.log.reset(index, epoch);
+            }
+            DiskRecord::Entry { index, epoch, entry } => {
+                if !take_entry(&mut recovered.log, index, LogEntry { epoch, data: Blob(entry) }) {
+                    break;
+                }
+            }
+        }
+    }
+    recovered
+}
+
+/// Puts an entry at its place; false where entries before it are missing.
+fn take_entry(log: &mut Log, index: u64, entry: LogEntry) -> bool {
+    if index <= log.base_index() {
+        return true;
+    }
+    log.truncate_from(index);
+    if index != log.last_index() + 1 {
+        return false;
+    }
+    log.push(entry);
+    true
+}
