--- /dev/null
+++ b/crates/batch-runner/src/item_run.rs
@@ -0,0 +1,237 @@
+//! An item from its placement to its outcome: runs until its text is whole, then the scorer.
+
+use crate::attempt::{self, RunEnd};
+use crate::execution::{InRoom, hand_back};
+use crate::lease_table::{LeaseKey, SharedProgress, Validity};
+use crate::outbox::Outcome;
+use crate::placing::{Need, Place, Placed};
+use crate::scorer::{self, ScoreEnd};
+use crate::shared::Shared;
+use crate::text::VersionTerms;
+use pebblepost_messages::batch::{Item, ItemOutcome, ItemResult, JobTerms, ResultState, WorkLease};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// How long to wait for the renewal of a lease before it is looked at again.
+const VALIDITY_CHECK: Duration = Duration::from_millis(200);
+/// Added to the time at which an item may be given up, so that it is surely over.
+const EXPIRY_MARGIN: Duration = Duration::from_millis(200);
+/// Pauses after a run that did not end the text.
+const SHORT_PAUSE: Duration = Duration::from_millis(10);
+const FULL_PAUSE: Duration = Duration::from_millis(50);
+const UNCLEAR_PAUSE: Duration = Duration::from_millis(200);
+/// A transcriber that broke a run off is not chosen for this long.
+const AVOID_AFTER_BREAK: Duration = Duration::from_millis(700);
+/// After so many events that did not continue it, a text starts anew.
+const MOST_UNEXPECTED_EVENTS: u32 = 2;
+
+/// What holds for all items of a lease.
+#[derive(Debug)]
+pub(crate) struct LeaseTerms {
+    pub(crate) job: JobTerms,
+    pub(crate) model: String,
+    pub(crate) versions: VersionTerms,
+    pub(crate) due_at: Instant,
+    pub(crate) expires_at: Instant,
+}
+
+impl LeaseTerms {
+    pub(crate) fn new(lease: &WorkLease, now: Instant) -> LeaseTerms {
+        LeaseTerms {
+            job: lease.terms.clone(),
+            model: lease.model.clone(),
+            versions: VersionTerms {
+                min_version: lease.min_version,
+                single_version: lease.terms.single_version,
+            },
+            due_at: now + Duration::from_millis(lease.due_in_ms),
+            expires_at: now + Duration::from_millis(lease.expires_in_ms) + EXPIRY_MARGIN,
+        }
+    }
+}
+
+/// How the work on an item ended.
+enum ItemEnd {
+    /// Its text is whole, with the score if it has a scorer.
+    Completed(String),
+    /// Given up.
+    DeadLetter,
+    /// Handed back, since the proxy stops.
+    Returned,
+    /// The lease is over: nothing is said.
+    Abandoned,
+}
+
+/// Runs an item to its outcome.
+pub(crate) async fn run(
+    shared: Rc<Shared>, key: LeaseKey, terms: Rc<LeaseTerms>, item: Item, progress: SharedProgress,
+    place: Option<Place>, mut room: InRoom,
+) {
+    let work = ItemWork { shared: &shared, key, terms: &terms, item: &item, progress: &progress };
+    let end = match work.make_text(place).await {
+        None => {
+            room.text_is_whole();
+            work.score().await
+        }
+        Some(end) => end,
+    };
+    let result = match end {
+        ItemEnd::Completed(score) => completed(&item, &progress, score),
+        ItemEnd::DeadLetter => {
+            log::debug!("item {} is given up", item.id);
+            ItemResult { id: item.id.clone(), state: ResultState::DeadLetter, ..ItemResult::default() }
+        }
+        ItemEnd::Returned => return hand_back(&shared, key, &item.id),
+        ItemEnd::Abandoned => {
+            shared.leases.borrow_mut().finish(key, &item.id);
+            return;
+        }
+    };
+    let taken = shared.leases.borrow_mut().finish(key, &item.id);
+    if let Some(taken) = taken {
+        let outcome = ItemOutcome::Finished(result);
+        let (store_group, lease) = (taken.store_group, taken.lease);
+        shared.outbox.push(Outcome { store_group, job: taken.job, lease, outcome });
+    }
+}
+
+fn completed(item: &Item, progress: &SharedProgress, score: String) -> ItemResult {
+    let partial = progress.borrow().text.partial();
+    ItemResult {
+        id: item.id.clone(),
+        state: ResultState::Completed,
+        message: partial.message,
+        versions: partial.versions,
+        score,
+    }
+}
+
+/// Work on one item.
+struct ItemWork<'a> {
+    shared: &'a Rc<Shared>,
+    key: LeaseKey,
+    terms: &'a LeaseTerms,
+    item: &'a Item,
+    progress: &'a SharedProgress,
+}
+
+impl ItemWork<'_> {
+    /// Runs the item until its text is whole (`None`) or its work is over.
+    async fn make_text(&self, mut place: Option<Place>) -> Option<ItemEnd> {
+        let need = Need::of_text(self.terms, &self.item.path);
+        let mut unexpected_events = 0;
+        loop {
+            let Some(next) = place.take() else {
+                place = match self.shared.find_place(&need, 1).await {
+                    Placed::At(mut places) => places.pop(),
+                    Placed::NoRoute | Placed::Expired => return Some(ItemEnd::DeadLetter),
+                    Placed::Stopped => return Some(ItemEnd::Returned),
+                };
+                continue;
+            };
+            if let Some(end) = self.wait_until_valid().await {
+                return Some(end);
+            }
+            if !self.shared.is_still_right(&next, &need) {
+                continue;
+            }
+            let end = attempt::run(self.shared, self.terms, self.item, &next, self.progress).await;
+            if end != RunEnd::Whole {
+                log::debug!("item {} at {}: {end:?}", self.item.id, next.target.instance);
+            }
+            if end == RunEnd::UnexpectedEvent {
+                unexpected_events += 1;
+                if unexpected_events >= MOST_UNEXPECTED_EVENTS {
+                    self.progress.borrow_mut().text.clear();
+                    unexpected_events = 0;
+                }
+            }
+            match end {
+                RunEnd::Whole => return None,
+                RunEnd::Impossible => return Some(ItemEnd::DeadLetter),
+                RunEnd::Failed if self.has_failed_too_often() => return Some(ItemEnd::DeadLetter),
+                _ => {}
+            }
+            self.note_end(end, &next);
+            // The place is free again before the pause.
+            drop(next);
+            sleep(pause_after(end)).await;
+        }
+    }
+
+    /// Counts a failed attempt; whether there were as many as the route allows.
+    fn has_failed_too_often(&self) -> bool {
+        let mut progress = self.progress.borrow_mut();
+        progress.failed_attempts += 1;
+        progress.failed_attempts >= self.terms.job.max_attempts.max(1)
+    }
+
+    fn note_end(&self, end: RunEnd, place: &Place) {
+        let instance = &place.target.instance;
+        match end {
+            RunEnd::VersionMoved => self.shared.load.borrow_mut().forget_report(instance),
+            RunEnd::NotTaken => self.shared.load.borrow_mut().forget_report(instance),
+            RunEnd::WrongVersion => self.progress.borrow_mut().text.clear(),
+            RunEnd::Broken | RunEnd::NotSent => {
+                let until = Instant::now() + AVOID_AFTER_BREAK;
+                self.shared.load.borrow_mut().avoid(instance, until);
+            }
+            _ => {}
+        }
+    }
+
+    /// Waits until something of the lease may be sent; the end if that never comes.
+    async fn wait_until_valid(&self) -> Option<ItemEnd> {
+        loop {
+            let validity = self.shared.leases.borrow().validity(self.key, Instant::now());
+            match validity {
+                Validity::Valid => return None,
+                Validity::Over => return Some(ItemEnd::Abandoned),
+                Validity::Void if self.shared.stopping.get() => return Some(ItemEnd::Returned),
+                Validity::Void => self.shared.wait_for_change(VALIDITY_CHECK).await,
+            }
+        }
+    }
+
+    /// Calls the scorer of a whole text until it has a score or is given up.
+    async fn score(&self) -> ItemEnd {
+        let Some(call) = &self.item.scorer else { return ItemEnd::Completed(String::new()) };
+        let mut pause = scorer::FIRST_PAUSE;
+        loop {
+            if let Some(end) = self.wait_until_valid().await {
+                return end;
+            }
+            if Instant::now() >= self.terms.expires_at {
+                return ItemEnd::DeadLetter;
+            }
+            let is_valid = || {
+                let validity = self.shared.leases.borrow().validity(self.key, Instant::now());
+                validity == Validity::Valid
+            };
+            match scorer::call(self.shared, call, self.terms, is_valid).await {
+                ScoreEnd::Score(score) => return ItemEnd::Completed(score),
+                ScoreEnd::Failed { max_attempts } => {
+                    let mut progress = self.progress.borrow_mut();
+                    progress.failed_scorer_attempts += 1;
+                    let most = max_attempts.max(self.terms.job.max_attempts).max(1);
+                    if progress.failed_scorer_attempts >= most {
+                        return ItemEnd::DeadLetter;
+                    }
+                }
+                ScoreEnd::Retry => {
+                    sleep(self.shared.random.pause(pause / 2, pause)).await;
+                    pause = (pause * 2).min(scorer::LONGEST_PAUSE);
+                }
+            }
+        }
+    }
+}
+
+fn pause_after(end: RunEnd) -> Duration {
+    match end {
+        RunEnd::NotTaken => FULL_PAUSE,
+        RunEnd::Unclear => UNCLEAR_PAUSE,
+        _ => SHORT_PAUSE,
+    }
+}
--- /dev/null
+++ b/crates/batch-runner/src/placing.rs
@@ -0,0 +1,294 @@
+//! Finding a transcriber for a group of items or for a scorer's call: random probes, and a hold
+//! while all are full.
+
+use crate::item_run::LeaseTerms;
+use crate::placement::{MOST_PROBES, Probed, Queueing, choose};
+use crate::shared::Shared;
+use pebblepost_messages::feed::{Instance, InstanceState};
+use pebblepost_transcriber::Target;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// A probe that brings no answer for so long has failed.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// A transcriber whose probe failed is not chosen for this long.
+const AVOID_AFTER_FAILED_PROBE: Duration = Duration::from_millis(500);
+/// How long a request is held while all are full.
+const LEAST_HOLD: Duration = Duration::from_millis(50);
+const MOST_HOLD: Duration = Duration::from_millis(100);
+/// Before its results are due, an item may go into a short queue.
+const URGENT_BEFORE_DUE: Duration = Duration::from_millis(1000);
+/// Length of that queue, in parts in a hundred of the slots.
+const URGENT_QUEUE_PERCENT: u32 = 25;
+/// Scorer's calls are short: this much of a queue is no harm.
+const SCORER_QUEUE_PERCENT: u32 = 50;
+
+/// What a request needs of its transcriber.
+#[derive(Clone, Copy)]
+pub(crate) struct Need<'a> {
+    pub(crate) hostname: &'a str,
+    pub(crate) path: &'a str,
+    /// Model that must be held; empty for none.
+    pub(crate) model: &'a str,
+    pub(crate) min_version: u64,
+    pub(crate) is_text: bool,
+    pub(crate) due_at: Instant,
+    pub(crate) expires_at: Instant,
+}
+
+impl<'a> Need<'a> {
+    /// What the text of an item needs.
+    pub(crate) fn of_text(terms: &'a LeaseTerms, path: &'a str) -> Need<'a> {
+        Need {
+            hostname: &terms.job.hostname,
+            path,
+            model: &terms.model,
+            min_version: terms.versions.min_version,
+            is_text: true,
+            due_at: terms.due_at,
+            expires_at: terms.expires_at,
+        }
+    }
+
+    fn queueing(&self, now: Instant) -> Queueing {
+        match self.is_text {
+            false => Queueing::UpTo(SCORER_QUEUE_PERCENT),
+            true if now + URGENT_BEFORE_DUE >= self.due_at => Queueing::UpTo(URGENT_QUEUE_PERCENT),
+            true => Queueing::None,
+        }
+    }
+}
+
+/// Whether a place was found.
+pub(crate) enum Placed {
+    /// One place or more, for as many items.
+    At(Vec<Place>),
+    /// No route of the configuration in force takes the request.
+    NoRoute,
+    /// The proxy stops.
+    Stopped,
+    /// The time of the item is over.
+    Expired,
+}
+
+/// A place at a transcriber; counted among our requests there until it is dropped.
+pub(crate) struct Place {
+    shared: Rc<Shared>,
+    pub(crate) target: Target,
+    pub(crate) backend: String,
+    /// Version of the model that the transcriber reported.
+    pub(crate) version: Option<u64>,
+    started: Instant,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut load = self.shared.load.borrow_mut();
+        load.end(&self.target.instance, self.started, Instant::now());
+    }
+}
+
+/// A transcriber that may take the request.
+struct Candidate {
+    target: Target,
+    backend: String,
+    slots: u32,
+}
+
+/// A candidate with its load.
+struct ProbedCandidate {
+    candidate: Candidate,
+    probed: Probed,
+    version: Option<u64>,
+}
+
+/// Candidates for one placement.
+enum Candidates {
+    /// These, in random order; empty if none is ready.
+    Of(Vec<Candidate>),
+    /// There is no route.
+    NoRoute,
+}
+
+impl Shared {
+    /// Finds a transcriber for up to this many items; waits while there is none.
+    pub(crate) async fn find_place(self: &Rc<Self>, need: &Need<'_>, items: u32) -> Placed {
+        loop {
+            let now = Instant::now();
+            if now >= need.expires_at {
+                return Placed::Expired;
+            }
+            if need.is_text && self.stopping.get() {
+                return Placed::Stopped;
+            }
+            match self.candidates(need) {
+                Candidates::NoRoute => return Placed::NoRoute,
+                Candidates::Of(candidates) => {
+                    let places = self.probe_and_choose(need, candidates, items).await;
+                    if !places.is_empty() {
+                        return Placed::At(places);
+                    }
+                }
+            }
+            sleep(self.random.pause(LEAST_HOLD, MOST_HOLD)).await;
+        }
+    }
+
+    /// Whether a request may still go to its place, at this moment.
+    pub(crate) fn is_still_right(&self, place: &Place, need: &Need<'_>) -> bool {
+        let Some(configuration) = self.configuration() else { return false };
+        let names_backend = configuration.route(need.hostname, need.path).is_some_and(|route| {
+            route.backends.iter().any(|(name, weight)| *name == place.backend && *weight > 0)
+        });
+        names_backend && self.is_ready(&place.target.instance)
+    }
+
+    /// Probes one candidate, and another if the first has too little room.
+    async fn probe_and_choose(
+        self: &Rc<Self>, need: &Need<'_>, candidates: Vec<Candidate>, items: u32,
+    ) -> Vec<Place> {
+        let mut probed: Vec<ProbedCandidate> = Vec::with_capacity(MOST_PROBES);
+        for candidate in candidates {
+            if probed.len() >= MOST_PROBES {
+                break;
+            }
+            let Some(found) = self.probe(need, candidate).await else { continue };
+            let accepts = found.probed.accepts(items);
+            probed.push(found);
+            if accepts {
+                break;
+            }
+        }
+        let loads: Vec<Probed> = probed.iter().map(|found| found.probed).collect();
+        let accepted = loads.iter().position(|load| load.accepts(items));
+        let choice = match accepted {
+            Some(index) => Some((index, items)),
+            None => choose(&loads, items, need.queueing(Instant::now()), &self.random)
+                .map(|choice| (choice.index, choice.items)),
+        };
+        match choice {
+            Some((index, items)) => self.reserve(&probed[index], items),
+            None => Vec::new(),
+        }
+    }
+
+    /// The load of a candidate, by a probe or as known; `None` if it can't take the request.
+    async fn probe(&self, need: &Need<'_>, candidate: Candidate) -> Option<ProbedCandidate> {
+        let id = candidate.target.instance.as_str();
+        let versions_matter = !need.model.is_empty();
+        let is_fresh = self.load.borrow().is_fresh(id, versions_matter, Instant::now());
+        if !is_fresh {
+            match self.client.report(&candidate.target, PROBE_TIMEOUT).await {
+                Ok(report) => self.load.borrow_mut().report(id, &report, Instant::now()),
+                Err(failure) => {
+                    log::debug!("probe of {id}: {failure:?}");
+                    let until = Instant::now() + AVOID_AFTER_FAILED_PROBE;
+                    self.load.borrow_mut().avoid(id, until);
+                    return None;
+                }
+            }
+        }
+        let load = self.load.borrow();
+        let version = load.version(id, need.model);
+        let is_too_old = version.is_none_or(|version| version < need.min_version);
+        if versions_matter && (is_too_old || load.has_order(id)) {
+            return None;
+        }
+        let probed = Probed { slots: candidate.slots, busy: load.busy(id) };
+        drop(load);
+        Some(ProbedCandidate { candidate, probed, version })
+    }
+
+    fn reserve(self: &Rc<Self>, found: &ProbedCandidate, items: u32) -> Vec<Place> {
+        let now = Instant::now();
+        let place = || {
+            self.load.borrow_mut().start(&found.candidate.target.instance, now);
+            Place {
+                shared: self.clone(),
+                target: found.candidate.target.clone(),
+                backend: found.candidate.backend.clone(),
+                version: found.version,
+                started: now,
+            }
+        };
+        (0..items).map(|_| place()).collect()
+    }
+
+    /// Transcribers of a service that the configuration in force names for this request, in
+    /// random order.
+    fn candidates(&self, need: &Need<'_>) -> Candidates {
+        let Some(configuration) = self.configuration() else { return Candidates::Of(Vec::new()) };
+        let Some(route) = configuration.route(need.hostname, need.path) else {
+            return Candidates::NoRoute;
+        };
+        let mut backends: Vec<(&str, u64)> = route
+            .backends
+            .iter()
+            .filter(|(_, weight)| *weight > 0)
+            .map(|(name, weight)| (name.as_str(), *weight))
+            .collect();
+        while let Some(index) = self.weighted_pick(&backends) {
+            let (backend, _) = backends.swap_remove(index);
+            let candidates = self.ready_instances(backend, need);
+            if !candidates.is_empty() {
+                return Candidates::Of(candidates);
+            }
+        }
+        Candidates::Of(Vec::new())
+    }
+
+    fn weighted_pick(&self, backends: &[(&str, u64)]) -> Option<usize> {
+        let total: u64 = backends.iter().map(|(_, weight)| weight).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut drawn = self.random.below(total);
+        backends.iter().position(|(_, weight)| {
+            let is_here = drawn < *weight;
+            drawn = drawn.saturating_sub(*weight);
+            is_here
+        })
+    }
+
+    /// Ready transcribers of a service that hold the model, those first that are known to hold it
+    /// at an allowed version; each part in random order. None while no allowed version is named.
+    fn ready_instances(&self, backend: &str, need: &Need<'_>) -> Vec<Candidate> {
+        let now = Instant::now();
+        let feed = self.feed.borrow();
+        let load = self.load.borrow();
+        let mut candidates = Vec::new();
+        for instance in feed.instances() {
+            if instance.state != InstanceState::Ready || instance.backend != backend {
+                continue;
+            }
+            if load.is_avoided(&instance.id, now) {
+                continue;
+            }
+            let Some(announced) = announced_version(instance, need.model) else { continue };
+            let known = announced.max(load.version(&instance.id, need.model).unwrap_or(0));
+            let Ok(address) = instance.address.parse() else { continue };
+            let target = Target { instance: instance.id.clone(), address };
+            let candidate = Candidate { target, backend: instance.backend.clone(), slots: instance.slots };
+            candidates.push((known < need.min_version, self.random.below(u64::MAX), candidate));
+        }
+        candidates.sort_unstable_by_key(|(is_old, order, _)| (*is_old, *order));
+        let are_all_old = candidates.first().is_some_and(|(is_old, _, _)| *is_old);
+        if are_all_old && feed.named_version(need.model) < need.min_version {
+            return Vec::new();
+        }
+        let is_useful = |is_old: bool| !is_old || are_all_old;
+        let useful = candidates.into_iter().filter(|(is_old, _, _)| is_useful(*is_old));
+        let most = if are_all_old { 1 } else { usize::MAX };
+        useful.take(most).map(|(_, _, candidate)| candidate).collect()
+    }
+}
+
+/// The version of a model that a transcriber announced; `None` if it holds no such model. Where no
+/// model is needed, any version will do.
+fn announced_version(instance: &Instance, model: &str) -> Option<u64> {
+    if model.is_empty() {
+        return Some(u64::MAX);
+    }
+    instance.models.iter().find(|held| held.model == model).map(|held| held.generation)
+}
--- /dev/null
+++ b/crates/batch-runner/tests/calls.rs
@@ -0,0 +1,279 @@
+//! Calls of batch jobs, with fake stores.
+
+mod support;
+
+use pebblepost_messages::batch::{
+    FromStore, ItemResult, Job, JobAnswer, JobTerms, ResultPage, ResultState, SubmitOutcome, ToStore,
+    store_group_of,
+};
+use rstest::rstest;
+use support::{Bench, FakeStore, StoreEnd, request, run};
+
+const JOB: &str = r#"{"step":7,"model":"daka","min_version":6,"desired":1,"more":[],"requests":[
+ {"id":"e5","path":"/lot/3","headers":{"Model":"daka"},"body":"aGk=","tokens":9,"group":"g",
+  "scorer":{"id":"s5","hostname":"h.example","path":"/score/1","body":""}}]}"#;
+
+async fn submit(bench: &Bench) -> (u16, Option<String>, String) {
+    let configuration = bench.feed.borrow().configuration().cloned().unwrap();
+    let route = configuration.route("h.example", "/lot/1");
+    let call = request("POST", "/lot/1", &[("request-id", "job")], JOB);
+    summary(bench.runner.answer(route, call).await)
+}
+
+async fn call(bench: &Bench, method: &str, path: &str) -> (u16, Option<String>, String) {
+    let call = request(method, path, &[("wait-ms", "0")], "");
+    summary(bench.runner.answer(None, call).await)
+}
+
+fn summary(answer: http::Response<bytes::Bytes>) -> (u16, Option<String>, String) {
+    let retry = answer.headers().get("retry-after").map(|value| value.to_str().unwrap().to_owned());
+    let body = String::from_utf8(answer.body().to_vec()).unwrap();
+    (answer.status().as_u16(), retry, body)
+}
+
+/// Next call of a client; requests for work are passed over.
+async fn next_call(end: &mut StoreEnd) -> ToStore {
+    loop {
+        let message = end.next().await;
+        if !matches!(message, ToStore::TakeWork { .. } | ToStore::Holding(_)) {
+            return message;
+        }
+    }
+}
+
+fn number(message: &ToStore) -> u64 {
+    match message {
+        ToStore::Submit { call, .. }
+        | ToStore::Read { call, .. }
+        | ToStore::ItemBody { call, .. }
+        | ToStore::End { call, .. } => *call,
+        other => panic!("no call: {other:?}"),
+    }
+}
+
+/// Answers the next submission.
+async fn answer_submit(end: &mut StoreEnd, outcome: SubmitOutcome) -> Job {
+    let message = next_call(end).await;
+    let call = number(&message);
+    end.sender.send(&FromStore::Submitted { call, outcome });
+    match message {
+        ToStore::Submit { job, store_group, .. } => {
+            assert_eq!(store_group, store_group_of("job"));
+            job
+        }
+        other => panic!("no submission: {other:?}"),
+    }
+}
+
+#[test]
+fn a_job_is_given_to_the_primary_with_the_terms_of_its_route() {
+    run(async {
+        let (bench, mut store) = (Bench::start(true), FakeStore::start());
+        bench.set_primary(store.address, 1);
+        let (answer, job) = tokio::join!(submit(&bench), async {
+            let (mut end, holding) = store.accept().await;
+            assert_eq!(holding, ToStore::Holding(Vec::new()));
+            answer_submit(&mut end, SubmitOutcome::Accepted).await
+        });
+        assert_eq!(answer, (202, None, "{}".to_owned()));
+        let terms = JobTerms {
+            route: "r-lots".to_owned(),
+            hostname: "h.example".to_owned(),
+            run_deadline_ms: 4500,
+            queue_ttl_ms: 40_000,
+            max_attempts: 2,
+            priority: 1,
+            single_version: true,
+        };
+        assert_eq!((job.id.as_str(), &job.terms), ("job", &terms));
+        assert_eq!((job.step, job.model.as_str(), job.min_version, job.desired), (7, "daka", 6, 1));
+        assert_eq!(job.items[0].body, b"hi");
+        assert_eq!(job.items[0].scorer.as_ref().unwrap().id, "s5");
+    });
+}
+
+#[rstest]
+#[case::not_primary(Some(SubmitOutcome::NotPrimary))]
+#[case::unknown(Some(SubmitOutcome::Unknown))]
+#[case::lost(None)]
+fn a_job_follows_the_primary(#[case] first: Option<SubmitOutcome>) {
+    run(async move {
+        let (bench, mut old, mut new) = (Bench::start(true), FakeStore::start(), FakeStore::start());
+        bench.set_primary(old.address, 1);
+        let (answer, ()) = tokio::join!(submit(&bench), async {
+            let (mut end, _) = old.accept().await;
+            match first {
+                Some(outcome) => drop(answer_submit(&mut end, outcome).await),
+                None => {
+                    next_call(&mut end).await;
+                    end.sender.close();
+                }
+            }
+            bench.set_primary(new.address, 2);
+            let (mut end, _) = new.accept().await;
+            answer_submit(&mut end, SubmitOutcome::Accepted).await;
+        });
+        assert_eq!(answer.0, 202);
+    });
+}
+
+#[test]
+fn a_refused_job_is_to_come_back() {
+    run(async {
+        let (bench, mut store) = (Bench::start(true), FakeStore::start());
+        bench.set_primary(store.address, 1);
+        let (answer, _) = tokio::join!(submit(&bench), async {
+            let (mut end, _) = store.accept().await;
+            answer_submit(&mut end, SubmitOutcome::Refused { retry_after_ms: 250 }).await
+        });
+        assert_eq!(answer, (429, Some("0.250".to_owned()), String::new()));
+    });
+}
+
+#[test]
+fn a_refusal_after_an_unclear_send_promises_nothing() {
+    run(async {
+        let (bench, mut store) = (Bench::start(true), FakeStore::start());
+        bench.set_primary(store.address, 1);
+        let (answer, ()) = tokio::join!(submit(&bench), async {
+            let (mut end, _) = store.accept().await;
+            answer_submit(&mut end, SubmitOutcome::Unknown).await;
+            answer_submit(&mut end, SubmitOutcome::Refused { retry_after_ms: 250 }).await;
+        });
+        assert_eq!(answer.0, 504);
+    });
+}
+
+#[test]
+fn a_job_that_no_store_was_offered_is_refused() {
+    run(async {
+        let bench = Bench::start(true);
+        tokio::time::pause();
+        let answer = submit(&bench).await;
+        assert_eq!((answer.0, answer.1.is_some()), (503, true));
+    });
+}
+
+#[test]
+fn a_job_that_a_store_may_have_taken_is_not_refused() {
+    run(async {
+        let (bench, mut store) = (Bench::start(true), FakeStore::start());
+        bench.set_primary(store.address, 1);
+        let (mut end, _) = store.accept().await;
+        let unclear = async {
+            loop {
+                answer_submit(&mut end, SubmitOutcome::Unknown).await;
+            }
+        };
+        tokio::time::pause();
+        let answer = tokio::select! {
+            answer = submit(&bench) => answer,
+            () = unclear => unreachable!("it has no end"),
+        };
+        assert_eq!((answer.0, answer.1), (504, None));
+    });
+}
+
+#[rstest]
+#[case::no_json("{", 400)]
+#[case::no_requests("{}", 400)]
+#[case::bad_body(r#"{"requests":[{"id":"a","path":"/lot/1","body":"*"}]}"#, 400)]
+fn what_is_no_job_is_refused_at_once(#[case] body: &'static str, #[case] status: u16) {
+    run(async move {
+        let bench = Bench::start(true);
+        let configuration = bench.feed.borrow().configuration().cloned().unwrap();
+        let route = configuration.route("h.example", "/lot/1");
+        let call = request("POST", "/lot/1", &[("request-id", "job")], body);
+        assert_eq!(bench.runner.answer(route, call).await.status().as_u16(), status);
+    });
+}
+
+#[test]
+fn results_are_read_and_a_store_that_is_not_sure_is_asked_again() {
+    run(async {
+        let (bench, mut store) = (Bench::start(true), FakeStore::start());
+        bench.set_primary(store.address, 1);
+        let (answer, ()) = tokio::join!(call(&bench, "GET", "/lots/job?start_after=12"), async {
+            let (mut end, _) = store.accept().await;
+            let first = next_call(&mut end).await;
+            let approved = ToStore::Read {
+                call: number(&first),
+                store_group: store_group_of("job"),
+                job: "job".to_owned(),
+                start: 12,
+                wait_ms: 0,
+            };
+            assert_eq!(first, approved);
+            let not_sure = FromStore::Results { call: number(&first), answer: JobAnswer::NotSure };
+            end.sender.send(&not_sure);
+            let second = next_call(&mut end).await;
+            let result = ItemResult {
+                id: "e5".to_owned(),
+                state: ResultState::Completed,
+                message: b"a\nb".to_vec(),
+                versions: vec![6, 7],
+                score: "seal".to_owned(),
+            };
+            let page = ResultPage { total: 40, start: 12, results: vec![result] };
+            let found = FromStore::Results { call: number(&second), answer: JobAnswer::Found(page) };
+            end.sender.send(&found);
+        });
+        let approved = r#"{"total":40,"next_token":13,"results":[{"id":"e5","state":"completed","message":"a\nb","versions":[6,7],"score":"seal"}]}"#;
+        assert_eq!(answer, (200, None, approved.to_owned()));
+    });
+}
+
+#[rstest]
+#[case::read("GET", "/lots/job")]
+#[case::end("DELETE", "/lots/job")]
+#[case::body("GET", "/items/job?id=e5")]
+fn a_job_that_no_store_knows_is_not_found(#[case] method: &'static str, #[case] path: &'static str) {
+    run(async move {
+        let (bench, mut store) = (Bench::start(true), FakeStore::start());
+        bench.set_primary(store.address, 1);
+        let (answer, ()) = tokio::join!(call(&bench, method, path), async {
+            let (mut end, _) = store.accept().await;
+            let message = next_call(&mut end).await;
+            let call = number(&message);
+            end.sender.send(&match message {
+                ToStore::Read { .. } => FromStore::Results { call, answer: JobAnswer::NoSuch },
+                ToStore::End { .. } => FromStore::Ended { call, answer: JobAnswer::NoSuch },
+                _ => FromStore::Body { call, answer: JobAnswer::NoSuch },
+            });
+        });
+        assert_eq!(answer.0, 404);
+    });
+}
+
+#[rstest]
+#[case::read("GET", "/lots/job")]
+#[case::end("DELETE", "/lots/job")]
+#[case::body("GET", "/items/job?id=e5")]
+fn without_a_store_nothing_is_sure(#[case] method: &'static str, #[case] path: &'static str) {
+    run(async move {
+        let bench = Bench::start(true);
+        tokio::time::pause();
+        assert_eq!(call(&bench, method, path).await.0, 503);
+    });
+}
+
+#[test]
+fn a_job_is_ended_and_a_body_read() {
+    run(async {
+        let (bench, mut store) = (Bench::start(true), FakeStore::start());
+        bench.set_primary(store.address, 1);
+        let (mut end, _) = store.accept().await;
+        let (answer, ()) = tokio::join!(call(&bench, "DELETE", "/lots/job"), async {
+            let call = number(&next_call(&mut end).await);
+            end.sender.send(&FromStore::Ended { call, answer: JobAnswer::Found(true) });
+        });
+        assert_eq!(answer.0, 200);
+        let (answer, ()) = tokio::join!(call(&bench, "GET", "/items/job?id=e5"), async {
+            let message = next_call(&mut end).await;
+            assert!(matches!(&message, ToStore::ItemBody { item, .. } if item == "e5"));
+            let answer = JobAnswer::Found(b"hi".to_vec());
+            end.sender.send(&FromStore::Body { call: number(&message), answer });
+        });
+        assert_eq!((answer.0, answer.2.as_str()), (200, "hi"));
+    });
+}
--- /dev/null
+++ b/crates/batch-runner/tests/parts.rs
@@ -0,0 +1,298 @@
+//! The parts that need no connections: texts, placement, load, leases, JSON.
+
+use pebblepost_batch_runner::job_answer::{MOST_PAGE_BYTES, page};
+use pebblepost_batch_runner::job_request::parse;
+use pebblepost_batch_runner::lease_table::{ABANDON_AFTER, LEASE, LeaseTable, Validity};
+use pebblepost_batch_runner::load::{LoadBook, REPORT_LAG, REPORT_REUSE, VERSIONS_REUSE};
+use pebblepost_batch_runner::placement::{Choice, Probed, Queueing, choose};
+use pebblepost_batch_runner::random::Random;
+use pebblepost_batch_runner::text::{Progress, Text, TextError, VersionTerms};
+use pebblepost_messages::batch::{
+    HeldLease, Item, ItemResult, JobTerms, LeasedItem, PartialText, ResultPage, ResultState, WorkLease,
+};
+use pebblepost_transcriber::{Load, StreamEvent};
+use rstest::rstest;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const ANY: VersionTerms = VersionTerms { min_version: 3, single_version: false };
+const SINGLE: VersionTerms = VersionTerms { min_version: 3, single_version: true };
+
+fn event(id: u64, data: &str, weight_version: Option<u64>) -> StreamEvent {
+    StreamEvent { id, data: data.as_bytes().to_vec(), weight_version, ..StreamEvent::default() }
+}
+
+fn partial(last_event: u64, message: &str, versions: &[u64]) -> PartialText {
+    PartialText { last_event, message: message.as_bytes().to_vec(), versions: versions.to_vec() }
+}
+
+#[test]
+fn a_text_joins_events_and_names_versions_once() {
+    let mut text = Text::default();
+    text.begin_run(Some(3));
+    text.add(&event(1, "", None), ANY).unwrap();
+    text.add(&event(2, "b", Some(4)), ANY).unwrap();
+    text.add(&event(3, "c", None), ANY).unwrap();
+    assert_eq!(text.partial(), partial(3, "\nb\nc", &[3, 4]));
+    assert_eq!(text.partial_before_last(), partial(2, "\nb", &[3, 4]));
+    text.begin_run(Some(4));
+    text.add(&event(4, "d", None), ANY).unwrap();
+    assert_eq!(text.partial(), partial(4, "\nb\nc\nd", &[3, 4]));
+}
+
+#[test]
+fn a_version_is_named_only_if_it_made_an_event() {
+    let mut text = Text::default();
+    text.begin_run(Some(3));
+    text.add(&event(1, "a", Some(5)), SINGLE).unwrap();
+    assert_eq!(text.partial().versions, [5]);
+}
+
+#[rstest]
+#[case::gap(event(3, "x", None), TextError::UnexpectedId)]
+#[case::repeat(event(1, "x", None), TextError::UnexpectedId)]
+#[case::too_old(event(2, "x", Some(2)), TextError::VersionTooOld)]
+#[case::mixed(event(2, "x", Some(4)), TextError::MixedVersions)]
+fn an_event_that_does_not_fit_changes_nothing(#[case] wrong: StreamEvent, #[case] error: TextError) {
+    let mut text = Text::default();
+    text.begin_run(Some(3));
+    text.add(&event(1, "a", None), SINGLE).unwrap();
+    let before = text.clone();
+    assert_eq!(text.add(&wrong, SINGLE), Err(error));
+    assert_eq!(text, before);
+}
+
+#[rstest]
+#[case::fits(partial(2, "a\nb", &[3]), SINGLE, 2)]
+#[case::too_old(partial(2, "a\nb", &[2, 3]), ANY, 0)]
+#[case::mixed(partial(2, "a\nb", &[3, 4]), SINGLE, 0)]
+#[case::two_allowed(partial(2, "a\nb", &[3, 4]), ANY, 2)]
+fn a_kept_text_is_used_if_its_versions_fit(
+    #[case] kept: PartialText, #[case] terms: VersionTerms, #[case] last: u64,
+) {
+    assert_eq!(Text::from_partial(kept, terms).last_event(), last);
+}
+
+#[test]
+fn a_single_version_text_goes_on_under_its_version_only() {
+    let text = Text::from_partial(partial(1, "a", &[3]), SINGLE);
+    assert!(text.can_continue_under(Some(3), SINGLE));
+    assert!(!text.can_continue_under(Some(4), SINGLE));
+    assert!(text.can_continue_under(Some(4), ANY));
+}
+
+#[rstest]
+#[case::below_threshold(6, 2, true)]
+#[case::at_threshold(7, 1, false)]
+#[case::no_room_for_all(6, 3, false)]
+fn one_probe_is_enough_below_the_threshold(#[case] busy: u32, #[case] items: u32, #[case] accepts: bool) {
+    assert_eq!(Probed { slots: 8, busy }.accepts(items), accepts);
+}
+
+#[rstest]
+#[case::fewest_busy(&[7, 5], 2, Queueing::None, Some((1, 2)))]
+#[case::split(&[7, 6], 4, Queueing::None, Some((1, 2)))]
+#[case::full(&[8, 9], 1, Queueing::None, None)]
+#[case::queue(&[9, 8], 4, Queueing::UpTo(25), Some((1, 2)))]
+#[case::queue_full(&[10, 12], 1, Queueing::UpTo(25), None)]
+#[case::none_probed(&[], 1, Queueing::None, None)]
+fn the_fewest_busy_takes_what_it_has_room_for(
+    #[case] busy: &[u32], #[case] items: u32, #[case] queueing: Queueing,
+    #[case] expected: Option<(usize, u32)>,
+) {
+    let probed: Vec<Probed> = busy.iter().map(|busy| Probed { slots: 8, busy: *busy }).collect();
+    let choice = choose(&probed, items, queueing, &Random::seeded(7));
+    assert_eq!(choice, expected.map(|(index, items)| Choice { index, items }));
+}
+
+#[test]
+fn ties_are_broken_at_random() {
+    let probed = [Probed { slots: 8, busy: 7 }; 2];
+    let random = Random::seeded(7);
+    let mut chosen = [0; 2];
+    for _ in 0..100 {
+        let choice = choose(&probed, 1, Queueing::None, &random).unwrap();
+        chosen[choice.index] += 1;
+    }
+    assert!(chosen.iter().all(|count| *count > 25), "{chosen:?}");
+}
+
+fn load(running: u32) -> Load {
+    Load { running, models: vec![("m".to_owned(), 4)], ..Load::default() }
+}
+
+#[test]
+fn own_requests_are_added_to_a_report_that_can_not_tell_them_yet() {
+    let start = Instant::now();
+    let mut book = LoadBook::default();
+    book.start("i", start);
+    book.start("i", start + REPORT_LAG);
+    let now = start + REPORT_LAG + Duration::from_millis(10);
+    book.report("i", &load(5), now);
+    // The report is of a moment at which one of ours ran.
+    assert_eq!(book.busy("i"), 4 + 2);
+    book.end("i", start, now);
+    assert_eq!(book.busy("i"), 4 + 1);
+    book.answer("i", &load(3), now);
+    assert_eq!(book.busy("i"), 2 + 1);
+    assert_eq!(book.version("i", "m"), Some(4));
+}
+
+#[test]
+fn a_report_is_used_for_a_while() {
+    let now = Instant::now();
+    let mut book = LoadBook::default();
+    assert!(!book.is_fresh("i", false, now));
+    book.report("i", &load(5), now);
+    assert!(book.is_fresh("i", true, now));
+    assert!(!book.is_fresh("i", true, now + REPORT_REUSE));
+    let later = now + VERSIONS_REUSE;
+    book.answer("i", &load(5), later);
+    assert!(book.is_fresh("i", false, later));
+    assert!(!book.is_fresh("i", true, later), "its version may have moved");
+    book.forget_report("i");
+    assert!(!book.is_fresh("i", false, later));
+}
+
+fn work(job: &str, items: &[&str], epoch: u64) -> WorkLease {
+    let leased = |id: &&str| LeasedItem {
+        item: Item { id: (*id).to_owned(), ..Item::default() },
+        ..LeasedItem::default()
+    };
+    WorkLease {
+        lease: 1,
+        store_group: 2,
+        epoch,
+        job: job.to_owned(),
+        items: items.iter().map(leased).collect(),
+        ..WorkLease::default()
+    }
+}
+
+fn add(
+    table: &mut LeaseTable, lease: &WorkLease, now: Instant,
+) -> Option<pebblepost_batch_runner::lease_table::LeaseKey> {
+    table.add(lease, vec![Progress::default(); lease.items.len()], now)
+}
+
+#[test]
+fn a_lease_holds_until_it_is_not_renewed() {
+    let now = Instant::now();
+    let mut table = LeaseTable::default();
+    let key = add(&mut table, &work("j", &["a"], 4), now).unwrap();
+    assert_eq!(table.validity(key, now + LEASE - Duration::from_millis(1)), Validity::Valid);
+    assert_eq!(table.validity(key, now + LEASE), Validity::Void);
+    table.renew(2, 5, now + LEASE);
+    assert_eq!(table.validity(key, now + LEASE), Validity::Void, "another epoch");
+    table.renew(3, 4, now + LEASE);
+    assert_eq!(table.validity(key, now + LEASE), Validity::Void, "another group");
+    table.renew(2, 4, now + LEASE);
+    assert_eq!(table.validity(key, now + LEASE), Validity::Valid);
+    assert_eq!(table.validity(key, now + 2 * LEASE + ABANDON_AFTER), Validity::Over);
+}
+
+#[test]
+fn a_new_primary_renews_what_was_announced_to_it() {
+    let now = Instant::now();
+    let mut table = LeaseTable::default();
+    let key = add(&mut table, &work("j", &["a", "b"], 4), now).unwrap();
+    table.finish(key, "a").unwrap();
+    assert!(!table.awaits_renewal(2, now));
+    assert!(table.awaits_renewal(2, now + LEASE));
+    let held = HeldLease { store_group: 2, job: "j".to_owned(), items: vec!["b".to_owned()] };
+    assert_eq!(table.announce(2, 5), [held]);
+    assert!(table.announce(3, 5).is_empty());
+    table.renew(2, 5, now + LEASE);
+    assert_eq!(table.validity(key, now + LEASE), Validity::Valid);
+}
+
+#[test]
+fn a_cancelled_job_is_over_and_not_begun_again() {
+    let now = Instant::now();
+    let mut table = LeaseTable::default();
+    let key = add(&mut table, &work("j", &["a"], 4), now).unwrap();
+    let other = add(&mut table, &work("k", &["a"], 4), now).unwrap();
+    table.cancel(&["j".to_owned()], now);
+    assert_eq!(table.validity(key, now), Validity::Over);
+    assert_eq!(table.validity(other, now), Validity::Valid);
+    assert!(table.finish(key, "a").is_none());
+    assert!(add(&mut table, &work("j", &["a"], 5), now).is_none());
+}
+
+#[test]
+fn an_item_leased_again_goes_on_with_its_longer_text() {
+    let now = Instant::now();
+    let mut table = LeaseTable::default();
+    let first = add(&mut table, &work("j", &["a"], 4), now).unwrap();
+    let text = Text::from_partial(partial(2, "x\ny", &[3]), ANY);
+    table.progress(first, "a").unwrap().borrow_mut().text = text;
+    let second = add(&mut table, &work("j", &["a"], 4), now).unwrap();
+    assert_eq!(table.validity(first, now), Validity::Over);
+    assert_eq!(table.progress(second, "a").unwrap().borrow().text.last_event(), 2);
+}
+
+#[test]
+fn a_stop_takes_all_that_is_unfinished() {
+    let now = Instant::now();
+    let mut table = LeaseTable::default();
+    let key = add(&mut table, &work("j", &["a", "b"], 4), now).unwrap();
+    table.finish(key, "a").unwrap();
+    let items: Vec<String> = table.stop_all().into_iter().map(|taken| taken.item).collect();
+    assert_eq!(items, ["b"]);
+    assert!(table.is_empty());
+}
+
+fn result(id: &str, message: &[u8]) -> ItemResult {
+    ItemResult { id: id.to_owned(), message: message.to_vec(), ..ItemResult::default() }
+}
+
+#[test]
+fn results_are_written_as_json() {
+    let mut dead = result("b\"", b"");
+    dead.state = ResultState::DeadLetter;
+    let results = vec![result("a", "\u{1}\\ \t\r\u{e9}\u{1f600}".as_bytes()), dead, result("c", b"\xff")];
+    let json = page(&ResultPage { total: 3, start: 0, results });
+    let approved = concat!(
+        r#"{"total":3,"next_token":3,"results":["#,
+        r#"{"id":"a","state":"completed","message":"\u0001\\ \t\ré😀","versions":[]},"#,
+        r#"{"id":"b\"","state":"dead_letter","message":"","versions":[]},"#,
+        "{\"id\":\"c\",\"state\":\"completed\",\"message\":\"\u{fffd}\",\"versions\":[]}]}",
+    );
+    assert_eq!(std::str::from_utf8(&json).unwrap(), approved);
+}
+
+#[test]
+fn a_page_ends_before_it_is_too_large() {
+    let large = vec![b'x'; MOST_PAGE_BYTES / 2];
+    let results = (0..3).map(|index| result(&index.to_string(), &large)).collect();
+    let json = page(&ResultPage { total: 9, start: 4, results });
+    assert!(json.starts_with(br#"{"total":9,"next_token":5,"#));
+    let too_large = vec![result("a", &vec![b'x'; 2 * MOST_PAGE_BYTES])];
+    let json = page(&ResultPage { total: 9, start: 4, results: too_large });
+    assert!(json.starts_with(br#"{"total":9,"next_token":5,"#), "one at least");
+}
+
+#[rstest]
+#[case::not_json("{", "the body is not JSON")]
+#[case::no_object("[]", "the body is no object")]
+#[case::no_requests("{}", "`requests` is missing or no list")]
+#[case::no_id(r#"{"requests":[{"path":"/a"}]}"#, "item 0: `id` is missing")]
+#[case::no_path(r#"{"requests":[{"id":"a","path":"a"}]}"#, "item 0: `path` is no path")]
+#[case::bad_body(r#"{"requests":[{"id":"a","path":"/a","body":"*"}]}"#, "item 0: `body` is no base64")]
+#[case::bad_header(
+    r#"{"requests":[{"id":"a","path":"/a","headers":{"x":1}}]}"#,
+    "item 0: header `x` is no text"
+)]
+#[case::bad_scorer(
+    r#"{"requests":[{"id":"a","path":"/a","scorer":{"id":"s"}}]}"#,
+    "item 0: scorer: `hostname` is missing"
+)]
+#[case::bad_step(r#"{"step":"x","requests":[]}"#, "`step` is no whole number")]
+#[case::twice(
+    r#"{"requests":[{"id":"a","path":"/a"},{"id":"a","path":"/a"}]}"#,
+    "item 1: its id was used before"
+)]
+fn a_body_that_is_no_job_says_why(#[case] body: &str, #[case] reason: &str) {
+    let error = parse("j", JobTerms::default(), body.as_bytes().to_vec()).unwrap_err();
+    assert!(error.0.starts_with(reason), "{error}");
+}
--- /dev/null
+++ b/crates/batch-runner/tests/support/mod.rs
@@ -0,0 +1,419 @@
+//! Fake stores and transcribers over loopback, and a runner between them.
+
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use pebblepost_batch_runner::BatchRunner;
+use pebblepost_feed::FeedState;
+use pebblepost_link::{LinkLimits, Listener, Sender};
+use pebblepost_messages::batch::{
+    FromStore, Item, JobTerms, LeasedItem, STORE_GROUPS, Scorer, ToStore, WorkLease,
+};
+use pebblepost_messages::feed::{
+    ConfigurationUpdate, FeedUpdate, Instance, InstanceState, ModelVersion, StoreGroup,
+};
+use pebblepost_messages::{DiskId, Member};
+use pebblepost_settings::Settings;
+use pebblepost_transcriber::{Client, ClientLimits};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+const SETTINGS: &str = "node_name='edge-1'\nip='127.0.0.1'\nzone='z'\nport_range=[7000,7003]\n";
+const CONFIGURATION: &str = r#"{"generation":7,"routes":[
+ {"name":"r-lots","hostname":"h.example","path_prefix":"/lot/","kind":"rollout","timeout_ms":6000,
+  "target_latency_ms":500,"priority":1,"backend":"models","max_attempts":2,"queue_ttl_s":40.0,
+  "run_deadline_ms":4500,"single_version":SINGLE},
+ {"name":"r-score","hostname":"h.example","path_prefix":"/score/","kind":"idempotent","timeout_ms":1500,
+  "target_latency_ms":150,"priority":2,"backend":"desk","max_attempts":2}],
+ "services":[{"name":"models","health_path":"/healthz","max_conns":150},
+  {"name":"desk","health_path":"/healthz","max_conns":96}]}"#;
+
+pub const LINK_LIMITS: LinkLimits = LinkLimits {
+    most_frame_bytes: 1 << 24,
+    most_queued_bytes: 1 << 24,
+    connect: Duration::from_secs(1),
+    silence: Duration::from_secs(30),
+};
+
+/// Runs a test on a current-thread runtime with a `LocalSet`.
+pub fn run<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        tokio::time::timeout(Duration::from_secs(20), test).await.expect("the test hangs");
+    });
+}
+
+/// A store whose side of the links the test plays.
+pub struct FakeStore {
+    pub address: SocketAddr,
+    links: mpsc::UnboundedReceiver<StoreEnd>,
+}
+
+/// The store's end of one link.
+pub struct StoreEnd {
+    pub sender: Sender,
+    /// Outcomes that came before the announcement of leases.
+    pub early: Vec<ToStore>,
+    messages: mpsc::UnboundedReceiver<ToStore>,
+}
+
+impl FakeStore {
+    pub fn start() -> FakeStore {
+        let mut listener = Listener::bind("127.0.0.1:0".parse().unwrap(), LINK_LIMITS).unwrap();
+        let address = listener.local_address().unwrap();
+        let (accepted, links) = mpsc::unbounded_channel();
+        tokio::task::spawn_local(async move {
+            while let Ok((sender, mut receiver)) = listener.accept().await {
+                let (read, messages) = mpsc::unbounded_channel();
+                if accepted.send(StoreEnd { sender, early: Vec::new(), messages }).is_err() {
+                    return;
+                }
+                tokio::task::spawn_local(async move {
+                    while let Ok(message) = receiver.receive::<ToStore>().await {
+                        if read.send(message).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        FakeStore { address, links }
+    }
+
+    /// Next link, after its greeting and its announcement of leases, which is returned.
+    pub async fn accept(&mut self) -> (StoreEnd, ToStore) {
+        let mut end = self.links.recv().await.unwrap();
+        let hello = end.next().await;
+        assert_eq!(hello, ToStore::ProxyHello { node: "edge-1".to_owned(), zone: "z".to_owned() });
+        let mut holding = end.next().await;
+        while matches!(holding, ToStore::Outcomes { .. }) {
+            end.early.push(holding);
+            holding = end.next().await;
+        }
+        (end, holding)
+    }
+}
+
+impl StoreEnd {
+    /// Next message that is no keep-alive and no repeated announcement.
+    pub async fn next(&mut self) -> ToStore {
+        loop {
+            let message = self.messages.recv().await.expect("the link was closed");
+            if message != ToStore::KeepAlive {
+                return message;
+            }
+        }
+    }
+
+    /// All messages until the link is closed.
+    pub async fn rest(&mut self) -> Vec<ToStore> {
+        let mut messages = Vec::new();
+        while let Some(message) = self.messages.recv().await {
+            messages.push(message);
+        }
+        messages
+    }
+
+    /// Next outcomes; other messages are passed over.
+    pub async fn outcomes(&mut self) -> ToStore {
+        loop {
+            let message = self.next().await;
+            if matches!(message, ToStore::Outcomes { .. }) {
+                return message;
+            }
+        }
+    }
+
+    /// Waits for a request for work, and answers it.
+    pub async fn give(&mut self, leases: Vec<WorkLease>) -> u32 {
+        loop {
+            if let ToStore::TakeWork { most_items } = self.next().await {
+                self.sender.send(&FromStore::Work(leases));
+                return most_items;
+            }
+        }
+    }
+}
+
+/// A request that a fake transcriber read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seen {
+    pub transcriber: String,
+    pub text: String,
+}
+
+impl Seen {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+    }
+}
+
+/// What a fake transcriber does with a request.
+pub enum Reply {
+    /// Writes bytes and goes on with the connection.
+    Write(Vec<u8>),
+    /// Writes bytes and closes.
+    WriteAndClose(Vec<u8>),
+    /// Writes bytes and waits for the other end to close.
+    WriteAndHang(Vec<u8>),
+}
+
+type Handler = Rc<RefCell<dyn FnMut(&Seen) -> Reply>>;
+
+/// Transcribers that share a record of the requests they read; reports are left out of it.
+#[derive(Clone)]
+pub struct Fleet {
+    pub seen: Rc<RefCell<Vec<Seen>>>,
+    pub closed: Rc<RefCell<Vec<String>>>,
+    closings: mpsc::UnboundedSender<String>,
+}
+
+impl Fleet {
+    pub fn new() -> (Fleet, mpsc::UnboundedReceiver<String>) {
+        let (closings, closed) = mpsc::unbounded_channel();
+        (Fleet { seen: Rc::default(), closed: Rc::default(), closings }, closed)
+    }
+
+    /// Starts a transcriber.
+    pub async fn start(&self, id: &str, handler: impl FnMut(&Seen) -> Reply + 'static) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (fleet, id) = (self.clone(), id.to_owned());
+        let handler: Handler = Rc::new(RefCell::new(handler));
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::task::spawn_local(fleet.clone().serve(id.clone(), stream, handler.clone()));
+            }
+        });
+        address
+    }
+
+    async fn serve(self, id: String, mut stream: TcpStream, handler: Handler) {
+        while let Some(text) = read_request(&mut stream).await {
+            let seen = Seen { transcriber: id.clone(), text };
+            if !seen.text.starts_with("GET /report") {
+                self.seen.borrow_mut().push(seen.clone());
+            }
+            let reply = (handler.borrow_mut())(&seen);
+            let (bytes, goes_on, hangs) = match reply {
+                Reply::Write(bytes) => (bytes, true, false),
+                Reply::WriteAndClose(bytes) => (bytes, false, false),
+                Reply::WriteAndHang(bytes) => (bytes, false, true),
+            };
+            if stream.write_all(&bytes).await.is_err() {
+                return;
+            }
+            if hangs {
+                let mut buffer = [0; 64];
+                while stream.read(&mut buffer).await.is_ok_and(|length| length > 0) {}
+                let _ = self.closings.send(id.clone());
+            }
+            if !goes_on {
+                return;
+            }
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let head_end = loop {
+        if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
+            break end + 4;
+        }
+        let mut buffer = [0; 1024];
+        match stream.read(&mut buffer).await {
+            Ok(length) if length > 0 => bytes.extend_from_slice(&buffer[..length]),
+            _ => return None,
+        }
+    };
+    let head = String::from_utf8(bytes[..head_end].to_vec()).unwrap();
+    let length: usize = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "))
+        .map_or(0, |value| value.parse().unwrap());
+    while bytes.len() < head_end + length {
+        let mut buffer = [0; 1024];
+        let read = stream.read(&mut buffer).await.ok().filter(|read| *read > 0)?;
+        bytes.extend_from_slice(&buffer[..read]);
+    }
+    let text = String::from_utf8(bytes).unwrap();
+    let lines = text.split("\r\n").map(|line| match line.strip_prefix("deadline-ms: ") {
+        Some(value) if value.parse::<u64>().is_ok_and(|value| value > 0) => "deadline-ms: (left)",
+        _ => line,
+    });
+    Some(lines.collect::<Vec<_>>().join("\n"))
+}
+
+/// An answer to `GET /report`.
+pub fn report(version: u64, running: u32) -> Vec<u8> {
+    let body = format!(
+        r#"{{"models":[{{"name":"daka","generation":{version}}}],"busy":false,"running":{running},"waiting":0}}"#
+    );
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}").into_bytes()
+}
+
+/// The head of a stream.
+pub fn stream_head(request_id: &str, version: u64) -> Vec<u8> {
+    format!(
+        "HTTP/1.1 200 OK\r\nrequest-id: {request_id}\r\ncontent-type: text/event-stream\r\n\
+         weight-versions: {version}\r\ntransfer-encoding: chunked\r\n\r\n"
+    )
+    .into_bytes()
+}
+
+/// Events as chunks: from one id to another, with the data `dN`.
+pub fn events(first: u64, last: u64) -> Vec<u8> {
+    let chunk = |id| {
+        let event = format!("id: {id}\ndata: d{id}\n\n");
+        format!("{:x}\r\n{event}\r\n", event.len())
+    };
+    (first..=last).map(chunk).collect::<String>().into_bytes()
+}
+
+/// One event as a chunk, at which the version changes.
+pub fn event_with_version(id: u64, version: u64) -> Vec<u8> {
+    let event = format!("weight-versions: {version}\nid: {id}\ndata: d{id}\n\n");
+    format!("{:x}\r\n{event}\r\n", event.len()).into_bytes()
+}
+
+pub const END: &[u8] = b"0\r\n\r\n";
+
+/// A whole answer without a body.
+pub fn plain(status: u16, request_id: &str, header: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {status} X\r\nrequest-id: {request_id}\r\n{header}content-length: 0\r\n\r\n")
+        .into_bytes()
+}
+
+/// A runner with its feed.
+pub struct Bench {
+    pub runner: BatchRunner,
+    pub feed: Rc<RefCell<FeedState>>,
+}
+
+impl Bench {
+    /// A runner for a job route; a text of it is made under a single version if asked for.
+    pub fn start(single_version: bool) -> Bench {
+        let settings = Settings::parse(SETTINGS, "local.toml").unwrap();
+        let client = Client::new(ClientLimits {
+            connect: Duration::from_millis(500),
+            most_connections_each: 8,
+            idle: Duration::from_secs(10),
+            most_body_bytes: 1 << 20,
+        });
+        let feed = Rc::new(RefCell::new(FeedState::default()));
+        let document = CONFIGURATION.replace("SINGLE", if single_version { "true" } else { "false" });
+        let update = ConfigurationUpdate::Whole { generation: 7, document: document.into_bytes() };
+        assert!(feed.borrow_mut().apply(&FeedUpdate::Configuration(update)).configuration);
+        let runner = BatchRunner::start(&settings, client, feed.clone());
+        Bench { runner, feed }
+    }
+
+    pub fn apply(&self, update: FeedUpdate) {
+        self.feed.borrow_mut().apply(&update);
+        self.runner.feed_changed();
+    }
+
+    /// All groups of jobs are served by this store.
+    pub fn set_primary(&self, address: SocketAddr, epoch: u64) {
+        let primary = Member {
+            disk: DiskId(1),
+            node: "storage-1".to_owned(),
+            address: address.to_string(),
+            ..Member::default()
+        };
+        let group = |group| StoreGroup {
+            group,
+            epoch,
+            primary: primary.clone(),
+            in_sync: vec![primary.clone()],
+            targets: vec![primary.clone()],
+        };
+        self.apply(FeedUpdate::StoreGroups((0..STORE_GROUPS).map(group).collect()));
+    }
+
+    /// Announces a transcriber.
+    pub fn announce(
+        &self, id: &str, backend: &str, address: SocketAddr, state: InstanceState, sequence: u64,
+    ) {
+        let models = match backend {
+            "models" => vec![ModelVersion { model: "daka".to_owned(), generation: 1 }],
+            _ => Vec::new(),
+        };
+        let instance = Instance {
+            id: id.to_owned(),
+            backend: backend.to_owned(),
+            address: address.to_string(),
+            zone: "z".to_owned(),
+            slots: 8,
+            state,
+            cold_remaining_ms: 0,
+            models,
+            sequence,
+        };
+        self.apply(FeedUpdate::Instances { whole: false, instances: vec![instance] });
+    }
+
+    pub fn ready(&self, id: &str, backend: &str, address: SocketAddr) {
+        self.announce(id, backend, address, InstanceState::Ready, 1);
+    }
+}
+
+/// A request to the runner.
+pub fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> http::Request<Bytes> {
+    let mut builder = http::Request::builder().method(method).uri(path).header("host", "h.example");
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    builder.body(Bytes::copy_from_slice(body.as_bytes())).unwrap()
+}
+
+/// An item `id`, scored if asked for.
+pub fn leased(id: &str, scored: bool) -> LeasedItem {
+    let scorer = scored.then(|| Scorer {
+        id: format!("s-{id}"),
+        hostname: "h.example".to_owned(),
+        path: "/score/1".to_owned(),
+        body: b"judge".to_vec(),
+    });
+    let item = Item {
+        id: id.to_owned(),
+        path: "/lot/3".to_owned(),
+        headers: vec![("model".to_owned(), "daka".to_owned())],
+        body: b"prompt".to_vec(),
+        tokens: 10,
+        group: "g".to_owned(),
+        scorer,
+    };
+    LeasedItem { item, ..LeasedItem::default() }
+}
+
+/// A lease of items of the job `job`.
+pub fn lease(items: Vec<LeasedItem>, single_version: bool) -> WorkLease {
+    WorkLease {
+        lease: 5,
+        store_group: 0,
+        epoch: 1,
+        job: "job".to_owned(),
+        terms: JobTerms {
+            route: "r-lots".to_owned(),
+            hostname: "h.example".to_owned(),
+            run_deadline_ms: 4500,
+            queue_ttl_ms: 40_000,
+            max_attempts: 2,
+            priority: 1,
+            single_version,
+        },
+        model: "daka".to_owned(),
+        min_version: 1,
+        due_in_ms: 4000,
+        expires_in_ms: 39_000,
+        items,
+    }
+}
