Nothing goes to a transcriber forgotten while a call waits; items without a route go back

Cause: a call that waited for a connection could be sent after the drain was known; a proxy with an old configuration could give up items of a new route. Change: forget ends waiting calls and those whose connection comes up later as NotSent; an item without a route here is handed back after a second.

--- a/crates/batch-runner/src/item_run.rs
+++ b/crates/batch-runner/src/item_run.rs
@@ -21,6 +21,8 @@
 const SHORT_PAUSE: Duration = Duration::from_millis(10);
 const FULL_PAUSE: Duration = Duration::from_millis(50);
 const UNCLEAR_PAUSE: Duration = Duration::from_millis(200);
+/// An item without a route is handed back after this time.
+const NO_ROUTE_HOLD: Duration = Duration::from_millis(1000);
 /// A transcriber that broke a run off is not chosen for this long.
 const AVOID_AFTER_BREAK: Duration = Duration::from_millis(700);
 /// After so many events that did not continue it, a text starts anew.
@@ -57,7 +59,7 @@
     Completed(String),
     /// Given up.
     DeadLetter,
-    /// Handed back, since the proxy stops.
+    /// Handed back, since the proxy stops or knows no route.
     Returned,
     /// The lease is over: nothing is said.
     Abandoned,
@@ -125,8 +127,13 @@
             let Some(next) = place.take() else {
                 place = match self.shared.find_place(&need, 1).await {
                     Placed::At(mut places) => places.pop(),
-                    Placed::NoRoute | Placed::Expired => return Some(ItemEnd::DeadLetter),
+                    Placed::Expired => return Some(ItemEnd::DeadLetter),
                     Placed::Stopped => return Some(ItemEnd::Returned),
+                    Placed::NoRoute => {
+                        // Our configuration may be an old one: another proxy may know better.
+                        sleep(NO_ROUTE_HOLD).await;
+                        return Some(ItemEnd::Returned);
+                    }
                 };
                 continue;
             };
--- a/crates/batch-runner/tests/support/mod.rs
+++ b/crates/batch-runner/tests/support/mod.rs
@@ -110,6 +110,18 @@
         }
     }
 
+    /// Answers so many keep-alives, which come each half second.
+    pub async fn keep_alive(&mut self, count: usize) {
+        let mut answered = 0;
+        while answered < count {
+            let message = self.messages.recv().await.expect("the link was closed");
+            if message == ToStore::KeepAlive {
+                self.sender.send(&FromStore::KeepAlive);
+                answered += 1;
+            }
+        }
+    }
+
     /// All messages until the link is closed.
     pub async fn rest(&mut self) -> Vec<ToStore> {
         let mut messages = Vec::new();
--- a/crates/transcriber/src/client.rs
+++ b/crates/transcriber/src/client.rs
@@ -118,7 +118,8 @@
         self.shared.limits.set(limits);
     }
 
-    /// Closes the idle connections to a transcriber that drains or is gone.
+    /// Closes the idle connections to a transcriber that drains or is gone. Calls to it that are
+    /// under way and not written yet end as [`Failure::NotSent`].
     pub fn forget(&self, target: &Target) {
         self.shared.pool.forget(target);
     }
@@ -163,8 +164,12 @@
                 Err(ExchangeError::Broken) => return Err(Failure::MayHaveRun),
             },
             Lot::Free(place) => place,
+            Lot::Forgotten => return Err(Failure::NotSent),
         };
         let mut pooled = self.open(target, place, limits, progress).await?;
+        if pooled.is_forgotten() {
+            return Err(Failure::NotSent);
+        }
         match self.exchange(&mut pooled.connection, wire, progress).await {
             Ok(response) => {
                 let (checked, body) = check_head(response, expected)?;
--- a/crates/transcriber/src/pool.rs
+++ b/crates/transcriber/src/pool.rs
@@ -50,6 +50,8 @@
     Reused(PooledConnection),
     /// A place for a new one.
     Free(Place),
+    /// The transcriber was forgotten while the caller waited.
+    Forgotten,
 }
 
 impl Place {
@@ -60,6 +62,11 @@
 }
 
 impl PooledConnection {
+    /// Whether the transcriber was forgotten since the place was taken: nothing more goes there.
+    pub(crate) fn is_forgotten(&self) -> bool {
+        self.place.host.forgotten.get()
+    }
+
     /// Gives the connection up, for a new one in its place.
     pub(crate) fn into_place(self) -> Place {
         self.place
@@ -130,15 +137,22 @@
                 return Lot::Free(Place { host });
             }
             host.freed.notified().await;
+            if host.forgotten.get() {
+                // The next in line is told as well.
+                host.freed.notify_one();
+                return Lot::Forgotten;
+            }
         }
     }
 
     /// Closes the idle connections to a transcriber; those in use are closed after their answer.
+    /// Calls that wait for a connection, or for it to come up, are not sent any more.
     pub(crate) fn forget(&self, target: &Target) {
         let host = self.hosts.borrow_mut().remove(target);
         if let Some(host) = host {
             host.forgotten.set(true);
             host.clear();
+            host.freed.notify_one();
         }
     }
 
--- a/crates/transcriber/tests/exchanges.rs
+++ b/crates/transcriber/tests/exchanges.rs
@@ -248,6 +248,46 @@
     });
 }
 
+#[test]
+fn calls_that_wait_for_a_connection_to_a_forgotten_transcriber_are_not_sent() {
+    run(async {
+        let (begun, wait_begun) = oneshot::channel();
+        let (go, wait_go) = oneshot::channel();
+        let script = vec![Step::Read, Step::Tell(begun), Step::Await(wait_go), Step::Write(OK_A)];
+        let server = Scripted::start(vec![script]).await;
+        let client =
+            Client::new(pebblepost_transcriber::ClientLimits { most_connections_each: 1, ..limits() });
+        let target = server.target();
+        let (first, second, third, ()) = tokio::join!(
+            client.send(&target, outgoing("a")),
+            client.send(&target, outgoing("b")),
+            client.send(&target, outgoing("c")),
+            async {
+                wait_begun.await.unwrap();
+                client.forget(&target);
+                go.send(()).unwrap();
+            }
+        );
+        assert_eq!(&first.unwrap().body[..], b"hi", "what was sent is finished");
+        assert_eq!((second.unwrap_err(), third.unwrap_err()), (Failure::NotSent, Failure::NotSent));
+        assert_eq!(server.requests().len(), 1);
+    });
+}
+
+#[test]
+fn a_connection_that_comes_up_to_a_forgotten_transcriber_carries_nothing() {
+    run(async {
+        let server = Scripted::start(vec![vec![Step::Read, Step::Write(OK_A)]]).await;
+        let client = client();
+        let target = server.target();
+        let (answer, ()) = tokio::join!(client.send(&target, outgoing("a")), async {
+            client.forget(&target);
+        });
+        assert_eq!(answer.unwrap_err(), Failure::NotSent);
+        assert!(server.requests().is_empty());
+    });
+}
+
 #[test]
 fn an_idle_connection_is_given_up_before_the_transcriber_does() {
     run(async {
