--- a/crates/control/src/core/group.rs
+++ b/crates/control/src/core/group.rs
@@ -223,6 +223,8 @@
                     self.append(Owner::Register { token }, vec![record], outputs);
                 }
                 RegisterOutput::Chosen(record) => self.chosen(now, &record),
+                // A later proposal may be under way already.
+                RegisterOutput::Rejected { .. } if self.register.is_proposing() => {}
                 RegisterOutput::Rejected { .. } => {
                     if let Some(chosen) = self.register.chosen().cloned() {
                         self.replica.configure(now, &chosen);
--- a/crates/control/src/feed_server.rs
+++ b/crates/control/src/feed_server.rs
@@ -134,7 +134,7 @@
             first_flush: self.flushes,
             acknowledged_flush: 0,
             sent_generation: generation,
-            acknowledged_generation: generation,
+            acknowledged_generation: 0,
             heard: now,
             sent: now,
         };
--- /dev/null
+++ b/crates/control/tests/orders.rs
@@ -0,0 +1,102 @@
+//! Orders to transcribers: who sends them, when, and with which fence.
+
+mod support;
+
+use pebblepost_control::api::Call;
+use pebblepost_control::orders;
+use pebblepost_rollout::{LoadMode, Order, OrderAnswer};
+use rstest::rstest;
+use std::time::Duration;
+use support::cluster::Cluster;
+use support::documents::announcement;
+
+fn put(cluster: &mut Cluster, path: &str, body: Vec<u8>) {
+    let primary = cluster.primary();
+    let call = Call { method: "PUT".into(), path: path.into(), if_match: None, body };
+    assert_eq!(cluster.call(primary, call).map(|answer| answer.status), Some(200));
+}
+
+fn name_version(cluster: &mut Cluster, generation: u64) {
+    let primary = cluster.primary();
+    let body = format!("{{\"model\":\"m\",\"generation\":{generation}}}").into_bytes();
+    let call = Call { method: "POST".into(), path: "/version-put".into(), if_match: None, body };
+    assert_eq!(cluster.call(primary, call).map(|answer| answer.status), Some(200));
+}
+
+/// Beats of a transcriber that holds version 1, for some time.
+fn live(cluster: &mut Cluster, sequence: &mut u64, time: Duration) {
+    let until = cluster.now + time;
+    while cluster.now < until {
+        *sequence += 1;
+        if !cluster.acting_nodes().is_empty() {
+            put(cluster, "/instances/i-1", announcement("10.9.0.1:8080", "ready", 1, *sequence));
+        }
+        cluster.run(Duration::from_millis(300));
+    }
+}
+
+#[rstest]
+fn the_primary_orders_a_named_version() {
+    let mut cluster = Cluster::acting();
+    let mut sequence = 0;
+    live(&mut cluster, &mut sequence, Duration::from_millis(600));
+    name_version(&mut cluster, 2);
+    live(&mut cluster, &mut sequence, Duration::from_secs(6));
+    let (_, node, order, body) = cluster.orders.first().cloned().expect("an order");
+    assert_eq!(node, cluster.primary());
+    assert_eq!((order.instance.as_str(), order.generation), ("i-1", 2));
+    let epoch = cluster.core(node).record().epoch;
+    assert!(body.contains(&format!("\"fence_token\":{epoch}")), "{body}");
+    assert!(body.contains(&format!("\"holder\":\"core-{node}\"")), "{body}");
+    cluster.answer_order(node, order, OrderAnswer::AlreadyHolds);
+    let held = cluster.core(node).registry().instance("i-1").map(|known| known.models[0].generation);
+    assert_eq!(held, Some(2));
+}
+
+#[rstest]
+fn a_new_holder_waits_until_the_orders_of_the_old_one_are_old() {
+    let mut cluster = Cluster::acting();
+    let mut sequence = 0;
+    live(&mut cluster, &mut sequence, Duration::from_secs(6));
+    name_version(&mut cluster, 2);
+    live(&mut cluster, &mut sequence, Duration::from_secs(1));
+    let former = cluster.primary();
+    cluster.kill(former);
+    let killed_at = cluster.now;
+    cluster.run_until_acting();
+    live(&mut cluster, &mut sequence, Duration::from_secs(12));
+    let (former_orders, new_orders): (Vec<_>, Vec<_>) =
+        cluster.orders.iter().partition(|(_, node, _, _)| *node == former);
+    assert!(!former_orders.is_empty(), "the former holder had ordered");
+    let (at, _, _, body) = new_orders.first().expect("the new holder orders as well");
+    assert!(*at >= killed_at + Duration::from_millis(3000), "{:?} after the kill", *at - killed_at);
+    let epoch = cluster.core(cluster.primary()).record().epoch;
+    assert!(epoch > 1);
+    let fence: u64 = body
+        .split("\"fence_token\":")
+        .nth(1)
+        .and_then(|rest| rest.split(|character: char| !character.is_ascii_digit()).next())
+        .and_then(|number| number.parse().ok())
+        .expect("a fence");
+    assert!(fence > 1);
+}
+
+#[rstest]
+#[case(LoadMode::Wait, "wait")]
+#[case(LoadMode::Retain, "retain")]
+#[case(LoadMode::Truncate, "truncate")]
+fn the_body_of_an_order(#[case] mode: LoadMode, #[case] name: &str) {
+    let order = Order {
+        instance: "i-1".into(),
+        address: "10.9.0.1:8080".into(),
+        model: "m".into(),
+        generation: 2,
+        mode,
+    };
+    let mut body = orders::body(&order, "node-7", 41);
+    let value = simd_json::to_owned_value(&mut body).expect("JSON");
+    let expected = simd_json::json!({
+        "op": "generation", "model": "m", "generation": 2, "mode": name, "holder": "node-7", "fence_token": 41
+    });
+    assert_eq!(value, expected);
+}
--- /dev/null
+++ b/crates/control/tests/state.rs
@@ -0,0 +1,175 @@
+//! The replicated state: transcripts of entries, snapshots.
+
+mod support;
+
+use pebblepost_control::command::{
+    ChangeMethod, Command, ConfigurationChange, FoundedGroup, Outcome, RetireRefusal,
+};
+use pebblepost_control::state::{ControlState, RetirementState};
+use pebblepost_messages::control::GroupEpoch;
+use pebblepost_messages::{DiskId, Member};
+use pebblepost_replication::replica::StateMachine;
+use rstest::rstest;
+use support::documents::{configuration, patch};
+
+/// A state and how many entries were applied to it.
+#[derive(Default)]
+struct Log {
+    state: ControlState,
+    index: u64,
+}
+
+impl Log {
+    fn apply(&mut self, command: &Command) -> Outcome {
+        self.index += 1;
+        self.state.apply(self.index, &command.encode());
+        self.state.outcome(self.index).cloned().expect("an outcome")
+    }
+
+    fn change(&mut self, base: u64, method: ChangeMethod, body: Vec<u8>) -> Outcome {
+        self.apply(&Command::ChangeConfiguration(ConfigurationChange { base, method, body }))
+    }
+}
+
+fn member(number: u64, node: &str) -> Member {
+    Member { disk: DiskId(number), node: node.into(), ..Member::default() }
+}
+
+#[rstest]
+fn transcript_of_entries() {
+    let mut log = Log::default();
+    let group = |primary, replicas: &[u64]| FoundedGroup {
+        group: 0,
+        primary: DiskId(primary),
+        replicas: replicas.iter().map(|disk| DiskId(*disk)).collect(),
+    };
+    let epoch = |epoch, primary, in_sync: &[u64]| GroupEpoch {
+        epoch,
+        primary: DiskId(primary),
+        in_sync: in_sync.iter().map(|disk| DiskId(*disk)).collect(),
+    };
+    let mut lines: Vec<String> = vec![
+        format!("patch before any: {:?}", log.change(0, ChangeMethod::Patch, patch(2, 10))),
+        format!("first: {:?}", log.change(0, ChangeMethod::Whole, configuration(2, 10))),
+        format!("first again: {:?}", log.change(0, ChangeMethod::Whole, configuration(2, 10))),
+        format!("other on the same: {:?}", log.change(0, ChangeMethod::Whole, configuration(2, 11))),
+        format!("patch: {:?}", log.change(2, ChangeMethod::Patch, patch(5, 12))),
+        format!("first again, late: {:?}", log.change(0, ChangeMethod::Whole, configuration(2, 10))),
+        format!("not above: {:?}", log.change(5, ChangeMethod::Patch, patch(5, 13))),
+    ];
+    let commands = [
+        ("named", Command::NameVersion { model: "m".into(), generation: 3 }),
+        ("named lower", Command::NameVersion { model: "m".into(), generation: 2 }),
+        ("joined", Command::StoreJoined(member(1, "a"))),
+        ("joined", Command::StoreJoined(member(2, "b"))),
+        ("joined", Command::StoreJoined(member(3, "c"))),
+        ("founded", Command::FoundStoreGroups(vec![group(1, &[1, 2])])),
+        ("founded again", Command::FoundStoreGroups(vec![group(3, &[3, 2])])),
+        ("changed", Command::ChangeGroup { group: 0, expected_epoch: 1, proposed: epoch(2, 2, &[1, 2]) }),
+        (
+            "changed on the old epoch",
+            Command::ChangeGroup { group: 0, expected_epoch: 1, proposed: epoch(2, 1, &[1, 2]) },
+        ),
+        (
+            "changed to a stranger",
+            Command::ChangeGroup { group: 0, expected_epoch: 2, proposed: epoch(3, 3, &[3, 2]) },
+        ),
+        ("unknown group", Command::ChangeGroup { group: 7, expected_epoch: 0, proposed: epoch(1, 1, &[1]) }),
+        ("retire unknown", Command::Retire { node: "z".into(), least_remaining: 2 }),
+        ("retire", Command::Retire { node: "b".into(), least_remaining: 2 }),
+        ("retire again", Command::Retire { node: "b".into(), least_remaining: 2 }),
+        ("retire another", Command::Retire { node: "a".into(), least_remaining: 2 }),
+        ("completed too early", Command::RetireCompleted { node: "b".into() }),
+    ];
+    lines.extend(commands.iter().map(|(what, command)| format!("{what}: {:?}", log.apply(command))));
+    lines.push(format!("retirements: {:?}", log.state.retirements()));
+    let transcript = lines.join("\n");
+    let approved = include_str!("transcripts/state_entries.txt");
+    assert_eq!(transcript.trim(), approved.trim(), "\n--- got ---\n{transcript}\n-----------");
+    assert_eq!(log.state.named_versions().get("m"), Some(&3));
+}
+
+#[rstest]
+fn an_emptied_machine_is_completed_only_when_no_group_names_it() {
+    let mut log = Log::default();
+    for (disk, node) in [(1, "a"), (2, "b"), (3, "c")] {
+        log.apply(&Command::StoreJoined(member(disk, node)));
+    }
+    let replicas = vec![DiskId(1), DiskId(2)];
+    log.apply(&Command::FoundStoreGroups(vec![FoundedGroup { group: 0, primary: DiskId(1), replicas }]));
+    log.apply(&Command::Retire { node: "a".into(), least_remaining: 2 });
+    log.apply(&Command::SetTargets { group: 0, targets: vec![DiskId(2), DiskId(3)] });
+    log.apply(&Command::RetireCompleted { node: "a".into() });
+    assert_eq!(log.state.retirements()["a"], RetirementState::Running);
+    let in_sync = vec![DiskId(1), DiskId(2), DiskId(3)];
+    let proposed = GroupEpoch { epoch: 2, primary: DiskId(2), in_sync };
+    log.apply(&Command::ChangeGroup { group: 0, expected_epoch: 1, proposed });
+    log.apply(&Command::RetireCompleted { node: "a".into() });
+    assert_eq!(log.state.retirements()["a"], RetirementState::Running);
+    let proposed = GroupEpoch { epoch: 3, primary: DiskId(2), in_sync: vec![DiskId(2), DiskId(3)] };
+    log.apply(&Command::ChangeGroup { group: 0, expected_epoch: 2, proposed });
+    log.apply(&Command::RetireCompleted { node: "a".into() });
+    assert_eq!(log.state.retirements()["a"], RetirementState::Completed);
+}
+
+#[rstest]
+fn a_snapshot_holds_everything() {
+    let mut log = Log::default();
+    log.change(0, ChangeMethod::Whole, configuration(2, 10));
+    log.change(2, ChangeMethod::Patch, patch(5, 12));
+    log.apply(&Command::NameVersion { model: "m".into(), generation: 3 });
+    log.apply(&Command::StoreJoined(member(1, "a")));
+    let replicas = vec![DiskId(1)];
+    log.apply(&Command::FoundStoreGroups(vec![FoundedGroup { group: 4, primary: DiskId(1), replicas }]));
+    log.apply(&Command::StoreJoined(member(2, "b")));
+    log.apply(&Command::Retire { node: "b".into(), least_remaining: 1 });
+    let mut copy = ControlState::default();
+    copy.restore(&log.state.snapshot());
+    assert_eq!(copy.snapshot(), log.state.snapshot());
+    assert_eq!(copy.generation(), 5);
+    assert_eq!(copy.groups(), log.state.groups());
+    assert_eq!(copy.stores(), log.state.stores());
+    assert_eq!(copy.retirements(), log.state.retirements());
+    let first = ConfigurationChange { base: 0, method: ChangeMethod::Whole, body: configuration(2, 10) };
+    assert_eq!(copy.taken(&first), Some(2), "repeats are known after a snapshot, too");
+}
+
+#[rstest]
+fn the_last_sixty_four_changes_are_remembered() {
+    let mut log = Log::default();
+    let change = |generation: u64| ConfigurationChange {
+        base: generation - 1,
+        method: ChangeMethod::Whole,
+        body: configuration(generation, 10),
+    };
+    for generation in 1..=70 {
+        let outcome = log.apply(&Command::ChangeConfiguration(change(generation)));
+        assert_eq!(outcome, Outcome::ConfigurationTaken { generation });
+    }
+    assert_eq!(log.state.taken(&change(6)), None);
+    for generation in 7..=70 {
+        assert_eq!(log.state.taken(&change(generation)), Some(generation));
+    }
+}
+
+#[rstest]
+#[case::empty(b"")]
+#[case::garbage(b"\xff\xff\xff\xff\xff\xff\xff\xff\xff")]
+fn entries_that_cannot_be_read_change_nothing(#[case] entry: &[u8]) {
+    let mut state = ControlState::default();
+    let before = state.snapshot();
+    state.apply(1, entry);
+    assert_eq!(state.outcome(1), Some(&Outcome::Unreadable));
+    assert_eq!(state.snapshot(), before);
+}
+
+#[rstest]
+fn two_retirements_at_once_are_settled_by_the_log() {
+    let mut log = Log::default();
+    for (disk, node) in [(1, "a"), (2, "b"), (3, "c")] {
+        log.apply(&Command::StoreJoined(member(disk, node)));
+    }
+    assert_eq!(log.apply(&Command::Retire { node: "a".into(), least_remaining: 2 }), Outcome::Retiring);
+    let second = log.apply(&Command::Retire { node: "b".into(), least_remaining: 2 });
+    assert_eq!(second, Outcome::RetireRefused(RetireRefusal::TooFewRemain));
+}
