--- a/crates/proxy/src/dispatch/attempts.rs
+++ b/crates/proxy/src/dispatch/attempts.rs
@@ -10,7 +10,7 @@
 pub(super) struct Attempts {
     most: usize,
     repeatable: bool,
-    /// Transcribers that it was sent to.
+    /// Transcribers that it was sent to, one for each attempt.
     sent_to: Vec<WorkerId>,
     may_have_run: bool,
     timed_out: bool,
@@ -42,30 +42,24 @@
         }
     }
 
-    /// Whether another attempt is allowed anywhere.
+    /// Whether another attempt is allowed.
     pub(super) fn allows_more(&self) -> bool {
-        self.sent_to.len() < self.most && self.allows_repeat()
+        self.sent_to.len() < self.most && (self.repeatable || !self.may_have_run)
     }
 
-    fn allows_repeat(&self) -> bool {
-        self.repeatable || !self.may_have_run
-    }
-
-    /// Whether an attempt at this transcriber is allowed.
-    pub(super) fn allows(&self, worker: WorkerId) -> bool {
-        self.allows_repeat() && (self.sent_to.contains(&worker) || self.sent_to.len() < self.most)
+    /// Whether an attempt went to this transcriber.
+    pub(super) fn was_sent_to(&self, worker: WorkerId) -> bool {
+        self.sent_to.contains(&worker)
     }
 
     /// An attempt goes out.
     pub(super) fn sent(&mut self, worker: WorkerId) {
-        if !self.sent_to.contains(&worker) {
-            self.sent_to.push(worker);
-        }
+        self.sent_to.push(worker);
     }
 
-    /// Not a byte of the attempt went out.
-    pub(super) fn not_sent(&mut self, worker: WorkerId) {
-        self.sent_to.retain(|sent| *sent != worker);
+    /// Not a byte of the newest attempt went out.
+    pub(super) fn not_sent(&mut self) {
+        self.sent_to.pop();
     }
 
     /// The attempt may have run, and ended like this.
--- a/crates/proxy/src/dispatch/call.rs
+++ b/crates/proxy/src/dispatch/call.rs
@@ -6,7 +6,7 @@
 use super::ticket::{Command, Ticket};
 use super::verdict::{Verdict, judge};
 use crate::request::{RequestHead, WholeBody};
-use http::{HeaderName, HeaderValue, StatusCode};
+use http::{HeaderName, HeaderValue};
 use log::debug;
 use pebblepost_transcriber::{
     Answer, AnswerHead, EventStream, Failure, Load, Outgoing, StreamAnswer, Target,
@@ -91,8 +91,13 @@
                 Command::Send(worker) => worker,
                 Command::GiveUp(retry_after) => return Settled::Ended(self.ending(retry_after)),
             };
+            if self.attempts.was_sent_to(worker) && self.service.any_ready_but(&self.attempts) {
+                // The decisions leave out who turned the request away; so they do with this one.
+                ticket.end(Status::Full, Report::new(), false);
+                continue;
+            }
             // Checked at the last moment: it may have begun to drain since it was chosen.
-            let target = self.service.ready(worker).filter(|_| self.attempts.allows(worker));
+            let target = self.service.ready(worker).filter(|_| self.attempts.allows_more());
             let Some(target) = target else {
                 ticket.end(Status::Moot, Report::new(), false);
                 continue;
@@ -114,7 +119,7 @@
                 }
                 Err(failure) => {
                     debug!("{}: {failure:?} at {}", self.head.request_id, target.address);
-                    self.take_failure(&mut ticket, worker, failure);
+                    self.take_failure(&mut ticket, failure);
                 }
             }
             if !self.attempts.allows_more() {
@@ -131,9 +136,6 @@
                 ticket.end(Status::Ok, report, true);
                 return Some(answer);
             }
-            Verdict::NotExecuted if answer.head.status == StatusCode::MISDIRECTED_REQUEST => {
-                self.close_attempt(ticket, Status::ConnectFailed, report);
-            }
             Verdict::NotExecuted => self.close_attempt(ticket, Status::Full, report),
             Verdict::Failed => {
                 self.attempts.ran(Some(answer), false);
@@ -147,10 +149,10 @@
         None
     }
 
-    fn take_failure(&mut self, ticket: &mut Ticket, worker: WorkerId, failure: Failure) {
+    fn take_failure(&mut self, ticket: &mut Ticket, failure: Failure) {
         let status = match failure {
             Failure::NotSent => {
-                self.attempts.not_sent(worker);
+                self.attempts.not_sent();
                 Status::ConnectFailed
             }
             Failure::MayHaveRun => {
--- a/crates/proxy/src/dispatch/service.rs
+++ b/crates/proxy/src/dispatch/service.rs
@@ -1,5 +1,6 @@
 //! One service: its decisions, driven with events, and what they ask for.
 
+use super::attempts::Attempts;
 use super::policy::{ClassKey, RoutePolicy, WARM_UP, settings};
 use super::ticket::{Command, Commands, Ticket};
 use super::workers::Workers;
@@ -109,7 +110,12 @@
 
     /// Whether any of its transcribers takes requests.
     pub(crate) fn any_ready(&self) -> bool {
-        self.state.borrow().workers.any_ready()
+        self.state.borrow().workers.all_ready().next().is_some()
+    }
+
+    /// Whether a transcriber takes requests to which none of these attempts went.
+    pub(super) fn any_ready_but(&self, attempts: &Attempts) -> bool {
+        self.state.borrow().workers.all_ready().any(|worker| !attempts.was_sent_to(worker))
     }
 
     /// A transcriber, if it takes requests at this moment.
--- a/crates/proxy/src/dispatch/workers.rs
+++ b/crates/proxy/src/dispatch/workers.rs
@@ -117,8 +117,9 @@
         self.workers.get(number.0 as usize).map_or(1, |worker| worker.slots)
     }
 
-    /// Whether any transcriber takes requests.
-    pub(super) fn any_ready(&self) -> bool {
-        self.workers.iter().any(|worker| worker.state == WorkerState::Ready)
+    /// The transcribers that take requests at this moment.
+    pub(super) fn all_ready(&self) -> impl Iterator<Item = WorkerId> {
+        let ready = self.workers.iter().enumerate().filter(|(_, worker)| worker.state == WorkerState::Ready);
+        ready.map(|(index, _)| WorkerId(index as u32))
     }
 }
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -11,6 +11,7 @@
 use log::{debug, warn};
 use pebblepost_configuration::Limits;
 use std::convert::Infallible;
+use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -47,13 +48,16 @@
         let mut closing = pin!(context.lifecycle.closing());
         loop {
             // With all places taken, new connections wait in the listener's queue.
-            let Ok(permit) = self.free.clone().acquire_owned().await else { return };
+            let accept = async {
+                let permit = self.free.clone().acquire_owned().await.map_err(io::Error::other)?;
+                Ok::<_, io::Error>((listener.accept().await?.0, permit))
+            };
             let accepted = tokio::select! {
                 () = closing.as_mut() => return,
-                accepted = listener.accept() => accepted,
+                accepted = accept => accepted,
             };
             match accepted {
-                Ok((stream, _)) => {
+                Ok((stream, permit)) => {
                     context.counters.count(|counts| counts.connections += 1);
                     tokio::task::spawn_local(serve(stream, context.clone(), permit));
                 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use context::Applied;
 pub use counters::Counts;
-pub use proxy::Proxy;
+pub use proxy::{Proxy, Signals};
 
 use eyre::{Result, WrapErr};
 use pebblepost_settings::Settings;
@@ -32,7 +32,9 @@
 pub fn run(settings: Settings) -> Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build().wrap_err("starting the runtime")?;
     LocalSet::new().block_on(&runtime, async {
+        let mut signals = Signals::listen()?;
         let proxy = Proxy::start(settings)?;
-        proxy.run_until_terminated().await
+        proxy.run_until_terminated(&mut signals).await;
+        Ok(())
     })
 }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::Instant;
 
 /// Connections that may wait to be accepted.
@@ -25,6 +25,22 @@
 /// Requests have their answer this much ahead of the process's end.
 const ANSWER_MARGIN: Duration = Duration::from_millis(400);
 
+/// The signals that the process acts by, none of which ends it by itself once this exists.
+#[derive(Debug)]
+pub struct Signals {
+    terminate: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    /// Listens for the signals.
+    pub fn listen() -> Result<Signals> {
+        let terminate = signal(SignalKind::terminate()).wrap_err("listening for SIGTERM")?;
+        let hang_up = signal(SignalKind::hangup()).wrap_err("listening for SIGHUP")?;
+        Ok(Signals { terminate, hang_up })
+    }
+}
+
 /// A proxy that runs on the caller's `LocalSet`.
 #[derive(Debug)]
 pub struct Proxy {
@@ -71,21 +87,19 @@
     }
 
     /// Runs until SIGTERM and through the end that follows. SIGHUP: reads the settings anew.
-    pub async fn run_until_terminated(self) -> Result<()> {
-        let mut terminate = signal(SignalKind::terminate()).wrap_err("listening for SIGTERM")?;
-        let mut hang_up = signal(SignalKind::hangup()).wrap_err("listening for SIGHUP")?;
+    pub async fn run_until_terminated(&self, signals: &mut Signals) {
         loop {
             tokio::select! {
-                _ = terminate.recv() => break,
-                _ = hang_up.recv() => self.reload(),
+                _ = signals.terminate.recv() => break,
+                _ = signals.hang_up.recv() => self.reload(),
             }
         }
         let stop = self.stop();
         let mut stop = std::pin::pin!(stop);
         loop {
             tokio::select! {
-                () = stop.as_mut() => return Ok(()),
-                _ = hang_up.recv() => {}
+                () = stop.as_mut() => return,
+                _ = signals.hang_up.recv() => {}
             }
         }
     }
--- /dev/null
+++ b/crates/proxy/tests/support/mod.rs
@@ -0,0 +1,179 @@
+//! A proxy in this process between a client that writes bytes and scripted transcribers.
+#![allow(dead_code)]
+
+pub mod client;
+pub mod transcriber;
+
+use client::Client;
+use pebblepost_messages::feed::{ConfigurationUpdate, FeedUpdate, Instance, InstanceState};
+use pebblepost_proxy::Proxy;
+use pebblepost_settings::Settings;
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+use transcriber::{Reply, Script, SharedScript};
+
+/// Routes of every kind on `h.example`, all served by `pages`.
+pub const ROUTES: &str = r#"
+{"name":"a","hostname":"h.example","path_prefix":"/pages/","kind":"idempotent","timeout_ms":1500,
+ "target_latency_ms":100,"priority":2,"backend":"pages","max_attempts":3},
+{"name":"b","hostname":"h.example","path_prefix":"/orders/","kind":"non_idempotent","timeout_ms":1500,
+ "target_latency_ms":100,"priority":2,"backend":"pages","max_attempts":3},
+{"name":"c","hostname":"h.example","path_prefix":"/live/","kind":"idempotent","streaming":true,
+ "timeout_ms":5000,"target_latency_ms":100,"priority":2,"backend":"pages","max_attempts":3},
+{"name":"d","hostname":"h.example","path_prefix":"/drafts/","kind":"idempotent","streaming":true,
+ "resumable":true,"timeout_ms":5000,"target_latency_ms":100,"priority":2,"backend":"pages","max_attempts":3},
+{"name":"e","hostname":"h.example","path_prefix":"/twice/","kind":"idempotent","timeout_ms":1500,
+ "target_latency_ms":100,"priority":2,"backend":"pages","max_attempts":2}"#;
+
+/// A configuration with these routes.
+pub fn configuration(generation: u64, routes: &str) -> FeedUpdate {
+    let document = format!(
+        r#"{{"generation":{generation},"routes":[{routes}],"services":[
+        {{"name":"pages","health_path":"/healthz","max_conns":100,"protocol":"h1","tls":false}},
+        {{"name":"other","health_path":"/healthz","max_conns":100,"protocol":"h1","tls":false}}],
+        "limits":{{"max_header_bytes":2048,"max_body_bytes":64,"header_timeout_ms":600,"idle_timeout_ms":2000}}}}"#
+    );
+    FeedUpdate::Configuration(ConfigurationUpdate::Whole { generation, document: document.into_bytes() })
+}
+
+/// Transcribers that changed.
+pub fn instances(instances: Vec<Instance>) -> FeedUpdate {
+    FeedUpdate::Instances { whole: false, instances }
+}
+
+pub fn settings(grace_s: f64) -> Settings {
+    // Nobody listens at the first ports: the feed comes from the test.
+    let text = format!(
+        "node_name='edge-1'\nip='127.0.0.1'\nzone='here'\nport_range=[1,8]\n\
+         [listen]\nfront='127.0.0.1:0'\nready='127.0.0.1:0'\n\
+         [limits]\nmemory_mb=260\nmax_fds=4100\n[bounds]\ngrace_s={grace_s}\n"
+    );
+    Settings::parse(&text, "test").unwrap()
+}
+
+/// A proxy with its transcribers.
+pub struct Rig {
+    pub proxy: Proxy,
+    pub script: SharedScript,
+    instances: Vec<Instance>,
+    sequence: u64,
+}
+
+impl Rig {
+    /// A proxy that knows [`ROUTES`] and so many transcribers, which play `replies` in turn.
+    pub async fn start(transcribers: usize, replies: Vec<Reply>) -> Rig {
+        let mut rig = Rig::bare(8.0);
+        rig.script.borrow_mut().replies = replies.into();
+        rig.proxy.apply(&[configuration(1, ROUTES)]);
+        for index in 0..transcribers {
+            rig.add("pages", &format!("i-{index}")).await;
+        }
+        rig
+    }
+
+    /// A proxy that knows nothing.
+    pub fn bare(grace_s: f64) -> Rig {
+        let script = Script { report: r#"{"waiting":0,"running":0}"#.to_owned(), ..Script::default() };
+        Rig {
+            proxy: Proxy::start(settings(grace_s)).unwrap(),
+            script: Rc::new(RefCell::new(script)),
+            instances: Vec::new(),
+            sequence: 0,
+        }
+    }
+
+    /// Starts a transcriber and announces it.
+    pub async fn add(&mut self, backend: &str, id: &str) {
+        let address = transcriber::start(id, self.script.clone()).await;
+        self.announce(backend, id, address);
+    }
+
+    /// Announces a transcriber.
+    pub fn announce(&mut self, backend: &str, id: &str, address: SocketAddr) {
+        self.sequence += 1;
+        let instance = Instance {
+            id: id.to_owned(),
+            backend: backend.to_owned(),
+            address: address.to_string(),
+            zone: "here".to_owned(),
+            slots: 4,
+            state: InstanceState::Ready,
+            sequence: self.sequence,
+            ..Instance::default()
+        };
+        self.proxy.apply(&[instances(vec![instance.clone()])]);
+        self.instances.push(instance);
+    }
+
+    /// Announces another state of a transcriber.
+    pub fn set_state(&mut self, id: &str, state: InstanceState) {
+        self.sequence += 1;
+        let instance = self.instances.iter_mut().find(|instance| instance.id == id).unwrap();
+        (instance.state, instance.sequence) = (state, self.sequence);
+        let instance = instance.clone();
+        self.proxy.apply(&[instances(vec![instance])]);
+    }
+
+    pub async fn connect(&self) -> Client {
+        Client::connect(self.proxy.front_address()).await
+    }
+
+    /// One request on a connection of its own, and its answer.
+    pub async fn exchange(&self, request: &str) -> String {
+        let mut client = self.connect().await;
+        client.write(request).await;
+        client.answer().await
+    }
+
+    /// `GET /readyz`: its status line.
+    pub async fn readyz(&self) -> String {
+        let mut client = Client::connect(self.proxy.ready_address()).await;
+        client.write("GET /readyz HTTP/1.1\nHost: edge\n\n").await;
+        client.answer().await.lines().next().unwrap().to_owned()
+    }
+
+    /// What reached the transcribers since it was last asked.
+    pub fn log(&self) -> String {
+        let lines = std::mem::take(&mut self.script.borrow_mut().log);
+        lines.join("\n")
+    }
+
+    /// Waits until so much has reached the transcribers.
+    pub async fn reached_times(&self, times: usize) {
+        while self.script.borrow().log.len() < times {
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+/// A request of a client.
+pub fn get(path: &str, id: &str) -> String {
+    format!("GET {path} HTTP/1.1\nHost: h.example\nRequest-Id: {id}\nDeadline-Ms: 2000\n\n")
+}
+
+/// A request with a body.
+pub fn post(path: &str, id: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\nHost: h.example\nRequest-Id: {id}\nDeadline-Ms: 2000\n\
+         Content-Length: {length}\n\n{body}"
+    )
+}
+
+/// Runs a test on one thread, as the program runs.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// Compares a transcript with the approved one.
+#[track_caller]
+pub fn approve(received: &str, approved: &str) {
+    let received = received.trim_end();
+    let approved = approved.trim();
+    assert!(received == approved, "received:\n{received}\n\napproved:\n{approved}\n");
+}
--- /dev/null
+++ b/crates/proxy/tests/support/transcriber.rs
@@ -0,0 +1,228 @@
+//! Stand-in transcribers on loopback: they answer requests by one script that they share, tell
+//! their load, and note what reaches them.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// A part of what a transcriber does with a request.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// Writes bytes; `{id}` stands for the request's id.
+    Write(String),
+    /// Waits.
+    Pause(Duration),
+    /// Resets the connection.
+    Reset,
+    /// Closes the connection.
+    Close,
+    /// Says nothing until the other end closes the connection, which is noted.
+    Silence,
+}
+
+pub type Reply = Vec<Act>;
+
+/// An answer with its length; `head`: further header lines.
+pub fn answer(status: &str, head: &[&str], body: &str) -> Reply {
+    let head: String = head.iter().map(|line| format!("{line}\r\n")).collect();
+    let length = body.len();
+    vec![Act::Write(format!(
+        "HTTP/1.1 {status}\r\nRequest-Id: {{id}}\r\n{head}Content-Length: {length}\r\n\r\n{body}"
+    ))]
+}
+
+/// A proper success.
+pub fn success(body: &str) -> Reply {
+    answer("200 OK", &["Response-Seal: seal.1"], body)
+}
+
+/// The transcriber did not run the request.
+pub fn not_executed(status: &str) -> Reply {
+    answer(status, &["Not-Executed: 1"], "")
+}
+
+/// Head of a stream and some of its events.
+pub fn stream(events: &[&str]) -> Reply {
+    let mut acts = vec![Act::Write(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal.1\r\n\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            .to_owned(),
+    )];
+    acts.extend(events.iter().map(|event| chunk(event)));
+    acts
+}
+
+/// A chunk of a body.
+pub fn chunk(text: &str) -> Act {
+    Act::Write(format!("{:x}\r\n{text}\r\n", text.len()))
+}
+
+/// The end of a chunked body.
+pub fn last_chunk() -> Act {
+    Act::Write("0\r\n\r\n".to_owned())
+}
+
+/// What all transcribers of a test share.
+#[derive(Debug, Default)]
+pub struct Script {
+    pub replies: VecDeque<Reply>,
+    /// What reached them, a line each.
+    pub log: Vec<String>,
+    /// In the order in which requests reached them.
+    pub reached: Vec<String>,
+    /// Body of `GET /report`.
+    pub report: String,
+    pub reports: usize,
+    /// Ids of those that say nothing at all.
+    pub dark: Vec<String>,
+}
+
+impl Script {
+    /// A name that does not depend on the random choice among transcribers.
+    fn name(&mut self, id: &str) -> String {
+        let index = self.reached.iter().position(|known| known == id).unwrap_or_else(|| {
+            self.reached.push(id.to_owned());
+            self.reached.len() - 1
+        });
+        format!("t{}", index + 1)
+    }
+
+    /// The id of the transcriber that was reached first, second and so on.
+    pub fn id_of(&self, index: usize) -> String {
+        self.reached[index].clone()
+    }
+}
+
+pub type SharedScript = Rc<RefCell<Script>>;
+
+/// Starts a transcriber; its address.
+pub async fn start(id: &str, script: SharedScript) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let id = id.to_owned();
+    tokio::task::spawn_local(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            tokio::task::spawn_local(serve(stream, id.clone(), script.clone()));
+        }
+    });
+    address
+}
+
+/// A request as it came.
+struct Received {
+    line: String,
+    head: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+impl Received {
+    fn header(&self, name: &str) -> Option<&str> {
+        self.head.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
+    }
+}
+
+async fn serve(mut stream: TcpStream, id: String, script: SharedScript) {
+    stream.set_nodelay(true).unwrap();
+    let mut buffer = Vec::new();
+    while let Some(request) = read_request(&mut stream, &mut buffer).await {
+        if script.borrow().dark.contains(&id) {
+            let _ = stream.read(&mut [0; 1]).await;
+            return;
+        }
+        if request.line.starts_with("GET /report ") {
+            let body = {
+                let mut script = script.borrow_mut();
+                script.reports += 1;
+                script.report.clone()
+            };
+            let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            stream.write_all(text.as_bytes()).await.unwrap();
+            continue;
+        }
+        let reply = note(&script, &id, &request);
+        let request_id = request.header("request-id").unwrap_or("").to_owned();
+        if !play(&mut stream, &id, &script, reply, &request_id).await {
+            return;
+        }
+    }
+}
+
+/// Notes a request and takes the next reply of the script; a success once it has ended.
+fn note(script: &SharedScript, id: &str, request: &Received) -> Reply {
+    let mut script = script.borrow_mut();
+    let name = script.name(id);
+    let deadline = request.header("deadline-ms").map_or("without a deadline", |_| "with a deadline");
+    let target = if request.header("target-instance") == Some(id) { "" } else { " for another instance" };
+    let mut line = format!("{name} < {}", request.line.trim_end_matches(" HTTP/1.1"));
+    for name in ["host", "request-id", "last-event-id", "connection", "content-type"] {
+        if let Some(value) = request.header(name) {
+            line.push_str(&format!(" {name}={value}"));
+        }
+    }
+    line.push_str(&format!(" {deadline}{target}"));
+    if !request.body.is_empty() {
+        line.push_str(&format!(" body={}", String::from_utf8_lossy(&request.body)));
+    }
+    script.log.push(line);
+    script.replies.pop_front().unwrap_or_else(|| success("by default"))
+}
+
+/// Plays a reply; false if the connection has ended.
+async fn play(
+    stream: &mut TcpStream, id: &str, script: &SharedScript, reply: Reply, request_id: &str,
+) -> bool {
+    for act in reply {
+        match act {
+            Act::Write(text) => {
+                let text = text.replace("{id}", request_id);
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    return false;
+                }
+            }
+            Act::Pause(pause) => tokio::time::sleep(pause).await,
+            Act::Reset => {
+                stream.set_zero_linger().unwrap();
+                return false;
+            }
+            Act::Close => return false,
+            Act::Silence => {
+                let _ = stream.read(&mut [0; 1]).await;
+                let name = script.borrow_mut().name(id);
+                script.borrow_mut().log.push(format!("{name} < connection closed"));
+                return false;
+            }
+        }
+    }
+    true
+}
+
+async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Received> {
+    let end = loop {
+        if let Some(at) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
+            break at + 4;
+        }
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    };
+    let text = String::from_utf8_lossy(&buffer[..end]).into_owned();
+    let mut lines = text.lines();
+    let line = lines.next()?.to_owned();
+    let split = |line: &str| line.split_once(": ").map(|(n, v)| (n.to_lowercase(), v.to_owned()));
+    let head: Vec<(String, String)> = lines.filter_map(split).collect();
+    let length = head.iter().find(|(name, _)| name == "content-length");
+    let length: usize = length.map_or(0, |(_, value)| value.parse().unwrap());
+    while buffer.len() < end + length {
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+    let body = buffer[end..end + length].to_vec();
+    buffer.drain(..end + length);
+    Some(Received { line, head, body })
+}
