System: the whole path with real processes; a small system with one command

Three controls, three stores and two edge machines on loopback addresses, with stand-in transcribers, operator and trainer. One test takes a configuration, requests, a batch job and a version all the way; another kills the control primary and a store in between.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run sites
+.PHONY: build test lint run system sites
 
 build:
 	cargo build --release --workspace --locked
@@ -14,6 +14,10 @@
 run: build
 	PROXY_CONFIG=$${PROXY_CONFIG:-examples/config.json} target/release/pebblepost
 
+# A small system on loopback addresses; Ctrl-C ends it.
+system:
+	examples/system/start
+
 # What the operators' bench wants beside a site file of ours; not kept in the repository.
 GIVEN ?= ../given
 sites:
--- /dev/null
+++ b/crates/system/tests/common/cluster.rs
@@ -0,0 +1,304 @@
+//! A small system of real processes, each machine on a loopback address of its own.
+
+use super::client::{Call, send};
+use super::relay;
+use super::settings::{CONTROL_PORT, FRONT_PORT, Machine, READY_PORT, ZONES};
+use std::fs::File;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_pebblepost-system");
+const PORTS_PER_RANGE: u16 = 16;
+/// Ranges lie below the ports that the system hands out by itself.
+const FIRST_RANGE: u16 = 12_000;
+const RANGES: u16 = 1_200;
+/// Lines of each log that a failed test prints.
+const LOG_LINES: usize = 25;
+const READY_WITHIN: Duration = Duration::from_secs(20);
+const END_WITHIN: Duration = Duration::from_secs(10);
+
+/// How many machines of each class.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    pub controls: u8,
+    pub stores: u8,
+    pub edges: u8,
+}
+
+/// One process.
+#[derive(Debug)]
+struct Process {
+    role: &'static str,
+    machine: usize,
+    child: Option<Child>,
+}
+
+#[derive(Debug)]
+struct Host {
+    name: String,
+    class: &'static str,
+    ip: IpAddr,
+    zone: &'static str,
+    first_port: u16,
+    seeds: Vec<SocketAddr>,
+}
+
+/// The running system. Ends its processes when dropped, and prints their logs if the test failed.
+#[derive(Debug)]
+pub struct Cluster {
+    folder: PathBuf,
+    hosts: Vec<Host>,
+    processes: Vec<Process>,
+}
+
+impl Cluster {
+    /// Starts all machines; `number` tells the clusters of one test process apart.
+    pub async fn start(number: u8, shape: Shape) -> Cluster {
+        let process = std::process::id();
+        let folder = std::env::temp_dir().join(format!("pebblepost-whole-path-{process}-{number}"));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let network = Network { number, third: u8::try_from(process % 250).expect("small") };
+        let mut ranges = free_ranges(process);
+        let common = ranges.next().expect("a free range");
+        let mut cluster = Cluster { folder, hosts: Vec::new(), processes: Vec::new() };
+        let seeds: Vec<SocketAddr> =
+            (0..shape.controls.min(3)).map(|index| network.address(10 + index, CONTROL_PORT)).collect();
+        for index in 0..shape.controls {
+            cluster.add_host("core", index, network.ip(10 + index), common, seeds.clone());
+        }
+        for index in 0..shape.stores {
+            cluster.add_host("storage", index, network.ip(30 + index), common, seeds.clone());
+        }
+        for index in 0..shape.edges {
+            let (first_port, seeds) = if index == 0 {
+                (common, seeds.clone())
+            } else {
+                let range = ranges.next().expect("a free range");
+                (range, relayed_seeds(network, index, shape, common, range).await)
+            };
+            cluster.add_host("edge", index, network.ip(50 + index), first_port, seeds);
+        }
+        cluster.start_all();
+        cluster
+    }
+
+    fn add_host(
+        &mut self, class: &'static str, index: u8, ip: IpAddr, first_port: u16, seeds: Vec<SocketAddr>,
+    ) {
+        let zone = ZONES[usize::from(index) % ZONES.len()];
+        let name = format!("{class}-{zone}-{}", index + 1);
+        let machine = self.hosts.len();
+        self.hosts.push(Host { name, class, ip, zone, first_port, seeds });
+        let roles: &[&'static str] = match class {
+            "core" => &["control"],
+            "storage" => &["store"],
+            _ => &["proxy", "agent"],
+        };
+        for role in roles {
+            self.processes.push(Process { role, machine, child: None });
+        }
+    }
+
+    fn start_all(&mut self) {
+        for index in 0..self.processes.len() {
+            self.start_process(index, true);
+        }
+    }
+
+    fn start_process(&mut self, index: usize, bootstrap: bool) {
+        let Process { role, machine, .. } = self.processes[index];
+        let host = &self.hosts[machine];
+        let data = self.folder.join(format!("{}-data", host.name));
+        let has_disk = host.class != "edge";
+        if has_disk {
+            std::fs::create_dir_all(&data).expect("a folder");
+        }
+        let settings = Machine {
+            name: &host.name,
+            class: host.class,
+            ip: host.ip,
+            zone: host.zone,
+            first_port: host.first_port,
+            seeds: &host.seeds,
+            bootstrap,
+            data_dir: has_disk.then_some(data.as_path()),
+        };
+        let settings_path = self.folder.join(format!("{}-{role}.toml", host.name));
+        std::fs::write(&settings_path, settings.text()).expect("writable");
+        let log = File::options().create(true).append(true).open(self.log_path(index)).expect("writable");
+        let child = Command::new(PROGRAM)
+            .arg(role)
+            .env("PEBBLEPOST_SETTINGS", &settings_path)
+            .env("RUST_BACKTRACE", "0")
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("a descriptor"))
+            .stderr(log)
+            .spawn()
+            .expect("the program starts");
+        self.processes[index].child = Some(child);
+    }
+
+    fn log_path(&self, index: usize) -> PathBuf {
+        let process = &self.processes[index];
+        self.folder.join(format!("{}-{}.log", self.hosts[process.machine].name, process.role))
+    }
+
+    fn addresses(&self, class: &str, port: u16) -> Vec<SocketAddr> {
+        let hosts = self.hosts.iter().filter(|host| host.class == class);
+        hosts.map(|host| SocketAddr::new(host.ip, port)).collect()
+    }
+
+    /// Where operators, trainers and transcribers call.
+    pub fn controls(&self) -> Vec<SocketAddr> {
+        self.addresses("core", CONTROL_PORT)
+    }
+
+    /// Where clients connect.
+    pub fn fronts(&self) -> Vec<SocketAddr> {
+        self.addresses("edge", FRONT_PORT)
+    }
+
+    /// Waits until every edge machine is ready.
+    pub async fn wait_until_ready(&mut self) {
+        for address in self.addresses("edge", READY_PORT) {
+            let deadline = Instant::now() + READY_WITHIN;
+            while send(address, &Call::new("GET", "/readyz")).await.map(|answer| answer.status) != Ok(200) {
+                self.assert_running();
+                assert!(Instant::now() < deadline, "{address} is not ready within {READY_WITHIN:?}");
+                tokio::time::sleep(super::LOOK_EVERY).await;
+            }
+        }
+    }
+
+    /// Kills (SIGKILL) the process that serves at an address, or the n-th of a role.
+    pub fn kill_control_at(&mut self, address: SocketAddr) -> usize {
+        let index = self
+            .processes
+            .iter()
+            .position(|process| process.role == "control" && self.hosts[process.machine].ip == address.ip());
+        self.kill(index.expect("a control process"))
+    }
+
+    /// Kills (SIGKILL) the n-th store.
+    pub fn kill_store(&mut self, number: usize) -> usize {
+        let stores = self.processes.iter().enumerate().filter(|(_, process)| process.role == "store");
+        let index = stores.map(|(index, _)| index).nth(number).expect("a store");
+        self.kill(index)
+    }
+
+    fn kill(&mut self, index: usize) -> usize {
+        let mut child = self.processes[index].child.take().expect("a running process");
+        child.kill().expect("killed");
+        child.wait().expect("ended");
+        index
+    }
+
+    /// Starts a process again that was killed; its disk is as it was.
+    pub fn restart(&mut self, index: usize) {
+        self.start_process(index, false);
+    }
+
+    /// Fails the test if a process has ended by itself.
+    pub fn assert_running(&mut self) {
+        for process in &mut self.processes {
+            let Some(child) = &mut process.child else { continue };
+            if let Some(status) = child.try_wait().expect("a child") {
+                let name = &self.hosts[process.machine].name;
+                panic!("{} on {name} ended by itself: {status}", process.role);
+            }
+        }
+    }
+
+    /// Sends SIGTERM to all processes and waits for their ends; they must end with code 0.
+    pub async fn end(mut self) {
+        self.assert_running();
+        for process in self.processes.iter().filter_map(|process| process.child.as_ref()) {
+            let sent = Command::new("kill").args(["-TERM", &process.id().to_string()]).status();
+            assert!(sent.is_ok_and(|status| status.success()), "SIGTERM was not sent");
+        }
+        let deadline = Instant::now() + END_WITHIN;
+        for index in 0..self.processes.len() {
+            let Some(mut child) = self.processes[index].child.take() else { continue };
+            let status = loop {
+                if let Some(status) = child.try_wait().expect("a child") {
+                    break status;
+                }
+                if Instant::now() >= deadline {
+                    self.processes[index].child = Some(child);
+                    panic!("{:?} did not end within {END_WITHIN:?}", self.log_path(index));
+                }
+                tokio::time::sleep(super::LOOK_EVERY).await;
+            };
+            assert!(status.success(), "{:?}: ended with {status}", self.log_path(index));
+        }
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for process in &mut self.processes {
+            if let Some(child) = &mut process.child {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        if std::thread::panicking() {
+            for index in 0..self.processes.len() {
+                print_end(&self.log_path(index));
+            }
+            println!("logs and settings: {}", self.folder.display());
+        } else {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+fn print_end(log: &Path) {
+    let text = std::fs::read_to_string(log).unwrap_or_default();
+    let lines: Vec<&str> = text.lines().collect();
+    println!("== {} ({} lines)", log.display(), lines.len());
+    for line in lines.iter().skip(lines.len().saturating_sub(LOG_LINES)) {
+        println!("{line}");
+    }
+}
+
+/// Loopback addresses of one cluster.
+#[derive(Clone, Copy, Debug)]
+struct Network {
+    number: u8,
+    third: u8,
+}
+
+impl Network {
+    fn ip(self, host: u8) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, 10 + self.number, self.third, host))
+    }
+
+    fn address(self, host: u8, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip(host), port)
+    }
+}
+
+/// Port ranges that are free on 127.0.0.1, where the agents listen.
+fn free_ranges(process: u32) -> impl Iterator<Item = u16> {
+    let start = u16::try_from(process % u32::from(RANGES)).expect("small");
+    (0..RANGES).map(move |step| FIRST_RANGE + (start + step) % RANGES * PORTS_PER_RANGE).filter(|first| {
+        (*first..first + PORTS_PER_RANGE).all(|port| TcpListener::bind(("127.0.0.1", port)).is_ok())
+    })
+}
+
+/// Seeds for an edge machine with a range of its own: relays to the control processes, both for
+/// calls from outside and for links.
+async fn relayed_seeds(network: Network, edge: u8, shape: Shape, common: u16, range: u16) -> Vec<SocketAddr> {
+    let mut seeds = Vec::new();
+    for control in 0..shape.controls.min(3) {
+        let relay_host = 100 + edge * 10 + control;
+        let seed = network.address(relay_host, CONTROL_PORT);
+        relay::start(seed, network.address(10 + control, CONTROL_PORT)).await;
+        relay::start(network.address(relay_host, range), network.address(10 + control, common)).await;
+        seeds.push(seed);
+    }
+    seeds
+}
--- /dev/null
+++ b/crates/system/tests/common/transcriber.rs
@@ -0,0 +1,288 @@
+//! A stand-in transcriber: registers itself, serves pages, scores and streams, takes orders.
+
+use super::client::{Call, send_following};
+use super::operator::MODEL;
+use super::transcriber_state::{Run, SeenOrder, State};
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_body::{Body, Frame};
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use simd_json::prelude::{ValueAsScalar, ValueObjectAccess};
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+/// Events of each text.
+pub const EVENTS: u64 = 5;
+const EVENT_EVERY: Duration = Duration::from_millis(20);
+const LOAD_TIME: Duration = Duration::from_millis(200);
+const HEARTBEAT: Duration = Duration::from_millis(400);
+const RETRY: Duration = Duration::from_millis(100);
+
+type Answer = Response<Either<Full<Bytes>, Events>>;
+
+/// Body of a stream.
+#[derive(Debug)]
+pub struct Events(mpsc::Receiver<Bytes>);
+
+impl Body for Events {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        self.0.poll_recv(context).map(|event| event.map(|bytes| Ok(Frame::data(bytes))))
+    }
+}
+
+/// A running stand-in.
+#[derive(Clone, Debug)]
+pub struct Transcriber {
+    pub address: SocketAddr,
+    pub state: Rc<RefCell<State>>,
+}
+
+/// The text that a whole stream of an item carries, as a result's `message` shows it.
+pub fn text_of(item: &str) -> String {
+    (1..=EVENTS).map(|event| event_data(item, event)).collect::<Vec<_>>().join("\n")
+}
+
+fn event_data(item: &str, event: u64) -> String {
+    format!("{item} says {event}")
+}
+
+impl Transcriber {
+    /// Starts a stand-in that announces itself to the control processes.
+    pub async fn start(
+        id: String, service: &'static str, zone: &'static str, models: &[&str], controls: Vec<SocketAddr>,
+    ) -> Transcriber {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let state = Rc::new(RefCell::new(State::new(id, service, zone, models)));
+        let transcriber = Transcriber { address, state };
+        tokio::task::spawn_local(transcriber.clone().serve(listener));
+        tokio::task::spawn_local(transcriber.clone().announce(controls));
+        transcriber
+    }
+
+    /// Version of the model that it holds.
+    pub fn generation(&self) -> u64 {
+        self.state.borrow().models.get(MODEL).copied().unwrap_or(0)
+    }
+
+    async fn announce(self, controls: Vec<SocketAddr>) {
+        let path = format!("/instances/{}", self.state.borrow().id);
+        let mut next = 0;
+        let mut preferred: Option<SocketAddr> = None;
+        loop {
+            let body = self.state.borrow_mut().announcement(&self.address.to_string());
+            let call = Call::new("PUT", path.clone()).header("Content-Type", "application/json").body(body);
+            let control = preferred.unwrap_or(controls[next % controls.len()]);
+            match send_following(control, &call).await {
+                Ok(answer) if (200..300).contains(&answer.status) => {
+                    self.state.borrow_mut().acknowledged += 1;
+                    preferred = heartbeat_url(&answer.text());
+                    sleep(HEARTBEAT).await;
+                }
+                _ => {
+                    preferred = None;
+                    next += 1;
+                    sleep(RETRY).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(self, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let transcriber = self.clone();
+            tokio::task::spawn_local(async move {
+                let service = service_fn(move |request| transcriber.clone().answer(request));
+                let _ = hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    }
+
+    async fn answer(self, request: Request<Incoming>) -> Result<Answer, hyper::Error> {
+        let (head, body) = request.into_parts();
+        let body = body.collect().await?.to_bytes();
+        let path = head.uri.path().to_owned();
+        let answer = match path.as_str() {
+            "/healthz" => self.whole(200, &[("instance-id", self.id())], "ok"),
+            "/report" => {
+                self.whole(200, &[("content-type", "application/json".into())], self.state.borrow().report())
+            }
+            "/order" => self.order(&body),
+            _ => self.run(&head.headers, path, body),
+        };
+        Ok(answer)
+    }
+
+    fn id(&self) -> String {
+        self.state.borrow().id.clone()
+    }
+
+    fn whole(&self, status: u16, headers: &[(&str, String)], body: impl Into<Bytes>) -> Answer {
+        let mut answer = Response::builder().status(status);
+        for (name, value) in headers {
+            answer = answer.header(*name, value);
+        }
+        answer.body(Either::Left(Full::new(body.into()))).expect("an answer")
+    }
+
+    fn not_executed(&self, status: u16, request_id: &str) -> Answer {
+        let headers = [
+            ("not-executed", "1".to_owned()),
+            ("request-id", request_id.to_owned()),
+            ("instance-id", self.id()),
+        ];
+        self.whole(status, &headers, "")
+    }
+
+    fn order(&self, body: &[u8]) -> Answer {
+        let order = read_order(body);
+        let status = match &order {
+            Some(order) => self.take_order(order),
+            None => 400,
+        };
+        if let Some(mut order) = order {
+            order.answer = status;
+            self.state.borrow_mut().orders.push(order);
+        } else {
+            let text = String::from_utf8_lossy(body).into_owned();
+            self.state.borrow_mut().complaints.push(format!("an order that can't be read: {text}"));
+        }
+        self.whole(status, &[], "")
+    }
+
+    fn take_order(&self, order: &SeenOrder) -> u16 {
+        let mut state = self.state.borrow_mut();
+        if state.models.get(MODEL) == Some(&order.generation) {
+            return 200;
+        }
+        if state.loading {
+            return 409;
+        }
+        state.loading = true;
+        state.orders_taken += 1;
+        tokio::task::spawn_local(self.clone().load(order.generation));
+        202
+    }
+
+    /// Loads a version once what runs has finished, as in mode `wait`.
+    async fn load(self, generation: u64) {
+        while self.state.borrow().running > 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        sleep(LOAD_TIME).await;
+        let mut state = self.state.borrow_mut();
+        state.models.insert(MODEL.to_owned(), generation);
+        state.loading = false;
+    }
+
+    fn run(&self, headers: &HeaderMap, path: String, body: Bytes) -> Answer {
+        let header = |name: &str| headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned);
+        let Some(request_id) = header("request-id") else { return self.not_executed(400, "") };
+        if header("target-instance").is_some_and(|target| target != self.id()) {
+            return self.not_executed(421, &request_id);
+        }
+        let version = self.state.borrow().models.get(MODEL).copied();
+        let expected = header("expect-version").and_then(|text| text.parse::<u64>().ok());
+        if expected.is_some_and(|expected| Some(expected) != version) {
+            return self.not_executed(421, &request_id);
+        }
+        if self.state.borrow().loading {
+            return self.not_executed(503, &request_id);
+        }
+        let last_event_id = header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let seal = self.state.borrow_mut().seal();
+        let run = Run {
+            request_id: request_id.clone(),
+            path: path.clone(),
+            body: body.to_vec(),
+            last_event_id,
+            at: Instant::now(),
+            finished_at: None,
+            seal: seal.clone(),
+        };
+        let number = {
+            let mut state = self.state.borrow_mut();
+            state.runs.push(run);
+            state.runs.len() - 1
+        };
+        let mut answer_headers = vec![("request-id", request_id.clone()), ("response-seal", seal)];
+        let Some(version) = version else {
+            self.state.borrow_mut().runs[number].finished_at = Some(Instant::now());
+            return self.whole(200, &answer_headers, format!("answer to {path}"));
+        };
+        answer_headers.push(("content-type", "text/event-stream".to_owned()));
+        answer_headers.push(("weight-versions", version.to_string()));
+        self.stream(number, request_id, last_event_id, &answer_headers)
+    }
+
+    fn stream(&self, number: usize, item: String, after: u64, headers: &[(&str, String)]) -> Answer {
+        let (sender, receiver) = mpsc::channel(1);
+        self.state.borrow_mut().running += 1;
+        tokio::task::spawn_local(self.clone().write_events(number, item, after, sender));
+        let mut answer = Response::builder().status(200);
+        for (name, value) in headers {
+            answer = answer.header(*name, value);
+        }
+        answer.body(Either::Right(Events(receiver))).expect("an answer")
+    }
+
+    async fn write_events(self, number: usize, item: String, after: u64, sender: mpsc::Sender<Bytes>) {
+        let mut version = None;
+        for event in after + 1..=EVENTS {
+            sleep(EVENT_EVERY).await;
+            let now = Some(self.generation());
+            let mut text = String::new();
+            if version != now {
+                version = now;
+                text.push_str(&format!("weight-versions: {}\n", self.generation()));
+            }
+            text.push_str(&format!("id: {event}\ndata: {}\n\n", event_data(&item, event)));
+            if sender.send(Bytes::from(text)).await.is_err() {
+                break;
+            }
+            if event == EVENTS {
+                self.state.borrow_mut().runs[number].finished_at = Some(Instant::now());
+            }
+        }
+        self.state.borrow_mut().running -= 1;
+    }
+}
+
+fn heartbeat_url(answer: &str) -> Option<SocketAddr> {
+    let value = simd_json::to_owned_value(&mut answer.as_bytes().to_vec()).ok()?;
+    let url = value.get("heartbeat_url")?.as_str()?;
+    url.trim_start_matches("http://").split('/').next()?.parse().ok()
+}
+
+fn read_order(body: &[u8]) -> Option<SeenOrder> {
+    let value = simd_json::to_owned_value(&mut body.to_vec()).ok()?;
+    let is_known = value.get("op")?.as_str()? == "generation"
+        && value.get("model")?.as_str()? == MODEL
+        && ["wait", "retain", "truncate"].contains(&value.get("mode")?.as_str()?);
+    is_known.then_some(())?;
+    Some(SeenOrder {
+        holder: value.get("holder")?.as_str()?.to_owned(),
+        fence_token: value.get("fence_token")?.as_u64()?,
+        generation: value.get("generation")?.as_u64()?,
+        answer: 0,
+        at: Instant::now(),
+    })
+}
