--- a/crates/system/tests/whole_path.rs
+++ b/crates/system/tests/whole_path.rs
@@ -29,6 +29,20 @@
     ONE_AT_A_TIME.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
+/// Prints how long the steps of a test took.
+struct Steps(Instant);
+
+impl Steps {
+    fn begin() -> Steps {
+        Steps(Instant::now())
+    }
+
+    fn done(&mut self, what: &str) {
+        println!("{:>7.3} s  {what}", self.0.elapsed().as_secs_f64());
+        self.0 = Instant::now();
+    }
+}
+
 struct Fleet {
     model: Vec<Transcriber>,
     desk: Vec<Transcriber>,
@@ -160,7 +174,9 @@
 fn a_configuration_a_request_a_batch_job_and_a_version_go_all_the_way() {
     let _alone = one_at_a_time();
     common::run(async {
+        let mut steps = Steps::begin();
         let (mut cluster, fleet) = start(0).await;
+        steps.done("started, with a first configuration and known transcribers");
         let (controls, fronts) = (cluster.controls(), cluster.fronts());
         let read = operator::read(&controls, CALM).await;
         let sent =
@@ -169,6 +185,7 @@
         for (number, front) in fronts.iter().enumerate() {
             fetch_page(&[*front], &fleet, PAGES, &format!("a{number}"), CALM).await;
         }
+        steps.done("configuration read back, a page served by each edge machine");
 
         let mut job = Job::new("0a0b0c0d", 0, 1, 4, 4);
         job.submit(&fronts, CALM).await;
@@ -179,20 +196,25 @@
         job.assert_unchanged(&fronts, CALM).await;
         job.end(&fronts, CALM).await;
         job.end(&fronts, CALM).await;
+        steps.done("a batch job of 16 items done and ended");
 
         operator::name_version(&controls, 2, CALM).await;
+        steps.done("version 2 noted");
         fleet.wait_until_version(2, CALM).await;
+        steps.done("version 2 held by all");
         let mut next = Job::new("1a1b1c1d", 1, 2, 2, 4);
         next.submit(&fronts, CALM).await;
         let all = next.items.len();
         next.read_until(&fronts, all, CALM).await;
         next.assert_correct(&fleet.model, &fleet.desk);
         next.end(&fronts, CALM).await;
+        steps.done("a batch job of 8 items under version 2 done and ended");
 
         fleet.assert_orders_in_order();
         fleet.assert_no_complaints();
         cluster.assert_running();
         cluster.end().await;
+        steps.done("all processes ended");
     });
 }
 
@@ -200,29 +222,38 @@
 fn the_path_holds_when_the_control_primary_and_a_store_are_killed() {
     let _alone = one_at_a_time();
     common::run(async {
+        let mut steps = Steps::begin();
         let (mut cluster, fleet) = start(1).await;
+        steps.done("started, with a first configuration and known transcribers");
         let (controls, fronts) = (cluster.controls(), cluster.fronts());
         let mut job = Job::new("2a2b2c2d", 0, 1, 24, 4);
         job.submit(&fronts, CALM).await;
         job.read_until(&fronts, 8, CALM).await;
+        steps.done("8 of 96 results read");
 
         let primary = operator::primary(&controls, CALM).await;
         let control = cluster.kill_control_at(primary);
         let store = cluster.kill_store(0);
         let all = job.items.len();
         job.read_until(&fronts, all, TROUBLED).await;
+        steps.done("all results read, after the control primary and a store were killed");
         job.assert_correct(&fleet.model, &fleet.desk);
         job.assert_unchanged(&fronts, TROUBLED).await;
         fetch_page(&fronts, &fleet, PAGES, "b0", CALM).await;
+        steps.done("results read again, a page served");
 
         let second = operator::configuration(2, true);
         let answer = operator::put(&controls, 1, &second, TROUBLED).await;
         assert_eq!(answer.status, 200, "a configuration after the failover: {}", answer.text());
+        steps.done("configuration 2 taken");
         for (number, front) in fronts.iter().enumerate() {
             fetch_page(&[*front], &fleet, MORE_PAGES, &format!("c{number}"), CALM).await;
         }
+        steps.done("its new route served by each edge machine");
         operator::name_version(&controls, 2, TROUBLED).await;
+        steps.done("version 2 noted");
         fleet.wait_until_version(2, TROUBLED).await;
+        steps.done("version 2 held by all");
 
         cluster.restart(control);
         cluster.restart(store);
@@ -236,6 +267,7 @@
         let all = next.items.len();
         next.read_until(&fronts, all, TROUBLED).await;
         next.assert_correct(&fleet.model, &fleet.desk);
+        steps.done("killed processes started again, a batch job of 8 items done");
         job.assert_unchanged(&fronts, TROUBLED).await;
 
         let read = operator::read(&controls, TROUBLED).await;
@@ -245,5 +277,6 @@
         fleet.assert_no_complaints();
         cluster.assert_running();
         cluster.end().await;
+        steps.done("everything read again, all processes ended");
     });
 }
