Proxy: connections at rest cost a timer in the idle time only; advice on refusals

The watchdog of a client's connection woke each 3 s; it now moves only when a head has begun and is not complete.

--- a/crates/proxy/src/dispatch/call.rs
+++ b/crates/proxy/src/dispatch/call.rs
@@ -24,7 +24,7 @@
 const LEAST_SILENCE: Duration = Duration::from_millis(250);
 /// A silent transcriber that does not tell its load in this time is taken to be lost.
 const ALIVE_WITHIN: Duration = Duration::from_millis(300);
-/// Bounds on the advice for clients, where the decisions give none.
+/// Bounds on the least advice for clients on when to come back.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
 
 /// What a transcriber answers.
@@ -178,8 +178,12 @@
     /// How the call ends now. `advice`: of the decisions, on when to come back.
     pub(super) fn ending(&mut self, advice: Option<Duration>) -> Ending {
         let (least, most) = RETRY_AFTER;
-        let usual = (self.policy.target_latency / 2).clamp(least, most);
-        self.attempts.ending(advice.unwrap_or(usual))
+        // Transcribers that are gone come back or are replaced, which takes longer than a job.
+        let usual = match self.service.any_ready() {
+            true => (self.policy.target_latency / 2).clamp(least, most),
+            false => most,
+        };
+        self.attempts.ending(advice.map_or(usual, |advice| advice.max(usual)))
     }
 
     /// Time left for the client.
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -11,14 +11,15 @@
 use log::{debug, warn};
 use pebblepost_configuration::Limits;
 use std::convert::Infallible;
+use std::future::{Future, poll_fn};
 use std::io;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::Instant;
+use tokio::time::{Instant, Sleep};
 
 /// Pause after a failed accept, such as one for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -92,9 +93,10 @@
     let mut connection = pin!(builder(&limits).serve_connection(io, service));
     let mut closing = pin!(context.lifecycle.closing());
     let mut closed = false;
-    let mut check = pin!(tokio::time::sleep(limits.header_timeout.min(limits.idle_timeout)));
+    let mut check = pin!(tokio::time::sleep(limits.idle_timeout));
     loop {
         tokio::select! {
+            biased;
             result = connection.as_mut() => {
                 if let Err(error) = result {
                     debug!("a client's connection ended: {error}");
@@ -105,9 +107,8 @@
                 closed = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = check.as_mut() => {
-                let limits = context.limits();
-                match next_check(&activity, &limits) {
+            () = expire(check.as_mut(), &activity, &limits) => {
+                match next_check(&activity, &context.limits()) {
                     Some(at) => check.as_mut().reset(at),
                     None => return,
                 }
@@ -116,6 +117,19 @@
     }
 }
 
+/// Waits until the connection is to be looked at; sooner once a head has begun that is not
+/// complete. Polled after the connection, so that a head that came whole moves no timer.
+async fn expire(mut check: Pin<&mut Sleep>, activity: &Activity, limits: &Limits) {
+    poll_fn(|context| {
+        let head = activity.head_expires(limits.header_timeout);
+        if let Some(at) = head.filter(|at| *at < check.deadline()) {
+            check.as_mut().reset(at);
+        }
+        check.as_mut().poll(context)
+    })
+    .await;
+}
+
 fn builder(limits: &Limits) -> Builder {
     let mut builder = Builder::new();
     builder
@@ -128,10 +142,8 @@
 /// When to look at a connection again; `None` if it has rested or taken its time for too long.
 fn next_check(activity: &Activity, limits: &Limits) -> Option<Instant> {
     let now = Instant::now();
-    let step = limits.header_timeout.min(limits.idle_timeout);
     match activity.expires(limits.header_timeout, limits.idle_timeout) {
-        Some(at) if at <= now => None,
-        Some(at) => Some(at.min(now + step)),
-        None => Some(now + step),
+        Some(at) => Some(at).filter(|at| *at > now),
+        None => Some(now + limits.idle_timeout),
     }
 }
--- a/crates/proxy/src/tracked_stream.rs
+++ b/crates/proxy/src/tracked_stream.rs
@@ -48,6 +48,14 @@
         }
     }
 
+    /// When a head that has begun must be complete.
+    pub(crate) fn head_expires(&self, head: Duration) -> Option<Instant> {
+        match self.0.get() {
+            State::Head(since) => Some(since + head),
+            State::Idle(_) | State::Request => None,
+        }
+    }
+
     /// When the connection is to be closed if it goes on as it does; `None` while a request runs.
     pub(crate) fn expires(&self, head: Duration, idle: Duration) -> Option<Instant> {
         match self.0.get() {
--- a/crates/proxy/tests/front.rs
+++ b/crates/proxy/tests/front.rs
@@ -32,6 +32,34 @@
     });
 }
 
+#[test]
+fn calls_of_batch_jobs_go_to_the_runner() {
+    const ROLLOUT: &str = r#"{"name":"r","hostname":"h.example","path_prefix":"/lot/","kind":"rollout",
+        "timeout_ms":1500,"target_latency_ms":100,"backend":"pages","max_attempts":2}"#;
+    run(async {
+        let rig = Rig::start(1, vec![]).await;
+        rig.proxy.apply(&[configuration(2, ROLLOUT)]);
+        let received = rig.exchange(&post("/lot/1", "r1", "no job")).await;
+        assert!(received.starts_with("HTTP/1.1 400 "), "the runner reads jobs: {received}");
+        let received = rig.exchange(&get("/lot/1", "r2")).await;
+        assert!(received.starts_with("HTTP/1.1 404 "), "jobs are posted: {received}");
+        let received = rig.exchange(&post("/lots/1", "r3", "x")).await;
+        assert!(received.starts_with("HTTP/1.1 405 "), "jobs are read and ended: {received}");
+        assert_eq!(rig.log(), "", "nothing of it reaches a transcriber unchanged");
+    });
+}
+
+#[test]
+fn an_unused_connection_does_not_hold_up_the_end() {
+    run(async {
+        let rig = Rig::bare(3.0);
+        let mut unused = rig.connect().await;
+        let started = Instant::now();
+        let (closed, ()) = tokio::join!(unused.is_closed(), rig.proxy.stop());
+        assert!(closed && started.elapsed() < Duration::from_millis(2000), "{:?}", started.elapsed());
+    });
+}
+
 #[test]
 fn sizes_are_bounded() {
     run(async {
