Control: a primary may hand its group straight to a joiner; shorter logs

Cause: emptying a storage machine hung, since the replication library proposes the caught-up joiner as next primary and the control state took only primaries that were in sync before.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -60,6 +60,8 @@
     FoundStoreGroups(Vec<FoundedGroup>),
     /// A storage machine asks for a new epoch of a group.
     ChangeGroup {
+        /// Disk of the machine that asks; only an in-sync replica may.
+        proposer: DiskId,
         /// The group.
         group: u32,
         /// Epoch that the change builds on.
@@ -97,6 +99,26 @@
     pub fn encode(&self) -> Vec<u8> {
         SerBin::serialize_bin(self)
     }
+
+    /// What it does, in a few words for logs.
+    pub fn summary(&self) -> String {
+        match self {
+            Command::ChangeConfiguration(change) => format!("configuration on version {}", change.base),
+            Command::NameVersion { model, generation } => format!("version {generation} of {model}"),
+            Command::FoundStoreGroups(groups) => format!("{} groups are founded", groups.len()),
+            Command::ChangeGroup { group, expected_epoch, .. } => {
+                format!("group {group} leaves epoch {expected_epoch}")
+            }
+            Command::StoreJoined(member) => format!("{} joins with disk {:016x}", member.node, member.disk.0),
+            Command::StoreLeft(disk) => format!("disk {:016x} is forgotten", disk.0),
+            Command::Retire { node, .. } => format!("{node} is to be emptied"),
+            Command::RetireCompleted { node } => format!("{node} is empty"),
+            Command::SetTargets { group, targets } => {
+                let disks: Vec<String> = targets.iter().map(|disk| format!("{:016x}", disk.0)).collect();
+                format!("group {group} belongs on {}", disks.join(" "))
+            }
+        }
+    }
 }
 
 /// Why a change of the configuration was not taken.
--- a/crates/control/src/core/calls.rs
+++ b/crates/control/src/core/calls.rs
@@ -158,7 +158,9 @@
             self.redirect(now, connection);
             return;
         }
-        let command = Command::ChangeGroup { group, expected_epoch, proposed };
+        let store = self.connections.get(&connection).and_then(|known| known.store);
+        let proposer = store.unwrap_or_default();
+        let command = Command::ChangeGroup { proposer, group, expected_epoch, proposed };
         let proposal = self.group.replica.propose(now, command.encode());
         let Some(primary) = &mut self.primary else { return };
         match proposal {
--- a/crates/control/src/core/primary.rs
+++ b/crates/control/src/core/primary.rs
@@ -224,7 +224,7 @@
         }
         primary.plan_at = now + PLAN_EVERY;
         for command in primary.stores.plan(now, state) {
-            log::info!("storage machines: {command:?}");
+            log::info!("storage machines: {}", command.summary());
             if let Ok(index) = self.group.replica.propose(now, command.encode()) {
                 primary.planned.insert(index);
             }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -144,8 +144,8 @@
             Command::ChangeConfiguration(change) => self.change_configuration(change),
             Command::NameVersion { model, generation } => self.name_version(model, generation),
             Command::FoundStoreGroups(founded) => self.found_groups(founded),
-            Command::ChangeGroup { group, expected_epoch, proposed } => {
-                self.change_group(group, expected_epoch, proposed)
+            Command::ChangeGroup { proposer, group, expected_epoch, proposed } => {
+                self.change_group(proposer, group, expected_epoch, proposed)
             }
             Command::StoreJoined(member) => self.store_joined(member),
             Command::StoreLeft(disk) => {
@@ -193,7 +193,11 @@
         Outcome::Applied
     }
 
-    fn change_group(&mut self, group: u32, expected_epoch: u64, proposed: GroupEpoch) -> Outcome {
+    /// The change is decided by the epoch that it builds on. Who holds everything, and may be in
+    /// sync or primary next, only an in-sync replica can know.
+    fn change_group(
+        &mut self, proposer: DiskId, group: u32, expected_epoch: u64, proposed: GroupEpoch,
+    ) -> Outcome {
         let Some(assignment) = self.groups.get_mut(&group) else {
             return Outcome::GroupChanged { accepted: false, current: GroupEpoch::default() };
         };
@@ -203,12 +207,12 @@
         }
         let follows =
             current.epoch == expected_epoch && expected_epoch.checked_add(1) == Some(proposed.epoch);
-        let held =
-            current.in_sync.contains(&proposed.primary) && proposed.in_sync.contains(&proposed.primary);
-        if follows && held {
+        let is_proper = current.in_sync.contains(&proposer) && proposed.in_sync.contains(&proposed.primary);
+        let accepted = follows && is_proper;
+        if accepted {
             *current = proposed;
         }
-        Outcome::GroupChanged { accepted: follows && held, current: current.clone() }
+        Outcome::GroupChanged { accepted, current: current.clone() }
     }
 
     fn store_joined(&mut self, member: Member) -> Outcome {
