--- /dev/null
+++ b/crates/ring/src/format.rs
@@ -0,0 +1,230 @@
+//! Layout of the ring on disk: identity file, segment headers and frames.
+//!
+//! All integers are little-endian. A frame's checksum is seeded with its segment's header, which
+//! names the ring and the segment's number: bytes left over from an earlier use of the same file
+//! never pass as frames of the current one.
+
+use std::ops::Range;
+
+/// Bytes of a segment's header.
+pub const SEGMENT_HEADER_BYTES: usize = 64;
+/// Bytes of a frame's header.
+pub const FRAME_HEADER_BYTES: usize = 20;
+/// Bytes of the identity file.
+pub const IDENTITY_BYTES: usize = 24;
+/// Largest payload of one frame; longer records are split over several frames.
+pub const MOST_FRAME_PAYLOAD: usize = 128 * 1024;
+
+const IDENTITY_MAGIC: u64 = 0x7062_5269_6e67_4944;
+const SEGMENT_MAGIC: u64 = 0x7062_5269_6e67_5347;
+const FRAME_MAGIC: u16 = 0xb35d;
+const FLAG_FIRST: u8 = 1;
+const FLAG_LAST: u8 = 2;
+
+/// A seeded checksum over several parts. Tests replace it to show what it guards against.
+pub type Checksum = fn(seed: u32, parts: &[&[u8]]) -> u32;
+
+/// The checksum in use: CRC-32.
+pub fn crc32(seed: u32, parts: &[&[u8]]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new_with_initial(seed);
+    for part in parts {
+        hasher.update(part);
+    }
+    hasher.finalize()
+}
+
+/// Content of the identity file: it exists only once a ring is fully formatted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// The ring's identity.
+    pub identity: u64,
+    /// Length of each segment file.
+    pub segment_bytes: u32,
+}
+
+impl Identity {
+    /// Encodes the file's content.
+    pub fn encode(&self, checksum: Checksum) -> [u8; IDENTITY_BYTES] {
+        let mut bytes = [0; IDENTITY_BYTES];
+        bytes[0..8].copy_from_slice(&IDENTITY_MAGIC.to_le_bytes());
+        bytes[8..16].copy_from_slice(&self.identity.to_le_bytes());
+        bytes[16..20].copy_from_slice(&self.segment_bytes.to_le_bytes());
+        let sum = checksum(0, &[&bytes[..20]]);
+        bytes[20..24].copy_from_slice(&sum.to_le_bytes());
+        bytes
+    }
+
+    /// Decodes the file's content; `None` if it isn't whole.
+    pub fn decode(bytes: &[u8], checksum: Checksum) -> Option<Identity> {
+        if bytes.len() != IDENTITY_BYTES || read_u64(bytes, 0) != IDENTITY_MAGIC {
+            return None;
+        }
+        if read_u32(bytes, 20) != checksum(0, &[&bytes[..20]]) {
+            return None;
+        }
+        Some(Identity { identity: read_u64(bytes, 8), segment_bytes: read_u32(bytes, 16) })
+    }
+}
+
+/// Header at the start of each segment file, written anew for each use of the file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SegmentHeader {
+    /// Identity of the ring.
+    pub identity: u64,
+    /// Number of the segment: its opening in the upper half, a count within it in the lower.
+    /// Never used twice within a ring.
+    pub number: u64,
+    /// Number of the segment that the journal continues from; 0 for the first one.
+    pub previous: u64,
+    /// Number of the segment where the newest checkpoint begins; 0 if there was none.
+    pub base: u64,
+    /// Sequence of the first frame. Frames from it onward in earlier segments are void.
+    pub first_sequence: u64,
+}
+
+impl SegmentHeader {
+    /// Encodes the header.
+    pub fn encode(&self, checksum: Checksum) -> [u8; SEGMENT_HEADER_BYTES] {
+        let mut bytes = [0; SEGMENT_HEADER_BYTES];
+        let fields =
+            [SEGMENT_MAGIC, self.identity, self.number, self.previous, self.base, self.first_sequence];
+        for (index, field) in fields.iter().enumerate() {
+            bytes[index * 8..index * 8 + 8].copy_from_slice(&field.to_le_bytes());
+        }
+        let sum = checksum(0, &[&bytes[..48]]);
+        bytes[48..52].copy_from_slice(&sum.to_le_bytes());
+        bytes
+    }
+
+    /// Decodes a header of the ring `identity`; `None` if it isn't whole or belongs elsewhere.
+    pub fn decode(bytes: &[u8], identity: u64, checksum: Checksum) -> Option<SegmentHeader> {
+        if bytes.len() < SEGMENT_HEADER_BYTES || read_u64(bytes, 0) != SEGMENT_MAGIC {
+            return None;
+        }
+        if read_u32(bytes, 48) != checksum(0, &[&bytes[..48]]) || read_u64(bytes, 8) != identity {
+            return None;
+        }
+        Some(SegmentHeader {
+            identity,
+            number: read_u64(bytes, 16),
+            previous: read_u64(bytes, 24),
+            base: read_u64(bytes, 32),
+            first_sequence: read_u64(bytes, 40),
+        })
+    }
+
+    /// Seed of the checksums of all frames in this segment.
+    pub fn seed(&self, checksum: Checksum) -> u32 {
+        checksum(0, &[&self.identity.to_le_bytes(), &self.number.to_le_bytes()])
+    }
+}
+
+/// What a frame carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FrameKind {
+    /// A record or a part of one.
+    Record,
+    /// All that follows, up to the end mark, replaces what stands before.
+    CheckpointBegin,
+    /// The checkpoint is whole.
+    CheckpointEnd,
+}
+
+impl FrameKind {
+    fn code(self) -> u8 {
+        match self {
+            FrameKind::Record => 1,
+            FrameKind::CheckpointBegin => 2,
+            FrameKind::CheckpointEnd => 3,
+        }
+    }
+
+    fn from_code(code: u8) -> Option<FrameKind> {
+        match code {
+            1 => Some(FrameKind::Record),
+            2 => Some(FrameKind::CheckpointBegin),
+            3 => Some(FrameKind::CheckpointEnd),
+            _ => None,
+        }
+    }
+}
+
+/// Header of a frame, without length and checksum.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Frame {
+    /// What the frame carries.
+    pub kind: FrameKind,
+    /// First frame of its record.
+    pub first: bool,
+    /// Last frame of its record.
+    pub last: bool,
+    /// Position in the journal: one above the previous frame's.
+    pub sequence: u64,
+}
+
+/// Appends an encoded frame to `buffer`.
+pub fn encode_frame(buffer: &mut Vec<u8>, frame: Frame, payload: &[u8], seed: u32, checksum: Checksum) {
+    let flags = if frame.first { FLAG_FIRST } else { 0 } | if frame.last { FLAG_LAST } else { 0 };
+    let mut header = [0; FRAME_HEADER_BYTES];
+    header[0..2].copy_from_slice(&FRAME_MAGIC.to_le_bytes());
+    header[2] = frame.kind.code();
+    header[3] = flags;
+    header[4..8].copy_from_slice(&(payload.len() as u32).to_le_bytes());
+    header[8..16].copy_from_slice(&frame.sequence.to_le_bytes());
+    let sum = checksum(seed, &[&header[..16], payload]);
+    header[16..20].copy_from_slice(&sum.to_le_bytes());
+    buffer.extend_from_slice(&header);
+    buffer.extend_from_slice(payload);
+}
+
+/// Result of decoding the front of some bytes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decoded {
+    /// A whole frame, with its payload's place in the bytes.
+    Frame(Frame, Range<usize>),
+    /// At least this many bytes are needed to tell.
+    Incomplete(usize),
+    /// No frame stands here: the segment's journal ends.
+    End,
+}
+
+/// Decodes the frame at the front of `bytes`.
+pub fn decode_frame(bytes: &[u8], seed: u32, checksum: Checksum) -> Decoded {
+    if bytes.len() < FRAME_HEADER_BYTES {
+        return Decoded::Incomplete(FRAME_HEADER_BYTES);
+    }
+    let length = read_u32(bytes, 4) as usize;
+    let Some(kind) = FrameKind::from_code(bytes[2]) else { return Decoded::End };
+    if u16::from_le_bytes([bytes[0], bytes[1]]) != FRAME_MAGIC || length > MOST_FRAME_PAYLOAD {
+        return Decoded::End;
+    }
+    let end = FRAME_HEADER_BYTES + length;
+    if bytes.len() < end {
+        return Decoded::Incomplete(end);
+    }
+    let payload = FRAME_HEADER_BYTES..end;
+    if read_u32(bytes, 16) != checksum(seed, &[&bytes[..16], &bytes[payload.clone()]]) {
+        return Decoded::End;
+    }
+    let flags = bytes[3];
+    let frame = Frame {
+        kind,
+        first: flags & FLAG_FIRST != 0,
+        last: flags & FLAG_LAST != 0,
+        sequence: read_u64(bytes, 8),
+    };
+    Decoded::Frame(frame, payload)
+}
+
+/// Upper bound of the bytes that a record of `length` bytes takes on disk.
+pub fn stored_bytes(length: usize) -> u64 {
+    (length + FRAME_HEADER_BYTES * (length / MOST_FRAME_PAYLOAD + 1)) as u64
+}
+
+fn read_u64(bytes: &[u8], offset: usize) -> u64 {
+    bytes[offset..offset + 8].iter().rev().fold(0, |value, byte| value << 8 | u64::from(*byte))
+}
+
+fn read_u32(bytes: &[u8], offset: usize) -> u32 {
+    bytes[offset..offset + 4].iter().rev().fold(0, |value, byte| value << 8 | u32::from(*byte))
+}
--- /dev/null
+++ b/crates/ring/src/recovery.rs
@@ -0,0 +1,199 @@
+//! Finding the newest whole journal among the segments on disk.
+
+use crate::{
+    error::{RingError, Step},
+    format::{Checksum, Decoded, SEGMENT_HEADER_BYTES, SegmentHeader, decode_frame},
+    replay::{Replay, Replayed},
+    segments::{Segment, slot_name, slot_of},
+    storage::Storage,
+};
+use std::{collections::BTreeMap, io};
+
+/// Bytes read from a segment at once: more than the longest frame.
+const READ_BYTES: usize = 256 * 1024;
+/// Chains longer than this are read twice, so that replaced records are never held in memory.
+const MOST_SEGMENTS_IN_ONE_PASS: usize = 16;
+
+/// What the segments hold.
+#[derive(Debug)]
+pub(crate) struct Recovery {
+    /// All slots that exist.
+    pub(crate) slots: Vec<u32>,
+    /// The live segments, in order.
+    pub(crate) chain: Vec<Segment>,
+    /// Segments after them that hold nothing whole. Until a newer segment is durable, they still
+    /// tell the newest journal from what was left behind earlier.
+    pub(crate) void: Vec<Segment>,
+    /// Highest number of any segment.
+    pub(crate) highest_number: u64,
+    /// Content of the live segments.
+    pub(crate) replayed: Replayed,
+}
+
+/// A segment whose header is whole.
+#[derive(Clone, Copy, Debug)]
+struct Found {
+    slot: u32,
+    header: SegmentHeader,
+}
+
+/// Reads all segments of the ring `identity`.
+pub(crate) fn recover<S: Storage>(
+    storage: &mut S, identity: u64, checksum: Checksum,
+) -> Result<Recovery, RingError> {
+    let mut slots = list_slots(storage).map_err(RingError::storage(Step::Recovery))?;
+    slots.sort_unstable();
+    let found =
+        read_headers(storage, &slots, identity, checksum).map_err(RingError::storage(Step::Recovery))?;
+    let highest_number = found.keys().next_back().copied().unwrap_or(0);
+    let mut reader = ChainReader { storage, checksum, buffer: vec![0; READ_BYTES] };
+    // A base was durable when a header named it: nothing older than it can be the newest journal.
+    let newest_base = found.values().map(|found| found.header.base).max().unwrap_or(0);
+    for newest in found.range(newest_base..).rev().map(|(_, found)| found) {
+        let chain = chain_to(newest, &found);
+        let read = reader.read_newest(&chain).map_err(RingError::storage(Step::Recovery))?;
+        if let Some((chain, replayed)) = read {
+            let (chain, void) = split_void(chain, &replayed);
+            return Ok(Recovery { slots, chain, void, highest_number, replayed });
+        }
+    }
+    if !found.is_empty() {
+        return Err(RingError::Damaged);
+    }
+    Ok(Recovery {
+        slots,
+        chain: Vec::new(),
+        void: Vec::new(),
+        highest_number,
+        replayed: Replay::new(1, 0).finish(),
+    })
+}
+
+/// Tells the segments that hold anything whole from those after them, which hold parts of a record
+/// or checkpoint that never became whole: the journal goes on in front of these.
+fn split_void(chain: &[Found], replayed: &Replayed) -> (Vec<Segment>, Vec<Segment>) {
+    let segments = |found: &[Found]| {
+        found.iter().map(|found| Segment { slot: found.slot, number: found.header.number }).collect()
+    };
+    let live = chain.partition_point(|found| found.header.first_sequence < replayed.next_sequence);
+    (segments(&chain[..live]), segments(&chain[live..]))
+}
+
+fn list_slots<S: Storage>(storage: &mut S) -> io::Result<Vec<u32>> {
+    Ok(storage.list()?.iter().filter_map(|name| slot_of(name)).collect())
+}
+
+fn read_headers<S: Storage>(
+    storage: &mut S, slots: &[u32], identity: u64, checksum: Checksum,
+) -> io::Result<BTreeMap<u64, Found>> {
+    let mut found = BTreeMap::new();
+    for &slot in slots {
+        let mut file = storage.open(&slot_name(slot))?;
+        let mut bytes = [0; SEGMENT_HEADER_BYTES];
+        let count = storage.read_at(&mut file, 0, &mut bytes)?;
+        if let Some(header) = SegmentHeader::decode(&bytes[..count], identity, checksum) {
+            found.insert(header.number, Found { slot, header });
+        }
+    }
+    Ok(found)
+}
+
+/// The segments that lead to `newest`, as far back as its checkpoint or as they exist.
+fn chain_to(newest: &Found, found: &BTreeMap<u64, Found>) -> Vec<Found> {
+    let mut chain = vec![*newest];
+    let mut oldest = newest;
+    while oldest.header.number != newest.header.base && oldest.header.previous < oldest.header.number {
+        let Some(previous) = found.get(&oldest.header.previous) else { break };
+        chain.push(*previous);
+        oldest = previous;
+    }
+    chain.reverse();
+    chain
+}
+
+struct ChainReader<'a, S: Storage> {
+    storage: &'a mut S,
+    checksum: Checksum,
+    buffer: Vec<u8>,
+}
+
+impl<S: Storage> ChainReader<'_, S> {
+    /// Reads the longest unbroken end of a chain; `None` if no whole journal stands in it.
+    fn read_newest<'b>(&mut self, chain: &'b [Found]) -> io::Result<Option<(&'b [Found], Replayed)>> {
+        let mut keep_from = 0;
+        if chain.len() > MOST_SEGMENTS_IN_ONE_PASS {
+            let (_, replayed) = self.read_unbroken(chain, u64::MAX)?;
+            keep_from = replayed.checkpoint.map_or(0, |place| place.sequence);
+        }
+        let (chain, replayed) = self.read_unbroken(chain, keep_from)?;
+        let from_the_start = chain[0].header.previous == 0;
+        if !from_the_start && replayed.checkpoint.is_none() {
+            return Ok(None);
+        }
+        let base = replayed.checkpoint.map_or(0, |place| place.segment);
+        let live = chain.iter().position(|found| found.header.number >= base).unwrap_or(0);
+        Ok(Some((&chain[live..], replayed)))
+    }
+
+    fn read_unbroken<'b>(
+        &mut self, chain: &'b [Found], keep_from: u64,
+    ) -> io::Result<(&'b [Found], Replayed)> {
+        let mut start = 0;
+        let mut replay = Replay::new(chain[0].header.first_sequence, keep_from);
+        for (index, segment) in chain.iter().enumerate() {
+            let first_sequence = segment.header.first_sequence;
+            if replay.next_sequence() != first_sequence {
+                start = index;
+                replay = Replay::new(first_sequence, keep_from);
+            }
+            let limit = chain.get(index + 1).map_or(u64::MAX, |next| next.header.first_sequence);
+            self.read_segment(segment, limit, &mut replay)?;
+        }
+        Ok((&chain[start..], replay.finish()))
+    }
+
+    /// Replays the frames of a segment up to the sequence `limit`.
+    fn read_segment(&mut self, segment: &Found, limit: u64, replay: &mut Replay) -> io::Result<()> {
+        let seed = segment.header.seed(self.checksum);
+        let mut file = self.storage.open(&slot_name(segment.slot))?;
+        let mut window = Window { offset: SEGMENT_HEADER_BYTES as u64, start: 0, end: 0 };
+        loop {
+            let bytes = &self.buffer[window.start..window.end];
+            match decode_frame(bytes, seed, self.checksum) {
+                Decoded::Frame(frame, payload) => {
+                    if frame.sequence != replay.next_sequence() || frame.sequence >= limit {
+                        return Ok(());
+                    }
+                    window.start += payload.end;
+                    replay.frame(segment.header.number, frame, &bytes[payload]);
+                }
+                Decoded::Incomplete(needed) => {
+                    self.fill(&mut file, &mut window)?;
+                    if window.end < needed {
+                        return Ok(());
+                    }
+                }
+                Decoded::End => return Ok(()),
+            }
+        }
+    }
+
+    /// Moves what is left in the window to the front of the buffer and reads on behind it.
+    fn fill(&mut self, file: &mut S::File, window: &mut Window) -> io::Result<()> {
+        self.buffer.copy_within(window.start..window.end, 0);
+        window.offset += window.start as u64;
+        window.end -= window.start;
+        window.start = 0;
+        let next = window.offset + window.end as u64;
+        window.end += self.storage.read_at(file, next, &mut self.buffer[window.end..])?;
+        Ok(())
+    }
+}
+
+/// The part of the buffer that holds bytes of a segment not yet replayed.
+struct Window {
+    /// Place in the file of the buffer's front.
+    offset: u64,
+    start: usize,
+    end: usize,
+}
--- /dev/null
+++ b/crates/ring/tests/common/checked.rs
@@ -0,0 +1,211 @@
+//! A journal on a simulated disk, of which every recovery is compared with what it may hold.
+
+use super::{
+    Random,
+    simulated_disk::{Omissions, SimulatedDisk, Trouble},
+};
+use pebblepost_ring::{
+    error::RingError,
+    format::Checksum,
+    journal::{Journal, Options, Recovered},
+};
+
+pub const SEGMENT_BYTES: u32 = 1024;
+pub const MOST_BYTES: u64 = 24 * 1024;
+
+type Records = Vec<Vec<u8>>;
+
+/// A write that was not reported as done.
+#[derive(Clone, Debug)]
+enum Attempt {
+    Append(Records),
+    Checkpoint(Records),
+}
+
+/// How a schedule is played.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Schedule {
+    pub seed: u64,
+    pub steps: u64,
+    pub trouble: Trouble,
+    pub omissions: Omissions,
+    pub checksum: Option<Checksum>,
+}
+
+/// The journal with what is known about it.
+pub struct CheckedJournal {
+    pub disk: SimulatedDisk,
+    schedule: Schedule,
+    random: Random,
+    journal: Option<Journal<SimulatedDisk>>,
+    identity: Option<u64>,
+    confirmed: Records,
+    attempts: Vec<Attempt>,
+    record_count: u64,
+}
+
+impl CheckedJournal {
+    pub fn new(schedule: Schedule) -> CheckedJournal {
+        let disk = SimulatedDisk::new(schedule.seed);
+        disk.set_omissions(schedule.omissions);
+        CheckedJournal {
+            disk,
+            schedule,
+            random: Random(schedule.seed ^ 0x5eed),
+            journal: None,
+            identity: None,
+            confirmed: Vec::new(),
+            attempts: Vec::new(),
+            record_count: 0,
+        }
+    }
+
+    /// Plays a random schedule of writes, kills and losses of power.
+    pub fn play(&mut self) -> Result<(), String> {
+        for _ in 0..self.schedule.steps {
+            if self.random.one_in(6) {
+                let operations = 1 + self.random.below(30);
+                self.disk.lose_power_after(Some(operations));
+            }
+            self.step()?;
+            if self.disk.without_power() || self.random.one_in(25) {
+                self.journal = None;
+                self.disk.restore_power();
+            } else if self.random.one_in(25) {
+                self.journal = None;
+            }
+        }
+        self.disk.set_trouble(Trouble::default());
+        self.disk.restore_power();
+        self.journal = None;
+        self.step()
+    }
+
+    /// Opens the journal if need be, or writes to it.
+    pub fn step(&mut self) -> Result<(), String> {
+        if self.journal.is_none() {
+            return self.open();
+        }
+        let journal = self.journal.as_mut().ok_or("no journal")?;
+        if journal.journal_bytes() > journal.capacity() / 2 || self.random.one_in(12) {
+            self.checkpoint()
+        } else {
+            self.append()
+        }
+    }
+
+    /// Opens the journal and checks what it holds.
+    pub fn open(&mut self) -> Result<(), String> {
+        let mut options = Options::new(MOST_BYTES, self.random.next());
+        options.segment_bytes = Some(SEGMENT_BYTES);
+        if let Some(checksum) = self.schedule.checksum {
+            options.checksum = checksum;
+        }
+        let trouble = if self.random.one_in(2) { self.schedule.trouble } else { Trouble::default() };
+        self.disk.set_trouble(trouble);
+        match Journal::open(self.disk.clone(), options) {
+            Ok((journal, recovered)) => {
+                self.check(recovered)?;
+                self.journal = Some(journal);
+                self.disk.set_trouble(self.schedule.trouble);
+                Ok(())
+            }
+            Err(RingError::Storage { source, .. }) if source.kind() == std::io::ErrorKind::Other => Ok(()),
+            Err(error) => Err(format!("opening failed: {error}")),
+        }
+    }
+
+    /// Appends records, twice if the first try fails: the second time with one more.
+    fn append(&mut self) -> Result<(), String> {
+        let mut records = self.new_records();
+        for _ in 0..2 {
+            let Some(journal) = &mut self.journal else { return Ok(()) };
+            match journal.append(&records) {
+                Ok(()) => {
+                    self.confirmed.append(&mut records);
+                    self.attempts.clear();
+                    return journal.make_ahead().or(Ok(()));
+                }
+                Err(RingError::Full { .. }) => return self.checkpoint(),
+                Err(_) => self.attempts.push(Attempt::Append(records.clone())),
+            }
+            records.push(self.new_record());
+        }
+        Ok(())
+    }
+
+    fn checkpoint(&mut self) -> Result<(), String> {
+        let kept = self.random.below(6).min(self.confirmed.len() as u64) as usize;
+        let mut records = self.confirmed[self.confirmed.len() - kept..].to_vec();
+        records.insert(0, self.new_record_of(8));
+        let Some(journal) = &mut self.journal else { return Ok(()) };
+        match journal.checkpoint(&records) {
+            Ok(()) => {
+                self.confirmed = records;
+                self.attempts.clear();
+            }
+            Err(RingError::Full { .. }) => return Err("no room for a checkpoint".to_owned()),
+            Err(_) => self.attempts.push(Attempt::Checkpoint(records)),
+        }
+        Ok(())
+    }
+
+    fn check(&mut self, recovered: Recovered) -> Result<(), String> {
+        if let Some(identity) = self.identity
+            && (recovered.fresh || recovered.identity != identity)
+        {
+            return Err(format!("identity {identity} became {}", recovered.identity));
+        }
+        self.identity = Some(recovered.identity);
+        let confirmed = &self.confirmed;
+        let allowed = recovered.records == *confirmed
+            || self.attempts.iter().any(|attempt| allows(confirmed, attempt, &recovered.records));
+        if !allowed {
+            return Err(format!(
+                "confirmed {}, attempts {}, recovered {}: {:?}",
+                confirmed.len(),
+                self.attempts.len(),
+                recovered.records.len(),
+                recovered.records.iter().map(|record| label(record)).collect::<Vec<_>>(),
+            ));
+        }
+        self.confirmed = recovered.records;
+        self.attempts.clear();
+        Ok(())
+    }
+
+    fn new_records(&mut self) -> Records {
+        let count = 1 + self.random.below(4);
+        (0..count).map(|_| self.new_record()).collect()
+    }
+
+    /// Mostly of one length, so that bytes left over from earlier line up with new ones.
+    fn new_record(&mut self) -> Vec<u8> {
+        let length = match self.random.below(10) {
+            0 => self.random.below(2_000),
+            1 => 8,
+            _ => 100,
+        };
+        self.new_record_of(length.max(8) as usize)
+    }
+
+    fn new_record_of(&mut self, length: usize) -> Vec<u8> {
+        self.record_count += 1;
+        let mut record = vec![self.record_count as u8; length];
+        record[..8].copy_from_slice(&self.record_count.to_le_bytes());
+        record
+    }
+}
+
+fn allows(confirmed: &Records, attempt: &Attempt, recovered: &Records) -> bool {
+    match attempt {
+        Attempt::Checkpoint(records) => recovered == records,
+        Attempt::Append(records) => {
+            recovered.starts_with(confirmed) && records.starts_with(&recovered[confirmed.len()..])
+        }
+    }
+}
+
+fn label(record: &[u8]) -> u64 {
+    record.iter().take(8).rev().fold(0, |value, byte| value << 8 | u64::from(*byte))
+}
--- /dev/null
+++ b/crates/ring/tests/disk.rs
@@ -0,0 +1,167 @@
+//! The disk's thread, on real files and on a simulated disk in trouble.
+
+mod common;
+
+use common::simulated_disk::{SimulatedDisk, Trouble};
+use pebblepost_ring::{Completion, Disk, Opened, journal::Options};
+use std::{
+    fs,
+    path::PathBuf,
+    sync::mpsc::{Receiver, channel},
+    time::Duration,
+};
+
+const MOST_BYTES: u64 = 8 * 1024 * 1024;
+const MOST_WAIT: Duration = Duration::from_secs(20);
+
+/// A folder that is removed at the end.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("pebblepost-ring-{name}-{}", std::process::id()));
+        fs::remove_dir_all(&path).ok();
+        Folder(path)
+    }
+
+    fn open(&self, identity: Option<u64>) -> (Disk, Opened, Receiver<Completion>) {
+        let (sender, receiver) = channel();
+        let completed = Box::new(move |completion| sender.send(completion).unwrap_or(()));
+        let (disk, opened) = Disk::open(&self.0, MOST_BYTES, identity, completed).expect("opening");
+        (disk, opened, receiver)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        fs::remove_dir_all(&self.0).ok();
+    }
+}
+
+/// Waits until a ticket is on disk; returns how often the disk refused before.
+fn wait_for(receiver: &Receiver<Completion>, ticket: u64) -> u32 {
+    let mut refusals = 0;
+    loop {
+        match receiver.recv_timeout(MOST_WAIT).expect("a completion") {
+            Completion::Synced(synced) if synced >= ticket => return refusals,
+            Completion::Synced(_) => {}
+            Completion::Refusing(_) => refusals += 1,
+        }
+    }
+}
+
+#[test]
+fn real_files_keep_records_and_checkpoints() {
+    let folder = Folder::new("keeps");
+    let (disk, opened, receiver) = folder.open(Some(77));
+    assert_eq!(opened, Opened { identity: 77, fresh: true, records: Vec::new() });
+    disk.append(vec![vec![1; 10], vec![], vec![2; 300_000]]);
+    let ticket = disk.append(vec![vec![3]]);
+    wait_for(&receiver, ticket);
+    drop(disk);
+
+    let (disk, opened, receiver) = folder.open(None);
+    assert_eq!((opened.identity, opened.fresh), (77, false));
+    assert_eq!(opened.records, vec![vec![1; 10], vec![], vec![2; 300_000], vec![3]]);
+    let bytes = disk.bytes_since_checkpoint();
+    assert!((300_011..301_000).contains(&bytes), "{bytes}");
+    disk.checkpoint(vec![vec![4; 20]]);
+    assert_eq!(disk.bytes_since_checkpoint(), 0);
+    let ticket = disk.append(vec![vec![5]]);
+    wait_for(&receiver, ticket);
+    drop(disk);
+
+    let (_disk, opened, _receiver) = folder.open(None);
+    assert_eq!(opened.records, vec![vec![4; 20], vec![5]]);
+}
+
+#[test]
+fn identities_drawn_differ() {
+    let (first, second) = (Folder::new("first"), Folder::new("second"));
+    assert_ne!(first.open(None).1.identity, second.open(None).1.identity);
+}
+
+#[test]
+fn the_largest_record_is_kept() {
+    let record: Vec<u8> = (0..64 * 1024 * 1024_u32).map(|index| (index / 7) as u8).collect();
+    let folder = Folder::new("largest");
+    let (sender, receiver) = channel();
+    let completed = Box::new(move |completion| sender.send(completion).unwrap_or(()));
+    let most_bytes = 256 * 1024 * 1024;
+    let (disk, _) = Disk::open(&folder.0, most_bytes, None, completed).expect("opening");
+    assert!(disk.capacity() > record.len() as u64);
+    let ticket = disk.append(vec![record.clone()]);
+    assert_eq!(wait_for(&receiver, ticket), 0);
+    drop(disk);
+    let (_, opened) = Disk::open(&folder.0, most_bytes, None, Box::new(|_| {})).expect("opening again");
+    assert!(opened.records == vec![record]);
+}
+
+#[test]
+fn the_ring_stays_within_its_bytes_and_files_are_reused() {
+    let folder = Folder::new("bounded");
+    let (disk, _, receiver) = folder.open(None);
+    for round in 0..200_u8 {
+        let ticket = disk.append(vec![vec![round; 100_000]; 4]);
+        wait_for(&receiver, ticket);
+        if disk.bytes_since_checkpoint() > disk.capacity() / 2 {
+            let ticket = disk.checkpoint(vec![vec![round; 200_000]]);
+            wait_for(&receiver, ticket);
+        }
+    }
+    let files = fs::read_dir(&folder.0).expect("the folder");
+    let total: u64 = files.map(|entry| entry.expect("a file").metadata().expect("its length").len()).sum();
+    assert!(total <= MOST_BYTES, "{total}");
+}
+
+#[test]
+fn a_full_ring_refuses_until_a_checkpoint() {
+    let folder = Folder::new("full");
+    let (disk, _, receiver) = folder.open(None);
+    let too_much = disk.capacity() + 1;
+    disk.append(vec![vec![1; too_much as usize]]);
+    let refusal = receiver.recv_timeout(MOST_WAIT).expect("a completion");
+    assert!(matches!(refusal, Completion::Refusing(_)), "{refusal:?}");
+    let ticket = disk.checkpoint(vec![vec![2]]);
+    wait_for(&receiver, ticket);
+    drop(disk);
+    assert_eq!(folder.open(None).1.records, vec![vec![2]]);
+}
+
+#[test]
+fn refused_writes_are_retried_without_loss() {
+    let simulated = SimulatedDisk::new(3);
+    let (sender, receiver) = channel();
+    let completed = Box::new(move |completion| sender.send(completion).unwrap_or(()));
+    let options = Options::new(MOST_BYTES, 5);
+    let (disk, _) = Disk::open_storage(simulated.clone(), options, completed).expect("opening");
+    simulated.set_trouble(Trouble { write_errors: 1, sync_errors: 1 });
+    disk.append(vec![vec![1]]);
+    assert!(matches!(receiver.recv_timeout(MOST_WAIT), Ok(Completion::Refusing(_))));
+    let ticket = disk.append(vec![vec![2]]);
+    simulated.set_trouble(Trouble::default());
+    wait_for(&receiver, ticket);
+    drop(disk);
+    simulated.restore_power();
+    let (_, opened) = Disk::open_storage(simulated, options, Box::new(|_| {})).expect("opening again");
+    assert_eq!(opened.records, vec![vec![1], vec![2]]);
+}
+
+#[test]
+fn waiting_records_share_a_sync() {
+    let simulated = SimulatedDisk::new(4);
+    let (sender, receiver) = channel();
+    let completed = Box::new(move |completion| sender.send(completion).unwrap_or(()));
+    let options = Options::new(MOST_BYTES, 5);
+    let (disk, _) = Disk::open_storage(simulated.clone(), options, completed).expect("opening");
+    simulated.set_trouble(Trouble { write_errors: 1, sync_errors: 0 });
+    disk.append(vec![vec![0]]);
+    assert!(matches!(receiver.recv_timeout(MOST_WAIT), Ok(Completion::Refusing(_))));
+    let tickets: Vec<u64> = (1..100).map(|number| disk.append(vec![vec![number]])).collect();
+    let before = simulated.syncs();
+    simulated.set_trouble(Trouble::default());
+    wait_for(&receiver, tickets[98]);
+    // At most one for the retry under way, one for all that waited, and those of a new file.
+    let syncs = simulated.syncs() - before;
+    assert!(syncs <= 6, "{syncs}");
+}
--- /dev/null
+++ b/crates/ring/tests/power_loss.rs
@@ -0,0 +1,76 @@
+//! Exact recovery after losses of power, kills and disk trouble, on a simulated disk.
+
+mod common;
+
+use common::{
+    checked::{CheckedJournal, Schedule},
+    simulated_disk::{Omissions, Trouble},
+};
+use rstest::rstest;
+
+fn no_checksum(_seed: u32, _parts: &[&[u8]]) -> u32 {
+    0
+}
+
+/// First violation found by random schedules.
+fn first_violation(schedules: u64, with: impl Fn(u64) -> Schedule) -> Option<String> {
+    (0..schedules).find_map(|seed| {
+        let violation = CheckedJournal::new(with(seed)).play().err();
+        violation.map(|violation| format!("seed {seed}: {violation}"))
+    })
+}
+
+#[test]
+fn formatting_survives_a_loss_of_power_at_every_step() {
+    for seed in 0..40 {
+        for operations in 1..25 {
+            let mut checked = CheckedJournal::new(Schedule { seed, ..Schedule::default() });
+            checked.disk.lose_power_after(Some(operations));
+            checked.open().expect("first opening");
+            checked.disk.restore_power();
+            checked.open().expect("second opening");
+            checked.disk.restore_power();
+            checked.open().expect("third opening");
+        }
+    }
+}
+
+#[test]
+fn everything_synced_survives_losses_of_power() {
+    let violation = first_violation(2_000, |seed| Schedule { seed, steps: 120, ..Schedule::default() });
+    assert_eq!(violation, None);
+}
+
+#[rstest]
+#[case::writes(Trouble { write_errors: 5, sync_errors: 0 })]
+#[case::syncs(Trouble { write_errors: 0, sync_errors: 4 })]
+#[case::both(Trouble { write_errors: 10, sync_errors: 8 })]
+fn everything_synced_survives_disk_trouble(#[case] trouble: Trouble) {
+    let violation =
+        first_violation(1_500, |seed| Schedule { seed, steps: 120, trouble, ..Schedule::default() });
+    assert_eq!(violation, None);
+}
+
+#[test]
+fn a_missing_folder_sync_is_noticed() {
+    let omissions = Omissions { folder_sync: true, data_sync: false };
+    let violation =
+        first_violation(300, |seed| Schedule { seed, steps: 120, omissions, ..Schedule::default() });
+    assert!(violation.is_some());
+}
+
+#[test]
+fn a_missing_data_sync_is_noticed() {
+    let omissions = Omissions { folder_sync: false, data_sync: true };
+    let violation =
+        first_violation(300, |seed| Schedule { seed, steps: 120, omissions, ..Schedule::default() });
+    assert!(violation.is_some());
+}
+
+#[test]
+fn a_missing_checksum_is_noticed() {
+    let checksum = Some(no_checksum as pebblepost_ring::format::Checksum);
+    let violation =
+        first_violation(300, |seed| Schedule { seed, steps: 120, checksum, ..Schedule::default() });
+    assert!(violation.is_some());
+}
