--- a/crates/system/src/command_line.rs
+++ b/crates/system/src/command_line.rs
@@ -57,10 +57,7 @@
 }
 
 fn versions() -> Command {
-    Command::new("versions")
-        .about("Prints the newest named version of each model, and which transcribers hold it")
-        .arg(links())
-        .arg(json())
+    Command::new("versions").about("Prints the newest named version of each model").arg(links()).arg(json())
 }
 
 fn config() -> Command {
--- a/crates/system/src/operator/status.rs
+++ b/crates/system/src/operator/status.rs
@@ -9,7 +9,7 @@
 use pebblepost_messages::control::{FromControl, ToControl};
 use pebblepost_settings::Settings;
 use simd_json::OwnedValue;
-use simd_json::prelude::ValueObjectAccess;
+use simd_json::prelude::{ValueObjectAccess, ValueObjectAccessAsScalar};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -23,7 +23,10 @@
     silence: PATIENCE,
 };
 /// Part of the state that `versions` prints.
-const VERSIONS: &str = "versions";
+const VERSIONS: &str = "named_versions";
+/// What a control process says of itself, and what the one that knows everything says.
+const ROLE: &str = "role";
+const PRIMARY: &str = "primary";
 
 /// Prints the state of the control plane or of a store.
 pub async fn status(arguments: &ArgMatches) -> Result<()> {
@@ -43,16 +46,23 @@
     print(arguments, simd_json::to_vec(versions)?)
 }
 
+/// State of the primary if it is among the addresses; otherwise of the first that answers.
 async fn ask_control(arguments: &ArgMatches) -> Result<Vec<u8>> {
     let links = addresses(arguments, "link", Settings::control_links)?;
+    let mut first = None;
     let mut last_failure = bad_usage("no address to call".to_owned());
     for link in links {
         match ask_control_at(link).await {
-            Ok(state) => return Ok(state),
+            Ok(state) if is_primary(&state) => return Ok(state),
+            Ok(state) => first = first.or(Some(state)),
             Err(error) => last_failure = error,
         }
     }
-    Err(last_failure)
+    first.ok_or(last_failure)
+}
+
+fn is_primary(state: &[u8]) -> bool {
+    read(state).is_ok_and(|state| state.get_str(ROLE) == Some(PRIMARY))
 }
 
 async fn ask_control_at(address: SocketAddr) -> Result<Vec<u8>> {
--- a/crates/system/tests/common/cluster.rs
+++ b/crates/system/tests/common/cluster.rs
@@ -155,6 +155,12 @@
         self.addresses("core", CONTROL_PORT)
     }
 
+    /// Where control processes are asked for their state.
+    pub fn links(&self) -> Vec<SocketAddr> {
+        let hosts = self.hosts.iter().filter(|host| host.class == "core");
+        hosts.map(|host| SocketAddr::new(host.ip, host.first_port)).collect()
+    }
+
     /// Where clients connect.
     pub fn fronts(&self) -> Vec<SocketAddr> {
         self.addresses("edge", FRONT_PORT)
--- a/crates/system/tests/whole_path.rs
+++ b/crates/system/tests/whole_path.rs
@@ -157,6 +157,18 @@
     assert!(ran, "no transcriber ran {request_id} and gave the seal {seal:?}");
 }
 
+/// What an operator's command prints as JSON.
+fn ask(cluster: &Cluster, command: &str) -> String {
+    let mut program = std::process::Command::new(env!("CARGO_BIN_EXE_pebblepost-system"));
+    program.args([command, "--json"]);
+    for link in cluster.links() {
+        program.args(["--link", &link.to_string()]);
+    }
+    let output = program.output().expect("run");
+    assert!(output.status.success(), "{command}: {}", String::from_utf8_lossy(&output.stderr));
+    String::from_utf8(output.stdout).expect("text").trim().to_owned()
+}
+
 /// Starts a system with its first configuration and known transcribers.
 async fn start(number: u8) -> (Cluster, Fleet) {
     let mut cluster = Cluster::start(number, Shape { controls: 3, stores: 3, edges: 2 }).await;
@@ -202,6 +214,8 @@
         steps.done("version 2 noted");
         fleet.wait_until_version(2, CALM).await;
         steps.done("version 2 held by all");
+        assert_eq!(ask(&cluster, "versions"), format!(r#"[{{"model":"{MODEL}","generation":2}}]"#));
+        assert!(ask(&cluster, "status").contains(r#""role":"primary""#));
         let mut next = Job::new("1a1b1c1d", 1, 2, 2, 4);
         next.submit(&fronts, CALM).await;
         let all = next.items.len();
