Control: repeats of a thousand changes are known; subscribers learn of newer control processes

Change: 1,024 are remembered. Subscribers are told when the set of control processes changes; a founder's disk that holds nothing founds also after a restart; standbys tick every 100 ms.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -234,6 +234,7 @@
     primary: Option<Primary>,
     waiting: BTreeMap<CallId, Waiting>,
     dialed: BTreeSet<String>,
+    told_members: Vec<String>,
     look_over_at: Duration,
     outputs: Vec<Output>,
 }
@@ -257,6 +258,7 @@
             primary: None,
             waiting: BTreeMap::new(),
             dialed: BTreeSet::new(),
+            told_members: Vec::new(),
             look_over_at: now,
             outputs: Vec::new(),
             settings,
@@ -344,6 +346,7 @@
     fn look_over(&mut self, now: Duration) {
         self.peers.forget(now, self.group.replica.record());
         self.keep_links_alive(now);
+        self.tell_members(now);
         self.follow_primary(now);
         self.look_over_primary(now);
     }
--- a/crates/control/src/core/links.rs
+++ b/crates/control/src/core/links.rs
@@ -227,6 +227,20 @@
         self.outputs.push(Output::Send { connection, message });
     }
 
+    /// Tells everybody of the control processes if they are others than before, so that nobody is
+    /// left with those that were replaced.
+    pub(super) fn tell_members(&mut self, now: Duration) {
+        let members = self.peers.told(now, self.group.replica.record());
+        if members == self.told_members {
+            return;
+        }
+        self.told_members.clone_from(&members);
+        let connections: Vec<ConnectionId> = self.connections.keys().copied().collect();
+        for connection in connections {
+            self.send(now, connection, FromControl::Members(members.clone()));
+        }
+    }
+
     /// Signs of life on links between control processes.
     pub(super) fn keep_links_alive(&mut self, now: Duration) {
         for (address, link) in &mut self.peer_links {
--- a/crates/control/src/history.rs
+++ b/crates/control/src/history.rs
@@ -3,8 +3,8 @@
 use crate::command::ConfigurationChange;
 use nanoserde::{DeBin, SerBin};
 
-/// Changes remembered.
-const MOST_CHANGES: usize = 64;
+/// Changes remembered: those of some days with hundreds of changes each.
+const MOST_CHANGES: usize = 1024;
 
 /// A change that was taken.
 #[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -19,8 +19,10 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep_until};
 
-/// How often time is told to the core.
+/// How often time is told to the core of a primary.
 const TICK: Duration = Duration::from_millis(50);
+/// How often time is told to the core of a standby, which has less to do in time.
+const STANDBY_TICK: Duration = Duration::from_millis(100);
 /// Longest time that a primary takes to hand over after SIGTERM.
 const HAND_OVER_TIME: Duration = Duration::from_millis(700);
 /// Time for the last messages after a hand-over.
@@ -81,8 +83,9 @@
     let recovered = RecoveredRecords::read(&opened.records)
         .map_err(|error| eyre!("reading the records at {}: {error}", folder.display()))?;
     let disk_id = DiskId(opened.identity);
-    // A founder's disk that was never written to may still found, as long as it is the first start.
-    let founder = settings.bootstrap && settings.seeds.contains(&control) && disk_id == founder_disk(control);
+    // Only a disk that was formatted at the first start of the whole system has this identity. If
+    // nothing was written to it since, it still founds, also after a restart.
+    let founder = settings.seeds.contains(&control) && disk_id == founder_disk(control);
     log::info!(
         "disk {:016x}: {}{} records",
         disk_id.0,
@@ -159,7 +162,8 @@
             () = sleep_until(wake) => {
                 shell.handle(Input::Tick);
                 if Instant::now() >= next_tick {
-                    next_tick = Instant::now() + TICK;
+                    let pause = if shell.is_primary() { TICK } else { STANDBY_TICK };
+                    next_tick = Instant::now() + pause;
                 }
             }
             _ = hangup.recv() => reload(&mut shell),
--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -214,3 +214,24 @@
     assert_eq!(live, ["i-1"]);
     assert_eq!(agent.whole_lists, 1);
 }
+
+#[rstest]
+fn subscribers_learn_of_control_processes_that_come_later() {
+    let mut cluster = Cluster::acting();
+    cluster.run(Duration::from_secs(1));
+    let primary = cluster.primary();
+    let mut agent = Agent::subscribe(&mut cluster, primary);
+    agent.live(&mut cluster, Duration::from_millis(100));
+    cluster.add_empty(&[0, 1, 2]);
+    let mut told = Vec::new();
+    for _ in 0..20 {
+        cluster.run(Duration::from_millis(100));
+        for message in cluster.received(agent.program) {
+            if let FromControl::Members(members) = message {
+                told = members;
+            }
+        }
+        cluster.send(agent.program, ToControl::KeepAlive);
+    }
+    assert!(told.contains(&"10.0.0.4:7300".to_string()), "{told:?}");
+}
--- a/crates/control/tests/races.rs
+++ b/crates/control/tests/races.rs
@@ -41,12 +41,21 @@
     random: Random,
     sent: Vec<Sent>,
     down_until: BTreeMap<usize, Duration>,
+    /// Disks are lost as well, one at a time and with time to catch up after each.
+    loses_disks: bool,
+    calm_until: Duration,
 }
 
 impl Play {
-    fn new(seed: u64) -> Play {
-        let cluster = Cluster::acting();
-        Play { cluster, random: Random(seed), sent: Vec::new(), down_until: BTreeMap::new() }
+    fn new(seed: u64, loses_disks: bool) -> Play {
+        Play {
+            cluster: Cluster::acting(),
+            random: Random(seed),
+            sent: Vec::new(),
+            down_until: BTreeMap::new(),
+            loses_disks,
+            calm_until: Duration::ZERO,
+        }
     }
 
     /// The newest version acknowledged, as an operator knows it.
@@ -87,7 +96,16 @@
         if !self.down_until.is_empty() {
             return;
         }
+        if self.cluster.now < self.calm_until {
+            return;
+        }
         let pause = Duration::from_millis(100 + self.random.below(2500));
+        if self.loses_disks {
+            self.calm_until = self.cluster.now + pause + Duration::from_millis(4500);
+            self.cluster.wipe(node);
+            self.down_until.insert(node, self.cluster.now + pause);
+            return;
+        }
         if self.random.below(8) == 0 {
             // All are killed at once.
             for node in 0..3 {
@@ -181,7 +199,7 @@
 fn acknowledged_changes_stay_under_random_losses(
     #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20)] seed: u64,
 ) {
-    let mut play = Play::new(seed);
+    let mut play = Play::new(seed, false);
     for _ in 0..300 {
         play.step();
     }
@@ -189,3 +207,16 @@
     let acknowledged = play.sent.iter().filter(|sent| sent.acknowledged).count();
     assert!(acknowledged > 0, "something was acknowledged");
 }
+
+#[rstest]
+fn acknowledged_changes_outlive_the_loss_of_every_disk_in_turn(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16)] seed: u64,
+) {
+    let mut play = Play::new(seed, true);
+    play.cluster.run(Duration::from_secs(4));
+    for _ in 0..1200 {
+        play.step();
+    }
+    play.finish();
+    assert!(play.sent.iter().filter(|sent| sent.acknowledged).count() > 10);
+}
--- a/crates/control/tests/state.rs
+++ b/crates/control/tests/state.rs
@@ -145,19 +145,19 @@
 }
 
 #[rstest]
-fn the_last_sixty_four_changes_are_remembered() {
+fn the_last_thousand_changes_are_remembered() {
     let mut log = Log::default();
     let change = |generation: u64| ConfigurationChange {
         base: generation - 1,
         method: ChangeMethod::Whole,
         body: configuration(generation, 10),
     };
-    for generation in 1..=70 {
+    for generation in 1..=1030 {
         let outcome = log.apply(&Command::ChangeConfiguration(change(generation)));
         assert_eq!(outcome, Outcome::ConfigurationTaken { generation });
     }
     assert_eq!(log.state.taken(&change(6)), None);
-    for generation in 7..=70 {
+    for generation in 7..=1030 {
         assert_eq!(log.state.taken(&change(generation)), Some(generation));
     }
 }
