Membership: SWIM with suspicion, refutation, joins, pages of the member list

Sans-I/O; codec by hand, since nanoserde's Vec reserves memory for any claimed length (Vec::with_capacity of a length off the wire). First trial: 200 members took over 20 s to join, as a stale list was read one page in ten periods; an answer now tells the member count, and one that is behind reads the whole list.

--- /dev/null
+++ b/crates/membership/src/message.rs
@@ -0,0 +1,110 @@
+//! The datagrams: one message, followed by news.
+
+use crate::{
+    codec::{Reader, update_bytes, write_address, write_name, write_u32, write_u64, write_update},
+    member::Update,
+};
+use std::net::SocketAddrV4;
+
+/// Most bytes of a datagram.
+pub(crate) const MOST_DATAGRAM_BYTES: usize = 1_200;
+
+const MAGIC: u8 = 0xb7;
+const PING: u8 = 1;
+const ACK: u8 = 2;
+const PING_REQUEST: u8 = 3;
+const PAGE_REQUEST: u8 = 4;
+const PAGE: u8 = 5;
+const NEWS: u8 = 6;
+
+/// What a datagram is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Message {
+    /// Asks for an [`Message::Ack`]. An empty `name` stands for whoever listens there.
+    Ping { sequence: u64, name: String },
+    /// Answers a ping; tells how many members its sender knows to be present.
+    Ack { sequence: u64, members: u32 },
+    /// Asks the receiver to ping another member and to pass its answer on.
+    PingRequest { sequence: u64, name: String, address: SocketAddrV4 },
+    /// Asks for the member list, from the first name after this one.
+    PageRequest { after: String },
+    /// A page of the member list, as news. `last`: nothing comes after it.
+    Page { last: bool },
+    /// Nothing but news.
+    News,
+}
+
+impl Message {
+    /// Encodes a datagram with as much of the news as fits; returns it with the number of updates
+    /// taken.
+    pub(crate) fn encode<'a>(&self, news: impl IntoIterator<Item = &'a Update>) -> (Vec<u8>, usize) {
+        let mut buffer = vec![MAGIC];
+        self.write(&mut buffer);
+        let mut count = 0;
+        for update in news {
+            if buffer.len() + update_bytes(update) > MOST_DATAGRAM_BYTES {
+                break;
+            }
+            write_update(&mut buffer, update);
+            count += 1;
+        }
+        (buffer, count)
+    }
+
+    /// Decodes a datagram; `None` if it isn't one.
+    pub(crate) fn decode(datagram: &[u8]) -> Option<(Message, Vec<Update>)> {
+        let mut reader = Reader(datagram);
+        if datagram.len() > MOST_DATAGRAM_BYTES || reader.byte()? != MAGIC {
+            return None;
+        }
+        let message = Message::read(&mut reader)?;
+        let mut news = Vec::new();
+        while !reader.0.is_empty() {
+            news.push(reader.update()?);
+        }
+        Some((message, news))
+    }
+
+    fn write(&self, buffer: &mut Vec<u8>) {
+        match self {
+            Message::Ping { sequence, name } => {
+                buffer.push(PING);
+                write_u64(buffer, *sequence);
+                write_name(buffer, name);
+            }
+            Message::Ack { sequence, members } => {
+                buffer.push(ACK);
+                write_u64(buffer, *sequence);
+                write_u32(buffer, *members);
+            }
+            Message::PingRequest { sequence, name, address } => {
+                buffer.push(PING_REQUEST);
+                write_u64(buffer, *sequence);
+                write_name(buffer, name);
+                write_address(buffer, *address);
+            }
+            Message::PageRequest { after } => {
+                buffer.push(PAGE_REQUEST);
+                write_name(buffer, after);
+            }
+            Message::Page { last } => buffer.extend_from_slice(&[PAGE, u8::from(*last)]),
+            Message::News => buffer.push(NEWS),
+        }
+    }
+
+    fn read(reader: &mut Reader<'_>) -> Option<Message> {
+        match reader.byte()? {
+            PING => Some(Message::Ping { sequence: reader.u64()?, name: reader.name()? }),
+            ACK => Some(Message::Ack { sequence: reader.u64()?, members: reader.u32()? }),
+            PING_REQUEST => Some(Message::PingRequest {
+                sequence: reader.u64()?,
+                name: reader.name()?,
+                address: reader.address()?,
+            }),
+            PAGE_REQUEST => Some(Message::PageRequest { after: reader.name()? }),
+            PAGE => Some(Message::Page { last: reader.byte()? != 0 }),
+            NEWS => Some(Message::News),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/table.rs
@@ -0,0 +1,74 @@
+//! The members known, with the times at which what is believed of them ends.
+
+use crate::member::{Member, MemberState, Update};
+use std::{collections::BTreeMap, net::SocketAddrV4, ops::Bound, time::Duration};
+
+/// A member other than oneself.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub(crate) update: Update,
+    /// End of a suspicion, or of the memory of a dead or departed member.
+    pub(crate) deadline: Option<Duration>,
+}
+
+/// All other members, by name.
+#[derive(Default)]
+pub(crate) struct Table {
+    entries: BTreeMap<String, Entry>,
+}
+
+impl Table {
+    pub(crate) fn get(&self, name: &str) -> Option<&Entry> {
+        self.entries.get(name)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// Members that are alive or suspected.
+    pub(crate) fn present(&self) -> impl Iterator<Item = &Member> {
+        self.entries().filter(|entry| entry.update.state.is_present()).map(|entry| &entry.update.member)
+    }
+
+    pub(crate) fn dead(&self) -> impl Iterator<Item = &Member> {
+        self.entries()
+            .filter(|entry| entry.update.state == MemberState::Dead)
+            .map(|entry| &entry.update.member)
+    }
+
+    pub(crate) fn at_address(&self, address: SocketAddrV4) -> Option<&Entry> {
+        self.entries().find(|entry| entry.update.member.address == address)
+    }
+
+    /// Entries with names after this one, in order.
+    pub(crate) fn after(&self, name: &str) -> impl Iterator<Item = &Entry> {
+        let range = (Bound::Excluded(name), Bound::Unbounded);
+        self.entries.range::<str, _>(range).map(|(_, entry)| entry)
+    }
+
+    pub(crate) fn insert(&mut self, update: Update, deadline: Option<Duration>) {
+        self.entries.insert(update.member.name.clone(), Entry { update, deadline });
+    }
+
+    pub(crate) fn remove(&mut self, name: &str) {
+        self.entries.remove(name);
+    }
+
+    /// Entries whose deadline has passed.
+    pub(crate) fn expired(&self, now: Duration) -> Vec<Update> {
+        let expired = |entry: &&Entry| entry.deadline.is_some_and(|deadline| deadline <= now);
+        self.entries().filter(expired).map(|entry| entry.update.clone()).collect()
+    }
+
+    /// Puts all deadlines off.
+    pub(crate) fn delay(&mut self, by: Duration) {
+        for entry in self.entries.values_mut() {
+            entry.deadline = entry.deadline.map(|deadline| deadline + by);
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/common/mod.rs
@@ -0,0 +1,277 @@
+//! A simulated network of members: delays, loss, cuts, freezes, restarts.
+#![allow(dead_code)]
+
+use pebblepost_membership::{Member, MemberState, Membership, Output, Settings};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
+
+pub const PERIOD: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Tick { node: usize, life: u64 },
+    Deliver { to: usize, from: SocketAddrV4, datagram: Vec<u8> },
+}
+
+/// One machine.
+pub struct Node {
+    pub membership: Membership,
+    pub life: u64,
+    pub running: bool,
+    pub frozen: bool,
+    pub side: u32,
+    pub sent_datagrams: u64,
+    pub sent_bytes: u64,
+    held: Vec<Event>,
+}
+
+/// A change that one node saw of another.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub at: Duration,
+    pub by: usize,
+    pub of: usize,
+    pub state: MemberState,
+}
+
+pub struct Network {
+    pub now: Duration,
+    pub nodes: Vec<Node>,
+    pub seen: Vec<Seen>,
+    pub loss: f64,
+    settings: Settings,
+    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    event_count: u64,
+    random: SmallRng,
+}
+
+pub fn address(node: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, (node / 250) as u8, (node % 250) as u8 + 1), 7303)
+}
+
+fn node_of(address: SocketAddrV4) -> usize {
+    let octets = address.ip().octets();
+    usize::from(octets[2]) * 250 + usize::from(octets[3]) - 1
+}
+
+pub fn name(node: usize) -> String {
+    format!("storage-celje-{node}")
+}
+
+fn node_named(name: &str) -> usize {
+    name.rsplit('-').next().and_then(|number| number.parse().ok()).expect("a node's name")
+}
+
+impl Network {
+    /// Members that start within 0.3 s and know three seeds.
+    pub fn new(size: usize, seed: u64, mut settings: Settings) -> Network {
+        settings.seeds = (0..3.min(size)).map(address).collect();
+        settings.period = PERIOD;
+        let mut network = Network {
+            now: Duration::ZERO,
+            nodes: Vec::new(),
+            seen: Vec::new(),
+            loss: 0.0,
+            settings,
+            events: BinaryHeap::new(),
+            event_count: 0,
+            random: SmallRng::seed_from_u64(seed),
+        };
+        for node in 0..size {
+            let membership = network.make(node, 1);
+            network.nodes.push(Node {
+                membership,
+                life: 1,
+                running: true,
+                frozen: false,
+                side: 0,
+                sent_datagrams: 0,
+                sent_bytes: 0,
+                held: Vec::new(),
+            });
+            let start = Duration::from_millis(network.random.random_range(0..300));
+            network.schedule(start, Event::Tick { node, life: 1 });
+        }
+        network
+    }
+
+    pub fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(Reverse((at, _, _))) = self.events.peek() {
+            if *at > end {
+                break;
+            }
+            let Some(Reverse((at, _, event))) = self.events.pop() else { break };
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    /// Runs until all running nodes see exactly the running nodes as alive; returns the time taken.
+    pub fn run_until_converged(&mut self, most: Duration) -> Option<Duration> {
+        let start = self.now;
+        while self.now - start < most {
+            if self.converged() {
+                return Some(self.now - start);
+            }
+            self.run_for(Duration::from_millis(100));
+        }
+        None
+    }
+
+    /// Runs until all running nodes believe `of` dead; returns the time taken.
+    pub fn run_until_dead(&mut self, of: usize, most: Duration) -> Option<Duration> {
+        let start = self.now;
+        while self.now - start < most {
+            let dead = |by: &usize| matches!(self.state(*by, of), Some((MemberState::Dead, _)));
+            if (0..self.nodes.len()).filter(|by| self.nodes[*by].running).all(|by| dead(&by)) {
+                return Some(self.now - start);
+            }
+            self.run_for(Duration::from_millis(100));
+        }
+        None
+    }
+
+    pub fn converged(&self) -> bool {
+        let running: Vec<usize> = (0..self.nodes.len()).filter(|node| self.nodes[*node].running).collect();
+        running.iter().all(|node| {
+            let mut present: Vec<usize> = self.nodes[*node]
+                .membership
+                .members()
+                .filter(|(_, state)| *state == MemberState::Alive)
+                .map(|(member, _)| node_named(&member.name))
+                .collect();
+            present.push(*node);
+            present.sort_unstable();
+            present == running
+        })
+    }
+
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].running = false;
+    }
+
+    pub fn restart(&mut self, node: usize) {
+        let life = self.nodes[node].life + 1;
+        self.nodes[node].membership = self.make(node, life);
+        self.nodes[node].life = life;
+        self.nodes[node].running = true;
+        self.schedule(self.now, Event::Tick { node, life });
+    }
+
+    pub fn leave(&mut self, node: usize) {
+        self.nodes[node].membership.leave();
+        self.carry_out(node);
+        self.nodes[node].running = false;
+    }
+
+    pub fn freeze(&mut self, node: usize) {
+        self.nodes[node].frozen = true;
+    }
+
+    pub fn thaw(&mut self, node: usize) {
+        self.nodes[node].frozen = false;
+        for event in std::mem::take(&mut self.nodes[node].held) {
+            self.schedule(self.now, event);
+        }
+    }
+
+    /// State of `of` as `by` sees it.
+    pub fn state(&self, by: usize, of: usize) -> Option<(MemberState, u64)> {
+        let wanted = name(of);
+        let mut members = self.nodes[by].membership.members();
+        members.find(|(member, _)| member.name == wanted).map(|(member, state)| (state, member.incarnation))
+    }
+
+    /// Changes to dead of nodes that were running and not frozen all the while.
+    pub fn false_deaths(&self) -> Vec<&Seen> {
+        self.seen
+            .iter()
+            .filter(|seen| seen.state == MemberState::Dead && self.nodes[seen.of].running)
+            .collect()
+    }
+
+    pub fn reset_counts(&mut self) {
+        for node in &mut self.nodes {
+            (node.sent_datagrams, node.sent_bytes) = (0, 0);
+        }
+    }
+
+    fn make(&self, node: usize, life: u64) -> Membership {
+        let payload = b"store,celje-a".to_vec();
+        let member = Member { name: name(node), address: address(node), payload, incarnation: life * 1_000 };
+        Membership::new(member, self.settings.clone(), node as u64 * 1_000 + life)
+    }
+
+    fn schedule(&mut self, at: Duration, event: Event) {
+        self.event_count += 1;
+        self.events.push(Reverse((at, self.event_count, event)));
+    }
+
+    fn handle(&mut self, event: Event) {
+        let node = match &event {
+            Event::Tick { node, .. } => *node,
+            Event::Deliver { to, .. } => *to,
+        };
+        if !self.nodes[node].running {
+            return;
+        }
+        if self.nodes[node].frozen {
+            self.nodes[node].held.push(event);
+            return;
+        }
+        match event {
+            Event::Tick { node, life } => {
+                if life != self.nodes[node].life {
+                    return;
+                }
+                self.nodes[node].membership.tick(self.now);
+                let next = self.nodes[node].membership.next_tick().max(self.now + Duration::from_millis(1));
+                self.schedule(next, Event::Tick { node, life });
+            }
+            Event::Deliver { to, from, datagram } => {
+                self.nodes[to].membership.receive(self.now, from, &datagram);
+            }
+        }
+        self.carry_out(node);
+    }
+
+    fn carry_out(&mut self, node: usize) {
+        for output in self.nodes[node].membership.take_outputs() {
+            match output {
+                Output::Send { to, datagram } => self.send(node, to, datagram),
+                Output::Changed { member, state } => {
+                    self.seen.push(Seen { at: self.now, by: node, of: node_named(&member.name), state });
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddrV4, datagram: Vec<u8>) {
+        assert!(datagram.len() <= 1_200, "a datagram of {} bytes", datagram.len());
+        self.nodes[from].sent_datagrams += 1;
+        self.nodes[from].sent_bytes += datagram.len() as u64;
+        let to = node_of(to);
+        let lost = self.random.random_bool(self.loss);
+        if lost || to >= self.nodes.len() || self.nodes[from].side != self.nodes[to].side {
+            return;
+        }
+        let delay = Duration::from_micros(self.random.random_range(500..5_000));
+        self.schedule(self.now + delay, Event::Deliver { to, from: address(from), datagram });
+    }
+}
+
+/// Counts by state of what was seen of a node.
+pub fn states_seen(network: &Network, of: usize) -> BTreeMap<MemberState, usize> {
+    let mut counts = BTreeMap::new();
+    for seen in network.seen.iter().filter(|seen| seen.of == of) {
+        *counts.entry(seen.state).or_default() += 1;
+    }
+    counts
+}
--- /dev/null
+++ b/crates/membership/tests/simulation.rs
@@ -0,0 +1,205 @@
+//! Members on a simulated network, 5 to 200 of them.
+
+mod common;
+
+use common::{Network, PERIOD, states_seen};
+use pebblepost_membership::{MemberState, Settings};
+use rstest::rstest;
+use std::time::Duration;
+
+/// Longest that a member list takes to spread.
+const MOST_JOINING: Duration = Duration::from_secs(20);
+
+fn converged(size: usize, seed: u64) -> Network {
+    let mut network = Network::new(size, seed, Settings::default());
+    let time = network.run_until_converged(MOST_JOINING);
+    assert!(time.is_some(), "{size} members did not find one another");
+    network
+}
+
+#[rstest]
+#[case(5)]
+#[case(30)]
+#[case(200)]
+fn all_find_one_another(#[case] size: usize) {
+    for seed in 0..5 {
+        let network = converged(size, seed);
+        println!("{size} members: joined after {:?}", network.now);
+        assert!(network.false_deaths().is_empty());
+    }
+}
+
+#[rstest]
+#[case(5, 12)]
+#[case(20, 14)]
+#[case(200, 24)]
+fn a_dead_member_is_noticed_by_all(#[case] size: usize, #[case] most_periods: u32) {
+    for seed in 0..5 {
+        let mut network = converged(size, seed);
+        network.kill(size - 1);
+        let time = network.run_until_dead(size - 1, PERIOD * most_periods);
+        println!("{size} members: death known after {time:?}");
+        assert!(time.is_some(), "{size} members, seed {seed}");
+        assert!(network.false_deaths().is_empty());
+    }
+}
+
+#[rstest]
+#[case(5)]
+#[case(40)]
+fn loss_does_not_kill_the_living(#[case] size: usize) {
+    for seed in 0..5 {
+        let mut network = converged(size, seed);
+        network.loss = 0.1;
+        network.run_for(PERIOD * 200);
+        assert!(network.false_deaths().is_empty(), "{:?}", network.false_deaths());
+        network.loss = 0.0;
+        assert!(network.run_until_converged(PERIOD * 20).is_some());
+    }
+}
+
+#[test]
+fn without_refutation_loss_kills_the_living() {
+    let mut network = Network::new(40, 1, Settings { refute: false, ..Settings::default() });
+    network.run_until_converged(MOST_JOINING).expect("joining");
+    network.loss = 0.1;
+    network.run_for(PERIOD * 200);
+    assert!(!network.false_deaths().is_empty());
+}
+
+#[test]
+fn frozen_members_come_back_and_accuse_nobody() {
+    for seed in 0..5 {
+        let mut network = converged(30, seed);
+        network.freeze(4);
+        network.freeze(5);
+        network.run_for(PERIOD * 25);
+        assert_eq!(network.state(9, 4).map(|known| known.0), Some(MemberState::Dead));
+        network.thaw(4);
+        network.thaw(5);
+        assert!(network.run_until_converged(PERIOD * 20).is_some(), "seed {seed}");
+        let wrongly = network
+            .seen
+            .iter()
+            .filter(|seen| seen.state == MemberState::Dead && seen.of != 4 && seen.of != 5);
+        assert_eq!(wrongly.count(), 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_short_freeze_kills_nobody() {
+    for seed in 0..10 {
+        let mut network = converged(30, seed);
+        network.freeze(4);
+        network.run_for(PERIOD * 2);
+        network.thaw(4);
+        assert!(network.run_until_converged(PERIOD * 10).is_some(), "seed {seed}");
+        assert!(network.false_deaths().is_empty());
+    }
+}
+
+#[rstest]
+#[case(6, 3)]
+#[case(40, 15)]
+fn sides_of_a_cut_find_one_another_again(#[case] size: usize, #[case] cut_off: usize) {
+    for seed in 0..5 {
+        let mut network = converged(size, seed);
+        network.nodes[..cut_off].iter_mut().for_each(|node| node.side = 1);
+        network.run_for(PERIOD * 40);
+        assert_eq!(network.state(0, size - 1).map(|known| known.0), Some(MemberState::Dead));
+        network.nodes.iter_mut().for_each(|node| node.side = 0);
+        let time = network.run_until_converged(PERIOD * 40);
+        println!("{size} members: joined again after {time:?}");
+        assert!(time.is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn sides_of_a_cut_that_forgot_one_another_meet_at_the_seeds() {
+    let mut network = converged(12, 3);
+    network.nodes[..1].iter_mut().for_each(|node| node.side = 1);
+    network.run_for(PERIOD * 200);
+    assert_eq!(network.state(5, 0), None);
+    network.nodes.iter_mut().for_each(|node| node.side = 0);
+    assert!(network.run_until_converged(PERIOD * 60).is_some());
+}
+
+#[test]
+fn a_restarted_member_is_known_by_its_new_incarnation() {
+    let mut network = converged(20, 2);
+    network.kill(7);
+    network.run_for(PERIOD / 2);
+    network.restart(7);
+    network.run_for(PERIOD * 12);
+    assert!(network.converged());
+    for by in (0..20).filter(|by| *by != 7) {
+        let known = network.state(by, 7);
+        assert!(matches!(known, Some((MemberState::Alive, 2_000..))), "{known:?}");
+    }
+}
+
+#[test]
+fn one_that_died_long_ago_can_restart() {
+    let mut network = converged(20, 2);
+    network.kill(1);
+    network.run_for(PERIOD * 60);
+    network.restart(1);
+    assert!(network.run_until_converged(PERIOD * 20).is_some());
+}
+
+#[test]
+fn one_that_leaves_is_not_declared_dead() {
+    let mut network = converged(40, 5);
+    network.leave(11);
+    assert!(network.run_until_converged(PERIOD * 12).is_some());
+    let seen = states_seen(&network, 11);
+    assert_eq!(seen.get(&MemberState::Dead), None);
+    assert_eq!(seen.get(&MemberState::Left), Some(&39));
+}
+
+#[test]
+fn members_added_and_replaced_are_found() {
+    let mut network = converged(30, 6);
+    for node in [0, 1, 2, 20] {
+        network.kill(node);
+        network.run_for(PERIOD * 15);
+        network.restart(node);
+        assert!(network.run_until_converged(PERIOD * 20).is_some(), "node {node}");
+    }
+}
+
+#[test]
+fn load_stays_flat_as_the_number_of_members_grows() {
+    let load = |size| {
+        let mut network = converged(size, 1);
+        // The news of all joins travels for minutes, in datagrams sent anyway.
+        network.run_for(PERIOD * 300);
+        network.reset_counts();
+        network.run_for(PERIOD * 100);
+        let datagrams: Vec<u64> = network.nodes.iter().map(|node| node.sent_datagrams).collect();
+        let bytes: u64 = network.nodes.iter().map(|node| node.sent_bytes).sum();
+        let mean = datagrams.iter().sum::<u64>() as f64 / size as f64 / 100.0;
+        let most = datagrams.iter().max().copied().unwrap_or(0) as f64 / 100.0;
+        println!(
+            "{size}: {mean:.2} datagrams a period, {most:.2} at most, {} bytes",
+            bytes / size as u64 / 100
+        );
+        (mean, most, bytes as f64 / size as f64)
+    };
+    let (small, large) = (load(20), load(200));
+    assert!(large.0 < small.0 * 1.15, "mean datagrams {} and {}", small.0, large.0);
+    assert!(large.1 < small.1 * 1.5, "most datagrams {} and {}", small.1, large.1);
+    assert!(large.2 < small.2 * 1.3, "bytes {} and {}", small.2, large.2);
+}
+
+#[test]
+fn news_of_many_joins_stays_within_the_probes_datagrams() {
+    let mut network = converged(200, 1);
+    network.reset_counts();
+    network.run_for(PERIOD * 60);
+    let datagrams = network.nodes.iter().map(|node| node.sent_datagrams).max().unwrap_or(0);
+    let bytes = network.nodes.iter().map(|node| node.sent_bytes).max().unwrap_or(0);
+    println!("{} datagrams, {} bytes a period at most", datagrams as f64 / 60.0, bytes / 60);
+    assert!(datagrams < 60 * 3, "{datagrams}");
+    assert!(bytes < 60 * 3 * 1_200, "{bytes}");
+}
