--- a/crates/replication/src/guards.rs
+++ b/crates/replication/src/guards.rs
@@ -8,20 +8,13 @@
     pub former_majority: bool,
     /// Promises and acceptances are on disk before they are told.
     pub persisted_before_reply: bool,
-    /// A disk without a record answers only where a record names it as a witness.
-    pub unknown_disk_is_silent: bool,
     /// A record found half accepted is completed before anything builds on it.
     pub complete_found: bool,
 }
 
 impl Default for RegisterGuards {
     fn default() -> Self {
-        Self {
-            former_majority: true,
-            persisted_before_reply: true,
-            unknown_disk_is_silent: true,
-            complete_found: true,
-        }
+        Self { former_majority: true, persisted_before_reply: true, complete_found: true }
     }
 }
 
--- a/crates/replication/src/register/acceptor.rs
+++ b/crates/replication/src/register/acceptor.rs
@@ -100,10 +100,7 @@
     /// A disk that knows no record has promised nothing and answers only where the record at
     /// hand names it; a proposer always answers itself, so that no ballot is used twice.
     fn may_answer(&self, from: &Member, record: &EpochRecord) -> bool {
-        !self.guards.unknown_disk_is_silent
-            || self.state.accepted.is_some()
-            || from.disk == self.me
-            || record.is_witness(self.me)
+        self.state.accepted.is_some() || from.disk == self.me || record.is_witness(self.me)
     }
 
     fn refuse(
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -362,8 +362,9 @@
             {
                 self.take_rejection(from.disk, previous_index, hint_index, hint_epoch);
             }
-            ReplicaMessage::BeaconAck { epoch, number, matched } if epoch == self.record.epoch => {
+            ReplicaMessage::BeaconAck { epoch, number, matched, persisted } if epoch == self.record.epoch => {
                 self.take_beacon_ack(from.disk, number, matched);
+                self.take_repeated_ack(from.disk, persisted);
             }
             ReplicaMessage::SnapshotReceived { epoch, index, offset } if epoch == self.record.epoch => {
                 self.take_snapshot_received(from.disk, index, offset);
--- a/crates/replication/src/replica/follower.rs
+++ b/crates/replication/src/replica/follower.rs
@@ -180,14 +180,17 @@
         if !self.disk.is_epoch_persisted() && self.guards.persisted_before_ack {
             return;
         }
-        let Some(primary) = self.record.primary_member().cloned() else { return };
-        self.acknowledge_entries(&primary);
-        self.confirm_beacon(&primary);
+        self.acknowledge_entries();
+        self.confirm_beacon();
     }
 
-    fn acknowledge_entries(&mut self, primary: &Member) {
-        let on_disk = if self.guards.persisted_before_ack { self.disk.log_persisted() } else { u64::MAX };
-        let epoch = self.record.epoch;
+    /// How far the log is on disk, and may be acknowledged.
+    fn on_disk(&self) -> u64 {
+        if self.guards.persisted_before_ack { self.disk.log_persisted() } else { u64::MAX }
+    }
+
+    fn acknowledge_entries(&mut self) {
+        let (epoch, on_disk) = (self.record.epoch, self.on_disk());
         let Some(follower) = self.follower() else { return };
         let index = follower.matched.min(on_disk);
         let is_complete = index == follower.matched;
@@ -196,19 +199,26 @@
         }
         follower.acked = index;
         follower.wants_ack &= !is_complete;
-        self.send(primary.clone(), &ReplicaMessage::Appended { epoch, index });
+        self.send_to_primary(&ReplicaMessage::Appended { epoch, index });
     }
 
     /// From the confirmation on, this replica neither stands nor acts for the grace time.
-    fn confirm_beacon(&mut self, primary: &Member) {
-        let epoch = self.record.epoch;
+    fn confirm_beacon(&mut self) {
+        let (epoch, on_disk) = (self.record.epoch, self.on_disk());
         let Some(follower) = self.follower() else { return };
         let Some(number) = follower.unconfirmed_beacon.take() else { return };
         let matched = follower.matched;
+        let persisted = matched.min(on_disk);
         let not_before = self.now + self.settings.grace;
         self.succession.quiet_until = self.succession.quiet_until.max(not_before);
         self.succession.act_not_before = not_before;
-        self.send(primary.clone(), &ReplicaMessage::BeaconAck { epoch, number, matched });
+        self.send_to_primary(&ReplicaMessage::BeaconAck { epoch, number, matched, persisted });
+    }
+
+    fn send_to_primary(&mut self, message: &ReplicaMessage) {
+        if let Some(primary) = self.record.primary_member().cloned() {
+            self.send(primary, message);
+        }
     }
 
     pub(super) fn tick_as_follower(&mut self) {
--- a/crates/replication/src/replica/message.rs
+++ b/crates/replication/src/replica/message.rs
@@ -25,8 +25,9 @@
     AppendRejected { epoch: u64, previous_index: u64, hint_index: u64, hint_epoch: u64 },
     /// From the primary, at regular times.
     Beacon { epoch: u64, number: u64, committed: u64 },
-    /// Confirms a beacon; the log agrees with the primary's up to `matched`.
-    BeaconAck { epoch: u64, number: u64, matched: u64 },
+    /// Confirms a beacon; the log agrees with the primary's up to `matched`, and is on disk up to
+    /// `persisted` of that (as in an acknowledgement that may have been lost).
+    BeaconAck { epoch: u64, number: u64, matched: u64, persisted: u64 },
     /// A replica that is not in sync asks for the log.
     JoinRequest { epoch: u64, last_index: u64, last_epoch: u64 },
     /// A piece of a snapshot.
--- a/crates/replication/src/replica/peer.rs
+++ b/crates/replication/src/replica/peer.rs
@@ -84,6 +84,14 @@
         self.in_flight.len() < MOST_IN_FLIGHT
     }
 
+    /// Whether a message is to be sent to it now.
+    pub(super) fn has_something_due(&self, last_index: u64) -> bool {
+        if self.is_probing || self.snapshot.is_some() {
+            return self.is_probe_due;
+        }
+        self.next <= last_index && self.has_window()
+    }
+
     /// Its log agrees and is on disk up to `index`.
     pub(super) fn confirm(&mut self, index: u64, now: Duration) {
         if self.confirmed.is_none_or(|confirmed| confirmed < index) {
--- a/crates/replication/src/replica/plan.rs
+++ b/crates/replication/src/replica/plan.rs
@@ -78,6 +78,9 @@
         if !is_open || self.change.requests_in_flight > 0 || self.now < self.change.retry_at {
             return;
         }
+        if self.is_settled() {
+            return;
+        }
         let in_sync = self.wanted_in_sync();
         let hands_over = !self.is_wanted(self.me.disk);
         if hands_over && self.hand_over(&in_sync) {
@@ -91,6 +94,17 @@
         }
     }
 
+    /// Whether the membership is as it should be: the ordinary case, told cheaply.
+    fn is_settled(&self) -> bool {
+        let Role::Primary(primary) = &self.role else { return true };
+        let is_fine = |member: &Member| self.is_wanted(member.disk) && !self.is_lagging(member.disk);
+        let has_joiners = primary.peers.keys().any(|disk| !self.record.is_in_sync(*disk));
+        !primary.is_draining
+            && !has_joiners
+            && !self.change.hampers()
+            && self.record.in_sync.iter().all(is_fine)
+    }
+
     /// The in-sync replicas as they should be; as they are where nothing better is possible.
     fn wanted_in_sync(&self) -> Vec<Member> {
         let alive = self.record.in_sync.iter().filter(|member| !self.is_lagging(member.disk));
--- a/crates/replication/src/replica/primary.rs
+++ b/crates/replication/src/replica/primary.rs
@@ -194,6 +194,14 @@
         self.commit_as_primary();
     }
 
+    /// Makes up for a lost acknowledgement.
+    pub(super) fn take_repeated_ack(&mut self, from: DiskId, index: u64) {
+        let is_news = self.peer(from).is_some_and(|peer| index > peer.confirmed.unwrap_or(0));
+        if is_news {
+            self.take_appended(from, index);
+        }
+    }
+
     pub(super) fn take_rejection(
         &mut self, from: DiskId, previous_index: u64, hint_index: u64, hint_epoch: u64,
     ) {
@@ -330,9 +338,11 @@
         self.open_epoch();
         let is_open = matches!(&self.role, Role::Primary(primary) if primary.is_open);
         if is_open && !self.disk.is_hanging(self.now, self.settings.most_own_write) {
+            let last_index = self.log.last_index();
             let Some(primary) = self.primary() else { return };
-            let disks: Vec<DiskId> = primary.peers.keys().copied().collect();
-            for disk in disks {
+            let due = primary.peers.iter().filter(|(_, peer)| peer.has_something_due(last_index));
+            let due: Vec<DiskId> = due.map(|(disk, _)| *disk).collect();
+            for disk in due {
                 self.flush_peer(disk);
             }
         }
--- /dev/null
+++ b/crates/replication/tests/guards.rs
@@ -0,0 +1,45 @@
+//! Each safety guard taken out: the checkers of the simulation notice.
+
+mod simulation;
+
+use pebblepost_replication::guards::{RegisterGuards, ReplicaGuards};
+use rstest::rstest;
+use simulation::{Options, Plan, first_broken};
+
+/// Schedules within which a missing guard must show. Each case starts shortly before the first
+/// seed that shows it, so that the whole takes seconds.
+const MOST_SCHEDULES: u64 = 200;
+
+fn without_replica(plan: Plan, change: fn(&mut ReplicaGuards)) -> Options {
+    let mut options = Options::new(3, 1, plan);
+    change(&mut options.replica_guards);
+    options
+}
+
+fn without_register(change: fn(&mut RegisterGuards)) -> Options {
+    let mut options = Options::new(3, 1, Plan::Ambush);
+    change(&mut options.register_guards);
+    options
+}
+
+fn with_kept_identity() -> Options {
+    Options { wiped_keeps_identity: true, ..Options::new(3, 1, Plan::Borne) }
+}
+
+#[rstest]
+#[case::commit_waits_for_all(without_replica(Plan::Wild, |guards| guards.commit_waits_for_all = false), 0)]
+#[case::joiner_waits(without_replica(Plan::Ambush, |guards| guards.joiner_waits = false), 0)]
+#[case::joiner_is_caught_up(without_replica(Plan::Ambush, |guards| guards.joiner_is_caught_up = false), 1_500)]
+#[case::lease(without_replica(Plan::Wild, |guards| guards.lease = false), 0)]
+#[case::grace(without_replica(Plan::Wild, |guards| guards.grace = false), 0)]
+#[case::persisted_before_ack(without_replica(Plan::Wild, |guards| guards.persisted_before_ack = false), 1_150)]
+#[case::new_life_new_epoch(without_replica(Plan::Wild, |guards| guards.new_life_new_epoch = false), 300)]
+#[case::old_epochs_refused(without_replica(Plan::Wild, |guards| guards.old_epochs_refused = false), 0)]
+#[case::former_majority(without_register(|guards| guards.former_majority = false), 0)]
+#[case::persisted_before_reply(without_register(|guards| guards.persisted_before_reply = false), 0)]
+#[case::complete_found(without_register(|guards| guards.complete_found = false), 0)]
+#[case::wiped_keeps_identity(with_kept_identity(), 0)]
+fn a_missing_guard_shows(#[case] options: Options, #[case] first_seed: u64) {
+    let broken = first_broken(options, first_seed, MOST_SCHEDULES);
+    assert!(broken.is_some(), "no schedule of {MOST_SCHEDULES} breaks with {options:?}");
+}
--- /dev/null
+++ b/crates/replication/tests/register.rs
@@ -0,0 +1,268 @@
+//! The epoch register by itself: what it proposes, refuses, recovers and survives.
+
+use pebblepost_messages::{DiskId, Member};
+use pebblepost_replication::record::EpochRecord;
+use pebblepost_replication::register::{Register, RegisterOutput, WitnessState};
+use rstest::rstest;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+fn member(disk: u64) -> Member {
+    Member { disk: DiskId(disk), node: format!("n{disk}"), address: disk.to_string(), ..Member::default() }
+}
+
+fn members(disks: &[u64]) -> Vec<Member> {
+    disks.iter().map(|disk| member(*disk)).collect()
+}
+
+fn founding() -> EpochRecord {
+    EpochRecord { witnesses: members(&[1, 2, 3]), ..EpochRecord::default() }
+}
+
+fn successor(of: &EpochRecord, primary: u64) -> EpochRecord {
+    let in_sync = members(&[primary]);
+    EpochRecord { epoch: of.epoch + 1, primary: DiskId(primary), in_sync, ..of.clone() }
+}
+
+/// Registers of disks 1, 2, ... with writes that are durable at once, and what they said.
+struct Group {
+    now: Duration,
+    registers: Vec<Register>,
+    states: Vec<Option<WitnessState>>,
+    chosen: Vec<Vec<EpochRecord>>,
+    rejected: Vec<Vec<u64>>,
+    silent: Vec<u64>,
+}
+
+impl Group {
+    fn new(count: u64) -> Self {
+        let founder = |disk| (disk <= 3).then(founding);
+        let registers = (1..=count).map(|disk| Register::new(member(disk), None, founder(disk), disk));
+        let count = count as usize;
+        Self {
+            now: Duration::ZERO,
+            registers: registers.collect(),
+            states: vec![None; count],
+            chosen: vec![Vec::new(); count],
+            rejected: vec![Vec::new(); count],
+            silent: Vec::new(),
+        }
+    }
+
+    fn register(&mut self, disk: u64) -> &mut Register {
+        &mut self.registers[disk as usize - 1]
+    }
+
+    fn propose(&mut self, disk: u64, record: &EpochRecord) {
+        let now = self.now;
+        self.register(disk).propose(now, record.epoch - 1, record.clone());
+        self.settle();
+    }
+
+    /// Carries out everything until nothing is under way.
+    fn settle(&mut self) {
+        let mut messages: VecDeque<(u64, u64, Vec<u8>)> = VecDeque::new();
+        loop {
+            for disk in 1..=self.registers.len() as u64 {
+                self.collect(disk, &mut messages);
+            }
+            let Some((from, to, message)) = messages.pop_front() else { return };
+            let is_lost = self.silent.contains(&from) || self.silent.contains(&to);
+            if !is_lost && to as usize <= self.registers.len() {
+                let now = self.now;
+                self.register(to).receive(now, &member(from), &message);
+            }
+        }
+    }
+
+    fn collect(&mut self, disk: u64, messages: &mut VecDeque<(u64, u64, Vec<u8>)>) {
+        let now = self.now;
+        let place = disk as usize - 1;
+        for output in self.register(disk).take_outputs() {
+            match output {
+                RegisterOutput::Send { to, message } => messages.push_back((disk, to.disk.0, message)),
+                RegisterOutput::Persist { token, state } => {
+                    self.states[place] = Some(state);
+                    self.register(disk).persisted(now, token);
+                }
+                RegisterOutput::Chosen(record) => self.chosen[place].push(record),
+                RegisterOutput::Rejected { epoch } => self.rejected[place].push(epoch),
+            }
+        }
+    }
+
+    /// Lets time pass, tick by tick.
+    fn pass(&mut self, milliseconds: u64) {
+        for _ in 0..milliseconds / 50 {
+            self.now += Duration::from_millis(50);
+            let now = self.now;
+            self.registers.iter_mut().for_each(|register| register.tick(now));
+            self.settle();
+        }
+    }
+
+    /// The process starts anew with what its disk holds.
+    fn restart(&mut self, disk: u64) {
+        let recovered = self.states[disk as usize - 1].clone();
+        *self.register(disk) = Register::new(member(disk), recovered, Some(founding()), 99);
+    }
+}
+
+#[rstest]
+fn a_proposal_is_chosen_and_everybody_learns() {
+    let mut group = Group::new(3);
+    let first = successor(&founding(), 2);
+    group.propose(2, &first);
+    for disk in 1..=3 {
+        assert_eq!(group.register(disk).chosen(), Some(&first), "disk {disk}");
+    }
+    assert!(group.rejected.iter().all(Vec::is_empty));
+}
+
+#[rstest]
+fn a_proposal_on_an_old_epoch_is_rejected() {
+    let mut group = Group::new(3);
+    let first = successor(&founding(), 2);
+    group.silent = vec![1];
+    group.propose(2, &first);
+    group.silent.clear();
+    let other = successor(&founding(), 1);
+    group.propose(1, &other);
+    group.pass(1_500);
+    assert_eq!(group.rejected[0], vec![1]);
+    assert_eq!(group.register(1).chosen(), Some(&first));
+}
+
+#[rstest]
+#[case::two_epochs_on(|record: &mut EpochRecord| record.epoch += 1)]
+#[case::witnesses_without_former(|record: &mut EpochRecord| record.witnesses = members(&[1, 2, 4]))]
+#[case::wrong_former(|record: &mut EpochRecord| {
+    record.witnesses = members(&[1, 2, 4]);
+    record.former_witnesses = members(&[1, 2]);
+})]
+#[case::no_witnesses(|record: &mut EpochRecord| {
+    record.former_witnesses = std::mem::take(&mut record.witnesses);
+})]
+fn an_illegal_change_is_rejected(#[case] change: fn(&mut EpochRecord)) {
+    let mut group = Group::new(4);
+    let mut record = successor(&founding(), 1);
+    change(&mut record);
+    group.register(1).propose(Duration::ZERO, 0, record.clone());
+    group.settle();
+    assert_eq!(group.rejected[0], vec![record.epoch]);
+    assert_eq!(group.register(1).chosen(), Some(&founding()));
+}
+
+#[rstest]
+fn witnesses_change_in_two_steps_and_not_in_the_middle_of_another_change() {
+    let mut group = Group::new(5);
+    let mut start = successor(&founding(), 1);
+    start.former_witnesses = start.witnesses.clone();
+    start.witnesses = members(&[1, 2, 4]);
+    group.propose(1, &start);
+    assert_eq!(group.register(4).chosen(), Some(&start));
+
+    let mut second = successor(&start, 1);
+    second.witnesses = members(&[1, 4, 5]);
+    group.propose(1, &second);
+    assert_eq!(group.rejected[0], vec![2]);
+
+    let mut finish = successor(&start, 1);
+    finish.former_witnesses.clear();
+    group.propose(1, &finish);
+    assert_eq!(group.register(4).chosen(), Some(&finish));
+    group.silent = vec![2, 3];
+    group.propose(4, &successor(&finish, 4));
+    assert_eq!(group.register(1).chosen().map(|record| record.epoch), Some(3));
+}
+
+#[rstest]
+fn without_a_majority_nothing_is_chosen_and_the_proposal_ends() {
+    let mut group = Group::new(3);
+    group.silent = vec![2, 3];
+    group.propose(1, &successor(&founding(), 1));
+    group.pass(1_500);
+    assert_eq!(group.rejected[0], vec![1]);
+    assert_eq!(group.register(1).chosen(), Some(&founding()));
+}
+
+/// A record that one witness accepted is completed by the next proposer before anything else.
+#[rstest]
+fn a_half_accepted_record_is_completed() {
+    let mut group = Group::new(3);
+    let first = successor(&founding(), 1);
+    group.register(1).propose(Duration::ZERO, 0, first.clone());
+    let mut messages = VecDeque::new();
+    for wave in 0..4 {
+        // Prepares, writes, promises, accepts; the accepts reach the proposer itself only.
+        (1..=3).for_each(|disk| group.collect(disk, &mut messages));
+        for (from, to, message) in std::mem::take(&mut messages) {
+            if wave < 3 || to == 1 {
+                group.register(to).receive(Duration::ZERO, &member(from), &message);
+            }
+        }
+    }
+    (1..=3).for_each(|disk| group.collect(disk, &mut messages));
+    assert_eq!(group.states[0].as_ref().and_then(|state| state.accepted.clone()), Some(first.clone()));
+    assert_eq!(group.states[1].as_ref().and_then(|state| state.accepted.clone()), Some(founding()));
+    assert_eq!(group.states[2].as_ref().and_then(|state| state.accepted.clone()), Some(founding()));
+
+    // Disk 2 hears disk 1 but not disk 3: it finds the record and completes it.
+    group.silent = vec![3];
+    group.propose(2, &successor(&founding(), 2));
+    group.pass(1_500);
+    assert_eq!(group.register(2).chosen(), Some(&first));
+    assert_eq!(group.rejected[1], vec![1]);
+    let accepted = |place: usize| group.states[place].as_ref().and_then(|state| state.accepted.clone());
+    assert_eq!((accepted(0), accepted(1)), (Some(first.clone()), Some(first)));
+}
+
+#[rstest]
+fn a_witness_that_restarts_learns_what_is_chosen() {
+    let mut group = Group::new(3);
+    let first = successor(&founding(), 2);
+    group.propose(2, &first);
+    (1..=3).for_each(|disk| group.restart(disk));
+    assert_eq!(group.register(1).chosen(), None);
+    group.pass(2_000);
+    for disk in 1..=3 {
+        assert_eq!(group.register(disk).chosen(), Some(&first), "disk {disk}");
+    }
+}
+
+#[rstest]
+fn a_disk_without_a_record_says_nothing_until_a_record_names_it() {
+    let mut group = Group::new(5);
+    group.silent = vec![2, 3];
+    group.propose(1, &successor(&founding(), 1));
+    group.propose(5, &successor(&founding(), 5));
+    assert_eq!(group.rejected[4], vec![1]);
+    assert!(group.states[3].is_none() && group.states[4].is_none());
+}
+
+#[rstest]
+fn a_newcomer_is_introduced() {
+    let mut group = Group::new(4);
+    let first = successor(&founding(), 2);
+    group.propose(2, &first);
+    let newcomer = member(4);
+    group.register(1).introduce(&newcomer);
+    group.settle();
+    assert_eq!(group.register(4).chosen(), Some(&first));
+}
+
+#[rstest]
+fn bytes_that_are_no_message_are_dropped() {
+    let mut group = Group::new(1);
+    let mut bytes = Vec::new();
+    for length in 0..200_u8 {
+        for first in 0..8 {
+            if let Some(byte) = bytes.first_mut() {
+                *byte = first;
+            }
+            group.register(1).receive(Duration::ZERO, &member(2), &bytes);
+        }
+        bytes.push(length.wrapping_mul(151) | 0xc0);
+    }
+    assert_eq!(group.register(1).chosen(), Some(&founding()));
+}
--- /dev/null
+++ b/crates/replication/tests/simulation/faults.rs
@@ -0,0 +1,358 @@
+//! Faults and when they happen.
+
+use super::Plan;
+use super::random::Random;
+use super::world::{Event, MILLISECOND, SECOND, World};
+
+/// Something that goes wrong, or ends.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    Start(usize),
+    Kill(usize),
+    KillAll,
+    Wipe(usize),
+    /// The machine is gone; another with an empty disk comes at a new address.
+    Replace(usize),
+    Freeze(usize),
+    Thaw(usize),
+    Cut {
+        from: usize,
+        to: usize,
+    },
+    Join {
+        from: usize,
+        to: usize,
+    },
+    Loss(u64),
+    DiskHangs(usize, u64),
+    /// What the machine sends takes so much longer.
+    Slow(usize, u64),
+    /// Messages of the replicas to the machine are lost.
+    Deaf(usize, bool),
+    Targets(Vec<usize>),
+    /// A client's acknowledgement is followed at once by a loss: the acting machine is wiped.
+    WipeActing,
+    KillActing,
+}
+
+/// Time that a machine counts as lost after its return.
+const CATCH_UP: u64 = 4_500 * MILLISECOND;
+/// When the first fault may happen: after the founding, or shortly before its end.
+const FIRST_FAULT: u64 = 700 * MILLISECOND;
+
+/// Schedules the faults of a world; when they end.
+pub fn plan(world: &mut World) -> u64 {
+    match world.options.plan {
+        Plan::Wild => plan_wild(world, true),
+        Plan::Borne => plan_borne(world),
+        Plan::Targets => {
+            let end = plan_wild(world, false);
+            plan_targets(world, end);
+            end
+        }
+        Plan::Ambush => plan_ambush(world),
+    }
+}
+
+/// A span between two faults: sometimes long enough to settle, sometimes not.
+fn pause(random: &mut Random) -> u64 {
+    if random.permille(300) {
+        random.range(0, 60) * MILLISECOND
+    } else {
+        random.range(60, 1_500) * MILLISECOND
+    }
+}
+
+fn duration(random: &mut Random) -> u64 {
+    if random.permille(300) {
+        random.range(5, 120) * MILLISECOND
+    } else {
+        random.range(120, 2_000) * MILLISECOND
+    }
+}
+
+fn plan_wild(world: &mut World, loses_disks: bool) -> u64 {
+    let mut lost_disks = 0;
+    let mut at = FIRST_FAULT + world.random.range(0, 1_500) * MILLISECOND;
+    let count = world.random.range(3, 12);
+    for _ in 0..count {
+        let may_lose = loses_disks && lost_disks < world.options.tolerance;
+        lost_disks += usize::from(plan_one(world, at, may_lose));
+        at += pause(&mut world.random);
+    }
+    at + 200 * MILLISECOND
+}
+
+/// Schedules one fault and its end; whether a disk is lost by it.
+fn plan_one(world: &mut World, at: u64, may_lose: bool) -> bool {
+    let machines = world.options.machines;
+    let slot = world.random.index(machines);
+    let length = duration(&mut world.random);
+    match world.random.range(0, 17) {
+        0 | 1 => plan_stop(world, at, Fault::Kill(slot), slot, length),
+        2 => plan_stop(world, at, Fault::KillActing, slot, length),
+        3 => {
+            world.schedule_at(at, Event::Fault(Fault::KillAll));
+            for slot in 0..machines {
+                let later = duration(&mut world.random);
+                world.schedule_at(at + later, Event::Fault(Fault::Start(slot)));
+            }
+        }
+        4 | 5 => {
+            world.schedule_at(at, Event::Fault(Fault::Freeze(slot)));
+            world.schedule_at(at + length, Event::Fault(Fault::Thaw(slot)));
+        }
+        6 | 7 => plan_isolation(world, at, slot, length),
+        8 => {
+            let other = (slot + 1 + world.random.index(machines - 1)) % machines;
+            plan_cut(world, at, slot, other, length);
+            if world.random.permille(500) {
+                plan_cut(world, at, other, slot, length);
+            }
+        }
+        9 => {
+            let share = world.random.range(50, 500);
+            world.schedule_at(at, Event::Fault(Fault::Loss(share)));
+            world.schedule_at(at + length, Event::Fault(Fault::Loss(0)));
+        }
+        10 => world.schedule_at(at, Event::Fault(Fault::DiskHangs(slot, length))),
+        15 | 16 => {
+            let extra = duration(&mut world.random);
+            world.schedule_at(at, Event::Fault(Fault::Slow(slot, extra)));
+            world.schedule_at(at + length, Event::Fault(Fault::Slow(slot, 0)));
+        }
+        11 if may_lose => {
+            plan_stop(world, at, Fault::Wipe(slot), slot, length);
+            return true;
+        }
+        12 if may_lose => {
+            world.schedule_at(at, Event::Fault(Fault::WipeActing));
+            return true;
+        }
+        13 if may_lose => {
+            world.schedule_at(at, Event::Fault(Fault::Replace(slot)));
+            return true;
+        }
+        _ => plan_stop(world, at, Fault::Kill(slot), slot, length / 4),
+    }
+    false
+}
+
+fn plan_stop(world: &mut World, at: u64, fault: Fault, slot: usize, length: u64) {
+    world.schedule_at(at, Event::Fault(fault));
+    world.schedule_at(at + length, Event::Fault(Fault::Start(slot)));
+}
+
+fn plan_cut(world: &mut World, at: u64, from: usize, to: usize, length: u64) {
+    world.schedule_at(at, Event::Fault(Fault::Cut { from, to }));
+    world.schedule_at(at + length, Event::Fault(Fault::Join { from, to }));
+}
+
+/// Cuts a machine off from all others, in one direction or both.
+fn plan_isolation(world: &mut World, at: u64, slot: usize, length: u64) {
+    let directions = world.random.range(0, 4);
+    for other in (0..world.options.machines).filter(|other| *other != slot) {
+        if directions != 1 {
+            plan_cut(world, at, slot, other, length);
+        }
+        if directions != 2 {
+            plan_cut(world, at, other, slot, length);
+        }
+    }
+}
+
+/// At most as many machines as are to be borne are lost at a time.
+fn plan_borne(world: &mut World) -> u64 {
+    let mut present: Vec<usize> = (0..world.options.machines).collect();
+    let mut spare = world.options.machines;
+    // When each machine that may be lost together counts as back.
+    let mut lost_until = vec![0; world.options.tolerance];
+    let mut at = 2 * SECOND;
+    for _ in 0..world.random.range(4, 7) {
+        let Some(place) = lost_until.iter().position(|until| *until <= at) else {
+            at = lost_until.iter().copied().min().unwrap_or(at);
+            continue;
+        };
+        let position = world.random.index(present.len());
+        let slot = present[position];
+        let length = duration(&mut world.random);
+        if spare < super::world::MOST_REPLACED && world.random.permille(400) {
+            world.schedule_at(at, Event::Fault(Fault::Replace(slot)));
+            present[position] = spare;
+            spare += 1;
+            lost_until[place] = at + CATCH_UP;
+        } else {
+            let fault = if world.random.permille(600) { Fault::Wipe(slot) } else { Fault::Kill(slot) };
+            plan_stop(world, at, fault, slot, length);
+            lost_until[place] = at + length + CATCH_UP;
+        }
+        at += world.random.range(0, 2 * CATCH_UP);
+    }
+    at + CATCH_UP
+}
+
+/// The wanted holders change a few times.
+fn plan_targets(world: &mut World, end: u64) {
+    let machines = world.options.machines;
+    for _ in 0..3 {
+        let at = world.random.range(SECOND, end);
+        let first = world.random.index(machines);
+        let count = world.options.tolerance + 1 + world.random.index(machines - world.options.tolerance);
+        let targets = (0..count).map(|step| (first + step) % machines).collect();
+        world.schedule_at(at, Event::Fault(Fault::Targets(targets)));
+    }
+}
+
+/// Machines are stopped or cut off one at a time, long enough to be dropped, and come back; the
+/// ambushes do the rest.
+fn plan_ambush(world: &mut World) -> u64 {
+    let spare = world.add_slot(false);
+    world.schedule(SECOND, Event::Fault(Fault::Start(spare)));
+    let mut at = 1_500 * MILLISECOND;
+    for _ in 0..world.random.range(2, 4) {
+        let slot = world.random.index(world.options.machines);
+        let length = world.random.range(900, 2_800) * MILLISECOND;
+        if world.random.permille(500) {
+            plan_stop(world, at, Fault::Kill(slot), slot, length);
+        } else {
+            plan_isolation(world, at, slot, length);
+        }
+        at += length + world.random.range(0, 1_500) * MILLISECOND;
+    }
+    at
+}
+
+/// Strikes in so many of a thousand cases.
+const STRIKES_PERMILLE: u64 = 250;
+
+fn strikes(world: &mut World) -> bool {
+    let is_due = world.options.plan == Plan::Ambush && !world.are_faults_over();
+    is_due && world.random.permille(STRIKES_PERMILLE)
+}
+
+/// A machine proposes an epoch record: soon after, links between random machines break.
+pub fn strike_at_proposal(world: &mut World) {
+    if !strikes(world) {
+        return;
+    }
+    if world.random.permille(500) {
+        let share = world.random.range(300, 800);
+        let length = world.random.range(20, 300) * MILLISECOND;
+        let at = world.now + world.random.range(0, 6 * MILLISECOND);
+        world.schedule_at(at, Event::Fault(Fault::Loss(share)));
+        world.schedule_at(at + length, Event::Fault(Fault::Loss(0)));
+        return;
+    }
+    let count = world.slots.len();
+    for _ in 0..world.random.range(1, 5) {
+        let at = world.now + world.random.range(0, 12 * MILLISECOND);
+        let from = world.random.index(count);
+        let to = (from + 1 + world.random.index(count - 1)) % count;
+        let length = world.random.range(50, 900) * MILLISECOND;
+        plan_cut(world, at, from, to, length);
+        plan_cut(world, at, to, from, length);
+    }
+}
+
+/// A joiner is proposed: it hears no more entries, an entry is proposed at once, and soon all
+/// the others die for a while.
+pub fn strike_at_join(world: &mut World, primary: usize, joiner: usize) {
+    if !strikes(world) {
+        return;
+    }
+    let deaf_for = world.random.range(100, 400) * MILLISECOND;
+    apply(world, Fault::Deaf(joiner, true));
+    world.schedule(deaf_for, Event::Fault(Fault::Deaf(joiner, false)));
+    world.propose(primary);
+    let dies_in = world.random.range(5, 40) * MILLISECOND;
+    for slot in (0..world.slots.len()).filter(|slot| *slot != joiner) {
+        let at = world.now + dies_in;
+        let length = world.random.range(200, 500) * MILLISECOND;
+        plan_stop(world, at, Fault::Kill(slot), slot, length);
+    }
+}
+
+/// A change of the witnesses starts: the primary and the new witness are parted from the others,
+/// among them the witness that was taken to be gone.
+pub fn strike_at_witness_change(world: &mut World, primary: usize, new_witness: usize) {
+    if !strikes(world) {
+        return;
+    }
+    world.cuts.iter_mut().flatten().for_each(|cut| *cut = 0);
+    let at = world.now + world.random.range(0, 12 * MILLISECOND);
+    let length = world.random.range(1_500, 3_000) * MILLISECOND;
+    for slot in 0..world.slots.len() {
+        world.start(slot);
+        if slot != primary && slot != new_witness {
+            for side in [primary, new_witness] {
+                plan_cut(world, at, slot, side, length);
+                plan_cut(world, at, side, slot, length);
+            }
+        }
+    }
+}
+
+/// A record was chosen: everything loses power.
+pub fn strike_at_choice(world: &mut World) {
+    if !strikes(world) || world.random.permille(600) {
+        return;
+    }
+    let at = world.now + world.random.range(0, 3 * MILLISECOND);
+    for slot in 0..world.slots.len() {
+        let length = world.random.range(50, 400) * MILLISECOND;
+        plan_stop(world, at, Fault::Kill(slot), slot, length);
+    }
+}
+
+/// Carries a fault out.
+pub fn apply(world: &mut World, fault: Fault) {
+    match fault {
+        Fault::Start(slot) => world.start(slot),
+        Fault::Kill(slot) => world.stop(slot),
+        Fault::KillAll => (0..world.slots.len()).for_each(|slot| world.stop(slot)),
+        Fault::Wipe(slot) => world.wipe(slot),
+        Fault::Replace(slot) => replace(world, slot),
+        Fault::Freeze(slot) => world.slots[slot].is_frozen = world.slots[slot].process.is_some(),
+        Fault::Thaw(slot) => world.thaw(slot),
+        Fault::Cut { from, to } => world.cuts[from][to] += 1,
+        Fault::Join { from, to } => world.cuts[from][to] = world.cuts[from][to].saturating_sub(1),
+        Fault::Loss(share) => world.loss_permille = share,
+        Fault::DiskHangs(slot, length) => world.slots[slot].disk.hangs_until = world.now + length,
+        Fault::Slow(slot, extra) => world.slots[slot].extra_delay = extra,
+        Fault::Deaf(slot, is_deaf) => world.slots[slot].is_deaf = is_deaf,
+        Fault::Targets(targets) => world.set_targets(&targets),
+        Fault::WipeActing => {
+            if let Some(slot) = world.acting().first().copied() {
+                world.wipe(slot);
+                world.schedule(100 * MILLISECOND, Event::Fault(Fault::Start(slot)));
+            }
+        }
+        Fault::KillActing => {
+            if let Some(slot) = world.acting().first().copied() {
+                world.stop(slot);
+                world.schedule(100 * MILLISECOND, Event::Fault(Fault::Start(slot)));
+            }
+        }
+    }
+}
+
+fn replace(world: &mut World, slot: usize) {
+    world.stop(slot);
+    world.slots[slot].is_removed = true;
+    let successor = world.add_slot(false);
+    let delay = world.random.range(100, 1_500) * MILLISECOND;
+    world.schedule(delay, Event::Fault(Fault::Start(successor)));
+}
+
+/// Ends all faults: everything that exists runs and is connected.
+pub fn heal_everything(world: &mut World) {
+    world.cuts.iter_mut().flatten().for_each(|cut| *cut = 0);
+    world.loss_permille = 0;
+    for slot in 0..world.slots.len() {
+        world.slots[slot].disk.hangs_until = 0;
+        world.slots[slot].extra_delay = 0;
+        world.slots[slot].is_deaf = false;
+        world.thaw(slot);
+        world.start(slot);
+    }
+}
--- /dev/null
+++ b/crates/replication/tests/simulation/process.rs
@@ -0,0 +1,100 @@
+//! A process: a register and a replica, and what a control program does around them.
+
+use super::machine::ListMachine;
+use super::{Options, settings};
+use pebblepost_messages::{DiskId, Member};
+use pebblepost_replication::record::EpochRecord;
+use pebblepost_replication::register::{Register, WitnessState};
+use pebblepost_replication::replica::{DiskRecord, Replica};
+use pebblepost_replication::witnesses::next_witness_step;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A member not heard for so long is taken to be gone, by the driver of the witness set.
+const GONE_AFTER: Duration = Duration::from_millis(1500);
+/// A member not heard for so long had its connection opened anew.
+const RECONNECTED_AFTER: Duration = Duration::from_millis(700);
+
+pub struct Process {
+    pub me: Member,
+    pub register: Register,
+    pub replica: Replica<ListMachine>,
+    /// The replica waits for the register's answer.
+    pub change_in_flight: bool,
+    /// Entries proposed by clients in this life.
+    pub proposals: BTreeMap<u64, u64>,
+    /// Applied entries that were checked.
+    pub checked: usize,
+    heard: BTreeMap<DiskId, (Member, Duration)>,
+    clock_offset: u64,
+    wanted_witnesses: usize,
+}
+
+impl Process {
+    pub fn new(
+        options: &Options, me: Member, recovered: (Option<WitnessState>, Vec<DiskRecord>),
+        founding: Option<EpochRecord>, now: u64, seed: u64,
+    ) -> Self {
+        let clock_offset = seed % 1_000_000_000;
+        let local = Duration::from_micros(now + clock_offset);
+        let guards = options.register_guards;
+        let register = Register::with_guards(me.clone(), recovered.0, founding.clone(), seed, guards);
+        let guards = options.replica_guards;
+        let settings = settings(options.tolerance);
+        let state = ListMachine::default();
+        let mut replica = Replica::with_guards(me.clone(), settings, state, recovered.1, local, guards);
+        if let Some(founding) = &founding {
+            replica.configure(local, founding);
+        }
+        Self {
+            me,
+            register,
+            replica,
+            change_in_flight: false,
+            proposals: BTreeMap::new(),
+            checked: 0,
+            heard: BTreeMap::new(),
+            clock_offset,
+            wanted_witnesses: 2 * options.tolerance + 1,
+        }
+    }
+
+    /// The process's own steady clock.
+    pub fn local(&self, now: u64) -> Duration {
+        Duration::from_micros(now + self.clock_offset)
+    }
+
+    /// A greeting of a connected member; whoever was away is told the newest record.
+    pub fn hear(&mut self, now: u64, from: &Member) {
+        let local = self.local(now);
+        let last = self.heard.insert(from.disk, (from.clone(), local));
+        if last.is_none_or(|(_, at)| local - at > RECONNECTED_AFTER) {
+            self.register.introduce(from);
+        }
+    }
+
+    /// Replaces witnesses that are gone, one at a time; the new witness where a change starts.
+    pub fn drive_witnesses(&mut self, now: u64) -> Option<Member> {
+        let local = self.local(now);
+        let is_free = !self.change_in_flight && !self.register.is_proposing();
+        if !is_free || !self.replica.is_acting(local) {
+            return None;
+        }
+        let record = self.replica.record();
+        let is_living = |(_, at): &&(Member, Duration)| local - *at < GONE_AFTER;
+        let witnesses_live = record.witnesses.iter().all(|witness| {
+            witness.disk == self.me.disk || self.heard.get(&witness.disk).as_ref().is_some_and(is_living)
+        });
+        if witnesses_live && record.former_witnesses.is_empty() {
+            return None;
+        }
+        let mut living: Vec<Member> =
+            self.heard.values().filter(is_living).map(|(member, _)| member.clone()).collect();
+        living.push(self.me.clone());
+        let next = next_witness_step(record, &living, self.wanted_witnesses)?;
+        let new_witness = next.witnesses.iter().find(|member| !record.is_witness(member.disk)).cloned();
+        let expected = record.epoch;
+        self.register.propose(local, expected, next);
+        new_witness
+    }
+}
--- /dev/null
+++ b/crates/replication/tests/simulation/world.rs
@@ -0,0 +1,587 @@
+//! The world: machines, links, time, clients.
+
+use super::checker::Checker;
+use super::disk::{SimulatedDisk, Stored, Waiter};
+use super::faults::{self, Fault};
+use super::process::Process;
+use super::random::Random;
+use super::{Options, Plan};
+use pebblepost_messages::{DiskId, Member};
+use pebblepost_replication::record::EpochRecord;
+use pebblepost_replication::register::RegisterOutput;
+use pebblepost_replication::replica::ReplicaOutput;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::rc::Rc;
+
+/// How a broken liveness rule is told from a broken safety rule.
+pub const LIVENESS: &str = "liveness";
+
+pub const MILLISECOND: u64 = 1_000;
+pub const SECOND: u64 = 1_000_000;
+const TICK: u64 = 50 * MILLISECOND;
+const GREETING: u64 = 300 * MILLISECOND;
+const CLIENT_PERIOD: u64 = 40 * MILLISECOND;
+/// After the end of the faults: until a primary acts, and until the end.
+const RECOVERY: u64 = 3 * SECOND;
+const CALM: u64 = RECOVERY + SECOND;
+/// A replica writes a checkpoint when its disk holds more records.
+const CHECKPOINT_RECORDS: usize = 60;
+
+#[derive(Clone)]
+pub enum Payload {
+    Register(Vec<u8>),
+    Replica(Vec<u8>),
+    Greeting,
+}
+
+pub enum Event {
+    Deliver { to: usize, from: Rc<Member>, payload: Payload },
+    Synced { slot: usize, life: u64 },
+    Tick { slot: usize, life: u64 },
+    Greet,
+    Client,
+    Fault(Fault),
+    FaultsEnd,
+    MustAct,
+    End,
+}
+
+/// A machine's place: address, disk, process.
+pub struct Slot {
+    pub member: Rc<Member>,
+    pub disk: SimulatedDisk,
+    pub process: Option<Process>,
+    pub life: u64,
+    pub is_founder: bool,
+    pub is_removed: bool,
+    pub is_frozen: bool,
+    pub extra_delay: u64,
+    pub is_deaf: bool,
+    /// What arrived while the machine was frozen.
+    inbox: Vec<Event>,
+}
+
+pub struct Summary {
+    pub acknowledged: u64,
+}
+
+pub struct World {
+    pub options: Options,
+    pub random: Random,
+    pub now: u64,
+    pub slots: Vec<Slot>,
+    /// Cuts from one machine to another, counted.
+    pub cuts: Vec<Vec<u32>>,
+    pub loss_permille: u64,
+    pub checker: Checker,
+    queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    events: Vec<Option<Event>>,
+    free: Vec<usize>,
+    sequence: u64,
+    last_delivery: Vec<Vec<u64>>,
+    founding: EpochRecord,
+    next_value: u64,
+    faults_end: u64,
+    acknowledged_at_end: u64,
+}
+
+/// Most machines of one schedule, spares included.
+pub const MOST_SLOTS: usize = 12;
+/// Slots that replacements may fill.
+pub const MOST_REPLACED: usize = 11;
+
+impl World {
+    pub fn new(options: Options, seed: u64) -> Self {
+        let mut world = Self {
+            options,
+            random: Random::new(seed),
+            now: 0,
+            slots: Vec::new(),
+            cuts: vec![vec![0; MOST_SLOTS]; MOST_SLOTS],
+            loss_permille: 0,
+            checker: Checker::default(),
+            queue: BinaryHeap::new(),
+            events: Vec::new(),
+            free: Vec::new(),
+            sequence: 0,
+            last_delivery: vec![vec![0; MOST_SLOTS]; MOST_SLOTS],
+            founding: EpochRecord::default(),
+            next_value: 1,
+            faults_end: 0,
+            acknowledged_at_end: 0,
+        };
+        world.set_up();
+        world
+    }
+
+    fn set_up(&mut self) {
+        for _ in 0..self.options.machines {
+            self.add_slot(true);
+        }
+        self.founding.witnesses = self.slots.iter().map(|slot| (*slot.member).clone()).collect();
+        for slot in 0..self.slots.len() {
+            let delay = self.random.range(0, 200 * MILLISECOND);
+            self.schedule(delay, Event::Fault(Fault::Start(slot)));
+        }
+        self.schedule(0, Event::Greet);
+        self.schedule(SECOND, Event::Client);
+        self.faults_end = faults::plan(self);
+        let end = self.faults_end;
+        self.schedule_at(end, Event::FaultsEnd);
+        self.schedule_at(end + RECOVERY, Event::MustAct);
+        self.schedule_at(end + CALM, Event::End);
+    }
+
+    /// Adds a machine with an empty disk at a new address; it is not started yet.
+    pub fn add_slot(&mut self, is_founder: bool) -> usize {
+        let slot = self.slots.len();
+        let disk = if is_founder { DiskId(slot as u64 + 1) } else { self.new_disk() };
+        self.slots.push(Slot {
+            member: Rc::new(member(slot, disk)),
+            disk: SimulatedDisk::default(),
+            process: None,
+            life: 0,
+            is_founder,
+            is_removed: false,
+            is_frozen: false,
+            extra_delay: 0,
+            is_deaf: false,
+            inbox: Vec::new(),
+        });
+        slot
+    }
+
+    fn new_disk(&mut self) -> DiskId {
+        DiskId(1000 + self.random.next() % 1_000_000_000)
+    }
+
+    pub fn schedule(&mut self, delay: u64, event: Event) {
+        self.schedule_at(self.now + delay, event);
+    }
+
+    pub fn schedule_at(&mut self, at: u64, event: Event) {
+        let place = self.free.pop().unwrap_or_else(|| {
+            self.events.push(None);
+            self.events.len() - 1
+        });
+        self.events[place] = Some(event);
+        self.sequence += 1;
+        self.queue.push(Reverse((at, self.sequence, place)));
+    }
+
+    pub fn run(&mut self) -> Result<Summary, String> {
+        while let Some(Reverse((at, _, place))) = self.queue.pop() {
+            self.now = at;
+            let event = self.events[place].take().expect("an event at its place");
+            self.free.push(place);
+            if matches!(event, Event::End) {
+                break;
+            }
+            self.handle(event);
+            if let Some(broken) = self.checker.broken.take() {
+                return Err(format!("at {} ms: {broken}", self.now / MILLISECOND));
+            }
+        }
+        if self.checker.acknowledged == self.acknowledged_at_end {
+            return Err(format!("{LIVENESS}: nothing acknowledged after the faults: {}", self.describe()));
+        }
+        Ok(Summary { acknowledged: self.checker.acknowledged })
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Deliver { to, from, payload } => self.deliver(to, from, payload),
+            Event::Synced { slot, life } => self.synced(slot, life),
+            Event::Tick { slot, life } => self.tick(slot, life),
+            Event::Greet => self.greet(),
+            Event::Client => self.client(),
+            Event::Fault(fault) => faults::apply(self, fault),
+            Event::FaultsEnd => self.end_faults(),
+            Event::MustAct => self.must_act(),
+            Event::End => {}
+        }
+    }
+
+    pub fn are_faults_over(&self) -> bool {
+        self.faults_end > 0 && self.now >= self.faults_end
+    }
+
+    fn end_faults(&mut self) {
+        faults::heal_everything(self);
+        self.acknowledged_at_end = self.checker.acknowledged;
+    }
+
+    fn must_act(&mut self) {
+        if self.acting().is_empty() {
+            let broken = format!("{LIVENESS}: nobody acts: {}", self.describe());
+            self.checker.fail(broken);
+        }
+    }
+
+    /// What each machine takes to be the case, for reports.
+    pub fn describe(&self) -> String {
+        let describe = |slot: &Slot| {
+            let process = slot.process.as_ref()?;
+            let record = process.replica.record();
+            let disks = |members: &[Member]| members.iter().map(|m| m.disk.0).collect::<Vec<_>>();
+            Some(format!(
+                "[{} epoch {} primary {} in sync {:?} witnesses {:?} former {:?} committed {} progress {:?}]",
+                slot.member.disk.0,
+                record.epoch,
+                record.primary.0,
+                disks(&record.in_sync),
+                disks(&record.witnesses),
+                disks(&record.former_witnesses),
+                process.replica.committed(),
+                process.replica.progress(),
+            ))
+        };
+        self.slots.iter().filter_map(describe).collect()
+    }
+
+    /// Starts the process of a machine that is down.
+    pub fn start(&mut self, slot: usize) {
+        if self.slots[slot].is_removed || self.slots[slot].process.is_some() {
+            return;
+        }
+        let seed = self.random.next();
+        let place = &mut self.slots[slot];
+        place.life += 1;
+        place.is_frozen = false;
+        place.inbox.clear();
+        let founding = place.is_founder.then(|| self.founding.clone());
+        let me = (*place.member).clone();
+        let recovered = place.disk.recovered();
+        place.process = Some(Process::new(&self.options, me, recovered, founding, self.now, seed));
+        let life = place.life;
+        self.schedule(seed % TICK, Event::Tick { slot, life });
+        self.drain(slot);
+    }
+
+    /// Stops the process; the disk keeps what was durable and some of the rest.
+    pub fn stop(&mut self, slot: usize) {
+        let place = &mut self.slots[slot];
+        place.process = None;
+        place.is_frozen = false;
+        place.life += 1;
+        place.inbox.clear();
+        place.disk.lose_pending(&mut self.random);
+    }
+
+    /// Stops the machine and empties its disk: what comes back is a new replica.
+    pub fn wipe(&mut self, slot: usize) {
+        self.stop(slot);
+        self.slots[slot].disk.wipe();
+        if self.options.wiped_keeps_identity {
+            return;
+        }
+        let disk = self.new_disk();
+        let place = &mut self.slots[slot];
+        place.is_founder = false;
+        place.member = Rc::new(member(slot, disk));
+    }
+
+    pub fn thaw(&mut self, slot: usize) {
+        if !std::mem::take(&mut self.slots[slot].is_frozen) {
+            return;
+        }
+        let life = self.slots[slot].life;
+        let ticks_first = self.random.permille(500);
+        if ticks_first {
+            self.tick_process(slot);
+        }
+        for event in std::mem::take(&mut self.slots[slot].inbox) {
+            self.handle(event);
+        }
+        self.schedule(0, Event::Tick { slot, life });
+    }
+
+    fn deliver(&mut self, to: usize, from: Rc<Member>, payload: Payload) {
+        let place = &mut self.slots[to];
+        if place.is_frozen {
+            place.inbox.push(Event::Deliver { to, from, payload });
+            return;
+        }
+        let now = self.now;
+        let Some(process) = &mut place.process else { return };
+        let local = process.local(now);
+        match payload {
+            Payload::Register(message) => process.register.receive(local, &from, &message),
+            Payload::Replica(message) => process.replica.receive(local, &from, &message),
+            Payload::Greeting => process.hear(now, &from),
+        }
+        self.drain(to);
+    }
+
+    fn synced(&mut self, slot: usize, life: u64) {
+        let now = self.now;
+        let place = &mut self.slots[slot];
+        if place.life != life {
+            return;
+        }
+        if now < place.disk.hangs_until {
+            let until = place.disk.hangs_until;
+            self.schedule_at(until, Event::Synced { slot, life });
+            return;
+        }
+        if place.is_frozen {
+            place.inbox.push(Event::Synced { slot, life });
+            return;
+        }
+        let Some(waiter) = place.disk.complete_one() else { return };
+        let Some(process) = &mut place.process else { return };
+        let local = process.local(now);
+        match waiter {
+            Waiter::Register(token) => process.register.persisted(local, token),
+            Waiter::Replica(token) => process.replica.persisted(local, token),
+            Waiter::Checkpoint => {}
+        }
+        self.drain(slot);
+    }
+
+    fn tick(&mut self, slot: usize, life: u64) {
+        if self.slots[slot].life != life || self.slots[slot].is_frozen {
+            return;
+        }
+        self.tick_process(slot);
+        self.check_acting();
+        self.schedule(TICK, Event::Tick { slot, life });
+    }
+
+    fn tick_process(&mut self, slot: usize) {
+        let now = self.now;
+        let place = &mut self.slots[slot];
+        let Some(process) = &mut place.process else { return };
+        let local = process.local(now);
+        process.register.tick(local);
+        process.replica.tick(local);
+        let new_witness = process.drive_witnesses(now);
+        if place.disk.replica_records() > CHECKPOINT_RECORDS {
+            let records = process.replica.checkpoint();
+            self.write(slot, Waiter::Checkpoint, Stored::Replica(records));
+        }
+        if let Some(new_witness) = new_witness {
+            faults::strike_at_witness_change(self, slot, slot_of(&new_witness));
+        }
+        self.drain(slot);
+    }
+
+    /// Machines that act now; a frozen one can't do anything.
+    pub fn acting(&self) -> Vec<usize> {
+        let is_acting = |slot: &Slot| {
+            let process = slot.process.as_ref().filter(|_| !slot.is_frozen);
+            process.is_some_and(|process| process.replica.is_acting(process.local(self.now)))
+        };
+        (0..self.slots.len()).filter(|slot| is_acting(&self.slots[*slot])).collect()
+    }
+
+    fn check_acting(&mut self) {
+        let acting = self.acting();
+        if acting.len() > 1 {
+            let broken = format!("two primaries act: {acting:?}: {}", self.describe());
+            self.checker.fail(broken);
+        }
+        for slot in acting {
+            let place = &self.slots[slot];
+            if let Some(process) = &place.process {
+                self.checker.acting(&place.member.node, process.replica.state().values.len());
+            }
+        }
+    }
+
+    fn greet(&mut self) {
+        for from in 0..self.slots.len() {
+            let greets = self.slots[from].process.is_some() && !self.slots[from].is_frozen;
+            for to in (0..self.slots.len()).filter(|to| greets && *to != from) {
+                self.transmit(from, to, Payload::Greeting);
+            }
+        }
+        self.schedule(GREETING, Event::Greet);
+    }
+
+    /// Clients propose through whoever acts.
+    fn client(&mut self) {
+        self.check_acting();
+        for slot in self.acting() {
+            let burst = if self.random.permille(50) { 8 } else { 1 };
+            for _ in 0..burst {
+                self.propose(slot);
+            }
+            self.drain(slot);
+        }
+        let delay = self.random.range(CLIENT_PERIOD / 4, CLIENT_PERIOD * 2);
+        self.schedule(delay, Event::Client);
+    }
+
+    pub fn propose(&mut self, slot: usize) {
+        let (now, value) = (self.now, self.next_value);
+        let Some(process) = &mut self.slots[slot].process else { return };
+        let local = process.local(now);
+        if let Ok(index) = process.replica.propose(local, value.to_le_bytes().to_vec()) {
+            process.proposals.insert(index, value);
+            self.next_value += 1;
+        }
+    }
+
+    fn write(&mut self, slot: usize, waiter: Waiter, stored: Stored) {
+        let latency = self.random.range(300, 4 * MILLISECOND);
+        let place = &mut self.slots[slot];
+        let due = place.disk.write(self.now, latency, waiter, stored);
+        let life = place.life;
+        self.schedule_at(due, Event::Synced { slot, life });
+    }
+
+    fn transmit(&mut self, from: usize, to: usize, payload: Payload) {
+        if from != to && (self.cuts[from][to] > 0 || self.random.permille(self.loss_permille)) {
+            return;
+        }
+        if matches!(payload, Payload::Replica(_)) && self.slots[to].is_deaf {
+            return;
+        }
+        let extra = self.slots[from].extra_delay;
+        let delay = if from == to { 10 } else { self.random.range(500, 3 * MILLISECOND) + extra };
+        let at = (self.now + delay).max(self.last_delivery[from][to] + 1);
+        self.last_delivery[from][to] = at;
+        let from = self.slots[from].member.clone();
+        self.schedule_at(at, Event::Deliver { to, from, payload });
+    }
+
+    /// Carries out what a process asks for.
+    fn drain(&mut self, slot: usize) {
+        loop {
+            let Some(process) = &mut self.slots[slot].process else { return };
+            let from_register = process.register.take_outputs();
+            let from_replica = process.replica.take_outputs();
+            if from_register.is_empty() && from_replica.is_empty() {
+                break;
+            }
+            for output in from_register {
+                self.carry_out_register(slot, output);
+            }
+            self.end_change(slot);
+            for output in from_replica {
+                self.carry_out_replica(slot, output);
+            }
+        }
+        self.check_applied(slot);
+    }
+
+    fn carry_out_register(&mut self, slot: usize, output: RegisterOutput) {
+        match output {
+            RegisterOutput::Send { to, message } => {
+                self.transmit(slot, slot_of(&to), Payload::Register(message));
+            }
+            RegisterOutput::Persist { token, state } => {
+                self.write(slot, Waiter::Register(token), Stored::Witness(state));
+            }
+            RegisterOutput::Chosen(record) => {
+                self.checker.chosen(&self.slots[slot].member.node, &record);
+                let now = self.now;
+                if let Some(process) = &mut self.slots[slot].process {
+                    let local = process.local(now);
+                    process.replica.configure(local, &record);
+                }
+                faults::strike_at_choice(self);
+            }
+            RegisterOutput::Rejected { .. } => {}
+        }
+    }
+
+    /// Tells the replica that the change it asked for has ended.
+    fn end_change(&mut self, slot: usize) {
+        let now = self.now;
+        let Some(process) = &mut self.slots[slot].process else { return };
+        if process.change_in_flight && !process.register.is_proposing() {
+            process.change_in_flight = false;
+            let local = process.local(now);
+            process.replica.change_ended(local);
+        }
+    }
+
+    fn carry_out_replica(&mut self, slot: usize, output: ReplicaOutput) {
+        match output {
+            ReplicaOutput::Send { to, message } => {
+                self.transmit(slot, slot_of(&to), Payload::Replica(message));
+            }
+            ReplicaOutput::Persist { token, records } => {
+                self.write(slot, Waiter::Replica(token), Stored::Replica(records));
+            }
+            ReplicaOutput::ChangeEpoch { expected, record } => self.ask_register(slot, expected, record),
+            ReplicaOutput::Committed { index } => self.acknowledge(slot, index),
+            ReplicaOutput::BecamePrimary { .. } => self.check_acting(),
+            ReplicaOutput::Stopped => {
+                if let Some(process) = &mut self.slots[slot].process {
+                    process.proposals.clear();
+                }
+            }
+        }
+    }
+
+    fn ask_register(&mut self, slot: usize, expected: u64, record: EpochRecord) {
+        let now = self.now;
+        let Some(process) = &mut self.slots[slot].process else { return };
+        let local = process.local(now);
+        if process.register.is_proposing() {
+            process.replica.change_ended(local);
+            return;
+        }
+        process.change_in_flight = true;
+        let joiner = record.in_sync.iter().find(|member| !process.replica.record().is_in_sync(member.disk));
+        let joiner = joiner.filter(|_| expected > 0).map(slot_of);
+        process.register.propose(local, expected, record);
+        faults::strike_at_proposal(self);
+        if let Some(joiner) = joiner {
+            faults::strike_at_join(self, slot, joiner);
+        }
+    }
+
+    fn acknowledge(&mut self, slot: usize, index: u64) {
+        self.check_applied(slot);
+        let Some(process) = &mut self.slots[slot].process else { return };
+        while let Some(first) = process.proposals.first_entry().filter(|first| *first.key() <= index) {
+            let (index, value) = first.remove_entry();
+            self.checker.acknowledged(&process.me.node, index, value);
+        }
+    }
+
+    fn check_applied(&mut self, slot: usize) {
+        let Some(process) = &mut self.slots[slot].process else { return };
+        let state = process.replica.state();
+        if state.values.len() < process.checked {
+            self.checker.fail(format!("{} lost applied entries", process.me.node));
+        }
+        self.checker.applied(&process.me.node, process.checked, &state.values);
+        process.checked = state.values.len();
+        if let Some(broken) = &state.broken {
+            self.checker.fail(broken.clone());
+        }
+    }
+
+    /// The machines that the group should be held by.
+    pub fn set_targets(&mut self, targets: &[usize]) {
+        debug_assert_eq!(self.options.plan, Plan::Targets);
+        let members: Vec<Member> = targets.iter().map(|slot| (*self.slots[*slot].member).clone()).collect();
+        for slot in 0..self.slots.len() {
+            let now = self.now;
+            if let Some(process) = &mut self.slots[slot].process {
+                let local = process.local(now);
+                process.replica.set_targets(local, members.clone());
+            }
+        }
+    }
+}
+
+fn member(slot: usize, disk: DiskId) -> Member {
+    Member {
+        disk,
+        node: format!("n{slot}"),
+        address: slot.to_string(),
+        zone: format!("zone{}", slot % 3),
+        region: String::new(),
+    }
+}
+
+fn slot_of(member: &Member) -> usize {
+    member.address.parse().expect("an address of the simulation")
+}
