Batch store: simulated cluster, transcripts; what comes before a takeover is kept

Found by it and mended: announced leases are renewed at once; leases and results that proxies send before the machine has taken over are kept.

--- a/crates/batch-store/src/store/commits.rs
+++ b/crates/batch-store/src/store/commits.rs
@@ -45,6 +45,7 @@
         log::info!("group {number}: primary in epoch {epoch} with {} jobs", group.state().jobs().count());
         let clock = group.clock(now);
         self.scheduler.start_group(now, number, epoch, &clock, group.state());
+        self.take_early(now, number);
     }
 
     /// This machine is not primary of a group any more: what it proposed is undecided.
--- a/crates/batch-store/src/store/mod.rs
+++ b/crates/batch-store/src/store/mod.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod commits;
 mod configuration;
+mod early;
 mod epoch_changes;
 mod group;
 mod outbox;
@@ -14,6 +15,7 @@
 
 pub use outbox::{GroupRecord, LinkId, StoreOutput};
 
+use early::Early;
 use epoch_changes::EpochChanges;
 use group::Group;
 use nanoserde::{DeBin, SerBin};
@@ -73,6 +75,7 @@
     /// All machines heard of.
     members: BTreeMap<DiskId, Member>,
     callers: BTreeMap<LinkId, Caller>,
+    early: Early,
     changes: EpochChanges,
     outbox: Outbox,
     last_done: LastDone,
@@ -96,6 +99,7 @@
             scheduler: Scheduler::default(),
             assignments: BTreeMap::new(),
             callers: BTreeMap::new(),
+            early: Early::default(),
             changes: EpochChanges::default(),
             outbox: Outbox::default(),
             last_done: LastDone::default(),
@@ -128,6 +132,7 @@
             log::info!("the link from proxy {node} is lost");
             self.scheduler.disconnect_proxy(ProxyId(link.0));
         }
+        self.early.forget(link);
         for group in self.groups.values_mut() {
             group.readers.retain(|reader| reader.caller.link != link);
         }
@@ -163,8 +168,9 @@
             }
             ToStore::End { call, store_group, job } => self.end(now, caller(call), store_group, job),
             ToStore::TakeWork { most_items } => self.take_work(now, link, most_items),
-            ToStore::Outcomes { store_group, job, outcomes, .. } => {
-                self.outcomes(link, store_group, &job, outcomes);
+            ToStore::Outcomes { store_group, job, lease, outcomes } => {
+                let lease = work::LeaseOfProxy { proxy: ProxyId(link.0), number: lease };
+                self.outcomes(now, lease, store_group, &job, outcomes);
             }
             ToStore::Holding(leases) => self.holding(now, link, leases),
             _ => log::warn!("a message from a proxy that is not one of a proxy"),
--- a/crates/batch-store/src/store/work.rs
+++ b/crates/batch-store/src/store/work.rs
@@ -1,11 +1,13 @@
 //! Work of batch jobs: leases to proxies, their outcomes, items given up, jobs forgotten.
 
 use super::Store;
+use super::early::EarlyResult;
 use super::group::{Group, Proposed};
 use super::outbox::LinkId;
 use pebblepost_batch::command::Change;
 use pebblepost_batch::scheduler::{ExpiredItems, ItemProgress, ProxyId};
 use pebblepost_messages::batch::{FromStore, HeldLease, ItemOutcome, ItemResult, Job, RENEW_MS, ResultState};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// How often leases are renewed.
@@ -17,6 +19,13 @@
 /// Items that one answer leases at most.
 const MOST_ITEMS_AT_ONCE: u32 = 512;
 
+/// A lease as a proxy names it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LeaseOfProxy {
+    pub(super) proxy: ProxyId,
+    pub(super) number: u64,
+}
+
 impl Store {
     pub(super) fn take_work(&mut self, now: Duration, link: LinkId, most_items: u32) {
         let most_items = usize::try_from(most_items.min(MOST_ITEMS_AT_ONCE)).unwrap_or(0);
@@ -29,25 +38,33 @@
         self.outbox.reply(link, FromStore::Work(leases));
     }
 
-    pub(super) fn outcomes(&mut self, link: LinkId, number: u32, job: &str, outcomes: Vec<ItemOutcome>) {
+    /// Takes the outcomes of items of one lease.
+    pub(super) fn outcomes(
+        &mut self, now: Duration, lease: LeaseOfProxy, number: u32, job: &str, outcomes: Vec<ItemOutcome>,
+    ) {
+        let is_primary = self.scheduler.has_group(number);
         for outcome in outcomes {
             match outcome {
-                ItemOutcome::Finished(result) => self.finished(link, number, job, result),
+                ItemOutcome::Finished(result) if is_primary => self.finished(number, job, result),
+                ItemOutcome::Finished(result) if self.groups.contains_key(&number) => {
+                    self.early.keep_result(now, EarlyResult { group: number, job: job.to_owned(), result });
+                }
+                ItemOutcome::Finished(_) => {}
                 ItemOutcome::Returned { id, failed_attempts, failed_scorer_attempts, partial } => {
                     let progress = ItemProgress { failed_attempts, failed_scorer_attempts, partial };
-                    self.handed_back(link, number, job, &id, progress);
+                    self.handed_back(lease, number, job, &id, progress);
                 }
             }
         }
     }
 
-    fn finished(&mut self, link: LinkId, number: u32, job: &str, result: ItemResult) {
+    fn finished(&mut self, number: u32, job: &str, result: ItemResult) {
         let Some(group) = self.groups.get_mut(&number) else { return };
         let Some(stored) = group.state().job(job) else { return };
         let Some(item) = stored.unlisted_index(&result.id) else { return };
         if !versions_fit(stored.job(), &result) {
             log::error!("a result of item {} of job {job} has versions that do not fit", result.id);
-            self.scheduler.hand_back(ProxyId(link.0), job, item, ItemProgress::default());
+            self.scheduler.drop_result(job, item);
             return;
         }
         if self.scheduler.finish(job, item) {
@@ -55,16 +72,38 @@
         }
     }
 
-    fn handed_back(&mut self, link: LinkId, number: u32, job: &str, id: &str, progress: ItemProgress) {
+    fn handed_back(&mut self, lease: LeaseOfProxy, number: u32, job: &str, id: &str, progress: ItemProgress) {
         let stored = self.groups.get(&number).and_then(|group| group.state().job(job));
         if let Some(item) = stored.and_then(|stored| stored.unlisted_index(id)) {
-            self.scheduler.hand_back(ProxyId(link.0), job, item, progress);
+            self.scheduler.hand_back(lease.proxy, lease.number, job, item, progress);
         }
     }
 
-    /// A proxy announces the leases that it holds. Those of jobs that are over are cancelled.
+    /// A proxy announces the leases that it holds. Those of groups that this machine is not
+    /// primary of yet are kept until it is.
     pub(super) fn holding(&mut self, now: Duration, link: LinkId, leases: Vec<HeldLease>) {
+        let is_scheduled = |lease: &HeldLease| self.scheduler.has_group(lease.store_group);
+        let (ours, early): (Vec<_>, Vec<_>) = leases.into_iter().partition(is_scheduled);
+        self.early.keep_announced(link, early);
+        self.take_announced(now, link, ours);
+        self.scheduler.has_announced(now, ProxyId(link.0));
+    }
+
+    /// Takes what proxies said before this machine was primary of a group.
+    pub(super) fn take_early(&mut self, now: Duration, number: u32) {
+        for (link, leases) in self.early.take_announced(number) {
+            self.take_announced(now, link, leases);
+        }
+        for early in self.early.take_results(number) {
+            self.finished(number, &early.job, early.result);
+        }
+    }
+
+    /// Leases of jobs that are over are cancelled, the others are renewed at once: they may have
+    /// been without renewal for a while.
+    fn take_announced(&mut self, now: Duration, link: LinkId, leases: Vec<HeldLease>) {
         let mut over = Vec::new();
+        let mut held = BTreeSet::new();
         for lease in leases {
             let Some(group) = self.acting_group(now, lease.store_group) else { continue };
             let open = group.state().job(&lease.job).filter(|job| !job.has_ended());
@@ -73,12 +112,16 @@
                 continue;
             };
             let items: Vec<usize> = lease.items.iter().filter_map(|id| open.unlisted_index(id)).collect();
+            held.insert(lease.store_group);
             self.scheduler.hold(now, ProxyId(link.0), &lease.job, &items);
         }
-        self.scheduler.has_announced(ProxyId(link.0));
         if !over.is_empty() {
             self.outbox.reply(link, FromStore::Cancel { jobs: over });
         }
+        if !held.is_empty() {
+            let groups = held.into_iter().flat_map(|number| self.epochs_of_term(number)).collect();
+            self.outbox.reply(link, FromStore::Renew { groups });
+        }
     }
 
     pub(super) fn renew_leases(&mut self, now: Duration) {
--- /dev/null
+++ b/crates/batch-store/tests/schedules.rs
@@ -0,0 +1,185 @@
+//! Random days of a simulated deployment: what was acknowledged or read stays, whatever is lost
+//! within what must be borne.
+
+mod simulation;
+
+use rand::RngExt;
+use rstest::rstest;
+use simulation::client::{What, job};
+use simulation::world::{Plan, World};
+
+const PLAN: Plan = Plan { seed: 0, machines: 3, proxies: 2, tolerate: 1, most_bytes: u64::MAX };
+/// Time in which a machine that was lost catches up, in milliseconds.
+const CATCH_UP_MS: u64 = 4_500;
+
+/// Loses a machine in some way; how long it is away.
+fn lose(world: &mut World, machine: usize, kinds: &[u32]) -> u64 {
+    let away = world.random.random_range(100..3_000);
+    let kind = kinds[world.random.random_range(0..kinds.len())];
+    match kind {
+        0 => world.kill(machine, away),
+        1 => world.wipe(machine, away),
+        2 => world.freeze(machine, away),
+        3 => world.cut(machine, away),
+        _ => {
+            let takes = world.random.random_range(0..1_400);
+            world.leave(machine, takes);
+        }
+    }
+    away
+}
+
+/// Clients at work for a time.
+fn work(world: &mut World, millis: u64) {
+    let until = world.now + millis;
+    while world.now < until {
+        let proxy = world.random.random_range(0..world.proxies.len());
+        match world.random.random_range(0..10) {
+            0 => {
+                let (groups, per_group) = (world.random.random_range(1..6), world.random.random_range(1..4));
+                let id = format!("job-{}-{}", world.now, groups);
+                world.call(proxy, What::Submit(Box::new(job(&id, groups, per_group))));
+            }
+            1 => {
+                let jobs = world.checker.jobs();
+                if let Some(id) = jobs.get(world.random.random_range(0..jobs.len().max(1) * 3)) {
+                    world.call(proxy, What::End { job: id.clone() });
+                }
+            }
+            2 => {
+                let machine = world.random.random_range(0..3);
+                world.checkpoint(machine);
+            }
+            _ => {
+                let jobs = world.checker.jobs();
+                if !jobs.is_empty() {
+                    let id = jobs[world.random.random_range(0..jobs.len())].clone();
+                    let seen = world.checker.seen(&id);
+                    let start = world.random.random_range(0..=seen) as u64;
+                    let wait_ms = world.random.random_range(0..300);
+                    world.call(proxy, What::Read { job: id, start, wait_ms });
+                }
+            }
+        }
+        let pause = world.random.random_range(5..60);
+        world.run(pause);
+    }
+}
+
+/// Reads everything from the start, as at the end of a day, until all jobs that were not ended
+/// are complete.
+fn read_all(world: &mut World) {
+    for _ in 0..40 {
+        for id in world.checker.jobs() {
+            for start in [0, world.checker.seen(&id) as u64] {
+                world.call(0, What::Read { job: id.clone(), start, wait_ms: 0 });
+            }
+        }
+        world.run(1_500);
+        let open = |id: &String| !world.checker.has_ended(id) && !world.clients.complete[id];
+        if world.is_quiet() && !world.checker.jobs().iter().any(open) {
+            return;
+        }
+    }
+    let states: Vec<String> = (0..3).map(|machine| world.status(machine)).collect();
+    panic!("not all jobs were completed at {}: {}\n{:?}", world.now, states.join("\n"), world.proxies);
+}
+
+fn bodies_of_unlisted(world: &mut World) {
+    for id in world.checker.jobs() {
+        let listed: Vec<String> = world.checker.listed(&id).into_iter().map(str::to_owned).collect();
+        let job = world.checker.job(&id).expect("acknowledged").clone();
+        let ended = world.checker.is_end_asked(&id);
+        for item in job.items.iter().filter(|item| !ended && !listed.contains(&item.id)) {
+            world.call(1, What::Body { job: id.clone(), item: item.id.clone() });
+        }
+    }
+    world.run(100);
+}
+
+/// Days played for each kind of trouble; more with `SCHEDULES=N` in the environment.
+fn schedules() -> u64 {
+    const USUAL: u64 = 8;
+    std::env::var("SCHEDULES").ok().and_then(|number| number.parse().ok()).unwrap_or(USUAL)
+}
+
+#[rstest]
+#[case::killed(&[0], 100_000)]
+#[case::wiped(&[1], 200_000)]
+#[case::frozen(&[2], 300_000)]
+#[case::cut_off(&[3], 400_000)]
+#[case::stopped(&[4], 500_000)]
+#[case::of_all_kinds(&[0, 1, 2, 3, 4], 600_000)]
+fn what_was_acknowledged_stays(#[case] kinds: &[u32], #[case] first_seed: u64) {
+    for seed in first_seed..first_seed + schedules() {
+        let mut world = World::new(Plan { seed, ..PLAN });
+        work(&mut world, 3_000);
+        for _ in 0..3 {
+            let machine = world.random.random_range(0..3);
+            let away = lose(&mut world, machine, kinds);
+            work(&mut world, away + CATCH_UP_MS);
+        }
+        bodies_of_unlisted(&mut world);
+        read_all(&mut world);
+        assert!(world.checker.jobs().len() > 10, "seed {seed}: clients came to nothing");
+        assert_eq!(world.checker.violations, [""; 0], "seed {seed}");
+    }
+}
+
+#[rstest]
+fn a_whole_loss_of_power_loses_nothing() {
+    for seed in 700_000..700_000 + schedules() {
+        let mut world = World::new(Plan { seed, ..PLAN });
+        work(&mut world, 3_000);
+        for machine in 0..3 {
+            let away = world.random.random_range(100..1_000);
+            world.kill(machine, away);
+        }
+        work(&mut world, 6_000);
+        read_all(&mut world);
+        assert_eq!(world.checker.violations, [""; 0], "seed {seed}");
+    }
+}
+
+#[rstest]
+fn a_loss_beyond_what_is_borne_is_caught() {
+    let found = (700..720).any(|seed| {
+        let mut world = World::new(Plan { seed, tolerate: 0, ..PLAN });
+        work(&mut world, 3_000);
+        world.wipe(0, 500);
+        work(&mut world, 6_000);
+        !world.checker.violations.is_empty()
+            || world.checker.jobs().iter().any(|id| stays_unread(&mut world, id))
+    });
+    assert!(found, "the checker finds no loss where there must be one");
+}
+
+/// Whether a job can't be read although nothing is in trouble.
+fn stays_unread(world: &mut World, id: &str) -> bool {
+    world.call(0, What::Read { job: id.to_owned(), start: 0, wait_ms: 0 });
+    world.run(3_000);
+    !world.is_quiet()
+}
+
+#[rstest]
+fn a_proxy_that_heeds_no_cancel_is_caught() {
+    let found = (800..810).any(|seed| {
+        let mut world = World::new(Plan { seed, ..PLAN });
+        world.proxies.iter_mut().for_each(|proxy| proxy.is_careless = true);
+        work(&mut world, 15_000);
+        world.checker.violations.iter().any(|violation| violation.contains("has ended"))
+    });
+    assert!(found, "the checker finds no late run where there must be one");
+}
+
+#[rstest]
+fn a_job_beyond_the_budget_is_refused_and_never_runs() {
+    let mut world = World::new(Plan { seed: 1, most_bytes: 200_000, ..PLAN });
+    world.run(2_000);
+    world.call(0, What::Submit(Box::new(job("small", 2, 2))));
+    world.call(0, What::Submit(Box::new(job("large", 50, 2))));
+    world.run(500);
+    assert_eq!(world.checker.jobs(), ["small"]);
+    assert_eq!(world.clients.refused, ["large"]);
+    assert!(!world.proxies.iter().flat_map(|proxy| proxy.running()).any(|running| running.job == "large"));
+}
--- /dev/null
+++ b/crates/batch-store/tests/simulation/world.rs
@@ -0,0 +1,570 @@
+//! Machines, network and time of a simulated deployment.
+
+use super::checker::Checker;
+use super::client::Clients;
+use super::control::Control;
+use super::disk::Disk;
+use super::proxy::{Outgoing, Proxy};
+use super::transcript;
+use pebblepost_batch::admission::Budget;
+use pebblepost_batch::state::Retention;
+use pebblepost_batch_store::store::{LinkId, Store, StoreOutput, StoreSettings};
+use pebblepost_messages::batch::{FromStore, ToStore};
+use pebblepost_messages::control::{GroupEpoch, ToControl};
+use pebblepost_messages::feed::StoreGroup;
+use pebblepost_messages::{DiskId, Member};
+use pebblepost_replication::record::Tolerance;
+use pebblepost_replication::replica::ReplicaSettings;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const TICK_MS: u64 = 50;
+const CONTROL_TICK_MS: u64 = 100;
+const PROXY_TICK_MS: u64 = 20;
+const RECONNECT_MS: u64 = 100;
+
+/// A place that sends and receives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Node {
+    /// A storage machine.
+    Store(usize),
+    /// A proxy.
+    Proxy(usize),
+    /// The control plane.
+    Control,
+}
+
+/// Something that happens at a time.
+#[derive(Debug)]
+enum Event {
+    StoreTick { machine: usize, life: u64 },
+    ProxyTick { proxy: usize },
+    ControlTick,
+    Synced { machine: usize, life: u64, number: u64 },
+    FromProxy { machine: usize, link: u64, message: ToStore },
+    FromPeer { machine: usize, from: Member, from_life: (usize, u64), message: ToStore },
+    ToProxy { proxy: usize, link: u64, message: FromStore },
+    ToControl { machine: usize, life: u64, message: ToControl },
+    GroupChanged { machine: usize, life: u64, request: u64, group: u32, current: GroupEpoch },
+    Feed { to: Node, groups: Vec<StoreGroup> },
+    ConnectProxy { proxy: usize, machine: usize },
+    ConnectControl { machine: usize, life: u64 },
+    LinkLost { proxy: usize, link: u64 },
+    LinkClosed { machine: usize, life: u64, link: u64 },
+    Start { machine: usize },
+    Heal { machine: usize },
+}
+
+/// A storage machine.
+#[derive(Debug)]
+pub struct Machine {
+    member: Member,
+    disk: Disk,
+    store: Option<Store>,
+    life: u64,
+    frozen_until: u64,
+    is_cut: bool,
+    is_known_to_control: bool,
+    /// Links that proxies and peers opened to it, and who they are.
+    proxies: BTreeMap<u64, usize>,
+    peers: BTreeMap<(usize, u64), u64>,
+}
+
+/// What a simulation is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Seed of everything random.
+    pub seed: u64,
+    /// Storage machines.
+    pub machines: usize,
+    /// Proxies.
+    pub proxies: usize,
+    /// Losses that must be borne.
+    pub tolerate: usize,
+    /// Bytes that jobs may take on a machine.
+    pub most_bytes: u64,
+}
+
+/// A simulated deployment.
+#[derive(Debug)]
+pub struct World {
+    /// Milliseconds since the start.
+    pub now: u64,
+    plan: Plan,
+    /// Everything random.
+    pub random: StdRng,
+    events: BTreeMap<(u64, u64), Event>,
+    last_event: u64,
+    last_link: u64,
+    channels: BTreeMap<(Node, Node), u64>,
+    /// Storage machines.
+    pub machines: Vec<Machine>,
+    /// Proxies.
+    pub proxies: Vec<Proxy>,
+    control: Control,
+    /// Callers from outside.
+    pub clients: Clients,
+    /// What they may rely on.
+    pub checker: Checker,
+    /// Messages between proxies and stores, as lines.
+    pub transcript: Vec<String>,
+}
+
+impl World {
+    /// A deployment whose machines all start now.
+    pub fn new(plan: Plan) -> World {
+        let mut world = World {
+            now: 0,
+            plan,
+            random: StdRng::seed_from_u64(plan.seed),
+            events: BTreeMap::new(),
+            last_event: 0,
+            last_link: 0,
+            channels: BTreeMap::new(),
+            machines: (0..plan.machines).map(|index| Machine::new(index, DiskId(index as u64 + 1))).collect(),
+            proxies: (0..plan.proxies).map(|_| Proxy::default()).collect(),
+            control: Control::new(plan.tolerate + 1, plan.machines),
+            clients: Clients::default(),
+            checker: Checker::default(),
+            transcript: Vec::new(),
+        };
+        for machine in 0..plan.machines {
+            world.after(0, Event::Start { machine });
+        }
+        for proxy in 0..plan.proxies {
+            world.after(1, Event::ProxyTick { proxy });
+            for machine in 0..plan.machines {
+                world.after(10, Event::ConnectProxy { proxy, machine });
+            }
+        }
+        world.after(CONTROL_TICK_MS, Event::ControlTick);
+        world
+    }
+
+    /// Runs until a time.
+    pub fn run_until(&mut self, until: u64) {
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            if at > until {
+                self.last_event += 1;
+                self.events.insert((at, 0), event);
+                break;
+            }
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = until;
+    }
+
+    /// Runs for a time.
+    pub fn run(&mut self, millis: u64) {
+        self.run_until(self.now + millis);
+    }
+
+    /// Kills a machine's process, which starts again after a time; writes that were not synced may
+    /// be lost.
+    pub fn kill(&mut self, machine: usize, away_ms: u64) {
+        self.stop(machine);
+        self.after(away_ms, Event::Start { machine });
+    }
+
+    /// Kills a machine's process and empties its disk.
+    pub fn wipe(&mut self, machine: usize, away_ms: u64) {
+        self.stop(machine);
+        let disk = DiskId(self.random.random_range(1_000..u64::MAX));
+        let life = self.machines[machine].life;
+        self.machines[machine] = Machine { life, ..Machine::new(machine, disk) };
+        self.after(away_ms, Event::Start { machine });
+    }
+
+    /// Freezes a machine's process.
+    pub fn freeze(&mut self, machine: usize, millis: u64) {
+        self.machines[machine].frozen_until = self.now + millis;
+    }
+
+    /// Cuts a machine off from all others.
+    pub fn cut(&mut self, machine: usize, millis: u64) {
+        self.machines[machine].is_cut = true;
+        self.control.lost(self.now, self.machines[machine].member.disk);
+        self.after(millis, Event::Heal { machine });
+    }
+
+    /// Asks a machine to stop, as SIGTERM does; it ends after a time and starts again.
+    pub fn leave(&mut self, machine: usize, end_after_ms: u64) {
+        let now = self.time();
+        if let Some(store) = &mut self.machines[machine].store {
+            store.leave(now);
+        }
+        self.carry_out(machine);
+        self.run(end_after_ms);
+        self.kill(machine, 500);
+    }
+
+    /// Has a machine write a checkpoint.
+    pub fn checkpoint(&mut self, machine: usize) {
+        if let Some(store) = &mut self.machines[machine].store {
+            store.checkpoint();
+        }
+        self.carry_out(machine);
+    }
+
+    /// State of a machine's store.
+    pub fn status(&self, machine: usize) -> String {
+        self.machines[machine].store.as_ref().map_or(String::new(), |store| store.status(self.time()))
+    }
+
+    /// Machine that is primary of a group, as the control plane sees it.
+    pub fn primary(&self, group: u32) -> Option<usize> {
+        let groups = self.control.feed();
+        let primary = groups.iter().find(|other| other.group == group)?.primary.disk;
+        self.machines.iter().position(|machine| machine.member.disk == primary)
+    }
+
+    /// Sends messages of a proxy.
+    pub fn send(&mut self, proxy: usize, messages: Vec<Outgoing>) {
+        for (link, message) in messages {
+            let target = self.machines.iter().position(|machine| machine.proxies.get(&link) == Some(&proxy));
+            let Some(machine) = target else { continue };
+            self.note(|| format!("proxy-{proxy} -> store-{machine}: {}", transcript::to_store(&message)));
+            let delay = self.delay(Node::Proxy(proxy), Node::Store(machine));
+            self.after(delay, Event::FromProxy { machine, link, message });
+        }
+    }
+
+    fn time(&self) -> Duration {
+        Duration::from_millis(self.now)
+    }
+
+    fn note(&mut self, line: impl Fn() -> String) {
+        if self.clients.is_recorded {
+            let line = format!("{:>6} {}", self.now, line());
+            self.transcript.push(line);
+        }
+    }
+
+    fn after(&mut self, millis: u64, event: Event) {
+        self.last_event += 1;
+        self.events.insert((self.now + millis, self.last_event), event);
+    }
+
+    /// Time that a message takes; messages between two places keep their order.
+    fn delay(&mut self, from: Node, to: Node) -> u64 {
+        let earliest = self.now + self.random.random_range(1..5);
+        let last = self.channels.entry((from, to)).or_default();
+        *last = earliest.max(*last);
+        *last - self.now
+    }
+
+    fn stop(&mut self, machine: usize) {
+        let stopped = &mut self.machines[machine];
+        if stopped.store.take().is_none() {
+            return;
+        }
+        let kept = self.random.random_range(0..=stopped.disk.waiting());
+        stopped.disk.recover(kept);
+        stopped.frozen_until = 0;
+        let life = (machine, stopped.life);
+        stopped.peers.clear();
+        let proxies = std::mem::take(&mut stopped.proxies);
+        let disk = stopped.member.disk;
+        self.control.lost(self.now, disk);
+        for (link, proxy) in proxies {
+            self.after(2, Event::LinkLost { proxy, link });
+        }
+        for other in 0..self.machines.len() {
+            if let Some(link) = self.machines[other].peers.remove(&life) {
+                let life = self.machines[other].life;
+                self.after(2, Event::LinkClosed { machine: other, life, link });
+            }
+        }
+    }
+
+    fn start(&mut self, machine: usize) {
+        let settings = self.settings(machine);
+        let now = self.time();
+        let started = &mut self.machines[machine];
+        if started.store.is_some() {
+            return;
+        }
+        let records = started.disk.recover(0);
+        started.life += 1;
+        started.is_known_to_control = false;
+        started.store = Some(Store::new(now, settings, &records));
+        let life = started.life;
+        self.after(5, Event::ConnectControl { machine, life });
+        self.after(0, Event::StoreTick { machine, life });
+    }
+
+    fn settings(&self, machine: usize) -> StoreSettings {
+        let millis = Duration::from_millis;
+        StoreSettings {
+            me: self.machines[machine].member.clone(),
+            founding: self.now == 0,
+            replica: ReplicaSettings {
+                tolerance: Tolerance { machines: self.plan.tolerate, zones: 0, regions: 0 },
+                beacon: millis(200),
+                lease: millis(900),
+                grace: millis(1_100),
+                most_lag: millis(600),
+                most_own_write: millis(600),
+                kept_bytes: 20_000,
+            },
+            retention: Retention { ended: Duration::from_secs(130), open: Duration::from_secs(720) },
+            budget: Budget::new(self.plan.most_bytes, u64::MAX),
+        }
+    }
+
+    /// Whether an event of a machine happens now; a frozen machine gets it later.
+    fn reaches(&mut self, machine: usize, event: Event) -> Option<Event> {
+        let frozen_until = self.machines[machine].frozen_until;
+        if self.now < frozen_until {
+            self.after(frozen_until - self.now, event);
+            return None;
+        }
+        self.machines[machine].store.is_some().then_some(event)
+    }
+
+    fn handle(&mut self, event: Event) {
+        let machine = match &event {
+            Event::StoreTick { machine, .. }
+            | Event::Synced { machine, .. }
+            | Event::FromProxy { machine, .. }
+            | Event::FromPeer { machine, .. }
+            | Event::GroupChanged { machine, .. }
+            | Event::LinkClosed { machine, .. }
+            | Event::Feed { to: Node::Store(machine), .. } => *machine,
+            _ => return self.handle_elsewhere(event),
+        };
+        if let Some(event) = self.reaches(machine, event) {
+            self.handle_at_store(machine, event);
+            self.carry_out(machine);
+        }
+    }
+
+    fn handle_at_store(&mut self, number: usize, event: Event) {
+        let now = self.time();
+        let machine = &mut self.machines[number];
+        let Some(store) = &mut machine.store else { return };
+        match event {
+            Event::StoreTick { machine: _, life } if life == machine.life => {
+                store.tick(now);
+                self.after(TICK_MS, Event::StoreTick { machine: number, life });
+            }
+            Event::Synced { life, number, .. } if life == machine.life => {
+                if let Some(ticket) = machine.disk.sync(number) {
+                    store.synced(now, ticket);
+                }
+            }
+            Event::FromProxy { link, message, .. }
+                if machine.proxies.contains_key(&link) && !machine.is_cut =>
+            {
+                store.receive(now, LinkId(link), message);
+            }
+            Event::FromPeer { from, from_life, message, .. } if !machine.is_cut => {
+                let link = *machine.peers.entry(from_life).or_insert_with(|| {
+                    self.last_link += 1;
+                    store.link_opened(LinkId(self.last_link));
+                    store.receive(now, LinkId(self.last_link), ToStore::PeerHello { member: from });
+                    self.last_link
+                });
+                store.receive(now, LinkId(link), message);
+            }
+            Event::GroupChanged { life, request, group, current, .. } if life == machine.life => {
+                store.group_changed(now, request, group, &current);
+            }
+            Event::LinkClosed { life, link, .. } if life == machine.life => store.link_closed(LinkId(link)),
+            Event::Feed { groups, .. } if machine.is_known_to_control && !machine.is_cut => {
+                store.assign(now, &groups);
+            }
+            _ => {}
+        }
+    }
+
+    fn handle_elsewhere(&mut self, event: Event) {
+        match event {
+            Event::ProxyTick { proxy } => self.tick_proxy(proxy),
+            Event::ControlTick => {
+                if self.control.retarget(self.now) {
+                    self.publish();
+                }
+                self.after(CONTROL_TICK_MS, Event::ControlTick);
+            }
+            Event::ToProxy { proxy, link, message } => self.receive_at_proxy(proxy, link, &message),
+            Event::ToControl { machine, life, message } => self.receive_at_control(machine, life, message),
+            Event::Feed { to: Node::Proxy(proxy), groups } => {
+                let messages = self.proxies[proxy].follow(self.now, &groups);
+                self.send(proxy, messages);
+            }
+            Event::ConnectProxy { proxy, machine } => self.connect_proxy(proxy, machine),
+            Event::ConnectControl { machine, life } => self.connect_control(machine, life),
+            Event::LinkLost { proxy, link } => self.lose_link(proxy, link),
+            Event::Start { machine } => self.start(machine),
+            Event::Heal { machine } => self.heal(machine),
+            _ => {}
+        }
+    }
+
+    fn tick_proxy(&mut self, proxy: usize) {
+        let messages = self.proxies[proxy].tick(self.now, proxy, &mut self.random);
+        self.send(proxy, messages);
+        let is_careless = self.proxies[proxy].is_careless;
+        for running in
+            self.proxies[proxy].running().filter(|running| is_careless || running.is_valid(self.now))
+        {
+            self.checker.runs(self.now, &running.job);
+        }
+        self.tick_clients(proxy);
+        self.after(PROXY_TICK_MS, Event::ProxyTick { proxy });
+    }
+
+    fn receive_at_proxy(&mut self, proxy: usize, link: u64, message: &FromStore) {
+        if !self.proxies[proxy].links.values().any(|known| *known == link) {
+            return;
+        }
+        self.proxies[proxy].receive(self.now, &mut self.random, link, message);
+        self.answer_client(proxy, message);
+    }
+
+    fn receive_at_control(&mut self, machine: usize, life: u64, message: ToControl) {
+        let ToControl::ChangeGroup { request, group, expected_epoch, proposed } = message else { return };
+        if self.machines[machine].is_cut {
+            return;
+        }
+        let (is_accepted, current) = self.control.change(group, expected_epoch, &proposed);
+        if is_accepted {
+            self.publish();
+        }
+        let delay = self.delay(Node::Control, Node::Store(machine));
+        self.after(delay, Event::GroupChanged { machine, life, request, group, current });
+    }
+
+    fn publish(&mut self) {
+        let groups = self.control.feed();
+        let stores = (0..self.machines.len()).map(Node::Store);
+        for to in stores.chain((0..self.proxies.len()).map(Node::Proxy)).collect::<Vec<_>>() {
+            let delay = self.delay(Node::Control, to);
+            self.after(delay, Event::Feed { to, groups: groups.clone() });
+        }
+    }
+
+    fn connect_proxy(&mut self, proxy: usize, machine: usize) {
+        let address = self.machines[machine].member.address.clone();
+        let is_up = self.machines[machine].store.is_some() && !self.machines[machine].is_cut;
+        if !is_up || self.now < self.machines[machine].frozen_until {
+            return self.after(RECONNECT_MS, Event::ConnectProxy { proxy, machine });
+        }
+        self.last_link += 1;
+        let link = self.last_link;
+        let connected = &mut self.machines[machine];
+        connected.proxies.insert(link, proxy);
+        if let Some(store) = &mut connected.store {
+            store.link_opened(LinkId(link));
+        }
+        let messages = self.proxies[proxy].connected(proxy, &address, link);
+        self.send(proxy, messages);
+    }
+
+    fn lose_link(&mut self, proxy: usize, link: u64) {
+        let Some(address) = self.proxies[proxy].lost(link) else { return };
+        let machine = self.machines.iter().position(|machine| machine.member.address == address);
+        if let Some(machine) = machine {
+            self.after(RECONNECT_MS, Event::ConnectProxy { proxy, machine });
+        }
+    }
+
+    fn connect_control(&mut self, machine: usize, life: u64) {
+        let connected = &mut self.machines[machine];
+        if connected.life != life || connected.store.is_none() {
+            return;
+        }
+        if connected.is_cut || self.now < connected.frozen_until {
+            return self.after(RECONNECT_MS, Event::ConnectControl { machine, life });
+        }
+        connected.is_known_to_control = true;
+        self.control.hello(&connected.member);
+        if let Some(store) = &mut connected.store {
+            store.control_connected();
+        }
+        self.publish();
+        self.carry_out(machine);
+    }
+
+    fn heal(&mut self, machine: usize) {
+        self.machines[machine].is_cut = false;
+        let life = self.machines[machine].life;
+        for (link, proxy) in std::mem::take(&mut self.machines[machine].proxies) {
+            self.after(1, Event::LinkLost { proxy, link });
+            self.after(1, Event::LinkClosed { machine, life, link });
+        }
+        self.after(5, Event::ConnectControl { machine, life });
+    }
+
+    fn carry_out(&mut self, machine: usize) {
+        let now = self.time();
+        let (is_cut, life) = (self.machines[machine].is_cut, self.machines[machine].life);
+        let Some(store) = &mut self.machines[machine].store else { return };
+        for output in store.take_outputs(now) {
+            match output {
+                StoreOutput::Append { ticket, records } => {
+                    let number = self.machines[machine].disk.append(ticket, records);
+                    self.sync_later(machine, life, number);
+                }
+                StoreOutput::Checkpoint { records } => {
+                    let number = self.machines[machine].disk.checkpoint(records);
+                    self.sync_later(machine, life, number);
+                }
+                _ if is_cut => {}
+                StoreOutput::Reply { link, message } => self.reply(machine, link.0, message),
+                StoreOutput::ToPeer { peer, message } => self.send_to_peer(machine, life, &peer, message),
+                StoreOutput::ToControl(message) if self.machines[machine].is_known_to_control => {
+                    let delay = self.delay(Node::Store(machine), Node::Control);
+                    self.after(delay, Event::ToControl { machine, life, message });
+                }
+                StoreOutput::ToControl(_) => {}
+            }
+        }
+    }
+
+    fn sync_later(&mut self, machine: usize, life: u64, number: u64) {
+        let delay = self.random.random_range(2..8);
+        self.after(delay, Event::Synced { machine, life, number });
+    }
+
+    fn reply(&mut self, machine: usize, link: u64, message: FromStore) {
+        let Some(proxy) = self.machines[machine].proxies.get(&link).copied() else { return };
+        self.note(|| format!("store-{machine} -> proxy-{proxy}: {}", transcript::from_store(&message)));
+        let delay = self.delay(Node::Store(machine), Node::Proxy(proxy));
+        self.after(delay, Event::ToProxy { proxy, link, message });
+    }
+
+    fn send_to_peer(&mut self, from: usize, life: u64, peer: &Member, message: ToStore) {
+        let target = self.machines.iter().position(|machine| machine.member.disk == peer.disk);
+        let Some(machine) = target.filter(|machine| !self.machines[*machine].is_cut) else { return };
+        let delay = self.delay(Node::Store(from), Node::Store(machine));
+        let member = self.machines[from].member.clone();
+        self.after(delay, Event::FromPeer { machine, from: member, from_life: (from, life), message });
+    }
+}
+
+impl Machine {
+    fn new(index: usize, disk: DiskId) -> Machine {
+        Machine {
+            member: Member {
+                disk,
+                node: format!("store-{index}"),
+                address: format!("10.0.{index}.1:7301"),
+                zone: format!("zone-{index}"),
+                region: "region".to_owned(),
+            },
+            disk: Disk::default(),
+            store: None,
+            life: 0,
+            frozen_until: 0,
+            is_cut: false,
+            is_known_to_control: false,
+            proxies: BTreeMap::new(),
+            peers: BTreeMap::new(),
+        }
+    }
+}
--- a/crates/batch/src/scheduler/job_schedule.rs
+++ b/crates/batch/src/scheduler/job_schedule.rs
@@ -58,6 +58,8 @@
 #[derive(Debug)]
 pub(super) struct JobSchedule {
     key: OrderKey,
+    /// It was there before this machine became primary: proxies may hold leases of it.
+    pub(super) is_taken_over: bool,
     desired: usize,
     surplus_at_ms: i64,
     expires_at_ms: i64,
@@ -79,6 +81,7 @@
         let key = OrderKey { due_at_ms, priority: terms.priority, group, job: job.id().to_owned() };
         let mut schedule = JobSchedule {
             key,
+            is_taken_over: false,
             desired: usize::try_from(job.job().desired).unwrap_or(usize::MAX),
             surplus_at_ms: taken_at_ms.saturating_add(run_deadline_ms / 100 * SURPLUS_AFTER_PERCENT),
             expires_at_ms: taken_at_ms.saturating_add(signed(terms.queue_ttl_ms)),
--- a/crates/batch/src/scheduler/leases.rs
+++ b/crates/batch/src/scheduler/leases.rs
@@ -7,7 +7,7 @@
 /// How long a lease holds after its last renewal.
 const LEASE: Duration = Duration::from_millis(LEASE_MS);
 /// How long an item may be leased in all; a proxy that still holds it by then has lost track.
-const MOST_LEASE_AGE: Duration = Duration::from_secs(60);
+const MOST_LEASE_AGE: Duration = Duration::from_secs(30);
 
 /// A connected proxy: the number of its link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -27,6 +27,16 @@
     items: BTreeSet<usize>,
     given_at: Duration,
     renewed_at: Duration,
+    /// The proxy knows it under another number: it announced it.
+    is_announced: bool,
+}
+
+/// Who gets a lease.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Holder {
+    pub(super) proxy: ProxyId,
+    /// It has announced the lease, rather than been given it.
+    pub(super) is_announced: bool,
 }
 
 /// A lease that has ended with items unfinished.
@@ -65,22 +75,29 @@
     }
 
     pub(super) fn insert(
-        &mut self, now: Duration, key: LeaseKey, proxy: ProxyId, job: &str, items: Vec<usize>,
+        &mut self, now: Duration, key: LeaseKey, holder: Holder, job: &str, items: Vec<usize>,
     ) {
         self.items += items.len();
-        let items = items.into_iter().collect();
-        let lease = Lease { proxy, job: job.to_owned(), items, given_at: now, renewed_at: now };
+        let lease = Lease {
+            proxy: holder.proxy,
+            job: job.to_owned(),
+            items: items.into_iter().collect(),
+            given_at: now,
+            renewed_at: now,
+            is_announced: holder.is_announced,
+        };
         self.leases.insert(key, lease);
     }
 
-    /// Proxy that holds a lease.
-    pub(super) fn holder(&self, key: LeaseKey) -> Option<ProxyId> {
-        self.leases.get(&key).map(|lease| lease.proxy)
+    /// Whether a proxy that names a lease `number` means this one.
+    pub(super) fn is_meant(&self, key: LeaseKey, proxy: ProxyId, number: u64) -> bool {
+        let lease = self.leases.get(&key).filter(|lease| lease.proxy == proxy);
+        lease.is_some_and(|lease| lease.is_announced || key.number == number)
     }
 
     /// Whether the holder of a lease is connected.
     pub(super) fn is_held_by_connected(&self, key: LeaseKey) -> bool {
-        self.holder(key).is_some_and(|proxy| self.connected.contains(&proxy))
+        self.leases.get(&key).is_some_and(|lease| self.connected.contains(&lease.proxy))
     }
 
     /// An item is not leased any more.
--- a/crates/batch/src/scheduler/mod.rs
+++ b/crates/batch/src/scheduler/mod.rs
@@ -16,7 +16,7 @@
 use crate::job::StoredJob;
 use crate::state::BatchState;
 use job_schedule::{JobSchedule, OrderKey};
-use leases::{LeaseKey, Leases};
+use leases::{Holder, LeaseKey, Leases};
 use pebblepost_messages::batch::{LeasedItem, WorkLease};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
@@ -24,6 +24,8 @@
 
 /// Bytes of bodies beyond which a proxy gets no further group of samples in one answer.
 const MOST_BYTES_AT_ONCE: usize = 4 * 1024 * 1024;
+/// Lease numbers begin with the epoch, so that they are not used again.
+const LEASE_NUMBER_BITS: u32 = 32;
 /// How many items more than asked for a proxy is given so that a group of samples stays whole.
 const MOST_ITEMS_BEYOND: usize = 8;
 
@@ -65,9 +67,13 @@
         self.stop_group(group);
         let has_open_jobs = state.jobs().any(|job| !job.is_complete());
         let takeover = Takeover::new(now, has_open_jobs, self.leases.proxies());
-        self.groups.insert(group, GroupSchedule { epoch, takeover, next_lease: 1 });
+        let next_lease = (epoch << LEASE_NUMBER_BITS) + 1;
+        self.groups.insert(group, GroupSchedule { epoch, takeover, next_lease });
         for job in state.jobs() {
             self.add_job(now, group, clock, job);
+            if let Some(schedule) = self.jobs.get_mut(job.id()) {
+                schedule.is_taken_over = true;
+            }
         }
     }
 
@@ -151,7 +157,7 @@
     ) -> usize {
         let Some(schedule) = self.jobs.get_mut(job.id()) else { return 0 };
         let Some(group) = self.groups.get_mut(&schedule.group()) else { return 0 };
-        if group.takeover.holds_back(now) || schedule.has_expired(now) {
+        if (schedule.is_taken_over && group.takeover.holds_back(now)) || schedule.has_expired(now) {
             return 0;
         }
         let mut count = 0;
@@ -166,7 +172,8 @@
             group.next_lease += 1;
             count += indices.len();
             given.push(work_lease(now, group.epoch, key, schedule, job, &indices));
-            self.leases.insert(now, key, proxy, job.id(), indices);
+            let holder = Holder { proxy, is_announced: false };
+            self.leases.insert(now, key, holder, job.id(), indices);
         }
         count
     }
@@ -181,12 +188,23 @@
         true
     }
 
-    /// A proxy handed an item back. Ignored if it does not hold the item's lease.
-    pub fn hand_back(&mut self, proxy: ProxyId, job: &str, item: usize, progress: ItemProgress) {
+    /// A result of an item can't be used: the item waits again, with nothing known of it.
+    pub fn drop_result(&mut self, job: &str, item: usize) {
+        let Some(schedule) = self.jobs.get_mut(job) else { return };
+        let Some(lease) = schedule.lease_of(item) else { return };
+        let group = schedule.group();
+        schedule.keep_progress(item, ItemProgress::default());
+        schedule.release(item, lease);
+        self.leases.remove_item(group, lease, item);
+    }
+
+    /// A proxy handed an item back that it had under this lease. Ignored if the item is under
+    /// another lease by now.
+    pub fn hand_back(&mut self, proxy: ProxyId, number: u64, job: &str, item: usize, progress: ItemProgress) {
         let Some(schedule) = self.jobs.get_mut(job) else { return };
         let Some(lease) = schedule.lease_of(item) else { return };
         let key = LeaseKey { group: schedule.group(), number: lease };
-        if self.leases.holder(key) != Some(proxy) {
+        if !self.leases.is_meant(key, proxy, number) {
             return;
         }
         schedule.keep_progress(item, progress);
@@ -214,14 +232,15 @@
         }
         if !held.is_empty() {
             group.next_lease += 1;
-            self.leases.insert(now, key, proxy, job, held);
+            let holder = Holder { proxy, is_announced: true };
+            self.leases.insert(now, key, holder, job, held);
         }
     }
 
     /// A proxy has announced all leases that it holds.
-    pub fn has_announced(&mut self, proxy: ProxyId) {
+    pub fn has_announced(&mut self, now: Duration, proxy: ProxyId) {
         for group in self.groups.values_mut() {
-            group.takeover.announced(proxy);
+            group.takeover.announced(now, proxy);
         }
     }
 
@@ -273,7 +292,7 @@
     /// Whether an item of a group that `is_acting` allows could be leased now.
     pub fn has_work(&self, now: Duration, is_acting: impl Fn(u32) -> bool) -> bool {
         let can_lease = |job: &JobSchedule| {
-            let held_back = |group: &GroupSchedule| group.takeover.holds_back(now);
+            let held_back = |group: &GroupSchedule| job.is_taken_over && group.takeover.holds_back(now);
             self.groups.get(&job.group()).is_some_and(|group| !held_back(group))
                 && is_acting(job.group())
                 && !job.has_expired(now)
