--- a/crates/ring/tests/disk.rs
+++ b/crates/ring/tests/disk.rs
@@ -165,3 +165,17 @@
     let syncs = simulated.syncs() - before;
     assert!(syncs <= 6, "{syncs}");
 }
+
+#[test]
+fn opening_needs_few_syncs() {
+    let simulated = SimulatedDisk::new(6);
+    let options = Options::new(MOST_BYTES, 5);
+    let mut syncs = Vec::new();
+    for _ in 0..4 {
+        let before = simulated.syncs();
+        Disk::open_storage(simulated.clone(), options, Box::new(|_| {})).expect("opening");
+        syncs.push(simulated.syncs() - before);
+    }
+    println!("{syncs:?}");
+    assert!(syncs.iter().all(|count| *count <= 6), "{syncs:?}");
+}
