--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -53,6 +53,9 @@
     if BatchRunner::is_job_call(head.path_only()) {
         return job_call(context, &configuration, head, body).await;
     }
+    if head.request_id.is_empty() {
+        return Err(Rejection::Malformed);
+    }
     let route = configuration.route(&head.host, head.path_only()).ok_or(Rejection::NoRoute)?;
     if route.kind != RouteKind::Rollout {
         let deadline = deadline(context, route, &head, arrived);
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -42,7 +42,7 @@
     pub(crate) path: String,
     /// Host, as the client sent it.
     pub(crate) host: String,
-    /// Its id.
+    /// Its id; empty where there is none, as in the calls about a batch job.
     pub(crate) request_id: String,
     /// How long the client waits, where it says so.
     pub(crate) deadline: Option<Duration>,
@@ -58,7 +58,10 @@
             return Err(Rejection::HeadTooLarge);
         }
         let host = only_text(&headers, HOST).ok_or(Rejection::Malformed)?.to_owned();
-        let request_id = only_text(&headers, REQUEST_ID).ok_or(Rejection::Malformed)?.to_owned();
+        let request_id = match headers.contains_key(REQUEST_ID) {
+            true => only_text(&headers, REQUEST_ID).ok_or(Rejection::Malformed)?.to_owned(),
+            false => String::new(),
+        };
         let path = uri.path_and_query().filter(|path| path.as_str().starts_with('/'));
         let path = path.ok_or(Rejection::Malformed)?.as_str().to_owned();
         let deadline = deadline(&headers)?;
