Transcribers that have no report are reckoned by what the proxy has there

Cause: a plain service rejects GET /report (400, Not-Executed); the proxy took it for a broken probe and refused every request, minute-fetch 0 of 49.

--- a/crates/batch-runner/src/placing.rs
+++ b/crates/batch-runner/src/placing.rs
@@ -180,7 +180,9 @@
         let is_fresh = self.load.borrow().is_fresh(id, versions_matter, Instant::now());
         if !is_fresh {
             match self.client.report(&candidate.target, PROBE_TIMEOUT).await {
-                Ok(report) => self.load.borrow_mut().report(id, &report, Instant::now()),
+                Ok(Some(report)) => self.load.borrow_mut().report(id, &report, Instant::now()),
+                // Alive, and tells no load: what this proxy has there is all that is known.
+                Ok(None) => {}
                 Err(failure) => {
                     log::debug!("probe of {id}: {failure:?}");
                     let until = Instant::now() + AVOID_AFTER_FAILED_PROBE;
--- a/crates/batch-store/src/program/event_loop.rs
+++ b/crates/batch-store/src/program/event_loop.rs
@@ -261,7 +261,7 @@
     }
 
     fn has_left(&self) -> bool {
-        self.leaving_until.is_some_and(|until| Instant::now() >= until || !self.store.is_primary())
+        self.leaving_until.is_some_and(|until| Instant::now() >= until || !self.store.is_needed())
     }
 
     fn read_settings(&mut self) {
--- a/crates/batch-store/src/store/commits.rs
+++ b/crates/batch-store/src/store/commits.rs
@@ -2,6 +2,7 @@
 
 use super::Store;
 use super::group::{Caller, Proposed};
+use super::outbox::ReplicaWrite;
 use pebblepost_messages::batch::{FromStore, JobAnswer, SubmitOutcome, ToStore};
 use pebblepost_replication::replica::ReplicaOutput;
 use std::time::Duration;
@@ -27,7 +28,10 @@
                 let peer = self.members.get(&to.disk).cloned().unwrap_or(to);
                 self.outbox.send_to_peer(peer, ToStore::Replication { store_group: number, message });
             }
-            ReplicaOutput::Persist { token, records } => self.outbox.persist(number, token, records),
+            ReplicaOutput::Persist { token, records } => {
+                let incarnation = self.groups.get(&number).map_or(0, |group| group.incarnation);
+                self.outbox.persist(ReplicaWrite { group: number, incarnation, token }, records);
+            }
             ReplicaOutput::ChangeEpoch { expected, record } => {
                 self.ask_for_epoch(now, number, expected, record);
             }
--- a/crates/batch-store/src/store/configuration.rs
+++ b/crates/batch-store/src/store/configuration.rs
@@ -2,13 +2,15 @@
 
 use super::Store;
 use super::epoch_changes::{Answer, record_of};
-use pebblepost_messages::Member;
 use pebblepost_messages::batch::STORE_GROUPS;
 use pebblepost_messages::control::{GroupEpoch, ToControl};
 use pebblepost_messages::feed::StoreGroup;
 use pebblepost_replication::record::EpochRecord;
 use std::time::Duration;
 
+/// How long a machine that another one asked to hold a group waits for the control plane to say so.
+const INVITATION: Duration = Duration::from_secs(10);
+
 impl Store {
     /// A link to the control primary is up, and this machine has announced itself over it.
     pub fn control_connected(&mut self) {
@@ -73,33 +75,43 @@
     /// held by others.
     pub(super) fn configure_group(&mut self, now: Duration, number: u32) {
         let Some(assignment) = self.assignments.get(&number).cloned() else { return };
-        let holds = self.holds(&assignment);
+        self.drop_group_of_others(now, number);
+        let targets = if self.holds(&assignment) { self.targets(&assignment) } else { Vec::new() };
         let Some(group) = self.groups.get_mut(&number) else { return };
-        if !holds && assignment.epoch >= group.replica.record().epoch {
-            log::info!("group {number}: held by others in epoch {}", assignment.epoch);
-            self.stop_group(number);
-            self.groups.remove(&number);
-            return;
-        }
         group.replica.configure(now, &epoch_record(&assignment));
-        let targets = if self.is_leaving { self.targets_of_leave(&assignment) } else { assignment.targets };
-        if let Some(group) = self.groups.get_mut(&number) {
-            group.replica.set_targets(now, targets);
+        group.replica.set_targets(now, targets);
+    }
+
+    /// Another machine wants this one to hold a group; the control plane may not know yet.
+    pub(super) fn invite(&mut self, now: Duration, number: u32) {
+        let assignment = self.assignments.get(&number).cloned();
+        let Some(group) = self.groups.get_mut(&number) else { return };
+        group.invited_until = now + INVITATION;
+        if let Some(assignment) = assignment {
+            group.replica.configure(now, &epoch_record(&assignment));
         }
     }
 
-    /// All other machines that hold groups, as far as they are known: whichever has caught up first
-    /// may take this machine's place.
-    fn targets_of_leave(&self, assignment: &StoreGroup) -> Vec<Member> {
-        let assigned = self.assignments.values().flat_map(|other| other.in_sync.iter().chain(&other.targets));
-        let mut targets = assignment.targets.clone();
-        for member in assigned {
-            if targets.iter().all(|target| target.disk != member.disk) {
-                targets.push(member.clone());
-            }
+    /// Drops replicas whose group is held by others.
+    pub(super) fn drop_groups_of_others(&mut self, now: Duration) {
+        let numbers: Vec<u32> = self.groups.keys().copied().collect();
+        for number in numbers {
+            self.drop_group_of_others(now, number);
+        }
+    }
+
+    fn drop_group_of_others(&mut self, now: Duration, number: u32) {
+        let Some(assignment) = self.assignments.get(&number) else { return };
+        let Some(group) = self.groups.get(&number) else { return };
+        let is_newer_here = group.replica.record().epoch > assignment.epoch;
+        if self.holds(assignment) || is_newer_here || now < group.invited_until {
+            return;
         }
-        targets.retain(|member| member.disk != self.settings.me.disk);
-        targets
+        log::info!("group {number}: held by others in epoch {}", assignment.epoch);
+        self.stop_group(number);
+        self.groups.remove(&number);
+        self.changes.forget(number);
+        self.outbox.drop_group(number);
     }
 
     /// Whether this machine holds a group, or should.
--- a/crates/batch-store/src/store/epoch_changes.rs
+++ b/crates/batch-store/src/store/epoch_changes.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// A group is not held here any more.
+    pub(super) fn forget(&mut self, group: u32) {
+        self.waiting.remove(&group);
+    }
+
     /// Groups whose change is given up because no answer came.
     pub(super) fn take_overdue(&mut self, now: Duration) -> Vec<u32> {
         let is_overdue = |change: &Change| now.saturating_sub(change.asked_at) >= MOST_WAIT;
--- a/crates/batch-store/src/store/group.rs
+++ b/crates/batch-store/src/store/group.rs
@@ -42,6 +42,10 @@
 #[derive(Debug)]
 pub(super) struct Group {
     pub(super) replica: Replica<BatchState>,
+    /// Number of this replica among all that this program has made.
+    pub(super) incarnation: u64,
+    /// Another machine asked this one to hold the group; until then the control plane may not know.
+    pub(super) invited_until: Duration,
     clock: GroupClock,
     proposed: BTreeMap<u64, Proposed>,
     /// Results that are not proposed yet, by job.
@@ -50,9 +54,17 @@
 }
 
 impl Group {
-    pub(super) fn new(now: Duration, replica: Replica<BatchState>) -> Group {
+    pub(super) fn new(now: Duration, replica: Replica<BatchState>, incarnation: u64) -> Group {
         let clock = GroupClock::new(now, replica.state().clock_ms());
-        Group { replica, clock, proposed: BTreeMap::new(), gathered: BTreeMap::new(), readers: Vec::new() }
+        Group {
+            replica,
+            incarnation,
+            invited_until: Duration::ZERO,
+            clock,
+            proposed: BTreeMap::new(),
+            gathered: BTreeMap::new(),
+            readers: Vec::new(),
+        }
     }
 
     /// Whether this machine may answer for the group now.
--- a/crates/batch-store/src/store/mod.rs
+++ b/crates/batch-store/src/store/mod.rs
@@ -9,6 +9,7 @@
 mod early;
 mod epoch_changes;
 mod group;
+mod leave;
 mod outbox;
 mod status;
 mod work;
@@ -28,7 +29,7 @@
 use pebblepost_messages::feed::StoreGroup;
 use pebblepost_messages::{DiskId, Member};
 use pebblepost_replication::replica::{DiskRecord, Replica, ReplicaSettings};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Settings of a store.
@@ -79,7 +80,12 @@
     changes: EpochChanges,
     outbox: Outbox,
     last_done: LastDone,
+    /// Replicas made so far.
+    incarnations: u64,
+    /// This machine is about to stop.
     is_leaving: bool,
+    /// Other storage machines that are about to stop.
+    leaving: BTreeSet<DiskId>,
 }
 
 impl Store {
@@ -88,7 +94,10 @@
         let mut recovered: BTreeMap<u32, Vec<DiskRecord>> = BTreeMap::new();
         for bytes in records {
             match GroupRecord::deserialize_bin(bytes) {
-                Ok(record) => recovered.entry(record.group).or_default().push(record.record),
+                Ok(GroupRecord { group, record: Some(record) }) => {
+                    recovered.entry(group).or_default().push(record)
+                }
+                Ok(GroupRecord { group, record: None }) => drop(recovered.remove(&group)),
                 Err(error) => log::error!("reading a record of the ring: {error}"),
             }
         }
@@ -103,7 +112,9 @@
             changes: EpochChanges::default(),
             outbox: Outbox::default(),
             last_done: LastDone::default(),
+            incarnations: 0,
             is_leaving: false,
+            leaving: BTreeSet::new(),
         };
         for (group, records) in recovered {
             store.open_group(now, group, records);
@@ -144,11 +155,15 @@
             (ToStore::KeepAlive, _) | (_, None) => {}
             (ToStore::Status, _) => self.answer_status(now, link),
             (ToStore::ProxyHello { node, zone }, _) => self.proxy_connected(link, node, &zone),
-            (ToStore::PeerHello { member }, _) => self.peer_connected(link, member),
+            (ToStore::PeerHello { member }, _) => self.peer_connected(now, link, member),
             (ToStore::Replication { store_group, message }, Some(Caller::Peer(peer))) => {
                 let peer = peer.clone();
                 self.replicate(now, store_group, &peer, &message);
             }
+            (ToStore::Leaving, Some(Caller::Peer(peer))) => {
+                let disk = peer.disk;
+                self.peer_leaves(now, disk);
+            }
             (message, Some(Caller::Proxy(_))) => self.receive_from_proxy(now, link, message),
             (_, Some(_)) => log::warn!("a message from a link that has not said what it is"),
         }
@@ -179,11 +194,12 @@
 
     /// All appends up to this ticket are on disk.
     pub fn synced(&mut self, now: Duration, ticket: u64) {
-        for (number, token) in self.outbox.synced(ticket) {
-            if let Some(group) = self.groups.get_mut(&number) {
-                group.replica.persisted(now, token);
+        for write in self.outbox.synced(ticket) {
+            let group = self.groups.get_mut(&write.group);
+            if let Some(group) = group.filter(|group| group.incarnation == write.incarnation) {
+                group.replica.persisted(now, write.token);
             }
-            self.settle(now, number);
+            self.settle(now, write.group);
         }
     }
 
@@ -197,27 +213,13 @@
             self.settle(now, number);
             self.answer_late_readers(now, number);
         }
+        self.drop_groups_of_others(now);
         self.give_up_overdue_changes(now);
         self.renew_leases(now);
         self.list_expired(now);
         self.forget_jobs(now);
     }
 
-    /// This machine is about to stop: other machines are to take its place as primary.
-    pub fn leave(&mut self, now: Duration) {
-        self.is_leaving = true;
-        let numbers: Vec<u32> = self.groups.keys().copied().collect();
-        for number in numbers {
-            self.configure_group(now, number);
-            self.settle(now, number);
-        }
-    }
-
-    /// Whether this machine is primary of any group.
-    pub fn is_primary(&self) -> bool {
-        self.groups.keys().any(|number| self.scheduler.has_group(*number))
-    }
-
     /// Whether the store holds anything, and needs ticks.
     pub fn is_busy(&self) -> bool {
         !self.groups.is_empty()
@@ -240,8 +242,11 @@
     pub fn checkpoint(&mut self) {
         let mut records = Vec::new();
         for (number, group) in &self.groups {
-            let encoded =
-                group.replica.checkpoint().into_iter().map(|record| GroupRecord { group: *number, record });
+            let encoded = group
+                .replica
+                .checkpoint()
+                .into_iter()
+                .map(|record| GroupRecord { group: *number, record: Some(record) });
             records.extend(encoded.map(|record| record.serialize_bin()));
         }
         self.outbox.checkpoint(records);
@@ -252,7 +257,8 @@
             return;
         }
         if !self.groups.contains_key(&number) {
-            self.open_group(now, number, Vec::new());
+            self.make_replica(now, number, Vec::new());
+            self.invite(now, number);
         }
         if let Some(group) = self.groups.get_mut(&number) {
             group.replica.receive(now, peer, message);
@@ -260,12 +266,17 @@
         self.settle(now, number);
     }
 
-    /// Makes the replica of a group, with what the disk held of it.
+    /// Begins to hold a group, with what the disk held of it.
     fn open_group(&mut self, now: Duration, number: u32, recovered: Vec<DiskRecord>) {
+        self.make_replica(now, number, recovered);
+        self.configure_group(now, number);
+    }
+
+    fn make_replica(&mut self, now: Duration, number: u32, recovered: Vec<DiskRecord>) {
         let me = self.settings.me.clone();
         let replica = Replica::new(me, self.settings.replica, BatchState::default(), recovered, now);
-        self.groups.insert(number, Group::new(now, replica));
-        self.configure_group(now, number);
+        self.incarnations += 1;
+        self.groups.insert(number, Group::new(now, replica, self.incarnations));
     }
 
     fn proxy_connected(&mut self, link: LinkId, node: String, zone: &str) {
@@ -274,8 +285,11 @@
         self.scheduler.connect_proxy(ProxyId(link.0));
     }
 
-    fn peer_connected(&mut self, link: LinkId, member: Member) {
+    fn peer_connected(&mut self, now: Duration, link: LinkId, member: Member) {
         log::info!("storage machine {} is connected", member.node);
+        if self.leaving.remove(&member.disk) {
+            self.set_targets_anew(now);
+        }
         self.members.insert(member.disk, member.clone());
         self.callers.insert(link, Caller::Peer(member));
     }
--- a/crates/batch-store/src/store/outbox.rs
+++ b/crates/batch-store/src/store/outbox.rs
@@ -16,8 +16,17 @@
 pub struct GroupRecord {
     /// The group.
     pub group: u32,
-    /// The record.
-    pub record: DiskRecord,
+    /// The record. `None`: the group is not held here any more, and its records so far are void.
+    pub record: Option<DiskRecord>,
+}
+
+/// A write of one replica that is not on disk yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ReplicaWrite {
+    pub(super) group: u32,
+    /// Which of the replicas that this program has made; a group may be dropped and held again.
+    pub(super) incarnation: u64,
+    pub(super) token: u64,
 }
 
 /// Something the caller must do, in order.
@@ -58,8 +67,8 @@
 pub(super) struct Outbox {
     outputs: Vec<StoreOutput>,
     unwritten: Vec<Vec<u8>>,
-    tokens: Vec<(u32, u64)>,
-    written: VecDeque<(u64, Vec<(u32, u64)>)>,
+    writes: Vec<ReplicaWrite>,
+    written: VecDeque<(u64, Vec<ReplicaWrite>)>,
     last_ticket: u64,
 }
 
@@ -77,10 +86,17 @@
     }
 
     /// Queues records of a group to be written with all others of this turn.
-    pub(super) fn persist(&mut self, group: u32, token: u64, records: Vec<DiskRecord>) {
-        let encoded = records.into_iter().map(|record| GroupRecord { group, record }.serialize_bin());
+    pub(super) fn persist(&mut self, write: ReplicaWrite, records: Vec<DiskRecord>) {
+        let group = write.group;
+        let encoded =
+            records.into_iter().map(|record| GroupRecord { group, record: Some(record) }.serialize_bin());
         self.unwritten.extend(encoded);
-        self.tokens.push((group, token));
+        self.writes.push(write);
+    }
+
+    /// Voids the records of a group.
+    pub(super) fn drop_group(&mut self, group: u32) {
+        self.unwritten.push(GroupRecord { group, record: None }.serialize_bin());
     }
 
     /// Replaces all that is on disk. Writes that wait go first: their tokens come back after them.
@@ -89,11 +105,11 @@
         self.outputs.push(StoreOutput::Checkpoint { records });
     }
 
-    /// Groups and tokens whose records are on disk now.
-    pub(super) fn synced(&mut self, ticket: u64) -> Vec<(u32, u64)> {
+    /// Writes that are on disk now.
+    pub(super) fn synced(&mut self, ticket: u64) -> Vec<ReplicaWrite> {
         let mut synced = Vec::new();
-        while self.written.front().is_some_and(|(written, _)| *written <= ticket) {
-            synced.extend(self.written.pop_front().into_iter().flat_map(|(_, tokens)| tokens));
+        while let Some((_, writes)) = self.written.pop_front_if(|(written, _)| *written <= ticket) {
+            synced.extend(writes);
         }
         synced
     }
@@ -104,12 +120,12 @@
     }
 
     fn write(&mut self) {
-        if self.tokens.is_empty() {
+        if self.unwritten.is_empty() && self.writes.is_empty() {
             return;
         }
         self.last_ticket += 1;
         let records = std::mem::take(&mut self.unwritten);
-        self.written.push_back((self.last_ticket, std::mem::take(&mut self.tokens)));
+        self.written.push_back((self.last_ticket, std::mem::take(&mut self.writes)));
         self.outputs.push(StoreOutput::Append { ticket: self.last_ticket, records });
     }
 }
--- a/crates/batch-store/tests/schedules.rs
+++ b/crates/batch-store/tests/schedules.rs
@@ -23,7 +23,9 @@
         3 => world.cut(machine, away),
         _ => {
             let takes = world.random.random_range(0..1_400);
-            world.leave(machine, takes);
+            world.leave(machine);
+            world.run(takes);
+            world.kill(machine, 500);
         }
     }
     away
@@ -172,6 +174,26 @@
     assert!(found, "the checker finds no late run where there must be one");
 }
 
+/// Time in which a machine that stops is relieved of all that it holds, in milliseconds.
+const RELIEVED_WITHIN_MS: u64 = 1_000;
+
+#[rstest]
+fn a_machine_that_stops_is_relieved_first() {
+    for seed in 900..900 + schedules() {
+        let mut world = World::new(Plan { seed, ..PLAN });
+        work(&mut world, 3_000);
+        let machine = world.random.random_range(0..3);
+        assert!(world.is_needed(machine));
+        world.leave(machine);
+        work(&mut world, RELIEVED_WITHIN_MS);
+        assert!(!world.is_needed(machine), "seed {seed}: {}", world.status(machine));
+        world.kill(machine, 500);
+        work(&mut world, 3_000);
+        read_all(&mut world);
+        assert_eq!(world.checker.violations, [""; 0], "seed {seed}");
+    }
+}
+
 #[rstest]
 fn a_job_beyond_the_budget_is_refused_and_never_runs() {
     let mut world = World::new(Plan { seed: 1, most_bytes: 200_000, ..PLAN });
--- a/crates/batch-store/tests/simulation/world.rs
+++ b/crates/batch-store/tests/simulation/world.rs
@@ -190,15 +190,18 @@
         self.after(millis, Event::Heal { machine });
     }
 
-    /// Asks a machine to stop, as SIGTERM does; it ends after a time and starts again.
-    pub fn leave(&mut self, machine: usize, end_after_ms: u64) {
+    /// Asks a machine to stop, as SIGTERM does.
+    pub fn leave(&mut self, machine: usize) {
         let now = self.time();
         if let Some(store) = &mut self.machines[machine].store {
             store.leave(now);
         }
         self.carry_out(machine);
-        self.run(end_after_ms);
-        self.kill(machine, 500);
+    }
+
+    /// Whether others rely on a machine.
+    pub fn is_needed(&self, machine: usize) -> bool {
+        self.machines[machine].store.as_ref().is_some_and(Store::is_needed)
     }
 
     /// Has a machine write a checkpoint.
--- a/crates/control/src/tasks.rs
+++ b/crates/control/src/tasks.rs
@@ -155,7 +155,7 @@
 /// Asks a transcriber for its report and tells the loop.
 pub async fn ask_report(client: Client, instance: String, address: String, events: EventSender) {
     let report = match target(&instance, &address) {
-        Some(target) => client.report(&target, ORDER_TIME).await.ok(),
+        Some(target) => client.report(&target, ORDER_TIME).await.ok().flatten(),
         None => None,
     };
     let report = report.map(|load| Reported { busy: load.busy, models: load.models, running: load.running });
--- a/crates/messages/src/batch.rs
+++ b/crates/messages/src/batch.rs
@@ -259,6 +259,9 @@
         /// The message.
         message: Vec<u8>,
     },
+    /// From another storage machine: it is about to stop, and other machines are to hold what it
+    /// holds.
+    Leaving,
     /// An operator's command asks for the state of the store.
     Status,
 }
--- a/crates/proxy/src/dispatch/service.rs
+++ b/crates/proxy/src/dispatch/service.rs
@@ -231,6 +231,18 @@
         }
         vec![slots.saturating_sub(load.running) as f32, load.waiting as f32]
     }
+
+    /// The report of a transcriber that tells no load: what this proxy has there.
+    fn own_report(&self, worker: WorkerId) -> Report {
+        let state = self.state.borrow();
+        let slots = state.workers.slots(worker).max(1);
+        vec![slots.saturating_sub(state.workers.in_flight(worker)) as f32, 0.0]
+    }
+
+    /// An attempt at a transcriber begins or ends.
+    pub(super) fn count_in_flight(&self, worker: WorkerId, begins: bool) {
+        self.state.borrow_mut().workers.count_in_flight(worker, begins);
+    }
 }
 
 impl State {
@@ -263,7 +275,8 @@
         None => Err(Status::ConnectFailed),
     };
     let (status, report) = match result {
-        Ok(load) => (Status::Ok, service.report(worker, &load)),
+        Ok(Some(load)) => (Status::Ok, service.report(worker, &load)),
+        Ok(None) => (Status::Ok, service.own_report(worker)),
         Err(status) => (status, Report::new()),
     };
     service.tell(Event::Probed { worker, status, latency: sent.elapsed(), report });
--- a/crates/proxy/src/dispatch/ticket.rs
+++ b/crates/proxy/src/dispatch/ticket.rs
@@ -82,6 +82,7 @@
     }
 
     fn note_send(&mut self, worker: WorkerId) {
+        self.service.count_in_flight(worker, true);
         self.open = Some(OpenAttempt { number: AttemptNo(self.sends), worker, sent: Instant::now() });
         self.sends = self.sends.saturating_add(1);
     }
@@ -89,6 +90,7 @@
     /// Tells how the attempt that is out ended; `closed`: the request needs no other.
     pub(super) fn end(&mut self, status: Status, report: Report, closed: bool) {
         let Some(OpenAttempt { number, worker, sent }) = self.open.take() else { return };
+        self.service.count_in_flight(worker, false);
         let latency = sent.elapsed();
         self.service.tell(Event::Outcome {
             id: self.id,
--- a/crates/proxy/src/dispatch/workers.rs
+++ b/crates/proxy/src/dispatch/workers.rs
@@ -18,6 +18,7 @@
     slots: u32,
     state: WorkerState,
     zone: ZoneId,
+    in_flight: u32,
 }
 
 /// The transcribers of one service; those that are gone keep their numbers.
@@ -74,7 +75,7 @@
         let slots = instance.slots.max(1);
         let zone = self.zone(&instance.zone);
         let target = Target { instance: instance.id.clone(), address };
-        self.workers.push(Worker { target, slots, state, zone });
+        self.workers.push(Worker { target, slots, state, zone, in_flight: 0 });
         self.numbers.insert(instance.id.clone(), number);
         let cold = Duration::from_millis(instance.cold_remaining_ms.into());
         let started = (!cold.is_zero()).then(|| now + cold - warm_up);
@@ -82,6 +83,20 @@
         Some(WorkerChange { entry, new_with_slots: Some(slots) })
     }
 
+    /// Attempts of this proxy that are out at a transcriber.
+    pub(super) fn in_flight(&self, worker: WorkerId) -> u32 {
+        self.workers.get(worker.0 as usize).map_or(0, |worker| worker.in_flight)
+    }
+
+    /// An attempt at a transcriber begins or ends.
+    pub(super) fn count_in_flight(&mut self, worker: WorkerId, begins: bool) {
+        let Some(worker) = self.workers.get_mut(worker.0 as usize) else { return };
+        worker.in_flight = match begins {
+            true => worker.in_flight.saturating_add(1),
+            false => worker.in_flight.saturating_sub(1),
+        };
+    }
+
     fn zone(&mut self, name: &str) -> ZoneId {
         let known = self.zones.iter().position(|zone| zone == name);
         let index = known.unwrap_or_else(|| {
--- a/crates/replication/tests/simulation/random.rs
+++ b/crates/replication/tests/simulation/random.rs
@@ -21,7 +21,7 @@
 
     /// A number from `low` to `high`, `high` excluded.
     pub fn range(&mut self, low: u64, high: u64) -> u64 {
-        low + (self.next() >> 16) % (high - low).max(1)
+        low + (self.next() >> 16) % high.saturating_sub(low).max(1)
     }
 
     pub fn index(&mut self, count: usize) -> usize {
--- a/crates/transcriber/src/client.rs
+++ b/crates/transcriber/src/client.rs
@@ -93,15 +93,19 @@
             .await
     }
 
-    /// Asks for the load: `GET /report`.
-    pub async fn report(&self, target: &Target, timeout: Duration) -> Result<Load, Failure> {
+    /// Asks for the load: `GET /report`. `None`: the transcriber is alive, and tells no load. One
+    /// that has no report may still tell it beside its rejection, in `Instance-Load`.
+    pub async fn report(&self, target: &Target, timeout: Duration) -> Result<Option<Load>, Failure> {
         self.count(|counts| counts.reports += 1);
         let request = request::own(target, Method::GET, "/report", Bytes::new(), timeout);
         let answer = self.send(target, request).await?;
-        if answer.head.status != StatusCode::OK {
-            return Err(Failure::MayHaveRun);
+        if answer.head.status == StatusCode::OK {
+            return parse_report(&answer.body).map(Some).ok_or(Failure::MayHaveRun);
+        }
+        match answer.head.not_executed {
+            true => Ok(answer.head.load),
+            false => Err(Failure::MayHaveRun),
         }
-        parse_report(&answer.body).ok_or(Failure::MayHaveRun)
     }
 
     /// Sends an order: `POST /order` with a JSON body; the status.
--- a/crates/transcriber/tests/exchanges.rs
+++ b/crates/transcriber/tests/exchanges.rs
@@ -320,7 +320,7 @@
         let server = Scripted::start(vec![script]).await;
         let client = client();
         let target = server.target();
-        let load = client.report(&target, Duration::from_secs(1)).await.unwrap();
+        let load = client.report(&target, Duration::from_secs(1)).await.unwrap().unwrap();
         assert_eq!((load.running, load.waiting), (12, 1));
         let status = client.order(&target, "{}".into(), Duration::from_secs(1)).await.unwrap();
         assert_eq!(status, StatusCode::ACCEPTED);
@@ -337,6 +337,21 @@
     });
 }
 
+#[test]
+fn a_rejected_report_tells_the_load_that_stands_beside_it_or_none() {
+    run(async {
+        let with_load = b"HTTP/1.1 400 Bad Request\r\nnot-executed: 1\r\ninstance-load: 2,1,6\r\n\
+                          content-length: 0\r\n\r\n";
+        let without = b"HTTP/1.1 400 Bad Request\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
+        let script = vec![Step::Read, Step::Write(with_load), Step::Read, Step::Write(without)];
+        let server = Scripted::start(vec![script]).await;
+        let (client, target) = (client(), server.target());
+        let load = client.report(&target, Duration::from_secs(1)).await.unwrap().unwrap();
+        assert_eq!((load.running, load.waiting, load.slots), (2, 1, Some(6)));
+        assert_eq!(client.report(&target, Duration::from_secs(1)).await, Ok(None));
+    });
+}
+
 #[test]
 fn a_surplus_answer_is_not_taken_for_a_report() {
     run(async {
