--- a/crates/control/src/core/links.rs
+++ b/crates/control/src/core/links.rs
@@ -5,6 +5,7 @@
 use pebblepost_messages::control::{FromControl, SubscriberRole, ToControl};
 use pebblepost_messages::feed::{FeedBatch, FeedReply, FeedUpdate};
 use pebblepost_messages::{DiskId, Member};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// A link on which nothing was sent for so long gets a sign of life.
@@ -207,11 +208,21 @@
         self.send(now, connection, FromControl::Redirect { primary, members });
         let is_peer = self.connections.get(&connection).is_some_and(|known| known.peer.is_some());
         if !is_peer {
-            self.connections.remove(&connection);
+            self.closed(now, connection);
             self.outputs.push(Output::Close { connection });
         }
     }
 
+    /// Sends subscribers and storage machines elsewhere: this process can't tell them anything new.
+    pub(super) fn send_elsewhere(&mut self, now: Duration, subscribers: impl IntoIterator<Item = ConnectionId>) {
+        let stores = self.connections.iter().filter(|(_, known)| known.store.is_some());
+        let mut told: BTreeSet<ConnectionId> = stores.map(|(connection, _)| *connection).collect();
+        told.extend(subscribers);
+        for connection in told {
+            self.redirect(now, connection);
+        }
+    }
+
     /// The primary, if it is another process that was heard lately.
     pub(super) fn live_primary(&self, now: Duration) -> Option<&Member> {
         let primary = self.other_primary()?;
--- a/crates/control/src/core/primary.rs
+++ b/crates/control/src/core/primary.rs
@@ -20,6 +20,8 @@
 const PLAN_EVERY: Duration = Duration::from_millis(250);
 /// Time in which witnesses have to be heard by a new primary.
 const WITNESS_GRACE: Duration = Duration::from_secs(2);
+/// Time without a lease after which a primary sends its subscribers elsewhere.
+const LEAST_TIME_NOT_ACTING: Duration = Duration::from_millis(400);
 
 /// What the acting primary keeps beside the replicated state.
 #[derive(Debug)]
@@ -33,6 +35,7 @@
     pub(super) plan_at: Duration,
     /// Entries of the last plan that are not committed.
     planned: BTreeSet<u64>,
+    not_acting_since: Option<Duration>,
     published_groups: BTreeMap<u32, StoreGroup>,
     planned_generation: u64,
     list_complete_at: Option<Duration>,
@@ -60,6 +63,7 @@
             changes: BTreeMap::new(),
             plan_at: now,
             planned: BTreeSet::new(),
+            not_acting_since: None,
             published_groups: BTreeMap::new(),
             planned_generation: 0,
             list_complete_at: Some(self.registry.grace_ends()),
@@ -83,12 +87,24 @@
         self.abandon_calls();
         let (state, subscribers) = primary.feed.into_parts();
         self.proxy_count = state.proxy_count();
-        let stores = self.connections.iter().filter(|(_, known)| known.store.is_some());
-        let mut told: BTreeSet<u64> = stores.map(|(connection, _)| *connection).collect();
-        told.extend(subscribers);
-        for connection in told {
-            self.redirect(now, connection);
+        self.send_elsewhere(now, subscribers);
+    }
+
+    /// A primary whose lease has run out may be cut off: whoever is fed by it has to look for
+    /// another, as it would hear of nothing new here.
+    fn release_subscribers(&mut self, now: Duration) {
+        let acting = self.is_acting(now);
+        let Some(primary) = &mut self.primary else { return };
+        if acting {
+            primary.not_acting_since = None;
+            return;
+        }
+        let since = *primary.not_acting_since.get_or_insert(now);
+        if now.saturating_sub(since) < LEAST_TIME_NOT_ACTING {
+            return;
         }
+        let subscribers: Vec<_> = primary.feed.connections().collect();
+        self.send_elsewhere(now, subscribers);
     }
 
     /// Entries up to an index are committed and applied.
@@ -167,6 +183,7 @@
 
     /// Looks over registrations and witnesses.
     pub(super) fn look_over_primary(&mut self, now: Duration) {
+        self.release_subscribers(now);
         if !self.is_acting(now) {
             return;
         }
--- a/crates/control/src/feed_server.rs
+++ b/crates/control/src/feed_server.rs
@@ -292,6 +292,11 @@
         self.pending.due
     }
 
+    /// Connections of all subscribers.
+    pub fn connections(&self) -> impl Iterator<Item = ConnectionId> {
+        self.subscribers.keys().copied()
+    }
+
     /// All subscribers, for displays.
     pub fn subscribers(&self) -> Vec<SubscriberStatus> {
         let status = |subscriber: &Subscriber| SubscriberStatus {
