--- a/crates/batch-store/src/program/configuration.rs
+++ b/crates/batch-store/src/program/configuration.rs
@@ -6,7 +6,7 @@
 use pebblepost_messages::{DiskId, Member};
 use pebblepost_replication::record::Tolerance;
 use pebblepost_replication::replica::ReplicaSettings;
-use pebblepost_ring::{Disk, Opened};
+use pebblepost_ring::Opened;
 use pebblepost_settings::Settings;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,8 +27,13 @@
     SocketAddr::new(settings.ip, settings.store_link_port())
 }
 
+/// Bytes of the disk that the ring may take.
+pub(super) fn ring_bytes(settings: &Settings) -> u64 {
+    settings.limits.disk_bytes / 4 * 3
+}
+
 /// Settings of the store.
-pub(super) fn store_settings(settings: &Settings, disk: &Disk, opened: &Opened) -> StoreSettings {
+pub(super) fn store_settings(settings: &Settings, opened: &Opened) -> StoreSettings {
     let status = settings.bounds.status;
     StoreSettings {
         me: Member {
@@ -41,7 +46,7 @@
         founding: settings.bootstrap && opened.records.is_empty(),
         replica: replica_settings(settings),
         retention: Retention { ended: status + RETENTION_MARGIN, open: status + ABANDONED_MARGIN },
-        budget: Budget::new(settings.limits.memory_bytes, disk.capacity()),
+        budget: Budget::new(settings.limits.memory_bytes, ring_bytes(settings)),
     }
 }
 
--- a/crates/batch-store/src/program/mod.rs
+++ b/crates/batch-store/src/program/mod.rs
@@ -23,7 +23,7 @@
     let runtime = Builder::new_current_thread().enable_all().build().wrap_err("starting the runtime")?;
     let (completed, completions) = mpsc::unbounded_channel();
     let (disk, opened) = open_disk(&settings, completed)?;
-    let store_settings = configuration::store_settings(&settings, &disk, &opened);
+    let store_settings = configuration::store_settings(&settings, &opened);
     log::info!(
         "store {} with disk {:x}{} and {} records",
         settings.node_name,
@@ -42,11 +42,10 @@
 
 fn open_disk(settings: &Settings, completed: mpsc::UnboundedSender<Completion>) -> Result<(Disk, Opened)> {
     let folder = settings.data_dir.as_ref().ok_or_else(|| eyre!("the settings name no data_dir"))?;
-    let most_bytes = settings.limits.disk_bytes / 4 * 3;
     let on_completion = move |completion| {
         // The receiver is gone only at the end of the program.
         completed.send(completion).ok();
     };
-    Disk::open(folder, most_bytes, None, Box::new(on_completion))
+    Disk::open(folder, configuration::ring_bytes(settings), None, Box::new(on_completion))
         .wrap_err_with(|| format!("opening the disk in {}", folder.display()))
 }
--- a/crates/batch-store/src/store/configuration.rs
+++ b/crates/batch-store/src/store/configuration.rs
@@ -2,14 +2,15 @@
 
 use super::Store;
 use super::epoch_changes::{Answer, record_of};
+use super::group::Group;
 use pebblepost_messages::batch::STORE_GROUPS;
 use pebblepost_messages::control::{GroupEpoch, ToControl};
 use pebblepost_messages::feed::StoreGroup;
 use pebblepost_replication::record::EpochRecord;
 use std::time::Duration;
 
-/// How long a machine that another one asked to hold a group waits for the control plane to say so.
-const INVITATION: Duration = Duration::from_secs(10);
+/// A replica of a group that others hold is dropped after nobody has sent it anything for so long.
+const UNUSED_FOR: Duration = Duration::from_secs(10);
 
 impl Store {
     /// A link to the control primary is up, and this machine has announced itself over it.
@@ -71,40 +72,33 @@
         }
     }
 
-    /// Hands the newest assignment of a group to its replica, or drops the replica if the group is
-    /// held by others.
+    /// Hands the newest assignment of a group to its replica.
     pub(super) fn configure_group(&mut self, now: Duration, number: u32) {
-        let Some(assignment) = self.assignments.get(&number).cloned() else { return };
-        self.drop_group_of_others(now, number);
-        let targets = if self.holds(&assignment) { self.targets(&assignment) } else { Vec::new() };
+        let Some(assignment) = self.assignments.get(&number) else { return };
+        let record = epoch_record(assignment);
+        let targets = self.targets(assignment);
         let Some(group) = self.groups.get_mut(&number) else { return };
-        group.replica.configure(now, &epoch_record(&assignment));
+        group.replica.configure(now, &record);
         group.replica.set_targets(now, targets);
     }
 
-    /// Another machine wants this one to hold a group; the control plane may not know yet.
-    pub(super) fn invite(&mut self, now: Duration, number: u32) {
-        let assignment = self.assignments.get(&number).cloned();
-        let Some(group) = self.groups.get_mut(&number) else { return };
-        group.invited_until = now + INVITATION;
-        if let Some(assignment) = assignment {
-            group.replica.configure(now, &epoch_record(&assignment));
-        }
-    }
-
     /// Drops replicas whose group is held by others.
+    ///
+    /// What a replica has confirmed may still be counted on: a change that adds it may be under way
+    /// to the control plane. So it is kept until nobody has sent it anything for long enough.
     pub(super) fn drop_groups_of_others(&mut self, now: Duration) {
-        let numbers: Vec<u32> = self.groups.keys().copied().collect();
+        let is_unused = |group: &Group| now.saturating_sub(group.used_at) >= UNUSED_FOR;
+        let unused = self.groups.iter().filter(|(_, group)| is_unused(group));
+        let numbers: Vec<u32> = unused.map(|(number, _)| *number).collect();
         for number in numbers {
-            self.drop_group_of_others(now, number);
+            self.drop_group_of_others(number);
         }
     }
 
-    fn drop_group_of_others(&mut self, now: Duration, number: u32) {
+    fn drop_group_of_others(&mut self, number: u32) {
         let Some(assignment) = self.assignments.get(&number) else { return };
         let Some(group) = self.groups.get(&number) else { return };
-        let is_newer_here = group.replica.record().epoch > assignment.epoch;
-        if self.holds(assignment) || is_newer_here || now < group.invited_until {
+        if self.holds(assignment) || group.replica.record().epoch > assignment.epoch {
             return;
         }
         log::info!("group {number}: held by others in epoch {}", assignment.epoch);
@@ -114,6 +108,11 @@
         self.outbox.drop_group(number);
     }
 
+    /// Whether the control plane says that this machine holds a group, or should.
+    pub(super) fn is_assigned(&self, number: u32) -> bool {
+        self.assignments.get(&number).is_some_and(|assignment| self.holds(assignment))
+    }
+
     /// Whether this machine holds a group, or should.
     fn holds(&self, assignment: &StoreGroup) -> bool {
         let mut members = assignment.in_sync.iter().chain(&assignment.targets);
--- a/crates/batch-store/src/store/group.rs
+++ b/crates/batch-store/src/store/group.rs
@@ -44,8 +44,8 @@
     pub(super) replica: Replica<BatchState>,
     /// Number of this replica among all that this program has made.
     pub(super) incarnation: u64,
-    /// Another machine asked this one to hold the group; until then the control plane may not know.
-    pub(super) invited_until: Duration,
+    /// When another machine last sent something for the group, or it was opened.
+    pub(super) used_at: Duration,
     clock: GroupClock,
     proposed: BTreeMap<u64, Proposed>,
     /// Results that are not proposed yet, by job.
@@ -59,7 +59,7 @@
         Group {
             replica,
             incarnation,
-            invited_until: Duration::ZERO,
+            used_at: now,
             clock,
             proposed: BTreeMap::new(),
             gathered: BTreeMap::new(),
--- a/crates/batch-store/src/store/mod.rs
+++ b/crates/batch-store/src/store/mod.rs
@@ -257,10 +257,14 @@
             return;
         }
         if !self.groups.contains_key(&number) {
-            self.make_replica(now, number, Vec::new());
-            self.invite(now, number);
+            self.open_group(now, number, Vec::new());
         }
+        let is_assigned = self.is_assigned(number);
         if let Some(group) = self.groups.get_mut(&number) {
+            group.used_at = now;
+            if !is_assigned {
+                group.replica.set_targets(now, Vec::new());
+            }
             group.replica.receive(now, peer, message);
         }
         self.settle(now, number);
@@ -268,15 +272,11 @@
 
     /// Begins to hold a group, with what the disk held of it.
     fn open_group(&mut self, now: Duration, number: u32, recovered: Vec<DiskRecord>) {
-        self.make_replica(now, number, recovered);
-        self.configure_group(now, number);
-    }
-
-    fn make_replica(&mut self, now: Duration, number: u32, recovered: Vec<DiskRecord>) {
         let me = self.settings.me.clone();
         let replica = Replica::new(me, self.settings.replica, BatchState::default(), recovered, now);
         self.incarnations += 1;
         self.groups.insert(number, Group::new(now, replica, self.incarnations));
+        self.configure_group(now, number);
     }
 
     fn proxy_connected(&mut self, link: LinkId, node: String, zone: &str) {
--- a/crates/batch-store/tests/schedules.rs
+++ b/crates/batch-store/tests/schedules.rs
@@ -21,6 +21,7 @@
         1 => world.wipe(machine, away),
         2 => world.freeze(machine, away),
         3 => world.cut(machine, away),
+        4 => world.shift_groups(),
         _ => {
             let takes = world.random.random_range(0..1_400);
             world.leave(machine);
@@ -78,13 +79,19 @@
             }
         }
         world.run(1_500);
-        let open = |id: &String| !world.checker.has_ended(id) && !world.clients.complete[id];
-        if world.is_quiet() && !world.checker.jobs().iter().any(open) {
+        if world.is_quiet() && !world.checker.jobs().iter().any(|id| is_open(world, id)) {
             return;
         }
     }
     let states: Vec<String> = (0..3).map(|machine| world.status(machine)).collect();
-    panic!("not all jobs were completed at {}: {}\n{:?}", world.now, states.join("\n"), world.proxies);
+    let open: Vec<String> = world.checker.jobs().into_iter().filter(|id| is_open(world, id)).collect();
+    let (seed, now) = (world.seed(), world.now);
+    panic!("seed {seed}: open at {now}: {open:?}, quiet {}: {}", world.is_quiet(), states.join("\n"));
+}
+
+/// Whether a job should be completed and is not.
+fn is_open(world: &World, id: &str) -> bool {
+    !world.checker.has_ended(id) && !world.clients.complete.get(id).is_some_and(|complete| *complete)
 }
 
 fn bodies_of_unlisted(world: &mut World) {
@@ -110,8 +117,9 @@
 #[case::wiped(&[1], 200_000)]
 #[case::frozen(&[2], 300_000)]
 #[case::cut_off(&[3], 400_000)]
-#[case::stopped(&[4], 500_000)]
-#[case::of_all_kinds(&[0, 1, 2, 3, 4], 600_000)]
+#[case::stopped(&[5], 500_000)]
+#[case::shifted(&[4], 550_000)]
+#[case::of_all_kinds(&[0, 1, 2, 3, 4, 5], 600_000)]
 fn what_was_acknowledged_stays(#[case] kinds: &[u32], #[case] first_seed: u64) {
     for seed in first_seed..first_seed + schedules() {
         let mut world = World::new(Plan { seed, ..PLAN });
@@ -174,6 +182,27 @@
     assert!(found, "the checker finds no late run where there must be one");
 }
 
+#[rstest]
+fn groups_are_shifted_back_and_forth() {
+    for seed in 850_000..850_000 + schedules() {
+        let mut world = World::new(Plan { seed, machines: 4, ..PLAN });
+        work(&mut world, 2_000);
+        for _ in 0..12 {
+            world.shift_groups();
+            let pause = world.random.random_range(1..800);
+            work(&mut world, pause);
+        }
+        work(&mut world, 3_000);
+        assert!(world.is_settled(), "seed {seed}");
+        read_all(&mut world);
+        world.run(15_000);
+        let held: usize = (0..4).map(|machine| world.held_groups(machine)).sum();
+        assert_eq!(held, 16, "seed {seed}: what others hold is dropped");
+        read_all(&mut world);
+        assert_eq!(world.checker.violations, [""; 0], "seed {seed}");
+    }
+}
+
 /// Time in which a machine that stops is relieved of all that it holds, in milliseconds.
 const RELIEVED_WITHIN_MS: u64 = 1_000;
 
--- a/crates/batch-store/tests/simulation/control.rs
+++ b/crates/batch-store/tests/simulation/control.rs
@@ -71,6 +71,21 @@
         changed
     }
 
+    /// Gives a group to other machines, those from `first` on.
+    pub fn shift(&mut self, group: u32, first: usize) {
+        let disks: Vec<DiskId> = self.known.keys().copied().collect();
+        let targets = (0..self.copies).map(|offset| disks[(first + offset) % disks.len()]).collect();
+        self.groups.get_mut(&group).expect("a group").1 = targets;
+    }
+
+    /// Whether every group is held by those who should hold it.
+    pub fn is_settled(&self) -> bool {
+        let is_settled = |(epoch, targets): &(GroupEpoch, Vec<DiskId>)| {
+            epoch.in_sync.len() == targets.len() && epoch.in_sync.iter().all(|disk| targets.contains(disk))
+        };
+        self.groups.values().all(is_settled)
+    }
+
     /// Changes an epoch if it is the expected one; whether it did, and what holds now.
     pub fn change(&mut self, group: u32, expected: u64, proposed: &GroupEpoch) -> (bool, GroupEpoch) {
         let (epoch, _) = self.groups.get_mut(&group).expect("a group");
--- a/crates/batch-store/tests/simulation/world.rs
+++ b/crates/batch-store/tests/simulation/world.rs
@@ -143,6 +143,11 @@
         world
     }
 
+    /// Seed of everything random.
+    pub fn seed(&self) -> u64 {
+        self.plan.seed
+    }
+
     /// Runs until a time.
     pub fn run_until(&mut self, until: u64) {
         while let Some(((at, _), event)) = self.events.pop_first() {
@@ -204,6 +209,27 @@
         self.machines[machine].store.as_ref().is_some_and(Store::is_needed)
     }
 
+    /// Has the control plane give some groups to other machines.
+    pub fn shift_groups(&mut self) {
+        for group in 0..pebblepost_messages::batch::STORE_GROUPS {
+            if self.random.random_bool(0.4) {
+                let first = self.random.random_range(0..self.machines.len());
+                self.control.shift(group, first);
+            }
+        }
+        self.publish();
+    }
+
+    /// Whether every group is held by those who should hold it.
+    pub fn is_settled(&self) -> bool {
+        self.control.is_settled()
+    }
+
+    /// Groups that a machine holds.
+    pub fn held_groups(&self, machine: usize) -> usize {
+        self.status(machine).matches("\"group\":").count()
+    }
+
     /// Has a machine write a checkpoint.
     pub fn checkpoint(&mut self, machine: usize) {
         if let Some(store) = &mut self.machines[machine].store {
--- a/crates/batch/src/admission.rs
+++ b/crates/batch/src/admission.rs
@@ -13,7 +13,7 @@
 }
 
 impl Budget {
-    /// The budget of a machine with so much memory and so large a ring on disk.
+    /// The budget of a machine with so much memory and a ring of so many bytes on disk.
     pub fn new(memory_bytes: u64, ring_bytes: u64) -> Budget {
         Budget { most_bytes: memory_bytes.min(ring_bytes) / 100 * SHARE_PERCENT }
     }
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -10,8 +10,8 @@
 const BODY_COPIES: u64 = 3;
 /// What a result is estimated to take beside its text, in bytes.
 const RESULT_OVERHEAD_BYTES: u64 = 256;
-/// Copies of a listed text that are estimated to exist at once: state, checkpoint.
-const RESULT_COPIES: u64 = 2;
+/// Copies of a listed text that are estimated to exist at once: state, checkpoint, ring.
+const RESULT_COPIES: u64 = 3;
 
 /// The part of a job that is kept in snapshots.
 #[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
