--- a/crates/control/src/core/links.rs
+++ b/crates/control/src/core/links.rs
@@ -214,7 +214,9 @@
     }
 
     /// Sends subscribers and storage machines elsewhere: this process can't tell them anything new.
-    pub(super) fn send_elsewhere(&mut self, now: Duration, subscribers: impl IntoIterator<Item = ConnectionId>) {
+    pub(super) fn send_elsewhere(
+        &mut self, now: Duration, subscribers: impl IntoIterator<Item = ConnectionId>,
+    ) {
         let stores = self.connections.iter().filter(|(_, known)| known.store.is_some());
         let mut told: BTreeSet<ConnectionId> = stores.map(|(connection, _)| *connection).collect();
         told.extend(subscribers);
