Control: tests of released subscribers and of stores that fall silent on an open link

With release_subscribers taken out, a_primary_cut_off_from_the_others_sends_its_subscribers_away fails (0 redirects); with the dropped link not told to the stores, a_machine_that_falls_silent_on_an_open_link_is_replaced_in_its_groups fails.

--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -173,6 +173,19 @@
     assert_eq!(cluster.programs[agent.program].link, None);
 }
 
+#[rstest]
+fn a_primary_cut_off_from_the_others_sends_its_subscribers_away() {
+    let mut cluster = Cluster::acting();
+    let primary = cluster.primary();
+    let mut agent = Agent::subscribe(&mut cluster, primary);
+    agent.live(&mut cluster, Duration::from_millis(500));
+    assert_eq!(agent.redirects, 0);
+    cluster.isolate(primary);
+    agent.live(&mut cluster, Duration::from_millis(1500));
+    assert_eq!(agent.redirects, 1, "it would not hear of what the next primary takes");
+    assert_eq!(cluster.programs[agent.program].link, None);
+}
+
 #[rstest]
 fn standbys_do_not_feed() {
     let mut cluster = Cluster::acting();
--- a/crates/control/tests/stores.rs
+++ b/crates/control/tests/stores.rs
@@ -84,6 +84,17 @@
     assert!(wanted >= 4, "the machine has {wanted} groups again");
 }
 
+#[rstest]
+fn a_machine_that_falls_silent_on_an_open_link_is_replaced_in_its_groups() {
+    let (mut cluster, mut stores) = founded();
+    let silent = stores.pop().expect("a third machine");
+    live(&mut cluster, &mut stores, Duration::from_secs(6));
+    assert_eq!(cluster.programs[silent.program].link, None, "the feed drops it");
+    let lost = silent.member.disk;
+    let state = cluster.core(cluster.primary()).state();
+    assert!(state.groups().values().all(|assignment| !assignment.targets.contains(&lost)));
+}
+
 #[rstest]
 fn an_added_machine_gets_its_share_and_nothing_else_moves() {
     let (mut cluster, mut stores) = founded();
--- a/crates/control/tests/support/cluster.rs
+++ b/crates/control/tests/support/cluster.rs
@@ -75,6 +75,8 @@
     answers: BTreeMap<u64, Answer>,
     last_call: u64,
     cut: BTreeSet<usize>,
+    /// Machines that reach no other control process, though programs reach them.
+    isolated: BTreeSet<usize>,
     pub programs: Vec<Program>,
     /// Orders that were sent: time, node, order, body.
     pub orders: Vec<(Duration, usize, Order, String)>,
@@ -121,6 +123,7 @@
             answers: BTreeMap::new(),
             last_call: 0,
             cut: BTreeSet::new(),
+            isolated: BTreeSet::new(),
             programs: Vec::new(),
             orders: Vec::new(),
             asked: Vec::new(),
@@ -197,6 +200,12 @@
         }
     }
 
+    /// Cuts a machine off from the other control processes only: programs keep their links to it.
+    pub fn isolate(&mut self, index: usize) {
+        self.isolated.insert(index);
+        self.disconnect_peers(index);
+    }
+
     /// Whether a process runs.
     pub fn is_up(&self, index: usize) -> bool {
         self.nodes[index].core.is_some()
@@ -451,7 +460,8 @@
             for address in wanted {
                 let Some(other) = self.node_at(&address) else { continue };
                 let linked = self.nodes[index].opened.contains_key(&address);
-                let apart = self.cut.contains(&index) || self.cut.contains(&other);
+                let is_apart = |node| self.cut.contains(node) || self.isolated.contains(node);
+                let apart = is_apart(&index) || is_apart(&other);
                 if linked || apart || !self.is_up(index) || !self.is_up(other) {
                     continue;
                 }
@@ -470,13 +480,26 @@
     }
 
     fn disconnect(&mut self, index: usize) {
+        self.disconnect_peers(index);
+        let accepted: Vec<(usize, u64)> =
+            self.connections.keys().filter(|(node, _)| *node == index).copied().collect();
+        for (node, connection) in accepted {
+            self.close(node, connection);
+            self.deliver(node, Input::Closed { connection });
+        }
+    }
+
+    fn disconnect_peers(&mut self, index: usize) {
         for (address, (node, connection)) in std::mem::take(&mut self.nodes[index].opened) {
             self.connections.remove(&(node, connection));
             self.deliver(node, Input::Closed { connection });
             self.deliver(index, Input::PeerDown { address });
         }
+        let from_peer = |((node, _), end): &(&(usize, u64), &OtherEnd)| {
+            *node == index && matches!(end, OtherEnd::Node { .. })
+        };
         let accepted: Vec<(usize, u64)> =
-            self.connections.keys().filter(|(node, _)| *node == index).copied().collect();
+            self.connections.iter().filter(from_peer).map(|(key, _)| *key).collect();
         for (node, connection) in accepted {
             self.close(node, connection);
             self.deliver(node, Input::Closed { connection });
