--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -13,6 +13,7 @@
 pub use signals::Signal;
 
 use eyre::{Result, WrapErr};
+use pebblepost_link::control_client::CONTROL_LINK_LIMITS;
 use pebblepost_link::{LinkLimits, Listener};
 use pebblepost_settings::Settings;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -20,10 +21,11 @@
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
-/// Limits of the link to the proxy. Both ends share a machine, so that an end is seen without a silence.
+/// Limits of the link to the proxy, which takes what comes over the link to the control plane. Both ends share a
+/// machine, so that an end is seen without a silence.
 const PROXY_LINK_LIMITS: LinkLimits = LinkLimits {
-    most_frame_bytes: 32 * 1024 * 1024,
-    most_queued_bytes: 32 * 1024 * 1024,
+    most_frame_bytes: CONTROL_LINK_LIMITS.most_frame_bytes,
+    most_queued_bytes: CONTROL_LINK_LIMITS.most_queued_bytes,
     connect: Duration::from_secs(1),
     silence: Duration::from_secs(3600),
 };
--- a/crates/batch-store/src/program/event_loop.rs
+++ b/crates/batch-store/src/program/event_loop.rs
@@ -24,6 +24,8 @@
 const IDLE_TICK: Duration = Duration::from_millis(500);
 /// How often unused links get a sign of life.
 const KEEP_ALIVE: Duration = Duration::from_millis(500);
+/// How often the settings are read again while the control plane is not found: they may change without a signal.
+const RELOAD_PERIOD: Duration = Duration::from_secs(2);
 /// Messages that may wait for the loop.
 const MOST_WAITING_EVENTS: usize = 32;
 /// Messages taken in one turn.
@@ -67,6 +69,7 @@
     hang_up: Signal,
     next_tick: Instant,
     next_keep_alive: Instant,
+    reload_at: Instant,
     leaving_until: Option<Instant>,
 }
 
@@ -103,6 +106,7 @@
             hang_up,
             next_tick: now,
             next_keep_alive: now + KEEP_ALIVE,
+            reload_at: now + RELOAD_PERIOD,
             leaving_until: None,
         })
     }
@@ -226,6 +230,12 @@
             self.peers.keep_alive();
             self.next_keep_alive = now + KEEP_ALIVE;
         }
+        if self.control.is_connected() {
+            self.reload_at = now + RELOAD_PERIOD;
+        } else if now >= self.reload_at {
+            self.reload_at = now + RELOAD_PERIOD;
+            self.read_settings();
+        }
     }
 
     fn carry_out_all(&mut self) {
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -308,6 +308,11 @@
         self.primary.is_some()
     }
 
+    /// Whether this process is primary under a fresh lease, or has heard another primary lately.
+    pub fn knows_primary(&self, now: Duration) -> bool {
+        self.is_acting(now) || self.live_primary(now).is_some()
+    }
+
     /// The replicated state, as far as it is committed here.
     pub fn state(&self) -> &ControlState {
         self.group.replica.state()
--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -31,6 +31,8 @@
 const MOST_WAITING_CALLS: usize = 256;
 /// Events of links and orders that wait to be taken up.
 const MOST_WAITING_EVENTS: usize = 1024;
+/// How often the settings are read again while no primary is known: the file may change without a signal.
+const RELOAD_PERIOD: Duration = Duration::from_secs(2);
 /// Attempts to listen at an address that a former process may still hold.
 const BIND_ATTEMPTS: u32 = 100;
 /// Pause between them.
@@ -138,6 +140,7 @@
     let mut shell = Shell::new(start, core, disk, events_in);
     shell.carry_out();
     let mut next_tick = Instant::now() + TICK;
+    let mut reload_at = Instant::now() + RELOAD_PERIOD;
     let mut end_at: Option<Instant> = None;
     loop {
         if end_at.is_some() && !shell.is_primary() {
@@ -165,6 +168,12 @@
                     let pause = if shell.is_primary() { TICK } else { STANDBY_TICK };
                     next_tick = Instant::now() + pause;
                 }
+                if shell.knows_primary() {
+                    reload_at = Instant::now() + RELOAD_PERIOD;
+                } else if Instant::now() >= reload_at {
+                    reload_at = Instant::now() + RELOAD_PERIOD;
+                    reload(&mut shell);
+                }
             }
             _ = hangup.recv() => reload(&mut shell),
         }
@@ -175,7 +184,7 @@
 fn reload(shell: &mut Shell) {
     match Settings::from_environment() {
         Ok(settings) => {
-            log::info!("settings read again: {} seeds", settings.seeds.len());
+            log::debug!("settings read again: {} seeds", settings.seeds.len());
             shell.handle(Input::Seeds(settings.seeds));
         }
         Err(error) => log::warn!("reading the settings again: {error:#}"),
--- a/crates/control/src/shell.rs
+++ b/crates/control/src/shell.rs
@@ -71,6 +71,11 @@
         self.core.is_primary()
     }
 
+    /// Whether this process is primary under a fresh lease, or hears one that is.
+    pub fn knows_primary(&self) -> bool {
+        self.core.knows_primary(self.start.elapsed())
+    }
+
     /// Something happened.
     pub fn handle(&mut self, input: Input) {
         self.core.handle(self.start.elapsed(), input);
--- a/crates/control/tests/failover.rs
+++ b/crates/control/tests/failover.rs
@@ -203,3 +203,15 @@
     let live: Vec<&str> = cluster.core(primary).registry().live().map(|known| known.id.as_str()).collect();
     assert_eq!(live, ["i-1"], "what ended stays so, what lived was kept");
 }
+
+#[rstest]
+fn a_machine_that_is_cut_off_knows_no_primary_and_the_others_know_one() {
+    let mut cluster = Cluster::acting();
+    cluster.run(Duration::from_secs(1));
+    let former = cluster.primary();
+    assert!((0..3).all(|node| cluster.core(node).knows_primary(cluster.now)));
+    cluster.isolate(former);
+    cluster.run(Duration::from_secs(4));
+    let knowing: Vec<usize> = (0..3).filter(|node| cluster.core(*node).knows_primary(cluster.now)).collect();
+    assert_eq!(knowing, (0..3).filter(|node| *node != former).collect::<Vec<_>>());
+}
--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -2,8 +2,9 @@
 
 mod support;
 
-use pebblepost_control::api::Call;
+use pebblepost_control::api::{Call, MOST_BODY_BYTES};
 use pebblepost_feed::FeedState;
+use pebblepost_link::control_client::CONTROL_LINK_LIMITS;
 use pebblepost_messages::control::{FromControl, SubscriberRole, ToControl};
 use pebblepost_messages::feed::{ConfigurationUpdate, FeedReply, FeedUpdate, InstanceState};
 use rstest::rstest;
@@ -248,3 +249,9 @@
     }
     assert!(told.contains(&"10.0.0.4:7300".to_string()), "{told:?}");
 }
+
+#[rstest]
+fn a_snapshot_with_the_largest_configuration_fits_a_frame() {
+    let room_for_the_rest = 8 * 1024 * 1024;
+    assert!(MOST_BODY_BYTES + room_for_the_rest <= CONTROL_LINK_LIMITS.most_frame_bytes);
+}
