--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -2,8 +2,9 @@
 
 mod support;
 
-use pebblepost_control::api::Call;
+use pebblepost_control::api::{Call, MOST_BODY_BYTES};
 use pebblepost_feed::FeedState;
+use pebblepost_link::control_client::CONTROL_LINK_LIMITS;
 use pebblepost_messages::control::{FromControl, SubscriberRole, ToControl};
 use pebblepost_messages::feed::{ConfigurationUpdate, FeedReply, FeedUpdate, InstanceState};
 use rstest::rstest;
@@ -173,6 +174,19 @@
     assert_eq!(cluster.programs[agent.program].link, None);
 }
 
+#[rstest]
+fn a_primary_cut_off_from_the_others_sends_its_subscribers_away() {
+    let mut cluster = Cluster::acting();
+    let primary = cluster.primary();
+    let mut agent = Agent::subscribe(&mut cluster, primary);
+    agent.live(&mut cluster, Duration::from_millis(500));
+    assert_eq!(agent.redirects, 0);
+    cluster.isolate(primary);
+    agent.live(&mut cluster, Duration::from_millis(1500));
+    assert_eq!(agent.redirects, 1, "it would not hear of what the next primary takes");
+    assert_eq!(cluster.programs[agent.program].link, None);
+}
+
 #[rstest]
 fn standbys_do_not_feed() {
     let mut cluster = Cluster::acting();
@@ -235,3 +249,9 @@
     }
     assert!(told.contains(&"10.0.0.4:7300".to_string()), "{told:?}");
 }
+
+#[rstest]
+fn a_snapshot_with_the_largest_configuration_fits_a_frame() {
+    let room_for_the_rest = 8 * 1024 * 1024;
+    assert!(MOST_BODY_BYTES + room_for_the_rest <= CONTROL_LINK_LIMITS.most_frame_bytes);
+}
