Proxy: a batch job is read and ended also when its host has no route any more

Cause: a call about a job was answered 404 when the configuration had lost the last route of its host, which says that the job does not exist (LOST). Change: such calls go to the store whatever the host.

--- a/crates/batch-runner/src/lib.rs
+++ b/crates/batch-runner/src/lib.rs
@@ -71,7 +71,7 @@
     }
 
     /// Answers a call: a `POST` under the prefix of a `rollout` route (`route` given), or a job
-    /// call, whose host has any route. The request's body is whole.
+    /// call, whatever its host. The request's body is whole.
     pub async fn answer(
         &self, route: Option<&Route>, request: http::Request<Bytes>,
     ) -> http::Response<Bytes> {
--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use log::debug;
 use pebblepost_batch_runner::BatchRunner;
-use pebblepost_configuration::{Configuration, Route, RouteKind};
+use pebblepost_configuration::{Route, RouteKind};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -51,7 +51,8 @@
     let configuration = context.configuration_within(CONFIGURATION_WAIT).await;
     let configuration = configuration.ok_or(Rejection::NotConfigured)?;
     if BatchRunner::is_job_call(head.path_only()) {
-        return job_call(context, &configuration, head, body).await;
+        // Whatever has become of its route: a job that was taken is kept, and read, all the same.
+        return ask_runner(context, None, head, body).await;
     }
     if head.request_id.is_empty() {
         return Err(Rejection::Malformed);
@@ -74,22 +75,6 @@
     context.lifecycle.end().map_or(deadline, |end| deadline.min(end))
 }
 
-/// A call about a batch job, on a host that has any route.
-async fn job_call(
-    context: &Rc<Context>, configuration: &Configuration, head: RequestHead, body: WholeBody,
-) -> Result<Response<Payload>, Rejection> {
-    let host = host_only(&head.host);
-    if !configuration.routes().iter().any(|route| route.hostname.eq_ignore_ascii_case(host)) {
-        return Err(Rejection::NoRoute);
-    }
-    ask_runner(context, None, head, body).await
-}
-
-/// A host without its port.
-fn host_only(host: &str) -> &str {
-    host.split(':').next().unwrap_or_default()
-}
-
 async fn ask_runner(
     context: &Rc<Context>, route: Option<&Route>, head: RequestHead, body: WholeBody,
 ) -> Result<Response<Payload>, Rejection> {
