Store: a message for a lost disk is not taken by its successor at the same address

Replication messages name their disk now; the simulation sends by address, as the network does, and fails without the check. The control plane takes a disk as lost once its machine announces another.

--- a/crates/batch-store/src/store/commits.rs
+++ b/crates/batch-store/src/store/commits.rs
@@ -25,8 +25,10 @@
     fn carry_out(&mut self, now: Duration, number: u32, output: ReplicaOutput) {
         match output {
             ReplicaOutput::Send { to, message } => {
-                let peer = self.members.get(&to.disk).cloned().unwrap_or(to);
-                self.outbox.send_to_peer(peer, ToStore::Replication { store_group: number, message });
+                let to_disk = to.disk;
+                let peer = self.members.get(&to_disk).cloned().unwrap_or(to);
+                let message = ToStore::Replication { to: to_disk, store_group: number, message };
+                self.outbox.send_to_peer(peer, message);
             }
             ReplicaOutput::Persist { token, records } => {
                 let incarnation = self.groups.get(&number).map_or(0, |group| group.incarnation);
--- a/crates/batch-store/src/store/mod.rs
+++ b/crates/batch-store/src/store/mod.rs
@@ -156,9 +156,11 @@
             (ToStore::Status, _) => self.answer_status(now, link),
             (ToStore::ProxyHello { node, zone }, _) => self.proxy_connected(link, node, &zone),
             (ToStore::PeerHello { member }, _) => self.peer_connected(now, link, member),
-            (ToStore::Replication { store_group, message }, Some(Caller::Peer(peer))) => {
+            (ToStore::Replication { to, store_group, message }, Some(Caller::Peer(peer))) => {
                 let peer = peer.clone();
-                self.replicate(now, store_group, &peer, &message);
+                if to == self.settings.me.disk {
+                    self.replicate(now, store_group, &peer, &message);
+                }
             }
             (ToStore::Leaving, Some(Caller::Peer(peer))) => {
                 let disk = peer.disk;
--- a/crates/batch-store/tests/simulation/world.rs
+++ b/crates/batch-store/tests/simulation/world.rs
@@ -568,7 +568,8 @@
     }
 
     fn send_to_peer(&mut self, from: usize, life: u64, peer: &Member, message: ToStore) {
-        let target = self.machines.iter().position(|machine| machine.member.disk == peer.disk);
+        // A machine that comes back with another disk has the address of its predecessor.
+        let target = self.machines.iter().position(|machine| machine.member.address == peer.address);
         let Some(machine) = target.filter(|machine| !self.machines[*machine].is_cut) else { return };
         let delay = self.delay(Node::Store(from), Node::Store(machine));
         let member = self.machines[from].member.clone();
--- a/crates/control/src/stores.rs
+++ b/crates/control/src/stores.rs
@@ -26,6 +26,8 @@
     member: Member,
     founding: bool,
     heard: Duration,
+    /// When it announced itself last.
+    connected_at: Duration,
     connections: usize,
 }
 
@@ -60,10 +62,11 @@
     pub fn hello(&mut self, now: Duration, member: Member, founding: bool) {
         let announced = self.announced.entry(member.disk).or_insert_with(|| {
             self.newest = now;
-            Announced { member: member.clone(), founding, heard: now, connections: 0 }
+            Announced { member: member.clone(), founding, heard: now, connected_at: now, connections: 0 }
         });
         announced.member = member;
         announced.heard = now;
+        announced.connected_at = now;
         announced.connections += 1;
     }
 
@@ -83,10 +86,21 @@
         }
     }
 
+    /// Whether a disk's machine has come back with another disk: this one is lost for good.
+    fn is_replaced(&self, member: &Member) -> bool {
+        let own = self.announced.get(&member.disk).map(|known| known.connected_at);
+        let is_later = |known: &Announced| own.is_none_or(|own| own < known.connected_at);
+        let is_other =
+            |known: &Announced| known.member.disk != member.disk && known.member.node == member.node;
+        self.announced.values().any(|known| known.connections > 0 && is_other(known) && is_later(known))
+    }
+
     /// Machines that may hold groups: alive and not being emptied.
     fn usable(&self, now: Duration, state: &ControlState) -> BTreeMap<DiskId, Member> {
         let usable = |(disk, member): &(&DiskId, &Member)| {
-            self.is_live(now, **disk) && !state.retirements().contains_key(&member.node)
+            self.is_live(now, **disk)
+                && !self.is_replaced(member)
+                && !state.retirements().contains_key(&member.node)
         };
         state.stores().iter().filter(usable).map(|(disk, member)| (*disk, member.clone())).collect()
     }
@@ -203,12 +217,6 @@
             .flat_map(|assignment| assignment.epoch.in_sync.iter().chain(&assignment.targets))
             .copied()
             .collect();
-        let replaced = |member: &Member| {
-            let others = self.announced.values().filter(|other| other.connections > 0);
-            others
-                .into_iter()
-                .any(|other| other.member.disk != member.disk && other.member.node == member.node)
-        };
         let silent = |disk: &DiskId| match self.announced.get(disk) {
             Some(announced) => {
                 announced.connections == 0 && now.saturating_sub(announced.heard) > FORGET_AFTER
@@ -218,7 +226,10 @@
         let retired = |member: &Member| state.retirements().contains_key(&member.node);
         let forget = |(disk, member): &(&DiskId, &Member)| {
             let connected = self.announced.get(*disk).is_some_and(|announced| announced.connections > 0);
-            !connected && !mentioned.contains(disk) && !retired(member) && (silent(disk) || replaced(member))
+            !connected
+                && !mentioned.contains(disk)
+                && !retired(member)
+                && (silent(disk) || self.is_replaced(member))
         };
         let forgotten = state.stores().iter().filter(forget);
         forgotten.map(|(disk, _)| Command::StoreLeft(*disk)).collect()
--- a/crates/control/tests/stores.rs
+++ b/crates/control/tests/stores.rs
@@ -84,6 +84,19 @@
     assert!(wanted >= 4, "the machine has {wanted} groups again");
 }
 
+#[rstest]
+fn a_disk_is_lost_once_its_machine_comes_back_with_another() {
+    let (mut cluster, mut stores) = founded();
+    let wiped = stores.pop().expect("a third machine");
+    cluster.disconnect_program(wiped.program);
+    stores.push(wiped.start_wiped(&mut cluster));
+    live(&mut cluster, &mut stores, Duration::from_millis(300));
+    let state = cluster.core(cluster.primary()).state();
+    let wants = |disk| state.groups().values().filter(|group| group.targets.contains(&disk)).count();
+    assert_eq!(wants(wiped.member.disk), 0, "the old disk is wanted no more");
+    assert!(wants(stores[2].member.disk) >= 4, "the new one takes its place");
+}
+
 #[rstest]
 fn a_machine_that_falls_silent_on_an_open_link_is_replaced_in_its_groups() {
     let (mut cluster, mut stores) = founded();
--- a/crates/control/tests/support/store.rs
+++ b/crates/control/tests/support/store.rs
@@ -32,6 +32,16 @@
         store
     }
 
+    /// The same machine with an empty disk, linked with the primary.
+    pub fn start_wiped(&self, cluster: &mut Cluster) -> Store {
+        let member = Member { disk: DiskId(self.member.disk.0 + 0x100), ..self.member.clone() };
+        let primary = cluster.primary();
+        let program = cluster.connect(primary);
+        let store = Store { program, member, groups: BTreeMap::new(), founding: false, requests: 0 };
+        store.greet(cluster);
+        store
+    }
+
     /// Opens a link to the primary again.
     pub fn reconnect(&self, cluster: &mut Cluster) {
         let primary = cluster.primary();
--- a/crates/messages/src/batch.rs
+++ b/crates/messages/src/batch.rs
@@ -254,6 +254,8 @@
     },
     /// From another storage machine: a message of the replication library.
     Replication {
+        /// Disk that it is meant for; another one at the same address drops it.
+        to: crate::DiskId,
         /// Group of batch jobs.
         store_group: u32,
         /// The message.
