--- a/crates/batch-runner/src/load.rs
+++ b/crates/batch-runner/src/load.rs
@@ -9,9 +9,11 @@
 /// How old the state is that a report tells.
 pub const REPORT_LAG: Duration = Duration::from_millis(300);
 /// How long a report is used instead of another probe.
-pub const REPORT_REUSE: Duration = Duration::from_millis(150);
+pub const REPORT_REUSE: Duration = Duration::from_millis(200);
 /// How long the versions of a report are used while answers tell the load.
 pub const VERSIONS_REUSE: Duration = Duration::from_millis(1000);
+/// How long a service whose transcribers tell no load is not asked again.
+pub const SILENT_SERVICE: Duration = Duration::from_secs(30);
 
 /// Our own requests at one transcriber.
 #[derive(Debug, Default)]
@@ -68,6 +70,8 @@
 #[derive(Debug, Default)]
 pub struct LoadBook {
     transcribers: HashMap<String, TranscriberLoad>,
+    /// Services whose transcribers tell no load, and until when they are not asked.
+    silent_services: HashMap<String, Instant>,
 }
 
 impl LoadBook {
@@ -100,6 +104,16 @@
         self.entry(id).observation = Some(Observation { as_of: now, received: now, busy });
     }
 
+    /// A transcriber of a service answered a probe without any load.
+    pub fn tells_no_load(&mut self, service: &str, now: Instant) {
+        self.silent_services.insert(service.to_owned(), now + SILENT_SERVICE);
+    }
+
+    /// Whether a probe of this service's transcribers would tell nothing.
+    pub fn is_silent(&self, service: &str, now: Instant) -> bool {
+        self.silent_services.get(service).is_some_and(|until| now < *until)
+    }
+
     /// What was reported does not hold any more.
     pub fn forget_report(&mut self, id: &str) {
         let transcriber = self.entry(id);
@@ -150,6 +164,7 @@
     /// Forgets transcribers that are gone and have none of our requests.
     pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
         self.transcribers.retain(|id, entry| is_known(id) || !entry.own.started.is_empty());
+        self.silent_services.retain(|_, until| Instant::now() < *until);
     }
 
     fn entry(&mut self, id: &str) -> &mut TranscriberLoad {
--- a/crates/batch-runner/src/placement.rs
+++ b/crates/batch-runner/src/placement.rs
@@ -1,13 +1,16 @@
 //! Choice of a transcriber among those that were probed.
 //!
 //! A random transcriber is probed; if it has fewer than its slots less one busy, and free slots
-//! for the whole group of samples, the group goes there. Otherwise another random one is probed
-//! and the group goes to the fewest-busy of all probed, split if it has too few free slots.
+//! for the whole group of samples, the group goes there. Otherwise further random ones are probed
+//! and the group goes to the fewest-busy of all probed, split if it has too few free slots. The
+//! first ones are drawn in the proxy's own zone.
 
 use crate::random::Random;
 
 /// Transcribers probed at most for one placement.
-pub const MOST_PROBES: usize = 2;
+pub const MOST_PROBES: usize = 3;
+/// Of these, transcribers of the proxy's own zone: where they have room, no others are probed.
+pub const NEAR_PROBES: usize = 2;
 
 /// Load of a transcriber that was probed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/batch-runner/src/placing.rs
+++ b/crates/batch-runner/src/placing.rs
@@ -2,7 +2,7 @@
 //! while all are full.
 
 use crate::item_run::LeaseTerms;
-use crate::placement::{MOST_PROBES, Probed, Queueing, choose};
+use crate::placement::{MOST_PROBES, NEAR_PROBES, Probed, Queueing, choose};
 use crate::shared::Shared;
 use pebblepost_messages::feed::{Instance, InstanceState};
 use pebblepost_transcriber::Target;
@@ -177,12 +177,11 @@
     async fn probe(&self, need: &Need<'_>, candidate: Candidate) -> Option<ProbedCandidate> {
         let id = candidate.target.instance.as_str();
         let versions_matter = !need.model.is_empty();
-        let is_fresh = self.load.borrow().is_fresh(id, versions_matter, Instant::now());
-        if !is_fresh {
+        if self.needs_report(&candidate, versions_matter) {
             match self.client.report(&candidate.target, PROBE_TIMEOUT).await {
                 Ok(Some(report)) => self.load.borrow_mut().report(id, &report, Instant::now()),
                 // Alive, and tells no load: what this proxy has there is all that is known.
-                Ok(None) => {}
+                Ok(None) => self.load.borrow_mut().tells_no_load(&candidate.backend, Instant::now()),
                 Err(failure) => {
                     log::debug!("probe of {id}: {failure:?}");
                     let until = Instant::now() + AVOID_AFTER_FAILED_PROBE;
@@ -202,6 +201,14 @@
         Some(ProbedCandidate { candidate, probed, version })
     }
 
+    /// Whether a probe would tell more than is known.
+    fn needs_report(&self, candidate: &Candidate, versions_matter: bool) -> bool {
+        let now = Instant::now();
+        let load = self.load.borrow();
+        let is_silent = !versions_matter && load.is_silent(&candidate.backend, now);
+        !is_silent && !load.is_fresh(&candidate.target.instance, versions_matter, now)
+    }
+
     fn reserve(self: &Rc<Self>, found: &ProbedCandidate, items: u32) -> Vec<Place> {
         let now = Instant::now();
         let place = || {
@@ -254,7 +261,8 @@
     }
 
     /// Ready transcribers of a service that hold the model, those first that are known to hold it
-    /// at an allowed version; each part in random order. None while no allowed version is named.
+    /// at an allowed version; of these, a few of the own zone first, as bytes between zones are
+    /// dear; each part in random order. None while no allowed version is named.
     fn ready_instances(&self, backend: &str, need: &Need<'_>) -> Vec<Candidate> {
         let now = Instant::now();
         let feed = self.feed.borrow();
@@ -272,17 +280,22 @@
             let Ok(address) = instance.address.parse() else { continue };
             let target = Target { instance: instance.id.clone(), address };
             let candidate = Candidate { target, backend: instance.backend.clone(), slots: instance.slots };
-            candidates.push((known < need.min_version, self.random.below(u64::MAX), candidate));
+            let is_far = instance.zone != self.zone;
+            candidates.push((known < need.min_version, is_far, self.random.below(u64::MAX), candidate));
         }
-        candidates.sort_unstable_by_key(|(is_old, order, _)| (*is_old, *order));
-        let are_all_old = candidates.first().is_some_and(|(is_old, _, _)| *is_old);
+        candidates.sort_unstable_by_key(|(is_old, is_far, order, _)| (*is_old, *is_far, *order));
+        let are_all_old = candidates.first().is_some_and(|(is_old, ..)| *is_old);
         if are_all_old && feed.named_version(need.model) < need.min_version {
             return Vec::new();
         }
         let is_useful = |is_old: bool| !is_old || are_all_old;
-        let useful = candidates.into_iter().filter(|(is_old, _, _)| is_useful(*is_old));
-        let most = if are_all_old { 1 } else { usize::MAX };
-        useful.take(most).map(|(_, _, candidate)| candidate).collect()
+        let mut useful: Vec<_> = candidates.into_iter().filter(|(is_old, ..)| is_useful(*is_old)).collect();
+        if are_all_old {
+            useful.truncate(1);
+        }
+        let near = useful.iter().filter(|(_, is_far, ..)| !is_far).count();
+        useful.drain(near.min(NEAR_PROBES)..near);
+        useful.into_iter().map(|(.., candidate)| candidate).collect()
     }
 }
 
--- a/crates/batch-runner/tests/execution.rs
+++ b/crates/batch-runner/tests/execution.rs
@@ -7,6 +7,8 @@
 };
 use pebblepost_messages::feed::InstanceState;
 use rstest::rstest;
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 use support::{
     Bench, END, FakeStore, Fleet, Reply, Seen, StoreEnd, event_with_version, events, lease, leased, plain,
@@ -369,3 +371,66 @@
         assert!(!messages.iter().any(|message| matches!(message, ToStore::TakeWork { .. })));
     });
 }
+
+#[test]
+fn the_own_zone_is_used_before_others_and_others_once_it_is_full() {
+    run(async {
+        let (fleet, _) = Fleet::new();
+        let near = fleet.start("near", reporting(whole)).await;
+        let (bench, _store, mut end) = start(true).await;
+        bench.ready("near", "models", near);
+        for far in ["far-1", "far-2", "far-3"] {
+            let address = fleet.start(far, reporting(whole)).await;
+            bench.announce_in("y", far, "models", address, InstanceState::Ready, 1);
+        }
+        let items = |name: &str, count| (0..count).map(|n| leased(&format!("{name}{n}"), false)).collect();
+        end.give(vec![lease(items("a", 4), true)]).await;
+        let mut finished = 0;
+        while finished < 4 {
+            finished += outcomes(end.outcomes().await).len();
+        }
+        assert!(fleet.seen.borrow().iter().all(|seen| seen.transcriber == "near"));
+        let full = |seen: &Seen| match seen.text.starts_with("GET /report") {
+            true => Reply::Write(report(1, 8)),
+            false => whole(seen),
+        };
+        let full = fleet.start("full", full).await;
+        bench.announce("near", "models", near, InstanceState::Gone, 2);
+        bench.ready("full", "models", full);
+        fleet.seen.borrow_mut().clear();
+        end.sender.send(&FromStore::WorkAvailable);
+        end.give(vec![lease(items("b", 4), true)]).await;
+        finished = 0;
+        while finished < 4 {
+            finished += outcomes(end.outcomes().await).len();
+        }
+        assert!(fleet.seen.borrow().iter().all(|seen| seen.transcriber.starts_with("far")));
+    });
+}
+
+#[test]
+fn scorers_that_tell_no_load_are_not_probed_again() {
+    run(async {
+        let (fleet, _) = Fleet::new();
+        let models = fleet.start("i-1", reporting(whole)).await;
+        let probes = Rc::new(Cell::new(0));
+        let counted = probes.clone();
+        let desk = move |seen: &Seen| {
+            if seen.text.starts_with("GET /report") {
+                counted.set(counted.get() + 1);
+                return Reply::Write(plain(400, "", "not-executed: 1\r\n"));
+            }
+            Reply::Write(plain(200, &id(seen), "response-seal: seal\r\n"))
+        };
+        let desk = fleet.start("i-2", desk).await;
+        let (bench, _store, mut end) = start(true).await;
+        bench.ready("i-1", "models", models);
+        bench.ready("i-2", "desk", desk);
+        for name in ["a", "b", "c"] {
+            end.sender.send(&FromStore::WorkAvailable);
+            end.give(vec![lease(vec![leased(name, true)], true)]).await;
+            assert_eq!(outcomes(end.outcomes().await), [completed(name, "seal")]);
+        }
+        assert_eq!(probes.get(), 1);
+    });
+}
--- a/crates/batch-runner/tests/parts.rs
+++ b/crates/batch-runner/tests/parts.rs
@@ -3,7 +3,7 @@
 use pebblepost_batch_runner::job_answer::{MOST_PAGE_BYTES, page};
 use pebblepost_batch_runner::job_request::parse;
 use pebblepost_batch_runner::lease_table::{ABANDON_AFTER, LEASE, LeaseTable, Validity};
-use pebblepost_batch_runner::load::{LoadBook, REPORT_LAG, REPORT_REUSE, VERSIONS_REUSE};
+use pebblepost_batch_runner::load::{LoadBook, REPORT_LAG, REPORT_REUSE, SILENT_SERVICE, VERSIONS_REUSE};
 use pebblepost_batch_runner::placement::{Choice, Probed, Queueing, choose};
 use pebblepost_batch_runner::random::Random;
 use pebblepost_batch_runner::text::{Progress, Text, TextError, VersionTerms};
@@ -154,6 +154,17 @@
     assert!(!book.is_fresh("i", false, later));
 }
 
+#[test]
+fn a_service_without_reports_is_asked_again_after_a_while() {
+    let now = Instant::now();
+    let mut book = LoadBook::default();
+    assert!(!book.is_silent("desk", now));
+    book.tells_no_load("desk", now);
+    assert!(book.is_silent("desk", now));
+    assert!(!book.is_silent("models", now));
+    assert!(!book.is_silent("desk", now + SILENT_SERVICE));
+}
+
 fn work(job: &str, items: &[&str], epoch: u64) -> WorkLease {
     let leased = |id: &&str| LeasedItem {
         item: Item { id: (*id).to_owned(), ..Item::default() },
--- a/crates/batch-runner/tests/support/mod.rs
+++ b/crates/batch-runner/tests/support/mod.rs
@@ -353,6 +353,12 @@
     /// Announces a transcriber.
     pub fn announce(
         &self, id: &str, backend: &str, address: SocketAddr, state: InstanceState, sequence: u64,
+    ) {
+        self.announce_in("z", id, backend, address, state, sequence);
+    }
+
+    pub fn announce_in(
+        &self, zone: &str, id: &str, backend: &str, address: SocketAddr, state: InstanceState, sequence: u64,
     ) {
         let models = match backend {
             "models" => vec![ModelVersion { model: "daka".to_owned(), generation: 1 }],
@@ -362,7 +368,7 @@
             id: id.to_owned(),
             backend: backend.to_owned(),
             address: address.to_string(),
-            zone: "z".to_owned(),
+            zone: zone.to_owned(),
             slots: 8,
             state,
             cold_remaining_ms: 0,
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -14,8 +14,11 @@
 use std::time::Duration;
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-/// When a client may come back that was refused for want of memory or of a configuration.
+/// When a client may come back that was refused for want of memory.
 const RETRY_SOON: Duration = Duration::from_millis(250);
+/// When a client may come back that was refused for want of a configuration: after a restart of
+/// all, a new primary of the control plane takes about a second to stand.
+const RETRY_WHEN_CONFIGURED: Duration = Duration::from_millis(600);
 
 /// An answer that can't be completed: its connection is closed, so that it does not look whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -129,7 +132,8 @@
         Rejection::NoRoute => own(StatusCode::NOT_FOUND),
         Rejection::BodyTooLarge => own(StatusCode::PAYLOAD_TOO_LARGE),
         Rejection::HeadTooLarge => own(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
-        Rejection::NoMemory | Rejection::NotConfigured => refused(RETRY_SOON),
+        Rejection::NoMemory => refused(RETRY_SOON),
+        Rejection::NotConfigured => refused(RETRY_WHEN_CONFIGURED),
     }
 }
 
--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -16,8 +16,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// A request that arrives before the first configuration waits for it so long.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(150);
+/// A request that arrives before the first configuration waits for it so long: a refusal that
+/// comes early costs the client little.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(15);
 /// Answers are given this much ahead of a client's deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(10);
 
