A panic anywhere ends the process; a damaged message still ends its link only

tokio swallows the panic of a spawned task, and the program limped on without it. A hook writes one line with the place and ends the process with 101; the platform starts it again. Panics that the link's decoder catches on purpose (nanoserde on a damaged message) are told apart by a flag of the thread. Tests: a task, a thread, a damaged message.

--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -2,6 +2,7 @@
 
 use eyre::{Result, ensure, eyre};
 use nanoserde::{DeBin, SerBin};
+use std::cell::Cell;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
 /// First bytes on each side of a link: protocol and version of its messages.
@@ -123,11 +124,24 @@
     }
 }
 
+thread_local! {
+    static DECODING: Cell<bool> = const { Cell::new(false) };
+}
+
+/// Whether this thread is reading a message, where a panic is caught and ends the link only. A program whose panic
+/// hook ends the process asks for it.
+pub fn is_decoding() -> bool {
+    DECODING.get()
+}
+
 /// Reads one message that takes up the whole frame. `nanoserde` trusts the lengths in what it reads and may
 /// panic on a damaged one, which must not end the process.
-fn decode<M: DeBin>(frame: &[u8]) -> Result<M> {
+pub fn decode<M: DeBin>(frame: &[u8]) -> Result<M> {
     let mut offset = 0;
-    let message = catch_unwind(AssertUnwindSafe(|| M::de_bin(&mut offset, frame)))
+    DECODING.set(true);
+    let outcome = catch_unwind(AssertUnwindSafe(|| M::de_bin(&mut offset, frame)));
+    DECODING.set(false);
+    let message = outcome
         .map_err(|_| eyre!("a frame of {} bytes names an impossible length", frame.len()))?
         .map_err(|error| eyre!("a frame of {} bytes can't be read: {error}", frame.len()))?;
     ensure!(offset == frame.len(), "a frame of {} bytes has {} too many", frame.len(), frame.len() - offset);
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -14,6 +14,7 @@
 mod socket;
 mod writer;
 
+pub use frame::{decode, is_decoding};
 pub use receiver::Receiver;
 pub use sender::Sender;
 pub use socket::{Listener, connect};
--- a/crates/system/src/main.rs
+++ b/crates/system/src/main.rs
@@ -15,6 +15,7 @@
 const BAD_USAGE: u8 = 2;
 
 fn main() -> ExitCode {
+    logging::end_at_panic(pebblepost_link::is_decoding);
     logging::start();
     let matches = command_line::command_line().get_matches();
     let Some((name, arguments)) = matches.subcommand() else { return ExitCode::from(BAD_USAGE) };
--- /dev/null
+++ b/crates/system/tests/panics.rs
@@ -0,0 +1,62 @@
+//! A panic anywhere ends the process, with one line that names the place.
+
+#[path = "../src/logging.rs"]
+mod logging;
+
+use std::process::{Command, Output};
+
+/// Set in the child process, which panics.
+const CHILD: &str = "PEBBLEPOST_TEST_PANICS";
+const PANICKED: i32 = 101;
+/// Code of a child that went on after the panic.
+const WENT_ON: i32 = 7;
+
+/// Runs one test of this file in a process of its own.
+fn run_as_child(test: &str) -> Output {
+    let program = std::env::current_exe().expect("the test program has a path");
+    Command::new(program).args(["--exact", test, "--nocapture"]).env(CHILD, "1").output().expect("it starts")
+}
+
+#[test]
+fn a_panic_of_a_task_ends_the_process() {
+    if std::env::var_os(CHILD).is_some() {
+        logging::end_at_panic(pebblepost_link::is_decoding);
+        logging::start();
+        let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+        let tasks = tokio::task::LocalSet::new();
+        let outcome = tasks
+            .block_on(&runtime, async { tokio::task::spawn_local(async { panic!("first\nsecond") }).await });
+        assert!(outcome.is_err(), "the task panicked");
+        std::process::exit(WENT_ON);
+    }
+    let output = run_as_child("a_panic_of_a_task_ends_the_process");
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(PANICKED), "{said}");
+    let lines: Vec<&str> = said.lines().filter(|line| line.contains("panicked at")).collect();
+    assert_eq!(lines.len(), 1, "{said}");
+    assert!(lines[0].starts_with("ERROR system: panicked at "), "{said}");
+    assert!(lines[0].contains("panics.rs:") && lines[0].ends_with("first second"), "{said}");
+}
+
+#[test]
+fn a_panic_of_a_thread_ends_the_process() {
+    if std::env::var_os(CHILD).is_some() {
+        logging::end_at_panic(pebblepost_link::is_decoding);
+        let _ = std::thread::spawn(|| panic!("on a thread")).join();
+        std::process::exit(WENT_ON);
+    }
+    let output = run_as_child("a_panic_of_a_thread_ends_the_process");
+    assert_eq!(output.status.code(), Some(PANICKED), "{}", String::from_utf8_lossy(&output.stderr));
+}
+
+#[test]
+fn a_damaged_message_does_not_end_the_process() {
+    if std::env::var_os(CHILD).is_some() {
+        logging::end_at_panic(pebblepost_link::is_decoding);
+        let impossible_length = [0xff; 8];
+        let message = pebblepost_link::decode::<Vec<u64>>(&impossible_length);
+        std::process::exit(if message.is_err() { WENT_ON } else { 0 });
+    }
+    let output = run_as_child("a_damaged_message_does_not_end_the_process");
+    assert_eq!(output.status.code(), Some(WENT_ON), "{}", String::from_utf8_lossy(&output.stderr));
+}
