Control: connections of calls are bounded by the descriptors, not by 512

Half the descriptors but for 200 may be taken now: 1,948 of 4,096. Tests of the bound and of its size.

--- a/crates/control/src/http.rs
+++ b/crates/control/src/http.rs
@@ -20,8 +20,6 @@
 use xitca_web::service::{Service, ServiceExt, fn_service};
 use xitca_web::{App, WebContext};
 
-/// Most connections at once; more are closed at once.
-const MOST_CONNECTIONS: usize = 512;
 /// Largest head of a request.
 const MOST_HEAD_BYTES: usize = 64 * 1024;
 /// Time for a request's head.
@@ -43,8 +41,9 @@
 /// Where calls are handed in.
 pub type CallSender = mpsc::Sender<IncomingCall>;
 
-/// Serves calls until the listener fails for good. Runs on the caller's `LocalSet`.
-pub async fn serve(listener: TcpListener, calls: CallSender) -> Result<()> {
+/// Serves calls until the listener fails for good. Connections beyond `most_connections` are closed
+/// at once. Runs on the caller's `LocalSet`.
+pub async fn serve(listener: TcpListener, calls: CallSender, most_connections: usize) -> Result<()> {
     let config = HttpServiceConfig::new()
         .request_head_timeout(HEAD_TIME)
         .keep_alive_timeout(IDLE_TIME)
@@ -69,7 +68,7 @@
                 continue;
             }
         };
-        if open.get() >= MOST_CONNECTIONS {
+        if open.get() >= most_connections {
             continue;
         }
         stream.set_nodelay(true).wrap_err_with(|| format!("setting up the connection of {peer}")).ok();
--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -38,6 +38,13 @@
 /// Pause between them.
 const BIND_PAUSE: Duration = Duration::from_millis(50);
 
+/// Descriptors that the disk and the process itself need.
+const RESERVED_DESCRIPTORS: usize = 200;
+/// Part of the other descriptors that connections of calls may take, in hundredths: each
+/// transcriber keeps one to the primary. As many may be open to transcribers, for orders and
+/// reports, and links need some.
+const CALLS_SHARE: usize = 50;
+
 /// Limits of links that other programs open, and of those to other control processes.
 pub const LINK_LIMITS: LinkLimits = LinkLimits {
     most_frame_bytes: 48 * 1024 * 1024,
@@ -61,13 +68,19 @@
         let calls_listener = listen_for_calls(control).await?;
         let start = Instant::now();
         let core = Core::new(Duration::ZERO, core_settings, recovered);
-        serve(Serving { start, core, disk, completions, links, calls_listener }).await
+        let most_calls = most_connections_of_calls(settings.limits.max_fds);
+        serve(Serving { start, core, disk, completions, links, calls_listener, most_calls }).await
     });
     // Tasks that still wait for a peer end with the runtime.
     runtime.shutdown_background();
     ended
 }
 
+/// Most connections of calls in a process that may have so many descriptors.
+pub fn most_connections_of_calls(max_fds: usize) -> usize {
+    (max_fds.saturating_sub(RESERVED_DESCRIPTORS) * CALLS_SHARE / 100).max(1)
+}
+
 type Completions = mpsc::UnboundedReceiver<pebblepost_ring::Completion>;
 
 fn open_disk(
@@ -127,15 +140,17 @@
     completions: Completions,
     links: Listener,
     calls_listener: TcpListener,
+    /// Most connections of calls.
+    most_calls: usize,
 }
 
 async fn serve(serving: Serving) -> Result<()> {
-    let Serving { start, core, disk, mut completions, links, calls_listener } = serving;
+    let Serving { start, core, disk, mut completions, links, calls_listener, most_calls } = serving;
     let mut terminate = signal(SignalKind::terminate()).wrap_err("listening for SIGTERM")?;
     let mut hangup = signal(SignalKind::hangup()).wrap_err("listening for SIGHUP")?;
     let (calls_in, mut calls) = mpsc::channel(MOST_WAITING_CALLS);
     let (events_in, mut events) = mpsc::channel(MOST_WAITING_EVENTS);
-    spawn_local(http::serve(calls_listener, calls_in));
+    spawn_local(http::serve(calls_listener, calls_in, most_calls));
     spawn_local(tasks::accept_links(links, events_in.clone()));
     let mut shell = Shell::new(start, core, disk, events_in);
     shell.carry_out();
--- a/crates/control/tests/http.rs
+++ b/crates/control/tests/http.rs
@@ -2,6 +2,7 @@
 
 use pebblepost_control::api::{Answer, Call, MOST_BODY_BYTES};
 use pebblepost_control::http::{IncomingCall, serve};
+use pebblepost_control::program::most_connections_of_calls;
 use rstest::rstest;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -11,6 +12,9 @@
 use tokio::sync::mpsc;
 use tokio::task::{LocalSet, spawn_local};
 
+/// Connections that the front takes in these tests.
+const MOST_CONNECTIONS: usize = 4;
+
 /// Runs an exchange with a front whose calls are answered by `answer`; the calls that came.
 fn exchange(answer: fn(&Call) -> Answer, request: &'static [u8]) -> (Vec<Call>, String) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -18,7 +22,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let address = listener.local_addr().expect("its address");
         let (calls, incoming) = mpsc::channel(8);
-        spawn_local(serve(listener, calls));
+        spawn_local(serve(listener, calls, MOST_CONNECTIONS));
         let seen = Rc::new(RefCell::new(Vec::new()));
         spawn_local(answer_all(incoming, answer, Rc::clone(&seen)));
         let text = send(address, request).await;
@@ -116,3 +120,42 @@
     assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
     assert!(calls.is_empty());
 }
+
+/// Opens connections and has each answered; how many of them were.
+async fn answered_connections(address: SocketAddr, count: usize) -> usize {
+    let mut open = Vec::new();
+    for _ in 0..count {
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        // A connection that was closed at once may refuse the bytes.
+        stream.write_all(b"GET /config HTTP/1.1\r\nHost: a\r\n\r\n").await.ok();
+        let mut first = [0; 12];
+        if stream.read_exact(&mut first).await.is_ok() {
+            assert_eq!(&first, b"HTTP/1.1 200");
+            open.push(stream);
+        }
+    }
+    open.len()
+}
+
+#[rstest]
+fn connections_beyond_the_most_are_closed() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let answered = LocalSet::new().block_on(&runtime, async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("its address");
+        let (calls, incoming) = mpsc::channel(8);
+        spawn_local(serve(listener, calls, MOST_CONNECTIONS));
+        spawn_local(answer_all(incoming, echo, Rc::default()));
+        answered_connections(address, MOST_CONNECTIONS + 3).await
+    });
+    assert_eq!(answered, MOST_CONNECTIONS);
+}
+
+/// A process of a core machine has 4,096 descriptors, and each of a thousand transcribers keeps a
+/// connection.
+#[rstest]
+fn as_many_calls_as_descriptors_allow() {
+    assert!(most_connections_of_calls(4096) > 1_500);
+    assert!(most_connections_of_calls(4096) < 2_500, "orders and links need descriptors too");
+    assert_eq!(most_connections_of_calls(0), 1);
+}
