Control: after all were killed, the new epoch holds the replicas that are there

Change: control processes tell their replica whom they heard lately; a candidate counts and keeps these only, and the former primary too if no primary was heard in this life. Groups of stores are as before.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -339,6 +339,9 @@
     }
 
     fn tick(&mut self, now: Duration) {
+        if self.primary.is_none() {
+            self.group.replica.set_reachable(self.peers.reachable(now));
+        }
         self.group.tick(now);
         self.tick_primary(now);
         self.give_up_calls(now);
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -9,6 +9,8 @@
 
 /// Silence after which a process that holds nothing is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
+/// Silence after which a process is taken to be out of reach; longer than the pause between signs of life.
+const UNREACHABLE_AFTER: Duration = Duration::from_millis(1100);
 /// Most addresses that are dialed beside those of the epoch record and the settings.
 const MOST_LEARNED: usize = 64;
 
@@ -114,6 +116,13 @@
         standings
     }
 
+    /// Disks of the processes that were heard lately.
+    pub fn reachable(&self, now: Duration) -> BTreeSet<DiskId> {
+        let heard =
+            self.known.iter().filter(|(_, known)| now.saturating_sub(known.heard) < UNREACHABLE_AFTER);
+        heard.map(|(disk, _)| *disk).collect()
+    }
+
     /// Internal addresses to keep links to: seeds, members of the record, whoever was heard.
     pub fn addresses(&self, record: &EpochRecord) -> BTreeSet<String> {
         let known = self.known.values().map(|known| &known.member.address);
--- a/crates/control/tests/failover.rs
+++ b/crates/control/tests/failover.rs
@@ -114,7 +114,8 @@
     for node in 0..3 {
         cluster.start(node);
     }
-    run_until_acting_again(&mut cluster, Duration::from_secs(6));
+    // The grace time, the election, and no replica in the new epoch that is not there.
+    run_until_acting_again(&mut cluster, Duration::from_millis(1400));
     assert_eq!(read_back(&mut cluster), configuration(3, 1000));
     assert_eq!(status(put(&mut cluster, 3, 4)), 200);
 }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -26,6 +26,7 @@
 use pebblepost_messages::{DiskId, Member};
 use plan::PendingChange;
 use primary::Primary;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use succession::Succession;
 
@@ -220,6 +221,12 @@
         self.targets = targets;
     }
 
+    /// The replicas that the caller heard lately. A replica that stands for primary leaves out the others, if
+    /// enough remain; without this it leaves out the former primary only.
+    pub fn set_reachable(&mut self, disks: BTreeSet<DiskId>) {
+        self.succession.reachable = Some(disks);
+    }
+
     /// An asked-for change of the epoch has ended, with or without success.
     pub fn change_ended(&mut self, now: Duration) {
         self.advance(now);
--- a/crates/replication/src/replica/follower.rs
+++ b/crates/replication/src/replica/follower.rs
@@ -51,6 +51,7 @@
     /// Notes that the primary spoke.
     fn hear_primary(&mut self) {
         let now = self.now;
+        self.succession.heard_primary = true;
         if let Some(follower) = self.follower() {
             follower.heard_at = Some(now);
         }
--- a/crates/replication/src/replica/succession.rs
+++ b/crates/replication/src/replica/succession.rs
@@ -4,7 +4,7 @@
 use super::{Replica, StateMachine};
 use crate::record::EpochRecord;
 use pebblepost_messages::{DiskId, Member};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Beacon periods between candidates, in the order of the in-sync list.
@@ -24,6 +24,10 @@
     pub(super) act_not_before: Duration,
     /// The primary of this epoch stopped for good.
     pub(super) released_epoch: Option<u64>,
+    /// A primary spoke in this life of the process.
+    pub(super) heard_primary: bool,
+    /// The replicas that the caller heard lately, if it says so.
+    pub(super) reachable: Option<BTreeSet<DiskId>>,
     /// Founders that answered a probe, and when.
     founders: BTreeMap<DiskId, (Member, Duration)>,
     probe_at: Duration,
@@ -37,6 +41,8 @@
             quiet_until: now + grace,
             act_not_before,
             released_epoch: None,
+            heard_primary: false,
+            reachable: None,
             founders: BTreeMap::new(),
             probe_at: now,
         }
@@ -47,6 +53,10 @@
         let is_released = self.released_epoch.is_some_and(|released| released + 1 == epoch);
         is_released || now >= self.act_not_before
     }
+
+    fn is_reachable(&self, disk: DiskId) -> bool {
+        self.reachable.as_ref().is_none_or(|reachable| reachable.contains(&disk))
+    }
 }
 
 impl<S: StateMachine> Replica<S> {
@@ -54,19 +64,33 @@
     /// the order of the in-sync list.
     pub(super) fn stand_when_due(&mut self) {
         let others = self.record.in_sync.iter().filter(|member| member.disk != self.record.primary);
-        let rank = others.take_while(|member| member.disk != self.me.disk).count();
+        let present = others.filter(|member| self.is_present(member));
+        let rank = present.take_while(|member| member.disk != self.me.disk).count();
         if !self.may_stand(rank) {
             return;
         }
-        let remaining: Vec<Member> =
-            self.record.in_sync.iter().filter(|m| self.outlives_primary(m)).cloned().collect();
-        let is_enough = self.settings.tolerance.is_met_by(&remaining);
-        let in_sync = if is_enough { remaining } else { self.record.in_sync.clone() };
+        let in_sync = self.successors_in_sync();
         self.ask_for(self.me.disk, in_sync);
     }
 
-    fn outlives_primary(&self, member: &Member) -> bool {
-        member.disk != self.record.primary || member.disk == self.me.disk
+    /// The in-sync replicas of the epoch in which this one stands: those that are present, without
+    /// the former primary. Where that is not enough, more of them.
+    fn successors_in_sync(&self) -> Vec<Member> {
+        let is_former_primary =
+            |member: &Member| member.disk == self.record.primary && member.disk != self.me.disk;
+        let in_sync = self.record.in_sync.iter();
+        let others: Vec<Member> = in_sync.clone().filter(|m| !is_former_primary(m)).cloned().collect();
+        let present: Vec<Member> = in_sync.filter(|m| self.is_present(m)).cloned().collect();
+        let present_others: Vec<Member> = present.iter().filter(|m| !is_former_primary(m)).cloned().collect();
+        // A primary that was never heard may have been started anew like this replica.
+        let may_be_back = !self.succession.heard_primary && self.succession.reachable.is_some();
+        let choices = if may_be_back { [present, others] } else { [present_others, others] };
+        let is_enough = |choice: &Vec<Member>| self.settings.tolerance.is_met_by(choice);
+        choices.into_iter().find(is_enough).unwrap_or_else(|| self.record.in_sync.clone())
+    }
+
+    fn is_present(&self, member: &Member) -> bool {
+        member.disk == self.me.disk || self.succession.is_reachable(member.disk)
     }
 
     fn may_stand(&mut self, rank: usize) -> bool {
