--- a/crates/proxy/tests/front.rs
+++ b/crates/proxy/tests/front.rs
@@ -168,8 +168,11 @@
     run(async {
         let rig = Rig::bare(1.2);
         assert_eq!(rig.readyz().await, "HTTP/1.1 503 Service Unavailable");
+        let asked_at = Instant::now();
         let received = rig.exchange(&get("/pages/1", "r1")).await;
-        assert!(received.starts_with("HTTP/1.1 503 Service Unavailable\nretry-after: 0."), "{received}");
+        let refused_after = asked_at.elapsed();
+        assert!(received.starts_with("HTTP/1.1 503 Service Unavailable\nretry-after: 0.6"), "{received}");
+        assert!(refused_after < Duration::from_millis(140), "{refused_after:?}");
         rig.proxy.apply(&[configuration(1, ROUTES)]);
         assert_eq!(rig.readyz().await, "HTTP/1.1 200 OK");
         let asked = async {
