--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,7 +29,7 @@
 mod shell;
 pub mod state;
 pub mod stores;
-mod tasks;
+pub mod tasks;
 pub mod witnesses;
 
 pub use program::run;
--- a/crates/control/src/shell.rs
+++ b/crates/control/src/shell.rs
@@ -158,7 +158,8 @@
                 Output::Dial(addresses) => self.dial(&addresses),
                 Output::Append { write, records } => self.append(write, &records),
                 Output::SendOrder { order, body } => {
-                    spawn_local(send_order(self.client.clone(), order, body, self.events.clone()));
+                    let (client, events) = (self.client.clone(), self.events.clone());
+                    spawn_local(send_order(client, order, body, Instant::now(), events));
                 }
                 Output::AskReport { instance, address } => {
                     spawn_local(ask_report(self.client.clone(), instance, address, self.events.clone()));
--- a/crates/control/src/tasks.rs
+++ b/crates/control/src/tasks.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 /// Pause after a link to another control process failed; doubled with each failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -128,10 +129,14 @@
     }
 }
 
-/// Sends an order to a transcriber and tells the loop how it was answered.
-pub async fn send_order(client: Client, order: Order, body: Vec<u8>, events: EventSender) {
-    let answer = match target(&order.instance, &order.address) {
-        Some(target) => match client.order(&target, Bytes::from(body), ORDER_TIME).await {
+/// Sends an order to a transcriber and tells the loop how it was answered. `decided` is when the
+/// lease was looked at: an order that could not be sent soon after is not sent at all, as another
+/// process may hold the lease by then.
+pub async fn send_order(client: Client, order: Order, body: Vec<u8>, decided: Instant, events: EventSender) {
+    let left = ORDER_TIME.saturating_sub(decided.elapsed());
+    let target = target(&order.instance, &order.address).filter(|_| !left.is_zero());
+    let answer = match target {
+        Some(target) => match client.order(&target, Bytes::from(body), left).await {
             Ok(status) => order_answer(status.as_u16()),
             Err(pebblepost_transcriber::Failure::NotSent) => OrderAnswer::Refused,
             Err(_) => OrderAnswer::Unknown,
--- /dev/null
+++ b/crates/control/tests/late_orders.rs
@@ -0,0 +1,43 @@
+//! Orders that can't be sent soon after the lease was looked at.
+
+use pebblepost_control::core::Input;
+use pebblepost_control::tasks::{Event, send_order};
+use pebblepost_rollout::{LoadMode, Order, OrderAnswer};
+use pebblepost_transcriber::{Client, ClientLimits};
+use std::future::poll_fn;
+use std::task::Poll;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+fn limits() -> ClientLimits {
+    ClientLimits {
+        connect: Duration::from_secs(1),
+        most_connections_each: 2,
+        idle: Duration::from_secs(1),
+        most_body_bytes: 1024,
+    }
+}
+
+#[test]
+fn an_order_that_is_late_is_not_sent() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("its address").to_string();
+        let order =
+            Order { instance: "i-1".into(), address, model: "m".into(), generation: 2, mode: LoadMode::Wait };
+        let (events, mut received) = mpsc::channel(1);
+        let decided = Instant::now().checked_sub(Duration::from_secs(1)).expect("a second ago");
+        send_order(Client::new(limits()), order, b"{}".to_vec(), decided, events).await;
+        match received.recv().await {
+            Some(Event::Input(Input::OrderAnswered { answer, .. })) => {
+                assert_eq!(answer, OrderAnswer::Refused);
+            }
+            _ => panic!("the answer was not told"),
+        }
+        let connected = poll_fn(|context| Poll::Ready(listener.poll_accept(context).is_ready())).await;
+        assert!(!connected, "the transcriber was not called");
+    });
+}
