Replication: a primary that surely ended is not waited for

Cause: after a restart of all, every replica waited the whole grace time for a lease that only the former primary could hold, and that one waited for itself; clients met proxies without a configuration for 1.2 s. Change: a primary started anew stands as soon as the in-sync replicas are heard, if its disk shows that it acted in its term; a replica that has taken the place of a primary whose disk was lost tells the others, which then need not wait.

--- a/crates/control/src/core/group.rs
+++ b/crates/control/src/core/group.rs
@@ -135,6 +135,7 @@
     /// Tells a process that has just connected the newest epoch.
     pub(super) fn introduce(&mut self, to: &Member) {
         self.register.introduce(to);
+        self.replica.introduce(to);
     }
 
     /// Whether a change of the epoch is under way.
@@ -158,16 +159,24 @@
         if let Some(chosen) = self.register.chosen().filter(|chosen| chosen.epoch == expected) {
             record.witnesses.clone_from(&chosen.witnesses);
             record.former_witnesses.clone_from(&chosen.former_witnesses);
-            if record.primary == self.me.disk && chosen.primary != self.me.disk {
-                self.former_primary = chosen.primary;
-            } else if record.primary == self.me.disk && !self.replica.is_acting(now) {
-                self.former_primary = self.me.disk;
-            }
         }
+        self.note_former_primary(now, expected, &record);
         self.proposer = Some(Proposer::Replica);
         self.register.propose(now, expected, record);
     }
 
+    /// Notes whom this process follows where it stands for primary. The replica knows it from its own disk, the
+    /// register perhaps not yet.
+    fn note_former_primary(&mut self, now: Duration, expected: u64, proposed: &EpochRecord) {
+        let current = self.replica.record();
+        if current.epoch != expected || proposed.primary != self.me.disk {
+            return;
+        }
+        if current.primary != self.me.disk || !self.replica.is_acting(now) {
+            self.former_primary = current.primary;
+        }
+    }
+
     fn change_ended(&mut self, now: Duration) {
         if self.proposer.take() == Some(Proposer::Replica) {
             self.replica.change_ended(now);
--- a/crates/control/tests/failover.rs
+++ b/crates/control/tests/failover.rs
@@ -61,6 +61,21 @@
     assert_eq!(generation, 5, "the machine that came back follows");
 }
 
+#[rstest]
+fn after_all_were_killed_the_former_primary_goes_on_without_waiting_for_itself() {
+    let mut cluster = Cluster::acting();
+    assert_eq!(status(put(&mut cluster, 0, 3)), 200);
+    let former = cluster.primary();
+    (0..3).for_each(|node| cluster.kill(node));
+    let killed_at = cluster.now;
+    (0..3).for_each(|node| cluster.start(node));
+    cluster.run_until_acting();
+    let took = cluster.now - killed_at;
+    assert!(took < Duration::from_millis(700), "it took {took:?}");
+    assert_eq!(cluster.primary(), former);
+    assert_eq!(read_back(&mut cluster), configuration(3, 1000));
+}
+
 #[rstest]
 fn a_call_under_way_when_the_primary_dies_is_decided_once() {
     let mut cluster = Cluster::acting();
--- a/crates/control/tests/orders.rs
+++ b/crates/control/tests/orders.rs
@@ -81,6 +81,28 @@
     assert!(fence > 1);
 }
 
+#[rstest]
+fn the_successor_of_a_wiped_primary_waits_although_it_acts_at_once() {
+    let mut cluster = Cluster::acting();
+    let mut sequence = 0;
+    live(&mut cluster, &mut sequence, Duration::from_secs(6));
+    name_version(&mut cluster, 2);
+    live(&mut cluster, &mut sequence, Duration::from_secs(1));
+    let former = cluster.primary();
+    (0..3).for_each(|node| cluster.kill(node));
+    let killed_at = cluster.now;
+    cluster.wipe(former);
+    (0..3).for_each(|node| cluster.start(node));
+    cluster.run_until_acting();
+    let took = cluster.now - killed_at;
+    assert!(took < Duration::from_millis(700), "no lease has to be waited for, but it took {took:?}");
+    assert_ne!(cluster.primary(), former);
+    live(&mut cluster, &mut sequence, Duration::from_secs(12));
+    let new_orders = cluster.orders.iter().filter(|(at, ..)| *at > killed_at);
+    let first = new_orders.map(|(at, ..)| *at).next().expect("the new holder orders");
+    assert!(first >= killed_at + Duration::from_millis(3000), "{:?} after the kill", first - killed_at);
+}
+
 #[rstest]
 #[case(LoadMode::Wait, "wait")]
 #[case(LoadMode::Retain, "retain")]
--- a/crates/replication/src/guards.rs
+++ b/crates/replication/src/guards.rs
@@ -37,6 +37,8 @@
     pub new_life_new_epoch: bool,
     /// Messages of older epochs are refused.
     pub old_epochs_refused: bool,
+    /// The end of a primary makes way for the next one at once only if it is known to have acted in its term.
+    pub ended_term_was_acted: bool,
 }
 
 impl Default for ReplicaGuards {
@@ -50,6 +52,7 @@
             persisted_before_ack: true,
             new_life_new_epoch: true,
             old_epochs_refused: true,
+            ended_term_was_acted: true,
         }
     }
 }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -64,6 +64,11 @@
     },
     /// Newest epoch record that this replica acts by; it takes nothing from an older epoch.
     Epoch(EpochRecord),
+    /// This replica has acted as primary of an epoch.
+    Acted {
+        /// The epoch.
+        epoch: u64,
+    },
 }
 
 /// Timing and limits of a group.
@@ -152,6 +157,10 @@
     now: Duration,
     last_tick: Duration,
     record: EpochRecord,
+    /// First epoch of the unbroken term of the record's primary, as far as this replica knows.
+    term_from: u64,
+    /// Newest epoch in which this replica itself acted as primary; 0 if none is known.
+    acted_in: u64,
     log: Log,
     /// Entries up to here are committed and applied.
     committed: u64,
@@ -193,6 +202,8 @@
             succession: Succession::new(&recovered.record, now, settings.grace),
             random: Random::new(me.disk.0 ^ now.subsec_nanos() as u64),
             outputs: Vec::new(),
+            term_from: recovered.term_from,
+            acted_in: recovered.acted_in,
             record: recovered.record,
             log: recovered.log,
             me,
@@ -200,6 +211,8 @@
         let was_primary = replica.record.epoch > 0 && replica.record.primary == replica.me.disk;
         if was_primary && !guards.new_life_new_epoch {
             replica.become_primary();
+        } else if was_primary {
+            replica.resume_own_term();
         }
         replica
     }
@@ -227,6 +240,13 @@
         self.succession.reachable = Some(disks);
     }
 
+    /// Tells a replica that has just connected the newest epoch known here.
+    pub fn introduce(&mut self, to: &Member) {
+        if self.record.epoch > 0 {
+            self.tell_epoch(to);
+        }
+    }
+
     /// An asked-for change of the epoch has ended, with or without success.
     pub fn change_ended(&mut self, now: Duration) {
         self.advance(now);
@@ -314,6 +334,9 @@
         let mut records = vec![DiskRecord::Snapshot { index: self.committed, epoch, state }];
         records.extend(self.log.entries_from(self.committed + 1).map(entry_record));
         records.push(DiskRecord::Epoch(self.record.clone()));
+        if self.acted_in == self.record.epoch && self.acted_in > 0 {
+            records.push(DiskRecord::Acted { epoch: self.acted_in });
+        }
         records
     }
 
@@ -353,6 +376,7 @@
             ReplicaMessage::NewEpoch { record } => self.take_new_epoch(record),
             ReplicaMessage::EpochRequest { epoch } => self.answer_epoch_request(from, epoch),
             ReplicaMessage::Released { epoch } => self.succession.released_epoch = Some(epoch),
+            ReplicaMessage::PrimaryReplaced { epoch, primary } => self.take_replacement(epoch, primary),
             ReplicaMessage::Probe => self.answer_probe(from),
             ReplicaMessage::ProbeAnswer { is_empty } => self.take_probe_answer(from, is_empty),
             to_primary => self.handle_as_primary(from, to_primary),
@@ -414,6 +438,7 @@
         let leads = record.primary == self.me.disk;
         let follows_directly = record.epoch == self.record.epoch + 1;
         let former = std::mem::replace(&mut self.record, record);
+        self.term_from = recovery::term_after(self.term_from, &former, &self.record);
         self.disk.push(DiskRecord::Epoch(self.record.clone()));
         self.change.decided();
         self.succession.quiet_until = self.now + self.settings.grace;
--- a/crates/replication/src/replica/follower.rs
+++ b/crates/replication/src/replica/follower.rs
@@ -240,10 +240,12 @@
         let now = self.now;
         let Some(follower) = self.follower() else { return };
         let is_followed = follower.heard_at.is_some_and(|heard| now.saturating_sub(heard) < pause);
-        if !is_wanted || is_followed || now < follower.join_at {
+        if is_followed || now < follower.join_at {
             return;
         }
         follower.join_at = now + pause;
+        self.tell_replacement();
+        let Some(follower) = self.follower().filter(|_| is_wanted) else { return };
         follower.join_requests += 1;
         let asks_all = follower.join_requests.is_multiple_of(2);
         self.send_join_requests(asks_all);
--- a/crates/replication/src/replica/message.rs
+++ b/crates/replication/src/replica/message.rs
@@ -4,6 +4,7 @@
 use crate::codec::{Blob, Sequence};
 use crate::record::EpochRecord;
 use nanoserde::{DeBin, SerBin};
+use pebblepost_messages::DiskId;
 
 /// Largest payload of one message; a single larger entry goes alone.
 pub(super) const MOST_PAYLOAD: usize = 256 * 1024;
@@ -40,6 +41,9 @@
     EpochRequest { epoch: u64 },
     /// The primary of this epoch has stopped for good in favour of its successor.
     Released { epoch: u64 },
+    /// The disk of the primary of this epoch is lost, and its process with it: the sender has taken its place at
+    /// its address, with another disk.
+    PrimaryReplaced { epoch: u64, primary: DiskId },
     /// Before the first primary: asks a founder whether it is there.
     Probe,
     /// Answer to a probe: whether the founder holds nothing yet.
--- a/crates/replication/src/replica/primary.rs
+++ b/crates/replication/src/replica/primary.rs
@@ -3,7 +3,7 @@
 use super::log::LogEntry;
 use super::message::{MOST_PAYLOAD, ReplicaMessage};
 use super::peer::{OutgoingSnapshot, Peer};
-use super::{Replica, ReplicaOutput, Role, StateMachine};
+use super::{DiskRecord, Replica, ReplicaOutput, Role, StateMachine};
 use crate::codec::{Blob, Sequence};
 use crate::record::EpochRecord;
 use pebblepost_messages::{DiskId, Member};
@@ -83,7 +83,9 @@
     /// Goes on as primary of the next epoch: the log is the same, so what is confirmed stays so.
     pub(super) fn continue_as_primary(&mut self, former: &EpochRecord) {
         let last_index = self.log.last_index();
+        let epoch = self.record.epoch;
         let Some(primary) = self.primary() else { return };
+        let has_acted = primary.is_announced;
         primary.is_open = false;
         primary.is_draining = false;
         primary.to_tell = former.in_sync.clone();
@@ -92,6 +94,15 @@
             peer.probe_from(next);
         }
         self.add_in_sync_peers();
+        if has_acted {
+            self.remember_acting(epoch);
+        }
+    }
+
+    /// A later life of this replica must know that it acted.
+    fn remember_acting(&mut self, epoch: u64) {
+        self.acted_in = epoch;
+        self.disk.push(DiskRecord::Acted { epoch });
     }
 
     /// Ends the term, if there was one; the successor learns that this replica acts no more.
@@ -380,6 +391,7 @@
         let Some(primary) = self.primary().filter(|primary| !primary.is_announced) else { return };
         primary.is_announced = true;
         self.outputs.push(ReplicaOutput::BecamePrimary { epoch });
+        self.remember_acting(epoch);
     }
 
     fn flush_peer(&mut self, disk: DiskId) {
--- a/crates/replication/src/replica/recovery.rs
+++ b/crates/replication/src/replica/recovery.rs
@@ -12,6 +12,10 @@
     pub(super) record: EpochRecord,
     /// Index that the restored snapshot covers.
     pub(super) applied: u64,
+    /// First epoch of the unbroken term of the recorded primary, as far as the disk tells.
+    pub(super) term_from: u64,
+    /// Newest epoch in which this replica acted as primary.
+    pub(super) acted_in: u64,
 }
 
 /// Folds the records of the disk, in the order written.
@@ -19,8 +23,12 @@
     let mut recovered = Recovered::default();
     for record in records {
         match record {
-            DiskRecord::Epoch(record) if record.epoch >= recovered.record.epoch => recovered.record = record,
+            DiskRecord::Epoch(record) if record.epoch >= recovered.record.epoch => {
+                recovered.term_from = term_after(recovered.term_from, &recovered.record, &record);
+                recovered.record = record;
+            }
             DiskRecord::Epoch(_) => {}
+            DiskRecord::Acted { epoch } => recovered.acted_in = recovered.acted_in.max(epoch),
             DiskRecord::Snapshot { index, epoch, state: snapshot } => {
                 state.restore(&snapshot);
                 recovered.applied = index;
@@ -36,6 +44,14 @@
     recovered
 }
 
+/// First epoch of the unbroken term of `next`'s primary, where `former` was the epoch before in a term from
+/// `term_from` on.
+pub(super) fn term_after(term_from: u64, former: &EpochRecord, next: &EpochRecord) -> u64 {
+    let is_same_epoch = next.epoch == former.epoch;
+    let is_continued = next.epoch == former.epoch + 1 && next.primary == former.primary && former.epoch > 0;
+    if is_same_epoch || is_continued { term_from } else { next.epoch }
+}
+
 /// Puts an entry at its place; false where entries before it are missing.
 fn take_entry(log: &mut Log, index: u64, entry: LogEntry) -> bool {
     if index <= log.base_index() {
--- a/crates/replication/src/replica/succession.rs
+++ b/crates/replication/src/replica/succession.rs
@@ -14,6 +14,9 @@
 /// Beacon periods for which the answer to a probe counts.
 const PROBE_VALID_BEACONS: u32 = 6;
 
+/// Beacon periods that a primary started anew waits for the other in-sync replicas to be heard.
+const RESUME_BEACONS: u32 = 2;
+
 /// When this replica may stand for primary, and when it may act as one.
 #[derive(Debug)]
 pub(super) struct Succession {
@@ -26,6 +29,8 @@
     pub(super) released_epoch: Option<u64>,
     /// A primary spoke in this life of the process.
     pub(super) heard_primary: bool,
+    /// The epoch in which this replica was the acting primary before its process was started anew.
+    resumed_epoch: Option<u64>,
     /// The replicas that the caller heard lately, if it says so.
     pub(super) reachable: Option<BTreeSet<DiskId>>,
     /// Founders that answered a probe, and when.
@@ -42,6 +47,7 @@
             act_not_before,
             released_epoch: None,
             heard_primary: false,
+            resumed_epoch: None,
             reachable: None,
             founders: BTreeMap::new(),
             probe_at: now,
@@ -60,19 +66,75 @@
 }
 
 impl<S: StateMachine> Replica<S> {
+    /// Whether the primary of the current epoch has acted in its term: then the leases of all primaries before it
+    /// have ended. The entries that it appended show it, and a replica remembers it of itself.
+    fn has_primary_acted(&self) -> bool {
+        let newest_sign = self.log.last_epoch().max(self.acted_in);
+        let acted = self.record.epoch > 0 && newest_sign >= self.term_from;
+        acted || !self.guards.ended_term_was_acted
+    }
+
+    /// After a start as the recorded primary: the former life held the only lease there was, so that nobody has to
+    /// be waited for but the other replicas. Another primary may have been chosen meanwhile; then this one's
+    /// epoch is refused.
+    pub(super) fn resume_own_term(&mut self) {
+        if !self.has_primary_acted() {
+            return;
+        }
+        self.succession.resumed_epoch = Some(self.record.epoch);
+        self.succession.act_not_before = Duration::ZERO;
+        self.succession.quiet_until = self.now + self.settings.beacon * RESUME_BEACONS;
+    }
+
+    /// The primary's machine has come back with another disk: its process has ended, and its lease with it.
+    pub(super) fn take_replacement(&mut self, epoch: u64, primary: DiskId) {
+        let is_current = epoch == self.record.epoch && primary == self.record.primary;
+        if !is_current || primary == self.me.disk || !self.has_primary_acted() {
+            return;
+        }
+        self.succession.act_not_before = Duration::ZERO;
+        self.succession.quiet_until = self.succession.quiet_until.min(self.now);
+    }
+
+    /// Tells the in-sync replicas that the recorded primary is gone, where this one has taken its place.
+    pub(super) fn tell_replacement(&mut self) {
+        let Some(primary) = self.record.primary_member() else { return };
+        if primary.address != self.me.address || primary.disk == self.me.disk {
+            return;
+        }
+        let message = ReplicaMessage::PrimaryReplaced { epoch: self.record.epoch, primary: primary.disk };
+        let others = self.record.in_sync.iter().filter(|member| member.disk != self.record.primary);
+        let others: Vec<Member> = others.cloned().collect();
+        for other in others {
+            self.send(other, &message);
+        }
+    }
+
     /// Stands for primary once the primary was silent for the grace time, one after the other in
     /// the order of the in-sync list.
     pub(super) fn stand_when_due(&mut self) {
-        let others = self.record.in_sync.iter().filter(|member| member.disk != self.record.primary);
-        let present = others.filter(|member| self.is_present(member));
-        let rank = present.take_while(|member| member.disk != self.me.disk).count();
-        if !self.may_stand(rank) {
+        if !self.may_stand(self.rank()) {
             return;
         }
         let in_sync = self.successors_in_sync();
         self.ask_for(self.me.disk, in_sync);
     }
 
+    /// How many others stand before this one.
+    fn rank(&self) -> usize {
+        if self.is_resuming() {
+            return 0;
+        }
+        let others = self.record.in_sync.iter().filter(|member| member.disk != self.record.primary);
+        let present = others.filter(|member| self.is_present(member));
+        present.take_while(|member| member.disk != self.me.disk).count()
+    }
+
+    /// Whether this replica was the primary and has been started anew.
+    fn is_resuming(&self) -> bool {
+        self.record.primary == self.me.disk && self.succession.resumed_epoch == Some(self.record.epoch)
+    }
+
     /// The in-sync replicas of the epoch in which this one stands: those that are present, without
     /// the former primary. Where that is not enough, more of them.
     fn successors_in_sync(&self) -> Vec<Member> {
@@ -97,7 +159,9 @@
         let rank = u32::try_from(rank).unwrap_or(u32::MAX);
         let beacon = self.settings.beacon;
         let stagger = beacon.saturating_mul(STAGGER_BEACONS.saturating_mul(rank));
-        let quiet_until = if self.guards.grace { self.succession.quiet_until } else { Duration::ZERO };
+        let all_present = || self.record.in_sync.iter().all(|member| self.is_present(member));
+        let may_hurry = !self.guards.grace || (self.is_resuming() && all_present());
+        let quiet_until = if may_hurry { Duration::ZERO } else { self.succession.quiet_until };
         self.change.requests_in_flight == 0
             && self.now >= self.change.retry_at
             && self.now >= quiet_until + stagger
