Control: links and calls that come before there is a primary wait for it

Cause: with the primary back 0.2 s after a restart of all, agents and stores still came 0.1 to 0.5 s later: each was refused and paused.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -2,11 +2,13 @@
 //! that has to be done goes out as an [`Output`].
 //!
 //! * `calls`: calls over HTTP.
+//! * `early`: links and calls that come before there is a primary.
 //! * `links`: subscribers, storage machines and other control processes.
 //! * `group`: the epoch register and the replica of the control state.
 //! * `primary`: what only the acting primary does.
 
 mod calls;
+mod early;
 mod group;
 mod links;
 mod primary;
@@ -229,6 +231,7 @@
     peers: Peers,
     peer_links: BTreeMap<String, PeerLink>,
     connections: BTreeMap<ConnectionId, Connection>,
+    early: early::Waiting,
     registry: Registry,
     proxy_count: u32,
     primary: Option<Primary>,
@@ -253,6 +256,7 @@
             peers,
             peer_links: BTreeMap::new(),
             connections: BTreeMap::new(),
+            early: early::Waiting::default(),
             registry: Registry::new(settings.heartbeat),
             proxy_count: 0,
             primary: None,
@@ -339,10 +343,7 @@
     }
 
     fn tick(&mut self, now: Duration) {
-        if self.primary.is_none() {
-            self.group.replica.set_reachable(self.peers.reachable(now));
-        }
-        self.group.tick(now);
+        self.tick_group(now);
         self.tick_primary(now);
         self.give_up_calls(now);
         if now >= self.look_over_at {
@@ -351,6 +352,13 @@
         }
     }
 
+    fn tick_group(&mut self, now: Duration) {
+        if self.primary.is_none() {
+            self.group.replica.set_reachable(self.peers.reachable(now));
+        }
+        self.group.tick(now);
+    }
+
     fn look_over(&mut self, now: Duration) {
         self.peers.forget(now, self.group.replica.record());
         self.keep_links_alive(now);
@@ -362,6 +370,7 @@
     /// Carries out everything that follows from the last input.
     fn settle(&mut self, now: Duration) {
         self.settle_group(now);
+        self.settle_early(now);
         self.settle_primary(now);
         self.settle_calls(now);
         self.dial();
--- a/crates/control/src/core/calls.rs
+++ b/crates/control/src/core/calls.rs
@@ -36,7 +36,7 @@
 impl Core {
     pub(super) fn call(&mut self, now: Duration, id: CallId, call: &Call) {
         if !self.is_acting(now) {
-            self.answer(id, self.elsewhere(now, &call.path));
+            self.answer_elsewhere_or_hold(now, id, call);
             return;
         }
         match Request::read(call) {
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Sends a caller to the primary, if one is known.
+    pub(super) fn answer_elsewhere(&mut self, now: Duration, id: CallId, call: &Call) {
+        self.answer(id, self.elsewhere(now, &call.path));
+    }
+
     /// Where the caller should go while this process is not the acting primary.
     fn elsewhere(&self, now: Duration, path: &str) -> Answer {
         let address = self.live_primary(now).and_then(|primary| primary.address.parse().ok());
--- a/crates/control/src/core/links.rs
+++ b/crates/control/src/core/links.rs
@@ -38,6 +38,11 @@
         self.connections.entry(connection).or_default();
         self.heard_from(now, connection);
         match message {
+            message @ (ToControl::Subscribe { .. } | ToControl::StoreHello { .. })
+                if !self.is_acting(now) =>
+            {
+                self.redirect_or_hold(now, connection, message);
+            }
             ToControl::Subscribe { node, role, generation, .. } => {
                 self.subscribe(now, connection, node, role, generation);
             }
@@ -68,6 +73,7 @@
     }
 
     pub(super) fn closed(&mut self, now: Duration, connection: ConnectionId) {
+        self.early.closed(connection);
         let Some(known) = self.connections.remove(&connection) else { return };
         let Some(primary) = &mut self.primary else { return };
         primary.feed.unsubscribe(now, connection);
@@ -167,10 +173,6 @@
         &mut self, now: Duration, connection: ConnectionId, node: String, role: SubscriberRole,
         generation: u64,
     ) {
-        if !self.is_acting(now) {
-            self.redirect(now, connection);
-            return;
-        }
         let Some(primary) = &mut self.primary else { return };
         primary.feed.subscribe(now, connection, node, role, generation);
         let members = FromControl::Members(self.peers.told(now, self.group.replica.record()));
@@ -178,10 +180,6 @@
     }
 
     fn store_hello(&mut self, now: Duration, connection: ConnectionId, member: Member, founding: bool) {
-        if !self.is_acting(now) {
-            self.redirect(now, connection);
-            return;
-        }
         let Some(primary) = &mut self.primary else { return };
         let Some(known) = self.connections.get_mut(&connection) else { return };
         if let Some(former) = known.store.replace(member.disk) {
@@ -201,6 +199,10 @@
         }
         let members = FromControl::Members(self.peers.told(now, self.group.replica.record()));
         self.send(now, connection, members);
+        if self.primary.is_none() {
+            // It may be the one that was waited for.
+            self.tick_group(now);
+        }
     }
 
     /// Says where the primary is. Other programs' links are closed, those of control processes
@@ -251,8 +253,9 @@
             return;
         }
         self.told_members.clone_from(&members);
-        let connections: Vec<ConnectionId> = self.connections.keys().copied().collect();
-        for connection in connections {
+        let connections = self.connections.keys().copied();
+        let told: Vec<ConnectionId> = connections.filter(|known| !self.early.holds(*known)).collect();
+        for connection in told {
             self.send(now, connection, FromControl::Members(members.clone()));
         }
     }
--- a/crates/control/src/core/primary.rs
+++ b/crates/control/src/core/primary.rs
@@ -70,6 +70,16 @@
         });
         self.publish(now);
         self.teach_planner(now);
+        self.introduce_epoch(now);
+    }
+
+    /// Whoever is connected learns of the epoch, also those that hold nothing: callers and links wait there.
+    fn introduce_epoch(&mut self, now: Duration) {
+        for standing in self.peers.standings(now) {
+            if standing.member.disk != self.settings.me.disk {
+                self.group.introduce(&standing.member);
+            }
+        }
     }
 
     fn first_feed(&self, now: Duration) -> FeedServer {
--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -19,7 +19,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep_until};
 
-/// How often time is told to the core of a primary.
+/// How often time is told to the core of a primary, and while there is none.
 const TICK: Duration = Duration::from_millis(50);
 /// How often time is told to the core of a standby, which has less to do in time.
 const STANDBY_TICK: Duration = Duration::from_millis(100);
@@ -180,7 +180,8 @@
             () = sleep_until(wake) => {
                 shell.handle(Input::Tick);
                 if Instant::now() >= next_tick {
-                    let pause = if shell.is_primary() { TICK } else { STANDBY_TICK };
+                    let is_idle = !shell.is_primary() && shell.knows_primary();
+                    let pause = if is_idle { STANDBY_TICK } else { TICK };
                     next_tick = Instant::now() + pause;
                 }
                 if shell.knows_primary() {
