Roll-outs: load what the jobs need; a load keeps off its own model only

Cause: three models on nine transcribers made 27 loads each 6 s, three at a time, and while one was under way no text of any model was placed there; steps missed their turn when two transcribers were gone. Change: stores tell how far behind the newest version the jobs allow, and transcribers take turns in passing versions over; a transcriber with an order under way gets the texts of models that it holds at the newest version.

--- a/crates/batch-runner/src/placing.rs
+++ b/crates/batch-runner/src/placing.rs
@@ -192,8 +192,7 @@
         }
         let load = self.load.borrow();
         let version = load.version(id, need.model);
-        let is_too_old = version.is_none_or(|version| version < need.min_version);
-        if versions_matter && (is_too_old || load.has_order(id)) {
+        if versions_matter && !self.serves_model(need, version, load.has_order(id)) {
             return None;
         }
         let probed = Probed { slots: candidate.slots, busy: load.busy(id) };
@@ -201,6 +200,13 @@
         Some(ProbedCandidate { candidate, probed, version })
     }
 
+    /// Whether a transcriber that holds this version of the model begins new texts of it now. An order keeps off those
+    /// of its own model only, and no order concerns a model that is held at its newest version.
+    fn serves_model(&self, need: &Need<'_>, version: Option<u64>, has_order: bool) -> bool {
+        let Some(version) = version.filter(|version| *version >= need.min_version) else { return false };
+        !has_order || version >= self.feed.borrow().named_version(need.model)
+    }
+
     /// Whether a probe would tell more than is known.
     fn needs_report(&self, candidate: &Candidate, versions_matter: bool) -> bool {
         let now = Instant::now();
--- a/crates/batch-runner/tests/execution.rs
+++ b/crates/batch-runner/tests/execution.rs
@@ -5,14 +5,14 @@
 use pebblepost_messages::batch::{
     FromStore, HeldLease, ItemOutcome, ItemResult, PartialText, ResultState, ToStore,
 };
-use pebblepost_messages::feed::InstanceState;
+use pebblepost_messages::feed::{FeedUpdate, InstanceState, ModelVersion};
 use rstest::rstest;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use support::{
     Bench, END, FakeStore, Fleet, Reply, Seen, StoreEnd, event_with_version, events, lease, leased, plain,
-    report, run, stream_head,
+    report, report_with_order, run, stream_head,
 };
 
 /// A handler that reports, and answers everything else by `answer`.
@@ -94,6 +94,33 @@
     });
 }
 
+/// An order under way is of the model where a newer version is named, and of another one where not.
+#[rstest]
+#[case::of_another_model(1, "i-busy")]
+#[case::perhaps_of_this_model(2, "i-idle")]
+fn an_order_keeps_off_the_texts_of_its_own_model(#[case] named: u64, #[case] expected: &str) {
+    let expected = expected.to_owned();
+    run(async move {
+        let (fleet, _) = Fleet::new();
+        let during_order = |seen: &Seen| match seen.text.starts_with("GET /report") {
+            true => Reply::Write(report_with_order(1, 0, true)),
+            false => whole(seen),
+        };
+        let busy = fleet.start("i-busy", during_order).await;
+        let idle = fleet.start("i-idle", reporting(whole)).await;
+        let (bench, _store, mut end) = start(false).await;
+        let version = ModelVersion { model: "daka".to_owned(), generation: named };
+        bench.apply(FeedUpdate::NamedVersions(vec![version]));
+        // The one in the runner's own zone is probed first.
+        bench.announce_in("z", "i-busy", "models", busy, InstanceState::Ready, 1);
+        bench.announce_in("far", "i-idle", "models", idle, InstanceState::Ready, 1);
+        end.give(vec![lease(vec![leased("a", false)], false)]).await;
+        assert_eq!(outcomes(end.outcomes().await), [completed("a", "")]);
+        let runs: Vec<String> = fleet.seen.borrow().iter().map(|seen| seen.transcriber.clone()).collect();
+        assert_eq!(runs, [expected]);
+    });
+}
+
 #[test]
 fn a_broken_text_goes_on_after_its_last_event() {
     run(async {
--- a/crates/batch-runner/tests/support/mod.rs
+++ b/crates/batch-runner/tests/support/mod.rs
@@ -264,8 +264,13 @@
 
 /// An answer to `GET /report`.
 pub fn report(version: u64, running: u32) -> Vec<u8> {
+    report_with_order(version, running, false)
+}
+
+/// An answer to `GET /report`, perhaps while an order is under way.
+pub fn report_with_order(version: u64, running: u32, busy: bool) -> Vec<u8> {
     let body = format!(
-        r#"{{"models":[{{"name":"daka","generation":{version}}}],"busy":false,"running":{running},"waiting":0}}"#
+        r#"{{"models":[{{"name":"daka","generation":{version}}}],"busy":{busy},"running":{running},"waiting":0}}"#
     );
     let length = body.len();
     format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}").into_bytes()
--- a/crates/batch-store/src/program/feed.rs
+++ b/crates/batch-store/src/program/feed.rs
@@ -37,7 +37,8 @@
             match update {
                 FeedUpdate::StoreGroups(groups) => store.assign(now, groups),
                 FeedUpdate::Configuration(update) => self.note_generation(update),
-                FeedUpdate::Instances { .. } | FeedUpdate::NamedVersions(_) | FeedUpdate::ProxyCount(_) => {}
+                FeedUpdate::NamedVersions(versions) => store.name_versions(versions),
+                FeedUpdate::Instances { .. } | FeedUpdate::ProxyCount(_) => {}
             }
         }
         let generation = self.generation.get();
--- a/crates/batch-store/src/store/commits.rs
+++ b/crates/batch-store/src/store/commits.rs
@@ -3,6 +3,7 @@
 use super::Store;
 use super::group::{Caller, Proposed};
 use super::outbox::ReplicaWrite;
+use pebblepost_batch::clock::GroupClock;
 use pebblepost_messages::batch::{FromStore, JobAnswer, SubmitOutcome, ToStore};
 use pebblepost_replication::replica::ReplicaOutput;
 use std::time::Duration;
@@ -82,10 +83,7 @@
         for proposed in group.take_committed(index) {
             match proposed {
                 Proposed::Job { job, callers, .. } => {
-                    let stored = self.groups.get(&number).and_then(|group| group.state().job(&job));
-                    if let Some(stored) = stored {
-                        self.scheduler.add_job(now, number, &clock, stored);
-                    }
+                    self.job_taken(now, number, &clock, &job);
                     self.submitted(&callers, SubmitOutcome::Accepted);
                 }
                 Proposed::Results { jobs } => self.answer_readers(now, number, &jobs),
@@ -100,6 +98,14 @@
         }
     }
 
+    fn job_taken(&mut self, now: Duration, number: u32, clock: &GroupClock, id: &str) {
+        let stored = self.groups.get(&number).and_then(|group| group.state().job(id));
+        let Some(stored) = stored else { return };
+        self.scheduler.add_job(now, number, clock, stored);
+        let (model, min_version) = (stored.job().model.clone(), stored.job().min_version);
+        self.observe_version_slack(&model, min_version);
+    }
+
     pub(super) fn submitted(&mut self, callers: &[Caller], outcome: SubmitOutcome) {
         for caller in callers {
             self.outbox.reply(caller.link, FromStore::Submitted { call: caller.call, outcome });
--- a/crates/batch-store/src/store/configuration.rs
+++ b/crates/batch-store/src/store/configuration.rs
@@ -18,6 +18,7 @@
         for message in self.changes.ask_again() {
             self.outbox.send_to_control(message);
         }
+        self.repeat_version_slack();
     }
 
     /// The feed says who serves some groups.
--- a/crates/batch-store/src/store/mod.rs
+++ b/crates/batch-store/src/store/mod.rs
@@ -12,6 +12,7 @@
 mod leave;
 mod outbox;
 mod status;
+mod version_slack;
 mod work;
 
 pub use outbox::{GroupRecord, LinkId, StoreOutput};
@@ -31,6 +32,7 @@
 use pebblepost_replication::replica::{DiskRecord, Replica, ReplicaSettings};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
+use version_slack::VersionSlack;
 
 /// Settings of a store.
 #[derive(Clone, Debug)]
@@ -78,6 +80,7 @@
     callers: BTreeMap<LinkId, Caller>,
     early: Early,
     changes: EpochChanges,
+    versions: VersionSlack,
     outbox: Outbox,
     last_done: LastDone,
     /// Replicas made so far.
@@ -110,6 +113,7 @@
             callers: BTreeMap::new(),
             early: Early::default(),
             changes: EpochChanges::default(),
+            versions: VersionSlack::default(),
             outbox: Outbox::default(),
             last_done: LastDone::default(),
             incarnations: 0,
--- a/crates/control/src/core/links.rs
+++ b/crates/control/src/core/links.rs
@@ -65,6 +65,11 @@
                 }
             }
             ToControl::Announce(_) | ToControl::KeepAlive => {}
+            ToControl::VersionSlack { model, slack } => {
+                if let Some(primary) = &mut self.primary {
+                    primary.planner.observe_slack(now, &model, slack);
+                }
+            }
             ToControl::Status => {
                 let status = self.status(now).into_bytes();
                 self.send(now, connection, FromControl::Status(status));
--- a/crates/messages/src/control.rs
+++ b/crates/messages/src/control.rs
@@ -75,6 +75,13 @@
     KeepAlive,
     /// An operator's command asks for the state of the control plane.
     Status,
+    /// From a storage machine: how many versions behind the newest named one the last batch job of a model allows.
+    VersionSlack {
+        /// The model.
+        model: String,
+        /// Versions.
+        slack: u64,
+    },
 }
 
 /// From a control process.
--- a/crates/rollout/src/choice.rs
+++ b/crates/rollout/src/choice.rs
@@ -1,5 +1,6 @@
 //! Which transcriber loads which model next.
 
+use crate::slack::ObservedSlack;
 use crate::transcriber::Transcriber;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -37,19 +38,35 @@
     loading_in_zone: BTreeMap<&'a str, usize>,
     /// For each model, the transcribers that hold or load its newest version.
     current: BTreeMap<&'a str, usize>,
+    /// For each model, the ready transcribers that hold it.
+    holders: BTreeMap<&'a str, usize>,
 }
 
 impl ServiceLoads<'_> {
     fn has_place(&self) -> bool {
         self.loading < self.transcribers.div_ceil(LOAD_SHARE).max(1)
     }
+
+    /// Transcribers that are to hold the newest version of a model whose jobs allow versions so far behind: they
+    /// take turns.
+    fn wanted_current(&self, model: &str, slack: u64) -> usize {
+        let holders = self.holders.get(model).copied().unwrap_or(0);
+        let turns = usize::try_from(slack + 1).unwrap_or(usize::MAX);
+        holders.div_ceil(turns)
+    }
 }
 
-/// Picks the next order, if there is a place for one. Models of which the fewest transcribers hold
-/// the newest version come first, then the version named earliest; among the transcribers of a
+/// Whether a newer version of a model is named than the one held.
+pub(crate) fn is_behind(named: &BTreeMap<String, NamedVersion>, model: &str, held: u64) -> bool {
+    named.get(model).is_some_and(|newest| newest.generation > held)
+}
+
+/// Picks the next order, if there is a place for one. Transcribers whose version no longer serves the jobs of its model
+/// come first. Then models of which the fewest transcribers hold the newest version, then the version named earliest; among the transcribers of a
 /// model, the one furthest behind, then one in the zone with the fewest loads, then the least busy.
 pub(crate) fn next(
-    now: Duration, named: &BTreeMap<String, NamedVersion>, transcribers: &BTreeMap<String, Transcriber>,
+    now: Duration, named: &BTreeMap<String, NamedVersion>, slacks: &BTreeMap<String, ObservedSlack>,
+    transcribers: &BTreeMap<String, Transcriber>,
 ) -> Option<Choice> {
     let services = loads_of_services(now, named, transcribers);
     let mut best = None;
@@ -65,8 +82,21 @@
             let Some(newest) = named.get(model).filter(|newest| newest.generation > *held) else { continue };
             let current = loads.current.get(model.as_str()).copied().unwrap_or(0);
             let behind = newest.generation - held;
-            let rank =
-                (current, newest.named_at, Reverse(behind), in_zone, transcriber.running, instance, model);
+            let slack = slacks.get(model).map_or(0, ObservedSlack::versions);
+            let still_serves = behind <= slack;
+            if still_serves && current >= loads.wanted_current(model, slack) {
+                continue;
+            }
+            let rank = (
+                still_serves,
+                current,
+                newest.named_at,
+                Reverse(behind),
+                in_zone,
+                transcriber.running,
+                instance,
+                model,
+            );
             if best.as_ref().is_none_or(|best| rank < *best) {
                 best = Some(rank);
             }
@@ -93,6 +123,7 @@
         }
         for (model, held) in &transcriber.held {
             let Some(newest) = named.get(model) else { continue };
+            *loads.holders.entry(model).or_default() += usize::from(transcriber.ready);
             let is_loading =
                 work.is_some_and(|work| work.model == *model && work.generation == newest.generation);
             if *held >= newest.generation || is_loading {
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod choice;
 mod planner;
+mod slack;
 mod transcriber;
 
 pub use planner::Planner;
--- a/crates/rollout/src/planner.rs
+++ b/crates/rollout/src/planner.rs
@@ -1,6 +1,7 @@
 //! The planner: takes what happened, and says what to send.
 
 use crate::choice::{self, Choice, NamedVersion};
+use crate::slack::ObservedSlack;
 use crate::transcriber::{
     ASK_EVERY, FENCED_PAUSE, FIRST_ASK, LONGEST_FENCED_PAUSE, LONGEST_REFUSED_PAUSE, LOST_ORDER, NEWCOMER,
     REFUSED_PAUSE, REPORT_LAG, SILENCE, Stage, Transcriber, Work,
@@ -12,9 +13,9 @@
 
 /// The planner of one lease holder.
 ///
-/// It brings every transcriber that holds a model to the newest named version of it: one order at
-/// a time for each transcriber, a third of a service's transcribers at once, and never a version
-/// that is no longer the newest. An order without a clear answer is looked into by reports before
+/// It brings the transcribers that hold a model to its newest named version: one order at a time for each transcriber, a
+/// third of a service's transcribers at once, and never a version that is no longer the newest. Where the batch jobs of
+/// a model allow older versions, as many transcribers pass a version over as still serve those jobs. An order without a clear answer is looked into by reports before
 /// another one is sent.
 #[derive(Debug, Default)]
 pub struct Planner {
@@ -22,6 +23,7 @@
     /// When the first transcriber was announced.
     first_known: Option<Duration>,
     named: BTreeMap<String, NamedVersion>,
+    slacks: BTreeMap<String, ObservedSlack>,
     transcribers: BTreeMap<String, Transcriber>,
     outputs: Vec<PlanOutput>,
 }
@@ -46,6 +48,12 @@
         self.tick(now);
     }
 
+    /// A batch job of a model was taken that allows versions so far behind the newest named one.
+    pub fn observe_slack(&mut self, now: Duration, model: &str, slack: u64) {
+        self.slacks.entry(model.to_owned()).or_default().observe(slack);
+        self.tick(now);
+    }
+
     /// A transcriber was announced, changed or ended.
     pub fn instance(&mut self, now: Duration, instance: &Instance) {
         if instance.state == InstanceState::Gone {
@@ -109,10 +117,8 @@
         if let Some(work) = &transcriber.work {
             return Some(work.wake_at(now));
         }
-        let behind = transcriber
-            .held
-            .iter()
-            .any(|(model, held)| self.named.get(model).is_some_and(|newest| newest.generation > *held));
+        let behind =
+            transcriber.held.iter().any(|(model, held)| choice::is_behind(&self.named, model, *held));
         let starts_at = transcriber.not_until.max(self.not_before);
         (transcriber.ready && behind && starts_at > now).then_some(starts_at)
     }
@@ -210,7 +216,7 @@
         if now < self.not_before {
             return;
         }
-        while let Some(choice) = choice::next(now, &self.named, &self.transcribers) {
+        while let Some(choice) = choice::next(now, &self.named, &self.slacks, &self.transcribers) {
             self.send_order(now, &choice);
         }
     }
--- /dev/null
+++ b/crates/rollout/tests/slack.rs
@@ -0,0 +1,125 @@
+//! Versions that transcribers pass over because the jobs of a model allow older ones.
+
+use pebblepost_messages::feed::{Instance, ModelVersion};
+use pebblepost_rollout::{OrderAnswer, PlanOutput, Planner};
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const MODEL: &str = "daka510000";
+const TRANSCRIBERS: usize = 9;
+
+fn instance(number: usize, generation: u64) -> Instance {
+    Instance {
+        id: format!("i-{number}"),
+        backend: "huvo11a".to_owned(),
+        address: format!("i-{number}:8080"),
+        zone: format!("zone-{}", number % 3),
+        slots: 12,
+        models: vec![ModelVersion { model: MODEL.to_owned(), generation }],
+        sequence: 1,
+        ..Instance::default()
+    }
+}
+
+/// A planner with nine transcribers that hold version 1; what each holds.
+struct Scene {
+    planner: Planner,
+    now: Duration,
+    held: BTreeMap<String, u64>,
+}
+
+impl Scene {
+    fn new() -> Scene {
+        let mut planner = Planner::new(Duration::ZERO);
+        for number in 0..TRANSCRIBERS {
+            planner.instance(Duration::ZERO, &instance(number, 1));
+        }
+        let held = (0..TRANSCRIBERS).map(|number| (format!("i-{number}"), 1)).collect();
+        Scene { planner, now: Duration::ZERO, held }
+    }
+
+    fn observe(&mut self, slacks: &[u64]) {
+        slacks.iter().for_each(|slack| self.planner.observe_slack(self.now, MODEL, *slack));
+    }
+
+    /// Names a version and lets every load end at once: who loaded it, and from which version, in this order.
+    fn name(&mut self, generation: u64) -> Vec<u64> {
+        self.now += Duration::from_secs(6);
+        self.planner.name_version(self.now, MODEL, generation, true);
+        self.load(generation)
+    }
+
+    /// Lets every load that is ordered end at once.
+    fn load(&mut self, generation: u64) -> Vec<u64> {
+        let mut loaded_from = Vec::new();
+        loop {
+            self.now += Duration::from_millis(50);
+            self.planner.tick(self.now);
+            let outputs = self.planner.take_outputs();
+            let orders = outputs.into_iter().filter_map(|output| match output {
+                PlanOutput::Send(order) => Some(order),
+                _ => None,
+            });
+            let orders: Vec<_> = orders.collect();
+            if orders.is_empty() {
+                return loaded_from;
+            }
+            assert!(orders.len() <= TRANSCRIBERS.div_ceil(3));
+            for order in orders {
+                let former =
+                    self.held.insert(order.instance.clone(), generation).expect("a known transcriber");
+                loaded_from.push(former);
+                self.planner.order_answered(self.now, &order, OrderAnswer::AlreadyHolds);
+            }
+        }
+    }
+
+    /// The oldest version held anywhere.
+    fn oldest(&self) -> u64 {
+        self.held.values().copied().min().expect("transcribers")
+    }
+}
+
+#[rstest]
+#[case::nothing_observed(&[], 0)]
+#[case::none_allowed(&[0, 0], 0)]
+#[case::one(&[1, 1], 1)]
+#[case::two(&[2], 2)]
+#[case::more_than_is_used(&[7], 2)]
+#[case::the_strictest_of_the_last_jobs_counts(&[2, 0, 1, 2], 0)]
+#[case::older_jobs_count_no_more(&[0, 1, 1, 2, 1], 1)]
+fn versions_are_passed_over_as_far_as_jobs_allow(#[case] observed: &[u64], #[case] slack: u64) {
+    let mut scene = Scene::new();
+    scene.observe(observed);
+    let mut loads = 0;
+    for generation in 2..=13 {
+        loads += scene.name(generation).len();
+        assert!(scene.oldest() + slack >= generation, "{:?} at version {generation}", scene.held);
+    }
+    let all = 12 * TRANSCRIBERS;
+    let turns = usize::try_from(slack).expect("a few") + 1;
+    assert!(loads >= all / turns - TRANSCRIBERS && loads <= all / turns + TRANSCRIBERS + 3, "{loads} loads");
+    assert_eq!(loads < all, slack > 0);
+}
+
+#[rstest]
+fn those_that_no_longer_serve_come_first() {
+    let mut scene = Scene::new();
+    scene.observe(&[1]);
+    assert_eq!(scene.name(2), [1, 1, 1, 1, 1], "half of them, as all serve on");
+    assert_eq!(scene.name(3), [1, 1, 1, 1, 2], "the others, and one more to keep half of them current");
+    assert_eq!(scene.name(4)[..4], [2, 2, 2, 2]);
+}
+
+#[rstest]
+fn a_stricter_job_has_all_of_them_load() {
+    let mut scene = Scene::new();
+    scene.observe(&[1]);
+    scene.name(2);
+    assert_eq!(scene.oldest(), 1);
+    scene.observe(&[0]);
+    assert_eq!(scene.load(2), [1, 1, 1, 1], "the others, at once");
+    scene.name(3);
+    assert_eq!(scene.oldest(), 3);
+}
