Control: a process that is heard is dialed at once

Cause: after a power loss the primary waited 0.35 s for the third replica, whose address was being retried with growing pauses although it had already said hello. Change: a hello cuts the pause short.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -137,6 +137,8 @@
     },
     /// Keep links to these addresses, and to no others.
     Dial(BTreeSet<String>),
+    /// Open the link to this address now, if it is wanted and not up: the process there has just been heard.
+    DialNow(String),
     /// Append records to the disk; answer with [`Input::Written`].
     Append {
         /// Number of the write; rises.
--- a/crates/control/src/core/links.rs
+++ b/crates/control/src/core/links.rs
@@ -198,6 +198,8 @@
         self.peers.heard(now, &member);
         if self.peer_links.contains_key(&member.address) {
             self.group.introduce(&member);
+        } else {
+            self.outputs.push(Output::DialNow(member.address.clone()));
         }
         if let Some(known) = self.connections.get_mut(&connection) {
             known.peer = Some(member);
--- a/crates/control/src/shell.rs
+++ b/crates/control/src/shell.rs
@@ -156,6 +156,7 @@
                     }
                 }
                 Output::Dial(addresses) => self.dial(&addresses),
+                Output::DialNow(address) => self.dial_now(&address),
                 Output::Append { write, records } => self.append(write, &records),
                 Output::SendOrder { order, body } => {
                     let (client, events) = (self.client.clone(), self.events.clone());
@@ -195,9 +196,24 @@
             if self.dials.contains_key(address) {
                 continue;
             }
-            let Ok(parsed) = address.parse() else { continue };
-            let task = spawn_local(keep_peer_link(parsed, self.events.clone()));
-            self.dials.insert(address.clone(), task.abort_handle());
+            self.keep_link(address);
         }
     }
+
+    /// Cuts short the pause before the next attempt.
+    fn dial_now(&mut self, address: &str) {
+        if self.peers.contains_key(address) {
+            return;
+        }
+        if let Some(task) = self.dials.remove(address) {
+            task.abort();
+            self.keep_link(address);
+        }
+    }
+
+    fn keep_link(&mut self, address: &str) {
+        let Ok(parsed) = address.parse() else { return };
+        let task = spawn_local(keep_peer_link(parsed, self.events.clone()));
+        self.dials.insert(address.to_owned(), task.abort_handle());
+    }
 }
--- a/crates/control/tests/failover.rs
+++ b/crates/control/tests/failover.rs
@@ -4,6 +4,8 @@
 
 use pebblepost_control::api::{Answer, Call};
 use pebblepost_control::core::Input;
+use pebblepost_messages::control::ToControl;
+use pebblepost_messages::{DiskId, Member};
 use rstest::rstest;
 use std::time::Duration;
 use support::cluster::Cluster;
@@ -231,3 +233,21 @@
     let knowing: Vec<usize> = (0..3).filter(|node| cluster.core(*node).knows_primary(cluster.now)).collect();
     assert_eq!(knowing, (0..3).filter(|node| *node != former).collect::<Vec<_>>());
 }
+
+#[rstest]
+fn a_process_that_is_heard_is_dialed_at_once_unless_its_link_is_up() {
+    let mut cluster = Cluster::acting();
+    cluster.run(Duration::from_secs(1));
+    cluster.dialed_now.clear();
+    let greet = |cluster: &mut Cluster, address: &str| {
+        let program = cluster.connect(0);
+        let member = Member { disk: DiskId(77), address: address.to_owned(), ..Member::default() };
+        cluster.send(program, ToControl::PeerHello { member });
+        cluster.run(Duration::from_millis(20));
+    };
+    greet(&mut cluster, "10.0.0.9:7200");
+    assert_eq!(cluster.dialed_now, [(0, "10.0.0.9:7200".to_owned())]);
+    let known = cluster.core(1).record().in_sync.iter().find(|member| member.node == "core-1").cloned();
+    greet(&mut cluster, &known.expect("a replica").address);
+    assert_eq!(cluster.dialed_now.len(), 1, "that link is up");
+}
--- a/crates/control/tests/support/cluster.rs
+++ b/crates/control/tests/support/cluster.rs
@@ -80,6 +80,8 @@
     pub programs: Vec<Program>,
     /// Orders that were sent: time, node, order, body.
     pub orders: Vec<(Duration, usize, Order, String)>,
+    /// Who wanted to open the link to which address at once.
+    pub dialed_now: Vec<(usize, String)>,
     /// Outputs that ask for reports: time and instance.
     pub asked: Vec<(Duration, String)>,
 }
@@ -126,6 +128,7 @@
             isolated: BTreeSet::new(),
             programs: Vec::new(),
             orders: Vec::new(),
+            dialed_now: Vec::new(),
             asked: Vec::new(),
         };
         for (index, seed) in seeds.iter().enumerate() {
@@ -408,6 +411,7 @@
                     }
                 }
                 Output::Dial(addresses) => self.nodes[index].dialed = addresses,
+                Output::DialNow(address) => self.dialed_now.push((index, address)),
                 Output::Append { write, records } => {
                     let records = records.iter().map(ControlRecord::encode).collect();
                     self.at(self.now + SYNC, Happening::Sync { node: index, life, write, records });
