Runner: a proxy sends work to a subset of the transcribers; what nobody serves loads first

Change: candidates are the first few of a proxy's own order (rendezvous hashing), probed at random among these; the choice of candidates is a module of its own. Models whose jobs no transcriber serves are loaded before those that an older version serves.

--- /dev/null
+++ b/crates/batch-runner/src/candidates.rs
@@ -0,0 +1,153 @@
+//! Which transcribers may take a request, and in which order they are probed.
+
+use crate::placement::NEAR_PROBES;
+use crate::placing::Need;
+use crate::shared::Shared;
+use pebblepost_messages::feed::{Instance, InstanceState};
+use pebblepost_transcriber::Target;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use tokio::time::Instant;
+
+/// Transcribers of its own zone, and of all zones, that a proxy sends work to while they are there: fewer mean that a
+/// connection to the one chosen is there already, more spread the load better.
+const NEAR_SUBSET: usize = 6;
+const SUBSET: usize = 9;
+
+/// A transcriber that may take the request.
+pub(crate) struct Candidate {
+    pub(crate) target: Target,
+    pub(crate) backend: String,
+    pub(crate) slots: u32,
+}
+
+/// Candidates for one placement.
+pub(crate) enum Candidates {
+    /// These, in the order of their probes; empty if none is ready.
+    Of(Vec<Candidate>),
+    /// There is no route.
+    NoRoute,
+}
+
+/// A candidate with what its place in the order depends on.
+struct Found {
+    candidate: Candidate,
+    /// Its version of the model is not known to be allowed.
+    is_old: bool,
+    is_far: bool,
+    affinity: u64,
+}
+
+impl Shared {
+    /// Transcribers of a service that the configuration in force names for this request.
+    pub(crate) fn candidates(&self, need: &Need<'_>) -> Candidates {
+        let Some(configuration) = self.configuration() else { return Candidates::Of(Vec::new()) };
+        let Some(route) = configuration.route(need.hostname, need.path) else {
+            return Candidates::NoRoute;
+        };
+        let mut backends: Vec<(&str, u64)> = route
+            .backends
+            .iter()
+            .filter(|(_, weight)| *weight > 0)
+            .map(|(name, weight)| (name.as_str(), *weight))
+            .collect();
+        while let Some(index) = self.weighted_pick(&backends) {
+            let (backend, _) = backends.swap_remove(index);
+            let candidates = self.ready_instances(backend, need);
+            if !candidates.is_empty() {
+                return Candidates::Of(candidates);
+            }
+        }
+        Candidates::Of(Vec::new())
+    }
+
+    fn weighted_pick(&self, backends: &[(&str, u64)]) -> Option<usize> {
+        let total: u64 = backends.iter().map(|(_, weight)| weight).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut drawn = self.random.below(total);
+        backends.iter().position(|(_, weight)| {
+            let is_here = drawn < *weight;
+            drawn = drawn.saturating_sub(*weight);
+            is_here
+        })
+    }
+
+    /// Ready transcribers of a service that hold the model, those first that are known to hold it
+    /// at an allowed version; of these, this proxy's subset: a few of the own zone first, as bytes between zones are
+    /// dear; each part in random order. None while no allowed version is named.
+    fn ready_instances(&self, backend: &str, need: &Need<'_>) -> Vec<Candidate> {
+        let mut found = self.find_ready(backend, need);
+        found.sort_unstable_by_key(|found| (found.is_old, found.is_far, found.affinity));
+        let are_all_old = found.first().is_some_and(|found| found.is_old);
+        if are_all_old && self.feed.borrow().named_version(need.model) < need.min_version {
+            return Vec::new();
+        }
+        found.retain(|found| !found.is_old || are_all_old);
+        if are_all_old {
+            found.truncate(1);
+        }
+        let near = keep_subset(&mut found);
+        self.shuffle(&mut found[..near]);
+        self.shuffle(&mut found[near..]);
+        found.drain(near.min(NEAR_PROBES)..near);
+        found.into_iter().map(|found| found.candidate).collect()
+    }
+
+    fn find_ready(&self, backend: &str, need: &Need<'_>) -> Vec<Found> {
+        let now = Instant::now();
+        let feed = self.feed.borrow();
+        let load = self.load.borrow();
+        let mut ready = Vec::new();
+        for instance in feed.instances() {
+            if instance.state != InstanceState::Ready || instance.backend != backend {
+                continue;
+            }
+            if load.is_avoided(&instance.id, now) {
+                continue;
+            }
+            let Some(announced) = announced_version(instance, need.model) else { continue };
+            let known = announced.max(load.version(&instance.id, need.model).unwrap_or(0));
+            let Ok(address) = instance.address.parse() else { continue };
+            let is_far = instance.zone != self.zone;
+            let affinity = affinity(&self.node, &instance.id);
+            let target = Target { instance: instance.id.clone(), address };
+            let candidate = Candidate { target, backend: instance.backend.clone(), slots: instance.slots };
+            ready.push(Found { candidate, is_old: known < need.min_version, is_far, affinity });
+        }
+        ready
+    }
+
+    fn shuffle<T>(&self, elements: &mut [T]) {
+        for index in 1..elements.len() {
+            let other = self.random.below(index as u64 + 1);
+            elements.swap(index, usize::try_from(other).unwrap_or(0));
+        }
+    }
+}
+
+/// Keeps the first few near candidates and the first few of the far ones; how many near ones there are.
+fn keep_subset(found: &mut Vec<Found>) -> usize {
+    let near = found.iter().filter(|found| !found.is_far).count();
+    let kept = near.min(NEAR_SUBSET);
+    found.drain(kept..near);
+    found.truncate(SUBSET);
+    kept
+}
+
+/// The place of a transcriber in the order in which a proxy takes them into its subset (rendezvous hashing): where one
+/// comes or goes, the others keep their places.
+fn affinity(node: &str, instance: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (node, instance).hash(&mut hasher);
+    hasher.finish()
+}
+
+/// The version of a model that a transcriber announced; `None` if it holds no such model. Where no
+/// model is needed, any version will do.
+fn announced_version(instance: &Instance, model: &str) -> Option<u64> {
+    if model.is_empty() {
+        return Some(u64::MAX);
+    }
+    instance.models.iter().find(|held| held.model == model).map(|held| held.generation)
+}
--- a/crates/batch-runner/src/lib.rs
+++ b/crates/batch-runner/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod attempt;
 mod calls;
+mod candidates;
 mod execution;
 mod item_run;
 pub mod job_answer;
--- a/crates/batch-runner/src/placing.rs
+++ b/crates/batch-runner/src/placing.rs
@@ -1,10 +1,10 @@
 //! Finding a transcriber for a group of items or for a scorer's call: random probes, and a hold
 //! while all are full.
 
+use crate::candidates::{Candidate, Candidates};
 use crate::item_run::LeaseTerms;
-use crate::placement::{MOST_PROBES, NEAR_PROBES, Probed, Queueing, choose};
+use crate::placement::{MOST_PROBES, Probed, Queueing, choose};
 use crate::shared::Shared;
-use pebblepost_messages::feed::{Instance, InstanceState};
 use pebblepost_transcriber::Target;
 use std::rc::Rc;
 use std::time::Duration;
@@ -89,13 +89,6 @@
     }
 }
 
-/// A transcriber that may take the request.
-struct Candidate {
-    target: Target,
-    backend: String,
-    slots: u32,
-}
-
 /// A candidate with its load.
 struct ProbedCandidate {
     candidate: Candidate,
@@ -103,14 +96,6 @@
     version: Option<u64>,
 }
 
-/// Candidates for one placement.
-enum Candidates {
-    /// These, in random order; empty if none is ready.
-    Of(Vec<Candidate>),
-    /// There is no route.
-    NoRoute,
-}
-
 impl Shared {
     /// Finds a transcriber for up to this many items; waits while there is none.
     pub(crate) async fn find_place(self: &Rc<Self>, need: &Need<'_>, items: u32) -> Placed {
@@ -229,87 +214,4 @@
         };
         (0..items).map(|_| place()).collect()
     }
-
-    /// Transcribers of a service that the configuration in force names for this request, in
-    /// random order.
-    fn candidates(&self, need: &Need<'_>) -> Candidates {
-        let Some(configuration) = self.configuration() else { return Candidates::Of(Vec::new()) };
-        let Some(route) = configuration.route(need.hostname, need.path) else {
-            return Candidates::NoRoute;
-        };
-        let mut backends: Vec<(&str, u64)> = route
-            .backends
-            .iter()
-            .filter(|(_, weight)| *weight > 0)
-            .map(|(name, weight)| (name.as_str(), *weight))
-            .collect();
-        while let Some(index) = self.weighted_pick(&backends) {
-            let (backend, _) = backends.swap_remove(index);
-            let candidates = self.ready_instances(backend, need);
-            if !candidates.is_empty() {
-                return Candidates::Of(candidates);
-            }
-        }
-        Candidates::Of(Vec::new())
-    }
-
-    fn weighted_pick(&self, backends: &[(&str, u64)]) -> Option<usize> {
-        let total: u64 = backends.iter().map(|(_, weight)| weight).sum();
-        if total == 0 {
-            return None;
-        }
-        let mut drawn = self.random.below(total);
-        backends.iter().position(|(_, weight)| {
-            let is_here = drawn < *weight;
-            drawn = drawn.saturating_sub(*weight);
-            is_here
-        })
-    }
-
-    /// Ready transcribers of a service that hold the model, those first that are known to hold it
-    /// at an allowed version; of these, a few of the own zone first, as bytes between zones are
-    /// dear; each part in random order. None while no allowed version is named.
-    fn ready_instances(&self, backend: &str, need: &Need<'_>) -> Vec<Candidate> {
-        let now = Instant::now();
-        let feed = self.feed.borrow();
-        let load = self.load.borrow();
-        let mut candidates = Vec::new();
-        for instance in feed.instances() {
-            if instance.state != InstanceState::Ready || instance.backend != backend {
-                continue;
-            }
-            if load.is_avoided(&instance.id, now) {
-                continue;
-            }
-            let Some(announced) = announced_version(instance, need.model) else { continue };
-            let known = announced.max(load.version(&instance.id, need.model).unwrap_or(0));
-            let Ok(address) = instance.address.parse() else { continue };
-            let target = Target { instance: instance.id.clone(), address };
-            let candidate = Candidate { target, backend: instance.backend.clone(), slots: instance.slots };
-            let is_far = instance.zone != self.zone;
-            candidates.push((known < need.min_version, is_far, self.random.below(u64::MAX), candidate));
-        }
-        candidates.sort_unstable_by_key(|(is_old, is_far, order, _)| (*is_old, *is_far, *order));
-        let are_all_old = candidates.first().is_some_and(|(is_old, ..)| *is_old);
-        if are_all_old && feed.named_version(need.model) < need.min_version {
-            return Vec::new();
-        }
-        let is_useful = |is_old: bool| !is_old || are_all_old;
-        let mut useful: Vec<_> = candidates.into_iter().filter(|(is_old, ..)| is_useful(*is_old)).collect();
-        if are_all_old {
-            useful.truncate(1);
-        }
-        let near = useful.iter().filter(|(_, is_far, ..)| !is_far).count();
-        useful.drain(near.min(NEAR_PROBES)..near);
-        useful.into_iter().map(|(.., candidate)| candidate).collect()
-    }
-}
-
-/// The version of a model that a transcriber announced; `None` if it holds no such model. Where no
-/// model is needed, any version will do.
-fn announced_version(instance: &Instance, model: &str) -> Option<u64> {
-    if model.is_empty() {
-        return Some(u64::MAX);
-    }
-    instance.models.iter().find(|held| held.model == model).map(|held| held.generation)
 }
--- a/crates/rollout/src/choice.rs
+++ b/crates/rollout/src/choice.rs
@@ -38,6 +38,8 @@
     loading_in_zone: BTreeMap<&'a str, usize>,
     /// For each model, the transcribers that hold or load its newest version.
     current: BTreeMap<&'a str, usize>,
+    /// For each model, the transcribers whose version serves its jobs, or will once it is loaded.
+    serving: BTreeMap<&'a str, usize>,
     /// For each model, the ready transcribers that hold it.
     holders: BTreeMap<&'a str, usize>,
 }
@@ -62,13 +64,13 @@
 }
 
 /// Picks the next order, if there is a place for one. Transcribers whose version no longer serves the jobs of its model
-/// come first. Then models of which the fewest transcribers hold the newest version, then the version named earliest; among the transcribers of a
+/// come first. Then models of which the fewest transcribers serve the jobs, then the version named earliest; among the transcribers of a
 /// model, the one furthest behind, then one in the zone with the fewest loads, then the least busy.
 pub(crate) fn next(
     now: Duration, named: &BTreeMap<String, NamedVersion>, slacks: &BTreeMap<String, ObservedSlack>,
     transcribers: &BTreeMap<String, Transcriber>,
 ) -> Option<Choice> {
-    let services = loads_of_services(now, named, transcribers);
+    let services = loads_of_services(now, named, slacks, transcribers);
     let mut best = None;
     for (instance, transcriber) in transcribers {
         if !may_be_ordered(now, transcriber) {
@@ -82,14 +84,15 @@
             let Some(newest) = named.get(model).filter(|newest| newest.generation > *held) else { continue };
             let current = loads.current.get(model.as_str()).copied().unwrap_or(0);
             let behind = newest.generation - held;
-            let slack = slacks.get(model).map_or(0, ObservedSlack::versions);
+            let slack = slack_of(slacks, model);
             let still_serves = behind <= slack;
+            let serving = loads.serving.get(model.as_str()).copied().unwrap_or(0);
             if still_serves && current >= loads.wanted_current(model, slack) {
                 continue;
             }
             let rank = (
                 still_serves,
-                current,
+                serving,
                 newest.named_at,
                 Reverse(behind),
                 in_zone,
@@ -105,12 +108,17 @@
     best.map(|(.., instance, model)| Choice { instance: instance.clone(), model: model.clone() })
 }
 
+fn slack_of(slacks: &BTreeMap<String, ObservedSlack>, model: &str) -> u64 {
+    slacks.get(model).map_or(0, ObservedSlack::versions)
+}
+
 fn may_be_ordered(now: Duration, transcriber: &Transcriber) -> bool {
     transcriber.ready && transcriber.work.is_none() && now >= transcriber.not_until
 }
 
 fn loads_of_services<'a>(
-    now: Duration, named: &BTreeMap<String, NamedVersion>, transcribers: &'a BTreeMap<String, Transcriber>,
+    now: Duration, named: &BTreeMap<String, NamedVersion>, slacks: &BTreeMap<String, ObservedSlack>,
+    transcribers: &'a BTreeMap<String, Transcriber>,
 ) -> BTreeMap<&'a str, ServiceLoads<'a>> {
     let mut services: BTreeMap<&str, ServiceLoads<'_>> = BTreeMap::new();
     for transcriber in transcribers.values() {
@@ -129,6 +137,9 @@
             if *held >= newest.generation || is_loading {
                 *loads.current.entry(model).or_default() += 1;
             }
+            if held + slack_of(slacks, model) >= newest.generation || is_loading {
+                *loads.serving.entry(model).or_default() += 1;
+            }
         }
     }
     services
--- a/crates/rollout/tests/slack.rs
+++ b/crates/rollout/tests/slack.rs
@@ -123,3 +123,30 @@
     scene.name(3);
     assert_eq!(scene.oldest(), 3);
 }
+
+/// Two models on each of six transcribers: the jobs of one allow the version before the newest, those of the other none.
+#[rstest]
+fn a_model_that_nobody_serves_goes_before_one_that_is_served_by_an_older_version() {
+    const STRICT: &str = "strict";
+    let start = Duration::from_secs(1);
+    let mut planner = Planner::new(start);
+    for number in 0..6 {
+        let mut both = instance(number, if number < 3 { 2 } else { 1 });
+        both.models.push(ModelVersion { model: STRICT.to_owned(), generation: 2 });
+        planner.instance(Duration::ZERO, &both);
+    }
+    planner.observe_slack(Duration::ZERO, MODEL, 1);
+    planner.observe_slack(Duration::ZERO, STRICT, 0);
+    planner.name_version(Duration::ZERO, MODEL, 3, true);
+    planner.name_version(Duration::ZERO, STRICT, 3, false);
+    planner.tick(start);
+    let outputs = planner.take_outputs();
+    let ordered: Vec<&str> = outputs
+        .iter()
+        .filter_map(|output| match output {
+            PlanOutput::Send(order) => Some(order.model.as_str()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(ordered, [STRICT, STRICT], "three serve the other model meanwhile");
+}
