Roll-outs: where more than two models share transcribers, each is served by a part

Cause: four models on 45 transcribers wanted 158 loads each 6 s where 15 places make 21 a second; a trainer whose steps allow the newest version only fell 8 s behind and missed two steps of eleven. Change: each model is loaded at two transcribers in as many as there are models, those that serve its jobs first; a single model goes everywhere, as before.

--- a/crates/rollout/src/choice.rs
+++ b/crates/rollout/src/choice.rs
@@ -9,6 +9,9 @@
 /// One in so many transcribers of a service loads at once: more of them slow each other down.
 const LOAD_SHARE: usize = 3;
 
+/// Models for which a transcriber is to hold a version that serves their jobs, on average.
+const MODELS_EACH: usize = 2;
+
 /// A model's newest named version.
 #[derive(Clone, Debug)]
 pub(crate) struct NamedVersion {
@@ -49,12 +52,22 @@
         self.loading < self.transcribers.div_ceil(LOAD_SHARE).max(1)
     }
 
+    /// Transcribers that are to serve the jobs of a model. Where several models share the transcribers, not each of
+    /// them needs all: loads would keep them busy.
+    fn wanted_serving(&self, model: &str) -> usize {
+        let holders = self.holders.get(model).copied().unwrap_or(0);
+        let models = self.holders.len().max(1);
+        (holders * MODELS_EACH).div_ceil(models).min(holders)
+    }
+
     /// Transcribers that are to hold the newest version of a model whose jobs allow versions so far behind: they
-    /// take turns.
+    /// take turns, unless it is the only model, whose loads disturb no other.
     fn wanted_current(&self, model: &str, slack: u64) -> usize {
-        let holders = self.holders.get(model).copied().unwrap_or(0);
-        let turns = usize::try_from(slack + 1).unwrap_or(usize::MAX);
-        holders.div_ceil(turns)
+        let turns = match self.holders.len() {
+            0 | 1 => 1,
+            _ => usize::try_from(slack + 1).unwrap_or(usize::MAX),
+        };
+        self.wanted_serving(model).div_ceil(turns)
     }
 }
 
@@ -87,7 +100,11 @@
             let slack = slack_of(slacks, model);
             let still_serves = behind <= slack;
             let serving = loads.serving.get(model.as_str()).copied().unwrap_or(0);
-            if still_serves && current >= loads.wanted_current(model, slack) {
+            let is_enough = match still_serves {
+                true => current >= loads.wanted_current(model, slack),
+                false => serving >= loads.wanted_serving(model),
+            };
+            if is_enough {
                 continue;
             }
             let rank = (
--- a/crates/rollout/src/planner.rs
+++ b/crates/rollout/src/planner.rs
@@ -15,7 +15,8 @@
 ///
 /// It brings the transcribers that hold a model to its newest named version: one order at a time for each transcriber, a
 /// third of a service's transcribers at once, and never a version that is no longer the newest. Where the batch jobs of
-/// a model allow older versions, as many transcribers pass a version over as still serve those jobs. An order without a clear answer is looked into by reports before
+/// a model allow older versions, as many transcribers pass a version over as still serve those jobs; where more than two
+/// models share the transcribers, each is served by a part of them. An order without a clear answer is looked into by reports before
 /// another one is sent.
 #[derive(Debug, Default)]
 pub struct Planner {
