--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -282,3 +282,18 @@
         self.actions.iter().filter_map(answer).collect()
     }
 }
+
+/// How many idle connections the module closed.
+pub fn closes(n: &Node) -> usize {
+    n.actions.iter().filter(|a| matches!(a, Action::CloseIdle { .. })).count()
+}
+
+/// Plays a job of 100 ms by its hint at the first worker probed, where it runs for `ms`.
+pub fn run_hinted(n: &mut Node, id: u32, ms: impl Fn(u32) -> u64) {
+    n.hinted(id, 100, 1.0);
+    let w = n.probes()[0];
+    n.report(w, 2.0, 0.0);
+    n.event(Event::Started { id: RequestId(id), attempt: AttemptNo(0) });
+    n.advance(Duration::from_millis(ms(w)));
+    n.outcome(id, 0, w, Status::Ok, true);
+}
