Control: who orders transcribers is an entry of the replicated state

Cause: a primary that goes on at once after its own restart took itself for the last holder of orders, also where it had only waited for the orders of the one before it to grow old. Found by reading. Change: a primary proposes to be the holder once those are old, and orders nothing before that is committed; the next one waits unless it is that holder itself. The note of the former primary is gone. Tests: a holder started anew while it waits goes on waiting, one that held before orders at once.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -92,6 +92,11 @@
         /// Their disks.
         targets: Vec<DiskId>,
     },
+    /// A primary is about to order transcribers; orders of the holder before it are old.
+    HoldOrders {
+        /// Its disk.
+        holder: DiskId,
+    },
 }
 
 impl Command {
@@ -117,6 +122,7 @@
                 let disks: Vec<String> = targets.iter().map(|disk| format!("{:016x}", disk.0)).collect();
                 format!("group {group} belongs on {}", disks.join(" "))
             }
+            Command::HoldOrders { holder } => format!("{:016x} orders transcribers", holder.0),
         }
     }
 }
--- a/crates/control/src/core/group.rs
+++ b/crates/control/src/core/group.rs
@@ -50,8 +50,6 @@
     last_write: u64,
     proposer: Option<Proposer>,
     queued: Option<(u64, EpochRecord)>,
-    /// Primary of the epoch before this process last stood.
-    pub(super) former_primary: DiskId,
 }
 
 impl Group {
@@ -85,7 +83,6 @@
             last_write: 0,
             proposer: None,
             queued: None,
-            former_primary: DiskId::default(),
         }
     }
 
@@ -160,23 +157,10 @@
             record.witnesses.clone_from(&chosen.witnesses);
             record.former_witnesses.clone_from(&chosen.former_witnesses);
         }
-        self.note_former_primary(now, expected, &record);
         self.proposer = Some(Proposer::Replica);
         self.register.propose(now, expected, record);
     }
 
-    /// Notes whom this process follows where it stands for primary. The replica knows it from its own disk, the
-    /// register perhaps not yet.
-    fn note_former_primary(&mut self, now: Duration, expected: u64, proposed: &EpochRecord) {
-        let current = self.replica.record();
-        if current.epoch != expected || proposed.primary != self.me.disk {
-            return;
-        }
-        if current.primary != self.me.disk || !self.replica.is_acting(now) {
-            self.former_primary = current.primary;
-        }
-    }
-
     fn change_ended(&mut self, now: Duration) {
         if self.proposer.take() == Some(Proposer::Replica) {
             self.replica.change_ended(now);
--- a/crates/control/src/core/primary.rs
+++ b/crates/control/src/core/primary.rs
@@ -3,12 +3,14 @@
 
 use super::calls::WaitingChange;
 use super::{Core, Output};
+use crate::command::Command;
 use crate::feed_server::{FeedOutput, FeedServer, PublishedConfiguration};
 use crate::orders;
 use crate::state::ControlState;
 use crate::stores::{Stores, feed_groups};
 use crate::witnesses;
 use pebblepost_feed::FeedState;
+use pebblepost_messages::DiskId;
 use pebblepost_messages::feed::{FeedUpdate, ModelVersion, StoreGroup};
 use pebblepost_rollout::{Order, OrderAnswer, PlanOutput, Planner, Reported};
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,6 +18,8 @@
 
 /// Added to the lease of orders before a new holder sends its first one.
 const ORDER_SLACK: Duration = Duration::from_millis(300);
+/// Time for the entry by which a primary becomes the holder of orders to be committed.
+const TAKE_OVER_TIME: Duration = Duration::from_millis(100);
 /// Pause between looks at the groups of batch jobs when nothing happened.
 const PLAN_EVERY: Duration = Duration::from_millis(250);
 /// Time in which witnesses have to be heard by a new primary.
@@ -31,6 +35,10 @@
     pub(super) feed: FeedServer,
     pub(super) stores: Stores,
     pub(super) planner: Planner,
+    /// Orders of another holder are old from then on.
+    orders_from: Duration,
+    /// This process has proposed to be the holder of orders.
+    hold_proposed: bool,
     pub(super) changes: BTreeMap<u64, WaitingChange>,
     pub(super) plan_at: Duration,
     /// Entries of the last plan that are not committed.
@@ -49,9 +57,7 @@
         }
         log::info!("primary of epoch {epoch}");
         self.registry.restart_clocks(now);
-        let former = self.group.former_primary;
-        let other_held_it = former.0 != 0 && former != self.settings.me.disk;
-        let wait = if other_held_it { self.settings.order_lease + ORDER_SLACK } else { Duration::ZERO };
+        let orders_from = now + self.wait_for_orders_of_others();
         let mut stores = Stores::new(self.settings.tolerance);
         stores.restart(now);
         self.primary = Some(Primary {
@@ -59,7 +65,9 @@
             since: now,
             feed: self.first_feed(now),
             stores,
-            planner: Planner::new(now + wait),
+            planner: Planner::new(if self.holds_orders() { now } else { orders_from + TAKE_OVER_TIME }),
+            orders_from,
+            hold_proposed: false,
             changes: BTreeMap::new(),
             plan_at: now,
             planned: BTreeSet::new(),
@@ -73,6 +81,29 @@
         self.introduce_epoch(now);
     }
 
+    /// How long a new primary orders nothing: another one may have done so just before.
+    fn wait_for_orders_of_others(&self) -> Duration {
+        let holder = self.state().order_holder();
+        let is_other = holder != DiskId::default() && holder != self.settings.me.disk;
+        if is_other { self.settings.order_lease + ORDER_SLACK } else { Duration::ZERO }
+    }
+
+    /// Whether the replicated state says that this process orders transcribers: a successor can tell then.
+    fn holds_orders(&self) -> bool {
+        self.state().order_holder() == self.settings.me.disk
+    }
+
+    /// Becomes the holder of orders once those of another one are old.
+    fn take_orders_over(&mut self, now: Duration) {
+        let holds = self.holds_orders();
+        let Some(primary) = &mut self.primary else { return };
+        if holds || primary.hold_proposed || now < primary.orders_from {
+            return;
+        }
+        let command = Command::HoldOrders { holder: self.settings.me.disk };
+        primary.hold_proposed = self.group.replica.propose(now, command.encode()).is_ok();
+    }
+
     /// Whoever is connected learns of the epoch, also those that hold nothing: callers and links wait there.
     fn introduce_epoch(&mut self, now: Duration) {
         for standing in self.peers.standings(now) {
@@ -184,6 +215,9 @@
 
     pub(super) fn tick_primary(&mut self, now: Duration) {
         let acting = self.is_acting(now);
+        if acting {
+            self.take_orders_over(now);
+        }
         let Some(primary) = &mut self.primary else { return };
         if acting {
             primary.planner.tick(now);
@@ -262,12 +296,12 @@
     }
 
     fn settle_planner(&mut self, now: Duration) {
-        let acting = self.is_acting(now);
+        let may_order = self.is_acting(now) && self.holds_orders();
         let Some(primary) = &mut self.primary else { return };
         let epoch = primary.epoch;
         for output in primary.planner.take_outputs() {
             match output {
-                PlanOutput::Send(order) if acting => {
+                PlanOutput::Send(order) if may_order => {
                     log::info!(
                         "ordering {} to load version {} of {}",
                         order.instance,
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -55,6 +55,7 @@
     groups: BTreeMap<u32, GroupAssignment>,
     stores: BTreeMap<u64, Member>,
     retirements: BTreeMap<String, RetirementState>,
+    order_holder: DiskId,
 }
 
 /// The replicated control state.
@@ -67,6 +68,7 @@
     groups: BTreeMap<u32, GroupAssignment>,
     stores: BTreeMap<DiskId, Member>,
     retirements: BTreeMap<String, RetirementState>,
+    order_holder: DiskId,
     outcomes: VecDeque<(u64, Outcome)>,
 }
 
@@ -155,6 +157,10 @@
             Command::Retire { node, least_remaining } => self.retire(node, least_remaining),
             Command::RetireCompleted { node } => self.complete_retirement(&node),
             Command::SetTargets { group, targets } => self.set_targets(group, targets),
+            Command::HoldOrders { holder } => {
+                self.order_holder = holder;
+                Outcome::Applied
+            }
         }
     }
 
@@ -259,6 +265,11 @@
         Outcome::Applied
     }
 
+    /// Disk of the primary that may have ordered transcribers last; 0 for none.
+    pub fn order_holder(&self) -> DiskId {
+        self.order_holder
+    }
+
     /// Disks that a storage machine has or had.
     pub fn disks_of(&self, node: &str) -> Vec<DiskId> {
         let of_node = self.stores.values().filter(|member| member.node == node);
@@ -286,6 +297,7 @@
             groups: self.groups.clone(),
             stores: self.stores.iter().map(|(disk, member)| (disk.0, member.clone())).collect(),
             retirements: self.retirements.clone(),
+            order_holder: self.order_holder,
         };
         SerBin::serialize_bin(&snapshot)
     }
@@ -303,6 +315,7 @@
         self.groups = snapshot.groups;
         self.stores = snapshot.stores.into_iter().map(|(disk, member)| (DiskId(disk), member)).collect();
         self.retirements = snapshot.retirements;
+        self.order_holder = snapshot.order_holder;
         self.outcomes.clear();
     }
 }
--- a/crates/control/tests/orders.rs
+++ b/crates/control/tests/orders.rs
@@ -81,6 +81,49 @@
     assert!(fence > 1);
 }
 
+#[rstest]
+fn a_new_holder_that_is_started_anew_while_it_waits_goes_on_waiting() {
+    let mut cluster = Cluster::acting();
+    let mut sequence = 0;
+    live(&mut cluster, &mut sequence, Duration::from_secs(6));
+    name_version(&mut cluster, 2);
+    live(&mut cluster, &mut sequence, Duration::from_secs(1));
+    let former = cluster.primary();
+    cluster.kill(former);
+    let killed_at = cluster.now;
+    cluster.run_until_acting();
+    cluster.run(Duration::from_millis(300));
+    let waiting = cluster.primary();
+    cluster.kill(waiting);
+    cluster.start(waiting);
+    cluster.run_until_acting();
+    assert_eq!(cluster.primary(), waiting, "it goes on at once");
+    assert!(cluster.now < killed_at + Duration::from_millis(2500), "while the other's orders are new");
+    live(&mut cluster, &mut sequence, Duration::from_secs(12));
+    let new_orders = cluster.orders.iter().filter(|(at, ..)| *at > killed_at);
+    let first = new_orders.map(|(at, ..)| *at).next().expect("it orders in the end");
+    assert!(first >= killed_at + Duration::from_millis(3000), "{:?} after the kill", first - killed_at);
+}
+
+#[rstest]
+fn a_holder_that_is_started_anew_orders_at_once() {
+    let mut cluster = Cluster::acting();
+    let mut sequence = 0;
+    live(&mut cluster, &mut sequence, Duration::from_secs(6));
+    name_version(&mut cluster, 2);
+    live(&mut cluster, &mut sequence, Duration::from_secs(1));
+    let holder = cluster.primary();
+    cluster.kill(holder);
+    let killed_at = cluster.now;
+    cluster.start(holder);
+    cluster.run_until_acting();
+    assert_eq!(cluster.primary(), holder);
+    live(&mut cluster, &mut sequence, Duration::from_secs(2));
+    let new_orders = cluster.orders.iter().filter(|(at, ..)| *at > killed_at);
+    let first = new_orders.map(|(at, ..)| *at).next().expect("an order");
+    assert!(first < killed_at + Duration::from_millis(1500), "{:?} after the kill", first - killed_at);
+}
+
 #[rstest]
 fn the_successor_of_a_wiped_primary_waits_although_it_acts_at_once() {
     let mut cluster = Cluster::acting();
