Tests: schedules that show each missing guard, drawn anew

Cause: a primary's record that it acted, and what a replaced one tells, shift the random schedules, so that four guards taken out showed no more within 200 schedules from their first seeds.

--- a/crates/replication/tests/guards.rs
+++ b/crates/replication/tests/guards.rs
@@ -28,16 +28,16 @@
 
 #[rstest]
 #[case::commit_waits_for_all(without_replica(Plan::Wild, |guards| guards.commit_waits_for_all = false), 0)]
-#[case::joiner_waits(without_replica(Plan::Ambush, |guards| guards.joiner_waits = false), 0)]
-#[case::joiner_is_caught_up(without_replica(Plan::Targets, |guards| guards.joiner_is_caught_up = false), 1300)]
+#[case::joiner_waits(without_replica(Plan::Ambush, |guards| guards.joiner_waits = false), 5150)]
+#[case::joiner_is_caught_up(without_replica(Plan::Targets, |guards| guards.joiner_is_caught_up = false), 3300)]
 #[case::lease(without_replica(Plan::Wild, |guards| guards.lease = false), 0)]
 #[case::grace(without_replica(Plan::Wild, |guards| guards.grace = false), 0)]
-#[case::persisted_before_ack(without_replica(Plan::Wild, |guards| guards.persisted_before_ack = false), 900)]
+#[case::persisted_before_ack(without_replica(Plan::Wild, |guards| guards.persisted_before_ack = false), 150)]
 #[case::new_life_new_epoch(without_replica(Plan::Wild, |guards| guards.new_life_new_epoch = false), 300)]
 #[case::old_epochs_refused(without_replica(Plan::Wild, |guards| guards.old_epochs_refused = false), 0)]
 #[case::former_majority(without_register(|guards| guards.former_majority = false), 200)]
 #[case::persisted_before_reply(without_register(|guards| guards.persisted_before_reply = false), 0)]
-#[case::complete_found(without_register(|guards| guards.complete_found = false), 500)]
+#[case::complete_found(without_register(|guards| guards.complete_found = false), 100)]
 #[case::wiped_keeps_identity(with_kept_identity(), 0)]
 fn a_missing_guard_shows(#[case] options: Options, #[case] first_seed: u64) {
     let broken = first_broken(options, first_seed, MOST_SCHEDULES);
