Tests: stalls are left out in the one test that failed by them, from 10 ms on

Cause: the stopwatch left out every wake-up that was 1 ms late, on a busy machine a part of all time, and stood in tests that had never failed by a stall; that eased them.

--- a/pebblepost/tests/common/mod.rs
+++ b/pebblepost/tests/common/mod.rs
@@ -16,8 +16,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::JoinHandle;
-use std::time::Duration;
-use stopwatch::Stopwatch;
+use std::time::{Duration, Instant};
 
 static FILES: AtomicU32 = AtomicU32::new(0);
 
@@ -305,7 +304,7 @@
 }
 
 pub fn within<T>(limit: Duration, what: &str, mut check: impl FnMut() -> Option<T>) -> T {
-    let start = Stopwatch::start();
+    let start = Instant::now();
     loop {
         if let Some(found) = check() {
             return found;
--- a/pebblepost/tests/common/stopwatch.rs
+++ b/pebblepost/tests/common/stopwatch.rs
@@ -6,8 +6,8 @@
 
 /// Pause of the thread that watches for stalls.
 const WATCH_EVERY: Duration = Duration::from_millis(5);
-/// A thread that wakes up so much late was not kept from running.
-const ORDINARY_LATENESS: Duration = Duration::from_millis(1);
+/// A thread that wakes up less late than this was not kept from running.
+const LEAST_STALL: Duration = Duration::from_millis(10);
 
 /// Measures how long something took, without the stretches in which this machine kept a thread of this process from
 /// running although it was due: on a busy machine these fall on the program under test as well, which runs inside the
@@ -28,7 +28,7 @@
                 let before = Instant::now();
                 std::thread::sleep(WATCH_EVERY);
                 let late = before.elapsed().saturating_sub(WATCH_EVERY);
-                if late > ORDINARY_LATENESS {
+                if late >= LEAST_STALL {
                     stalled_us.fetch_add(late.as_micros() as u64, Ordering::Relaxed);
                 }
             }
--- a/pebblepost/tests/discovery.rs
+++ b/pebblepost/tests/discovery.rs
@@ -188,7 +188,7 @@
             stay(wire);
         });
         let daemon = Running::start(Some(platform(&known, Some(address))), None);
-        let start = Stopwatch::start();
+        let start = Instant::now();
         let (status, _) = ask(&daemon, &post("t", "", ""));
         assert!(status.contains(" 503") || status.contains(" 200"), "{status}");
         assert!(start.elapsed() < Duration::from_secs(2), "answered in its time");
@@ -211,7 +211,7 @@
         assert_eq!(ask(&daemon, &post(&format!("t{n}"), "", "")).1, "text", "request {n}");
     }
     let alone = Running::start(Some(platform(&[address], None)), None);
-    let start = Stopwatch::start();
+    let start = Instant::now();
     assert!(ask(&alone, &post("t", "", "")).0.contains(" 503"), "refused: nothing can have run");
     assert!(start.elapsed() < Duration::from_secs(2));
 }
@@ -260,7 +260,7 @@
     let daemon = Running::start(Some(config), None);
     let mut served = 0;
     for n in 0..20 {
-        let start = Stopwatch::start();
+        let start = Instant::now();
         let (status, body) = ask(&daemon, &post(&format!("t{n}"), "", ""));
         assert!(status.contains(" 200") || status.contains(" 503"), "{status}");
         assert!(start.elapsed() < Duration::from_millis(1_500), "{status} after {:?}", start.elapsed());
--- a/pebblepost/tests/faktory.rs
+++ b/pebblepost/tests/faktory.rs
@@ -2,7 +2,6 @@
 
 mod common;
 
-use common::stopwatch::Stopwatch;
 use common::{Running, Wire};
 use pebblepost::front::faktory::password_hash;
 use pebblepost::net::Listener;
@@ -94,7 +93,7 @@
     let pushes: Vec<_> = (0..40)
         .map(|i| {
             let mut wire = hello(&daemon, None);
-            std::thread::spawn(move || (i, Stopwatch::start(), push(&mut wire, &job(&format!("j{i}"))), wire))
+            std::thread::spawn(move || (i, Instant::now(), push(&mut wire, &job(&format!("j{i}"))), wire))
         })
         .collect();
     let mut answers = HashMap::new();
@@ -178,7 +177,7 @@
 fn a_job_with_no_free_slot_is_refused_at_once_with_when_to_come_back() {
     let daemon = start(json!({}));
     let mut producer = hello(&daemon, None);
-    let start = Stopwatch::start();
+    let start = Instant::now();
     let answer = push(&mut producer, &job("x"));
     assert!(answer.starts_with("-ERR refused, come back in "), "{answer}");
     assert!(start.elapsed() < Duration::from_millis(4_000));
--- a/pebblepost/tests/platform.rs
+++ b/pebblepost/tests/platform.rs
@@ -2,7 +2,6 @@
 
 mod common;
 
-use common::stopwatch::Stopwatch;
 use common::{Running, Wire, header, lines, platform, post, worker};
 use pebblepost::front::platform::tenant;
 use pebblepost::net::Listener;
@@ -104,7 +103,7 @@
     kept.say(&post("t1", "", ""));
     assert_eq!(kept.message().1, "text");
     let (start, mut silent, mut endless) =
-        (Stopwatch::start(), daemon.connect(Listener::Platform), daemon.connect(Listener::Platform));
+        (Instant::now(), daemon.connect(Listener::Platform), daemon.connect(Listener::Platform));
     endless.say("POST /api HTTP/1.1\r\n");
     for n in 0..4 {
         std::thread::sleep(Duration::from_millis(500));
@@ -121,7 +120,7 @@
     // A port that nobody listens at any more: the connection is refused, so nothing can have run.
     let closed = TcpListener::bind("127.78.1.2:0").and_then(|l| l.local_addr()).expect("a free port");
     let daemon = Running::start(Some(platform(&[closed], None)), None);
-    let start = Stopwatch::start();
+    let start = Instant::now();
     let (head, _) = ask(&daemon, &post("t", "", ""));
     assert_eq!(head[0], "HTTP/1.1 503 Service Unavailable");
     let after: f64 = header(&head, "retry-after").and_then(|n| n.parse().ok()).expect("seconds");
