Roll-outs: transcribers that leave do not count as serving a model

Cause: found by reading: with several models a part of the transcribers is to serve each, and draining ones were counted into it though they take no new requests.

--- a/crates/control/tests/orders.rs
+++ b/crates/control/tests/orders.rs
@@ -35,6 +35,17 @@
     }
 }
 
+/// A cluster whose primary has just ordered transcribers, and the number of the last beat.
+fn cluster_with_orders() -> (Cluster, u64) {
+    let mut cluster = Cluster::acting();
+    let mut sequence = 0;
+    live(&mut cluster, &mut sequence, Duration::from_secs(6));
+    name_version(&mut cluster, 2);
+    live(&mut cluster, &mut sequence, Duration::from_secs(1));
+    assert!(!cluster.orders.is_empty());
+    (cluster, sequence)
+}
+
 #[rstest]
 fn the_primary_orders_a_named_version() {
     let mut cluster = Cluster::acting();
@@ -55,11 +66,7 @@
 
 #[rstest]
 fn a_new_holder_waits_until_the_orders_of_the_old_one_are_old() {
-    let mut cluster = Cluster::acting();
-    let mut sequence = 0;
-    live(&mut cluster, &mut sequence, Duration::from_secs(6));
-    name_version(&mut cluster, 2);
-    live(&mut cluster, &mut sequence, Duration::from_secs(1));
+    let (mut cluster, mut sequence) = cluster_with_orders();
     let former = cluster.primary();
     cluster.kill(former);
     let killed_at = cluster.now;
@@ -83,11 +90,7 @@
 
 #[rstest]
 fn a_new_holder_that_is_started_anew_while_it_waits_goes_on_waiting() {
-    let mut cluster = Cluster::acting();
-    let mut sequence = 0;
-    live(&mut cluster, &mut sequence, Duration::from_secs(6));
-    name_version(&mut cluster, 2);
-    live(&mut cluster, &mut sequence, Duration::from_secs(1));
+    let (mut cluster, mut sequence) = cluster_with_orders();
     let former = cluster.primary();
     cluster.kill(former);
     let killed_at = cluster.now;
@@ -107,11 +110,7 @@
 
 #[rstest]
 fn a_holder_that_is_started_anew_orders_at_once() {
-    let mut cluster = Cluster::acting();
-    let mut sequence = 0;
-    live(&mut cluster, &mut sequence, Duration::from_secs(6));
-    name_version(&mut cluster, 2);
-    live(&mut cluster, &mut sequence, Duration::from_secs(1));
+    let (mut cluster, mut sequence) = cluster_with_orders();
     let holder = cluster.primary();
     cluster.kill(holder);
     let killed_at = cluster.now;
@@ -126,11 +125,7 @@
 
 #[rstest]
 fn the_successor_of_a_wiped_primary_waits_although_it_acts_at_once() {
-    let mut cluster = Cluster::acting();
-    let mut sequence = 0;
-    live(&mut cluster, &mut sequence, Duration::from_secs(6));
-    name_version(&mut cluster, 2);
-    live(&mut cluster, &mut sequence, Duration::from_secs(1));
+    let (mut cluster, mut sequence) = cluster_with_orders();
     let former = cluster.primary();
     (0..3).for_each(|node| cluster.kill(node));
     let killed_at = cluster.now;
--- a/crates/rollout/src/choice.rs
+++ b/crates/rollout/src/choice.rs
@@ -146,9 +146,10 @@
             loads.loading += 1;
             *loads.loading_in_zone.entry(&transcriber.zone).or_default() += 1;
         }
-        for (model, held) in &transcriber.held {
+        // Those that leave take no new requests, whatever they hold.
+        for (model, held) in transcriber.held.iter().filter(|_| transcriber.ready) {
             let Some(newest) = named.get(model) else { continue };
-            *loads.holders.entry(model).or_default() += usize::from(transcriber.ready);
+            *loads.holders.entry(model).or_default() += 1;
             let is_loading =
                 work.is_some_and(|work| work.model == *model && work.generation == newest.generation);
             if *held >= newest.generation || is_loading {
--- a/crates/rollout/tests/slack.rs
+++ b/crates/rollout/tests/slack.rs
@@ -1,6 +1,6 @@
 //! Versions that transcribers pass over because the jobs of a model allow older ones.
 
-use pebblepost_messages::feed::{Instance, ModelVersion};
+use pebblepost_messages::feed::{Instance, InstanceState, ModelVersion};
 use pebblepost_rollout::{OrderAnswer, PlanOutput, Planner};
 use rstest::rstest;
 use std::collections::BTreeMap;
@@ -177,3 +177,33 @@
         .collect();
     assert_eq!(ordered, [STRICT, STRICT], "three serve the other model meanwhile");
 }
+
+/// Three models on six transcribers: four of them are to serve each, and one that leaves is none of these.
+#[rstest]
+fn a_transcriber_that_leaves_does_not_count_as_serving() {
+    let mut planner = Planner::new(Duration::ZERO);
+    let models = [MODEL, OTHER, "ravo486f6a"];
+    let announce = |planner: &mut Planner, number: usize, generation: u64, state: InstanceState| {
+        let held = |model: &&str| ModelVersion { model: (*model).to_owned(), generation };
+        let models = models.iter().map(held).collect();
+        let announced = Instance { models, state, sequence: 1, ..instance(number, generation) };
+        planner.instance(Duration::ZERO, &announced);
+    };
+    // Four hold the newest version; two of these leave.
+    for number in 0..8 {
+        let state = if number < 2 { InstanceState::Draining } else { InstanceState::Ready };
+        announce(&mut planner, number, if number < 4 { 2 } else { 1 }, state);
+    }
+    models.iter().for_each(|model| planner.name_version(Duration::ZERO, model, 2, false));
+    let mut loads = 0;
+    for step in 0..50 {
+        planner.tick(Duration::from_millis(step * 50));
+        for output in planner.take_outputs() {
+            if let PlanOutput::Send(order) = output {
+                loads += 1;
+                planner.order_answered(Duration::from_millis(step * 50), &order, OrderAnswer::AlreadyHolds);
+            }
+        }
+    }
+    assert_eq!(loads, 2 * models.len(), "two more for each model, in place of those that leave");
+}
