Replication: a replica is given up only when nothing undecided counts on it

A joiner dropped its data after 10 s of silence although the change that adds it could still be decided, however late; counted as in sync, the same disk then held nothing and could stand for primary. Store::new passed over records it could not read.

Change: a replica notes the newest epoch in which it confirmed anything. It is dropped only when the control plane has gone beyond that epoch, or the primary of that epoch answers a LeaveRequest: no undecided change names it. A replica that comes empty into a later epoch, or whose disk lacks entries, does not stand until a primary has appended to it. StateMachine::is_damaged: neither stands, acts nor is compacted. A primary adds joiners on what they confirmed in its current epoch, and sends nothing to those it dropped. A store whose ring can't be read does not start.

The test a_log_with_a_gap_is_read_up_to_it asked that a replica alone leads after a gap, with less than it had acknowledged: that was wrong.

--- a/crates/batch-store/src/program/mod.rs
+++ b/crates/batch-store/src/program/mod.rs
@@ -31,7 +31,8 @@
         if opened.fresh { " (fresh)" } else { "" },
         opened.records.len()
     );
-    let store = Store::new(Duration::ZERO, store_settings, &opened.records);
+    let store = Store::new(Duration::ZERO, store_settings, &opened.records)
+        .map_err(|error| eyre!("reading the records of the disk {:x}: {error}", opened.identity))?;
     drop(opened);
     let local = LocalSet::new();
     local.block_on(&runtime, async move {
--- a/crates/batch-store/src/store/configuration.rs
+++ b/crates/batch-store/src/store/configuration.rs
@@ -85,23 +85,30 @@
 
     /// Drops replicas whose group is held by others.
     ///
-    /// What a replica has confirmed may still be counted on: a change that adds it may be under way
-    /// to the control plane. So it is kept until nobody has sent it anything for long enough.
+    /// What a replica has confirmed may still be counted on: a change that adds it may be under way to the control
+    /// plane, however long. Such a change builds on an epoch in which the replica confirmed something, so it is kept
+    /// until the control plane has gone beyond that epoch, or the primary of that epoch says that it asked for no such
+    /// change; and until nobody has sent it anything for a while.
     pub(super) fn drop_groups_of_others(&mut self, now: Duration) {
         let is_unused = |group: &Group| now.saturating_sub(group.used_at) >= UNUSED_FOR;
         let unused = self.groups.iter().filter(|(_, group)| is_unused(group));
         let numbers: Vec<u32> = unused.map(|(number, _)| *number).collect();
         for number in numbers {
-            self.drop_group_of_others(number);
+            self.drop_group_of_others(now, number);
         }
     }
 
-    fn drop_group_of_others(&mut self, number: u32) {
+    fn drop_group_of_others(&mut self, now: Duration, number: u32) {
         let Some(assignment) = self.assignments.get(&number) else { return };
-        let Some(group) = self.groups.get(&number) else { return };
-        if self.holds(assignment) || group.replica.record().epoch > assignment.epoch {
+        let is_held = self.holds(assignment);
+        let Some(group) = self.groups.get_mut(&number) else { return };
+        if is_held || group.replica.record().epoch > assignment.epoch {
             return;
         }
+        if group.replica.confirmed_epoch() >= assignment.epoch {
+            group.replica.ask_to_leave(now);
+            return self.settle(now, number);
+        }
         log::info!("group {number}: held by others in epoch {}", assignment.epoch);
         self.stop_group(number);
         self.groups.remove(&number);
--- a/crates/batch-store/src/store/group.rs
+++ b/crates/batch-store/src/store/group.rs
@@ -69,7 +69,7 @@
 
     /// Whether this machine may answer for the group now.
     pub(super) fn is_acting(&self, now: Duration) -> bool {
-        !self.replica.state().is_damaged() && self.replica.is_acting(now)
+        self.replica.is_acting(now)
     }
 
     pub(super) fn state(&self) -> &BatchState {
--- a/crates/batch-store/src/store/mod.rs
+++ b/crates/batch-store/src/store/mod.rs
@@ -20,7 +20,7 @@
 use early::Early;
 use epoch_changes::EpochChanges;
 use group::Group;
-use nanoserde::{DeBin, SerBin};
+use nanoserde::{DeBin, DeBinErr, SerBin};
 use outbox::Outbox;
 use pebblepost_batch::admission::Budget;
 use pebblepost_batch::scheduler::{ProxyId, Scheduler};
@@ -92,16 +92,15 @@
 }
 
 impl Store {
-    /// A store with what its disk held, in the order written.
-    pub fn new(now: Duration, settings: StoreSettings, records: &[Vec<u8>]) -> Store {
+    /// A store with what its disk held, in the order written. An error: a record is not in this program's format,
+    /// and without it the store might lead with less than it acknowledged.
+    pub fn new(now: Duration, settings: StoreSettings, records: &[Vec<u8>]) -> Result<Store, DeBinErr> {
         let mut recovered: BTreeMap<u32, Vec<DiskRecord>> = BTreeMap::new();
         for bytes in records {
-            match GroupRecord::deserialize_bin(bytes) {
-                Ok(GroupRecord { group, record: Some(record) }) => {
-                    recovered.entry(group).or_default().push(record)
-                }
-                Ok(GroupRecord { group, record: None }) => drop(recovered.remove(&group)),
-                Err(error) => log::error!("reading a record of the ring: {error}"),
+            let GroupRecord { group, record } = GroupRecord::deserialize_bin(bytes)?;
+            match record {
+                Some(record) => recovered.entry(group).or_default().push(record),
+                None => drop(recovered.remove(&group)),
             }
         }
         let mut store = Store {
@@ -123,7 +122,7 @@
         for (group, records) in recovered {
             store.open_group(now, group, records);
         }
-        store
+        Ok(store)
     }
 
     /// This machine and its disk.
@@ -244,15 +243,14 @@
         self.outbox.take()
     }
 
-    /// Puts out a checkpoint: all that the disk has to hold now.
+    /// Puts out a checkpoint: all that the disk has to hold now. None while a group is damaged: what the disk holds
+    /// of it is to stay.
     pub fn checkpoint(&mut self) {
         let mut records = Vec::new();
         for (number, group) in &self.groups {
-            let encoded = group
-                .replica
-                .checkpoint()
-                .into_iter()
-                .map(|record| GroupRecord { group: *number, record: Some(record) });
+            let Some(checkpoint) = group.replica.checkpoint() else { return };
+            let encoded =
+                checkpoint.into_iter().map(|record| GroupRecord { group: *number, record: Some(record) });
             records.extend(encoded.map(|record| record.serialize_bin()));
         }
         self.outbox.checkpoint(records);
--- a/crates/batch-store/tests/simulation/world.rs
+++ b/crates/batch-store/tests/simulation/world.rs
@@ -319,7 +319,7 @@
         let records = started.disk.recover(0);
         started.life += 1;
         started.is_known_to_control = false;
-        started.store = Some(Store::new(now, settings, &records));
+        started.store = Some(Store::new(now, settings, &records).expect("records can be read"));
         let life = started.life;
         self.after(5, Event::ConnectControl { machine, life });
         self.after(0, Event::StoreTick { machine, life });
--- a/crates/batch/src/state.rs
+++ b/crates/batch/src/state.rs
@@ -47,12 +47,6 @@
         self.held_bytes
     }
 
-    /// Whether a snapshot or an entry could not be read: what is here may lack jobs, and nothing
-    /// may be answered from it.
-    pub fn is_damaged(&self) -> bool {
-        self.is_damaged
-    }
-
     /// Ids of the jobs that need not be kept at the group's time `now_ms`.
     pub fn forgettable(&self, now_ms: u64, retention: Retention) -> Vec<String> {
         let is_due = |job: &&StoredJob| now_ms > kept_until_ms(job, retention);
@@ -143,6 +137,10 @@
             }
         };
     }
+
+    fn is_damaged(&self) -> bool {
+        self.is_damaged
+    }
 }
 
 fn kept_until_ms(job: &StoredJob, retention: Retention) -> u64 {
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -334,8 +334,8 @@
         &self.registry
     }
 
-    /// Records that say all that the disk has to hold now.
-    pub fn checkpoint(&self) -> Vec<ControlRecord> {
+    /// Records that say all that the disk has to hold now; `None` where what it holds must stay as it is.
+    pub fn checkpoint(&self) -> Option<Vec<ControlRecord>> {
         self.group.checkpoint()
     }
 
--- a/crates/control/src/core/group.rs
+++ b/crates/control/src/core/group.rs
@@ -184,11 +184,11 @@
         }
     }
 
-    pub(super) fn checkpoint(&self) -> Vec<ControlRecord> {
+    pub(super) fn checkpoint(&self) -> Option<Vec<ControlRecord>> {
         let founding = self.founding.clone().map(ControlRecord::Founding);
         let witness = self.witness.clone().map(ControlRecord::Witness);
-        let replica = self.replica.checkpoint().into_iter().map(ControlRecord::Replica);
-        founding.into_iter().chain(witness).chain(replica).collect()
+        let replica = self.replica.checkpoint()?.into_iter().map(ControlRecord::Replica);
+        Some(founding.into_iter().chain(witness).chain(replica).collect())
     }
 
     fn append(&mut self, owner: Owner, records: Vec<ControlRecord>, outputs: &mut Vec<Output>) {
--- a/crates/control/src/shell.rs
+++ b/crates/control/src/shell.rs
@@ -174,9 +174,10 @@
         let ticket = self.disk.append(records);
         self.tickets.push_back((ticket, write));
         let limit = MOST_SINCE_CHECKPOINT.min(self.disk.capacity() / 4);
-        if self.disk.bytes_since_checkpoint() > limit {
-            let records = self.core.checkpoint().iter().map(ControlRecord::encode).collect();
-            self.disk.checkpoint(records);
+        if self.disk.bytes_since_checkpoint() > limit
+            && let Some(records) = self.core.checkpoint()
+        {
+            self.disk.checkpoint(records.iter().map(ControlRecord::encode).collect());
         }
     }
 
--- a/crates/replication/src/guards.rs
+++ b/crates/replication/src/guards.rs
@@ -39,6 +39,8 @@
     pub old_epochs_refused: bool,
     /// The end of a primary makes way for the next one at once only if it is known to have acted in its term.
     pub ended_term_was_acted: bool,
+    /// A replica that is counted as in sync, but may have given up what it held, does not stand.
+    pub history_before_standing: bool,
 }
 
 impl Default for ReplicaGuards {
@@ -53,6 +55,7 @@
             new_life_new_epoch: true,
             old_epochs_refused: true,
             ended_term_was_acted: true,
+            history_before_standing: true,
         }
     }
 }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -6,6 +6,7 @@
 
 mod disk;
 mod follower;
+mod leave;
 mod log;
 mod message;
 mod peer;
@@ -20,6 +21,7 @@
 use crate::record::{EpochRecord, Tolerance};
 use disk::DiskQueue;
 use follower::Follower;
+use leave::LeaveRequest;
 use log::{Log, LogEntry};
 use message::ReplicaMessage;
 use nanoserde::{DeBin, SerBin};
@@ -38,6 +40,11 @@
     fn snapshot(&self) -> Vec<u8>;
     /// Replaces the state by a snapshot.
     fn restore(&mut self, snapshot: &[u8]);
+    /// Whether an entry or a snapshot could not be read: the state may lack something, and the replica neither
+    /// stands for primary nor acts.
+    fn is_damaged(&self) -> bool {
+        false
+    }
 }
 
 /// A record for the disk. The caller writes them in order; all of a group's records together,
@@ -161,6 +168,11 @@
     term_from: u64,
     /// Newest epoch in which this replica itself acted as primary; 0 if none is known.
     acted_in: u64,
+    /// Newest epoch in which this replica confirmed a beacon or an entry, in a former life too.
+    confirmed_in: u64,
+    leave_request: LeaveRequest,
+    /// The record counts on entries that this replica may not hold: it does not stand for primary.
+    lacks_history: bool,
     log: Log,
     /// Entries up to here are committed and applied.
     committed: u64,
@@ -204,6 +216,9 @@
             outputs: Vec::new(),
             term_from: recovered.term_from,
             acted_in: recovered.acted_in,
+            confirmed_in: recovered.record.epoch,
+            leave_request: LeaveRequest::default(),
+            lacks_history: recovered.has_gap,
             record: recovered.record,
             log: recovered.log,
             me,
@@ -327,8 +342,12 @@
     }
 
     /// Records that say all that the disk has to hold now (a snapshot at the committed index, the
-    /// entries after it, the epoch), for compaction.
-    pub fn checkpoint(&self) -> Vec<DiskRecord> {
+    /// entries after it, the epoch), for compaction. `None`: the state is damaged, and what the disk holds is the
+    /// only copy that can still be read by another program.
+    pub fn checkpoint(&self) -> Option<Vec<DiskRecord>> {
+        if self.state.is_damaged() {
+            return None;
+        }
         let epoch = self.log.epoch_at(self.committed).unwrap_or(0);
         let state = self.state.snapshot();
         let mut records = vec![DiskRecord::Snapshot { index: self.committed, epoch, state }];
@@ -337,7 +356,7 @@
         if self.acted_in == self.record.epoch && self.acted_in > 0 {
             records.push(DiskRecord::Acted { epoch: self.acted_in });
         }
-        records
+        Some(records)
     }
 
     /// Takes what the caller must do.
@@ -379,6 +398,8 @@
             ReplicaMessage::PrimaryReplaced { epoch, primary } => self.take_replacement(epoch, primary),
             ReplicaMessage::Probe => self.answer_probe(from),
             ReplicaMessage::ProbeAnswer { is_empty } => self.take_probe_answer(from, is_empty),
+            ReplicaMessage::LeaveRequest { epoch, number } => self.take_leave_request(from, epoch, number),
+            ReplicaMessage::LeaveGranted { epoch, number } => self.take_leave_grant(epoch, number),
             to_primary => self.handle_as_primary(from, to_primary),
         }
     }
@@ -407,6 +428,11 @@
         }
     }
 
+    /// Whether this replica can't lead now: its disk hangs, or its state can't be trusted.
+    fn is_unable(&self, now: Duration) -> bool {
+        self.state.is_damaged() || self.disk.is_hanging(now, self.settings.most_own_write)
+    }
+
     /// Whether a message of an epoch comes from the primary that this replica follows. Senders
     /// that lag behind are told the newer epoch; where this replica lags, it asks.
     fn is_from_primary(&mut self, from: &Member, epoch: u64) -> bool {
@@ -438,6 +464,7 @@
         let leads = record.primary == self.me.disk;
         let follows_directly = record.epoch == self.record.epoch + 1;
         let former = std::mem::replace(&mut self.record, record);
+        self.lacks_history |= self.comes_empty_into_a_later_epoch(&former);
         self.term_from = recovery::term_after(self.term_from, &former, &self.record);
         self.disk.push(DiskRecord::Epoch(self.record.clone()));
         self.change.decided();
@@ -454,6 +481,16 @@
         }
     }
 
+    /// Whether this replica is counted as in sync without ever having been added as an empty one: its data may have
+    /// been given up after it was proposed. In the first epoch all replicas are empty.
+    fn comes_empty_into_a_later_epoch(&self, former: &EpochRecord) -> bool {
+        const FIRST_EPOCH: u64 = 1;
+        former.epoch == 0
+            && self.log.last_index() == 0
+            && self.record.epoch > FIRST_EPOCH
+            && self.record.is_in_sync(self.me.disk)
+    }
+
     /// Applies entries up to an index, as far as they are here.
     fn commit_to(&mut self, index: u64) {
         let index = index.min(self.log.last_index());
--- a/crates/replication/src/replica/follower.rs
+++ b/crates/replication/src/replica/follower.rs
@@ -66,6 +66,8 @@
             self.reject_append(from, previous_index);
             return;
         }
+        // The primary counts on no more than what it found here.
+        self.lacks_history = false;
         let mut index = previous_index;
         for entry in entries {
             index += 1;
@@ -167,6 +169,7 @@
             return;
         }
         self.state.restore(&snapshot.data);
+        self.lacks_history = false;
         self.log.reset(index, index_epoch);
         self.disk.truncated_from(1);
         self.disk.push(DiskRecord::Snapshot { index, epoch: index_epoch, state: snapshot.data });
@@ -200,6 +203,7 @@
         }
         follower.acked = index;
         follower.wants_ack &= !is_complete;
+        self.note_confirmation();
         self.send_to_primary(&ReplicaMessage::Appended { epoch, index });
     }
 
@@ -213,6 +217,7 @@
         let not_before = self.now + self.settings.grace;
         self.succession.quiet_until = self.succession.quiet_until.max(not_before);
         self.succession.act_not_before = not_before;
+        self.note_confirmation();
         self.send_to_primary(&ReplicaMessage::BeaconAck { epoch, number, matched, persisted });
     }
 
--- a/crates/replication/src/replica/message.rs
+++ b/crates/replication/src/replica/message.rs
@@ -48,4 +48,8 @@
     Probe,
     /// Answer to a probe: whether the founder holds nothing yet.
     ProbeAnswer { is_empty: bool },
+    /// A replica that is not in sync is to be given up: asks whether the primary still counts on it.
+    LeaveRequest { epoch: u64, number: u64 },
+    /// Answer to the request with this number: neither the record nor an undecided change names the replica.
+    LeaveGranted { epoch: u64, number: u64 },
 }
--- a/crates/replication/src/replica/primary.rs
+++ b/crates/replication/src/replica/primary.rs
@@ -5,7 +5,7 @@
 use super::peer::{OutgoingSnapshot, Peer};
 use super::{DiskRecord, Replica, ReplicaOutput, Role, StateMachine};
 use crate::codec::{Blob, Sequence};
-use crate::record::EpochRecord;
+use crate::record::{EpochRecord, contains};
 use pebblepost_messages::{DiskId, Member};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -84,14 +84,21 @@
     pub(super) fn continue_as_primary(&mut self, former: &EpochRecord) {
         let last_index = self.log.last_index();
         let epoch = self.record.epoch;
+        let in_sync = self.record.in_sync.clone();
         let Some(primary) = self.primary() else { return };
         let has_acted = primary.is_announced;
         primary.is_open = false;
         primary.is_draining = false;
         primary.to_tell = former.in_sync.clone();
-        for peer in primary.peers.values_mut().filter(|peer| peer.snapshot.is_none()) {
-            let next = peer.confirmed.unwrap_or(last_index) + 1;
-            peer.probe_from(next);
+        for peer in primary.peers.values_mut() {
+            if peer.snapshot.is_none() {
+                let next = peer.confirmed.unwrap_or(last_index) + 1;
+                peer.probe_from(next);
+            }
+            if !contains(&in_sync, peer.member.disk) {
+                // It is added on what it confirms in this epoch only: see `confirmed_epoch`.
+                peer.lease_from = None;
+            }
         }
         self.add_in_sync_peers();
         if has_acted {
@@ -190,7 +197,7 @@
         primary.was_open
             && self.committed >= primary.takeover
             && self.settings.tolerance.is_met_by(&self.record.in_sync)
-            && !self.disk.is_hanging(now, self.settings.most_own_write)
+            && !self.is_unable(now)
             && (!self.guards.grace || self.succession.may_act(now, self.record.epoch))
             && (!self.guards.lease || self.counting_members().all(granted))
     }
@@ -306,7 +313,7 @@
     }
 
     pub(super) fn tick_as_primary(&mut self) {
-        if self.disk.is_hanging(self.now, self.settings.most_own_write) {
+        if self.is_unable(self.now) {
             return;
         }
         self.send_beacons_when_due();
@@ -343,12 +350,12 @@
         self.send(member, &ReplicaMessage::Beacon { epoch, number, committed });
     }
 
-    /// Opens the epoch once its record is on disk, and sends what is due. Says nothing while the
-    /// own disk hangs.
+    /// Opens the epoch once its record is on disk, and sends what is due. Says nothing while it is
+    /// unable to lead.
     pub(super) fn flush_as_primary(&mut self) {
         self.open_epoch();
         let is_open = matches!(&self.role, Role::Primary(primary) if primary.is_open);
-        if is_open && !self.disk.is_hanging(self.now, self.settings.most_own_write) {
+        if is_open && !self.is_unable(self.now) {
             let last_index = self.log.last_index();
             let Some(primary) = self.primary() else { return };
             let due = primary.peers.iter().filter(|(_, peer)| peer.has_something_due(last_index));
@@ -367,7 +374,12 @@
             return;
         }
         let now = self.now;
-        let Some(primary) = self.primary().filter(|primary| !primary.is_open) else { return };
+        if !matches!(&self.role, Role::Primary(primary) if !primary.is_open) {
+            return;
+        }
+        // Who was dropped by this epoch is told of it, and sent nothing that it would confirm.
+        self.forget_silent_joiners();
+        let Some(primary) = self.primary() else { return };
         primary.is_open = true;
         primary.was_open = true;
         primary.beacon_at = now;
--- a/crates/replication/src/replica/recovery.rs
+++ b/crates/replication/src/replica/recovery.rs
@@ -16,6 +16,8 @@
     pub(super) term_from: u64,
     /// Newest epoch in which this replica acted as primary.
     pub(super) acted_in: u64,
+    /// Entries are missing: those after them were left out.
+    pub(super) has_gap: bool,
 }
 
 /// Folds the records of the disk, in the order written.
@@ -35,9 +37,8 @@
                 recovered.log.reset(index, epoch);
             }
             DiskRecord::Entry { index, epoch, entry } => {
-                if !take_entry(&mut recovered.log, index, LogEntry { epoch, data: Blob(entry) }) {
-                    break;
-                }
+                let entry = LogEntry { epoch, data: Blob(entry) };
+                recovered.has_gap |= !take_entry(&mut recovered.log, index, entry);
             }
         }
     }
--- a/crates/replication/src/replica/succession.rs
+++ b/crates/replication/src/replica/succession.rs
@@ -165,7 +165,8 @@
         self.change.requests_in_flight == 0
             && self.now >= self.change.retry_at
             && self.now >= quiet_until + stagger
-            && !self.disk.is_hanging(self.now, self.settings.most_own_write)
+            && !self.is_unable(self.now)
+            && (!self.lacks_history || !self.guards.history_before_standing)
     }
 
     /// Before the first primary: founders look for one another, and the first to see enough of
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -1,199 +1,10 @@
 //! The replica by itself: acting, recovery, catching up, limits.
 
-use pebblepost_messages::{DiskId, Member};
-use pebblepost_replication::record::{EpochRecord, Tolerance};
-use pebblepost_replication::replica::{
-    DiskRecord, ProposeError, Replica, ReplicaOutput, ReplicaSettings, StateMachine,
-};
-use rstest::rstest;
-use std::collections::VecDeque;
-use std::time::Duration;
-
-/// Keeps all entries; its snapshot is as large as they are together.
-#[derive(Debug, Default)]
-struct Entries(Vec<Vec<u8>>);
-
-impl StateMachine for Entries {
-    fn apply(&mut self, index: u64, entry: &[u8]) {
-        assert_eq!(index, self.0.len() as u64 + 1);
-        self.0.push(entry.to_vec());
-    }
-
-    fn snapshot(&self) -> Vec<u8> {
-        let lengths = self.0.iter().map(|entry| entry.len().to_string()).collect::<Vec<_>>().join(",");
-        [lengths.into_bytes(), vec![b'\n'], self.0.concat()].concat()
-    }
-
-    fn restore(&mut self, snapshot: &[u8]) {
-        let line = snapshot.iter().position(|byte| *byte == b'\n').expect("a line of lengths");
-        let lengths = std::str::from_utf8(&snapshot[..line]).expect("text");
-        let mut rest = &snapshot[line + 1..];
-        self.0.clear();
-        for length in lengths.split(',').filter(|length| !length.is_empty()) {
-            let (entry, after) = rest.split_at(length.parse().expect("a number"));
-            self.0.push(entry.to_vec());
-            rest = after;
-        }
-    }
-}
-
-fn member(disk: u64) -> Member {
-    Member { disk: DiskId(disk), node: format!("n{disk}"), address: disk.to_string(), ..Member::default() }
-}
-
-fn record(epoch: u64, in_sync: &[u64]) -> EpochRecord {
-    let in_sync: Vec<Member> = in_sync.iter().map(|disk| member(*disk)).collect();
-    EpochRecord { epoch, primary: in_sync[0].disk, in_sync, ..EpochRecord::default() }
-}
-
-fn settings(tolerance: usize) -> ReplicaSettings {
-    ReplicaSettings {
-        tolerance: Tolerance { machines: tolerance, ..Tolerance::default() },
-        beacon: Duration::from_millis(100),
-        lease: Duration::from_millis(500),
-        grace: Duration::from_millis(700),
-        most_lag: Duration::from_millis(600),
-        most_own_write: Duration::from_millis(400),
-        kept_bytes: 1_000,
-    }
-}
-
-/// Replicas of disks 1, 2, ..., and a configuration manager that grants every change that builds
-/// on the newest epoch.
-struct Group {
-    now: Duration,
-    tolerance: usize,
-    replicas: Vec<Replica<Entries>>,
-    disks: Vec<Vec<DiskRecord>>,
-    /// Disks whose writes don't end.
-    hanging: Vec<u64>,
-    /// Machines that are cut off.
-    silent: Vec<u64>,
-    current: EpochRecord,
-    became_primary: Vec<u64>,
-    stopped: Vec<u64>,
-    largest_message: usize,
-}
-
-impl Group {
-    fn new(count: u64, tolerance: usize, current: EpochRecord) -> Self {
-        let new = |disk| {
-            Replica::new(member(disk), settings(tolerance), Entries::default(), Vec::new(), Duration::ZERO)
-        };
-        let mut group = Self {
-            now: Duration::ZERO,
-            tolerance,
-            replicas: (1..=count).map(new).collect(),
-            disks: vec![Vec::new(); count as usize],
-            hanging: Vec::new(),
-            silent: Vec::new(),
-            current: current.clone(),
-            became_primary: Vec::new(),
-            stopped: Vec::new(),
-            largest_message: 0,
-        };
-        group.replicas.iter_mut().for_each(|replica| replica.configure(Duration::ZERO, &current));
-        group.pass(200);
-        group
-    }
-
-    fn replica(&mut self, disk: u64) -> &mut Replica<Entries> {
-        &mut self.replicas[disk as usize - 1]
-    }
-
-    fn propose(&mut self, disk: u64, entry: &[u8]) -> Result<u64, ProposeError> {
-        let now = self.now;
-        let result = self.replica(disk).propose(now, entry.to_vec());
-        self.settle();
-        result
-    }
-
-    fn is_acting(&mut self, disk: u64) -> bool {
-        let now = self.now;
-        self.replica(disk).is_acting(now)
-    }
-
-    /// The replicas that act.
-    fn acting(&mut self) -> Vec<u64> {
-        let disks = 1..=self.replicas.len() as u64;
-        disks.filter(|disk| self.is_acting(*disk)).collect()
-    }
-
-    fn entries(&mut self, disk: u64) -> Vec<Vec<u8>> {
-        self.replica(disk).state().0.clone()
-    }
-
-    fn pass(&mut self, milliseconds: u64) {
-        for _ in 0..milliseconds / 50 {
-            self.now += Duration::from_millis(50);
-            let now = self.now;
-            self.replicas.iter_mut().for_each(|replica| replica.tick(now));
-            self.settle();
-        }
-    }
-
-    fn settle(&mut self) {
-        let mut messages: VecDeque<(u64, u64, Vec<u8>)> = VecDeque::new();
-        loop {
-            let mut changed = false;
-            for disk in 1..=self.replicas.len() as u64 {
-                changed |= self.collect(disk, &mut messages);
-            }
-            if let Some((from, to, message)) = messages.pop_front() {
-                let now = self.now;
-                if !self.silent.contains(&from) && !self.silent.contains(&to) {
-                    self.replica(to).receive(now, &member(from), &message);
-                }
-            } else if !changed {
-                return;
-            }
-        }
-    }
+mod group;
 
-    fn collect(&mut self, disk: u64, messages: &mut VecDeque<(u64, u64, Vec<u8>)>) -> bool {
-        let now = self.now;
-        let outputs = self.replica(disk).take_outputs();
-        let changed = !outputs.is_empty();
-        for output in outputs {
-            match output {
-                ReplicaOutput::Send { to, message } => {
-                    self.largest_message = self.largest_message.max(message.len());
-                    messages.push_back((disk, to.disk.0, message));
-                }
-                ReplicaOutput::Persist { token, records } => {
-                    if !self.hanging.contains(&disk) {
-                        self.disks[disk as usize - 1].extend(records);
-                        self.replica(disk).persisted(now, token);
-                    }
-                }
-                ReplicaOutput::ChangeEpoch { expected, record } => self.change_epoch(disk, expected, record),
-                ReplicaOutput::Committed { .. } => {}
-                ReplicaOutput::BecamePrimary { .. } => self.became_primary.push(disk),
-                ReplicaOutput::Stopped => self.stopped.push(disk),
-            }
-        }
-        changed
-    }
-
-    fn change_epoch(&mut self, disk: u64, expected: u64, record: EpochRecord) {
-        let now = self.now;
-        if expected == self.current.epoch && !self.silent.contains(&disk) {
-            self.current = record;
-        }
-        let current = self.current.clone();
-        if !self.silent.contains(&disk) {
-            self.replica(disk).configure(now, &current);
-        }
-        self.replica(disk).change_ended(now);
-    }
-
-    fn restart(&mut self, disk: u64, recovered: Vec<DiskRecord>) {
-        let tolerance = self.tolerance;
-        let now = self.now;
-        *self.replica(disk) =
-            Replica::new(member(disk), settings(tolerance), Entries::default(), recovered, now);
-    }
-}
+use group::{Group, member, record};
+use pebblepost_replication::replica::{DiskRecord, ProposeError};
+use rstest::rstest;
 
 #[rstest]
 fn an_entry_is_committed_once_all_in_sync_replicas_hold_it() {
@@ -265,7 +76,7 @@
         group.propose(1, entry).expect("the primary acts");
     }
     for disk in 1..=3 {
-        let checkpoint = group.replica(disk).checkpoint();
+        let checkpoint = group.replica(disk).checkpoint().expect("a sound state");
         let records = if from_checkpoint { checkpoint } else { group.disks[disk as usize - 1].clone() };
         group.restart(disk, records);
     }
@@ -288,7 +99,7 @@
     }
     group.silent.push(1);
     for disk in 2..=3 {
-        let checkpoint = group.replica(disk).checkpoint();
+        let checkpoint = group.replica(disk).checkpoint().expect("a sound state");
         let records = if from_checkpoint { checkpoint } else { group.disks[disk as usize - 1].clone() };
         group.restart(disk, records);
     }
@@ -302,13 +113,28 @@
 }
 
 #[rstest]
-fn a_log_with_a_gap_is_read_up_to_it() {
+fn a_log_with_a_gap_is_read_up_to_it_and_filled_by_the_primary_only() {
     let entry = |index| DiskRecord::Entry { index, epoch: 1, entry: vec![index as u8] };
     let records = vec![DiskRecord::Epoch(record(1, &[1])), entry(1), entry(2), entry(4)];
-    let mut group = Group::new(1, 0, record(1, &[1]));
-    group.restart(1, records);
+    let mut alone = Group::new(1, 0, record(1, &[1]));
+    alone.restart(1, records.clone());
+    alone.pass(1_500);
+    assert_eq!(alone.replica(1).progress(), [(member(1).disk, 2)]);
+    // It acknowledged what is missing now: alone it would lead with an old state.
+    assert_eq!(alone.acting(), [0; 0]);
+
+    let mut group = Group::new(2, 1, record(1, &[1, 2]));
+    (1..=4).for_each(|index| assert_eq!(group.propose(1, &[index]), Ok(u64::from(index))));
+    group.current = record(2, &[1, 2]);
+    let (now, current, kept) = (group.now, group.current.clone(), group.disks[0].clone());
+    group.restart(1, kept);
+    group.restart(2, records);
+    group.replicas.iter_mut().for_each(|replica| replica.configure(now, &current));
     group.pass(1_500);
-    assert_eq!(group.entries(1), vec![vec![1], vec![2]]);
+    assert_eq!(group.entries(2), [[1], [2], [3], [4]]);
+    group.silent = vec![1];
+    group.pass(3_000);
+    assert_eq!(group.current.primary, member(2).disk, "now it may lead");
 }
 
 #[rstest]
--- a/crates/replication/tests/simulation/world.rs
+++ b/crates/replication/tests/simulation/world.rs
@@ -360,7 +360,7 @@
         process.replica.tick(local);
         let new_witness = process.drive_witnesses(now);
         if place.disk.replica_records() > CHECKPOINT_RECORDS {
-            let records = process.replica.checkpoint();
+            let records = process.replica.checkpoint().expect("a sound state");
             self.write(slot, Waiter::Checkpoint, Stored::Replica(records));
         }
         if let Some(new_witness) = new_witness {
