Control: an acknowledged departure of a transcriber is replicated state

Cause: a drain or a DELETE was acknowledged once the subscribers of that moment had confirmed it, or after 300 ms. A primary that was cut off from the other control machines acknowledged departures to the end of its lease, with nobody but its own subscribers knowing; after a kill of all control processes nobody did, and a late heartbeat brought a transcriber that had ended back to life. A change of a group's epoch that was asked for before its new machine was found empty was accepted after the retirement's completion: the machine, taken away by then, would have left one copy.

Change: Command::NoteDeparture; the call is answered when its entry is committed and the subscribers act by it. A new primary recalls the last 4,096 departures. Epochs that name a machine whose retirement is completed are refused.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -1,5 +1,6 @@
 //! Entries of the replicated log, and what became of them.
 
+use crate::departures::Departure;
 use crate::digest::fnv1a;
 use nanoserde::{DeBin, SerBin};
 use pebblepost_messages::control::GroupEpoch;
@@ -97,6 +98,13 @@
         /// Its disk.
         holder: DiskId,
     },
+    /// A transcriber says that it leaves. It is told that this is known once the entry is committed.
+    NoteDeparture {
+        /// Its id.
+        instance: String,
+        /// How far it is.
+        departure: Departure,
+    },
 }
 
 impl Command {
@@ -123,6 +131,7 @@
                 format!("group {group} belongs on {}", disks.join(" "))
             }
             Command::HoldOrders { holder } => format!("{:016x} orders transcribers", holder.0),
+            Command::NoteDeparture { instance, departure } => format!("{instance} is {departure:?}"),
         }
     }
 }
--- a/crates/control/src/core/calls.rs
+++ b/crates/control/src/core/calls.rs
@@ -3,6 +3,7 @@
 use super::{CallId, Core, Output};
 use crate::api::{Answer, Call, Request};
 use crate::command::{Command, ConfigurationChange, Outcome};
+use crate::departures::Departure;
 use crate::feed_server::ConnectionId;
 use crate::registry::RegistryChange;
 use pebblepost_messages::control::{FromControl, GroupEpoch};
@@ -11,8 +12,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// How long a drain waits for the subscribers' acknowledgements.
-const DRAIN_WAIT: Duration = Duration::from_millis(300);
+/// How long a departure waits for the subscribers' acknowledgements.
+const SUBSCRIBERS_WAIT: Duration = Duration::from_millis(300);
 /// How long a call waits until its entry is committed.
 const COMMIT_WAIT: Duration = Duration::from_secs(4);
 
@@ -21,8 +22,9 @@
 pub(super) enum Waiting {
     /// Its entry is committed.
     Commit { index: u64, give_up: Duration },
-    /// Every subscriber acts by this flush of the feed, or the time is up.
-    Drain { flush: u64, due: Duration },
+    /// The entry that notes the departure is committed, and every subscriber acts by this flush of the feed or the
+    /// time is up.
+    Departure { index: u64, flush: u64, due: Duration },
 }
 
 /// A storage machine's request that waits until its entry is committed.
@@ -77,7 +79,7 @@
             Request::Remove { id: instance } => {
                 let change = self.registry.remove(&instance);
                 self.registry_changed(now, &change);
-                self.wait_for_subscribers(now, id);
+                self.note_departure(now, id, instance, Departure::Gone);
             }
             Request::Retire { node } => self.retire(now, id, node),
             Request::ReadRetirement { node } => {
@@ -109,23 +111,39 @@
         self.propose_for(now, id, &Command::NameVersion { model, generation });
     }
 
-    fn announce(&mut self, now: Duration, id: CallId, instance: Instance) {
+    fn announce(&mut self, now: Duration, id: CallId, mut instance: Instance) {
+        if self.state().departures().of(&instance.id) == Some(Departure::Draining) {
+            // It may have been known to a former primary only.
+            instance.state = InstanceState::Draining;
+        }
         let drains = instance.state == InstanceState::Draining;
+        let instance_id = instance.id.clone();
         let change = self.registry.announce(now, instance);
         self.registry_changed(now, &change);
         if drains {
-            self.wait_for_subscribers(now, id);
+            self.note_departure(now, id, instance_id, Departure::Draining);
         } else {
             self.answer(id, Answer::announced(self.settings.control));
         }
     }
 
-    /// A drain is acknowledged once every subscriber acts by it.
-    fn wait_for_subscribers(&mut self, now: Duration, id: CallId) {
+    /// A departure is acknowledged once later primaries know of it and every subscriber acts by it.
+    fn note_departure(&mut self, now: Duration, id: CallId, instance: String, departure: Departure) {
+        let is_noted = self.state().departures().of(&instance).is_some_and(|noted| noted >= departure);
+        let proposed = match is_noted {
+            true => Ok(0),
+            false => self.group.replica.propose(now, Command::NoteDeparture { instance, departure }.encode()),
+        };
         let Some(primary) = &mut self.primary else { return };
         primary.feed.flush(now);
         let flush = primary.feed.newest_flush();
-        self.waiting.insert(id, Waiting::Drain { flush, due: now + DRAIN_WAIT });
+        match proposed {
+            Ok(index) => {
+                let due = now + SUBSCRIBERS_WAIT;
+                self.waiting.insert(id, Waiting::Departure { index, flush, due });
+            }
+            Err(error) => self.answer(id, not_proposed(error)),
+        }
     }
 
     fn retire(&mut self, now: Duration, id: CallId, node: String) {
@@ -147,10 +165,7 @@
             Ok(index) => {
                 self.waiting.insert(id, Waiting::Commit { index, give_up: now + COMMIT_WAIT });
             }
-            Err(ProposeError::NotPrimary) => self.answer(id, Answer::unavailable("not the primary any more")),
-            Err(ProposeError::TooFewReplicas) => {
-                self.answer(id, Answer::unavailable("too few disks can take it now"));
-            }
+            Err(error) => self.answer(id, not_proposed(error)),
         }
     }
 
@@ -202,14 +217,18 @@
         }
     }
 
-    /// Answers the drains that every subscriber acts by, or that waited long enough.
+    /// Answers the departures that are on enough disks and that every subscriber acts by, or that waited for
+    /// subscribers long enough.
     pub(super) fn settle_calls(&mut self, now: Duration) {
         if self.waiting.is_empty() || !self.is_acting(now) {
             return;
         }
+        let committed = self.group.replica.committed();
         let Some(primary) = &self.primary else { return };
         let done = |(_, waiting): &(&CallId, &Waiting)| match waiting {
-            Waiting::Drain { flush, due } => now >= *due || primary.feed.is_acknowledged(*flush),
+            Waiting::Departure { index, flush, due } => {
+                *index <= committed && (now >= *due || primary.feed.is_acknowledged(*flush))
+            }
             Waiting::Commit { .. } => false,
         };
         let ready: Vec<CallId> = self.waiting.iter().filter(done).map(|(id, _)| *id).collect();
@@ -223,7 +242,7 @@
     pub(super) fn give_up_calls(&mut self, now: Duration) {
         let late = |(_, waiting): &(&CallId, &Waiting)| match waiting {
             Waiting::Commit { give_up, .. } => now >= *give_up,
-            Waiting::Drain { due, .. } => now >= *due + COMMIT_WAIT,
+            Waiting::Departure { due, .. } => now >= *due + COMMIT_WAIT,
         };
         let late: Vec<CallId> = self.waiting.iter().filter(late).map(|(id, _)| *id).collect();
         for id in late {
@@ -252,6 +271,13 @@
     }
 }
 
+fn not_proposed(error: ProposeError) -> Answer {
+    match error {
+        ProposeError::NotPrimary => Answer::unavailable("not the primary any more"),
+        ProposeError::TooFewReplicas => Answer::unavailable("too few disks can take it now"),
+    }
+}
+
 fn answer_to(outcome: Option<&Outcome>) -> Answer {
     match outcome {
         Some(Outcome::ConfigurationTaken { .. } | Outcome::VersionNamed | Outcome::Retiring) => {
--- a/crates/control/src/core/primary.rs
+++ b/crates/control/src/core/primary.rs
@@ -57,6 +57,7 @@
         }
         log::info!("primary of epoch {epoch}");
         self.registry.restart_clocks(now);
+        self.recall_departures();
         let orders_from = now + self.wait_for_orders_of_others();
         let mut stores = Stores::new(self.settings.tolerance);
         stores.restart(now);
@@ -81,6 +82,13 @@
         self.introduce_epoch(now);
     }
 
+    /// The copy of the registrations may lack the newest departures, or all of them after a restart.
+    fn recall_departures(&mut self) {
+        for (instance, departure) in self.group.replica.state().departures().all() {
+            self.registry.depart(instance, departure);
+        }
+    }
+
     /// How long a new primary orders nothing: another one may have done so just before.
     fn wait_for_orders_of_others(&self) -> Duration {
         let holder = self.state().order_holder();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,7 +4,7 @@
 //! what has to be done.
 //!
 //! * [`state`], [`command`], [`history`]: the replicated control state and its log's entries.
-//! * [`registry`], [`announcement`]: registrations of transcribers.
+//! * [`registry`], [`announcement`], [`departures`]: registrations of transcribers.
 //! * [`feed_server`]: the feed to agents, storage machines and standbys.
 //! * [`placement`], [`stores`]: groups of batch jobs on storage machines.
 //! * [`orders`]: orders to transcribers.
@@ -15,6 +15,7 @@
 pub mod api;
 pub mod command;
 pub mod core;
+pub mod departures;
 pub mod digest;
 pub mod disk_record;
 pub mod feed_server;
--- a/crates/control/src/registry.rs
+++ b/crates/control/src/registry.rs
@@ -3,6 +3,7 @@
 //! Soft state. The primary keeps it by announcements, standbys keep a copy by the feed. An
 //! incarnation that is gone never comes back.
 
+use crate::departures::Departure;
 use pebblepost_messages::feed::{Instance, InstanceState};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
@@ -109,6 +110,20 @@
         RegistryChange { instances: vec![self.end(ended)], drains: true }
     }
 
+    /// An incarnation is known to leave; the control state remembers it.
+    pub fn depart(&mut self, id: &str, departure: Departure) {
+        match departure {
+            Departure::Gone => {
+                self.remove(id);
+            }
+            Departure::Draining => {
+                if let Some(registration) = self.live.get_mut(id) {
+                    registration.instance.state = InstanceState::Draining;
+                }
+            }
+        }
+    }
+
     /// A transcriber surely holds a version now.
     pub fn holds(&mut self, id: &str, model: &str, generation: u64) -> RegistryChange {
         let Some(registration) = self.live.get_mut(id) else { return RegistryChange::default() };
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -4,8 +4,9 @@
 use crate::command::{
     ChangeMethod, ChangeRefusal, Command, ConfigurationChange, FoundedGroup, Outcome, RetireRefusal,
 };
+use crate::departures::Departures;
 use crate::history::History;
-use nanoserde::{DeBin, SerBin};
+use nanoserde::{DeBin, DeBinErr, SerBin};
 use pebblepost_configuration::Configuration;
 use pebblepost_messages::control::GroupEpoch;
 use pebblepost_messages::{DiskId, Member};
@@ -46,7 +47,7 @@
     pub patch: Vec<u8>,
 }
 
-/// What survives as a snapshot.
+/// What survives as a snapshot. Parts that came later follow it, and are missing in snapshots of older programs.
 #[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
 struct Snapshot {
     document: Option<Vec<u8>>,
@@ -69,7 +70,9 @@
     stores: BTreeMap<DiskId, Member>,
     retirements: BTreeMap<String, RetirementState>,
     order_holder: DiskId,
+    departures: Departures,
     outcomes: VecDeque<(u64, Outcome)>,
+    is_damaged: bool,
 }
 
 impl ControlState {
@@ -108,6 +111,11 @@
         &self.retirements
     }
 
+    /// Transcribers that are on their way out.
+    pub fn departures(&self) -> &Departures {
+        &self.departures
+    }
+
     /// The version made by this very change, if it was taken.
     pub fn taken(&self, change: &ConfigurationChange) -> Option<u64> {
         self.history.taken(change)
@@ -161,6 +169,10 @@
                 self.order_holder = holder;
                 Outcome::Applied
             }
+            Command::NoteDeparture { instance, departure } => {
+                self.departures.note(instance, departure);
+                Outcome::Applied
+            }
         }
     }
 
@@ -204,21 +216,31 @@
     fn change_group(
         &mut self, proposer: DiskId, group: u32, expected_epoch: u64, proposed: GroupEpoch,
     ) -> Outcome {
-        let Some(assignment) = self.groups.get_mut(&group) else {
+        let Some(current) = self.groups.get(&group).map(|assignment| assignment.epoch.clone()) else {
             return Outcome::GroupChanged { accepted: false, current: GroupEpoch::default() };
         };
-        let current = &mut assignment.epoch;
-        if *current == proposed {
-            return Outcome::GroupChanged { accepted: true, current: proposed };
+        if current == proposed {
+            return Outcome::GroupChanged { accepted: true, current };
         }
         let follows =
             current.epoch == expected_epoch && expected_epoch.checked_add(1) == Some(proposed.epoch);
         let is_proper = current.in_sync.contains(&proposer) && proposed.in_sync.contains(&proposed.primary);
-        let accepted = follows && is_proper;
-        if accepted {
-            *current = proposed;
+        // A change that was asked for before its machine was found to be empty may be decided after that.
+        let counts_on_retired = proposed.in_sync.iter().any(|disk| self.is_retired(*disk));
+        if !follows || !is_proper || counts_on_retired {
+            return Outcome::GroupChanged { accepted: false, current };
         }
-        Outcome::GroupChanged { accepted, current: current.clone() }
+        if let Some(assignment) = self.groups.get_mut(&group) {
+            assignment.epoch = proposed.clone();
+        }
+        Outcome::GroupChanged { accepted: true, current: proposed }
+    }
+
+    /// Whether a disk is that of a machine that the operator may have taken away.
+    fn is_retired(&self, disk: DiskId) -> bool {
+        let node = self.stores.get(&disk).map(|member| &member.node);
+        let retirement = node.and_then(|node| self.retirements.get(node));
+        retirement == Some(&RetirementState::Completed)
     }
 
     fn store_joined(&mut self, member: Member) -> Outcome {
@@ -281,7 +303,11 @@
     fn apply(&mut self, index: u64, entry: &[u8]) {
         let outcome = match Command::deserialize_bin(entry) {
             Ok(command) => self.apply_command(command),
-            Err(_) => Outcome::Unreadable,
+            Err(error) => {
+                log::error!("applying entry {index} of the control state: {error}");
+                self.is_damaged = true;
+                Outcome::Unreadable
+            }
         };
         self.outcomes.push_back((index, outcome));
         if self.outcomes.len() > MOST_OUTCOMES {
@@ -299,23 +325,46 @@
             retirements: self.retirements.clone(),
             order_holder: self.order_holder,
         };
-        SerBin::serialize_bin(&snapshot)
+        let mut bytes = SerBin::serialize_bin(&snapshot);
+        self.departures.ser_bin(&mut bytes);
+        bytes
     }
 
     fn restore(&mut self, snapshot: &[u8]) {
-        let Ok(snapshot) = Snapshot::deserialize_bin(snapshot) else {
-            log::error!("reading a snapshot of the control state: it is not in this program's format");
-            return;
+        *self = ControlState::read(snapshot).unwrap_or_else(|error| {
+            log::error!("reading a snapshot of the control state: {error}");
+            ControlState { is_damaged: true, ..ControlState::default() }
+        });
+    }
+
+    fn is_damaged(&self) -> bool {
+        self.is_damaged
+    }
+}
+
+impl ControlState {
+    fn read(bytes: &[u8]) -> Result<ControlState, String> {
+        let unreadable = |error: DeBinErr| error.to_string();
+        let mut offset = 0;
+        let snapshot = Snapshot::de_bin(&mut offset, bytes).map_err(unreadable)?;
+        let departures = match bytes.len() > offset {
+            true => Departures::de_bin(&mut offset, bytes).map_err(unreadable)?,
+            false => Departures::default(),
+        };
+        let configuration = match snapshot.document {
+            Some(document) => Some(Arc::new(Configuration::parse(&document).map_err(|invalid| invalid.0)?)),
+            None => None,
         };
-        let parse = |document: Vec<u8>| Configuration::parse(&document).ok().map(Arc::new);
-        self.configuration = snapshot.document.and_then(parse);
-        self.history = snapshot.history;
-        self.last_patch = None;
-        self.named_versions = snapshot.named_versions;
-        self.groups = snapshot.groups;
-        self.stores = snapshot.stores.into_iter().map(|(disk, member)| (DiskId(disk), member)).collect();
-        self.retirements = snapshot.retirements;
-        self.order_holder = snapshot.order_holder;
-        self.outcomes.clear();
+        Ok(ControlState {
+            configuration,
+            history: snapshot.history,
+            named_versions: snapshot.named_versions,
+            groups: snapshot.groups,
+            stores: snapshot.stores.into_iter().map(|(disk, member)| (DiskId(disk), member)).collect(),
+            retirements: snapshot.retirements,
+            order_holder: snapshot.order_holder,
+            departures,
+            ..ControlState::default()
+        })
     }
 }
--- a/crates/control/tests/failover.rs
+++ b/crates/control/tests/failover.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use pebblepost_control::api::{Answer, Call};
+use pebblepost_control::api::Answer;
 use pebblepost_control::core::Input;
 use pebblepost_messages::control::ToControl;
 use pebblepost_messages::{DiskId, Member};
@@ -10,20 +10,13 @@
 use std::time::Duration;
 use support::cluster::Cluster;
 use support::documents::{announcement, configuration, patch};
-
-fn call(method: &str, path: &str, if_match: Option<u64>, body: Vec<u8>) -> Call {
-    Call { method: method.into(), path: path.into(), if_match: if_match.map(|base| base.to_string()), body }
-}
+use support::{call, status};
 
 fn put(cluster: &mut Cluster, base: u64, generation: u64) -> Option<Answer> {
     let primary = cluster.primary();
     cluster.call(primary, call("PUT", "/config", Some(base), configuration(generation, 1000)))
 }
 
-fn status(answer: Option<Answer>) -> u16 {
-    answer.map_or(0, |answer| answer.status)
-}
-
 fn read_back(cluster: &mut Cluster) -> Vec<u8> {
     let primary = cluster.primary();
     let answer = cluster.call(primary, call("GET", "/config", None, Vec::new())).expect("an answer");
--- a/crates/control/tests/races.rs
+++ b/crates/control/tests/races.rs
@@ -9,22 +9,7 @@
 use std::time::Duration;
 use support::cluster::Cluster;
 use support::documents::{configuration, patch};
-
-/// A small generator of pseudo-random numbers (SplitMix64).
-struct Random(u64);
-
-impl Random {
-    fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mixed = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        mixed ^ (mixed >> 31)
-    }
-
-    fn below(&mut self, bound: u64) -> u64 {
-        self.next() % bound
-    }
-}
+use support::random::Random;
 
 /// A change that was sent, and the calls that carried it.
 #[derive(Clone)]
--- a/crates/control/tests/state.rs
+++ b/crates/control/tests/state.rs
@@ -2,9 +2,11 @@
 
 mod support;
 
+use nanoserde::SerBin;
 use pebblepost_control::command::{
     ChangeMethod, Command, ConfigurationChange, FoundedGroup, Outcome, RetireRefusal,
 };
+use pebblepost_control::departures::{Departure, Departures};
 use pebblepost_control::state::{ControlState, RetirementState};
 use pebblepost_messages::control::GroupEpoch;
 use pebblepost_messages::{DiskId, Member};
@@ -133,6 +135,7 @@
     log.apply(&Command::FoundStoreGroups(vec![FoundedGroup { group: 4, primary: DiskId(1), replicas }]));
     log.apply(&Command::StoreJoined(member(2, "b")));
     log.apply(&Command::Retire { node: "b".into(), least_remaining: 1 });
+    log.apply(&Command::NoteDeparture { instance: "i-1".into(), departure: Departure::Draining });
     let mut copy = ControlState::default();
     copy.restore(&log.state.snapshot());
     assert_eq!(copy.snapshot(), log.state.snapshot());
@@ -140,6 +143,7 @@
     assert_eq!(copy.groups(), log.state.groups());
     assert_eq!(copy.stores(), log.state.stores());
     assert_eq!(copy.retirements(), log.state.retirements());
+    assert_eq!(copy.departures(), log.state.departures());
     let first = ConfigurationChange { base: 0, method: ChangeMethod::Whole, body: configuration(2, 10) };
     assert_eq!(copy.taken(&first), Some(2), "repeats are known after a snapshot, too");
 }
@@ -165,12 +169,79 @@
 #[rstest]
 #[case::empty(b"")]
 #[case::garbage(b"\xff\xff\xff\xff\xff\xff\xff\xff\xff")]
-fn entries_that_cannot_be_read_change_nothing(#[case] entry: &[u8]) {
+fn entries_that_cannot_be_read_change_nothing_and_mark_the_state_damaged(#[case] entry: &[u8]) {
     let mut state = ControlState::default();
     let before = state.snapshot();
     state.apply(1, entry);
     assert_eq!(state.outcome(1), Some(&Outcome::Unreadable));
     assert_eq!(state.snapshot(), before);
+    assert!(state.is_damaged());
+}
+
+#[rstest]
+fn a_snapshot_that_cannot_be_read_marks_the_state_damaged() {
+    let mut log = Log::default();
+    log.change(0, ChangeMethod::Whole, configuration(2, 10));
+    let snapshot = log.state.snapshot();
+    for length in 0..snapshot.len() {
+        let mut copy = ControlState::default();
+        copy.restore(&snapshot[..length]);
+        // What stands before the parts that came later is a snapshot of an older program.
+        let is_older = copy.generation() == 2;
+        assert!(copy.is_damaged() != is_older, "{length} of {} bytes", snapshot.len());
+    }
+}
+
+#[rstest]
+fn a_snapshot_of_an_older_program_is_read() {
+    let mut log = Log::default();
+    log.change(0, ChangeMethod::Whole, configuration(2, 10));
+    let mut nothing_left = Vec::new();
+    Departures::default().ser_bin(&mut nothing_left);
+    let snapshot = log.state.snapshot();
+    let mut copy = ControlState::default();
+    copy.restore(&snapshot[..snapshot.len() - nothing_left.len()]);
+    assert!(!copy.is_damaged());
+    assert_eq!(copy.snapshot(), snapshot);
+}
+
+#[rstest]
+fn departures_only_go_forward_and_the_oldest_are_forgotten() {
+    const MOST: u32 = 4096;
+    let mut log = Log::default();
+    let note = |log: &mut Log, number: u32, departure| {
+        log.apply(&Command::NoteDeparture { instance: format!("i-{number}"), departure });
+    };
+    note(&mut log, 0, Departure::Draining);
+    note(&mut log, 0, Departure::Gone);
+    note(&mut log, 0, Departure::Draining);
+    assert_eq!(log.state.departures().of("i-0"), Some(Departure::Gone));
+    (1..=MOST).for_each(|number| note(&mut log, number, Departure::Gone));
+    assert_eq!(log.state.departures().of("i-0"), None);
+    assert_eq!(log.state.departures().all().count(), MOST as usize);
+}
+
+#[rstest]
+fn nothing_counts_on_a_machine_that_may_have_been_taken_away() {
+    let mut log = Log::default();
+    for (disk, node) in [(1, "a"), (2, "b"), (3, "c")] {
+        log.apply(&Command::StoreJoined(member(disk, node)));
+    }
+    let replicas = vec![DiskId(1), DiskId(2)];
+    log.apply(&Command::FoundStoreGroups(vec![FoundedGroup { group: 0, primary: DiskId(1), replicas }]));
+    let exchange = |with: u64| Command::ChangeGroup {
+        proposer: DiskId(1),
+        group: 0,
+        expected_epoch: 1,
+        proposed: GroupEpoch { epoch: 2, primary: DiskId(1), in_sync: vec![DiskId(1), DiskId(with)] },
+    };
+    log.apply(&Command::Retire { node: "c".into(), least_remaining: 2 });
+    log.apply(&Command::RetireCompleted { node: "c".into() });
+    assert_eq!(log.state.retirements()["c"], RetirementState::Completed);
+    // The primary had asked for it before: with c gone, disk 1 would hold the only copy.
+    let outcome = log.apply(&exchange(3));
+    assert!(matches!(outcome, Outcome::GroupChanged { accepted: false, .. }), "{outcome:?}");
+    assert_eq!(log.state.groups()[&0].epoch.in_sync, [DiskId(1), DiskId(2)]);
 }
 
 #[rstest]
--- a/crates/control/tests/support/cluster.rs
+++ b/crates/control/tests/support/cluster.rs
@@ -38,6 +38,8 @@
     dialed: BTreeSet<String>,
     /// Links that this node opened: address, and the connection's number at the other node.
     opened: BTreeMap<String, (usize, u64)>,
+    /// The process stands still; what comes meanwhile waits here.
+    frozen: Option<Vec<Input>>,
 }
 
 /// The other end of a connection that a node accepted.
@@ -77,6 +79,8 @@
     cut: BTreeSet<usize>,
     /// Machines that reach no other control process, though programs reach them.
     isolated: BTreeSet<usize>,
+    /// Machines whose messages reach no other control process, though they hear the others.
+    muted: BTreeSet<usize>,
     pub programs: Vec<Program>,
     /// Orders that were sent: time, node, order, body.
     pub orders: Vec<(Duration, usize, Order, String)>,
@@ -126,6 +130,7 @@
             last_call: 0,
             cut: BTreeSet::new(),
             isolated: BTreeSet::new(),
+            muted: BTreeSet::new(),
             programs: Vec::new(),
             orders: Vec::new(),
             dialed_now: Vec::new(),
@@ -153,6 +158,7 @@
             disk: Disk::default(),
             dialed: BTreeSet::new(),
             opened: BTreeMap::new(),
+            frozen: None,
         });
         let index = self.nodes.len() - 1;
         self.start(index);
@@ -180,6 +186,7 @@
     /// Kills a process; its disk remains.
     pub fn kill(&mut self, index: usize) {
         self.nodes[index].core = None;
+        self.nodes[index].frozen = None;
         self.nodes[index].dialed.clear();
         self.disconnect(index);
     }
@@ -209,6 +216,33 @@
         self.disconnect_peers(index);
     }
 
+    /// Joins a machine that was isolated or muted with the others again.
+    pub fn join(&mut self, index: usize) {
+        self.isolated.remove(&index);
+        if self.muted.remove(&index) {
+            self.disconnect_peers(index);
+        }
+    }
+
+    /// What a machine sends to other control processes is lost from now on.
+    pub fn mute(&mut self, index: usize) {
+        self.muted.insert(index);
+    }
+
+    /// A process stands still.
+    pub fn freeze(&mut self, index: usize) {
+        if self.is_up(index) {
+            self.nodes[index].frozen.get_or_insert_default();
+        }
+    }
+
+    /// A process goes on, with all that came meanwhile.
+    pub fn thaw(&mut self, index: usize) {
+        for input in self.nodes[index].frozen.take().unwrap_or_default() {
+            self.input(index, input);
+        }
+    }
+
     /// Whether a process runs.
     pub fn is_up(&self, index: usize) -> bool {
         self.nodes[index].core.is_some()
@@ -241,6 +275,12 @@
     /// Hands something in.
     pub fn input(&mut self, index: usize, input: Input) {
         let now = self.now;
+        if let Some(inbox) = &mut self.nodes[index].frozen {
+            if !matches!(input, Input::Tick) {
+                inbox.push(input);
+            }
+            return;
+        }
         if let Some(core) = &mut self.nodes[index].core {
             core.handle(now, input);
             self.carry_out(index);
@@ -405,6 +445,7 @@
                 }
                 Output::Send { connection, message } => self.send_back(index, connection, message),
                 Output::Close { connection } => self.close(index, connection),
+                Output::SendPeer { .. } if self.muted.contains(&index) => {}
                 Output::SendPeer { address, message } => {
                     if let Some((node, connection)) = self.nodes[index].opened.get(&address).copied() {
                         self.deliver(node, Input::Message { connection, message });
@@ -434,6 +475,7 @@
 
     fn send_back(&mut self, index: usize, connection: u64, message: FromControl) {
         match self.connections.get(&(index, connection)).cloned() {
+            Some(OtherEnd::Node { .. }) if self.muted.contains(&index) => {}
             Some(OtherEnd::Node { node, address }) => {
                 self.deliver(node, Input::PeerMessage { address, message });
             }
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -3,9 +3,20 @@
 
 pub mod cluster;
 pub mod documents;
+pub mod random;
 pub mod store;
 
-use pebblepost_control::api::Answer;
+use pebblepost_control::api::{Answer, Call};
+
+/// A call as the operator and the transcribers send it.
+pub fn call(method: &str, path: &str, if_match: Option<u64>, body: Vec<u8>) -> Call {
+    Call { method: method.into(), path: path.into(), if_match: if_match.map(|base| base.to_string()), body }
+}
+
+/// Status of an answer, 0 for none.
+pub fn status(answer: Option<Answer>) -> u16 {
+    answer.map_or(0, |answer| answer.status)
+}
 
 /// One line for an answer, as transcripts show it.
 pub fn shown(answer: &Answer) -> String {
