Control: a witness whose machine has lost its disk is exchanged by a new primary at once

Cause: a new primary looked at the witnesses only after 2 s, as their silence means nothing before. If the machine that lost its disk was the primary, its witness was exchanged 2 s later than it could be, half of the time within which the next disk may be lost.

Change: another disk at a witness's address is evidence from the start (witnesses::Evidence); silence counts after 2 s as before.

Test: a_primary_that_lost_its_disk_is_replaced_as_a_witness_at_once: repaired within 1.5 s of its return; it took over 2 s before.

--- a/crates/control/src/core/primary.rs
+++ b/crates/control/src/core/primary.rs
@@ -8,7 +8,7 @@
 use crate::orders;
 use crate::state::ControlState;
 use crate::stores::{Stores, feed_groups};
-use crate::witnesses;
+use crate::witnesses::{self, Evidence};
 use pebblepost_feed::FeedState;
 use pebblepost_messages::DiskId;
 use pebblepost_messages::feed::{FeedUpdate, ModelVersion, StoreGroup};
@@ -22,7 +22,7 @@
 const TAKE_OVER_TIME: Duration = Duration::from_millis(100);
 /// Pause between looks at the groups of batch jobs when nothing happened.
 const PLAN_EVERY: Duration = Duration::from_millis(250);
-/// Time in which witnesses have to be heard by a new primary.
+/// Time in which a new primary has to hear witnesses before their silence counts.
 const WITNESS_GRACE: Duration = Duration::from_secs(2);
 /// Time without a lease after which a primary sends its subscribers elsewhere.
 const LEAST_TIME_NOT_ACTING: Duration = Duration::from_millis(400);
@@ -251,14 +251,13 @@
     }
 
     fn look_over_witnesses(&mut self, now: Duration) {
-        let early =
-            self.primary.as_ref().is_none_or(|primary| now.saturating_sub(primary.since) < WITNESS_GRACE);
-        if early || self.group.is_changing() {
-            return;
-        }
+        let Some(primary) = self.primary.as_ref().filter(|_| !self.group.is_changing()) else { return };
+        let is_early = now.saturating_sub(primary.since) < WITNESS_GRACE;
+        let evidence = if is_early { Evidence::Replacement } else { Evidence::Silence };
         let record = self.group.replica.record();
         let standings = self.peers.standings(now);
-        let change = witnesses::next_change(record, &standings, self.settings.wanted_witnesses());
+        let wanted = self.settings.wanted_witnesses();
+        let change = witnesses::next_change(record, &standings, wanted, evidence);
         if let Some(next) = change {
             let expected = record.epoch;
             log::info!("changing the witnesses of epoch {expected}");
--- a/crates/control/src/witnesses.rs
+++ b/crates/control/src/witnesses.rs
@@ -16,13 +16,25 @@
     pub silence: Duration,
 }
 
+/// Which witnesses may be taken for lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// Only those at whose address another disk answers. Silence means nothing yet: this process has just become
+    /// primary.
+    Replacement,
+    /// Those that are silent, too.
+    Silence,
+}
+
 /// The next record that changes the witness set, if it has to change. One change at a time: a
 /// change that is under way is completed first.
-pub fn next_change(record: &EpochRecord, known: &[Standing], wanted: usize) -> Option<EpochRecord> {
+pub fn next_change(
+    record: &EpochRecord, known: &[Standing], wanted: usize, evidence: Evidence,
+) -> Option<EpochRecord> {
     if !record.former_witnesses.is_empty() {
         return Some(EpochRecord { epoch: record.epoch + 1, former_witnesses: Vec::new(), ..record.clone() });
     }
-    let changed = exchanged(record, known).or_else(|| grown(record, known, wanted))?;
+    let changed = exchanged(record, known, evidence).or_else(|| grown(record, known, wanted))?;
     Some(EpochRecord {
         epoch: record.epoch + 1,
         witnesses: changed,
@@ -43,20 +55,27 @@
     free.map(|standing| &standing.member).min_by_key(|member| (!in_sync(member.disk), member.disk))
 }
 
-fn exchanged(record: &EpochRecord, known: &[Standing]) -> Option<Vec<Member>> {
-    let lost = record.witnesses.iter().find(|witness| is_lost(witness, known))?;
+fn exchanged(record: &EpochRecord, known: &[Standing], evidence: Evidence) -> Option<Vec<Member>> {
+    let is_lost = |witness: &&Member| {
+        is_replaced(witness, known) || (evidence == Evidence::Silence && is_silent(witness, known))
+    };
+    let lost = record.witnesses.iter().find(is_lost)?;
     let successor = candidate(record, known)?;
     let exchange = |witness: &Member| if witness == lost { successor.clone() } else { witness.clone() };
     Some(record.witnesses.iter().map(exchange).collect())
 }
 
-/// Not heard for too long, or its address belongs to another disk now.
-fn is_lost(witness: &Member, known: &[Standing]) -> bool {
-    let own = known.iter().find(|standing| standing.member.disk == witness.disk);
-    let replaced = known.iter().any(|other| {
+/// Its address belongs to another disk now.
+fn is_replaced(witness: &Member, known: &[Standing]) -> bool {
+    known.iter().any(|other| {
         other.member.disk != witness.disk && other.member.address == witness.address && is_live(other)
-    });
-    replaced || own.is_none_or(|standing| !is_live(standing))
+    })
+}
+
+/// Not heard for too long.
+fn is_silent(witness: &Member, known: &[Standing]) -> bool {
+    let own = known.iter().find(|standing| standing.member.disk == witness.disk);
+    own.is_none_or(|standing| !is_live(standing))
 }
 
 fn grown(record: &EpochRecord, known: &[Standing], wanted: usize) -> Option<Vec<Member>> {
--- a/crates/control/tests/failover.rs
+++ b/crates/control/tests/failover.rs
@@ -195,6 +195,30 @@
     assert_eq!(cluster.core(wiped).state().generation(), 3);
 }
 
+#[rstest]
+fn a_primary_that_lost_its_disk_is_replaced_as_a_witness_at_once() {
+    let mut cluster = Cluster::acting();
+    assert_eq!(status(put(&mut cluster, 0, 3)), 200);
+    cluster.run(Duration::from_secs(4));
+    let wiped = cluster.primary();
+    let lost = cluster.core(wiped).record().primary;
+    cluster.wipe(wiped);
+    cluster.run(Duration::from_millis(600));
+    cluster.start(wiped);
+    let back_at = cluster.now;
+    run_until_acting_again(&mut cluster, Duration::from_secs(1));
+    let is_repaired = |cluster: &Cluster| {
+        cluster.acting_nodes().first().is_some_and(|primary| {
+            let record = cluster.core(*primary).record();
+            !record.is_witness(lost) && record.witnesses.len() == 3 && record.in_sync.len() == 3
+        })
+    };
+    while !is_repaired(&cluster) {
+        cluster.run(Duration::from_millis(10));
+        assert!(cluster.now - back_at < Duration::from_millis(1_500), "not repaired in time");
+    }
+}
+
 #[rstest]
 fn registrations_survive_the_primary() {
     let mut cluster = Cluster::acting();
--- a/crates/control/tests/witnesses.rs
+++ b/crates/control/tests/witnesses.rs
@@ -2,7 +2,7 @@
 
 use pebblepost_control::founding::{founder_disk, founding_record};
 use pebblepost_control::placement;
-use pebblepost_control::witnesses::{Standing, next_change};
+use pebblepost_control::witnesses::{Evidence, Standing, next_change};
 use pebblepost_messages::{DiskId, Member};
 use pebblepost_replication::record::{EpochRecord, Tolerance};
 use rstest::rstest;
@@ -35,17 +35,17 @@
 #[rstest]
 fn nothing_changes_while_all_are_heard() {
     let known = [standing(1, 0), standing(2, 100), standing(3, 1400), standing(4, 0)];
-    assert_eq!(next_change(&record(&[1, 2, 3]), &known, 3), None);
+    assert_eq!(next_change(&record(&[1, 2, 3]), &known, 3, Evidence::Silence), None);
 }
 
 #[rstest]
 fn a_lost_witness_is_exchanged_in_two_steps() {
     let known = [standing(1, 0), standing(2, 100), standing(3, 1600), standing(4, 0)];
-    let first = next_change(&record(&[1, 2, 3]), &known, 3).expect("a change");
+    let first = next_change(&record(&[1, 2, 3]), &known, 3, Evidence::Silence).expect("a change");
     assert_eq!((first.epoch, disks(&first.witnesses)), (6, vec![1, 2, 4]));
     assert_eq!(disks(&first.former_witnesses), [1, 2, 3]);
     assert!(record(&[1, 2, 3]).may_be_followed_by(&first));
-    let second = next_change(&first, &known, 3).expect("its completion");
+    let second = next_change(&first, &known, 3, Evidence::Silence).expect("its completion");
     assert_eq!((second.epoch, disks(&second.witnesses)), (7, vec![1, 2, 4]));
     assert!(second.former_witnesses.is_empty());
     assert!(first.may_be_followed_by(&second));
@@ -54,7 +54,7 @@
 #[rstest]
 fn nobody_is_exchanged_without_a_live_successor() {
     let known = [standing(1, 0), standing(2, 100), standing(3, 1600), standing(4, 1600)];
-    assert_eq!(next_change(&record(&[1, 2, 3]), &known, 3), None);
+    assert_eq!(next_change(&record(&[1, 2, 3]), &known, 3, Evidence::Silence), None);
 }
 
 #[rstest]
@@ -62,16 +62,26 @@
     let mut fresh = standing(9, 0);
     fresh.member.address = member(3).address;
     let known = [standing(1, 0), standing(2, 100), standing(3, 300), fresh];
-    let change = next_change(&record(&[1, 2, 3]), &known, 3).expect("a change");
+    let change = next_change(&record(&[1, 2, 3]), &known, 3, Evidence::Silence).expect("a change");
     assert_eq!(disks(&change.witnesses), [1, 2, 9]);
 }
 
+#[rstest]
+fn at_first_only_a_replaced_witness_is_exchanged() {
+    let mut fresh = standing(9, 0);
+    fresh.member.address = member(3).address;
+    let known = [standing(1, 0), standing(2, 9_000), fresh, standing(4, 0)];
+    let change = next_change(&record(&[1, 2, 3]), &known, 3, Evidence::Replacement).expect("a change");
+    assert_eq!(disks(&change.witnesses), [1, 2, 4], "2 may not have found this primary yet");
+    assert_eq!(next_change(&record(&[1, 2, 4]), &known, 3, Evidence::Replacement), None);
+}
+
 #[rstest]
 fn the_set_grows_to_what_is_wanted() {
     let known = [standing(1, 0), standing(2, 100), standing(3, 300)];
-    let change = next_change(&record(&[1, 2]), &known, 3).expect("a change");
+    let change = next_change(&record(&[1, 2]), &known, 3, Evidence::Silence).expect("a change");
     assert_eq!(disks(&change.witnesses), [1, 2, 3]);
-    assert_eq!(next_change(&record(&[1, 2, 3]), &known, 5), None, "nobody is left to add");
+    assert_eq!(next_change(&record(&[1, 2, 3]), &known, 5, Evidence::Silence), None, "nobody is left to add");
 }
 
 #[rstest]
