Transcriber client: a report in the place of an order's answer says nothing of the order

Cause: orders and reports carry no Request-Id. A transcriber in trouble may send a second answer; a second report that comes after its connection was found reusable stood in the place of the next order's answer, and its 200 was read as 'holds that version already'. The planner would have told everybody so.

Change: an answer to an order whose body is a report is a failure after which the order may have been taken.

Test: a_surplus_report_is_not_taken_for_the_answer_to_an_order; without the change the order's answer is 200.

--- a/crates/transcriber/src/client.rs
+++ b/crates/transcriber/src/client.rs
@@ -3,7 +3,7 @@
 use crate::answer::{CheckedHead, Expected, check_head, read_body};
 use crate::connection::{Connection, ExchangeError};
 use crate::pool::{Lot, Place, Pool, PooledConnection};
-use crate::report::parse_report;
+use crate::report::{is_report, parse_report};
 use crate::request::{self, WireRequest};
 use crate::stream::{EventStream, StreamAnswer, is_event_stream};
 use crate::{Answer, ClientCounts, ClientLimits, Failure, Load, Outgoing, Target};
@@ -108,13 +108,18 @@
         }
     }
 
-    /// Sends an order: `POST /order` with a JSON body; the status.
+    /// Sends an order: `POST /order` with a JSON body; the status. Orders and reports carry no id by which their
+    /// answers could be told apart: a report in the place of the answer is a surplus one of an earlier call.
     pub async fn order(
         &self, target: &Target, body: Bytes, timeout: Duration,
     ) -> Result<StatusCode, Failure> {
         let mut request = request::own(target, Method::POST, "/order", body, timeout);
         request.headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        Ok(self.send(target, request).await?.head.status)
+        let answer = self.send(target, request).await?;
+        match is_report(&answer.body) {
+            true => Err(Failure::MayHaveRun),
+            false => Ok(answer.head.status),
+        }
     }
 
     /// Changes the limits (a configuration came).
--- a/crates/transcriber/src/report.rs
+++ b/crates/transcriber/src/report.rs
@@ -12,6 +12,13 @@
     Some(Load { running, waiting, slots, ..Load::default() })
 }
 
+/// Whether a body is that of a report with the load in it.
+pub(crate) fn is_report(body: &[u8]) -> bool {
+    let mut buffer = body.to_vec();
+    let Ok(value) = simd_json::to_borrowed_value(&mut buffer) else { return false };
+    ["running", "waiting"].iter().all(|name| value.get(*name).is_some())
+}
+
 /// Reads the body of `GET /report`. Fields that are missing count as 0, absent or empty; `None`
 /// if the body is no JSON object.
 pub fn parse_report(body: &[u8]) -> Option<Load> {
--- a/crates/transcriber/tests/exchanges.rs
+++ b/crates/transcriber/tests/exchanges.rs
@@ -362,6 +362,21 @@
     });
 }
 
+#[test]
+fn a_surplus_report_is_not_taken_for_the_answer_to_an_order() {
+    run(async {
+        let report = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 26\r\n\r\n\
+                       {\"running\":12,\"waiting\":1}";
+        // The second report comes once the connection was found reusable.
+        let script = vec![Step::Read, Step::Write(report), Step::Read, Step::Write(report)];
+        let server = Scripted::start(vec![script]).await;
+        let (client, target) = (client(), server.target());
+        assert!(client.report(&target, Duration::from_secs(1)).await.is_ok());
+        let answer = client.order(&target, "{}".into(), Duration::from_secs(1)).await;
+        assert_eq!(answer, Err(Failure::MayHaveRun), "whether the order was taken is not known");
+    });
+}
+
 #[test]
 fn an_answer_that_is_no_stream_comes_whole() {
     run(async {
