Replication: what is lost on a way longer than a beacon period is sent again

Cause: a primary compared how far sending had come with the newest beacon only.

The simulation refuses messages for a lost disk, as the programs do; its world is split.

--- a/crates/replication/src/replica/peer.rs
+++ b/crates/replication/src/replica/peer.rs
@@ -8,6 +8,9 @@
 /// Appends that may be under way to one replica.
 const MOST_IN_FLIGHT: usize = 16;
 
+/// Beacons after which the confirmation of a marker is not waited for any more.
+const MOST_MARKER_AGE: u64 = 20;
+
 /// A snapshot on its way to a replica.
 #[derive(Debug)]
 pub(super) struct OutgoingSnapshot {
@@ -46,8 +49,15 @@
     pub(super) answered_at: Duration,
     /// Since when it has not confirmed any entry although some are waiting.
     pub(super) waiting_since: Duration,
-    /// The newest beacon sent to it, and the next entry at that time.
-    pub(super) last_beacon: (u64, u64),
+    /// The beacon by whose confirmation it is seen whether something was lost.
+    marker: Option<Marker>,
+}
+
+/// How far sending had come when a beacon went out. What was sent before it has arrived before it.
+#[derive(Clone, Copy, Debug)]
+struct Marker {
+    beacon: u64,
+    position: u64,
 }
 
 impl Peer {
@@ -63,7 +73,7 @@
             lease_from: None,
             answered_at: now,
             waiting_since: now,
-            last_beacon: (0, 0),
+            marker: None,
         }
     }
 
@@ -80,6 +90,36 @@
         self.snapshot.as_ref().map_or(self.next, |snapshot| snapshot.offset as u64)
     }
 
+    /// A beacon goes out to it. One that is not confirmed yet stays the marker, however long the way is, unless its
+    /// confirmation must be lost.
+    pub(super) fn mark(&mut self, beacon: u64) {
+        let is_under_way = |marker: &Marker| beacon.saturating_sub(marker.beacon) < MOST_MARKER_AGE;
+        if self.marker.as_ref().is_none_or(|marker| !is_under_way(marker)) {
+            self.marker = Some(Marker { beacon, position: self.position() });
+        }
+    }
+
+    /// It confirmed a beacon, with its log agreeing up to `matched`: whatever was sent before the marker and has not
+    /// arrived is sent again.
+    pub(super) fn find_lost(&mut self, beacon: u64, matched: u64) {
+        let Some(marker) = self.marker.take_if(|marker| beacon >= marker.beacon) else { return };
+        if self.is_probing || self.snapshot.is_some() {
+            self.is_probe_due |= marker.position == self.position();
+        } else if matched + 1 < marker.position {
+            self.probe_from(matched.max(self.confirmed.unwrap_or(0)) + 1);
+        }
+    }
+
+    /// The next epoch begins: what was sent in the one before is refused, and confirmed no more.
+    pub(super) fn start_epoch(&mut self, last_index: u64) {
+        self.marker = None;
+        if self.snapshot.is_some() {
+            self.is_probe_due = true;
+        } else {
+            self.probe_from(self.confirmed.unwrap_or(last_index) + 1);
+        }
+    }
+
     pub(super) fn has_window(&self) -> bool {
         self.in_flight.len() < MOST_IN_FLIGHT
     }
--- a/crates/replication/src/replica/primary.rs
+++ b/crates/replication/src/replica/primary.rs
@@ -91,10 +91,7 @@
         primary.is_draining = false;
         primary.to_tell = former.in_sync.clone();
         for peer in primary.peers.values_mut() {
-            if peer.snapshot.is_none() {
-                let next = peer.confirmed.unwrap_or(last_index) + 1;
-                peer.probe_from(next);
-            }
+            peer.start_epoch(last_index);
             if !contains(&in_sync, peer.member.disk) {
                 // It is added on what it confirms in this epoch only: see `confirmed_epoch`.
                 peer.lease_from = None;
@@ -243,16 +240,7 @@
         let Some(peer) = primary.peers.get_mut(&from) else { return };
         peer.lease_from = peer.lease_from.max(Some(sent_at));
         peer.answered_at = now;
-        if peer.last_beacon.0 != number {
-            return;
-        }
-        let position = peer.last_beacon.1;
-        if peer.is_probing || peer.snapshot.is_some() {
-            peer.is_probe_due |= position == peer.position();
-        } else if matched + 1 < position {
-            let next = matched.max(peer.confirmed.unwrap_or(0)) + 1;
-            peer.probe_from(next);
-        }
+        peer.find_lost(number, matched);
     }
 
     pub(super) fn take_snapshot_received(&mut self, from: DiskId, index: u64, offset: u64) {
@@ -345,7 +333,7 @@
         let Some(primary) = self.primary() else { return };
         let number = primary.beacon_number;
         let Some(peer) = primary.peers.get_mut(&disk) else { return };
-        peer.last_beacon = (number, peer.position());
+        peer.mark(number);
         let member = peer.member.clone();
         self.send(member, &ReplicaMessage::Beacon { epoch, number, committed });
     }
--- a/crates/replication/tests/guards.rs
+++ b/crates/replication/tests/guards.rs
@@ -22,8 +22,14 @@
     options
 }
 
-fn with_kept_identity() -> Options {
-    Options { wiped_keeps_identity: true, ..Options::new(3, 1, Plan::Borne) }
+fn with_kept_identity(plan: Plan) -> Options {
+    Options { wiped_keeps_identity: true, ..Options::new(3, 1, plan) }
+}
+
+fn without_commit_on_all() -> Options {
+    let mut options = Options::new(5, 2, Plan::SecondLoss);
+    options.replica_guards.commit_waits_for_all = false;
+    options
 }
 
 #[rstest]
@@ -38,7 +44,10 @@
 #[case::former_majority(without_register(|guards| guards.former_majority = false), 200)]
 #[case::persisted_before_reply(without_register(|guards| guards.persisted_before_reply = false), 0)]
 #[case::complete_found(without_register(|guards| guards.complete_found = false), 100)]
-#[case::wiped_keeps_identity(with_kept_identity(), 0)]
+#[case::wiped_keeps_identity(with_kept_identity(Plan::Borne), 0)]
+#[case::second_loss_after_a_commit_on_too_few(without_commit_on_all(), 0)]
+#[case::second_loss_with_an_old_identity(with_kept_identity(Plan::SecondLoss), 0)]
+#[case::behind_with_an_old_identity(with_kept_identity(Plan::Behind), 0)]
 fn a_missing_guard_shows(#[case] options: Options, #[case] first_seed: u64) {
     let broken = first_broken(options, first_seed, MOST_SCHEDULES);
     assert!(broken.is_some(), "no schedule of {MOST_SCHEDULES} breaks with {options:?}");
--- a/crates/replication/tests/simulation/faults.rs
+++ b/crates/replication/tests/simulation/faults.rs
@@ -2,6 +2,7 @@
 
 use super::Plan;
 use super::random::Random;
+use super::repair;
 use super::world::{Event, MILLISECOND, SECOND, World};
 
 /// Something that goes wrong, or ends.
@@ -33,6 +34,11 @@
     /// A client's acknowledgement is followed at once by a loss: the acting machine is wiped.
     WipeActing,
     KillActing,
+    /// Disks are lost once the group is repaired; since then it should be.
+    LoseOnceRepaired {
+        rounds: u32,
+        since: u64,
+    },
 }
 
 /// Time that a machine counts as lost after its return.
@@ -51,6 +57,8 @@
             end
         }
         Plan::Ambush => plan_ambush(world),
+        Plan::SecondLoss => repair::plan_second_loss(world),
+        Plan::Behind => repair::plan_behind(world),
     }
 }
 
@@ -321,6 +329,7 @@
         Fault::Slow(slot, extra) => world.slots[slot].extra_delay = extra,
         Fault::Deaf(slot, is_deaf) => world.slots[slot].is_deaf = is_deaf,
         Fault::Targets(targets) => world.set_targets(&targets),
+        Fault::LoseOnceRepaired { rounds, since } => repair::lose_once_repaired(world, rounds, since),
         Fault::WipeActing => {
             if let Some(slot) = world.acting().first().copied() {
                 world.wipe(slot);
--- a/crates/replication/tests/simulation/mod.rs
+++ b/crates/replication/tests/simulation/mod.rs
@@ -8,6 +8,8 @@
 pub mod machine;
 pub mod process;
 pub mod random;
+pub mod repair;
+pub mod report;
 pub mod world;
 
 use pebblepost_replication::guards::{RegisterGuards, ReplicaGuards};
@@ -43,6 +45,10 @@
     /// Faults strike at the moments when the group changes: records proposed, records chosen,
     /// joiners added, witnesses replaced. No disks are lost; one spare machine is there.
     Ambush,
+    /// The next disks are lost in the moment in which the group holds itself to be repaired.
+    SecondLoss,
+    /// Machines that missed changes come back while those that hold them are gone.
+    Behind,
 }
 
 impl Options {
--- /dev/null
+++ b/crates/replication/tests/simulation/repair.rs
@@ -0,0 +1,112 @@
+//! Schedules in which one loss follows the repair of another, or the return of a machine that missed everything.
+
+use super::Plan;
+use super::faults::Fault;
+use super::world::{Event, MILLISECOND, SECOND, World};
+use pebblepost_messages::Member;
+
+/// Repairs that a schedule waits for.
+const ROUNDS: u32 = 5;
+/// How often a world is looked at for whether it is repaired.
+const LOOK: u64 = MILLISECOND;
+/// Time in which a loss has to be repaired once the machines are back.
+const MOST_REPAIR: u64 = 4_500 * MILLISECOND;
+/// When the first loss strikes, at the earliest.
+const FIRST_LOSS: u64 = 2 * SECOND;
+
+/// As many disks as are to be borne are lost, and again in the moment in which the group holds itself to be repaired.
+pub fn plan_second_loss(world: &mut World) -> u64 {
+    let at = FIRST_LOSS + world.random.range(0, 500) * MILLISECOND;
+    world.schedule_at(at, Event::Fault(Fault::LoseOnceRepaired { rounds: ROUNDS, since: at }));
+    at + u64::from(ROUNDS) * (MOST_REPAIR + SECOND)
+}
+
+/// Loses disks if the group is repaired, and looks again later.
+pub fn lose_once_repaired(world: &mut World, rounds: u32, since: u64) {
+    if !is_repaired(world) {
+        if world.now.saturating_sub(since) > MOST_REPAIR {
+            let broken = format!("{}: not repaired: {}", super::world::LIVENESS, world.describe());
+            world.checker.fail(broken);
+        }
+        world.schedule(LOOK, Event::Fault(Fault::LoseOnceRepaired { rounds, since }));
+        return;
+    }
+    if rounds == 0 {
+        return;
+    }
+    let mut back_at = world.now;
+    for slot in victims(world) {
+        let length = world.random.range(50, 1_500) * MILLISECOND;
+        // Now and then clients come to something between the repair and the next loss.
+        let at = world.now + world.random.range(0, 2) * world.random.range(0, 300) * MILLISECOND;
+        world.schedule_at(at, Event::Fault(Fault::Wipe(slot)));
+        world.schedule_at(at + length, Event::Fault(Fault::Start(slot)));
+        // What it is sent takes its time, now and then.
+        let extra = world.random.range(0, 2) * world.random.range(0, 150) * MILLISECOND;
+        world.schedule_at(at, Event::Fault(Fault::Slow(slot, extra)));
+        back_at = back_at.max(at + length);
+    }
+    let look = back_at + MILLISECOND;
+    world.schedule_at(look, Event::Fault(Fault::LoseOnceRepaired { rounds: rounds - 1, since: look }));
+}
+
+/// How many machines hold the group where disks are lost right after a repair: no more than must.
+fn holder_count(world: &World) -> usize {
+    world.options.tolerance + 1
+}
+
+/// The machines that hold the group, as they are now, where that is not all of them.
+pub fn holders(world: &World) -> Option<Vec<Member>> {
+    let is_tight = world.options.plan == Plan::SecondLoss;
+    is_tight.then(|| world.slots[..holder_count(world)].iter().map(|slot| (*slot.member).clone()).collect())
+}
+
+/// As many holders as are to be borne.
+fn victims(world: &mut World) -> Vec<usize> {
+    let spared = world.random.index(holder_count(world));
+    (0..holder_count(world)).filter(|slot| *slot != spared).collect()
+}
+
+/// Whether the acting machine's record counts on as many disks as it should, and on none that is lost.
+fn is_repaired(world: &World) -> bool {
+    let Some(acting) = world.acting().first().copied() else { return false };
+    let Some(process) = &world.slots[acting].process else { return false };
+    let record = process.replica.record();
+    let is_there = |member: &Member| {
+        world.slots.iter().any(|slot| slot.process.is_some() && slot.member.disk == member.disk)
+    };
+    record.former_witnesses.is_empty()
+        && record.witnesses.len() == 2 * world.options.tolerance + 1
+        && record.in_sync.len() > world.options.tolerance
+        && record.witnesses.iter().chain(&record.in_sync).all(is_there)
+}
+
+/// A minority is cut off and misses everything; one of the others loses its disk, the rest go dark, and the cut heals:
+/// those who missed it must not lead.
+pub fn plan_behind(world: &mut World) -> u64 {
+    let machines = world.options.machines;
+    let mut at = FIRST_LOSS;
+    for _ in 0..3 {
+        let first = world.random.index(machines);
+        let order: Vec<usize> = (0..machines).map(|number| (first + number) % machines).collect();
+        let (behind, others) = order.split_at(world.options.tolerance);
+        let cut_for = world.random.range(500, 4_000) * MILLISECOND;
+        for (from, to) in behind.iter().flat_map(|one| others.iter().map(move |other| (*one, *other))) {
+            for (from, to) in [(from, to), (to, from)] {
+                world.schedule_at(at, Event::Fault(Fault::Cut { from, to }));
+                world.schedule_at(at + cut_for, Event::Fault(Fault::Join { from, to }));
+            }
+        }
+        let struck = at + cut_for - world.random.range(0, 200) * MILLISECOND;
+        let dark_for = world.random.range(200, 4_000) * MILLISECOND;
+        for (position, slot) in others.iter().enumerate() {
+            let is_lost = position == 0;
+            let fault = if is_lost { Fault::Wipe(*slot) } else { Fault::Kill(*slot) };
+            let back = if is_lost { world.random.range(50, 600) * MILLISECOND } else { dark_for };
+            world.schedule_at(struck, Event::Fault(fault));
+            world.schedule_at(struck + back, Event::Fault(Fault::Start(*slot)));
+        }
+        at = struck + dark_for + MOST_REPAIR;
+    }
+    at
+}
--- /dev/null
+++ b/crates/replication/tests/simulation/report.rs
@@ -0,0 +1,27 @@
+//! What a world looks like, for reports of what broke.
+
+use super::world::{Slot, World};
+use pebblepost_messages::Member;
+
+impl World {
+    /// What each machine takes to be the case, for reports.
+    pub fn describe(&self) -> String {
+        let describe = |slot: &Slot| {
+            let process = slot.process.as_ref()?;
+            let record = process.replica.record();
+            let disks = |members: &[Member]| members.iter().map(|m| m.disk.0).collect::<Vec<_>>();
+            Some(format!(
+                "[{} epoch {} primary {} in sync {:?} witnesses {:?} former {:?} committed {} progress {:?}]",
+                slot.member.disk.0,
+                record.epoch,
+                record.primary.0,
+                disks(&record.in_sync),
+                disks(&record.witnesses),
+                disks(&record.former_witnesses),
+                process.replica.committed(),
+                process.replica.progress(),
+            ))
+        };
+        self.slots.iter().filter_map(describe).collect()
+    }
+}
--- a/crates/replication/tests/simulation/world.rs
+++ b/crates/replication/tests/simulation/world.rs
@@ -5,6 +5,7 @@
 use super::faults::{self, Fault};
 use super::process::Process;
 use super::random::Random;
+use super::repair;
 use super::{Options, Plan};
 use pebblepost_messages::{DiskId, Member};
 use pebblepost_replication::record::EpochRecord;
@@ -221,27 +222,6 @@
         }
     }
 
-    /// What each machine takes to be the case, for reports.
-    pub fn describe(&self) -> String {
-        let describe = |slot: &Slot| {
-            let process = slot.process.as_ref()?;
-            let record = process.replica.record();
-            let disks = |members: &[Member]| members.iter().map(|m| m.disk.0).collect::<Vec<_>>();
-            Some(format!(
-                "[{} epoch {} primary {} in sync {:?} witnesses {:?} former {:?} committed {} progress {:?}]",
-                slot.member.disk.0,
-                record.epoch,
-                record.primary.0,
-                disks(&record.in_sync),
-                disks(&record.witnesses),
-                disks(&record.former_witnesses),
-                process.replica.committed(),
-                process.replica.progress(),
-            ))
-        };
-        self.slots.iter().filter_map(describe).collect()
-    }
-
     /// Starts the process of a machine that is down.
     pub fn start(&mut self, slot: usize) {
         if self.slots[slot].is_removed || self.slots[slot].process.is_some() {
@@ -353,10 +333,14 @@
 
     fn tick_process(&mut self, slot: usize) {
         let now = self.now;
+        let holders = repair::holders(self);
         let place = &mut self.slots[slot];
         let Some(process) = &mut place.process else { return };
         let local = process.local(now);
         process.register.tick(local);
+        if let Some(holders) = holders {
+            process.replica.set_targets(local, holders);
+        }
         process.replica.tick(local);
         let new_witness = process.drive_witnesses(now);
         if place.disk.replica_records() > CHECKPOINT_RECORDS {
@@ -450,6 +434,14 @@
         self.schedule_at(at, Event::Deliver { to, from, payload });
     }
 
+    /// Sends to a disk: a machine that lost it takes nothing that was meant for its predecessor.
+    fn send(&mut self, from: usize, to: &Member, payload: Payload) {
+        let slot = slot_of(to);
+        if self.slots[slot].member.disk == to.disk {
+            self.transmit(from, slot, payload);
+        }
+    }
+
     /// Carries out what a process asks for.
     fn drain(&mut self, slot: usize) {
         loop {
@@ -473,7 +465,7 @@
     fn carry_out_register(&mut self, slot: usize, output: RegisterOutput) {
         match output {
             RegisterOutput::Send { to, message } => {
-                self.transmit(slot, slot_of(&to), Payload::Register(message));
+                self.send(slot, &to, Payload::Register(message));
             }
             RegisterOutput::Persist { token, state } => {
                 self.write(slot, Waiter::Register(token), Stored::Witness(state));
@@ -505,7 +497,7 @@
     fn carry_out_replica(&mut self, slot: usize, output: ReplicaOutput) {
         match output {
             ReplicaOutput::Send { to, message } => {
-                self.transmit(slot, slot_of(&to), Payload::Replica(message));
+                self.send(slot, &to, Payload::Replica(message));
             }
             ReplicaOutput::Persist { token, records } => {
                 self.write(slot, Waiter::Replica(token), Stored::Replica(records));
