--- a/crates/batch-store/tests/schedules.rs
+++ b/crates/batch-store/tests/schedules.rs
@@ -203,6 +203,61 @@
     }
 }
 
+/// A machine that is away for so long never comes back.
+const FOR_GOOD_MS: u64 = 1_000_000_000;
+
+#[rstest]
+fn what_a_machine_held_that_was_emptied_outlives_the_next_loss() {
+    for seed in 870_000..870_000 + 2 * schedules() {
+        let mut world = World::new(Plan { seed, machines: 4, ..PLAN });
+        work(&mut world, 3_000);
+        let leaving = world.random.random_range(0..4);
+        let disk = world.machines[leaving].member.disk;
+        if world.random.random_bool(0.5) {
+            // Its groups are on the move when it is to be emptied.
+            world.shift_groups();
+            let pause = world.random.random_range(0..50);
+            work(&mut world, pause);
+        }
+        world.control.retire(disk);
+        let until = world.now + 10_000;
+        while !world.control.completes_retirement(disk) {
+            assert!(world.now < until, "seed {seed}: not empty in time");
+            work(&mut world, 1);
+        }
+        // It is taken away at once, and another machine loses its disk at the same moment.
+        world.wipe(leaving, FOR_GOOD_MS);
+        let other = (leaving + world.random.random_range(1..4)) % 4;
+        let away = world.random.random_range(100..2_000);
+        world.wipe(other, away);
+        work(&mut world, away + CATCH_UP_MS);
+        read_all(&mut world);
+        assert_eq!(world.checker.violations, [""; 0], "seed {seed}");
+    }
+}
+
+#[rstest]
+fn the_next_disk_may_go_as_soon_as_every_group_is_held_as_it_should_be() {
+    for seed in 880_000..880_000 + schedules() {
+        let mut world = World::new(Plan { seed, ..PLAN });
+        work(&mut world, 3_000);
+        for round in 0..4 {
+            let lost = world.random.random_range(0..3);
+            let away = world.random.random_range(50..1_000);
+            world.wipe(lost, away);
+            let until = world.now + away + CATCH_UP_MS;
+            work(&mut world, away + 1);
+            while !world.is_settled() || (0..3).any(|machine| world.held_groups(machine) == 0) {
+                assert!(world.now < until, "seed {seed}, round {round}: not repaired in time");
+                work(&mut world, 1);
+            }
+        }
+        work(&mut world, CATCH_UP_MS);
+        read_all(&mut world);
+        assert_eq!(world.checker.violations, [""; 0], "seed {seed}");
+    }
+}
+
 /// Time in which a machine that stops is relieved of all that it holds, in milliseconds.
 const RELIEVED_WITHIN_MS: u64 = 1_000;
 
--- a/crates/batch-store/tests/simulation/control.rs
+++ b/crates/batch-store/tests/simulation/control.rs
@@ -5,7 +5,7 @@
 use pebblepost_messages::control::GroupEpoch;
 use pebblepost_messages::feed::StoreGroup;
 use pebblepost_messages::{DiskId, Member};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A machine that is away for so long is replaced, in milliseconds.
 const DEAD_AFTER_MS: u64 = 1_500;
@@ -23,12 +23,23 @@
     founders: usize,
     known: BTreeMap<DiskId, Known>,
     groups: BTreeMap<u32, (GroupEpoch, Vec<DiskId>)>,
+    /// Machines that are to be emptied, or were.
+    retiring: BTreeSet<DiskId>,
+    /// Machines that may have been taken away since.
+    retired: BTreeSet<DiskId>,
 }
 
 impl Control {
     /// A control plane that founds the groups once `founders` machines are there.
     pub fn new(copies: usize, founders: usize) -> Control {
-        Control { copies, founders, known: BTreeMap::new(), groups: BTreeMap::new() }
+        Control {
+            copies,
+            founders,
+            known: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            retiring: BTreeSet::new(),
+            retired: BTreeSet::new(),
+        }
     }
 
     /// A machine announced itself.
@@ -49,8 +60,8 @@
     /// Gives groups of machines that are away to others; whether anything changed.
     pub fn retarget(&mut self, now: u64) -> bool {
         let is_alive = |known: &Known| known.away_since.is_none_or(|since| now < since + DEAD_AFTER_MS);
-        let alive: Vec<DiskId> =
-            self.known.iter().filter(|(_, known)| is_alive(known)).map(|(disk, _)| *disk).collect();
+        let alive = self.known.iter().filter(|(_, known)| is_alive(known)).map(|(disk, _)| *disk);
+        let alive: Vec<DiskId> = alive.filter(|disk| !self.retiring.contains(disk)).collect();
         let mut changed = false;
         for group in self.groups.keys().copied().collect::<Vec<_>>() {
             let mut targets = self.groups[&group].1.clone();
@@ -71,6 +82,24 @@
         changed
     }
 
+    /// Wants a machine to be emptied.
+    pub fn retire(&mut self, disk: DiskId) {
+        self.retiring.insert(disk);
+    }
+
+    /// Whether a machine is empty: then nothing may count on it any more.
+    pub fn completes_retirement(&mut self, disk: DiskId) -> bool {
+        let is_free = |(epoch, targets): &(GroupEpoch, Vec<DiskId>)| {
+            let names_it = epoch.in_sync.contains(&disk) || targets.contains(&disk);
+            !names_it && epoch.in_sync.len() >= self.copies
+        };
+        let is_empty = self.groups.values().all(is_free);
+        if is_empty {
+            self.retired.insert(disk);
+        }
+        is_empty
+    }
+
     /// Gives a group to other machines, those from `first` on.
     pub fn shift(&mut self, group: u32, first: usize) {
         let disks: Vec<DiskId> = self.known.keys().copied().collect();
@@ -89,7 +118,8 @@
     /// Changes an epoch if it is the expected one; whether it did, and what holds now.
     pub fn change(&mut self, group: u32, expected: u64, proposed: &GroupEpoch) -> (bool, GroupEpoch) {
         let (epoch, _) = self.groups.get_mut(&group).expect("a group");
-        let is_accepted = epoch.epoch == expected && proposed.epoch == expected + 1;
+        let counts_on_retired = proposed.in_sync.iter().any(|disk| self.retired.contains(disk));
+        let is_accepted = epoch.epoch == expected && proposed.epoch == expected + 1 && !counts_on_retired;
         if is_accepted {
             *epoch = proposed.clone();
         }
--- a/crates/batch-store/tests/simulation/world.rs
+++ b/crates/batch-store/tests/simulation/world.rs
@@ -60,7 +60,7 @@
 /// A storage machine.
 #[derive(Debug)]
 pub struct Machine {
-    member: Member,
+    pub member: Member,
     disk: Disk,
     store: Option<Store>,
     life: u64,
@@ -103,7 +103,7 @@
     pub machines: Vec<Machine>,
     /// Proxies.
     pub proxies: Vec<Proxy>,
-    control: Control,
+    pub control: Control,
     /// Callers from outside.
     pub clients: Clients,
     /// What they may rely on.
