Control: the age of an order counts from the time by which the lease was looked at

Cause: an order that can't be sent within 0.4 s of the look at the lease is not sent. That time began when the order was carried out; the lease had been looked at by the time at which the handling of the input began, which is earlier by all that a process at its limit of processor time does in between. A former primary's order could go out later than a successor reckons with.

Change: Output::SendOrder carries the time by which the lease was looked at.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -152,6 +152,8 @@
         order: Order,
         /// Its body, JSON.
         body: Vec<u8>,
+        /// The time by which the lease was looked at.
+        decided: Duration,
     },
     /// Ask a transcriber for its report; answer with [`Input::Reported`].
     AskReport {
--- a/crates/control/src/core/primary.rs
+++ b/crates/control/src/core/primary.rs
@@ -316,7 +316,7 @@
                         order.model
                     );
                     let body = orders::body(&order, &self.settings.me.node, epoch);
-                    self.outputs.push(Output::SendOrder { order, body });
+                    self.outputs.push(Output::SendOrder { order, body, decided: now });
                 }
                 PlanOutput::Send(order) => self.order_answered(now, &order, OrderAnswer::Refused),
                 PlanOutput::Ask { instance, address } => {
--- a/crates/control/src/shell.rs
+++ b/crates/control/src/shell.rs
@@ -158,9 +158,9 @@
                 Output::Dial(addresses) => self.dial(&addresses),
                 Output::DialNow(address) => self.dial_now(&address),
                 Output::Append { write, records } => self.append(write, &records),
-                Output::SendOrder { order, body } => {
+                Output::SendOrder { order, body, decided } => {
                     let (client, events) = (self.client.clone(), self.events.clone());
-                    spawn_local(send_order(client, order, body, Instant::now(), events));
+                    spawn_local(send_order(client, order, body, self.start + decided, events));
                 }
                 Output::AskReport { instance, address } => {
                     spawn_local(ask_report(self.client.clone(), instance, address, self.events.clone()));
--- a/crates/control/tests/support/cluster.rs
+++ b/crates/control/tests/support/cluster.rs
@@ -457,7 +457,8 @@
                     let records = records.iter().map(ControlRecord::encode).collect();
                     self.at(self.now + SYNC, Happening::Sync { node: index, life, write, records });
                 }
-                Output::SendOrder { order, body } => {
+                Output::SendOrder { order, body, decided } => {
+                    assert_eq!(decided, self.now, "the lease was looked at just now");
                     let body = String::from_utf8(body).expect("the body is text");
                     self.orders.push((self.now, index, order, body));
                 }
