Replication, runner: the replica split by concern, one loop for three calls; no behaviour

Change: replica/receiving.rs (which messages are heeded) and replica/epochs.rs (taking up a newer epoch), moves only; calls.rs: ask_until_sure and found_or_not.

--- a/crates/batch-runner/src/calls.rs
+++ b/crates/batch-runner/src/calls.rs
@@ -125,68 +125,76 @@
         .map_or(Duration::ZERO, Duration::from_millis)
         .min(MOST_WAIT);
     let begun = Instant::now();
-    let until = begun + wait + CALL_FOR;
     let store_group = store_group_of(job);
-    while Instant::now() < until {
+    let message = || {
         let left = wait.saturating_sub(begun.elapsed());
         let wait_ms = u64::try_from(left.as_millis()).unwrap_or(0);
-        let mut message = ToStore::Read { call: 0, store_group, job: job.to_owned(), start, wait_ms };
-        match call_primary(shared, store_group, &mut message, until).await {
-            CallEnd::Reply(FromStore::Results { answer: JobAnswer::Found(page), .. }) => {
-                return json(StatusCode::OK, job_answer::page(&page));
-            }
-            CallEnd::Reply(FromStore::Results { answer: JobAnswer::NoSuch, .. }) => {
-                return status(StatusCode::NOT_FOUND);
-            }
-            CallEnd::NotSent => {}
-            _ => shared.wait_for_change(RETRY_PAUSE).await,
-        }
-    }
-    refused(StatusCode::SERVICE_UNAVAILABLE, RETRY_PAUSE)
+        ToStore::Read { call: 0, store_group, job: job.to_owned(), start, wait_ms }
+    };
+    let answer = ask_until_sure(shared, store_group, begun + wait + CALL_FOR, message, |reply| match reply {
+        FromStore::Results { answer, .. } => answer,
+        _ => JobAnswer::NotSure,
+    });
+    found_or_not(answer.await, |page| json(StatusCode::OK, job_answer::page(&page)))
 }
 
 async fn item_body(shared: &Rc<Shared>, job: &str, request: &Request<Bytes>) -> Response<Bytes> {
     let Some(item) = query(request, "id").filter(|item| !item.is_empty()) else {
         return text(StatusCode::BAD_REQUEST, "`id` is missing");
     };
-    let until = Instant::now() + CALL_FOR;
     let store_group = store_group_of(job);
-    let mut message = ToStore::ItemBody { call: 0, store_group, job: job.to_owned(), item: item.to_owned() };
-    while Instant::now() < until {
-        match call_primary(shared, store_group, &mut message, until).await {
-            CallEnd::Reply(FromStore::Body { answer: JobAnswer::Found(body), .. }) => {
-                let mut response = Response::new(Bytes::from(body));
-                let octets = HeaderValue::from_static("application/octet-stream");
-                response.headers_mut().insert(CONTENT_TYPE, octets);
-                return response;
-            }
-            CallEnd::Reply(FromStore::Body { answer: JobAnswer::NoSuch, .. }) => {
-                return status(StatusCode::NOT_FOUND);
-            }
-            CallEnd::NotSent => {}
-            _ => shared.wait_for_change(RETRY_PAUSE).await,
-        }
-    }
-    refused(StatusCode::SERVICE_UNAVAILABLE, RETRY_PAUSE)
+    let message = || ToStore::ItemBody { call: 0, store_group, job: job.to_owned(), item: item.to_owned() };
+    let until = Instant::now() + CALL_FOR;
+    let answer = ask_until_sure(shared, store_group, until, message, |reply| match reply {
+        FromStore::Body { answer, .. } => answer,
+        _ => JobAnswer::NotSure,
+    });
+    found_or_not(answer.await, |body| {
+        let mut response = Response::new(Bytes::from(body));
+        let octets = HeaderValue::from_static("application/octet-stream");
+        response.headers_mut().insert(CONTENT_TYPE, octets);
+        response
+    })
 }
 
 async fn end(shared: &Rc<Shared>, job: &str) -> Response<Bytes> {
-    let until = Instant::now() + CALL_FOR;
     let store_group = store_group_of(job);
-    let mut message = ToStore::End { call: 0, store_group, job: job.to_owned() };
+    let message = || ToStore::End { call: 0, store_group, job: job.to_owned() };
+    let until = Instant::now() + CALL_FOR;
+    let answer = ask_until_sure(shared, store_group, until, message, |reply| match reply {
+        FromStore::Ended { answer: JobAnswer::Found(false), .. } => JobAnswer::NotSure,
+        FromStore::Ended { answer, .. } => answer,
+        _ => JobAnswer::NotSure,
+    });
+    found_or_not(answer.await, |_| json(StatusCode::OK, Bytes::from_static(b"{}")))
+}
+
+/// Asks the primary of a group, and its successors, until one is sure or the time is up.
+async fn ask_until_sure<T>(
+    shared: &Shared, group: u32, until: Instant, message: impl Fn() -> ToStore,
+    answer_in: impl Fn(FromStore) -> JobAnswer<T>,
+) -> JobAnswer<T> {
     while Instant::now() < until {
-        match call_primary(shared, store_group, &mut message, until).await {
-            CallEnd::Reply(FromStore::Ended { answer: JobAnswer::Found(true), .. }) => {
-                return json(StatusCode::OK, Bytes::from_static(b"{}"));
-            }
-            CallEnd::Reply(FromStore::Ended { answer: JobAnswer::NoSuch, .. }) => {
-                return status(StatusCode::NOT_FOUND);
-            }
-            CallEnd::NotSent => {}
-            _ => shared.wait_for_change(RETRY_PAUSE).await,
+        match call_primary(shared, group, &mut message(), until).await {
+            CallEnd::NotSent => continue,
+            CallEnd::NoReply => {}
+            CallEnd::Reply(reply) => match answer_in(reply) {
+                JobAnswer::NotSure => {}
+                sure => return sure,
+            },
         }
+        shared.wait_for_change(RETRY_PAUSE).await;
+    }
+    JobAnswer::NotSure
+}
+
+/// The answer to a caller; 503 where nobody is sure.
+fn found_or_not<T>(answer: JobAnswer<T>, found: impl FnOnce(T) -> Response<Bytes>) -> Response<Bytes> {
+    match answer {
+        JobAnswer::Found(content) => found(content),
+        JobAnswer::NoSuch => status(StatusCode::NOT_FOUND),
+        JobAnswer::NotSure => refused(StatusCode::SERVICE_UNAVAILABLE, RETRY_PAUSE),
     }
-    refused(StatusCode::SERVICE_UNAVAILABLE, RETRY_PAUSE)
 }
 
 /// Makes a call at the primary of a group. Where there is no link to it, waits for a change first.
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -5,6 +5,7 @@
 //! caller's steady clock.
 
 mod disk;
+mod epochs;
 mod follower;
 mod leave;
 mod log;
@@ -12,6 +13,7 @@
 mod peer;
 mod plan;
 mod primary;
+mod receiving;
 mod recovery;
 mod succession;
 
@@ -375,122 +377,11 @@
         self.now = self.now.max(now);
     }
 
-    fn handle(&mut self, from: &Member, message: ReplicaMessage) {
-        match message {
-            ReplicaMessage::Append { epoch, previous_index, previous_epoch, committed, entries } => {
-                if self.is_from_primary(from, epoch) {
-                    self.take_append(from, previous_index, previous_epoch, committed, entries.0);
-                }
-            }
-            ReplicaMessage::Beacon { epoch, number, committed } => {
-                if self.is_from_primary(from, epoch) {
-                    self.take_beacon(number, committed);
-                }
-            }
-            ReplicaMessage::SnapshotPart { epoch, index, index_epoch, total, offset, bytes } => {
-                if self.is_from_primary(from, epoch) {
-                    self.take_snapshot_part(from, index, index_epoch, total, offset, &bytes.0);
-                }
-            }
-            ReplicaMessage::NewEpoch { record } => self.take_new_epoch(record),
-            ReplicaMessage::EpochRequest { epoch } => self.answer_epoch_request(from, epoch),
-            ReplicaMessage::Released { epoch } => self.succession.released_epoch = Some(epoch),
-            ReplicaMessage::PrimaryReplaced { epoch, primary } => self.take_replacement(epoch, primary),
-            ReplicaMessage::Probe => self.answer_probe(from),
-            ReplicaMessage::ProbeAnswer { is_empty } => self.take_probe_answer(from, is_empty),
-            ReplicaMessage::LeaveRequest { epoch, number } => self.take_leave_request(from, epoch, number),
-            ReplicaMessage::LeaveGranted { epoch, number } => self.take_leave_grant(epoch, number),
-            to_primary => self.handle_as_primary(from, to_primary),
-        }
-    }
-
-    fn handle_as_primary(&mut self, from: &Member, message: ReplicaMessage) {
-        match message {
-            ReplicaMessage::Appended { epoch, index } if epoch == self.record.epoch => {
-                self.take_appended(from.disk, index);
-            }
-            ReplicaMessage::AppendRejected { epoch, previous_index, hint_index, hint_epoch }
-                if epoch == self.record.epoch =>
-            {
-                self.take_rejection(from.disk, previous_index, hint_index, hint_epoch);
-            }
-            ReplicaMessage::BeaconAck { epoch, number, matched, persisted } if epoch == self.record.epoch => {
-                self.take_beacon_ack(from.disk, number, matched);
-                self.take_repeated_ack(from.disk, persisted);
-            }
-            ReplicaMessage::SnapshotReceived { epoch, index, offset } if epoch == self.record.epoch => {
-                self.take_snapshot_received(from.disk, index, offset);
-            }
-            ReplicaMessage::JoinRequest { epoch, last_index, last_epoch } => {
-                self.take_join_request(from, epoch, last_index, last_epoch);
-            }
-            _ => {}
-        }
-    }
-
     /// Whether this replica can't lead now: its disk hangs, or its state can't be trusted.
     fn is_unable(&self, now: Duration) -> bool {
         self.state.is_damaged() || self.disk.is_hanging(now, self.settings.most_own_write)
     }
 
-    /// Whether a message of an epoch comes from the primary that this replica follows. Senders
-    /// that lag behind are told the newer epoch; where this replica lags, it asks.
-    fn is_from_primary(&mut self, from: &Member, epoch: u64) -> bool {
-        if epoch > self.record.epoch {
-            let request = ReplicaMessage::EpochRequest { epoch: self.record.epoch };
-            self.send(from.clone(), &request);
-            return false;
-        }
-        if epoch < self.record.epoch {
-            self.tell_epoch(from);
-            return !self.guards.old_epochs_refused && matches!(self.role, Role::Follower(_));
-        }
-        from.disk == self.record.primary && matches!(self.role, Role::Follower(_))
-    }
-
-    fn take_new_epoch(&mut self, record: EpochRecord) {
-        if record.epoch > self.record.epoch {
-            self.enter_epoch(record);
-        }
-    }
-
-    fn tell_epoch(&mut self, to: &Member) {
-        let message = ReplicaMessage::NewEpoch { record: self.record.clone() };
-        self.send(to.clone(), &message);
-    }
-
-    /// Takes up a newer epoch, in whatever role it gives this replica.
-    fn enter_epoch(&mut self, record: EpochRecord) {
-        let leads = record.primary == self.me.disk;
-        let follows_directly = record.epoch == self.record.epoch + 1;
-        let former = std::mem::replace(&mut self.record, record);
-        self.lacks_history |= self.comes_empty_into_a_later_epoch(&former);
-        self.term_from = recovery::term_after(self.term_from, &former, &self.record);
-        self.disk.push(DiskRecord::Epoch(self.record.clone()));
-        self.change.decided();
-        self.succession.quiet_until = self.now + self.settings.grace;
-        let was_primary = matches!(self.role, Role::Primary(_));
-        if was_primary && leads && follows_directly {
-            self.continue_as_primary(&former);
-        } else if leads {
-            self.stop_as_primary(&former);
-            self.become_primary();
-        } else {
-            self.stop_as_primary(&former);
-            self.role = Role::Follower(Follower::default());
-        }
-    }
-
-    /// Whether this replica is counted as in sync without ever having been added as an empty one: its data may have
-    /// been given up after it was proposed. In the first epoch all replicas are empty.
-    fn comes_empty_into_a_later_epoch(&self, former: &EpochRecord) -> bool {
-        const FIRST_EPOCH: u64 = 1;
-        former.epoch == 0
-            && self.log.last_index() == 0
-            && self.record.epoch > FIRST_EPOCH
-            && self.record.is_in_sync(self.me.disk)
-    }
-
     /// Applies entries up to an index, as far as they are here.
     fn commit_to(&mut self, index: u64) {
         let index = index.min(self.log.last_index());
