Tests: a joiner is added on what it confirmed in the present epoch only

Change: a test that holds a change back, lets another joiner confirm in the old epoch, silences it and decides the change.

No program code is touched.

--- a/crates/replication/tests/leaving.rs
+++ b/crates/replication/tests/leaving.rs
@@ -68,6 +68,29 @@
     assert!(group.replica(3).confirmed_epoch() < epoch);
 }
 
+#[rstest]
+fn a_joiner_is_added_on_what_it_confirmed_in_the_present_epoch_only() {
+    let mut group = Group::new(4, 1, record(1, &[1, 2]));
+    group.set_targets(&[1, 2]);
+    group.pass(2_000);
+    assert!(group.propose(1, b"one").is_ok());
+    assert_eq!(group.current.in_sync, [member(1), member(2)]);
+    let epoch = group.current.epoch;
+    group.holds_changes = true;
+    group.set_targets(&[1, 2, 4]);
+    group.pass(500);
+    // While the change that adds 4 is undecided, 3 holds everything and confirms beacons of this epoch.
+    group.set_targets(&[1, 2, 3, 4]);
+    group.pass(500);
+    assert_eq!(group.replica(3).confirmed_epoch(), epoch);
+    group.silent = vec![3];
+    group.decide_held();
+    assert_eq!(group.current.in_sync, [member(1), member(2), member(4)]);
+    // It may drop its copy now, as the next epoch goes beyond what it confirmed: nobody may count on it.
+    group.pass(450);
+    assert!(!group.current.is_in_sync(member(3).disk));
+}
+
 /// The records that a replica asks for within some seconds of silence.
 fn asked_for<S: StateMachine>(replica: &mut Replica<S>) -> Vec<EpochRecord> {
     let mut asked = Vec::new();
