Proxy: a large job before the first configuration is read and waits, not turned away with 413

Cause: before its first configuration a proxy allowed bodies of 1 MiB. A batch job of 1.3 MB that came within the second after a restart of all was answered 413, which its trainer does not repeat: a step was lost for good. Jobs, and calls about them, that came whole were refused after 15 ms, with one try left. Bodies are bounded by memory alone until a configuration says more, and jobs wait 2.5 s for it. A line in the log for each submitted job.

--- a/crates/batch-runner/src/calls.rs
+++ b/crates/batch-runner/src/calls.rs
@@ -77,7 +77,14 @@
         Ok(job) => job,
         Err(invalid) => return text(StatusCode::BAD_REQUEST, &invalid.0),
     };
-    offer(shared, job, until).await
+    let (id, begun) = (job.id.clone(), Instant::now());
+    let answer = offer(shared, job, until).await;
+    log::info!(
+        "batch job {id}: answered {} after {} ms",
+        answer.status().as_u16(),
+        begun.elapsed().as_millis()
+    );
+    answer
 }
 
 /// Offers a job to the primary of its group, and to its successors, until one has answered.
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -17,10 +17,11 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// Bounds on clients before the first configuration.
+/// Bounds on clients before the first configuration, which may allow much: nothing is turned away as too large by them
+/// that a configuration would let in. What memory allows bounds the bodies.
 const DEFAULT_LIMITS: Limits = Limits {
-    max_header_bytes: 16 * 1024,
-    max_body_bytes: 1 << 20,
+    max_header_bytes: 64 * 1024,
+    max_body_bytes: usize::MAX,
     header_timeout: Duration::from_secs(3),
     idle_timeout: Duration::from_secs(15),
 };
--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -16,9 +16,12 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// A request that arrives before the first configuration waits for it so long: a refusal that
+/// A request with a deadline that arrives before the first configuration waits for it so long: a refusal that
 /// comes early costs the client little.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(15);
+/// Batch jobs and calls about them wait so long. Their callers have tens of seconds and few tries, and after a restart of
+/// all machines the configuration is there again within about a second.
+const JOB_CONFIGURATION_WAIT: Duration = Duration::from_millis(2500);
 /// Answers are given this much ahead of a client's deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(10);
 
@@ -49,7 +52,7 @@
     let body = read_body(body, &limits, &context.memory).await?;
     context.counters.count(|counts| counts.requests += 1);
     // Looked up when the request is whole: the newest configuration holds for it.
-    let configuration = context.configuration_within(CONFIGURATION_WAIT).await;
+    let configuration = context.configuration_within(configuration_wait(&head)).await;
     let configuration = configuration.ok_or(Rejection::NotConfigured)?;
     if BatchRunner::is_job_call(head.path_only()) {
         // Whatever has become of its route: a job that was taken is kept, and read, all the same.
@@ -69,6 +72,13 @@
     ask_runner(context, Some(route), head, body).await
 }
 
+/// How long a request may wait for the first configuration. Which route it takes is not known before; a submitted batch
+/// job is told by its having no deadline.
+fn configuration_wait(head: &RequestHead) -> Duration {
+    let is_of_a_job = head.deadline.is_none() || BatchRunner::is_job_call(head.path_only());
+    if is_of_a_job { JOB_CONFIGURATION_WAIT } else { CONFIGURATION_WAIT }
+}
+
 /// When the client must have its answer.
 fn deadline(context: &Context, route: &Route, head: &RequestHead, arrived: Instant) -> Instant {
     let most = head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
--- a/crates/proxy/tests/front.rs
+++ b/crates/proxy/tests/front.rs
@@ -220,3 +220,27 @@
         assert!(started.elapsed() < Duration::from_millis(2500), "{:?}", started.elapsed());
     });
 }
+
+/// More than the bounds of any test's configuration, and than a guess of what a configuration would allow.
+const LARGE_JOB_BYTES: usize = 3 << 20;
+
+#[test]
+fn a_large_job_before_the_first_configuration_waits_for_it() {
+    const ROLLOUT: &str = r#"{"name":"r","hostname":"h.example","path_prefix":"/lot/","kind":"rollout",
+        "timeout_ms":1500,"target_latency_ms":100,"backend":"pages","max_attempts":2}"#;
+    run(async {
+        let rig = Rig::bare(8.0);
+        let body = "x".repeat(LARGE_JOB_BYTES);
+        let job = format!(
+            "POST /lot/1 HTTP/1.1\nHost: h.example\nRequest-Id: r1\nContent-Length: {LARGE_JOB_BYTES}\n\n{body}"
+        );
+        let mut client = rig.connect().await;
+        client.write(&job).await;
+        // A request with a deadline that comes later is refused at once: by then the job was read, and waits.
+        let refused = rig.exchange(&get("/pages/1", "r2")).await;
+        assert!(refused.starts_with("HTTP/1.1 503 "), "{refused}");
+        rig.proxy.apply(&[configuration(1, ROLLOUT)]);
+        let received = client.answer().await;
+        assert!(received.starts_with("HTTP/1.1 400 "), "the runner has read it as a job: {received}");
+    });
+}
