Batch runner: the first run of a group goes ahead of the others; counts by reason

Cause, by the new counts (connections by why they are new, runs by how they ended, groups whole and split, waits): a transcriber that had begun to load turned up to six items of a group away at once, each of which was placed anew alone, and all items of a group read the prompt that they share. The first run of a group goes ahead: the others follow when its head has come, and are placed anew when it was not taken or did not begin in 250 ms.

--- a/crates/batch-runner/src/attempt.rs
+++ b/crates/batch-runner/src/attempt.rs
@@ -68,6 +68,7 @@
         }
         Ok(Ok(StreamAnswer::Stream(head, stream))) => {
             note_load(shared, place, &head);
+            place.has_begun();
             let version = head_version(&head).or(place.version);
             progress.borrow_mut().text.begin_run(version);
             read(stream, terms, progress).await
--- a/crates/batch-runner/src/execution.rs
+++ b/crates/batch-runner/src/execution.rs
@@ -1,9 +1,10 @@
 //! Taking work from the stores while there is room, and handing it back at the end.
 
+use crate::counts::Count;
 use crate::item_run::{self, LeaseTerms};
 use crate::lease_table::{LeaseKey, TakenItem};
 use crate::outbox::Outcome;
-use crate::placing::{Need, Placed};
+use crate::placing::{Need, Place, Placed};
 use crate::shared::Shared;
 use crate::text::{Progress, Text};
 use pebblepost_configuration::{Configuration, RouteKind};
@@ -14,7 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Items at work here, in parts in a hundred of our share of the slots.
 const ROOM_PERCENT: u64 = 115;
@@ -24,6 +25,8 @@
 const MOST_IN_ALL: u32 = 4;
 /// How long the reckoned room is used, unless the feed changes.
 const TARGET_REUSE: Duration = Duration::from_secs(1);
+/// The first run of a group must begin within this time, or the others are placed anew.
+const BEGINNING: Duration = Duration::from_millis(250);
 /// Part of the time to stop that running texts get to finish.
 const FINISH_PERCENT: u32 = 50;
 /// How often a stop looks whether it is done.
@@ -193,7 +196,9 @@
     }
 }
 
-/// Places the items of a lease, together where a transcriber has room, and starts their runs.
+/// Places the items of a lease, together where a transcriber has room, and starts their runs. The first run of a group
+/// goes ahead: a transcriber that does not take it turns one item away, not all of them, and one that does has read the
+/// prompt that the others share.
 async fn place_items(
     shared: Rc<Shared>, key: LeaseKey, terms: Rc<LeaseTerms>, mut items: VecDeque<LeasedItem>,
     mut rooms: VecDeque<InRoom>,
@@ -206,26 +211,34 @@
             // Each item sees for itself.
             Placed::NoRoute | Placed::Stopped | Placed::Expired => VecDeque::new(),
         };
+        shared.counts.add(if places.len() < items.len() { Count::GroupsSplit } else { Count::GroupsWhole });
+        let beginning = places.front().filter(|_| places.len() > 1).map(Place::watch_beginning);
         let batch = if places.is_empty() { items.len() } else { places.len().min(items.len()) };
-        for leased in items.drain(..batch) {
-            let Some(room) = rooms.pop_front() else { return };
-            let id = leased.item.id.clone();
-            let Some(progress) = shared.leases.borrow().progress(key, &id) else { continue };
-            let run = item_run::run(
-                shared.clone(),
-                key,
-                terms.clone(),
-                leased.item,
-                progress,
-                places.pop_front(),
-                room,
-            );
-            let task = tokio::task::spawn_local(run);
-            shared.leases.borrow_mut().set_run(key, &id, task.abort_handle());
+        for leased in items.drain(..if beginning.is_some() { 1 } else { batch }) {
+            start_run(&shared, key, &terms, leased, places.pop_front(), &mut rooms);
+        }
+        let Some(beginning) = beginning else { continue };
+        if !matches!(timeout(BEGINNING, beginning).await, Ok(Ok(()))) {
+            continue;
+        }
+        for leased in items.drain(..batch - 1) {
+            start_run(&shared, key, &terms, leased, places.pop_front(), &mut rooms);
         }
     }
 }
 
+fn start_run(
+    shared: &Rc<Shared>, key: LeaseKey, terms: &Rc<LeaseTerms>, leased: LeasedItem, place: Option<Place>,
+    rooms: &mut VecDeque<InRoom>,
+) {
+    let Some(room) = rooms.pop_front() else { return };
+    let id = leased.item.id.clone();
+    let Some(progress) = shared.leases.borrow().progress(key, &id) else { return };
+    let run = item_run::run(shared.clone(), key, terms.clone(), leased.item, progress, place, room);
+    let task = tokio::task::spawn_local(run);
+    shared.leases.borrow_mut().set_run(key, &id, task.abort_handle());
+}
+
 /// Hands an item back, with what is known of it.
 pub(crate) fn hand_back(shared: &Shared, key: LeaseKey, item: &str) {
     let taken = shared.leases.borrow_mut().finish(key, item);
--- a/crates/batch-runner/src/item_run.rs
+++ b/crates/batch-runner/src/item_run.rs
@@ -1,6 +1,7 @@
 //! An item from its placement to its outcome: runs until its text is whole, then the scorer.
 
 use crate::attempt::{self, RunEnd};
+use crate::counts::Count;
 use crate::execution::{InRoom, hand_back};
 use crate::lease_table::{LeaseKey, SharedProgress, Validity};
 use crate::outbox::Outcome;
@@ -143,6 +144,7 @@
             if !self.shared.is_still_right(&next, &need) {
                 continue;
             }
+            self.shared.counts.add(Count::Runs);
             let end = attempt::run(self.shared, self.terms, self.item, &next, self.progress).await;
             if end != RunEnd::Whole {
                 log::debug!("item {} at {}: {end:?}", self.item.id, next.target.instance);
@@ -175,6 +177,14 @@
     }
 
     fn note_end(&self, end: RunEnd, place: &Place) {
+        self.shared.counts.add(match end {
+            RunEnd::NotTaken => Count::RunsNotTaken,
+            RunEnd::VersionMoved => Count::RunsVersionMoved,
+            RunEnd::NotSent => Count::RunsNotSent,
+            RunEnd::Broken => Count::RunsBroken,
+            RunEnd::Failed => Count::RunsFailed,
+            _ => Count::RunsOther,
+        });
         let instance = &place.target.instance;
         match end {
             RunEnd::VersionMoved => self.shared.load.borrow_mut().forget_report(instance),
--- a/crates/batch-runner/src/lib.rs
+++ b/crates/batch-runner/src/lib.rs
@@ -11,6 +11,7 @@
 mod attempt;
 mod calls;
 mod candidates;
+mod counts;
 mod execution;
 mod item_run;
 pub mod job_answer;
@@ -27,6 +28,8 @@
 mod store_links;
 pub mod text;
 
+pub use counts::{Count, Counts};
+
 use bytes::Bytes;
 use pebblepost_configuration::Route;
 use pebblepost_feed::FeedState;
@@ -79,6 +82,11 @@
         calls::answer(&self.shared, route, request).await
     }
 
+    /// What it has done so far.
+    pub fn counts(&self) -> &Counts {
+        &self.shared.counts
+    }
+
     /// SIGTERM: takes no new work, hands unfinished leases back with the text so far; returns
     /// when done or after `most`.
     pub async fn stop(&self, most: Duration) {
--- a/crates/batch-runner/src/placing.rs
+++ b/crates/batch-runner/src/placing.rs
@@ -2,12 +2,15 @@
 //! while all are full.
 
 use crate::candidates::{Candidate, Candidates};
+use crate::counts::Count;
 use crate::item_run::LeaseTerms;
 use crate::placement::{MOST_PROBES, Probed, Queueing, choose};
 use crate::shared::Shared;
 use pebblepost_transcriber::Target;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep};
 
 /// A probe that brings no answer for so long has failed.
@@ -80,6 +83,25 @@
     /// Version of the model that the transcriber reported.
     pub(crate) version: Option<u64>,
     started: Instant,
+    /// Told once a run has begun here; dropped untold where none does.
+    begun: Cell<Option<oneshot::Sender<()>>>,
+}
+
+impl Place {
+    /// Tells when a run at this place has begun; an error if the place is given up before.
+    pub(crate) fn watch_beginning(&self) -> oneshot::Receiver<()> {
+        let (begun, beginning) = oneshot::channel();
+        self.begun.set(Some(begun));
+        beginning
+    }
+
+    /// The head of an answer has come: the run has begun.
+    pub(crate) fn has_begun(&self) {
+        if let Some(begun) = self.begun.take() {
+            // Whoever watched may have lost patience.
+            let _ = begun.send(());
+        }
+    }
 }
 
 impl Drop for Place {
@@ -109,11 +131,15 @@
             }
             match self.candidates(need) {
                 Candidates::NoRoute => return Placed::NoRoute,
+                Candidates::Of(candidates) if candidates.is_empty() => {
+                    self.counts.add(Count::WaitsNoCandidate)
+                }
                 Candidates::Of(candidates) => {
                     let places = self.probe_and_choose(need, candidates, items).await;
                     if !places.is_empty() {
                         return Placed::At(places);
                     }
+                    self.counts.add(Count::WaitsFull);
                 }
             }
             sleep(self.random.pause(LEAST_HOLD, MOST_HOLD)).await;
@@ -210,6 +236,7 @@
                 backend: found.candidate.backend.clone(),
                 version: found.version,
                 started: now,
+                begun: Cell::new(None),
             }
         };
         (0..items).map(|_| place()).collect()
--- a/crates/batch-runner/src/scorer.rs
+++ b/crates/batch-runner/src/scorer.rs
@@ -1,6 +1,7 @@
 //! The call that scores a text.
 
 use crate::attempt::{insert, note_load};
+use crate::counts::Count;
 use crate::item_run::LeaseTerms;
 use crate::placing::{Need, Placed};
 use crate::shared::Shared;
@@ -118,12 +119,21 @@
         return ScoreEnd::Retry;
     }
     let outgoing = request(scorer, route.timeout.min(CALL_TIMEOUT));
+    shared.counts.add(Count::ScorerCalls);
     match shared.client.send(&place.target, outgoing).await {
         Ok(answer) => {
             note_load(shared, place, &answer.head);
-            end_of_answer(&answer, route.max_attempts)
+            if answer.head.not_executed {
+                shared.counts.add(Count::ScorerNotTaken);
+            }
+            let end = end_of_answer(&answer, route.max_attempts);
+            if matches!(end, ScoreEnd::Failed { .. }) {
+                shared.counts.add(Count::ScorerFailed);
+            }
+            end
         }
         Err(failure) => {
+            shared.counts.add(Count::ScorerBroken);
             log::debug!("scorer call {} at {}: {failure:?}", scorer.id, place.target.instance);
             if failure != Failure::TimedOut {
                 let until = Instant::now() + AVOID_AFTER_BREAK;
--- a/crates/batch-runner/src/shared.rs
+++ b/crates/batch-runner/src/shared.rs
@@ -1,5 +1,6 @@
 //! State shared by the tasks of a runner.
 
+use crate::counts::Counts;
 use crate::execution::Room;
 use crate::lease_table::LeaseTable;
 use crate::load::LoadBook;
@@ -31,6 +32,7 @@
     pub(crate) room: Room,
     pub(crate) scorer_limits: ScorerLimits,
     pub(crate) random: Random,
+    pub(crate) counts: Counts,
     /// No new work is begun.
     pub(crate) stopping: Cell<bool>,
     /// The feed, a link to a store or a lease has changed.
@@ -51,6 +53,7 @@
             room: Room::default(),
             scorer_limits: ScorerLimits::default(),
             random: Random::default(),
+            counts: Counts::default(),
             stopping: Cell::new(false),
             changed: Notify::new(),
         })
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -157,6 +157,24 @@
         client_limits(&self.settings.limits, each)
     }
 
+    /// What this process has done, in one line of `name=value`.
+    pub(crate) fn describe_counts(&self) -> String {
+        let (front, client) = (self.counters.get(), self.client.counts());
+        format!(
+            "counts: requests={} answered={} refused={} failed={} connections={} first={} renewed={} sent={} reports={} {}",
+            front.requests,
+            front.answered,
+            front.refused,
+            front.failed,
+            client.connections,
+            client.first_connections,
+            client.renewed_connections,
+            client.requests,
+            client.reports,
+            self.runner.counts(),
+        )
+    }
+
     /// SIGHUP: takes over the limits of settings that were read anew.
     pub(crate) fn reload(&self, limits: &MachineLimits) {
         self.memory.set_most(body_bytes(limits));
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -22,6 +22,8 @@
 const NOTICE: Duration = Duration::from_millis(2800);
 /// The process ends this much ahead of SIGKILL.
 const END_MARGIN: Duration = Duration::from_millis(500);
+/// How often the counts are written to the log.
+const COUNTS_EVERY: Duration = Duration::from_secs(15);
 /// Requests have their answer this much ahead of the process's end.
 const ANSWER_MARGIN: Duration = Duration::from_millis(400);
 
@@ -60,6 +62,7 @@
         let context = Rc::new(Context::new(settings));
         tokio::task::spawn_local(ready::serve(ready, context.clone()));
         tokio::task::spawn_local(feed_client::run(context.clone()));
+        tokio::task::spawn_local(log_counts(context.clone()));
         let (accepting, shared) = (front.clone(), context.clone());
         tokio::task::spawn_local(async move { accepting.accept(front_listener, shared).await });
         info!("serving clients at {front_address}, readiness at {ready_address}");
@@ -135,10 +138,19 @@
         if tokio::time::timeout_at(end, all).await.is_err() {
             warn!("ended with requests under way");
         }
+        info!("{}", self.context.describe_counts());
         info!("ended");
     }
 }
 
+/// Writes the counts to the log now and then.
+async fn log_counts(context: Rc<Context>) {
+    loop {
+        tokio::time::sleep(COUNTS_EVERY).await;
+        info!("{}", context.describe_counts());
+    }
+}
+
 /// Listens with a long queue; the address may have been in use a moment ago.
 fn listen(address: Option<SocketAddr>, key: &str) -> Result<TcpListener> {
     let address = address.ok_or_eyre(format!("the settings have no {key}"))?;
--- a/crates/transcriber/src/client.rs
+++ b/crates/transcriber/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::{CheckedHead, Expected, check_head, read_body};
 use crate::connection::{Connection, ExchangeError};
-use crate::pool::{Lot, Place, Pool, PooledConnection};
+use crate::pool::{Lot, NewConnection, Place, Pool, PooledConnection};
 use crate::report::{is_report, parse_report};
 use crate::request::{self, WireRequest};
 use crate::stream::{EventStream, StreamAnswer, is_event_stream};
@@ -159,7 +159,7 @@
         let head_request = request.method == Method::HEAD;
         let expected = Expected { request_id: &request_id, head_request, idle: limits.idle };
         let mut wire = request::build(target, request)?;
-        let place = match self.shared.pool.checkout(target, limits).await {
+        let (place, reason) = match self.shared.pool.checkout(target, limits).await {
             Lot::Reused(mut pooled) => match self.exchange(&mut pooled.connection, wire, progress).await {
                 Ok(response) => {
                     let (checked, body) = check_head(response, expected)?;
@@ -168,13 +168,18 @@
                 Err(ExchangeError::NotWritten(unwritten)) => {
                     progress.written.set(false);
                     wire = *unwritten;
-                    pooled.into_place()
+                    (pooled.into_place(), NewConnection::Renewed)
                 }
                 Err(ExchangeError::Broken) => return Err(Failure::MayHaveRun),
             },
-            Lot::Free(place) => place,
+            Lot::Free(place, reason) => (place, reason),
             Lot::Forgotten => return Err(Failure::NotSent),
         };
+        self.count(|counts| match reason {
+            NewConnection::First => counts.first_connections += 1,
+            NewConnection::Renewed => counts.renewed_connections += 1,
+            NewConnection::Further => {}
+        });
         let mut pooled = self.open(target, place, limits, progress).await?;
         if pooled.is_forgotten() {
             return Err(Failure::NotSent);
--- a/crates/transcriber/src/lib.rs
+++ b/crates/transcriber/src/lib.rs
@@ -106,6 +106,10 @@
 pub struct ClientCounts {
     /// Connections opened.
     pub connections: u64,
+    /// Of these, connections to a transcriber to which there was none.
+    pub first_connections: u64,
+    /// Of these, connections in the place of one that had rested too long or was found closed.
+    pub renewed_connections: u64,
     /// Requests sent, reports and orders included.
     pub requests: u64,
     /// Reports asked for.
--- a/crates/transcriber/src/pool.rs
+++ b/crates/transcriber/src/pool.rs
@@ -49,11 +49,22 @@
     /// A connection that was used before.
     Reused(PooledConnection),
     /// A place for a new one.
-    Free(Place),
+    Free(Place, NewConnection),
     /// The transcriber was forgotten while the caller waited.
     Forgotten,
 }
 
+/// Why a new connection is needed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NewConnection {
+    /// There is none to this transcriber.
+    First,
+    /// All that there are carry a request.
+    Further,
+    /// Those that rested can't be used any more.
+    Renewed,
+}
+
 impl Place {
     /// Puts a connection into this place.
     pub(crate) fn hold(self, connection: Connection) -> PooledConnection {
@@ -90,12 +101,14 @@
 
 impl Host {
     /// The connection used last, if it still may be used.
-    async fn take_idle(&self) -> Option<PooledConnection> {
+    async fn take_idle(&self) -> Result<PooledConnection, NewConnection> {
+        let mut reason = if self.open.get() == 0 { NewConnection::First } else { NewConnection::Further };
         loop {
-            let mut idle = self.idle.borrow_mut().pop()?;
+            let Some(mut idle) = self.idle.borrow_mut().pop() else { return Err(reason) };
             if idle.expires > Instant::now() && idle.pooled.connection.is_reusable().await {
-                return Some(idle.pooled);
+                return Ok(idle.pooled);
             }
+            reason = NewConnection::Renewed;
         }
     }
 
@@ -129,12 +142,13 @@
         self.sweep();
         let host = self.host(target);
         loop {
-            if let Some(pooled) = host.take_idle().await {
-                return Lot::Reused(pooled);
-            }
+            let reason = match host.take_idle().await {
+                Ok(pooled) => return Lot::Reused(pooled),
+                Err(reason) => reason,
+            };
             if host.open.get() < limits.most_connections_each.max(1) {
                 host.open.set(host.open.get() + 1);
-                return Lot::Free(Place { host });
+                return Lot::Free(Place { host }, reason);
             }
             host.freed.notified().await;
             if host.forgotten.get() {
