Feed: whole configurations go to their subscribers compressed

Cause: after a restart of all the control primary sends the configuration to 60 agents and 11 stores. Deflate by miniz_oxide, once for each version and only when a subscriber needs the whole; bounded when unpacked, a damaged one begins the feed anew.

--- a/crates/batch-store/src/program/feed.rs
+++ b/crates/batch-store/src/program/feed.rs
@@ -46,8 +46,9 @@
     }
 
     fn note_generation(&self, update: &ConfigurationUpdate) {
-        let (ConfigurationUpdate::Whole { generation, .. } | ConfigurationUpdate::Patch { generation, .. }) =
-            update;
+        let (ConfigurationUpdate::Whole { generation, .. }
+        | ConfigurationUpdate::Packed { generation, .. }
+        | ConfigurationUpdate::Patch { generation, .. }) = update;
         self.generation.set(self.generation.get().max(*generation));
     }
 }
--- a/crates/control/src/feed_server.rs
+++ b/crates/control/src/feed_server.rs
@@ -4,11 +4,12 @@
 //! everything else within [`COALESCE`]. Each flush has a number; a subscriber's acknowledgement
 //! says up to which flush it acts.
 
-use pebblepost_feed::FeedState;
+use pebblepost_feed::{FeedState, packing};
 use pebblepost_messages::control::{FromControl, SubscriberRole};
 use pebblepost_messages::feed::{
     ConfigurationUpdate, FeedBatch, FeedReply, FeedUpdate, Instance, ModelVersion, StoreGroup,
 };
+use std::cell::OnceCell;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -88,6 +89,8 @@
     /// Everything that is published but the configuration.
     state: FeedState,
     configuration: PublishedConfiguration,
+    /// The whole of it, as subscribers get it that have none to patch; packed when the first one comes.
+    packed: OnceCell<ConfigurationUpdate>,
     subscribers: BTreeMap<ConnectionId, Subscriber>,
     pending: Pending,
     flushes: u64,
@@ -105,6 +108,7 @@
             carried_until: now + COUNT_CARRIED,
             state,
             configuration: PublishedConfiguration::default(),
+            packed: OnceCell::new(),
             subscribers: BTreeMap::new(),
             pending: Pending::default(),
             flushes: 1,
@@ -186,8 +190,8 @@
         if generation <= self.configuration.generation {
             return;
         }
-        let configuration = configuration();
-        self.configuration = configuration;
+        self.configuration = configuration();
+        self.packed = OnceCell::new();
         self.pending.configuration = true;
         self.due(now);
     }
@@ -365,13 +369,13 @@
         if known >= self.configuration.generation {
             return None;
         }
+        let PublishedConfiguration { generation, document, .. } = &self.configuration;
+        let generation = *generation;
         let update = match &self.configuration.patch {
-            Some((base, patch)) if *base == known => ConfigurationUpdate::Patch {
-                base: *base,
-                generation: self.configuration.generation,
-                patch: patch.clone(),
-            },
-            _ => whole(&self.configuration),
+            Some((base, patch)) if *base == known => {
+                ConfigurationUpdate::Patch { base: *base, generation, patch: patch.clone() }
+            }
+            _ => self.packed.get_or_init(|| packing::pack(generation, document)).clone(),
         };
         Some(FeedUpdate::Configuration(update))
     }
@@ -396,10 +400,3 @@
         self.outputs.push(FeedOutput::Send(connection, FromControl::Feed(FeedBatch { sequence, updates })));
     }
 }
-
-fn whole(configuration: &PublishedConfiguration) -> ConfigurationUpdate {
-    ConfigurationUpdate::Whole {
-        generation: configuration.generation,
-        document: configuration.document.clone(),
-    }
-}
--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -18,6 +18,7 @@
     state: FeedState,
     last_sequence: u64,
     patches: usize,
+    packed: usize,
     redirects: usize,
     whole_lists: usize,
 }
@@ -30,6 +31,7 @@
             state: FeedState::default(),
             last_sequence: 0,
             patches: 0,
+            packed: 0,
             redirects: 0,
             whole_lists: 0,
         };
@@ -66,6 +68,7 @@
     fn count(&mut self, update: &FeedUpdate) {
         match update {
             FeedUpdate::Configuration(ConfigurationUpdate::Patch { .. }) => self.patches += 1,
+            FeedUpdate::Configuration(ConfigurationUpdate::Packed { .. }) => self.packed += 1,
             FeedUpdate::Instances { whole: true, .. } => self.whole_lists += 1,
             _ => {}
         }
@@ -101,6 +104,7 @@
     cluster.call(primary, call("POST", "/version-put", None, b"{\"model\":\"m\",\"generation\":2}".to_vec()));
     let mut agent = Agent::subscribe(&mut cluster, primary);
     agent.live(&mut cluster, Duration::from_millis(50));
+    assert_eq!(agent.packed, 1, "a whole configuration is compressed");
     assert_eq!(agent.state.generation(), 3);
     assert_eq!(agent.state.named_version("m"), 2);
     assert!(agent.state.instance("i-1").is_some());
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -5,6 +5,7 @@
 //! life: an older configuration, announcement, epoch or version is ignored.
 
 mod instances;
+pub mod packing;
 
 use instances::Instances;
 use pebblepost_configuration::{Configuration, Invalid};
@@ -156,6 +157,18 @@
                 }
                 Configuration::parse(document)
             }
+            ConfigurationUpdate::Packed { generation, bytes, packed } => {
+                if *generation <= self.generation() {
+                    return Changes::default();
+                }
+                match packing::unpack(*bytes, packed) {
+                    Ok(document) => Configuration::parse(&document),
+                    Err(damaged) => {
+                        log::error!("configuration {generation} from the feed can't be used: {damaged}");
+                        return Changes { gap: true, ..Changes::default() };
+                    }
+                }
+            }
             ConfigurationUpdate::Patch { base, generation, patch } => {
                 if *generation <= self.generation() {
                     return Changes::default();
--- a/crates/messages/src/feed.rs
+++ b/crates/messages/src/feed.rs
@@ -58,6 +58,15 @@
         /// The document, JSON.
         document: Vec<u8>,
     },
+    /// The whole document, compressed.
+    Packed {
+        /// Its version.
+        generation: u64,
+        /// Bytes of the document.
+        bytes: u64,
+        /// The document, JSON, as a raw deflate stream.
+        packed: Vec<u8>,
+    },
     /// A patch on the version `base`.
     Patch {
         /// Version that the patch builds on.
