--- a/crates/batch-runner/src/attempt.rs
+++ b/crates/batch-runner/src/attempt.rs
@@ -10,11 +10,18 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use pebblepost_messages::batch::Item;
 use pebblepost_transcriber::{Answer, AnswerHead, EventStream, Failure, Outgoing, StreamAnswer};
+use std::pin::pin;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 
-/// `Priority` of items, unless their route is of the highest rank: other requests come first.
-pub(crate) const ITEM_PRIORITY: &str = "6";
+/// `Priority` that a transcriber takes a request without one for.
+const DEFAULT_PRIORITY: u16 = 5;
+/// `Priority` of the most urgent items, unless their route is of the highest rank: other requests come first.
+const BEHIND_OTHERS: u16 = 6;
+/// Items that are due within these times are let in ahead of others of the same rank, the second ahead of the first.
+const DUE_SOON: [Duration; 2] = [Duration::from_secs(6), Duration::from_secs(3)];
+/// A transcriber of which nothing came for so long is asked whether it is there.
+const LOOK_AFTER: Duration = Duration::from_millis(500);
 /// Bounds of `Deadline-Ms`.
 const LEAST_DEADLINE: Duration = Duration::from_secs(1);
 const MOST_DEADLINE: Duration = Duration::from_secs(20);
@@ -58,28 +65,33 @@
     let last_event = progress.borrow().text.last_event();
     let outgoing = request(terms, item, place.version, last_event);
     let opening = shared.client.open_stream(&place.target, outgoing);
-    match timeout(HEAD_TIMEOUT, opening).await {
-        Err(_) => RunEnd::Broken,
-        Ok(Err(Failure::NotSent)) => RunEnd::NotSent,
-        Ok(Err(_)) => RunEnd::Broken,
-        Ok(Ok(StreamAnswer::Whole(answer))) => {
+    match watch(shared, place, HEAD_TIMEOUT, opening).await {
+        None => RunEnd::Broken,
+        Some(Err(Failure::NotSent)) => RunEnd::NotSent,
+        Some(Err(_)) => RunEnd::Broken,
+        Some(Ok(StreamAnswer::Whole(answer))) => {
             note_load(shared, place, &answer.head);
             end_of_answer(&answer)
         }
-        Ok(Ok(StreamAnswer::Stream(head, stream))) => {
+        Some(Ok(StreamAnswer::Stream(head, stream))) => {
             note_load(shared, place, &head);
             place.has_begun();
             let version = head_version(&head).or(place.version);
             progress.borrow_mut().text.begin_run(version);
-            read(stream, terms, progress).await
+            read(shared, place, stream, terms, progress).await
         }
     }
 }
 
 /// Reads events until the stream ends.
-async fn read(mut stream: EventStream, terms: &LeaseTerms, progress: &SharedProgress) -> RunEnd {
+async fn read(
+    shared: &Shared, place: &Place, mut stream: EventStream, terms: &LeaseTerms, progress: &SharedProgress,
+) -> RunEnd {
     loop {
-        match stream.next(SILENCE).await {
+        let Some(next) = watch(shared, place, SILENCE, stream.next(SILENCE)).await else {
+            return RunEnd::Broken;
+        };
+        match next {
             Ok(Some(event)) => match progress.borrow_mut().text.add(&event, terms.versions) {
                 Ok(()) => {}
                 Err(TextError::UnexpectedId) => return RunEnd::UnexpectedEvent,
@@ -95,6 +107,33 @@
     }
 }
 
+/// Waits for what a transcriber does, `most` at most. One that is quiet is asked for its load now and then: `None` as soon
+/// as it does not answer.
+async fn watch<T>(
+    shared: &Shared, place: &Place, most: Duration, work: impl Future<Output = T>,
+) -> Option<T> {
+    let until = Instant::now() + most;
+    let mut work = pin!(work);
+    loop {
+        if let Ok(done) = timeout_at(until.min(Instant::now() + LOOK_AFTER), work.as_mut()).await {
+            place.heard.note(Instant::now());
+            return Some(done);
+        }
+        if Instant::now() >= until {
+            return None;
+        }
+        tokio::select! {
+            biased;
+            done = work.as_mut() => return Some(done),
+            is_there = shared.is_there(place, LOOK_AFTER) => {
+                if !is_there {
+                    return None;
+                }
+            }
+        }
+    }
+}
+
 fn end_of_answer(answer: &Answer) -> RunEnd {
     let head = &answer.head;
     match head.status {
@@ -126,8 +165,10 @@
     pebblepost_transcriber::remove_connection_headers(&mut headers);
     insert(&mut headers, HOST.as_str(), &terms.job.hostname);
     insert(&mut headers, "request-id", &item.id);
-    if terms.job.priority > 0 {
-        insert(&mut headers, "priority", ITEM_PRIORITY);
+    let until_due = terms.due_at.saturating_duration_since(Instant::now());
+    let priority = priority(terms.job.priority, until_due);
+    if priority != DEFAULT_PRIORITY {
+        headers.insert("priority", HeaderValue::from(priority));
     }
     if let Some(version) = version {
         headers.insert("expect-version", HeaderValue::from(version));
@@ -146,6 +187,15 @@
     }
 }
 
+/// `Priority` of an item by the rank of its route and the time until its results are due; 0 is let in first.
+pub fn priority(rank: u32, until_due: Duration) -> u16 {
+    let sooner = DUE_SOON.iter().filter(|soon| until_due < **soon).count() as u16;
+    match rank {
+        0 => DEFAULT_PRIORITY - sooner,
+        _ => BEHIND_OTHERS + DUE_SOON.len() as u16 - sooner,
+    }
+}
+
 /// Sets a header; one that HTTP does not allow is left out.
 pub(crate) fn insert(headers: &mut HeaderMap, name: &str, value: &str) {
     let parsed = (HeaderName::from_bytes(name.as_bytes()), HeaderValue::from_str(value));
--- a/crates/batch-runner/src/candidates.rs
+++ b/crates/batch-runner/src/candidates.rs
@@ -3,16 +3,11 @@
 use crate::placement::NEAR_PROBES;
 use crate::placing::Need;
 use crate::shared::Shared;
+use crate::subset::{self, SubsetSize, affinity};
 use pebblepost_messages::feed::{Instance, InstanceState};
 use pebblepost_transcriber::Target;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use tokio::time::Instant;
 
-/// Transcribers of its own zone, and of all zones, that a proxy sends work to while they are there: fewer mean that a
-/// connection to the one chosen is there already, more spread the load better.
-const NEAR_SUBSET: usize = 6;
-const SUBSET: usize = 9;
-
 /// A transcriber that may take the request.
 pub(crate) struct Candidate {
     pub(crate) target: Target,
@@ -78,6 +73,8 @@
     /// dear; each part in random order. None while no allowed version is named.
     fn ready_instances(&self, backend: &str, need: &Need<'_>) -> Vec<Candidate> {
         let mut found = self.find_ready(backend, need);
+        let proxies = usize::try_from(self.feed.borrow().proxy_count()).unwrap_or(usize::MAX);
+        let size = SubsetSize::new(found.len(), proxies);
         found.sort_unstable_by_key(|found| (found.is_old, found.is_far, found.affinity));
         let are_all_old = found.first().is_some_and(|found| found.is_old);
         if are_all_old && self.feed.borrow().named_version(need.model) < need.min_version {
@@ -87,7 +84,7 @@
         if are_all_old {
             found.truncate(1);
         }
-        let near = keep_subset(&mut found);
+        let near = subset::keep(&mut found, size, |found| !found.is_far);
         self.shuffle(&mut found[..near]);
         self.shuffle(&mut found[near..]);
         found.drain(near.min(NEAR_PROBES)..near);
@@ -126,23 +123,6 @@
     }
 }
 
-/// Keeps the first few near candidates and the first few of the far ones; how many near ones there are.
-fn keep_subset(found: &mut Vec<Found>) -> usize {
-    let near = found.iter().filter(|found| !found.is_far).count();
-    let kept = near.min(NEAR_SUBSET);
-    found.drain(kept..near);
-    found.truncate(SUBSET);
-    kept
-}
-
-/// The place of a transcriber in the order in which a proxy takes them into its subset (rendezvous hashing): where one
-/// comes or goes, the others keep their places.
-fn affinity(node: &str, instance: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (node, instance).hash(&mut hasher);
-    hasher.finish()
-}
-
 /// The version of a model that a transcriber announced; `None` if it holds no such model. Where no
 /// model is needed, any version will do.
 fn announced_version(instance: &Instance, model: &str) -> Option<u64> {
--- a/crates/batch-runner/src/lib.rs
+++ b/crates/batch-runner/src/lib.rs
@@ -8,7 +8,7 @@
 //!
 //! Everything runs on a current-thread `tokio` runtime (`spawn_local`).
 
-mod attempt;
+pub mod attempt;
 mod calls;
 mod candidates;
 mod counts;
@@ -26,6 +26,7 @@
 mod shared;
 mod store_link;
 mod store_links;
+pub mod subset;
 pub mod text;
 
 pub use counts::{Count, Counts};
--- a/crates/batch-runner/src/load.rs
+++ b/crates/batch-runner/src/load.rs
@@ -2,7 +2,9 @@
 //! are known at once.
 
 use pebblepost_transcriber::Load;
+use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -15,6 +17,22 @@
 /// How long a service whose transcribers tell no load is not asked again.
 pub const SILENT_SERVICE: Duration = Duration::from_secs(30);
 
+/// When anything came from a transcriber last.
+#[derive(Clone, Debug, Default)]
+pub struct Heard(Rc<Cell<Option<Instant>>>);
+
+impl Heard {
+    /// Something came.
+    pub fn note(&self, now: Instant) {
+        self.0.set(Some(now));
+    }
+
+    /// Whether something came within this time.
+    pub fn is_within(&self, time: Duration, now: Instant) -> bool {
+        self.0.get().is_some_and(|at| now < at + time)
+    }
+}
+
 /// Our own requests at one transcriber.
 #[derive(Debug, Default)]
 struct OwnRequests {
@@ -64,6 +82,7 @@
     has_order: bool,
     versions: Vec<(String, u64)>,
     avoid_until: Option<Instant>,
+    heard: Heard,
 }
 
 /// Load of all transcribers, by id.
@@ -94,6 +113,7 @@
         let busy = load.running.saturating_add(load.waiting);
         transcriber.observation = Some(Observation { as_of, received: now, busy });
         transcriber.reported = Some(now);
+        transcriber.heard.note(now);
         transcriber.has_order = load.busy;
         transcriber.versions.clone_from(&load.models);
     }
@@ -141,6 +161,11 @@
         versions_known && within(observed, REPORT_REUSE)
     }
 
+    /// When anything came from a transcriber last, shared with those who hear it.
+    pub fn heard(&mut self, id: &str) -> Heard {
+        self.entry(id).heard.clone()
+    }
+
     /// Requests that a transcriber has by now, others' as last told and our own.
     pub fn busy(&self, id: &str) -> u32 {
         let Some(transcriber) = self.transcribers.get(id) else { return 0 };
--- a/crates/batch-runner/src/placement.rs
+++ b/crates/batch-runner/src/placement.rs
@@ -27,9 +27,10 @@
         self.slots.saturating_sub(self.busy)
     }
 
-    /// Whether it takes a group of so many items without another probe.
+    /// Whether it takes a group of so many items without another probe; of a group larger than any transcriber, as many
+    /// as it has slots.
     pub fn accepts(&self, items: u32) -> bool {
-        self.busy < self.threshold() && self.free() >= items
+        self.busy < self.threshold() && self.free() >= items.min(self.slots)
     }
 
     /// Busy slots from which another transcriber is probed.
@@ -58,6 +59,9 @@
 
 /// The fewest-busy of those probed, ties at random; `None` if all are full.
 pub fn choose(probed: &[Probed], items: u32, queueing: Queueing, random: &Random) -> Option<Choice> {
+    if let Some(index) = probed.iter().position(|probed| probed.accepts(items)) {
+        return Some(Choice { index, items: items.min(room(probed[index], queueing)) });
+    }
     let fewest = probed.iter().map(|probed| probed.busy).min()?;
     let tied: Vec<usize> = (0..probed.len()).filter(|index| probed[*index].busy == fewest).collect();
     let index = *random.pick(&tied)?;
--- a/crates/batch-runner/src/placing.rs
+++ b/crates/batch-runner/src/placing.rs
@@ -4,6 +4,7 @@
 use crate::candidates::{Candidate, Candidates};
 use crate::counts::Count;
 use crate::item_run::LeaseTerms;
+use crate::load::Heard;
 use crate::placement::{MOST_PROBES, Probed, Queueing, choose};
 use crate::shared::Shared;
 use pebblepost_transcriber::Target;
@@ -20,10 +21,13 @@
 /// How long a request is held while all are full.
 const LEAST_HOLD: Duration = Duration::from_millis(50);
 const MOST_HOLD: Duration = Duration::from_millis(100);
-/// Before its results are due, an item may go into a short queue.
-const URGENT_BEFORE_DUE: Duration = Duration::from_millis(1000);
+/// So long before its results are due, an item may go into a longer queue.
+const URGENT_BEFORE_DUE: Duration = Duration::from_secs(6);
 /// Length of that queue, in parts in a hundred of the slots.
-const URGENT_QUEUE_PERCENT: u32 = 25;
+const URGENT_QUEUE_PERCENT: u32 = 50;
+/// Length of the queue that any item may go into: the transcriber has the next text at hand when a slot opens, where a
+/// proxy that waits comes back later.
+const QUEUE_PERCENT: u32 = 34;
 /// Scorer's calls are short: this much of a queue is no harm.
 const SCORER_QUEUE_PERCENT: u32 = 50;
 
@@ -58,7 +62,7 @@
         match self.is_text {
             false => Queueing::UpTo(SCORER_QUEUE_PERCENT),
             true if now + URGENT_BEFORE_DUE >= self.due_at => Queueing::UpTo(URGENT_QUEUE_PERCENT),
-            true => Queueing::None,
+            true => Queueing::UpTo(QUEUE_PERCENT),
         }
     }
 }
@@ -82,6 +86,8 @@
     pub(crate) backend: String,
     /// Version of the model that the transcriber reported.
     pub(crate) version: Option<u64>,
+    /// When anything came from the transcriber last.
+    pub(crate) heard: Heard,
     started: Instant,
     /// Told once a run has begun here; dropped untold where none does.
     begun: Cell<Option<oneshot::Sender<()>>>,
@@ -172,14 +178,8 @@
             }
         }
         let loads: Vec<Probed> = probed.iter().map(|found| found.probed).collect();
-        let accepted = loads.iter().position(|load| load.accepts(items));
-        let choice = match accepted {
-            Some(index) => Some((index, items)),
-            None => choose(&loads, items, need.queueing(Instant::now()), &self.random)
-                .map(|choice| (choice.index, choice.items)),
-        };
-        match choice {
-            Some((index, items)) => self.reserve(&probed[index], items),
+        match choose(&loads, items, need.queueing(Instant::now()), &self.random) {
+            Some(choice) => self.reserve(&probed[choice.index], choice.items),
             None => Vec::new(),
         }
     }
@@ -188,18 +188,9 @@
     async fn probe(&self, need: &Need<'_>, candidate: Candidate) -> Option<ProbedCandidate> {
         let id = candidate.target.instance.as_str();
         let versions_matter = !need.model.is_empty();
-        if self.needs_report(&candidate, versions_matter) {
-            match self.client.report(&candidate.target, PROBE_TIMEOUT).await {
-                Ok(Some(report)) => self.load.borrow_mut().report(id, &report, Instant::now()),
-                // Alive, and tells no load: what this proxy has there is all that is known.
-                Ok(None) => self.load.borrow_mut().tells_no_load(&candidate.backend, Instant::now()),
-                Err(failure) => {
-                    log::debug!("probe of {id}: {failure:?}");
-                    let until = Instant::now() + AVOID_AFTER_FAILED_PROBE;
-                    self.load.borrow_mut().avoid(id, until);
-                    return None;
-                }
-            }
+        let needs_report = self.needs_report(&candidate, versions_matter);
+        if needs_report && !self.ask_for_load(&candidate.target, &candidate.backend).await {
+            return None;
         }
         let load = self.load.borrow();
         let version = load.version(id, need.model);
@@ -211,6 +202,36 @@
         Some(ProbedCandidate { candidate, probed, version })
     }
 
+    /// Asks a transcriber for its load; whether it answered.
+    async fn ask_for_load(&self, target: &Target, backend: &str) -> bool {
+        let id = target.instance.as_str();
+        match self.client.report(target, PROBE_TIMEOUT).await {
+            Ok(Some(report)) => self.load.borrow_mut().report(id, &report, Instant::now()),
+            // Alive, and tells no load: what this proxy has there is all that is known.
+            Ok(None) => self.load.borrow_mut().tells_no_load(backend, Instant::now()),
+            Err(failure) => {
+                log::debug!("probe of {id}: {failure:?}");
+                let until = Instant::now() + AVOID_AFTER_FAILED_PROBE;
+                self.load.borrow_mut().avoid(id, until);
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Whether a transcriber is there: it was heard within this time, or answers now. One that failed a moment ago is not
+    /// asked again.
+    pub(crate) async fn is_there(&self, place: &Place, within: Duration) -> bool {
+        let now = Instant::now();
+        if place.heard.is_within(within, now) {
+            return true;
+        }
+        if self.load.borrow().is_avoided(&place.target.instance, now) {
+            return false;
+        }
+        self.ask_for_load(&place.target, &place.backend).await
+    }
+
     /// Whether a transcriber that holds this version of the model begins new texts of it now. An order keeps off those
     /// of its own model only, and no order concerns a model that is held at its newest version.
     fn serves_model(&self, need: &Need<'_>, version: Option<u64>, has_order: bool) -> bool {
@@ -228,6 +249,7 @@
 
     fn reserve(self: &Rc<Self>, found: &ProbedCandidate, items: u32) -> Vec<Place> {
         let now = Instant::now();
+        let heard = self.load.borrow_mut().heard(&found.candidate.target.instance);
         let place = || {
             self.load.borrow_mut().start(&found.candidate.target.instance, now);
             Place {
@@ -235,6 +257,7 @@
                 target: found.candidate.target.clone(),
                 backend: found.candidate.backend.clone(),
                 version: found.version,
+                heard: heard.clone(),
                 started: now,
                 begun: Cell::new(None),
             }
--- /dev/null
+++ b/crates/batch-runner/src/subset.rs
@@ -0,0 +1,46 @@
+//! Which transcribers of a service a proxy sends work to.
+//!
+//! A fleet in which every proxy talks to every transcriber opens connections by the product of both numbers. Each proxy
+//! keeps to a few, its first ones by rendezvous hashing, most of them in its own zone; where one goes, the next takes its
+//! place and the others stay.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// Proxies to whose subset a transcriber belongs, on average: fewer mean that a connection to the one chosen is there
+/// already, more spread the load better.
+const SHARED_BY: usize = 3;
+/// Transcribers of its own zone that a proxy sends work to at least.
+const LEAST_NEAR: usize = 2;
+
+/// How many transcribers of a service a proxy sends work to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SubsetSize {
+    /// Of its own zone.
+    pub near: usize,
+    /// Of all zones.
+    pub all: usize,
+}
+
+impl SubsetSize {
+    /// For a service of so many transcribers, and so many proxies that send work to them.
+    pub fn new(transcribers: usize, proxies: usize) -> SubsetSize {
+        let near = (transcribers * SHARED_BY).div_ceil(proxies.max(1)).max(LEAST_NEAR);
+        SubsetSize { near, all: near + near.div_ceil(2) }
+    }
+}
+
+/// Keeps the subset of candidates that are in a proxy's order, those of its own zone first; how many of these are kept.
+pub fn keep<T>(candidates: &mut Vec<T>, size: SubsetSize, is_near: impl Fn(&T) -> bool) -> usize {
+    let near = candidates.iter().filter(|candidate| is_near(candidate)).count();
+    let kept = near.min(size.near);
+    candidates.drain(kept..near);
+    candidates.truncate(size.all);
+    kept
+}
+
+/// The place of a transcriber in a proxy's order: where one comes or goes, the others keep theirs.
+pub fn affinity(node: &str, instance: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (node, instance).hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/batch-runner/tests/parts.rs
+++ b/crates/batch-runner/tests/parts.rs
@@ -1,11 +1,13 @@
 //! The parts that need no connections: texts, placement, load, leases, JSON.
 
+use pebblepost_batch_runner::attempt::priority;
 use pebblepost_batch_runner::job_answer::{MOST_PAGE_BYTES, page};
 use pebblepost_batch_runner::job_request::parse;
 use pebblepost_batch_runner::lease_table::{ABANDON_AFTER, LEASE, LeaseTable, Validity};
 use pebblepost_batch_runner::load::{LoadBook, REPORT_LAG, REPORT_REUSE, SILENT_SERVICE, VERSIONS_REUSE};
 use pebblepost_batch_runner::placement::{Choice, Probed, Queueing, choose};
 use pebblepost_batch_runner::random::Random;
+use pebblepost_batch_runner::subset::{self, SubsetSize, affinity};
 use pebblepost_batch_runner::text::{Progress, Text, TextError, VersionTerms};
 use pebblepost_messages::batch::{
     HeldLease, Item, ItemResult, JobTerms, LeasedItem, PartialText, ResultPage, ResultState, WorkLease,
@@ -307,3 +309,49 @@
     let error = parse("j", JobTerms::default(), body.as_bytes().to_vec()).unwrap_err();
     assert!(error.0.starts_with(reason), "{error}");
 }
+
+#[rstest]
+#[case::idle(0, true)]
+#[case::not_idle(1, false)]
+fn a_group_larger_than_a_transcriber_is_accepted_by_an_idle_one(#[case] busy: u32, #[case] accepts: bool) {
+    assert_eq!(Probed { slots: 6, busy }.accepts(16), accepts);
+    let choice = choose(&[Probed { slots: 6, busy: 0 }], 16, Queueing::UpTo(34), &Random::seeded(7));
+    assert_eq!(choice, Some(Choice { index: 0, items: 9 }), "six run, three are at hand");
+}
+
+#[rstest]
+#[case::highest_rank(0, [5, 4, 3])]
+#[case::other_rank(2, [8, 7, 6])]
+fn items_that_are_due_sooner_go_first_and_lower_ranks_behind_others(
+    #[case] rank: u32, #[case] expected: [u16; 3],
+) {
+    let due_in = [Duration::from_secs(12), Duration::from_secs(5), Duration::from_secs(1)];
+    assert_eq!(due_in.map(|due_in| priority(rank, due_in)), expected);
+}
+
+/// Fleets of proxies and transcribers, spread over zones in turn.
+#[rstest]
+#[case::many_zones(60, 48, 4)]
+#[case::few_zones(57, 45, 3)]
+#[case::few_machines(7, 9, 3)]
+#[case::few_proxies(4, 40, 2)]
+#[case::few_transcribers(40, 4, 2)]
+fn every_transcriber_is_in_some_subset_and_none_in_too_many(
+    #[case] proxies: usize, #[case] transcribers: usize, #[case] zones: usize,
+) {
+    let size = SubsetSize::new(transcribers, proxies);
+    let mut shared_by = vec![0; transcribers];
+    for proxy in 0..proxies {
+        let node = format!("edge-{proxy}");
+        let is_far = |transcriber: usize| transcriber % zones != proxy % zones;
+        let mut order: Vec<usize> = (0..transcribers).collect();
+        order.sort_by_key(|transcriber| (is_far(*transcriber), affinity(&node, &format!("i-{transcriber}"))));
+        subset::keep(&mut order, size, |transcriber| !is_far(*transcriber));
+        assert!(order.len() <= size.all);
+        order.iter().for_each(|transcriber| shared_by[*transcriber] += 1);
+    }
+    let mean = shared_by.iter().sum::<usize>() as f64 / transcribers as f64;
+    let worst = shared_by.iter().max().map_or(0.0, |worst| *worst as f64);
+    assert!(shared_by.iter().all(|count| *count > 0), "{shared_by:?}");
+    assert!(worst <= 3.0 * mean, "{worst} against {mean}");
+}
--- a/crates/transcriber/src/client.rs
+++ b/crates/transcriber/src/client.rs
@@ -72,8 +72,14 @@
 
     /// Sends a request and reads its whole answer. Dropping the future closes the connection.
     pub async fn send(&self, target: &Target, request: Outgoing) -> Result<Answer, Failure> {
+        self.send_within(self.shared.limits.get(), target, request).await
+    }
+
+    async fn send_within(
+        &self, limits: ClientLimits, target: &Target, request: Outgoing,
+    ) -> Result<Answer, Failure> {
         let progress = Progress::new(request.deadline);
-        progress.limit(self.whole_exchange(target, request, &progress)).await
+        progress.limit(self.whole_exchange(limits, target, request, &progress)).await
     }
 
     /// Sends a request whose answer may be a stream; the head must come by the deadline.
@@ -81,7 +87,7 @@
         let progress = Progress::new(request.deadline);
         progress
             .limit(async {
-                let begun = self.begin(target, request, &progress).await?;
+                let begun = self.begin(self.shared.limits.get(), target, request, &progress).await?;
                 if !is_event_stream(&begun.checked.head) {
                     return self.finish(begun).await.map(StreamAnswer::Whole);
                 }
@@ -98,7 +104,10 @@
     pub async fn report(&self, target: &Target, timeout: Duration) -> Result<Option<Load>, Failure> {
         self.count(|counts| counts.reports += 1);
         let request = request::own(target, Method::GET, "/report", Bytes::new(), timeout);
-        let answer = self.send(target, request).await?;
+        // Connections that all carry requests must not hide whether the transcriber is there.
+        let mut limits = self.shared.limits.get();
+        limits.most_connections_each += 1;
+        let answer = self.send_within(limits, target, request).await?;
         if answer.head.status == StatusCode::OK {
             return parse_report(&answer.body).map(Some).ok_or(Failure::MayHaveRun);
         }
@@ -146,15 +155,16 @@
 
     /// An exchange whose answer is read whole.
     async fn whole_exchange(
-        &self, target: &Target, request: Outgoing, progress: &Progress,
+        &self, limits: ClientLimits, target: &Target, request: Outgoing, progress: &Progress,
     ) -> Result<Answer, Failure> {
-        let begun = self.begin(target, request, progress).await?;
+        let begun = self.begin(limits, target, request, progress).await?;
         self.finish(begun).await
     }
 
     /// Sends a request and waits for the head of its answer.
-    async fn begin(&self, target: &Target, request: Outgoing, progress: &Progress) -> Result<Begun, Failure> {
-        let limits = self.shared.limits.get();
+    async fn begin(
+        &self, limits: ClientLimits, target: &Target, request: Outgoing, progress: &Progress,
+    ) -> Result<Begun, Failure> {
         let request_id = request.request_id.clone();
         let head_request = request.method == Method::HEAD;
         let expected = Expected { request_id: &request_id, head_request, idle: limits.idle };
--- a/crates/transcriber/tests/exchanges.rs
+++ b/crates/transcriber/tests/exchanges.rs
@@ -236,6 +236,28 @@
     });
 }
 
+#[test]
+fn a_report_is_asked_for_beside_connections_that_all_carry_requests() {
+    run(async {
+        let (go, wait_go) = oneshot::channel();
+        let busy = vec![Step::Read, Step::Await(wait_go), Step::Write(OK_A)];
+        let report = b"HTTP/1.1 200 OK\r\ncontent-length: 25\r\n\r\n{\"waiting\":0,\"running\":1}";
+        let server = Scripted::start(vec![busy, vec![Step::Read, Step::Write(report)]]).await;
+        let client =
+            Client::new(pebblepost_transcriber::ClientLimits { most_connections_each: 1, ..limits() });
+        let target = server.target();
+        let (answer, load) = tokio::join!(client.send(&target, outgoing("a")), async {
+            let load = client.report(&target, Duration::from_secs(5)).await;
+            go.send(()).unwrap();
+            load
+        });
+        assert_eq!(load.unwrap().unwrap().running, 1);
+        assert!(answer.is_ok());
+        let counts = client.counts();
+        assert_eq!((counts.connections, counts.first_connections, counts.renewed_connections), (2, 1, 0));
+    });
+}
+
 #[test]
 fn a_forgotten_transcriber_has_its_idle_connections_closed() {
     run(async {
