--- a/crates/batch-runner/src/candidates.rs
+++ b/crates/batch-runner/src/candidates.rs
@@ -75,16 +75,15 @@
         let mut found = self.find_ready(backend, need);
         let proxies = usize::try_from(self.feed.borrow().proxy_count()).unwrap_or(usize::MAX);
         let size = SubsetSize::new(found.len(), proxies);
-        found.sort_unstable_by_key(|found| (found.is_old, found.is_far, found.affinity));
-        let are_all_old = found.first().is_some_and(|found| found.is_old);
-        if are_all_old && self.feed.borrow().named_version(need.model) < need.min_version {
-            return Vec::new();
+        found.sort_unstable_by_key(|found| (found.is_far, found.affinity));
+        let serving = found.iter().filter(|found| !found.is_old).count();
+        if serving == 0 {
+            let may_hold = self.feed.borrow().named_version(need.model) >= need.min_version;
+            found.truncate(usize::from(may_hold));
+        } else {
+            keep_serving(&mut found, size, serving);
         }
-        found.retain(|found| !found.is_old || are_all_old);
-        if are_all_old {
-            found.truncate(1);
-        }
-        let near = subset::keep(&mut found, size, |found| !found.is_far);
+        let near = found.iter().filter(|found| !found.is_far).count();
         self.shuffle(&mut found[..near]);
         self.shuffle(&mut found[near..]);
         found.drain(near.min(NEAR_PROBES)..near);
@@ -123,6 +122,26 @@
     }
 }
 
+/// Keeps those that serve the request, `serving` of all, from a subset that holds about as many of them as `size` says.
+/// Which transcribers serve a model changes with every version: a subset drawn from all changes less than one drawn from
+/// them, and connections with it.
+fn keep_serving(found: &mut Vec<Found>, size: SubsetSize, serving: usize) {
+    let wide = size.of_which_serve(found.len(), serving);
+    let near = found.iter().filter(|found| !found.is_far).count();
+    let is_in_subset = |index: usize| match index < near {
+        true => index < wide.near,
+        false => index - near < wide.all - wide.near.min(near),
+    };
+    let any_serves = found.iter().enumerate().any(|(index, found)| !found.is_old && is_in_subset(index));
+    let mut index = 0;
+    found.retain(|found| {
+        let keep = !found.is_old && (is_in_subset(index) || !any_serves);
+        index += 1;
+        keep
+    });
+    subset::keep(found, size, |found| !found.is_far);
+}
+
 /// The version of a model that a transcriber announced; `None` if it holds no such model. Where no
 /// model is needed, any version will do.
 fn announced_version(instance: &Instance, model: &str) -> Option<u64> {
--- a/crates/batch-runner/src/subset.rs
+++ b/crates/batch-runner/src/subset.rs
@@ -27,6 +27,12 @@
         let near = (transcribers * SHARED_BY).div_ceil(proxies.max(1)).max(LEAST_NEAR);
         SubsetSize { near, all: near + near.div_ceil(2) }
     }
+
+    /// The size of a subset of which as many serve a request as this one holds, where `serving` of `all` do.
+    pub fn of_which_serve(self, all: usize, serving: usize) -> SubsetSize {
+        let widen = |size: usize| (size * all).div_ceil(serving.max(1));
+        SubsetSize { near: widen(self.near), all: widen(self.all) }
+    }
 }
 
 /// Keeps the subset of candidates that are in a proxy's order, those of its own zone first; how many of these are kept.
