--- a/crates/batch-runner/src/candidates.rs
+++ b/crates/batch-runner/src/candidates.rs
@@ -33,8 +33,8 @@
 }
 
 impl Shared {
-    /// Transcribers of a service that the configuration in force names for this request.
-    pub(crate) fn candidates(&self, need: &Need<'_>) -> Candidates {
+    /// Transcribers of a service that the configuration in force names for this request, which found all full so often.
+    pub(crate) fn candidates(&self, need: &Need<'_>, tries: u32) -> Candidates {
         let Some(configuration) = self.configuration() else { return Candidates::Of(Vec::new()) };
         let Some(route) = configuration.route(need.hostname, need.path) else {
             return Candidates::NoRoute;
@@ -47,7 +47,7 @@
             .collect();
         while let Some(index) = self.weighted_pick(&backends) {
             let (backend, _) = backends.swap_remove(index);
-            let candidates = self.ready_instances(backend, need);
+            let candidates = self.ready_instances(backend, need, tries);
             if !candidates.is_empty() {
                 return Candidates::Of(candidates);
             }
@@ -71,10 +71,10 @@
     /// Ready transcribers of a service that hold the model, those first that are known to hold it
     /// at an allowed version; of these, this proxy's subset: a few of the own zone first, as bytes between zones are
     /// dear; each part in random order. None while no allowed version is named.
-    fn ready_instances(&self, backend: &str, need: &Need<'_>) -> Vec<Candidate> {
+    fn ready_instances(&self, backend: &str, need: &Need<'_>, tries: u32) -> Vec<Candidate> {
         let mut found = self.find_ready(backend, need);
         let proxies = usize::try_from(self.feed.borrow().proxy_count()).unwrap_or(usize::MAX);
-        let size = SubsetSize::new(found.len(), proxies);
+        let size = SubsetSize::new(found.len(), proxies).after_tries(tries);
         found.sort_unstable_by_key(|found| (found.is_far, found.affinity));
         let serving = found.iter().filter(|found| !found.is_old).count();
         if serving == 0 {
--- a/crates/batch-runner/src/placing.rs
+++ b/crates/batch-runner/src/placing.rs
@@ -127,6 +127,7 @@
 impl Shared {
     /// Finds a transcriber for up to this many items; waits while there is none.
     pub(crate) async fn find_place(self: &Rc<Self>, need: &Need<'_>, items: u32) -> Placed {
+        let mut tries = 0;
         loop {
             let now = Instant::now();
             if now >= need.expires_at {
@@ -135,7 +136,7 @@
             if need.is_text && self.stopping.get() {
                 return Placed::Stopped;
             }
-            match self.candidates(need) {
+            match self.candidates(need, tries) {
                 Candidates::NoRoute => return Placed::NoRoute,
                 Candidates::Of(candidates) if candidates.is_empty() => {
                     self.counts.add(Count::WaitsNoCandidate)
@@ -146,6 +147,7 @@
                         return Placed::At(places);
                     }
                     self.counts.add(Count::WaitsFull);
+                    tries += 1;
                 }
             }
             sleep(self.random.pause(LEAST_HOLD, MOST_HOLD)).await;
--- a/crates/batch-runner/src/subset.rs
+++ b/crates/batch-runner/src/subset.rs
@@ -8,10 +8,16 @@
 
 /// Proxies to whose subset a transcriber belongs, on average: fewer mean that a connection to the one chosen is there
 /// already, more spread the load better.
-const SHARED_BY: usize = 3;
+const SHARED_BY: usize = 2;
 /// Transcribers of its own zone that a proxy sends work to at least.
 const LEAST_NEAR: usize = 2;
 
+/// Tries that find all full before a request looks beyond its proxy's subset; then so many for each further step.
+const TRIES_EACH_SIZE: u32 = 3;
+
+/// Steps by which a request looks beyond the subset at most.
+const MOST_STEPS: usize = 7;
+
 /// How many transcribers of a service a proxy sends work to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SubsetSize {
@@ -28,6 +34,13 @@
         SubsetSize { near, all: near + near.div_ceil(2) }
     }
 
+    /// The size for a request that found all full so often: as large again after every few tries, so that no transcriber
+    /// rests while a request waits.
+    pub fn after_tries(self, tries: u32) -> SubsetSize {
+        let factor = 1 + usize::try_from(tries / TRIES_EACH_SIZE).unwrap_or(usize::MAX).min(MOST_STEPS);
+        SubsetSize { near: self.near * factor, all: self.all * factor }
+    }
+
     /// The size of a subset of which as many serve a request as this one holds, where `serving` of `all` do.
     pub fn of_which_serve(self, all: usize, serving: usize) -> SubsetSize {
         let widen = |size: usize| (size * all).div_ceil(serving.max(1));
