--- a/crates/batch-runner/src/lib.rs
+++ b/crates/batch-runner/src/lib.rs
@@ -21,6 +21,7 @@
 mod outbox;
 pub mod placement;
 mod placing;
+mod probing;
 pub mod random;
 mod scorer;
 mod shared;
