--- a/pebblepost/tests/common/mod.rs
+++ b/pebblepost/tests/common/mod.rs
@@ -285,14 +285,23 @@
     address
 }
 
+/// The head of a job's answer, whose lines follow in chunks.
+pub const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// The end of an answer in chunks.
+pub const LAST_CHUNK: &str = "0\r\n\r\n";
+
+/// Some bytes of a job's answer as a chunk.
+pub fn chunk(wire: &mut Wire, text: &str) {
+    wire.say(&format!("{:x}\r\n{text}\r\n", text.len()));
+}
+
 /// The lines of a job's answer, in chunks.
 pub fn lines(wire: &mut Wire, lines: &[Value]) {
-    wire.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    wire.say(CHUNKED_HEAD);
     for line in lines {
-        let line = format!("{line}\n");
-        wire.say(&format!("{:x}\r\n{line}\r\n", line.len()));
+        chunk(wire, &format!("{line}\n"));
     }
-    wire.say("0\r\n\r\n");
+    wire.say(LAST_CHUNK);
 }
 
 pub fn post(txn: &str, extra: &str, body: &str) -> String {
--- a/pebblepost/tests/discovery.rs
+++ b/pebblepost/tests/discovery.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::stopwatch::Stopwatch;
-use common::{Running, Wire, header, lines, platform, post, within, worker};
+use common::{Running, Wire, chunk, header, lines, platform, post, within, worker};
 use pebblepost::net::Listener;
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpListener};
@@ -77,10 +77,6 @@
     (address, calls)
 }
 
-fn chunk(wire: &mut Wire, text: &str) {
-    wire.say(&format!("{:x}\r\n{text}\r\n", text.len()));
-}
-
 /// Keeps a watch open, with the empty lines that say so, until the daemon leaves.
 fn stay(wire: &mut Wire) {
     while wire.try_say("1\r\n\n\r\n") {
--- a/pebblepost/tests/release.rs
+++ b/pebblepost/tests/release.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::keepers::{Keepers, LIMIT};
-use common::{Running, Wire, header, lines, platform, post, within, worker};
+use common::{CHUNKED_HEAD, LAST_CHUNK, Running, Wire, chunk, header, lines, platform, post, within, worker};
 use pebblepost::net::Listener;
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpListener};
@@ -139,8 +139,15 @@
         let (go, asked) = (go.clone(), asked.clone());
         worker(move |wire, head| {
             asked.fetch_add(1, Ordering::Relaxed);
+            // It has started: one that has not is sent again after 225 ms, while its worker may still be sent to.
+            wire.say(CHUNKED_HEAD);
+            chunk(wire, &format!("{}\n", json!({"id": header(head, "x-txn"), "state": "started"})));
             within(LIMIT, "the job may end", || go.load(Ordering::Relaxed).then_some(()));
-            lines(wire, &[json!({"id": header(head, "x-txn"), "state": "done", "result": "text"})]);
+            chunk(
+                wire,
+                &format!("{}\n", json!({"id": header(head, "x-txn"), "state": "done", "result": "text"})),
+            );
+            wire.say(LAST_CHUNK);
         })
     };
     let named = keepers.named();
