--- a/crates/pebblepost-control/src/api/response.rs
+++ b/crates/pebblepost-control/src/api/response.rs
@@ -56,10 +56,11 @@
         HttpResponse::error(503, reason)
     }
 
-    /// A configuration change was rejected.
+    /// A configuration change was rejected, or is too old for that.
     pub fn change_rejected(error: &ChangeError) -> HttpResponse {
         let status = match error {
             ChangeError::VersionMismatch { .. } => 412,
+            ChangeError::Forgotten { .. } => 503,
             ChangeError::InvalidDocument(_)
             | ChangeError::NothingToPatch
             | ChangeError::StaleGeneration { .. } => 400,
--- a/crates/pebblepost-control/src/state.rs
+++ b/crates/pebblepost-control/src/state.rs
@@ -15,7 +15,7 @@
 mod state_machine;
 mod storage;
 
-pub use change_history::{AcceptedChange, ChangeHistory};
+pub use change_history::{AcceptedChange, BYTES_PER_CHANGE, ChangeHistory, ChangeRecord, MAX_CHANGES};
 pub use configuration::LastPatch;
 pub use control_state::ControlState;
 pub use storage::{GroupAssignment, RetirementState};
--- a/crates/pebblepost-control/src/state/command.rs
+++ b/crates/pebblepost-control/src/state/command.rs
@@ -162,6 +162,12 @@
         /// The current version, 0 for none.
         current: u64,
     },
+    /// The change is based on a version so old that it is not known any more whether it was accepted (503).
+    #[error("not known any more whether the change on version {base} was accepted")]
+    Forgotten {
+        /// The version that it is based on.
+        base: u64,
+    },
     /// The document or the patch can't be parsed or breaks a rule of the format.
     #[error(transparent)]
     InvalidDocument(#[from] ConfigurationError),
--- a/crates/pebblepost-control/src/state/configuration.rs
+++ b/crates/pebblepost-control/src/state/configuration.rs
@@ -1,6 +1,6 @@
 //! The replicated configuration: the current version and how it was produced.
 
-use super::change_history::ChangeHistory;
+use super::change_history::{ChangeHistory, ChangeRecord};
 use super::command::{ChangeError, ChangeMethod, ConfigurationChange, Outcome};
 use pebblepost_configuration::Configuration;
 use std::sync::Arc;
@@ -51,7 +51,7 @@
     pub(super) fn validate(&self, change: &ConfigurationChange) -> Result<Configuration, ChangeError> {
         let current = self.generation();
         if change.base != current {
-            return Err(ChangeError::VersionMismatch { current });
+            return Err(self.base_error(change));
         }
         let configuration = match (change.method, &self.current) {
             (ChangeMethod::Replace, _) => Configuration::parse(&change.body)?,
@@ -65,9 +65,19 @@
         Ok(configuration)
     }
 
+    /// Why a change that is not based on the current version can't be accepted.
+    fn base_error(&self, change: &ConfigurationChange) -> ChangeError {
+        match self.history.lookup(change) {
+            ChangeRecord::Forgotten => ChangeError::Forgotten { base: change.base },
+            ChangeRecord::Accepted { .. } | ChangeRecord::NotAccepted => {
+                ChangeError::VersionMismatch { current: self.generation() }
+            }
+        }
+    }
+
     /// Applies a change. A change that was accepted before has the same outcome again.
     pub(super) fn apply(&mut self, change: ConfigurationChange) -> Outcome {
-        if let Some(generation) = self.history.accepted_generation(&change) {
+        if let ChangeRecord::Accepted { generation } = self.history.lookup(&change) {
             return Outcome::ConfigurationAccepted { generation };
         }
         let configuration = match self.validate(&change) {
--- a/crates/pebblepost-control/src/state/control_state.rs
+++ b/crates/pebblepost-control/src/state/control_state.rs
@@ -1,5 +1,6 @@
 //! The parts of the control state, what may be read of them, and how commands change them.
 
+use super::change_history::ChangeRecord;
 use super::command::{ChangeError, Command, ConfigurationChange, Outcome};
 use super::configuration::{ConfigurationState, LastPatch};
 use super::shutdowns::Shutdowns;
@@ -9,7 +10,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-/// Outcomes kept for the requests that proposed the commands.
+/// Outcomes kept for the requests that proposed the commands. They are read when the entry is committed; one that is gone
+/// by then is answered as unknown (503).
 const MAX_OUTCOMES: usize = 1024;
 
 /// An entry that was applied here.
@@ -51,13 +53,17 @@
 
     /// The version that exactly this change produced, if it was accepted before.
     pub fn accepted_generation(&self, change: &ConfigurationChange) -> Option<u64> {
-        self.configuration.history().accepted_generation(change)
+        match self.configuration.history().lookup(change) {
+            ChangeRecord::Accepted { generation } => Some(generation),
+            ChangeRecord::NotAccepted | ChangeRecord::Forgotten => None,
+        }
     }
 
     /// The configuration that `change` would produce.
     ///
     /// # Errors
-    /// If the change is not based on the current version, or is invalid.
+    /// If the change is not based on the current version, or is invalid, or may have been accepted so long ago that this
+    /// is not known any more.
     pub fn validate(&self, change: &ConfigurationChange) -> Result<Configuration, ChangeError> {
         self.configuration.validate(change)
     }
--- a/crates/pebblepost-control/tests/control/main.rs
+++ b/crates/pebblepost-control/tests/control/main.rs
@@ -2,6 +2,7 @@
 //! connections.
 
 mod api;
+mod change_history;
 mod concurrent_changes;
 mod deferred_requests;
 mod failover;
--- a/crates/pebblepost-control/tests/control/support/cluster.rs
+++ b/crates/pebblepost-control/tests/control/support/cluster.rs
@@ -204,6 +204,14 @@
         node.settings.may_bootstrap = false;
     }
 
+    /// Replaces the log on each disk by a checkpoint, so that the next start recovers from a snapshot.
+    pub fn checkpoint_disks(&mut self) {
+        for node in &mut self.nodes {
+            let Some(records) = node.process.as_ref().and_then(ControlNode::checkpoint) else { continue };
+            node.disk.records = records.iter().map(ControlRecord::encode).collect();
+        }
+    }
+
     /// Partitions a machine from all others, or ends the partition.
     pub fn set_partitioned(&mut self, index: usize, partitioned: bool) {
         if partitioned {
