Link: paced writing, messages encoded once, and messages sent in place of a queue

Change: links accepted by a listener may share a token bucket (GCRA); a frame may be shared by many links without a copy; send_instead drops what waits, for redirects. Links without a pacer write as before, several frames in one writev.

--- a/crates/pebblepost-link/src/frame.rs
+++ b/crates/pebblepost-link/src/frame.rs
@@ -8,7 +8,7 @@
 pub(crate) const PREAMBLE: [u8; 8] = *b"pbplink1";
 
 /// Size of the length in front of each frame.
-const LENGTH_BYTES: usize = 4;
+pub(crate) const LENGTH_BYTES: usize = 4;
 /// Smallest spare capacity offered to a read.
 const MIN_READ_BYTES: usize = 4 * 1024;
 /// Largest spare capacity reserved ahead of the data, however long a frame announces to be.
--- a/crates/pebblepost-link/src/lib.rs
+++ b/crates/pebblepost-link/src/lib.rs
@@ -9,16 +9,21 @@
 
 pub mod control_client;
 mod decode;
+mod encoded;
 mod error;
 mod frame;
+mod pacer;
 mod receiver;
+mod send_queue;
 mod sender;
 mod socket;
 mod state;
 mod writer;
 
 pub use decode::{decode, is_decoding};
+pub use encoded::EncodedMessage;
 pub use error::{CloseReason, FrameError, LinkError};
+pub use pacer::Pacer;
 pub use receiver::Receiver;
 pub use sender::Sender;
 pub use socket::{Listener, connect};
--- a/crates/pebblepost-link/src/sender.rs
+++ b/crates/pebblepost-link/src/sender.rs
@@ -1,5 +1,6 @@
 //! The sending half of a link.
 
+use crate::encoded::EncodedMessage;
 use crate::error::CloseReason;
 use crate::state::{LinkState, Phase};
 use nanoserde::SerBin;
@@ -23,6 +24,19 @@
         self.state.enqueue(message)
     }
 
+    /// Queues a message that is encoded already and may be shared with other links. Returns false as [`Sender::send`]
+    /// does.
+    pub fn send_encoded(&self, message: &EncodedMessage) -> bool {
+        self.state.enqueue_encoded(message)
+    }
+
+    /// Queues a message in the place of everything that waits to be written. A frame of which some bytes are written is
+    /// still completed first. Returns false as [`Sender::send`] does.
+    pub fn send_instead<M: SerBin>(&self, message: &M) -> bool {
+        self.state.discard_unsent();
+        self.state.enqueue(message)
+    }
+
     /// Closes both halves of the link. The queue is still written, within [`crate::LinkLimits::connect_timeout`].
     pub fn close(&self) {
         self.state.close(CloseReason::ClosedLocally);
--- a/crates/pebblepost-link/src/socket.rs
+++ b/crates/pebblepost-link/src/socket.rs
@@ -1,6 +1,7 @@
 //! Opening and accepting links.
 
 use crate::error::LinkError;
+use crate::pacer::Pacer;
 use crate::receiver::Receiver;
 use crate::sender::Sender;
 use crate::state::LinkState;
@@ -28,7 +29,7 @@
         .map_err(|source| LinkError::ConnectTimeout { address, source })?
         .map_err(|source| LinkError::Connect { address, source })?;
     set_options(&stream, limits).map_err(|source| LinkError::SocketOptions { address, source })?;
-    Ok(start(stream, address, limits))
+    Ok(start(stream, address, limits, None))
 }
 
 /// Accepts links.
@@ -36,6 +37,7 @@
 pub struct Listener {
     listener: TcpListener,
     limits: LinkLimits,
+    pacer: Option<Rc<Pacer>>,
 }
 
 impl Listener {
@@ -46,7 +48,13 @@
     /// The address is in use or cannot be bound. The caller may retry.
     pub fn bind(address: SocketAddr, limits: LinkLimits) -> Result<Listener, LinkError> {
         let listener = listen(address).map_err(|source| LinkError::Listen { address, source })?;
-        Ok(Listener { listener, limits })
+        Ok(Listener { listener, limits, pacer: None })
+    }
+
+    /// Limits the rate at which all links accepted from now on write together.
+    #[must_use]
+    pub fn with_pacer(self, pacer: Pacer) -> Listener {
+        Listener { pacer: Some(Rc::new(pacer)), ..self }
     }
 
     /// Local address.
@@ -74,7 +82,7 @@
                 }
             };
             match set_options(&stream, self.limits) {
-                Ok(()) => return Ok(start(stream, peer, self.limits)),
+                Ok(()) => return Ok(start(stream, peer, self.limits, self.pacer.clone())),
                 Err(error) => log::debug!("link closed before its setup peer={peer}: {error}"),
             }
         }
@@ -94,8 +102,10 @@
     SockRef::from(stream).set_tcp_user_timeout(Some(limits.read_timeout))
 }
 
-fn start(stream: TcpStream, peer: SocketAddr, limits: LinkLimits) -> (Sender, Receiver) {
-    let state = Rc::new(LinkState::new(peer, limits));
+fn start(
+    stream: TcpStream, peer: SocketAddr, limits: LinkLimits, pacer: Option<Rc<Pacer>>,
+) -> (Sender, Receiver) {
+    let state = Rc::new(LinkState::new(peer, limits, pacer));
     let (read_half, write_half) = stream.into_split();
     tokio::task::spawn_local(writer::run(Rc::clone(&state), write_half));
     (Sender::new(Rc::clone(&state)), Receiver::new(state, read_half))
--- a/crates/pebblepost-link/src/state.rs
+++ b/crates/pebblepost-link/src/state.rs
@@ -1,10 +1,14 @@
 //! State that the halves of a link and its writing task share.
 
+use crate::encoded::EncodedMessage;
 use crate::error::{CloseReason, LinkError};
+use crate::pacer::Pacer;
+use crate::send_queue::{Batch, SendQueue};
 use crate::{LinkLimits, frame};
 use nanoserde::SerBin;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::sync::Notify;
 
 /// Phase of a link; it only goes forward.
@@ -25,6 +29,8 @@
     pub(crate) peer: SocketAddr,
     /// Limits of the link.
     pub(crate) limits: LinkLimits,
+    /// Limits the rate of writing, together with other links.
+    pub(crate) pacer: Option<Rc<Pacer>>,
     /// Wakes the writing task: something is queued, or the link is to be flushed.
     pub(crate) writer_wake: Notify,
     /// The link is flushing: the writing task has a bounded time left.
@@ -35,24 +41,28 @@
     pub(crate) receiver_wake: Notify,
     phase: Cell<Phase>,
     close_reason: RefCell<Option<CloseReason>>,
-    queue: RefCell<Vec<u8>>,
+    queue: RefCell<SendQueue>,
+    /// The preamble, which has to be written before anything else, was taken from the queue.
+    is_preamble_taken: Cell<bool>,
     /// Bytes taken from the queue and not yet written.
     bytes_in_write: Cell<usize>,
 }
 
 impl LinkState {
     /// An open link. The preamble is queued and goes out with the first message.
-    pub(crate) fn new(peer: SocketAddr, limits: LinkLimits) -> LinkState {
+    pub(crate) fn new(peer: SocketAddr, limits: LinkLimits, pacer: Option<Rc<Pacer>>) -> LinkState {
         LinkState {
             peer,
             limits,
+            pacer,
             writer_wake: Notify::new(),
             writer_closing: Notify::new(),
             writer_abort: Notify::new(),
             receiver_wake: Notify::new(),
             phase: Cell::new(Phase::Open),
             close_reason: RefCell::new(None),
-            queue: RefCell::new(frame::PREAMBLE.to_vec()),
+            queue: RefCell::new(SendQueue::starting_with(frame::PREAMBLE.to_vec())),
+            is_preamble_taken: Cell::new(false),
             bytes_in_write: Cell::new(0),
         }
     }
@@ -70,7 +80,7 @@
 
     /// Bytes queued or being written.
     pub(crate) fn queued_bytes(&self) -> usize {
-        self.queue.borrow().len() + self.bytes_in_write.get()
+        self.queue.borrow().bytes() + self.bytes_in_write.get()
     }
 
     /// Queues a message. Returns false if the link is closed, and closes it if the message does not fit.
@@ -79,33 +89,56 @@
             return false;
         }
         let max_frame_bytes = self.limits.max_frame_bytes;
-        if !frame::append(message, &mut self.queue.borrow_mut(), max_frame_bytes) {
+        if !self.queue.borrow_mut().push(message, max_frame_bytes) {
             self.abort(CloseReason::MessageTooLarge { max_frame_bytes });
             return false;
         }
-        let queued_bytes = self.queued_bytes();
-        if queued_bytes > self.limits.max_queued_bytes {
-            self.abort(CloseReason::QueueFull { queued_bytes });
+        self.queue_grew()
+    }
+
+    /// Queues a message that is encoded already. Returns false as [`LinkState::enqueue`] does.
+    pub(crate) fn enqueue_encoded(&self, message: &EncodedMessage) -> bool {
+        if self.phase() != Phase::Open {
             return false;
         }
-        self.writer_wake.notify_one();
-        true
+        let max_frame_bytes = self.limits.max_frame_bytes;
+        if message.message_bytes() > max_frame_bytes {
+            self.abort(CloseReason::MessageTooLarge { max_frame_bytes });
+            return false;
+        }
+        self.queue.borrow_mut().push_shared(Rc::clone(message.frame()));
+        self.queue_grew()
     }
 
-    /// Takes the whole queue for writing.
-    pub(crate) fn take_queue(&self) -> Vec<u8> {
-        let taken = std::mem::take(&mut *self.queue.borrow_mut());
-        self.bytes_in_write.set(taken.len());
-        taken
+    /// Drops the frames of which nothing is written yet.
+    pub(crate) fn discard_unsent(&self) {
+        if self.is_preamble_taken.get() {
+            self.queue.borrow_mut().clear();
+        }
+    }
+
+    /// Takes the next frames for writing.
+    pub(crate) fn take_batch(&self) -> Batch {
+        self.is_preamble_taken.set(true);
+        let batch = self.queue.borrow_mut().take_batch();
+        self.bytes_in_write.set(batch.remaining());
+        batch
     }
 
-    /// Returns a written buffer for reuse as the next queue.
-    pub(crate) fn recycle(&self, mut buffer: Vec<u8>) {
-        let mut queue = self.queue.borrow_mut();
-        if queue.capacity() == 0 {
-            buffer.clear();
-            *queue = buffer;
+    /// Returns a written batch, whose buffers are reused.
+    pub(crate) fn recycle(&self, batch: Batch) {
+        self.queue.borrow_mut().recycle(batch);
+    }
+
+    /// Wakes the writing task. Returns false, and closes the link, if the queue is full.
+    fn queue_grew(&self) -> bool {
+        let queued_bytes = self.queued_bytes();
+        if queued_bytes > self.limits.max_queued_bytes {
+            self.abort(CloseReason::QueueFull { queued_bytes });
+            return false;
         }
+        self.writer_wake.notify_one();
+        true
     }
 
     /// Sets how much of a taken queue is still to be written.
--- a/crates/pebblepost-link/src/writer.rs
+++ b/crates/pebblepost-link/src/writer.rs
@@ -1,6 +1,8 @@
-//! The writing task of a link: the whole queue goes out in one write.
+//! The writing task of a link: as much of the queue as the pacer grants goes out in one write.
 
 use crate::error::CloseReason;
+use crate::pacer::{CHUNK_BYTES, UNPACED_BYTES};
+use crate::send_queue::Batch;
 use crate::state::{LinkState, Phase};
 use std::io;
 use std::pin::pin;
@@ -10,9 +12,6 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::timeout;
 
-/// A written buffer with more capacity is released, not reused.
-const MAX_RETAINED_BYTES: usize = 64 * 1024;
-
 /// Writes until the link is closed, then flushes the queue within a bounded time. Dropping the half closes the
 /// outgoing direction of the connection.
 pub(crate) async fn run(state: Rc<LinkState>, mut half: OwnedWriteHalf) {
@@ -44,18 +43,41 @@
 }
 
 async fn write_queue(state: &LinkState, half: &mut OwnedWriteHalf) -> io::Result<()> {
-    let buffer = state.take_queue();
-    let mut remaining = buffer.as_slice();
-    while !remaining.is_empty() {
-        let written = half.write(remaining).await?;
-        if written == 0 {
-            return Err(io::ErrorKind::WriteZero.into());
+    loop {
+        let mut batch = state.take_batch();
+        if batch.remaining() == 0 {
+            return Ok(());
         }
-        remaining = &remaining[written..];
-        state.set_bytes_in_write(remaining.len());
+        write_batch(state, half, &mut batch).await?;
+        state.recycle(batch);
     }
-    if buffer.capacity() <= MAX_RETAINED_BYTES {
-        state.recycle(buffer);
+}
+
+async fn write_batch(state: &LinkState, half: &mut OwnedWriteHalf, batch: &mut Batch) -> io::Result<()> {
+    while batch.remaining() > 0 {
+        let granted = wait_for_pacer(state, batch.remaining()).await;
+        let mut left = granted;
+        while left > 0 {
+            let written = half.write_vectored(&batch.slices(left)).await?;
+            if written == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            left -= written;
+            batch.advance(written);
+            state.set_bytes_in_write(batch.remaining());
+        }
     }
     Ok(())
 }
+
+/// Waits until the pacer, if there is one, grants some of the `remaining` bytes; how many it grants.
+async fn wait_for_pacer(state: &LinkState, remaining: usize) -> usize {
+    let Some(pacer) = &state.pacer else { return remaining };
+    if state.queued_bytes() <= UNPACED_BYTES {
+        pacer.count(remaining);
+        return remaining;
+    }
+    let chunk = remaining.min(CHUNK_BYTES);
+    pacer.wait(chunk).await;
+    chunk
+}
