Feed: made, encoded and compressed once for all subscribers, on paced links

Besides, each new subscriber caused a flush to all earlier ones (300 that come at once: 45,000 messages), and each link had its own copy of everything. Change: batches are one allocation for all who are sent the same; the runtime encodes and compresses them once (FromControl::SharedUpdates, assembled by the receiver's link); the feed takes 60 % of the machine's link; subscribing causes no flush; updates are coalesced for 0.25 ms a subscriber where that is over 20 ms; a redirect goes out before what waits. Mixed versions: agents, stores and standbys of before can't read shared updates; upgrade them before the control processes.

--- a/crates/pebblepost-control/src/feed.rs
+++ b/crates/pebblepost-control/src/feed.rs
@@ -9,5 +9,5 @@
 mod subscriptions;
 
 pub use pending::Urgency;
-pub use publisher::{FeedAction, FeedPublisher, PublishedConfiguration, PublishedPatch};
+pub use publisher::{FeedAction, FeedPublisher, PublishedConfiguration, PublishedPatch, SharedUpdates};
 pub use subscriptions::{ConnectionId, SubscriberStatus};
--- a/crates/pebblepost-control/src/feed/pending.rs
+++ b/crates/pebblepost-control/src/feed/pending.rs
@@ -4,8 +4,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Time over which updates that are not urgent are coalesced into one flush.
-const COALESCE_DELAY: Duration = Duration::from_millis(20);
+/// Shortest time over which updates that are not urgent are coalesced into one flush.
+const MIN_COALESCE_DELAY: Duration = Duration::from_millis(20);
+/// Time for each subscriber: a flush costs a message to each, and its acknowledgement, so that this bounds the share of
+/// the processor that flushes take.
+const COALESCE_DELAY_PER_SUBSCRIBER: Duration = Duration::from_micros(250);
 
 /// When an update is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,11 +38,11 @@
         self.due
     }
 
-    /// Makes sure that a flush takes place in time for an update of this urgency.
-    pub(super) fn schedule(&mut self, now: Duration, urgency: Urgency) {
+    /// Makes sure that a flush to this many subscribers takes place in time for an update of this urgency.
+    pub(super) fn schedule(&mut self, now: Duration, urgency: Urgency, subscribers: usize) {
         let at = match urgency {
             Urgency::Immediate => now,
-            Urgency::Coalesced => now + COALESCE_DELAY,
+            Urgency::Coalesced => now + coalesce_delay(subscribers),
         };
         self.due = Some(self.due.map_or(at, |due| due.min(at)));
     }
@@ -78,3 +81,8 @@
         updates
     }
 }
+
+fn coalesce_delay(subscribers: usize) -> Duration {
+    let subscribers = u32::try_from(subscribers).unwrap_or(u32::MAX);
+    COALESCE_DELAY_PER_SUBSCRIBER.saturating_mul(subscribers).max(MIN_COALESCE_DELAY)
+}
--- a/crates/pebblepost-control/src/feed/publisher.rs
+++ b/crates/pebblepost-control/src/feed/publisher.rs
@@ -6,11 +6,13 @@
 use super::pending::{PendingUpdates, Urgency};
 use super::subscriptions::{ConnectionId, SubscriberStatus, Subscription, Subscriptions};
 use pebblepost_feed::{FeedState, compression};
-use pebblepost_messages::control::{FromControl, SubscriberRole};
+use pebblepost_messages::control::SubscriberRole;
 use pebblepost_messages::feed::{
-    ConfigurationUpdate, FeedBatch, FeedReply, FeedUpdate, Instance, ModelVersion, StoreGroup,
+    ConfigurationUpdate, FeedReply, FeedUpdate, Instance, ModelVersion, StoreGroup,
 };
 use std::cell::OnceCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Time in which agents that have not reconnected to a new primary still count as proxies.
@@ -38,15 +40,36 @@
     pub patch: Option<PublishedPatch>,
 }
 
+/// Updates of a batch, in one allocation for all subscribers that are sent the same.
+pub type SharedUpdates = Rc<[FeedUpdate]>;
+
+/// How a batch carries the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum ConfigurationForm {
+    /// Not at all: the subscriber has it.
+    Absent,
+    /// As a patch of the version that the subscriber has.
+    Patch,
+    /// As the complete document.
+    Complete,
+}
+
 /// An action that the caller has to carry out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum FeedAction {
-    /// Send a message to a subscriber.
+    /// Send a batch to a subscriber.
     Send {
         /// Its connection.
         connection: ConnectionId,
-        /// The message.
-        message: FromControl,
+        /// Sequence number of the batch on the connection.
+        sequence: u64,
+        /// Its updates.
+        updates: SharedUpdates,
+    },
+    /// Send a keep-alive to a subscriber.
+    KeepAlive {
+        /// Its connection.
+        connection: ConnectionId,
     },
     /// Disconnect a subscriber that has timed out.
     Disconnect {
@@ -64,6 +87,8 @@
     /// The complete configuration as it is sent to subscribers whose version the patch does not fit; compressed when
     /// it is first needed.
     compressed: OnceCell<ConfigurationUpdate>,
+    /// Snapshots of what is published now, for new subscribers.
+    snapshots: BTreeMap<ConfigurationForm, SharedUpdates>,
     subscriptions: Subscriptions,
     pending: PendingUpdates,
     /// Number of the newest flush.
@@ -84,6 +109,7 @@
             state,
             configuration: PublishedConfiguration::default(),
             compressed: OnceCell::new(),
+            snapshots: BTreeMap::new(),
             subscriptions: Subscriptions::default(),
             pending: PendingUpdates::default(),
             newest_flush: 1,
@@ -101,12 +127,13 @@
         (self.state, self.subscriptions.into_connections())
     }
 
-    /// Adds a subscriber that has the configuration `generation`, and sends it a snapshot.
+    /// Adds a subscriber that has the configuration `generation`, and sends it a snapshot. Updates that wait for the
+    /// next flush are in the snapshot, and are sent to it again with the flush: when all subscribers come at once, none
+    /// of them causes a flush to the others.
     pub fn subscribe(
         &mut self, now: Duration, connection: ConnectionId, node: String, role: SubscriberRole,
         generation: u64,
     ) {
-        self.flush(now);
         let subscription = Subscription::new(now, node, role, self.newest_flush, generation);
         self.subscriptions.insert(connection, subscription);
         let updates = self.snapshot_for(generation);
@@ -143,7 +170,7 @@
         self.configuration = configuration();
         self.compressed = OnceCell::new();
         self.pending.configuration = true;
-        self.pending.schedule(now, Urgency::Immediate);
+        self.published(now, Urgency::Immediate);
     }
 
     /// Publishes transcribers.
@@ -153,14 +180,14 @@
         }
         self.state.apply(&FeedUpdate::Instances { complete: false, instances: instances.to_vec() });
         self.pending.add_instances(instances);
-        self.pending.schedule(now, urgency);
+        self.published(now, urgency);
     }
 
     /// Declares the published transcribers complete: one that is not among them has terminated.
     pub fn complete_instances(&mut self, now: Duration) {
         self.state.set_instances_complete();
         self.pending.all_instances = true;
-        self.pending.schedule(now, Urgency::Coalesced);
+        self.published(now, Urgency::Coalesced);
     }
 
     /// Publishes groups of batch jobs, at once: jobs wait for them.
@@ -170,7 +197,7 @@
         }
         self.state.apply(&FeedUpdate::StoreGroups(groups.clone()));
         self.pending.add_groups(groups);
-        self.pending.schedule(now, Urgency::Immediate);
+        self.published(now, Urgency::Immediate);
     }
 
     /// Publishes named versions, at once.
@@ -180,7 +207,7 @@
         }
         self.state.apply(&FeedUpdate::NamedVersions(versions.clone()));
         self.pending.add_named_versions(versions);
-        self.pending.schedule(now, Urgency::Immediate);
+        self.published(now, Urgency::Immediate);
     }
 
     /// Number of the newest flush.
@@ -201,15 +228,16 @@
         self.newest_flush += 1;
         let pending = std::mem::take(&mut self.pending);
         let common = self.common_updates(&pending);
+        let mut batches: BTreeMap<ConfigurationForm, SharedUpdates> = BTreeMap::new();
         let connections: Vec<ConnectionId> = self.subscriptions.connections().collect();
         for connection in connections {
             let Some(subscription) = self.subscriptions.get(connection) else { continue };
             let sequence = subscription.sequence_of(self.newest_flush);
-            let mut updates = Vec::with_capacity(common.len() + 1);
-            if pending.configuration {
-                updates.extend(self.configuration_for(subscription.sent_generation()));
-            }
-            updates.extend(common.iter().cloned());
+            let form = self.configuration_form(subscription.sent_generation());
+            let batch = batches.entry(form).or_insert_with(|| {
+                self.configuration_in(form).into_iter().chain(common.iter().cloned()).collect()
+            });
+            let updates = Rc::clone(batch);
             self.send(now, connection, sequence, updates);
         }
     }
@@ -234,7 +262,7 @@
         }
         for connection in self.subscriptions.idle(now) {
             self.subscriptions.keep_alive_sent(now, connection);
-            self.actions.push(FeedAction::Send { connection, message: FromControl::KeepAlive });
+            self.actions.push(FeedAction::KeepAlive { connection });
         }
     }
 
@@ -258,9 +286,19 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Something was published: earlier snapshots are outdated, and a flush is due.
+    fn published(&mut self, now: Duration, urgency: Urgency) {
+        self.snapshots.clear();
+        self.schedule(now, urgency);
+    }
+
+    fn schedule(&mut self, now: Duration, urgency: Urgency) {
+        self.pending.schedule(now, urgency, self.subscriptions.len());
+    }
+
     fn proxy_count_changed(&mut self, now: Duration) {
         self.pending.proxy_count = true;
-        self.pending.schedule(now, Urgency::Coalesced);
+        self.schedule(now, Urgency::Coalesced);
     }
 
     /// Number of proxies, by which they divide quotas among themselves; at least 1.
@@ -280,43 +318,54 @@
         if pending.proxy_count {
             let count = FeedUpdate::ProxyCount(self.proxy_count());
             self.state.apply(&count);
+            self.snapshots.clear();
             updates.push(count);
         }
         updates
     }
 
-    /// The configuration for a subscriber that has version `known`: the patch if it fits, else the complete document.
-    fn configuration_for(&self, known: u64) -> Option<FeedUpdate> {
+    /// How the configuration is sent to a subscriber that has version `known`: as a patch if that fits.
+    fn configuration_form(&self, known: u64) -> ConfigurationForm {
         if known >= self.configuration.generation {
-            return None;
+            return ConfigurationForm::Absent;
         }
-        let PublishedConfiguration { generation, document, .. } = &self.configuration;
+        match &self.configuration.patch {
+            Some(patch) if patch.base == known => ConfigurationForm::Patch,
+            _ => ConfigurationForm::Complete,
+        }
+    }
+
+    /// The configuration in this form.
+    fn configuration_in(&self, form: ConfigurationForm) -> Option<FeedUpdate> {
+        let PublishedConfiguration { generation, document, patch } = &self.configuration;
         let generation = *generation;
-        let update = match &self.configuration.patch {
-            Some(PublishedPatch { base, patch }) if *base == known => {
+        let update = match (form, patch) {
+            (ConfigurationForm::Absent, _) => return None,
+            (ConfigurationForm::Patch, Some(PublishedPatch { base, patch })) => {
                 ConfigurationUpdate::Patch { base_generation: *base, generation, patch: patch.clone() }
             }
-            _ => self.compressed.get_or_init(|| compression::compress(generation, document)).clone(),
+            (ConfigurationForm::Patch, None) | (ConfigurationForm::Complete, _) => {
+                self.compressed.get_or_init(|| compression::compress(generation, document)).clone()
+            }
         };
         Some(FeedUpdate::Configuration(update))
     }
 
     /// All that a new subscriber with the configuration `generation` needs.
-    fn snapshot_for(&self, generation: u64) -> Vec<FeedUpdate> {
-        let mut updates: Vec<FeedUpdate> = self.configuration_for(generation).into_iter().collect();
-        for update in self.state.snapshot() {
-            match update {
-                FeedUpdate::Configuration(_) | FeedUpdate::ProxyCount(_) => {}
-                other => updates.push(other),
-            }
+    fn snapshot_for(&mut self, generation: u64) -> SharedUpdates {
+        let form = self.configuration_form(generation);
+        if let Some(snapshot) = self.snapshots.get(&form) {
+            return Rc::clone(snapshot);
         }
-        updates.push(FeedUpdate::ProxyCount(self.proxy_count()));
-        updates
+        let is_of_state = |update: &FeedUpdate| !matches!(update, FeedUpdate::Configuration(_));
+        let state = self.state.snapshot().into_iter().filter(is_of_state);
+        let snapshot: SharedUpdates = self.configuration_in(form).into_iter().chain(state).collect();
+        self.snapshots.insert(form, Rc::clone(&snapshot));
+        snapshot
     }
 
-    fn send(&mut self, now: Duration, connection: ConnectionId, sequence: u64, updates: Vec<FeedUpdate>) {
+    fn send(&mut self, now: Duration, connection: ConnectionId, sequence: u64, updates: SharedUpdates) {
         self.subscriptions.batch_sent(now, connection, self.configuration.generation);
-        let message = FromControl::Feed(FeedBatch { sequence, updates });
-        self.actions.push(FeedAction::Send { connection, message });
+        self.actions.push(FeedAction::Send { connection, sequence, updates });
     }
 }
--- a/crates/pebblepost-control/src/feed/subscriptions.rs
+++ b/crates/pebblepost-control/src/feed/subscriptions.rs
@@ -87,6 +87,10 @@
         self.by_connection.get(&connection)
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.by_connection.len()
+    }
+
     pub(super) fn connections(&self) -> impl Iterator<Item = ConnectionId> {
         self.by_connection.keys().copied()
     }
--- a/crates/pebblepost-control/src/node/events.rs
+++ b/crates/pebblepost-control/src/node/events.rs
@@ -1,7 +1,7 @@
 //! Inputs and outputs of a control process.
 
 use crate::api::{HttpRequest, HttpResponse};
-use crate::feed::ConnectionId;
+use crate::feed::{ConnectionId, SharedUpdates};
 use crate::state::disk_record::ControlRecord;
 use pebblepost_messages::control::{FromControl, ToControl};
 use pebblepost_rollout::{LoadOrder, OrderOutcome, TranscriberReport};
@@ -95,6 +95,15 @@
         /// The message.
         message: FromControl,
     },
+    /// Send a batch of the feed on an inbound link.
+    SendFeed {
+        /// The link.
+        connection: ConnectionId,
+        /// Sequence number of the batch on the link.
+        sequence: u64,
+        /// Its updates, in one allocation for all links that are sent the same.
+        updates: SharedUpdates,
+    },
     /// Close an inbound link once everything sent on it is written.
     Disconnect {
         /// The link.
--- a/crates/pebblepost-control/src/node/inbound_links.rs
+++ b/crates/pebblepost-control/src/node/inbound_links.rs
@@ -80,10 +80,15 @@
     pub(super) fn send(
         &mut self, now: Duration, connection: ConnectionId, message: FromControl, outputs: &mut Vec<Output>,
     ) {
+        self.note_sent(now, connection);
+        outputs.push(Output::Send { connection, message });
+    }
+
+    /// Something is sent on a link: it needs no keep-alive for some time.
+    pub(super) fn note_sent(&mut self, now: Duration, connection: ConnectionId) {
         if let Some(link) = self.links.get_mut(&connection) {
             link.last_sent = now;
         }
-        outputs.push(Output::Send { connection, message });
     }
 
     /// Sends keep-alives on idle links of control processes.
--- a/crates/pebblepost-control/src/node/leadership.rs
+++ b/crates/pebblepost-control/src/node/leadership.rs
@@ -1,11 +1,13 @@
 //! Becoming primary, acting as primary, stepping down.
 
 use super::control_node::ControlNode;
+use super::events::Output;
 use super::primary::Primary;
 use crate::feed::{ConnectionId, FeedAction};
 use crate::membership::witnesses::{self, FailureEvidence};
 use crate::registry::RegistryChange;
 use crate::storage::GroupPlanner;
+use pebblepost_messages::control::FromControl;
 use std::time::Duration;
 
 /// Time that a new primary gives witnesses to send something before a time-out counts as failure.
@@ -89,7 +91,11 @@
         primary.feed.flush_due(now);
         for action in primary.feed.take_actions() {
             match action {
-                FeedAction::Send { connection, message } => self.send(now, connection, message),
+                FeedAction::Send { connection, sequence, updates } => {
+                    self.inbound.note_sent(now, connection);
+                    self.outputs.push(Output::SendFeed { connection, sequence, updates });
+                }
+                FeedAction::KeepAlive { connection } => self.send(now, connection, FromControl::KeepAlive),
                 FeedAction::Disconnect { connection } => self.redirect(now, connection),
             }
         }
--- a/crates/pebblepost-control/src/node/peering.rs
+++ b/crates/pebblepost-control/src/node/peering.rs
@@ -27,7 +27,11 @@
                 self.peers.add_seeds(&members);
                 self.peer_links.subscription_rejected(now, address);
             }
-            FromControl::GroupChanged { .. } | FromControl::KeepAlive | FromControl::Status(_) => {}
+            // Shared updates arrive as part of their batch: the runtime assembles them.
+            FromControl::GroupChanged { .. }
+            | FromControl::KeepAlive
+            | FromControl::Status(_)
+            | FromControl::SharedUpdates(_) => {}
         }
     }
 
--- a/crates/pebblepost-control/src/runtime.rs
+++ b/crates/pebblepost-control/src/runtime.rs
@@ -6,6 +6,7 @@
 
 mod disk;
 mod driver;
+mod encoded_updates;
 mod error;
 mod event;
 pub mod http;
--- a/crates/pebblepost-control/src/runtime/driver.rs
+++ b/crates/pebblepost-control/src/runtime/driver.rs
@@ -1,14 +1,17 @@
 //! Passes inputs to the control node and carries out its outputs: responses, links, the disk, calls to transcribers.
 
+use super::encoded_updates::EncodedUpdates;
 use super::event::{Event, EventSender};
 use super::http::IncomingRequest;
 use super::link_tasks::keep_peer_link;
 use super::transcriber_tasks::{fetch_load_report, send_order};
 use crate::api::HttpResponse;
-use crate::feed::ConnectionId;
+use crate::feed::{ConnectionId, SharedUpdates};
 use crate::node::{ControlNode, Input, Output, RequestId};
 use crate::state::disk_record::ControlRecord;
 use pebblepost_link::Sender;
+use pebblepost_messages::control::FromControl;
+use pebblepost_messages::feed::FeedBatch;
 use pebblepost_ring::{Completion, Disk};
 use pebblepost_transcriber::{Client, ClientLimits};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -51,6 +54,7 @@
     responders: BTreeMap<RequestId, oneshot::Sender<HttpResponse>>,
     last_request: RequestId,
     inbound: HashMap<ConnectionId, Sender>,
+    encoded_updates: EncodedUpdates,
     peers: HashMap<String, Sender>,
     /// Tasks that keep links to other control processes, by address.
     dials: HashMap<String, AbortHandle>,
@@ -68,6 +72,7 @@
             responders: BTreeMap::new(),
             last_request: 0,
             inbound: HashMap::new(),
+            encoded_updates: EncodedUpdates::default(),
             peers: HashMap::new(),
             dials: HashMap::new(),
             writes: VecDeque::new(),
@@ -141,10 +146,9 @@
                         responder.send(response).ok();
                     }
                 }
-                Output::Send { connection, message } => {
-                    if let Some(sender) = self.inbound.get(&connection) {
-                        sender.send(&message);
-                    }
+                Output::Send { connection, message } => self.send(connection, &message),
+                Output::SendFeed { connection, sequence, updates } => {
+                    self.send_feed(connection, sequence, &updates);
                 }
                 Output::Disconnect { connection } => {
                     if let Some(sender) = self.inbound.remove(&connection) {
@@ -171,6 +175,27 @@
         }
     }
 
+    /// A redirect goes out before everything that waits: this process has nothing more to say on the link.
+    fn send(&self, connection: ConnectionId, message: &FromControl) {
+        let Some(sender) = self.inbound.get(&connection) else { return };
+        match message {
+            FromControl::Redirect { .. } => sender.send_instead(message),
+            _ => sender.send(message),
+        };
+    }
+
+    fn send_feed(&mut self, connection: ConnectionId, sequence: u64, updates: &SharedUpdates) {
+        let Some(sender) = self.inbound.get(&connection) else { return };
+        let own_updates = match self.encoded_updates.message(updates) {
+            Some(shared) => {
+                sender.send_encoded(&shared);
+                Vec::new()
+            }
+            None => updates.to_vec(),
+        };
+        sender.send(&FromControl::Feed(FeedBatch { sequence, updates: own_updates }));
+    }
+
     fn forget_closed_link(&mut self, input: &Input) {
         match input {
             Input::Disconnected { connection } => {
--- a/crates/pebblepost-control/src/runtime/link_tasks.rs
+++ b/crates/pebblepost-control/src/runtime/link_tasks.rs
@@ -3,6 +3,7 @@
 use super::event::{Event, EventSender};
 use crate::feed::ConnectionId;
 use crate::node::Input;
+use pebblepost_link::control_client::FeedAssembler;
 use pebblepost_link::{LinkLimits, Listener, Receiver, Sender, connect};
 use pebblepost_messages::control::{FromControl, ToControl};
 use std::net::SocketAddr;
@@ -91,10 +92,19 @@
 /// Reads until the link ends; whether any message arrived.
 async fn read_peer_link(address: &str, mut receiver: Receiver, events: &EventSender) -> bool {
     let mut has_received = false;
+    let mut assembler = FeedAssembler::default();
     loop {
         match receiver.receive::<FromControl>().await {
             Ok(message) => {
                 has_received = true;
+                let message = match assembler.receive(message) {
+                    Ok(Some(message)) => message,
+                    Ok(None) => continue,
+                    Err(error) => {
+                        log::warn!("peer link closed peer={address}: {error}");
+                        return has_received;
+                    }
+                };
                 let input = Input::PeerMessage { address: address.to_string(), message };
                 if events.send(Event::Input(input)).await.is_err() {
                     return has_received;
--- a/crates/pebblepost-control/src/runtime/server.rs
+++ b/crates/pebblepost-control/src/runtime/server.rs
@@ -7,7 +7,7 @@
 use super::timers::Timers;
 use super::{http, link_tasks};
 use crate::node::{ControlNode, Input};
-use pebblepost_link::Listener;
+use pebblepost_link::{Listener, Pacer};
 use pebblepost_ring::{Completion, Disk};
 use pebblepost_settings::Settings;
 use std::net::SocketAddr;
@@ -23,6 +23,9 @@
 /// Capacity of the queue of events of links and calls.
 const MAX_QUEUED_EVENTS: usize = 1024;
 
+/// Percentage of the machine's link that the feed may take.
+const FEED_LINK_PERCENT: u64 = 60;
+
 /// File descriptors for the disk and the process itself.
 const RESERVED_DESCRIPTORS: usize = 200;
 /// Percentage of the other descriptors for connections of HTTP requests: each transcriber keeps one to the primary. As
@@ -44,6 +47,7 @@
         .map_err(ControlError::StartRuntime)?;
     let ended = LocalSet::new().block_on(&runtime, async {
         let links = bind_links(SocketAddr::new(control_address.ip(), node_settings.link_port)).await?;
+        let links = links.with_pacer(Pacer::new(bulk_rate(settings.limits.link_bytes_per_second)));
         let http_listener = bind_http(control_address).await?;
         let start = Instant::now();
         let node = ControlNode::new(Duration::ZERO, node_settings, recovered);
@@ -60,6 +64,11 @@
     (max_descriptors.saturating_sub(RESERVED_DESCRIPTORS) * REQUEST_DESCRIPTORS_PERCENT / 100).max(1)
 }
 
+/// Bytes a second that the feed may take of the machine's link. The rest is for replication, heartbeats and HTTP.
+fn bulk_rate(link_bytes_per_second: u64) -> u64 {
+    link_bytes_per_second / 100 * FEED_LINK_PERCENT
+}
+
 struct Server {
     start: Instant,
     node: ControlNode,
--- a/crates/pebblepost-control/tests/control/change_history.rs
+++ b/crates/pebblepost-control/tests/control/change_history.rs
@@ -73,7 +73,7 @@
     let before = state(1).snapshot().len();
     let after = state(2).snapshot().len();
     assert_eq!(after - before, BYTES_PER_CHANGE, "the documents are of equal length");
-    assert!(MAX_CHANGES * BYTES_PER_CHANGE < 1024 * 1024);
+    const { assert!(MAX_CHANGES * BYTES_PER_CHANGE < 1024 * 1024, "at most a megabyte") };
 }
 
 #[rstest]
--- a/crates/pebblepost-control/tests/control/main.rs
+++ b/crates/pebblepost-control/tests/control/main.rs
@@ -8,6 +8,7 @@
 mod failover;
 mod fault_injection;
 mod feed;
+mod feed_sharing;
 mod graceful_shutdown;
 mod http;
 mod load_orders;
--- a/crates/pebblepost-control/tests/control/support/cluster.rs
+++ b/crates/pebblepost-control/tests/control/support/cluster.rs
@@ -6,6 +6,7 @@
 use pebblepost_control::node::{ControlNode, Input, NodeSettings, Output};
 use pebblepost_control::state::disk_record::{ControlRecord, RecoveredState};
 use pebblepost_messages::control::{FromControl, ToControl};
+use pebblepost_messages::feed::FeedBatch;
 use pebblepost_messages::{DiskId, Member};
 use pebblepost_replication::record::Tolerance;
 use pebblepost_rollout::{LoadOrder, OrderOutcome, TranscriberReport};
@@ -458,6 +459,10 @@
                     self.responses.insert(id, response);
                 }
                 Output::Send { connection, message } => self.send_back(index, connection, message),
+                Output::SendFeed { connection, sequence, updates } => {
+                    let batch = FeedBatch { sequence, updates: updates.to_vec() };
+                    self.send_back(index, connection, FromControl::Feed(batch));
+                }
                 Output::Disconnect { connection } => self.close(index, connection),
                 Output::SendPeer { .. } if self.send_blocked.contains(&index) => {}
                 Output::SendPeer { address, message } => {
--- a/crates/pebblepost-control/tests/control/support/documents.rs
+++ b/crates/pebblepost-control/tests/control/support/documents.rs
@@ -40,3 +40,22 @@
     )
     .into_bytes()
 }
+
+/// A configuration with many routes, whose names have nothing in common.
+pub fn large_configuration(generation: u64, routes: u64) -> Vec<u8> {
+    let route = |number: u64| {
+        let name = number.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        format!(
+            concat!(
+                "{{\"name\":\"r-{name:x}\",\"hostname\":\"{name:x}.example\",\"path_prefix\":\"/{name:x}/\",",
+                "\"kind\":\"idempotent\",\"timeout_ms\":1500,\"target_latency_ms\":150,\"priority\":2,",
+                "\"backend\":\"desk\",\"max_attempts\":2}}"
+            ),
+            name = name
+        )
+    };
+    let routes: Vec<String> = (1..=routes).map(route).collect();
+    let service = "{\"name\":\"desk\",\"health_path\":\"/healthz\",\"max_conns\":96}";
+    format!("{{\"generation\":{generation},\"routes\":[{}],\"services\":[{service}]}}", routes.join(","))
+        .into_bytes()
+}
--- a/crates/pebblepost-control/tests/control/support/trace.rs
+++ b/crates/pebblepost-control/tests/control/support/trace.rs
@@ -4,6 +4,8 @@
 use nanoserde::SerBin;
 use pebblepost_control::node::Output;
 use pebblepost_control::state::disk_record::ControlRecord;
+use pebblepost_messages::control::FromControl;
+use pebblepost_messages::feed::FeedBatch;
 use pebblepost_stable_hash::Fnv1a;
 use std::time::Duration;
 
@@ -48,6 +50,12 @@
                 self.number(*connection);
                 self.bytes(&message.serialize_bin());
             }
+            Output::SendFeed { connection, sequence, updates } => {
+                let batch = FeedBatch { sequence: *sequence, updates: updates.to_vec() };
+                self.number(2);
+                self.number(*connection);
+                self.bytes(&FromControl::Feed(batch).serialize_bin());
+            }
             Output::Disconnect { connection } => {
                 self.number(3);
                 self.number(*connection);
--- a/crates/pebblepost-feed/src/compression.rs
+++ b/crates/pebblepost-feed/src/compression.rs
@@ -1,10 +1,13 @@
-//! Compression of full configurations: with hundreds of routes for each agent of a fleet, uncompressed ones would
-//! occupy the control primary's link for most of a second after a restart of all programs.
+//! Compression of what many subscribers are sent: with hundreds of routes or transcribers for each agent of a fleet,
+//! uncompressed updates would occupy the control primary's link for most of a second.
 
-use pebblepost_messages::feed::ConfigurationUpdate;
+use nanoserde::SerBin;
+use pebblepost_messages::feed::{CompressedUpdates, ConfigurationUpdate, FeedUpdate};
 
 /// On configurations, higher levels cost several times the processor time and save a few percent.
 const COMPRESSION_LEVEL: u8 = 3;
+/// Shorter updates are not compressed.
+const MIN_COMPRESSED_BYTES: usize = 512;
 /// Limit on decompressed documents, against a damaged or hostile length.
 const MAX_DOCUMENT_BYTES: usize = 256 * 1024 * 1024;
 
@@ -39,7 +42,19 @@
     }
 }
 
-/// The document of a compressed update.
+/// Updates in the form that many subscribers share; `None` if they are so short that this is not worth it.
+pub fn compress_updates(updates: &[FeedUpdate]) -> Option<CompressedUpdates> {
+    let encoded = SerBin::serialize_bin(&updates.to_vec());
+    if encoded.len() < MIN_COMPRESSED_BYTES {
+        return None;
+    }
+    Some(CompressedUpdates {
+        uncompressed_bytes: encoded.len() as u64,
+        compressed: miniz_oxide::deflate::compress_to_vec(&encoded, COMPRESSION_LEVEL),
+    })
+}
+
+/// A decompressed document, or decompressed updates in their encoded form.
 ///
 /// # Errors
 ///
--- a/crates/pebblepost-link/src/control_client/mod.rs
+++ b/crates/pebblepost-link/src/control_client/mod.rs
@@ -3,11 +3,14 @@
 //! Used by agents and storage machines. The client follows redirects, learns the members of the control plane, sends
 //! heartbeats, and delivers everything else as events.
 
+mod assembler;
 mod backoff;
 mod endpoints;
 mod random;
 mod task;
 
+pub use assembler::{AssembleError, FeedAssembler};
+
 use crate::{LinkLimits, Sender};
 use endpoints::Endpoints;
 use pebblepost_messages::control::{FromControl, ToControl};
--- a/crates/pebblepost-link/src/control_client/task.rs
+++ b/crates/pebblepost-link/src/control_client/task.rs
@@ -1,5 +1,6 @@
 //! The task that connects to the primary and reads its messages.
 
+use super::assembler::FeedAssembler;
 use super::backoff::Backoff;
 use super::{ControlEvent, KEEP_ALIVE_INTERVAL, State};
 use crate::{LinkError, LinkLimits, Receiver, Sender, connect};
@@ -21,6 +22,7 @@
 struct Connection {
     sender: Sender,
     receiver: Receiver,
+    assembler: FeedAssembler,
     outcome: Outcome,
 }
 
@@ -68,7 +70,8 @@
         for message in (self.on_connect)() {
             sender.send(&message);
         }
-        let mut connection = Connection { sender, receiver, outcome: Outcome::default() };
+        let assembler = FeedAssembler::default();
+        let mut connection = Connection { sender, receiver, assembler, outcome: Outcome::default() };
         match self.serve(&mut connection).await {
             Ok(()) => log::debug!("control link redirected address={address}"),
             Err(error) => log::debug!("control link ended: {error:#}"),
@@ -77,7 +80,7 @@
         connection.outcome
     }
 
-    /// Reads until the link ends, or until a redirect (`Ok`).
+    /// Reads until the link ends, or until a redirect or updates that can't be read (`Ok`).
     async fn serve(&self, connection: &mut Connection) -> Result<(), LinkError> {
         let mut keep_alive = interval_at(Instant::now() + KEEP_ALIVE_INTERVAL, KEEP_ALIVE_INTERVAL);
         keep_alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -94,7 +97,14 @@
                 connection.outcome.named_primary = self.apply_redirect(primary.as_deref(), &members);
                 return Ok(());
             }
-            self.handle(connection, message).await;
+            match connection.assembler.receive(message) {
+                Ok(Some(message)) => self.handle(connection, message).await,
+                Ok(None) => {}
+                Err(error) => {
+                    log::warn!("control link closed peer={}: {error}", connection.sender.peer());
+                    return Ok(());
+                }
+            }
         }
     }
 
--- a/crates/pebblepost-link/tests/control_client.rs
+++ b/crates/pebblepost-link/tests/control_client.rs
@@ -2,10 +2,13 @@
 
 #![expect(clippy::unwrap_used, reason = "a panic fails the test")]
 
-use pebblepost_link::control_client::{CONTROL_LINK_LIMITS, ControlClient, ControlEvent, ControlSender};
+use pebblepost_feed::compression::compress_updates;
+use pebblepost_link::control_client::{
+    CONTROL_LINK_LIMITS, ControlClient, ControlEvent, ControlSender, FeedAssembler,
+};
 use pebblepost_link::{LinkLimits, Listener, Receiver, Sender};
 use pebblepost_messages::control::{FromControl, SubscriberRole, ToControl};
-use pebblepost_messages::feed::{FeedBatch, FeedReply};
+use pebblepost_messages::feed::{CompressedUpdates, FeedBatch, FeedReply, FeedUpdate, ModelVersion};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -156,3 +159,52 @@
     };
     LocalSet::new().run_until(exchange).await;
 }
+
+fn many_versions() -> Vec<FeedUpdate> {
+    let version = |number: u64| ModelVersion { model: format!("model-{number}"), generation: number };
+    vec![FeedUpdate::NamedVersions((0..100).map(version).collect())]
+}
+
+#[test]
+fn shared_updates_are_part_of_the_next_batch_only() {
+    let mut assembler = FeedAssembler::default();
+    let shared = compress_updates(&many_versions()).unwrap();
+    assert_eq!(assembler.receive(FromControl::SharedUpdates(shared)).unwrap(), None);
+    assert_eq!(assembler.receive(FromControl::KeepAlive).unwrap(), Some(FromControl::KeepAlive));
+    let own = FeedUpdate::ProxyCount(3);
+    let batch = FromControl::Feed(FeedBatch { sequence: 7, updates: vec![own.clone()] });
+    let mut updates = many_versions();
+    updates.push(own);
+    let whole = FromControl::Feed(FeedBatch { sequence: 7, updates });
+    assert_eq!(assembler.receive(batch).unwrap(), Some(whole));
+    let next = FromControl::Feed(FeedBatch { sequence: 8, updates: Vec::new() });
+    assert_eq!(assembler.receive(next.clone()).unwrap(), Some(next));
+}
+
+#[test]
+fn damaged_shared_updates_are_an_error() {
+    let sound = compress_updates(&many_versions()).unwrap();
+    let too_long = CompressedUpdates { uncompressed_bytes: u64::MAX, ..sound.clone() };
+    let too_short = CompressedUpdates { uncompressed_bytes: 3, ..sound.clone() };
+    let cut = CompressedUpdates { compressed: sound.compressed[..9].to_vec(), ..sound.clone() };
+    let no_updates = miniz_oxide::deflate::compress_to_vec(&[0xff; 600], 3);
+    let foreign = CompressedUpdates { uncompressed_bytes: 600, compressed: no_updates };
+    for damaged in [too_long, too_short, cut, foreign] {
+        assert!(FeedAssembler::default().receive(FromControl::SharedUpdates(damaged)).is_err());
+    }
+}
+
+#[tokio::test]
+async fn shared_updates_are_delivered_with_their_batch() {
+    let exchange = async {
+        let (mut primary, address) = listener();
+        let (_control, mut events) = start(vec![address]);
+        let (sender, _receiver) = accept(&mut primary, 1).await;
+        sender.send(&FromControl::SharedUpdates(compress_updates(&many_versions()).unwrap()));
+        sender.send(&batch(1));
+        let whole = FromControl::Feed(FeedBatch { sequence: 1, updates: many_versions() });
+        assert_eq!(events.recv().await, Some(ControlEvent::Connected(address)));
+        assert_eq!(events.recv().await, Some(ControlEvent::Message(whole)));
+    };
+    LocalSet::new().run_until(exchange).await;
+}
--- a/crates/pebblepost-messages/src/control.rs
+++ b/crates/pebblepost-messages/src/control.rs
@@ -1,6 +1,6 @@
 //! Messages on the internal port of a control process.
 
-use crate::feed::{FeedBatch, FeedReply, Instance};
+use crate::feed::{CompressedUpdates, FeedBatch, FeedReply, Instance};
 use crate::{DiskId, Member};
 use nanoserde::{DeBin, SerBin};
 
@@ -113,4 +113,7 @@
     KeepAlive,
     /// Response to [`ToControl::Status`], JSON.
     Status(Vec<u8>),
+    /// Updates that belong to the next [`FromControl::Feed`] of the connection, before its own: the same bytes for many
+    /// subscribers.
+    SharedUpdates(CompressedUpdates),
 }
--- a/crates/pebblepost-messages/src/feed.rs
+++ b/crates/pebblepost-messages/src/feed.rs
@@ -133,6 +133,15 @@
     pub updates: Vec<FeedUpdate>,
 }
 
+/// Updates that several subscribers are sent in the same form: encoded (a list of [`FeedUpdate`]) and compressed once.
+#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct CompressedUpdates {
+    /// Length of the encoded updates once decompressed.
+    pub uncompressed_bytes: u64,
+    /// The encoded updates, as a raw deflate stream.
+    pub compressed: Vec<u8>,
+}
+
 /// From a subscriber to the publisher of its feed.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum FeedReply {
--- a/crates/pebblepost-messages/tests/encodings.rs
+++ b/crates/pebblepost-messages/tests/encodings.rs
@@ -10,7 +10,8 @@
 };
 use pebblepost_messages::control::{FromControl, GroupEpoch, SubscriberRole, ToControl};
 use pebblepost_messages::feed::{
-    ConfigurationUpdate, FeedBatch, FeedReply, FeedUpdate, Instance, InstanceState, ModelVersion, StoreGroup,
+    CompressedUpdates, ConfigurationUpdate, FeedBatch, FeedReply, FeedUpdate, Instance, InstanceState,
+    ModelVersion, StoreGroup,
 };
 use pebblepost_messages::{DiskId, Member};
 use std::fmt::Write;
@@ -269,6 +270,8 @@
     encodings.add("from_control.group_changed", &changed);
     encodings.add("from_control.keep_alive", &FromControl::KeepAlive);
     encodings.add("from_control.status", &FromControl::Status(b"{}".to_vec()));
+    let shared = CompressedUpdates { uncompressed_bytes: 600, compressed: vec![5, 6] };
+    encodings.add("from_control.shared_updates", &FromControl::SharedUpdates(shared));
 }
 
 #[test]
--- a/crates/pebblepost-settings/src/model.rs
+++ b/crates/pebblepost-settings/src/model.rs
@@ -11,6 +11,8 @@
     pub memory_bytes: u64,
     /// File descriptors of one process.
     pub max_fds: usize,
+    /// Rate of the machine's network link, in bytes a second.
+    pub link_bytes_per_second: u64,
     /// Size of the data disk, in bytes; 0 for none.
     pub disk_bytes: u64,
 }
--- a/crates/pebblepost-settings/src/parse.rs
+++ b/crates/pebblepost-settings/src/parse.rs
@@ -12,7 +12,9 @@
 const DEFAULT_CPU_SHARE: f64 = 1.0;
 const DEFAULT_MEMORY_MB: f64 = 256.0;
 const DEFAULT_MAX_FDS: u64 = 1024;
+const DEFAULT_LINK_MBPS: f64 = 1000.0;
 const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
+const BYTES_PER_MEGABIT: f64 = 1e6 / 8.0;
 
 /// The settings of a TOML text; errors name it `file`.
 pub(crate) fn parse(text: &str, file: &str) -> Result<Settings, SettingsError> {
@@ -82,6 +84,7 @@
         cpu_share: section.number("cpu_share", DEFAULT_CPU_SHARE)?,
         memory_bytes: to_bytes(section.number("memory_mb", DEFAULT_MEMORY_MB)?),
         max_fds: section.count("max_fds", DEFAULT_MAX_FDS)?,
+        link_bytes_per_second: (section.number("link_mbps", DEFAULT_LINK_MBPS)? * BYTES_PER_MEGABIT) as u64,
         disk_bytes: to_bytes(section.number("disk_mb", 0.0)?),
     })
 }
--- a/crates/pebblepost-settings/tests/settings.rs
+++ b/crates/pebblepost-settings/tests/settings.rs
@@ -27,6 +27,7 @@
 cpu_share = 0.25
 memory_mb = 260
 max_fds = 4100
+link_mbps = 60.0
 disk_mb = 0
 [tolerate]
 machines = 1
@@ -59,6 +60,7 @@
     assert_eq!(settings.limits.cpu_share, 0.25);
     assert_eq!(settings.limits.memory_bytes, 260 * 1024 * 1024);
     assert_eq!(settings.limits.max_fds, 4100);
+    assert_eq!(settings.limits.link_bytes_per_second, 7_500_000);
     assert_eq!(settings.limits.disk_bytes, 0);
     assert_eq!(
         (settings.tolerance.machines, settings.tolerance.zones, settings.tolerance.regions),
