Control: orders, reads and rejections carry when the lease ends, and are dropped then

Cause: an order was checked against 0.4 s from the look at the lease, although that lease might have ended earlier; a read or a rejection was written whenever its task came to run. Change: Replica::lease_expires_at; orders carry it into the transcriber's client, which looks at the clock in the step that writes (NotSent after it); responses that hold only under the lease carry it to the HTTP task, which answers 503 after it. What is committed needs no limit. Tests: order_deadline, http::a_response_leaves_before_its_lease_ends_or_not_at_all, exchanges::an_order_is_not_written_once_its_time_is_over; the simulated cluster checks each response and order. Digests now hold these times instead of the time of the look.

--- a/crates/pebblepost-control/src/node/control_group.rs
+++ b/crates/pebblepost-control/src/node/control_group.rs
@@ -134,6 +134,11 @@
         self.replica.is_acting(now)
     }
 
+    /// When the lease of this primary expires unless it is renewed; `None` where it does not act.
+    pub(super) fn lease_expires_at(&self, now: Duration) -> Option<Duration> {
+        self.replica.lease_expires_at(now)
+    }
+
     /// Index of the newest committed entry.
     pub(super) fn committed(&self) -> u64 {
         self.replica.commit_index()
--- a/crates/pebblepost-control/src/node/events.rs
+++ b/crates/pebblepost-control/src/node/events.rs
@@ -87,6 +87,8 @@
         id: RequestId,
         /// The response.
         response: HttpResponse,
+        /// Time after which the response must not leave any more, for what is true under the lease only.
+        send_by: Option<Duration>,
     },
     /// Send a message on an inbound link.
     Send {
@@ -133,8 +135,8 @@
         order: LoadOrder,
         /// Its body, JSON.
         body: Vec<u8>,
-        /// When the lease was checked: the order must not be sent much later.
-        lease_checked_at: Duration,
+        /// When the lease under which it was decided expires: the order must not be sent later.
+        send_by: Duration,
     },
     /// Fetch a transcriber's load report; answered by [`Input::LoadReported`].
     FetchLoadReport {
--- a/crates/pebblepost-control/src/node/leadership.rs
+++ b/crates/pebblepost-control/src/node/leadership.rs
@@ -173,10 +173,11 @@
     }
 
     fn advance_rollout(&mut self, now: Duration) {
-        let is_acting = self.is_acting(now);
+        let lease_expires_at = self.group.lease_expires_at(now);
         let Some(primary) = &mut self.primary else { return };
-        let may_order = is_acting && primary.order_lease.is_held(self.group.state());
+        let is_holder = primary.order_lease.is_held(self.group.state());
+        let order_until = lease_expires_at.filter(|_| is_holder);
         let node = &self.settings.me.node;
-        primary.advance_rollout(now, may_order, node, &mut self.registry, &mut self.outputs);
+        primary.advance_rollout(now, order_until, node, &mut self.registry, &mut self.outputs);
     }
 }
--- a/crates/pebblepost-control/src/node/primary.rs
+++ b/crates/pebblepost-control/src/node/primary.rs
@@ -108,14 +108,14 @@
         now.saturating_sub(since) >= LAPSED_LEASE_TIMEOUT
     }
 
-    /// Processes the outputs of the roll-out planner. Load orders are only sent if `may_order`.
+    /// Processes the outputs of the roll-out planner. Load orders are sent under a lease only, and not after its end.
     pub(super) fn advance_rollout(
-        &mut self, now: Duration, may_order: bool, node: &str, registry: &mut Registry,
+        &mut self, now: Duration, lease_expires_at: Option<Duration>, node: &str, registry: &mut Registry,
         outputs: &mut Vec<Output>,
     ) {
         for output in self.planner.take_outputs() {
-            match output {
-                PlanOutput::SendOrder(order) if may_order => {
+            match (output, lease_expires_at) {
+                (PlanOutput::SendOrder(order), Some(send_by)) => {
                     log::info!(
                         "load order sent instance={} model={} generation={}",
                         order.instance,
@@ -123,15 +123,15 @@
                         order.generation
                     );
                     let body = load_order::body(&order, node, self.epoch);
-                    outputs.push(Output::SendOrder { order, body, lease_checked_at: now });
+                    outputs.push(Output::SendOrder { order, body, send_by });
                 }
-                PlanOutput::SendOrder(order) => {
+                (PlanOutput::SendOrder(order), None) => {
                     self.planner.order_answered(now, &order, OrderOutcome::Rejected);
                 }
-                PlanOutput::FetchLoadReport { instance, address } => {
+                (PlanOutput::FetchLoadReport { instance, address }, _) => {
                     outputs.push(Output::FetchLoadReport { instance, address });
                 }
-                PlanOutput::VersionLoaded { instance, model, generation } => {
+                (PlanOutput::VersionLoaded { instance, model, generation }, _) => {
                     let change = registry.version_loaded(&instance, &model, generation);
                     self.publish_registry_change(now, &change);
                 }
--- a/crates/pebblepost-control/src/node/requests.rs
+++ b/crates/pebblepost-control/src/node/requests.rs
@@ -107,12 +107,12 @@
     fn execute(&mut self, now: Duration, id: RequestId, operation: Operation) {
         match operation {
             Operation::ChangeConfiguration(change) => self.change_configuration(now, id, change),
-            Operation::ReadConfiguration => self.read_configuration(id),
+            Operation::ReadConfiguration => self.read_configuration(now, id),
             Operation::NameVersion { model, generation } => self.name_version(now, id, model, generation),
             Operation::Register(instance) => self.register(now, id, instance),
             Operation::Deregister { id: instance } => self.deregister(now, id, instance),
             Operation::Retire { node } => self.retire(now, id, node),
-            Operation::ReadRetirement { node } => self.read_retirement(id, &node),
+            Operation::ReadRetirement { node } => self.read_retirement(now, id, &node),
         }
     }
 
@@ -122,18 +122,18 @@
             return;
         }
         if let Err(error) = self.state().validate(&change) {
-            self.respond(id, HttpResponse::change_rejected(&error));
+            self.respond_under_lease(now, id, HttpResponse::change_rejected(&error));
             return;
         }
         self.propose_and_wait(now, id, &Command::ChangeConfiguration(change));
     }
 
-    fn read_configuration(&mut self, id: RequestId) {
+    fn read_configuration(&mut self, now: Duration, id: RequestId) {
         let response = match self.state().configuration() {
             Some(configuration) => HttpResponse::configuration(configuration.document()),
             None => HttpResponse::error(404, "there is no configuration yet"),
         };
-        self.respond(id, response);
+        self.respond_under_lease(now, id, response);
     }
 
     fn name_version(&mut self, now: Duration, id: RequestId, model: String, generation: u64) {
@@ -194,19 +194,19 @@
         let tolerance = &self.settings.tolerance;
         let planner = GroupPlanner { now, state, nodes: &primary.storage, tolerance };
         if let Err(error) = planner.check_retirement(&node) {
-            self.respond(id, HttpResponse::retirement_rejected(error));
+            self.respond_under_lease(now, id, HttpResponse::retirement_rejected(error));
             return;
         }
         let min_remaining = planner.min_remaining();
         self.propose_and_wait(now, id, &Command::Retire { node, min_remaining });
     }
 
-    fn read_retirement(&mut self, id: RequestId, node: &str) {
+    fn read_retirement(&mut self, now: Duration, id: RequestId, node: &str) {
         let response = match self.state().retirements().get(node) {
             Some(state) => HttpResponse::retirement(*state),
             None => HttpResponse::error(404, "no such storage machine is being emptied"),
         };
-        self.respond(id, response);
+        self.respond_under_lease(now, id, response);
     }
 
     /// Proposes a command; the response follows when it is committed.
@@ -218,7 +218,17 @@
     }
 
     fn respond(&mut self, id: RequestId, response: HttpResponse) {
-        self.outputs.push(Output::Respond { id, response });
+        self.outputs.push(Output::Respond { id, response, send_by: None });
+    }
+
+    /// Responds with what is true as long as this process is the primary: a read, or a rejection by the present state.
+    fn respond_under_lease(&mut self, now: Duration, id: RequestId, response: HttpResponse) {
+        match self.group.lease_expires_at(now) {
+            Some(expires_at) => {
+                self.outputs.push(Output::Respond { id, response, send_by: Some(expires_at) });
+            }
+            None => self.respond(id, HttpResponse::unavailable("not the primary any more")),
+        }
     }
 }
 
--- a/crates/pebblepost-control/src/runtime/driver.rs
+++ b/crates/pebblepost-control/src/runtime/driver.rs
@@ -2,10 +2,9 @@
 
 use super::encoded_updates::EncodedUpdates;
 use super::event::{Event, EventSender};
-use super::http::IncomingRequest;
+use super::http::{IncomingRequest, OutgoingResponse};
 use super::link_tasks::keep_peer_link;
 use super::transcriber_tasks::{fetch_load_report, send_order};
-use crate::api::HttpResponse;
 use crate::feed::{ConnectionId, SharedUpdates};
 use crate::node::{ControlNode, Input, Output, RequestId};
 use crate::state::disk_record::ControlRecord;
@@ -51,7 +50,7 @@
     disk: Disk,
     events: EventSender,
     client: Client,
-    responders: BTreeMap<RequestId, oneshot::Sender<HttpResponse>>,
+    responders: BTreeMap<RequestId, oneshot::Sender<OutgoingResponse>>,
     last_request: RequestId,
     inbound: HashMap<ConnectionId, Sender>,
     encoded_updates: EncodedUpdates,
@@ -140,10 +139,11 @@
     pub(super) fn carry_out(&mut self) {
         for output in self.node.take_outputs() {
             match output {
-                Output::Respond { id, response } => {
+                Output::Respond { id, response, send_by } => {
                     if let Some(responder) = self.responders.remove(&id) {
+                        let send_by = send_by.map(|send_by| self.start + send_by);
                         // The client may have disconnected.
-                        responder.send(response).ok();
+                        responder.send(OutgoingResponse { response, send_by }).ok();
                     }
                 }
                 Output::Send { connection, message } => self.send(connection, &message),
@@ -163,9 +163,9 @@
                 Output::DialPeers(addresses) => self.dial(&addresses),
                 Output::DialPeerNow(address) => self.dial_now(&address),
                 Output::Append { write, records } => self.append(write, &records),
-                Output::SendOrder { order, body, lease_checked_at } => {
+                Output::SendOrder { order, body, send_by } => {
                     let (client, events) = (self.client.clone(), self.events.clone());
-                    spawn_local(send_order(client, order, body, self.start + lease_checked_at, events));
+                    spawn_local(send_order(client, order, body, self.start + send_by, events));
                 }
                 Output::FetchLoadReport { instance, address } => {
                     let (client, events) = (self.client.clone(), self.events.clone());
--- a/crates/pebblepost-control/src/runtime/http.rs
+++ b/crates/pebblepost-control/src/runtime/http.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 use xitca_http::HttpServiceBuilder;
 use xitca_http::config::HttpServiceConfig;
 use xitca_io::net::TcpStream;
@@ -42,7 +43,16 @@
     /// The request.
     pub request: HttpRequest,
     /// Where its response goes.
-    pub responder: oneshot::Sender<HttpResponse>,
+    pub responder: oneshot::Sender<OutgoingResponse>,
+}
+
+/// A response on its way to the client.
+#[derive(Debug)]
+pub struct OutgoingResponse {
+    /// The response.
+    pub response: HttpResponse,
+    /// It is replaced by 503 if it can't be written by then: another process may be the primary.
+    pub send_by: Option<Instant>,
 }
 
 /// Queue of requests.
@@ -140,7 +150,19 @@
     if requests.send(IncomingRequest { request, responder }).await.is_err() {
         return shutting_down();
     }
-    response.await.unwrap_or_else(|_| shutting_down())
+    response.await.map_or_else(|_| shutting_down(), OutgoingResponse::in_time)
+}
+
+impl OutgoingResponse {
+    /// The response, unless it is too late for it. The last check before it is written.
+    fn in_time(self) -> HttpResponse {
+        let is_late = self.send_by.is_some_and(|send_by| Instant::now() >= send_by);
+        if is_late {
+            HttpResponse::unavailable("the lease ended before the answer was sent")
+        } else {
+            self.response
+        }
+    }
 }
 
 fn respond(context: WebContext<'_, RequestSender>, response: HttpResponse) -> WebResponse {
--- a/crates/pebblepost-control/src/runtime/transcriber_tasks.rs
+++ b/crates/pebblepost-control/src/runtime/transcriber_tasks.rs
@@ -8,20 +8,19 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time for the whole exchange of a load order, from the check of the lease, or of a load report.
+/// Time for the whole exchange of a load order or of a load report.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Sends a load order to a transcriber and reports the answer.
 ///
-/// An order that can't be sent soon after `lease_checked_at` is not sent at all, as another process may hold the lease
-/// by then.
+/// An order that can't be written by `send_by`, when the lease ends, is not sent at all, as another process may hold the
+/// lease by then.
 pub async fn send_order(
-    client: Client, order: LoadOrder, body: Vec<u8>, lease_checked_at: Instant, events: EventSender,
+    client: Client, order: LoadOrder, body: Vec<u8>, send_by: Instant, events: EventSender,
 ) {
-    let timeout = CALL_TIMEOUT.saturating_sub(lease_checked_at.elapsed());
-    let target = target(&order.instance, &order.address).filter(|_| !timeout.is_zero());
+    let target = target(&order.instance, &order.address).filter(|_| Instant::now() < send_by);
     let answer = match target {
-        Some(target) => match client.order(&target, Bytes::from(body), timeout).await {
+        Some(target) => match client.order(&target, Bytes::from(body), send_by, CALL_TIMEOUT).await {
             Ok(status) => order_answer(status.as_u16()),
             Err(ClientError::NotSent) => OrderOutcome::Rejected,
             Err(_) => OrderOutcome::Unknown,
--- a/crates/pebblepost-control/tests/control/http.rs
+++ b/crates/pebblepost-control/tests/control/http.rs
@@ -1,16 +1,18 @@
 //! The HTTP server with real connections: what it submits and what it responds.
 
 use pebblepost_control::api::{HttpRequest, HttpResponse, MAX_BODY_BYTES};
-use pebblepost_control::runtime::http::{IncomingRequest, serve};
+use pebblepost_control::runtime::http::{IncomingRequest, OutgoingResponse, serve};
 use pebblepost_control::runtime::max_request_connections;
 use rstest::rstest;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::Instant;
 
 /// Connection limit in these tests.
 const MAX_CONNECTIONS: usize = 4;
@@ -37,7 +39,7 @@
     seen: Rc<RefCell<Vec<HttpRequest>>>,
 ) {
     while let Some(IncomingRequest { request, responder }) = incoming.recv().await {
-        responder.send(respond(&request)).ok();
+        responder.send(OutgoingResponse { response: respond(&request), send_by: None }).ok();
         seen.borrow_mut().push(request);
     }
 }
@@ -165,3 +167,25 @@
     assert!(max_request_connections(4096) < 2_500, "orders and links need descriptors too");
     assert_eq!(max_request_connections(0), 1);
 }
+
+#[rstest]
+#[case::before_the_lease_ends(true, "200 OK")]
+#[case::after_the_lease_ended(false, "503 Service Unavailable")]
+fn a_response_leaves_before_its_lease_ends_or_not_at_all(#[case] in_time: bool, #[case] status: &str) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let text = LocalSet::new().block_on(&runtime, async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("its address");
+        let (requests, mut incoming) = mpsc::channel(1);
+        spawn_local(serve(listener, requests, MAX_CONNECTIONS));
+        spawn_local(async move {
+            let IncomingRequest { responder, .. } = incoming.recv().await.expect("a request");
+            let now = Instant::now();
+            let send_by = Some(if in_time { now + Duration::from_secs(60) } else { now });
+            let response = HttpResponse::configuration(b"{}");
+            responder.send(OutgoingResponse { response, send_by }).expect("the client waits");
+        });
+        send(address, b"GET /config HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n").await
+    });
+    assert!(text.starts_with(&format!("HTTP/1.1 {status}")), "{text}");
+}
--- a/crates/pebblepost-control/tests/control/order_deadline.rs
+++ b/crates/pebblepost-control/tests/control/order_deadline.rs
@@ -1,4 +1,4 @@
-//! Load orders that can't be sent soon after the lease was checked.
+//! Load orders and responses that can't be sent before the lease ends.
 
 use pebblepost_control::node::Input;
 use pebblepost_control::runtime::{Event, transcriber_tasks::send_order};
@@ -34,8 +34,8 @@
             mode: LoadMode::Wait,
         };
         let (events, mut received) = mpsc::channel(1);
-        let decided = Instant::now().checked_sub(Duration::from_secs(1)).expect("a second ago");
-        send_order(Client::new(limits()), order, b"{}".to_vec(), decided, events).await;
+        let lease_end = Instant::now().checked_sub(Duration::from_millis(1)).expect("a moment ago");
+        send_order(Client::new(limits()), order, b"{}".to_vec(), lease_end, events).await;
         match received.recv().await {
             Some(Event::Input(Input::OrderAnswered { answer, .. })) => {
                 assert_eq!(answer, OrderOutcome::Rejected);
--- a/crates/pebblepost-control/tests/control/support/cluster.rs
+++ b/crates/pebblepost-control/tests/control/support/cluster.rs
@@ -22,6 +22,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Interval of attempts to open links.
 const REDIAL: Duration = Duration::from_millis(100);
+/// Lease of a primary.
+const LEASE: Duration = Duration::from_millis(700);
 const LINK_PORT: u16 = 7300;
 const CONTROL_PORT: u16 = 8262;
 
@@ -455,7 +457,11 @@
         for output in outputs {
             self.trace.output(self.now, index, &output);
             match output {
-                Output::Respond { id, response } => {
+                Output::Respond { id, response, send_by } => {
+                    assert!(
+                        send_by.is_none_or(|send_by| send_by > self.now),
+                        "a response under an ended lease"
+                    );
                     self.responses.insert(id, response);
                 }
                 Output::Send { connection, message } => self.send_back(index, connection, message),
@@ -476,8 +482,9 @@
                     let records = records.iter().map(ControlRecord::encode).collect();
                     self.at(self.now + SYNC, Event::Sync { node: index, incarnation, write, records });
                 }
-                Output::SendOrder { order, body, lease_checked_at } => {
-                    assert_eq!(lease_checked_at, self.now, "the lease was checked just now");
+                Output::SendOrder { order, body, send_by } => {
+                    assert!(send_by > self.now, "an order under an ended lease");
+                    assert!(send_by <= self.now + LEASE, "an order that outlives its lease");
                     let body = String::from_utf8(body).expect("the body is text");
                     self.orders.push((self.now, index, order, body));
                 }
--- a/crates/pebblepost-control/tests/control/support/trace.rs
+++ b/crates/pebblepost-control/tests/control/support/trace.rs
@@ -38,12 +38,13 @@
         self.number(now.as_micros() as u64);
         self.number(node as u64);
         match output {
-            Output::Respond { id, response } => {
+            Output::Respond { id, response, send_by } => {
                 self.number(1);
                 self.number(*id);
                 self.number(u64::from(response.status));
                 self.bytes(response.location.as_deref().unwrap_or_default().as_bytes());
                 self.bytes(&response.body);
+                self.number(send_by.map_or(0, |send_by| send_by.as_micros() as u64));
             }
             Output::Send { connection, message } => {
                 self.number(2);
@@ -78,12 +79,12 @@
                 self.number(*write);
                 records.iter().map(ControlRecord::encode).for_each(|record| self.bytes(&record));
             }
-            Output::SendOrder { order, body, lease_checked_at } => {
+            Output::SendOrder { order, body, send_by } => {
                 self.number(8);
                 self.bytes(order.instance.as_bytes());
                 self.bytes(order.address.as_bytes());
                 self.bytes(body);
-                self.number(lease_checked_at.as_micros() as u64);
+                self.number(send_by.as_micros() as u64);
             }
             Output::FetchLoadReport { instance, address } => {
                 self.number(9);
--- a/crates/pebblepost-replication/src/replica/lease.rs
+++ b/crates/pebblepost-replication/src/replica/lease.rs
@@ -25,6 +25,18 @@
                     .all(|member| primary.progress.grants_lease(member.disk, now, lease)))
     }
 
+    /// When the lease of this replica expires unless it is renewed; `None` where it does not act. Whatever is decided
+    /// under the lease must not take effect outside after that.
+    pub fn lease_expires_at(&self, now: Duration) -> Option<Duration> {
+        if !self.is_acting(now) {
+            return None;
+        }
+        let primary = self.primary()?;
+        let lease = self.settings.lease;
+        let starts = self.counting_members().filter_map(|member| primary.progress.lease_start(member.disk));
+        Some(starts.min().unwrap_or(now) + lease)
+    }
+
     /// Whether this replica can't lead now: its disk hangs, or its state can't be trusted.
     pub(super) fn is_unable(&self, now: Duration) -> bool {
         self.state_machine.is_damaged() || self.writes.is_hanging(now, self.settings.write_timeout)
--- a/crates/pebblepost-replication/src/replica/progress_tracker.rs
+++ b/crates/pebblepost-replication/src/replica/progress_tracker.rs
@@ -55,6 +55,11 @@
         self.get(disk)?.matched
     }
 
+    /// When the lease that a replica grants started.
+    pub(super) fn lease_start(&self, disk: DiskId) -> Option<Duration> {
+        self.get(disk)?.lease_start
+    }
+
     /// Whether a replica grants a lease that runs.
     pub(super) fn grants_lease(&self, disk: DiskId, now: Duration, lease: Duration) -> bool {
         self.get(disk).is_some_and(|progress| progress.grants_lease(now, lease))
--- a/crates/pebblepost-transcriber/src/call.rs
+++ b/crates/pebblepost-transcriber/src/call.rs
@@ -22,6 +22,8 @@
     limits: ClientLimits,
     target: &'a Target,
     deadline: Instant,
+    /// The request is not written later than this.
+    send_by: Option<Instant>,
     /// Bytes of the request may have been written.
     written: Cell<bool>,
 }
@@ -58,7 +60,13 @@
     pub(crate) fn new(
         client: &'a ClientState, limits: ClientLimits, target: &'a Target, timeout: Duration,
     ) -> Call<'a> {
-        Call { client, limits, target, deadline: Instant::now() + timeout, written: Cell::new(false) }
+        let deadline = Instant::now() + timeout;
+        Call { client, limits, target, deadline, send_by: None, written: Cell::new(false) }
+    }
+
+    /// The call with a limit on the time of writing.
+    pub(crate) fn sent_by(self, send_by: Instant) -> Call<'a> {
+        Call { send_by: Some(send_by), ..self }
     }
 
     /// Runs the work of this call until its deadline.
@@ -137,8 +145,10 @@
     async fn exchange(
         &self, connection: &mut Connection, mut request: WireRequest,
     ) -> Result<Response<Incoming>, ExchangeError> {
-        let time_left = self.deadline.saturating_duration_since(Instant::now());
-        if time_left < MIN_TIME_LEFT {
+        let now = Instant::now();
+        let time_left = self.deadline.saturating_duration_since(now);
+        let is_late = self.send_by.is_some_and(|send_by| now >= send_by);
+        if is_late || time_left < MIN_TIME_LEFT {
             return Err(ExchangeError::NotWritten(Box::new(request)));
         }
         request::set_deadline(&mut request, time_left);
--- a/crates/pebblepost-transcriber/src/client.rs
+++ b/crates/pebblepost-transcriber/src/client.rs
@@ -13,6 +13,7 @@
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 const LOAD_REPORT_PATH: &str = "/report";
 const ORDER_PATH: &str = "/order";
@@ -87,7 +88,8 @@
         if response.head.not_executed { Ok(response.head.load) } else { Err(ClientError::MayHaveRun) }
     }
 
-    /// Sends an order (`POST /order`) with a JSON body and returns the status.
+    /// Sends an order (`POST /order`) with a JSON body and returns the status. The order is written before `send_by` or
+    /// not at all ([`ClientError::NotSent`]): it may be valid no longer than that.
     ///
     /// Orders and load reports carry no id by which their responses could be distinguished. A load report in place of
     /// the response is a surplus one, to an earlier request.
@@ -96,11 +98,12 @@
     ///
     /// See [`ClientError`]; [`ClientError::MayHaveRun`] also if the response is a load report.
     pub async fn order(
-        &self, target: &Target, body: Bytes, timeout: Duration,
+        &self, target: &Target, body: Bytes, send_by: Instant, timeout: Duration,
     ) -> Result<StatusCode, ClientError> {
         let mut request = request::without_id(target, Method::POST, ORDER_PATH, body, timeout);
         request.headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        let response = self.send(target, request).await?;
+        let call = Call::new(&self.state, self.state.limits.get(), target, timeout).sent_by(send_by);
+        let response = self.finish(call, request).await?;
         if is_load_report(&response.body) { Err(ClientError::MayHaveRun) } else { Ok(response.head.status) }
     }
 
@@ -124,6 +127,12 @@
         &self, limits: ClientLimits, target: &Target, request: OutgoingRequest,
     ) -> Result<BufferedResponse, ClientError> {
         let call = Call::new(&self.state, limits, target, request.timeout);
+        self.finish(call, request).await
+    }
+
+    async fn finish(
+        &self, call: Call<'_>, request: OutgoingRequest,
+    ) -> Result<BufferedResponse, ClientError> {
         call.until_deadline(async {
             let started = call.start(request).await?;
             self.buffer(started).await
--- a/crates/pebblepost-transcriber/tests/client/exchanges.rs
+++ b/crates/pebblepost-transcriber/tests/client/exchanges.rs
@@ -7,10 +7,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 const OK_A: &[u8] = b"HTTP/1.1 200 OK\r\nrequest-id: a\r\nresponse-seal: s\r\ncontent-length: 2\r\n\r\nhi";
 const OK_B: &[u8] = b"HTTP/1.1 200 OK\r\nrequest-id: b\r\ncontent-length: 2\r\n\r\nho";
 
+fn in_a_second() -> Instant {
+    Instant::now() + Duration::from_secs(1)
+}
+
 #[test]
 fn sends_a_request_unchanged_with_instance_deadline_and_length() {
     run(async {
@@ -362,7 +367,7 @@
         let target = server.target();
         let load = client.load_report(&target, Duration::from_secs(1)).await.unwrap().unwrap();
         assert_eq!((load.running, load.waiting), (12, 1));
-        let status = client.order(&target, "{}".into(), Duration::from_secs(1)).await.unwrap();
+        let status = client.order(&target, "{}".into(), in_a_second(), Duration::from_secs(1)).await.unwrap();
         assert_eq!(status, StatusCode::ACCEPTED);
         let host = server.address;
         let approved = [
@@ -412,7 +417,7 @@
         let server = Scripted::start(vec![script]).await;
         let (client, target) = (client(), server.target());
         assert!(client.load_report(&target, Duration::from_secs(1)).await.is_ok());
-        let response = client.order(&target, "{}".into(), Duration::from_secs(1)).await;
+        let response = client.order(&target, "{}".into(), in_a_second(), Duration::from_secs(1)).await;
         assert_eq!(response, Err(ClientError::MayHaveRun), "whether the order was taken is not known");
     });
 }
@@ -427,3 +432,21 @@
         }
     });
 }
+
+#[rstest]
+#[case::on_a_new_connection(false)]
+#[case::on_a_kept_connection(true)]
+fn an_order_is_not_written_once_its_time_is_over(#[case] is_kept: bool) {
+    run(async {
+        let script = vec![Step::Read, Step::Write(OK_A), Step::Read];
+        let server = Scripted::start(vec![script]).await;
+        let (client, target) = (client(), server.target());
+        if is_kept {
+            client.send(&target, outgoing("a")).await.unwrap();
+        }
+        let requests = client.metrics().requests;
+        let response = client.order(&target, "{}".into(), Instant::now(), Duration::from_secs(1)).await;
+        assert_eq!(response, Err(ClientError::NotSent));
+        assert_eq!(client.metrics().requests, requests, "nothing was written");
+    });
+}
