Replication: a barrier entry at each takeover, before which nothing is rejected for good

Cause: the log of another replica may hold entries of the former primary that the new one lacks; they are undecided, and come true if that replica leads next. A retirement or a job could be rejected by one primary and take effect under the next. Change: TermBarrier; control and batch store propose an entry without effect when they become primary (stored as one that earlier builds read), and answer a retirement or a job that they would reject with 503 / unknown until it is committed.

--- a/crates/pebblepost-batch-store/src/store/handlers/job_calls.rs
+++ b/crates/pebblepost-batch-store/src/store/handlers/job_calls.rs
@@ -33,7 +33,11 @@
             return;
         }
         if !budget.admits(used_bytes, &job) {
-            let outcome = SubmitOutcome::Rejected { retry_after_ms: REJECTED_RETRY_AFTER_MS };
+            // A rejection promises that the job never runs.
+            let outcome = match group.is_past_barrier() {
+                true => SubmitOutcome::Rejected { retry_after_ms: REJECTED_RETRY_AFTER_MS },
+                false => SubmitOutcome::Unknown,
+            };
             return self.reply_submitted(&[caller], outcome);
         }
         let proposal = Proposal::AddJob {
--- a/crates/pebblepost-batch-store/src/store/handlers/maintenance.rs
+++ b/crates/pebblepost-batch-store/src/store/handlers/maintenance.rs
@@ -16,10 +16,20 @@
         }
         self.dead_letter_expired_items(now);
         if self.maintenance.retention.start_if_due(now) {
+            self.propose_missing_barriers(now);
             self.delete_jobs_past_retention(now);
         }
     }
 
+    /// With too few replicas in sync, the barrier of a term can't be proposed at its start.
+    fn propose_missing_barriers(&mut self, now: Duration) {
+        for group_id in self.group_ids() {
+            let Some(group) = self.acting_group(now, group_id) else { continue };
+            group.propose_barrier(now);
+            self.process_replica_outputs(now, group_id);
+        }
+    }
+
     /// Gives expired items that no proxy runs a dead letter as their result.
     fn dead_letter_expired_items(&mut self, now: Duration) {
         for expired in self.scheduler.take_expired_items(now) {
--- a/crates/pebblepost-batch-store/src/store/handlers/replica_outputs.rs
+++ b/crates/pebblepost-batch-store/src/store/handlers/replica_outputs.rs
@@ -51,6 +51,7 @@
         }
         let Some(group) = self.groups.get_mut(&group_id) else { return };
         log::info!("became primary group={group_id} epoch={epoch} jobs={}", group.state().jobs().count());
+        group.propose_barrier(now);
         let clock = group.clock(now);
         self.scheduler.start_group(now, group_id, epoch, &clock, group.state());
         self.process_deferred_messages(now, group_id);
@@ -63,6 +64,7 @@
         }
         self.scheduler.stop_group(group_id);
         let Some(group) = self.groups.get_mut(&group_id) else { return };
+        group.end_term();
         let uncommitted = group.take_uncommitted();
         let reads = std::mem::take(&mut group.pending_reads);
         for proposal in uncommitted {
--- a/crates/pebblepost-batch-store/src/store/state/group.rs
+++ b/crates/pebblepost-batch-store/src/store/state/group.rs
@@ -5,6 +5,7 @@
 use pebblepost_batch::command::{Change, Command, JobResults};
 use pebblepost_batch::state::BatchState;
 use pebblepost_messages::batch::ItemResult;
+use pebblepost_replication::barrier::TermBarrier;
 use pebblepost_replication::replica::{ProposeError, Replica};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -32,6 +33,8 @@
     pub(crate) proposals: Proposals,
     pub(crate) pending_reads: Vec<PendingRead>,
     clock: GroupClock,
+    /// The first entry of this machine's term as primary.
+    barrier: TermBarrier,
     /// Results that are not proposed yet, by job.
     buffered_results: BTreeMap<String, Vec<ItemResult>>,
 }
@@ -46,6 +49,7 @@
             proposals: Proposals::default(),
             pending_reads: Vec::new(),
             clock,
+            barrier: TermBarrier::default(),
             buffered_results: BTreeMap::new(),
         }
     }
@@ -75,6 +79,29 @@
         Ok(())
     }
 
+    /// Proposes the barrier of this machine's term, unless it was.
+    pub(crate) fn propose_barrier(&mut self, now: Duration) {
+        if self.barrier.is_proposed() {
+            return;
+        }
+        let now_ms = self.clock(now).now_ms(now);
+        match self.replica.propose(now, Command::barrier(now_ms).encode()) {
+            Ok(index) => self.barrier.proposed(index),
+            Err(error) => log::debug!("barrier not proposed error={error:?}"),
+        }
+    }
+
+    /// Whether nothing that former primaries left undecided can be decided any more: a job that is not stored was not
+    /// accepted.
+    pub(crate) fn is_past_barrier(&self) -> bool {
+        self.barrier.is_committed(self.replica.commit_index())
+    }
+
+    /// Ends this machine's term.
+    pub(crate) fn end_term(&mut self) {
+        self.barrier = TermBarrier::default();
+    }
+
     /// Removes all that is not committed, results not proposed yet among it: it is undecided.
     pub(crate) fn take_uncommitted(&mut self) -> Vec<Proposal> {
         self.buffered_results.clear();
--- a/crates/pebblepost-batch/src/command.rs
+++ b/crates/pebblepost-batch/src/command.rs
@@ -50,6 +50,12 @@
 }
 
 impl Command {
+    /// An entry without effect, for the barrier of a term. Its stored form is one that builds before it can read: no job
+    /// is deleted.
+    pub fn barrier(now_ms: u64) -> Command {
+        Command { now_ms, change: Change::DeleteJobs { jobs: Vec::new() } }
+    }
+
     /// The bytes of the entry.
     pub fn encode(&self) -> Vec<u8> {
         self.serialize_bin()
--- a/crates/pebblepost-control/src/node/leadership.rs
+++ b/crates/pebblepost-control/src/node/leadership.rs
@@ -6,6 +6,7 @@
 use crate::feed::{ConnectionId, FeedAction};
 use crate::membership::witnesses::{self, FailureEvidence};
 use crate::registry::RegistryChange;
+use crate::state::command::Command;
 use crate::storage::GroupPlanner;
 use pebblepost_messages::control::FromControl;
 use std::time::Duration;
@@ -26,6 +27,7 @@
         let state = self.group.state();
         let primary = Primary::new(now, epoch, &self.settings, state, &self.registry, self.proxy_count);
         self.primary = Some(primary);
+        self.propose_barrier(now);
         self.introduce_epoch(now);
     }
 
@@ -60,6 +62,7 @@
     pub(super) fn tick_primary(&mut self, now: Duration) {
         let is_acting = self.is_acting(now);
         if is_acting {
+            self.propose_barrier(now);
             self.acquire_order_lease(now);
         }
         let Some(primary) = &mut self.primary else { return };
@@ -117,6 +120,22 @@
         }
     }
 
+    /// Proposes the barrier of this term, unless it was: with too few disks that may fail at first.
+    fn propose_barrier(&mut self, now: Duration) {
+        let Some(primary) = self.primary.as_mut().filter(|primary| !primary.barrier.is_proposed()) else {
+            return;
+        };
+        if let Ok(index) = self.group.propose(now, &Command::barrier()) {
+            primary.barrier.proposed(index);
+        }
+    }
+
+    /// Whether nothing that former primaries left undecided can be decided any more: what was not taken stays so.
+    pub(super) fn is_past_barrier(&self) -> bool {
+        let committed = self.group.committed();
+        self.primary.as_ref().is_some_and(|primary| primary.barrier.is_committed(committed))
+    }
+
     fn acquire_order_lease(&mut self, now: Duration) {
         let Some(primary) = &mut self.primary else { return };
         let Some(command) = primary.order_lease.acquisition(now, self.group.state()) else { return };
--- a/crates/pebblepost-control/src/node/primary.rs
+++ b/crates/pebblepost-control/src/node/primary.rs
@@ -15,6 +15,7 @@
 use pebblepost_messages::batch::STORE_GROUPS;
 use pebblepost_messages::feed::{FeedUpdate, ModelVersion, StoreGroup};
 use pebblepost_messages::{DiskId, Member};
+use pebblepost_replication::barrier::TermBarrier;
 use pebblepost_rollout::{OrderOutcome, PlanOutput, Planner};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -34,6 +35,8 @@
     pub(super) group_changes: GroupChangeRequests,
     pub(super) planner: Planner,
     pub(super) order_lease: OrderLease,
+    /// The first entry of this term.
+    pub(super) barrier: TermBarrier,
     /// Since when the lease of this primary is not valid.
     lapsed_since: Option<Duration>,
     published_groups: BTreeMap<u32, StoreGroup>,
@@ -59,6 +62,7 @@
             group_changes: GroupChangeRequests::default(),
             planner: Planner::new(order_lease.expected_at(now, state)),
             order_lease,
+            barrier: TermBarrier::default(),
             lapsed_since: None,
             published_groups: BTreeMap::new(),
             planned_generation: 0,
--- a/crates/pebblepost-control/src/node/requests.rs
+++ b/crates/pebblepost-control/src/node/requests.rs
@@ -3,7 +3,7 @@
 use super::control_node::ControlNode;
 use super::events::{Output, RequestId};
 use crate::api::{HttpRequest, HttpResponse, Operation};
-use crate::state::command::{Command, ConfigurationChange, Outcome};
+use crate::state::command::{Command, ConfigurationChange, Outcome, RetirementError};
 use crate::state::shutdowns::ShutdownPhase;
 use crate::storage::GroupPlanner;
 use pebblepost_messages::feed::{Instance, InstanceState};
@@ -194,13 +194,22 @@
         let tolerance = &self.settings.tolerance;
         let planner = GroupPlanner { now, state, nodes: &primary.storage, tolerance };
         if let Err(error) = planner.check_retirement(&node) {
-            self.respond_under_lease(now, id, HttpResponse::retirement_rejected(error));
+            self.reject_retirement(now, id, error);
             return;
         }
         let min_remaining = planner.min_remaining();
         self.propose_and_wait(now, id, &Command::Retire { node, min_remaining });
     }
 
+    /// A rejection has to stay true, so it waits for the barrier of the term.
+    fn reject_retirement(&mut self, now: Duration, id: RequestId, error: RetirementError) {
+        if self.is_past_barrier() {
+            self.respond_under_lease(now, id, HttpResponse::retirement_rejected(error));
+        } else {
+            self.respond(id, HttpResponse::unavailable("not known yet what former primaries have taken"));
+        }
+    }
+
     fn read_retirement(&mut self, now: Duration, id: RequestId, node: &str) {
         let response = match self.state().retirements().get(node) {
             Some(state) => HttpResponse::retirement(*state),
--- a/crates/pebblepost-control/src/state/command.rs
+++ b/crates/pebblepost-control/src/state/command.rs
@@ -111,6 +111,12 @@
 }
 
 impl Command {
+    /// A command without effect, for the barrier of a term. Its stored form is one that builds before it can read: the
+    /// first assignment of no group at all.
+    pub fn barrier() -> Command {
+        Command::BootstrapGroups(Vec::new())
+    }
+
     /// The stored form.
     pub fn encode(&self) -> Vec<u8> {
         SerBin::serialize_bin(self)
--- a/crates/pebblepost-control/tests/control/failover.rs
+++ b/crates/pebblepost-control/tests/control/failover.rs
@@ -270,3 +270,22 @@
     introduce(&mut cluster, &known.expect("a replica").address);
     assert_eq!(cluster.dialed_now.len(), 1, "that link is up");
 }
+
+#[rstest]
+fn a_new_primary_rejects_no_retirement_before_its_barrier_is_committed() {
+    let mut cluster = Cluster::acting();
+    cluster.run(Duration::from_secs(2));
+    let former = cluster.primary();
+    cluster.kill(former);
+    while cluster.acting_nodes().is_empty() {
+        cluster.run(Duration::from_millis(1));
+    }
+    let primary = cluster.primary();
+    let retire = || http_request("POST", "/retire/storage-9", None, b"{}".to_vec());
+    let first = cluster.send_request(primary, retire());
+    let response = cluster.response(first).expect("an answer at once").clone();
+    assert_eq!(response.status, 503, "the former primary may have taken it");
+    cluster.run(Duration::from_millis(50));
+    let second = cluster.request(primary, retire()).expect("a response");
+    assert_eq!(second.status, 404);
+}
--- a/crates/pebblepost-replication/tests/replication/main.rs
+++ b/crates/pebblepost-replication/tests/replication/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the epoch register and of the replica, alone and in simulated groups.
 
+mod barrier;
 mod group;
 mod guards;
 mod pinned_bytes;
