Control HTTP: connections are closed after their response once three quarters are taken

Change: beyond three quarters of the limit a connection ends with its response, so that newcomers find a place; calls to transcribers in progress are bounded by permits, 15 % of the descriptors, and their idle connections end after 0.6 s.

--- a/crates/pebblepost-control/src/runtime/driver.rs
+++ b/crates/pebblepost-control/src/runtime/driver.rs
@@ -4,7 +4,7 @@
 use super::event::{Event, EventSender};
 use super::http::{IncomingRequest, OutgoingResponse};
 use super::link_tasks::keep_peer_link;
-use super::transcriber_tasks::{fetch_load_report, send_order};
+use super::transcriber_tasks::{TranscriberCalls, fetch_load_report, send_order};
 use crate::feed::{ConnectionId, SharedUpdates};
 use crate::node::{ControlNode, Input, Output, RequestId};
 use crate::state::disk_record::ControlRecord;
@@ -14,8 +14,9 @@
 use pebblepost_ring::{Completion, Disk};
 use pebblepost_transcriber::{Client, ClientLimits};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::Instant;
 
@@ -28,7 +29,9 @@
 const CLIENT_LIMITS: ClientLimits = ClientLimits {
     connect_timeout: Duration::from_millis(400),
     max_connections_per_transcriber: 2,
-    idle_timeout: Duration::from_secs(2),
+    // Longer than the pause between two reports of a transcriber that loads, and short enough that idle connections don't
+    // use up the descriptors.
+    idle_timeout: Duration::from_millis(600),
     max_body_bytes: 256 * 1024,
 };
 
@@ -50,6 +53,8 @@
     disk: Disk,
     events: EventSender,
     client: Client,
+    /// Calls to transcribers that may be in progress at once.
+    call_permits: Rc<Semaphore>,
     responders: BTreeMap<RequestId, oneshot::Sender<OutgoingResponse>>,
     last_request: RequestId,
     inbound: HashMap<ConnectionId, Sender>,
@@ -61,13 +66,16 @@
 }
 
 impl Driver {
-    pub(super) fn new(start: Instant, node: ControlNode, disk: Disk, events: EventSender) -> Driver {
+    pub(super) fn new(
+        start: Instant, node: ControlNode, disk: Disk, events: EventSender, max_calls: usize,
+    ) -> Driver {
         Driver {
             start,
             node,
             disk,
             events,
             client: Client::new(CLIENT_LIMITS),
+            call_permits: Rc::new(Semaphore::new(max_calls)),
             responders: BTreeMap::new(),
             last_request: 0,
             inbound: HashMap::new(),
@@ -164,12 +172,11 @@
                 Output::DialPeerNow(address) => self.dial_now(&address),
                 Output::Append { write, records } => self.append(write, &records),
                 Output::SendOrder { order, body, send_by } => {
-                    let (client, events) = (self.client.clone(), self.events.clone());
-                    spawn_local(send_order(client, order, body, self.start + send_by, events));
+                    let send_by = self.start + send_by;
+                    spawn_local(send_order(self.calls(), order, body, send_by));
                 }
                 Output::FetchLoadReport { instance, address } => {
-                    let (client, events) = (self.client.clone(), self.events.clone());
-                    spawn_local(fetch_load_report(client, instance, address, events));
+                    spawn_local(fetch_load_report(self.calls(), instance, address));
                 }
             }
         }
@@ -196,6 +203,14 @@
         sender.send(&FromControl::Feed(FeedBatch { sequence, updates: own_updates }));
     }
 
+    fn calls(&self) -> TranscriberCalls {
+        TranscriberCalls {
+            client: self.client.clone(),
+            permits: Rc::clone(&self.call_permits),
+            events: self.events.clone(),
+        }
+    }
+
     fn forget_closed_link(&mut self, input: &Input) {
         match input {
             Input::Disconnected { connection } => {
--- a/crates/pebblepost-control/src/runtime/http.rs
+++ b/crates/pebblepost-control/src/runtime/http.rs
@@ -4,8 +4,9 @@
 //! service are used: the listener and its tasks live on the caller's `LocalSet`.
 
 use crate::api::{HttpRequest, HttpResponse, MAX_BODY_BYTES};
-use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -16,7 +17,7 @@
 use xitca_http::config::HttpServiceConfig;
 use xitca_io::net::TcpStream;
 use xitca_web::body::{BodyExt, RequestBody, ResponseBody};
-use xitca_web::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, IF_MATCH, LOCATION};
+use xitca_web::http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, IF_MATCH, LOCATION};
 use xitca_web::http::{Request, RequestExt, StatusCode, WebResponse};
 use xitca_web::service::{Service, ServiceExt, fn_service};
 use xitca_web::{App, WebContext};
@@ -27,6 +28,9 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
 /// A connection without a request for this long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Percentage of the connections that are kept open between requests. With more of them each is closed after its
+/// response, so that others find a place: thousands of transcribers must not shut an operator out.
+const KEPT_CONNECTIONS_PERCENT: usize = 75;
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -58,7 +62,41 @@
 /// Queue of requests.
 pub type RequestSender = mpsc::Sender<IncomingRequest>;
 
-/// Serves requests without end. Connections beyond `max_connections` are closed at once. Runs on the caller's
+/// The open connections and their limits.
+#[derive(Debug)]
+struct Connections {
+    open: AtomicUsize,
+    max: usize,
+}
+
+impl Connections {
+    fn is_full(&self) -> bool {
+        self.open.load(Ordering::Relaxed) >= self.max
+    }
+
+    /// Whether so many are open that a connection is closed after its response.
+    fn is_crowded(&self) -> bool {
+        self.open.load(Ordering::Relaxed) * 100 > self.max * KEPT_CONNECTIONS_PERCENT
+    }
+
+    fn opened(&self) {
+        self.open.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn closed(&self) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// What the handlers share.
+#[derive(Clone, Debug)]
+struct Shared {
+    requests: RequestSender,
+    connections: Arc<Connections>,
+}
+
+/// Serves requests without end. Connections beyond `max_connections` are closed at once, and those beyond three
+/// quarters of it after their response. Runs on the caller's
 /// `LocalSet`.
 ///
 /// # Errors
@@ -70,8 +108,9 @@
         .request_head_timeout(HEAD_TIMEOUT)
         .keep_alive_timeout(IDLE_TIMEOUT)
         .max_read_buf_size::<MAX_HEAD_BYTES>();
+    let connections = Arc::new(Connections { open: AtomicUsize::new(0), max: max_connections });
     let service = App::new()
-        .with_state(requests)
+        .with_state(Shared { requests, connections: Arc::clone(&connections) })
         .at("/config", fn_service(handle))
         .at("/version-put", fn_service(handle))
         .at("/instances/{id}", fn_service(handle))
@@ -80,7 +119,6 @@
         .enclosed(HttpServiceBuilder::h1().config(config));
     let service = service.call(()).await;
     let service = Rc::new(service.map_err(|error| StartError { reason: format!("{error:?}") })?);
-    let open_connections = Rc::new(Cell::new(0));
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -90,31 +128,35 @@
                 continue;
             }
         };
-        if open_connections.get() >= max_connections {
+        if connections.is_full() {
             continue;
         }
         // Without it responses are later, but right.
         stream.set_nodelay(true).ok();
         let service = Rc::clone(&service);
-        let open_connections = Rc::clone(&open_connections);
-        open_connections.set(open_connections.get() + 1);
+        let connections = Arc::clone(&connections);
+        connections.opened();
         spawn_local(async move {
             if let Err(error) = service.call((TcpStream::from(stream), peer)).await {
                 log::debug!("HTTP connection failed peer={peer} error={error:?}");
             }
-            open_connections.set(open_connections.get() - 1);
+            connections.closed();
         });
     }
 }
 
-async fn handle(mut context: WebContext<'_, RequestSender>) -> Result<WebResponse, xitca_web::error::Error> {
+async fn handle(mut context: WebContext<'_, Shared>) -> Result<WebResponse, xitca_web::error::Error> {
     let request = context.take_request();
-    let requests = context.state().clone();
+    let shared = context.state().clone();
     let response = match read(request).await {
-        Ok(request) => submit(&requests, request).await,
+        Ok(request) => submit(&shared.requests, request).await,
         Err(response) => response,
     };
-    Ok(respond(context, response))
+    let mut web_response = respond(context, response);
+    if shared.connections.is_crowded() {
+        web_response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(web_response)
 }
 
 /// Reads a request with its body; the error is the response to it.
@@ -165,7 +207,7 @@
     }
 }
 
-fn respond(context: WebContext<'_, RequestSender>, response: HttpResponse) -> WebResponse {
+fn respond(context: WebContext<'_, Shared>, response: HttpResponse) -> WebResponse {
     let HttpResponse { status, location, body } = response;
     let mut web_response = context.into_response(ResponseBody::bytes(body));
     *web_response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/pebblepost-control/src/runtime/server.rs
+++ b/crates/pebblepost-control/src/runtime/server.rs
@@ -28,9 +28,11 @@
 
 /// File descriptors for the disk and the process itself.
 const RESERVED_DESCRIPTORS: usize = 200;
-/// Percentage of the other descriptors for connections of HTTP requests: each transcriber keeps one to the primary. As
-/// many may be open to transcribers, for orders and reports, and links need some.
+/// Percentage of the other descriptors for connections of HTTP requests: each transcriber keeps one to the primary.
 const REQUEST_DESCRIPTORS_PERCENT: usize = 50;
+/// Percentage of the other descriptors for calls to transcribers in progress, for orders and reports. As many
+/// connections may be idle for a short time; links have the rest.
+const CALL_DESCRIPTORS_PERCENT: usize = 15;
 
 /// Runs a control process until SIGTERM.
 ///
@@ -52,7 +54,10 @@
         let start = Instant::now();
         let node = ControlNode::new(Duration::ZERO, node_settings, recovered);
         let max_connections = max_request_connections(settings.limits.max_fds);
-        Server { start, node, disk, completions, links, http_listener, max_connections }.serve().await
+        let max_calls = max_calls(settings.limits.max_fds);
+        Server { start, node, disk, completions, links, http_listener, max_connections, max_calls }
+            .serve()
+            .await
     });
     // Tasks that still wait for a peer end with the runtime.
     runtime.shutdown_background();
@@ -69,6 +74,11 @@
     link_bytes_per_second / 100 * FEED_LINK_PERCENT
 }
 
+/// Most calls to transcribers in progress, in a process that may have `max_descriptors`.
+fn max_calls(max_descriptors: usize) -> usize {
+    (max_descriptors.saturating_sub(RESERVED_DESCRIPTORS) * CALL_DESCRIPTORS_PERCENT / 100).max(1)
+}
+
 struct Server {
     start: Instant,
     node: ControlNode,
@@ -78,18 +88,21 @@
     http_listener: TcpListener,
     /// Most connections of HTTP requests.
     max_connections: usize,
+    /// Most calls to transcribers in progress.
+    max_calls: usize,
 }
 
 impl Server {
     async fn serve(self) -> Result<(), ControlError> {
-        let Server { start, node, disk, mut completions, links, http_listener, max_connections } = self;
+        let Server { start, node, disk, mut completions, links, http_listener, max_connections, max_calls } =
+            self;
         let mut terminate = listen_for(SignalKind::terminate(), "SIGTERM")?;
         let mut hangup = listen_for(SignalKind::hangup(), "SIGHUP")?;
         let (request_sender, mut requests) = mpsc::channel(MAX_QUEUED_REQUESTS);
         let (event_sender, mut events) = mpsc::channel(MAX_QUEUED_EVENTS);
         spawn_local(http::serve(http_listener, request_sender, max_connections));
         spawn_local(link_tasks::accept_links(links, event_sender.clone()));
-        let mut driver = Driver::new(start, node, disk, event_sender);
+        let mut driver = Driver::new(start, node, disk, event_sender, max_calls);
         driver.carry_out();
         let mut timers = Timers::new();
         loop {
--- a/crates/pebblepost-control/src/runtime/transcriber_tasks.rs
+++ b/crates/pebblepost-control/src/runtime/transcriber_tasks.rs
@@ -5,22 +5,41 @@
 use bytes::Bytes;
 use pebblepost_rollout::{LoadOrder, OrderOutcome, TranscriberReport};
 use pebblepost_transcriber::{Client, ClientError, Target};
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::Instant;
 
 /// Time for the whole exchange of a load order or of a load report.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// What calls to transcribers share. So many are in progress at once as there are permits: each needs a descriptor.
+#[derive(Clone, Debug)]
+pub struct TranscriberCalls {
+    /// The client.
+    pub client: Client,
+    /// Permits to call.
+    pub permits: Rc<Semaphore>,
+    /// Where the answers go.
+    pub events: EventSender,
+}
+
+impl TranscriberCalls {
+    /// Waits until another call may begin. The semaphore is never closed.
+    async fn permit(&self) -> Option<SemaphorePermit<'_>> {
+        self.permits.acquire().await.ok()
+    }
+}
+
 /// Sends a load order to a transcriber and reports the answer.
 ///
 /// An order that can't be written by `send_by`, when the lease ends, is not sent at all, as another process may hold the
 /// lease by then.
-pub async fn send_order(
-    client: Client, order: LoadOrder, body: Vec<u8>, send_by: Instant, events: EventSender,
-) {
+pub async fn send_order(calls: TranscriberCalls, order: LoadOrder, body: Vec<u8>, send_by: Instant) {
+    let _permit = calls.permit().await;
     let target = target(&order.instance, &order.address).filter(|_| Instant::now() < send_by);
     let answer = match target {
-        Some(target) => match client.order(&target, Bytes::from(body), send_by, CALL_TIMEOUT).await {
+        Some(target) => match calls.client.order(&target, Bytes::from(body), send_by, CALL_TIMEOUT).await {
             Ok(status) => order_answer(status.as_u16()),
             Err(ClientError::NotSent) => OrderOutcome::Rejected,
             Err(_) => OrderOutcome::Unknown,
@@ -29,13 +48,14 @@
     };
     log::debug!("load order answered instance={} answer={answer:?}", order.instance);
     // The loop may have ended.
-    events.send(Event::Input(Input::OrderAnswered { order, answer })).await.ok();
+    calls.events.send(Event::Input(Input::OrderAnswered { order, answer })).await.ok();
 }
 
 /// Fetches a transcriber's load report and reports it.
-pub async fn fetch_load_report(client: Client, instance: String, address: String, events: EventSender) {
+pub async fn fetch_load_report(calls: TranscriberCalls, instance: String, address: String) {
+    let _permit = calls.permit().await;
     let report = match target(&instance, &address) {
-        Some(target) => client.load_report(&target, CALL_TIMEOUT).await.ok().flatten(),
+        Some(target) => calls.client.load_report(&target, CALL_TIMEOUT).await.ok().flatten(),
         None => None,
     };
     let report = report.map(|load| TranscriberReport {
@@ -44,7 +64,7 @@
         running: load.running,
     });
     // The loop may have ended.
-    events.send(Event::Input(Input::LoadReported { instance, report })).await.ok();
+    calls.events.send(Event::Input(Input::LoadReported { instance, report })).await.ok();
 }
 
 fn order_answer(status: u16) -> OrderOutcome {
