Control: nobody is redirected to a primary that is silent, and calls wait for a takeover

Cause: a standby redirected callers to a primary until it had been silent for a second; they waited there for a second more. Those who came while no primary was known got 503 after 0.4 s, before a takeover (0.97 s after a loss of power) could serve them. Change: a primary sends the other control processes something each 0.2 s or so; they redirect to it for 0.6 s of silence at most; HTTP requests wait up to 0.8 s for a primary, less than the second after which callers go elsewhere. 256 registrations may wait, and 256 other requests beside them.

--- a/crates/pebblepost-control/src/api/request.rs
+++ b/crates/pebblepost-control/src/api/request.rs
@@ -24,6 +24,13 @@
     pub body: Vec<u8>,
 }
 
+impl HttpRequest {
+    /// Whether this is a transcriber's registration or heartbeat, which it sends again and again.
+    pub fn is_registration(&self) -> bool {
+        self.method == "PUT" && self.path.starts_with("/instances/")
+    }
+}
+
 /// What a request asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Operation {
--- a/crates/pebblepost-control/src/node/control_node.rs
+++ b/crates/pebblepost-control/src/node/control_node.rs
@@ -17,8 +17,9 @@
 use pebblepost_replication::record::EpochRecord;
 use std::time::Duration;
 
-/// Time without a message after which another primary counts as failed, and requests are not redirected to it.
-const PRIMARY_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time without a message after which another primary counts as failed, and requests are not redirected to it: a caller
+/// would wait for a second there. Twice the pause between its messages.
+const PRIMARY_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// A control process without I/O.
 #[derive(Debug)]
--- a/crates/pebblepost-control/src/node/deferred.rs
+++ b/crates/pebblepost-control/src/node/deferred.rs
@@ -7,10 +7,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Longest wait: this process may be the one that is partitioned.
-const MAX_WAIT: Duration = Duration::from_millis(400);
+/// Longest wait of a link: this process may be the one that is partitioned.
+const MAX_LINK_WAIT: Duration = Duration::from_millis(400);
+/// Longest wait of an HTTP request: a caller goes elsewhere after a second of silence, and a takeover takes less.
+const MAX_REQUEST_WAIT: Duration = Duration::from_millis(800);
+/// Most registrations of transcribers that wait. They come again, so they leave room for others.
+const MAX_REGISTRATIONS: usize = 256;
 /// Most HTTP requests that wait.
-const MAX_REQUESTS: usize = 256;
+const MAX_REQUESTS: usize = 512;
 
 #[derive(Debug)]
 struct Deferred<T> {
@@ -38,8 +42,9 @@
     }
 
     /// Whether another HTTP request may be deferred.
-    pub(super) fn has_capacity(&self) -> bool {
-        self.requests.len() < MAX_REQUESTS
+    pub(super) fn has_capacity(&self, request: &HttpRequest) -> bool {
+        let max = if request.is_registration() { MAX_REGISTRATIONS } else { MAX_REQUESTS };
+        self.requests.len() < max
     }
 
     /// A link was closed.
@@ -58,17 +63,19 @@
 
     /// Takes the links that need not wait any more: all of them, or those that have waited long enough.
     pub(super) fn take_links(&mut self, now: Duration, all: bool) -> Vec<(ConnectionId, Vec<ToControl>)> {
-        take(&mut self.links, now, all)
+        take(&mut self.links, now, MAX_LINK_WAIT, all)
     }
 
     /// Takes the HTTP requests that need not wait any more: all of them, or those that have waited long enough.
     pub(super) fn take_requests(&mut self, now: Duration, all: bool) -> Vec<(RequestId, HttpRequest)> {
-        take(&mut self.requests, now, all)
+        take(&mut self.requests, now, MAX_REQUEST_WAIT, all)
     }
 }
 
-fn take<K: Ord + Copy, T>(waiting: &mut BTreeMap<K, Deferred<T>>, now: Duration, all: bool) -> Vec<(K, T)> {
-    let is_due = |deferred: &Deferred<T>| all || now.saturating_sub(deferred.since) >= MAX_WAIT;
+fn take<K: Ord + Copy, T>(
+    waiting: &mut BTreeMap<K, Deferred<T>>, now: Duration, max_wait: Duration, all: bool,
+) -> Vec<(K, T)> {
+    let is_due = |deferred: &Deferred<T>| all || now.saturating_sub(deferred.since) >= max_wait;
     let due = waiting.extract_if(.., |_, deferred| is_due(deferred));
     due.map(|(key, deferred)| (key, deferred.content)).collect()
 }
--- a/crates/pebblepost-control/src/node/dispatch.rs
+++ b/crates/pebblepost-control/src/node/dispatch.rs
@@ -73,7 +73,7 @@
 
     fn housekeeping(&mut self, now: Duration) {
         self.peers.expire(now, self.group.record());
-        self.peer_links.send_keep_alives(now, &mut self.outputs);
+        self.peer_links.send_keep_alives(now, self.primary.is_some(), &mut self.outputs);
         self.inbound.send_keep_alives(now, &mut self.outputs);
         self.advertise_members(now);
         self.follow_primary(now);
--- a/crates/pebblepost-control/src/node/peer_links.rs
+++ b/crates/pebblepost-control/src/node/peer_links.rs
@@ -8,6 +8,9 @@
 
 /// A link on which nothing was sent for this long gets a keep-alive.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(700);
+/// The same for a primary: the others must know soon that it has failed, also those that hold no replica and so get no
+/// heartbeats of the replication.
+const PRIMARY_KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(200);
 /// Backoff after a process that seemed to be the primary rejected the subscription.
 const SUBSCRIBE_BACKOFF: Duration = Duration::from_millis(300);
 
@@ -81,9 +84,10 @@
     }
 
     /// Sends keep-alives on idle links.
-    pub(super) fn send_keep_alives(&mut self, now: Duration, outputs: &mut Vec<Output>) {
+    pub(super) fn send_keep_alives(&mut self, now: Duration, is_primary: bool, outputs: &mut Vec<Output>) {
+        let interval = if is_primary { PRIMARY_KEEP_ALIVE_INTERVAL } else { KEEP_ALIVE_INTERVAL };
         for (address, link) in &mut self.links {
-            if now.saturating_sub(link.last_sent) >= KEEP_ALIVE_INTERVAL {
+            if now.saturating_sub(link.last_sent) >= interval {
                 link.last_sent = now;
                 outputs.push(Output::SendPeer { address: address.clone(), message: ToControl::KeepAlive });
             }
--- a/crates/pebblepost-control/src/node/requests.rs
+++ b/crates/pebblepost-control/src/node/requests.rs
@@ -82,7 +82,7 @@
     }
 
     fn redirect_or_defer_request(&mut self, now: Duration, id: RequestId, request: HttpRequest) {
-        if self.live_primary(now).is_some() || !self.deferred.has_capacity() {
+        if self.live_primary(now).is_some() || !self.deferred.has_capacity(&request) {
             self.redirect_request(now, id, &request);
         } else {
             self.deferred.defer_request(now, id, request);
--- a/crates/pebblepost-control/tests/control/deferred_requests.rs
+++ b/crates/pebblepost-control/tests/control/deferred_requests.rs
@@ -106,5 +106,7 @@
     cluster.run(Duration::from_millis(300));
     let received = cluster.received(program);
     assert!(matches!(received[..], [FromControl::Redirect { primary: None, .. }]), "{received:?}");
+    assert_eq!(cluster.response(id), None, "a takeover may still come in time for the caller");
+    cluster.run(Duration::from_millis(300));
     assert_eq!(cluster.response(id).map(|response| response.status), Some(503));
 }
--- a/crates/pebblepost-control/tests/control/main.rs
+++ b/crates/pebblepost-control/tests/control/main.rs
@@ -6,6 +6,7 @@
 mod concurrent_changes;
 mod deferred_requests;
 mod failover;
+mod failover_times;
 mod fault_injection;
 mod feed;
 mod feed_sharing;
--- a/crates/pebblepost-control/tests/control/support/mod.rs
+++ b/crates/pebblepost-control/tests/control/support/mod.rs
@@ -1,5 +1,6 @@
 //! A simulated deployment: control processes without I/O, links, disks and a clock.
 
+pub mod callers;
 pub mod cluster;
 pub mod documents;
 pub mod random;
