Control tests: 300 subscribers behind one network interface, with the guards taken out

Result: one primary and everybody within config_apply_ms; without pacing the lease is lost (at 30 Mbit/s), without compression the change is later than 3 s. Processor time is not modelled.

--- a/crates/pebblepost-control/src/runtime.rs
+++ b/crates/pebblepost-control/src/runtime.rs
@@ -18,4 +18,4 @@
 
 pub use error::ControlError;
 pub use event::{Event, EventSender};
-pub use server::{max_request_connections, run};
+pub use server::{feed_rate, max_request_connections, run};
--- a/crates/pebblepost-control/src/runtime/server.rs
+++ b/crates/pebblepost-control/src/runtime/server.rs
@@ -49,7 +49,7 @@
         .map_err(ControlError::StartRuntime)?;
     let ended = LocalSet::new().block_on(&runtime, async {
         let links = bind_links(SocketAddr::new(control_address.ip(), node_settings.link_port)).await?;
-        let links = links.with_pacer(Pacer::new(bulk_rate(settings.limits.link_bytes_per_second)));
+        let links = links.with_pacer(Pacer::new(feed_rate(settings.limits.link_bytes_per_second)));
         let http_listener = bind_http(control_address).await?;
         let start = Instant::now();
         let node = ControlNode::new(Duration::ZERO, node_settings, recovered);
@@ -70,7 +70,7 @@
 }
 
 /// Bytes a second that the feed may take of the machine's link. The rest is for replication, heartbeats and HTTP.
-fn bulk_rate(link_bytes_per_second: u64) -> u64 {
+pub fn feed_rate(link_bytes_per_second: u64) -> u64 {
     link_bytes_per_second / 100 * FEED_LINK_PERCENT
 }
 
--- a/crates/pebblepost-control/tests/control/main.rs
+++ b/crates/pebblepost-control/tests/control/main.rs
@@ -4,6 +4,7 @@
 mod api;
 mod change_history;
 mod concurrent_changes;
+mod crowded_link;
 mod deferred_requests;
 mod failover;
 mod failover_times;
--- a/crates/pebblepost-control/tests/control/support/cluster.rs
+++ b/crates/pebblepost-control/tests/control/support/cluster.rs
@@ -1,12 +1,12 @@
 //! Control processes on a simulated network, with simulated disks and one clock.
 
+use super::network::{Interfaces, OtherEnd, REDIAL};
 use super::trace::Trace;
 use pebblepost_control::api::{HttpRequest, HttpResponse};
 use pebblepost_control::membership::bootstrap::bootstrap_disk;
 use pebblepost_control::node::{ControlNode, Input, NodeSettings, Output};
 use pebblepost_control::state::disk_record::{ControlRecord, RecoveredState};
 use pebblepost_messages::control::{FromControl, ToControl};
-use pebblepost_messages::feed::FeedBatch;
 use pebblepost_messages::{DiskId, Member};
 use pebblepost_replication::record::Tolerance;
 use pebblepost_rollout::{LoadOrder, OrderOutcome, TranscriberReport};
@@ -14,14 +14,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Network delay between any two machines, one way.
-const DELAY: Duration = Duration::from_millis(1);
 /// Time until a write is durable.
 const SYNC: Duration = Duration::from_millis(2);
 /// Tick interval.
 const TICK: Duration = Duration::from_millis(50);
-/// Interval of attempts to open links.
-const REDIAL: Duration = Duration::from_millis(100);
 /// Lease of a primary.
 const LEASE: Duration = Duration::from_millis(700);
 const LINK_PORT: u16 = 7300;
@@ -33,34 +29,49 @@
     records: Vec<Vec<u8>>,
 }
 
-struct Node {
-    settings: NodeSettings,
-    process: Option<ControlNode>,
+pub(super) struct Node {
+    pub(super) settings: NodeSettings,
+    pub(super) process: Option<ControlNode>,
     /// Rises with every start, so that events for a former incarnation are dropped.
-    incarnation: u64,
+    pub(super) incarnation: u64,
     disk: Disk,
-    dialed: BTreeSet<String>,
+    pub(super) dialed: BTreeSet<String>,
     /// Links that this node opened: address, and the connection's number at the other node.
-    opened: BTreeMap<String, (usize, u64)>,
+    pub(super) opened: BTreeMap<String, (usize, u64)>,
     /// Inputs that arrive while the process is suspended.
     suspended: Option<Vec<Input>>,
     /// Until when no write ends.
     disk_hangs_until: Duration,
 }
 
-/// The other end of a connection that a node accepted.
-#[derive(Clone)]
-enum OtherEnd {
-    Node { node: usize, address: String },
-    Program { program: usize },
-}
-
-enum Event {
-    Input { node: usize, incarnation: u64, input: Input },
-    Sync { node: usize, incarnation: u64, write: u64, records: Vec<Vec<u8>> },
-    Due { node: usize, incarnation: u64 },
+/// Something that happens at its time.
+pub(super) enum Event {
+    Input {
+        node: usize,
+        incarnation: u64,
+        input: Input,
+    },
+    Sync {
+        node: usize,
+        incarnation: u64,
+        write: u64,
+        records: Vec<Vec<u8>>,
+    },
+    Due {
+        node: usize,
+        incarnation: u64,
+    },
     Redial,
-    ToProgram { program: usize, message: Option<FromControl> },
+    ToProgram {
+        program: usize,
+        message: Option<FromControl>,
+    },
+    /// A message reaches the network interface of its sender.
+    Transmit {
+        node: usize,
+        bytes: usize,
+        arrival: Box<Event>,
+    },
 }
 
 /// A program outside the control plane with a link to it: an agent or a storage node.
@@ -75,18 +86,18 @@
 /// The deployment.
 pub struct Cluster {
     pub now: Duration,
-    nodes: Vec<Node>,
+    pub(super) nodes: Vec<Node>,
     schedule: BTreeMap<(Duration, u64), Event>,
     number: u64,
-    last_connection: u64,
-    connections: BTreeMap<(usize, u64), OtherEnd>,
+    pub(super) last_connection: u64,
+    pub(super) connections: BTreeMap<(usize, u64), OtherEnd>,
     responses: BTreeMap<u64, HttpResponse>,
     last_request: u64,
-    partitioned: BTreeSet<usize>,
+    pub(super) partitioned: BTreeSet<usize>,
     /// Machines partitioned from the other control processes only.
-    isolated: BTreeSet<usize>,
+    pub(super) isolated: BTreeSet<usize>,
     /// Machines whose messages to other control processes are lost, in this direction only.
-    send_blocked: BTreeSet<usize>,
+    pub(super) send_blocked: BTreeSet<usize>,
     pub programs: Vec<Program>,
     /// Orders that were sent: time, node, order, body.
     pub orders: Vec<(Duration, usize, LoadOrder, String)>,
@@ -96,6 +107,8 @@
     pub report_requests: Vec<(Duration, String)>,
     /// Digest of everything that the processes did.
     pub trace: Trace,
+    /// The network interfaces of the machines, where they are modelled.
+    pub(super) interfaces: Option<Interfaces>,
 }
 
 fn control_address(index: usize) -> SocketAddr {
@@ -144,6 +157,7 @@
             dialed_now: Vec::new(),
             report_requests: Vec::new(),
             trace: Trace::default(),
+            interfaces: None,
         };
         for (index, seed) in seeds.iter().enumerate() {
             cluster.add(settings(index, bootstrap_disk(*seed), true, &seeds));
@@ -417,7 +431,7 @@
         self.input(index, Input::LoadReported { instance: instance.into(), report: Some(report) });
     }
 
-    fn at(&mut self, at: Duration, event: Event) {
+    pub(super) fn at(&mut self, at: Duration, event: Event) {
         self.number += 1;
         self.schedule.insert((at, self.number), event);
     }
@@ -426,11 +440,6 @@
         self.schedule.keys().next().map(|(at, _)| *at)
     }
 
-    fn deliver(&mut self, node: usize, input: Input) {
-        let incarnation = self.nodes[node].incarnation;
-        self.at(self.now + DELAY, Event::Input { node, incarnation, input });
-    }
-
     fn tick_later(&mut self, node: usize) {
         let incarnation = self.nodes[node].incarnation;
         self.at(self.now + TICK, Event::Input { node, incarnation, input: Input::Tick });
@@ -465,6 +474,7 @@
                 self.redial();
                 self.at(self.now + REDIAL, Event::Redial);
             }
+            Event::Transmit { node, bytes, arrival } => self.transmit(node, bytes, *arrival),
             Event::ToProgram { program, message } => match message {
                 Some(message) => self.programs[program].received.push(message),
                 None => self.programs[program].link = None,
@@ -489,15 +499,12 @@
                 }
                 Output::Send { connection, message } => self.send_back(index, connection, message),
                 Output::SendFeed { connection, sequence, updates } => {
-                    let batch = FeedBatch { sequence, updates: updates.to_vec() };
-                    self.send_back(index, connection, FromControl::Feed(batch));
+                    self.send_feed(index, connection, sequence, &updates);
                 }
                 Output::Disconnect { connection } => self.close(index, connection),
                 Output::SendPeer { .. } if self.send_blocked.contains(&index) => {}
                 Output::SendPeer { address, message } => {
-                    if let Some((node, connection)) = self.nodes[index].opened.get(&address).copied() {
-                        self.deliver(node, Input::Message { connection, message });
-                    }
+                    self.send_peer(index, &address, message);
                 }
                 Output::DialPeers(addresses) => self.nodes[index].dialed = addresses,
                 Output::DialPeerNow(address) => self.dialed_now.push((index, address)),
@@ -522,83 +529,4 @@
             }
         }
     }
-
-    fn send_back(&mut self, index: usize, connection: u64, message: FromControl) {
-        match self.connections.get(&(index, connection)).cloned() {
-            Some(OtherEnd::Node { .. }) if self.send_blocked.contains(&index) => {}
-            Some(OtherEnd::Node { node, address }) => {
-                self.deliver(node, Input::PeerMessage { address, message });
-            }
-            Some(OtherEnd::Program { program }) => {
-                let message = Some(message);
-                self.at(self.now + DELAY, Event::ToProgram { program, message });
-            }
-            None => {}
-        }
-    }
-
-    fn close(&mut self, index: usize, connection: u64) {
-        match self.connections.remove(&(index, connection)) {
-            Some(OtherEnd::Node { node, address }) => {
-                self.nodes[node].opened.remove(&address);
-                self.deliver(node, Input::PeerDisconnected { address });
-            }
-            Some(OtherEnd::Program { program }) => {
-                self.at(self.now + DELAY, Event::ToProgram { program, message: None });
-            }
-            None => {}
-        }
-    }
-
-    fn redial(&mut self) {
-        for index in 0..self.nodes.len() {
-            let addresses: Vec<String> = self.nodes[index].dialed.iter().cloned().collect();
-            for address in addresses {
-                let Some(other) = self.node_at(&address) else { continue };
-                let linked = self.nodes[index].opened.contains_key(&address);
-                let is_apart = |node| self.partitioned.contains(node) || self.isolated.contains(node);
-                let apart = is_apart(&index) || is_apart(&other);
-                if linked || apart || !self.is_up(index) || !self.is_up(other) {
-                    continue;
-                }
-                self.last_connection += 1;
-                let connection = self.last_connection;
-                self.nodes[index].opened.insert(address.clone(), (other, connection));
-                let end = OtherEnd::Node { node: index, address: address.clone() };
-                self.connections.insert((other, connection), end);
-                self.deliver(index, Input::PeerConnected { address });
-            }
-        }
-    }
-
-    fn node_at(&self, address: &str) -> Option<usize> {
-        self.nodes.iter().position(|node| node.settings.me.address == address)
-    }
-
-    fn disconnect(&mut self, index: usize) {
-        self.disconnect_peers(index);
-        let accepted: Vec<(usize, u64)> =
-            self.connections.keys().filter(|(node, _)| *node == index).copied().collect();
-        for (node, connection) in accepted {
-            self.close(node, connection);
-            self.deliver(node, Input::Disconnected { connection });
-        }
-    }
-
-    fn disconnect_peers(&mut self, index: usize) {
-        for (address, (node, connection)) in std::mem::take(&mut self.nodes[index].opened) {
-            self.connections.remove(&(node, connection));
-            self.deliver(node, Input::Disconnected { connection });
-            self.deliver(index, Input::PeerDisconnected { address });
-        }
-        let from_peer = |((node, _), end): &(&(usize, u64), &OtherEnd)| {
-            *node == index && matches!(end, OtherEnd::Node { .. })
-        };
-        let accepted: Vec<(usize, u64)> =
-            self.connections.iter().filter(from_peer).map(|(key, _)| *key).collect();
-        for (node, connection) in accepted {
-            self.close(node, connection);
-            self.deliver(node, Input::Disconnected { connection });
-        }
-    }
 }
--- a/crates/pebblepost-control/tests/control/support/documents.rs
+++ b/crates/pebblepost-control/tests/control/support/documents.rs
@@ -41,8 +41,8 @@
     .into_bytes()
 }
 
-/// A configuration with many routes, whose names have nothing in common.
-pub fn large_configuration(generation: u64, routes: u64) -> Vec<u8> {
+/// Routes whose names have nothing in common, JSON.
+fn many_routes(routes: u64) -> String {
     let route = |number: u64| {
         let name = number.wrapping_mul(0x9E37_79B9_7F4A_7C15);
         format!(
@@ -55,7 +55,18 @@
         )
     };
     let routes: Vec<String> = (1..=routes).map(route).collect();
+    format!("[{}]", routes.join(","))
+}
+
+/// A configuration with many routes.
+pub fn large_configuration(generation: u64, routes: u64) -> Vec<u8> {
+    let routes = many_routes(routes);
     let service = "{\"name\":\"desk\",\"health_path\":\"/healthz\",\"max_conns\":96}";
-    format!("{{\"generation\":{generation},\"routes\":[{}],\"services\":[{service}]}}", routes.join(","))
-        .into_bytes()
+    format!("{{\"generation\":{generation},\"routes\":{routes},\"services\":[{service}]}}").into_bytes()
+}
+
+/// A patch that adds many routes.
+pub fn large_patch(generation: u64, routes: u64) -> Vec<u8> {
+    let routes = many_routes(routes);
+    format!("{{\"generation\":{generation},\"upsert\":{{\"routes\":{routes}}}}}").into_bytes()
 }
--- a/crates/pebblepost-control/tests/control/support/mod.rs
+++ b/crates/pebblepost-control/tests/control/support/mod.rs
@@ -3,6 +3,7 @@
 pub mod callers;
 pub mod cluster;
 pub mod documents;
+pub mod network;
 pub mod random;
 pub mod store;
 pub mod trace;
