Control HTTP: a budget for the bodies of all requests; 503 with Retry-After beyond it

Cause: each of 1,948 connections could claim a buffer of 33 MiB by its Content-Length, in a process of 256 MB that is ended beyond them. Change: memory is taken as a body arrives, from a budget of a quarter of the process's memory that all requests share, until their answers; beyond it a request gets 503 with Retry-After, unread and unprocessed. Tests: bodies_beyond_the_memory_for_them_are_rejected_and_leave_no_trace, a_reservation_gives_back_what_it_took.

--- a/crates/pebblepost-control/src/api/response.rs
+++ b/crates/pebblepost-control/src/api/response.rs
@@ -4,6 +4,9 @@
 use crate::state::command::{ChangeError, RetirementError};
 use std::net::SocketAddr;
 
+/// Pause before a request that was not processed for lack of memory should come again, in seconds.
+const OVERLOAD_RETRY_S: u32 = 1;
+
 /// An HTTP response.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HttpResponse {
@@ -11,6 +14,8 @@
     pub status: u16,
     /// The header `Location`.
     pub location: Option<String>,
+    /// The header `Retry-After`, in seconds.
+    pub retry_after_s: Option<u32>,
     /// Body, JSON; may be empty.
     pub body: Vec<u8>,
 }
@@ -18,18 +23,18 @@
 impl HttpResponse {
     /// 200 without further content.
     pub fn ok() -> HttpResponse {
-        HttpResponse { status: 200, location: None, body: b"{}".to_vec() }
+        HttpResponse { status: 200, body: b"{}".to_vec(), ..HttpResponse::default() }
     }
 
     /// 200 for a registration or deregistration; further ones should be sent to `primary`.
     pub fn registered(primary: SocketAddr) -> HttpResponse {
         let body = format!("{{\"heartbeat_url\":\"{primary}\"}}").into_bytes();
-        HttpResponse { status: 200, location: None, body }
+        HttpResponse { status: 200, body, ..HttpResponse::default() }
     }
 
     /// 200 with the configuration.
     pub fn configuration(document: &[u8]) -> HttpResponse {
-        HttpResponse { status: 200, location: None, body: document.to_vec() }
+        HttpResponse { status: 200, body: document.to_vec(), ..HttpResponse::default() }
     }
 
     /// 200 with the progress of a retirement.
@@ -38,12 +43,13 @@
             RetirementState::Running => b"{\"state\":\"running\"}",
             RetirementState::Completed => b"{\"state\":\"completed\"}",
         };
-        HttpResponse { status: 200, location: None, body: body.to_vec() }
+        HttpResponse { status: 200, body: body.to_vec(), ..HttpResponse::default() }
     }
 
     /// 307 to the primary.
     pub fn redirect(primary: SocketAddr, path: &str) -> HttpResponse {
-        HttpResponse { status: 307, location: Some(format!("http://{primary}{path}")), body: Vec::new() }
+        let location = Some(format!("http://{primary}{path}"));
+        HttpResponse { status: 307, location, ..HttpResponse::default() }
     }
 
     /// 400: the request is malformed or invalid.
@@ -56,6 +62,12 @@
         HttpResponse::error(503, reason)
     }
 
+    /// 503 for lack of memory: the request was not processed.
+    pub fn overloaded() -> HttpResponse {
+        let response = HttpResponse::unavailable("too many requests with large bodies");
+        HttpResponse { retry_after_s: Some(OVERLOAD_RETRY_S), ..response }
+    }
+
     /// A configuration change was rejected, or is too old for that.
     pub fn change_rejected(error: &ChangeError) -> HttpResponse {
         let status = match error {
@@ -85,6 +97,7 @@
             other => other,
         };
         let reason: String = reason.chars().map(plain).collect();
-        HttpResponse { status, location: None, body: format!("{{\"error\":\"{reason}\"}}").into_bytes() }
+        let body = format!("{{\"error\":\"{reason}\"}}").into_bytes();
+        HttpResponse { status, body, ..HttpResponse::default() }
     }
 }
--- a/crates/pebblepost-control/src/runtime.rs
+++ b/crates/pebblepost-control/src/runtime.rs
@@ -4,6 +4,7 @@
 //! Owns sockets, tasks and timers, and decides nothing: it passes inputs in and carries outputs out. Everything runs on
 //! one thread, on a `LocalSet`.
 
+pub mod body_budget;
 mod disk;
 mod driver;
 mod encoded_updates;
@@ -18,4 +19,4 @@
 
 pub use error::ControlError;
 pub use event::{Event, EventSender};
-pub use server::{feed_rate, max_request_connections, run};
+pub use server::{feed_rate, http_limits, max_request_connections, run};
--- a/crates/pebblepost-control/src/runtime/http.rs
+++ b/crates/pebblepost-control/src/runtime/http.rs
@@ -3,6 +3,7 @@
 //! `xitca-web`'s own server starts threads and listens for signals itself, so only its application and its HTTP/1
 //! service are used: the listener and its tasks live on the caller's `LocalSet`.
 
+use super::body_budget::{BodyBudget, BodyReservation};
 use crate::api::{HttpRequest, HttpResponse, MAX_BODY_BYTES};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -17,7 +18,9 @@
 use xitca_http::config::HttpServiceConfig;
 use xitca_io::net::TcpStream;
 use xitca_web::body::{BodyExt, RequestBody, ResponseBody};
-use xitca_web::http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, IF_MATCH, LOCATION};
+use xitca_web::http::header::{
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, IF_MATCH, LOCATION, RETRY_AFTER,
+};
 use xitca_web::http::{Request, RequestExt, StatusCode, WebResponse};
 use xitca_web::service::{Service, ServiceExt, fn_service};
 use xitca_web::{App, WebContext};
@@ -59,6 +62,15 @@
     pub send_by: Option<Instant>,
 }
 
+/// Limits of the server.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpLimits {
+    /// Most connections.
+    pub max_connections: usize,
+    /// Memory of all bodies together, in bytes.
+    pub max_body_memory: usize,
+}
+
 /// Queue of requests.
 pub type RequestSender = mpsc::Sender<IncomingRequest>;
 
@@ -93,24 +105,26 @@
 struct Shared {
     requests: RequestSender,
     connections: Arc<Connections>,
+    body_budget: Arc<BodyBudget>,
 }
 
-/// Serves requests without end. Connections beyond `max_connections` are closed at once, and those beyond three
+/// Serves requests without end. Connections beyond the limit are closed at once, and those beyond three
 /// quarters of it after their response. Runs on the caller's
 /// `LocalSet`.
 ///
 /// # Errors
 /// If the service can't be built.
 pub async fn serve(
-    listener: TcpListener, requests: RequestSender, max_connections: usize,
+    listener: TcpListener, requests: RequestSender, limits: HttpLimits,
 ) -> Result<(), StartError> {
     let config = HttpServiceConfig::new()
         .request_head_timeout(HEAD_TIMEOUT)
         .keep_alive_timeout(IDLE_TIMEOUT)
         .max_read_buf_size::<MAX_HEAD_BYTES>();
-    let connections = Arc::new(Connections { open: AtomicUsize::new(0), max: max_connections });
+    let connections = Arc::new(Connections { open: AtomicUsize::new(0), max: limits.max_connections });
+    let body_budget = BodyBudget::new(limits.max_body_memory);
     let service = App::new()
-        .with_state(Shared { requests, connections: Arc::clone(&connections) })
+        .with_state(Shared { requests, connections: Arc::clone(&connections), body_budget })
         .at("/config", fn_service(handle))
         .at("/version-put", fn_service(handle))
         .at("/instances/{id}", fn_service(handle))
@@ -148,7 +162,8 @@
 async fn handle(mut context: WebContext<'_, Shared>) -> Result<WebResponse, xitca_web::error::Error> {
     let request = context.take_request();
     let shared = context.state().clone();
-    let response = match read(request).await {
+    let mut reservation = BodyReservation::new(&shared.body_budget);
+    let response = match read(request, &mut reservation).await {
         Ok(request) => submit(&shared.requests, request).await,
         Err(response) => response,
     };
@@ -160,7 +175,9 @@
 }
 
 /// Reads a request with its body; the error is the response to it.
-async fn read(request: Request<RequestExt<RequestBody>>) -> Result<HttpRequest, HttpResponse> {
+async fn read(
+    request: Request<RequestExt<RequestBody>>, reservation: &mut BodyReservation,
+) -> Result<HttpRequest, HttpResponse> {
     let too_large = || HttpResponse::error(413, "the body is too large");
     let (head, body) = request.into_parts();
     let length = head.headers.get(CONTENT_LENGTH).and_then(|length| length.to_str().ok()?.parse().ok());
@@ -172,7 +189,8 @@
         method: head.method.as_str().into(),
         path: head.uri.path().into(),
         if_match: if_match.map(String::from),
-        body: Vec::with_capacity(length.unwrap_or(0)),
+        // The memory of a longer body is taken as it arrives.
+        body: Vec::with_capacity(length.unwrap_or(0).min(MAX_HEAD_BYTES)),
     };
     let mut body = std::pin::pin!(body);
     while let Some(chunk) = body.as_mut().data().await {
@@ -180,6 +198,9 @@
         if request.body.len() + chunk.len() > MAX_BODY_BYTES {
             return Err(too_large());
         }
+        if !reservation.grow(chunk.len()) {
+            return Err(HttpResponse::overloaded());
+        }
         request.body.extend_from_slice(&chunk);
     }
     Ok(request)
@@ -208,7 +229,7 @@
 }
 
 fn respond(context: WebContext<'_, Shared>, response: HttpResponse) -> WebResponse {
-    let HttpResponse { status, location, body } = response;
+    let HttpResponse { status, location, retry_after_s, body } = response;
     let mut web_response = context.into_response(ResponseBody::bytes(body));
     *web_response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
     let headers = web_response.headers_mut();
@@ -216,5 +237,8 @@
     if let Some(location) = location.and_then(|location| HeaderValue::from_str(&location).ok()) {
         headers.insert(LOCATION, location);
     }
+    if let Some(seconds) = retry_after_s {
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
     web_response
 }
--- a/crates/pebblepost-control/src/runtime/server.rs
+++ b/crates/pebblepost-control/src/runtime/server.rs
@@ -3,13 +3,15 @@
 use super::disk::{OpenedDisk, open_disk};
 use super::driver::Driver;
 use super::error::ControlError;
+use super::http::HttpLimits;
 use super::listen::{bind_http, bind_links};
 use super::timers::Timers;
 use super::{http, link_tasks};
+use crate::api::MAX_BODY_BYTES;
 use crate::node::{ControlNode, Input};
 use pebblepost_link::{Listener, Pacer};
 use pebblepost_ring::{Completion, Disk};
-use pebblepost_settings::Settings;
+use pebblepost_settings::{MachineLimits, Settings};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -23,6 +25,8 @@
 /// Capacity of the queue of events of links and calls.
 const MAX_QUEUED_EVENTS: usize = 1024;
 
+/// Bodies of requests may take the memory of the process divided by this, or one body of the largest size.
+const BODY_MEMORY_DIVISOR: usize = 4;
 /// Percentage of the machine's link that the feed may take.
 const FEED_LINK_PERCENT: u64 = 60;
 
@@ -53,11 +57,9 @@
         let http_listener = bind_http(control_address).await?;
         let start = Instant::now();
         let node = ControlNode::new(Duration::ZERO, node_settings, recovered);
-        let max_connections = max_request_connections(settings.limits.max_fds);
+        let http_limits = http_limits(&settings.limits);
         let max_calls = max_calls(settings.limits.max_fds);
-        Server { start, node, disk, completions, links, http_listener, max_connections, max_calls }
-            .serve()
-            .await
+        Server { start, node, disk, completions, links, http_listener, http_limits, max_calls }.serve().await
     });
     // Tasks that still wait for a peer end with the runtime.
     runtime.shutdown_background();
@@ -74,6 +76,15 @@
     link_bytes_per_second / 100 * FEED_LINK_PERCENT
 }
 
+/// Limits of the HTTP server on a machine with these limits.
+pub fn http_limits(limits: &MachineLimits) -> HttpLimits {
+    let memory = usize::try_from(limits.memory_bytes).unwrap_or(usize::MAX);
+    HttpLimits {
+        max_connections: max_request_connections(limits.max_fds),
+        max_body_memory: (memory / BODY_MEMORY_DIVISOR).max(MAX_BODY_BYTES),
+    }
+}
+
 /// Most calls to transcribers in progress, in a process that may have `max_descriptors`.
 fn max_calls(max_descriptors: usize) -> usize {
     (max_descriptors.saturating_sub(RESERVED_DESCRIPTORS) * CALL_DESCRIPTORS_PERCENT / 100).max(1)
@@ -86,21 +97,20 @@
     completions: mpsc::UnboundedReceiver<Completion>,
     links: Listener,
     http_listener: TcpListener,
-    /// Most connections of HTTP requests.
-    max_connections: usize,
+    http_limits: HttpLimits,
     /// Most calls to transcribers in progress.
     max_calls: usize,
 }
 
 impl Server {
     async fn serve(self) -> Result<(), ControlError> {
-        let Server { start, node, disk, mut completions, links, http_listener, max_connections, max_calls } =
+        let Server { start, node, disk, mut completions, links, http_listener, http_limits, max_calls } =
             self;
         let mut terminate = listen_for(SignalKind::terminate(), "SIGTERM")?;
         let mut hangup = listen_for(SignalKind::hangup(), "SIGHUP")?;
         let (request_sender, mut requests) = mpsc::channel(MAX_QUEUED_REQUESTS);
         let (event_sender, mut events) = mpsc::channel(MAX_QUEUED_EVENTS);
-        spawn_local(http::serve(http_listener, request_sender, max_connections));
+        spawn_local(http::serve(http_listener, request_sender, http_limits));
         spawn_local(link_tasks::accept_links(links, event_sender.clone()));
         let mut driver = Driver::new(start, node, disk, event_sender, max_calls);
         driver.carry_out();
--- a/crates/pebblepost-control/tests/control/http.rs
+++ b/crates/pebblepost-control/tests/control/http.rs
@@ -1,7 +1,8 @@
 //! The HTTP server with real connections: what it submits and what it responds.
 
 use pebblepost_control::api::{HttpRequest, HttpResponse, MAX_BODY_BYTES};
-use pebblepost_control::runtime::http::{IncomingRequest, OutgoingResponse, serve};
+use pebblepost_control::runtime::body_budget::{BodyBudget, BodyReservation};
+use pebblepost_control::runtime::http::{HttpLimits, IncomingRequest, OutgoingResponse, serve};
 use pebblepost_control::runtime::max_request_connections;
 use rstest::rstest;
 use std::cell::RefCell;
@@ -16,6 +17,7 @@
 
 /// Connection limit in these tests.
 const MAX_CONNECTIONS: usize = 4;
+const LIMITS: HttpLimits = HttpLimits { max_connections: MAX_CONNECTIONS, max_body_memory: MAX_BODY_BYTES };
 
 /// Sends a request to a server with this handler; the submitted requests and the response.
 fn exchange(respond: fn(&HttpRequest) -> HttpResponse, request: &'static [u8]) -> (Vec<HttpRequest>, String) {
@@ -24,7 +26,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let address = listener.local_addr().expect("its address");
         let (requests, incoming) = mpsc::channel(8);
-        spawn_local(serve(listener, requests, MAX_CONNECTIONS));
+        spawn_local(serve(listener, requests, LIMITS));
         let seen = Rc::new(RefCell::new(Vec::new()));
         spawn_local(respond_to_all(incoming, respond, Rc::clone(&seen)));
         let text = send(address, request).await;
@@ -62,7 +64,7 @@
         request.if_match,
         String::from_utf8_lossy(&request.body)
     );
-    HttpResponse { status: 200, location: None, body: text.into_bytes() }
+    HttpResponse { status: 200, body: text.into_bytes(), ..HttpResponse::default() }
 }
 
 fn redirect(request: &HttpRequest) -> HttpResponse {
@@ -157,7 +159,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let address = listener.local_addr().expect("its address");
         let (requests, incoming) = mpsc::channel(8);
-        spawn_local(serve(listener, requests, MAX_CONNECTIONS));
+        spawn_local(serve(listener, requests, LIMITS));
         spawn_local(respond_to_all(incoming, echo, Rc::default()));
         served_connections(address, MAX_CONNECTIONS + 3).await
     });
@@ -180,7 +182,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let address = listener.local_addr().expect("its address");
         let (requests, incoming) = mpsc::channel(8);
-        spawn_local(serve(listener, requests, MAX_CONNECTIONS));
+        spawn_local(serve(listener, requests, LIMITS));
         spawn_local(respond_to_all(incoming, echo, Rc::default()));
         let mut kept = Vec::new();
         for _ in 0..MAX_CONNECTIONS - 1 {
@@ -216,7 +218,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let address = listener.local_addr().expect("its address");
         let (requests, mut incoming) = mpsc::channel(1);
-        spawn_local(serve(listener, requests, MAX_CONNECTIONS));
+        spawn_local(serve(listener, requests, LIMITS));
         spawn_local(async move {
             let IncomingRequest { responder, .. } = incoming.recv().await.expect("a request");
             let now = Instant::now();
@@ -228,3 +230,53 @@
     });
     assert!(text.starts_with(&format!("HTTP/1.1 {status}")), "{text}");
 }
+
+#[rstest]
+fn bodies_beyond_the_memory_for_them_are_rejected_and_leave_no_trace() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("its address");
+        let (requests, incoming) = mpsc::channel(8);
+        let limits = HttpLimits { max_body_memory: 100_000, ..LIMITS };
+        spawn_local(serve(listener, requests, limits));
+        spawn_local(respond_to_all(incoming, echo, Rc::default()));
+        // A body that is still to come holds most of the memory.
+        let mut slow = TcpStream::connect(address).await.expect("a connection");
+        let head = b"PUT /config HTTP/1.1\r\nhost: a\r\nif-match: 0\r\ncontent-length: 90001\r\n\r\n";
+        slow.write_all(head).await.expect("sent");
+        slow.write_all(&[b' '; 90_000]).await.expect("sent");
+        let large = [
+            &b"PUT /config HTTP/1.1\r\nhost: a\r\nif-match: 0\r\nconnection: close\r\ncontent-length: 20000\r\n\r\n"[..],
+            &[b' '; 20_000],
+        ]
+        .concat();
+        let mut rejected = String::new();
+        while !rejected.starts_with("HTTP/1.1 503") {
+            rejected = send(address, &large).await;
+        }
+        assert!(rejected.contains("retry-after: 1"), "{rejected}");
+        let small = send(address, b"GET /config HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n").await;
+        assert!(small.starts_with("HTTP/1.1 200"), "{small}");
+        slow.write_all(b" ").await.expect("sent");
+        let mut first = [0; 12];
+        slow.read_exact(&mut first).await.expect("a response");
+        assert_eq!(&first, b"HTTP/1.1 200");
+        drop(slow);
+        let served = send(address, &large).await;
+        assert!(served.starts_with("HTTP/1.1 200"), "{served}");
+    });
+}
+
+#[test]
+fn a_reservation_gives_back_what_it_took() {
+    let budget = BodyBudget::new(10);
+    let mut first = BodyReservation::new(&budget);
+    assert!(first.grow(6));
+    let mut second = BodyReservation::new(&budget);
+    assert!(!second.grow(5), "11 of 10 bytes");
+    drop(second);
+    assert!(first.grow(4));
+    drop(first);
+    assert_eq!(budget.used_bytes(), 0);
+}
