Control: no more orders to a transcriber that has seen a higher fencing token

Change: the primary remembers for its term which transcribers have rejected its token, and sends them nothing. Result: load_orders.rs; without the guard the test counts further orders.

--- a/crates/pebblepost-control/src/node/dispatch.rs
+++ b/crates/pebblepost-control/src/node/dispatch.rs
@@ -22,7 +22,7 @@
             Input::Persisted { write } => self.group.persisted(now, write),
             Input::OrderAnswered { order, answer } => {
                 if let Some(primary) = &mut self.primary {
-                    primary.planner.order_answered(now, &order, answer);
+                    primary.order_answered(now, &order, answer);
                 }
             }
             Input::LoadReported { instance, report } => {
--- a/crates/pebblepost-control/src/node/primary.rs
+++ b/crates/pebblepost-control/src/node/primary.rs
@@ -16,8 +16,8 @@
 use pebblepost_messages::feed::{FeedUpdate, ModelVersion, StoreGroup};
 use pebblepost_messages::{DiskId, Member};
 use pebblepost_replication::barrier::TermBarrier;
-use pebblepost_rollout::{OrderOutcome, PlanOutput, Planner};
-use std::collections::BTreeMap;
+use pebblepost_rollout::{LoadOrder, OrderOutcome, PlanOutput, Planner};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Time without a valid lease after which a primary redirects its subscribers.
@@ -37,6 +37,8 @@
     pub(super) order_lease: OrderLease,
     /// The first entry of this term.
     pub(super) barrier: TermBarrier,
+    /// Transcribers that have rejected the fencing token of this term: another holder has used a higher one.
+    fenced: BTreeSet<String>,
     /// Since when the lease of this primary is not valid.
     lapsed_since: Option<Duration>,
     published_groups: BTreeMap<u32, StoreGroup>,
@@ -63,6 +65,7 @@
             planner: Planner::new(order_lease.expected_at(now, state)),
             order_lease,
             barrier: TermBarrier::default(),
+            fenced: BTreeSet::new(),
             lapsed_since: None,
             published_groups: BTreeMap::new(),
             planned_generation: 0,
@@ -112,6 +115,14 @@
         now.saturating_sub(since) >= LAPSED_LEASE_TIMEOUT
     }
 
+    /// A transcriber answered a load order. One that has seen a higher fencing token gets no more orders with this one.
+    pub(super) fn order_answered(&mut self, now: Duration, order: &LoadOrder, answer: OrderOutcome) {
+        if answer == OrderOutcome::Fenced && self.fenced.insert(order.instance.clone()) {
+            log::warn!("load order fenced instance={} fencing_token={}", order.instance, self.epoch);
+        }
+        self.planner.order_answered(now, order, answer);
+    }
+
     /// Processes the outputs of the roll-out planner. Load orders are sent under a lease only, and not after its end.
     pub(super) fn advance_rollout(
         &mut self, now: Duration, lease_expires_at: Option<Duration>, node: &str, registry: &mut Registry,
@@ -119,7 +130,7 @@
     ) {
         for output in self.planner.take_outputs() {
             match (output, lease_expires_at) {
-                (PlanOutput::SendOrder(order), Some(send_by)) => {
+                (PlanOutput::SendOrder(order), Some(send_by)) if !self.fenced.contains(&order.instance) => {
                     log::info!(
                         "load order sent instance={} model={} generation={}",
                         order.instance,
@@ -129,7 +140,7 @@
                     let body = load_order::body(&order, node, self.epoch);
                     outputs.push(Output::SendOrder { order, body, send_by });
                 }
-                (PlanOutput::SendOrder(order), None) => {
+                (PlanOutput::SendOrder(order), _) => {
                     self.planner.order_answered(now, &order, OrderOutcome::Rejected);
                 }
                 (PlanOutput::FetchLoadReport { instance, address }, _) => {
--- a/crates/pebblepost-control/tests/control/load_orders.rs
+++ b/crates/pebblepost-control/tests/control/load_orders.rs
@@ -158,3 +158,16 @@
     });
     assert_eq!(value, expected);
 }
+
+#[rstest]
+fn a_transcriber_that_has_seen_a_higher_token_gets_no_further_order_with_this_one() {
+    let (mut cluster, mut sequence) = cluster_with_orders();
+    let primary = cluster.primary();
+    let (_, _, order, _) = cluster.orders.pop().expect("an order");
+    cluster.orders.clear();
+    let fenced = order.instance.clone();
+    cluster.answer_order(primary, order, OrderOutcome::Fenced);
+    run(&mut cluster, &mut sequence, Duration::from_secs(20));
+    let again = cluster.orders.iter().filter(|(_, _, order, _)| order.instance == fenced).count();
+    assert_eq!(again, 0);
+}
