Transcriber tests: the rest of a body that was answered early

Change: a scripted transcriber answers after the head of an 8 MiB request and reads on: only that body's bytes may follow, and the next request goes over another connection.

--- a/crates/pebblepost-transcriber/tests/client/exchanges.rs
+++ b/crates/pebblepost-transcriber/tests/client/exchanges.rs
@@ -450,3 +450,25 @@
         assert_eq!(client.metrics().requests, requests, "nothing was written");
     });
 }
+
+#[test]
+fn the_rest_of_a_body_that_was_answered_early_is_followed_by_no_other_request() {
+    run(async {
+        let (read, rest) = oneshot::channel();
+        let early = vec![Step::ReadHead, Step::Write(OK_A), Step::ReadToEnd(read)];
+        let other = vec![Step::Read, Step::Write(OK_B)];
+        let server = Scripted::start(vec![early, other]).await;
+        let client = client();
+        // More than a socket buffers, so that the answer comes before the end of the body.
+        let body = vec![b'x'; 8 * 1024 * 1024];
+        let long = pebblepost_transcriber::OutgoingRequest { body: body.into(), ..outgoing("a") };
+        // The early answer may count or not.
+        client.send(&server.target(), long).await.ok();
+        let response = client.send(&server.target(), outgoing("b")).await.unwrap();
+        assert_eq!(&response.body[..], b"ho");
+        assert_eq!(client.metrics().connections, 2);
+        drop(client);
+        let rest = rest.await.unwrap();
+        assert!(rest.iter().all(|byte| *byte == b'x'), "other bytes stand in the place of the body");
+    });
+}
--- a/crates/pebblepost-transcriber/tests/client/support.rs
+++ b/crates/pebblepost-transcriber/tests/client/support.rs
@@ -15,6 +15,10 @@
 pub enum Step {
     /// Reads a complete request and records its text.
     Read,
+    /// Reads the head of a request and leaves its body.
+    ReadHead,
+    /// Reads until the client closes the connection, and hands over the bytes.
+    ReadToEnd(oneshot::Sender<Vec<u8>>),
     /// Writes these bytes.
     Write(&'static [u8]),
     /// Closes the connection.
@@ -68,6 +72,19 @@
                 Some(request) => record.borrow_mut().push(request),
                 None => return,
             },
+            Step::ReadHead => {
+                let mut head = Vec::new();
+                while !head.ends_with(b"\r\n\r\n") {
+                    head.push(stream.read_u8().await.unwrap());
+                }
+            }
+            Step::ReadToEnd(notify) => {
+                let mut bytes = Vec::new();
+                // A reset ends it as well.
+                stream.read_to_end(&mut bytes).await.ok();
+                let _ = notify.send(bytes);
+                return;
+            }
             Step::Write(bytes) => {
                 if stream.write_all(bytes).await.is_err() {
                     return;
