--- a/crates/pebblepost-control/tests/control/load_orders.rs
+++ b/crates/pebblepost-control/tests/control/load_orders.rs
@@ -4,7 +4,7 @@
 use crate::support::documents::registration;
 use pebblepost_control::api::HttpRequest;
 use pebblepost_control::load_order;
-use pebblepost_rollout::{LoadMode, LoadOrder, OrderOutcome};
+use pebblepost_rollout::{LoadMode, LoadOrder, OrderOutcome, TranscriberReport};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -167,7 +167,13 @@
     cluster.orders.clear();
     let fenced = order.instance.clone();
     cluster.answer_order(primary, order, OrderOutcome::Fenced);
-    run(&mut cluster, &mut sequence, Duration::from_secs(20));
+    for _ in 0..60 {
+        run(&mut cluster, &mut sequence, Duration::from_millis(300));
+        if cluster.report_requests.pop().is_some() {
+            let models = vec![("m".into(), 1)];
+            cluster.report(primary, &fenced, TranscriberReport { is_loading: false, models, running: 0 });
+        }
+    }
     let again = cluster.orders.iter().filter(|(_, _, order, _)| order.instance == fenced).count();
     assert_eq!(again, 0);
 }
