Roll-out: decisions of a large fleet are made together, in slices, and polls are spread

Change: beyond 64 transcribers events are decided together, 20 us for each further one apart; 32 orders at a time; beyond 64 that load each is polled 2 ms later for each further one. Small fleets decide as before, event by event.

--- a/crates/pebblepost-rollout/src/pending_order.rs
+++ b/crates/pebblepost-rollout/src/pending_order.rs
@@ -47,6 +47,8 @@
     next_poll: Duration,
     /// When the report in flight was requested.
     polled_at: Option<Duration>,
+    /// When the last poll was requested.
+    last_poll: Option<Duration>,
 }
 
 impl PendingOrder {
@@ -60,6 +62,7 @@
             last_response: now,
             next_poll: now + RESPONSE_TIMEOUT,
             polled_at: None,
+            last_poll: None,
         }
     }
 
@@ -127,16 +130,18 @@
         self.next_poll = now + POLL_PERIOD;
     }
 
-    /// Starts a poll if one is due.
-    pub(crate) fn start_poll(&mut self, now: Duration) -> bool {
+    /// Starts a poll if one is due, no sooner than `min_period` after the one before.
+    pub(crate) fn start_poll(&mut self, now: Duration, min_period: Duration) -> bool {
         if self.stage == Stage::Sent && self.is_unresponsive(now) {
             self.stage = Stage::Uncertain;
         }
         let is_in_flight = self.polled_at.is_some_and(|polled_at| now < polled_at + RESPONSE_TIMEOUT);
-        if self.stage == Stage::Sent || is_in_flight || now < self.next_poll {
+        let is_early = self.last_poll.is_some_and(|last_poll| now < last_poll + min_period);
+        if self.stage == Stage::Sent || is_in_flight || is_early || now < self.next_poll {
             return false;
         }
         self.polled_at = Some(now);
+        self.last_poll = Some(now);
         self.next_poll = now + self.poll_period(now);
         true
     }
--- a/crates/pebblepost-rollout/src/planner.rs
+++ b/crates/pebblepost-rollout/src/planner.rs
@@ -14,6 +14,19 @@
 /// replaces may have crashed, and still be known.
 const COUNTED_AFTER: Duration = Duration::from_secs(3);
 
+/// Up to so many transcribers everything is decided anew after each event.
+const SMALL_FLEET: usize = 64;
+/// With more of them, events are handled together that arrive within this time for each further one: a decision looks at
+/// all transcribers, and each of hundreds that load is heard several times a second.
+const DECISION_DELAY_PER_TRANSCRIBER: Duration = Duration::from_micros(20);
+/// Most orders decided at a time, for the same reason.
+const MAX_ORDERS_PER_DECISION: usize = 32;
+
+/// Up to so many transcribers that load are polled as often as each wants.
+const FREELY_POLLED: usize = 64;
+/// With more of them, time between two polls of one of them for each further one, which bounds the polls a second.
+const POLL_PERIOD_PER_TRANSCRIBER: Duration = Duration::from_millis(2);
+
 /// The planner of one lease holder.
 ///
 /// It brings the transcribers that have loaded a model to its newest named version: one order at a time
@@ -29,6 +42,8 @@
     versions: NamedVersions,
     lags: VersionLags,
     transcribers: BTreeMap<String, Transcriber>,
+    /// When it was last decided what is due.
+    decided_at: Option<Duration>,
     outputs: Vec<PlanOutput>,
 }
 
@@ -50,7 +65,7 @@
     /// A batch job of a model was accepted that allows this many versions behind the newest named one.
     pub fn observe_version_lag(&mut self, now: Duration, model: &str, lag: u64) {
         self.lags.observe(model, lag);
-        self.tick(now);
+        self.decide_soon(now);
     }
 
     /// A transcriber was announced, has changed or has ended.
@@ -64,7 +79,7 @@
             transcriber.announced(instance);
             self.transcribers.insert(instance.id.clone(), transcriber);
         }
-        self.tick(now);
+        self.decide_soon(now);
     }
 
     /// Number of running requests of a transcriber, where the caller learns it by other means than
@@ -82,7 +97,7 @@
         {
             self.outputs.push(loaded(&order.instance, order.model.clone(), order.generation));
         }
-        self.tick(now);
+        self.decide_soon(now);
     }
 
     /// A report was fetched; `None` if the call has failed.
@@ -92,11 +107,12 @@
             let outputs = newly_loaded.map(|(model, generation)| loaded(instance, model, generation));
             self.outputs.extend(outputs);
         }
-        self.tick(now);
+        self.decide_soon(now);
     }
 
     /// Time has passed; to be called every 50 ms or so, or when [`Planner::next_wake`] says.
     pub fn tick(&mut self, now: Duration) {
+        self.decided_at = Some(now);
         self.poll_reports(now);
         self.send_orders(now);
     }
@@ -112,6 +128,16 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// Decides what follows from an event, together with others where the fleet is large; the next [`Planner::tick`]
+    /// decides the rest.
+    fn decide_soon(&mut self, now: Duration) {
+        let further = u32::try_from(self.transcribers.len().saturating_sub(SMALL_FLEET)).unwrap_or(u32::MAX);
+        let delay = DECISION_DELAY_PER_TRANSCRIBER.saturating_mul(further);
+        if self.decided_at.is_none_or(|decided_at| now >= decided_at + delay) {
+            self.tick(now);
+        }
+    }
+
     /// From when on a transcriber that is announced now counts towards the limit on concurrent loads:
     /// at once if it was there when the planner started.
     fn counted_from(&mut self, now: Duration) -> Duration {
@@ -129,11 +155,19 @@
         (transcriber.is_ready && is_behind && starts_at > now).then_some(starts_at)
     }
 
+    /// Shortest time between two polls of a transcriber: the more of them load, the longer.
+    fn min_poll_period(&self) -> Duration {
+        let pending = self.transcribers.values().filter(|transcriber| transcriber.pending_order.is_some());
+        let further = pending.count().saturating_sub(FREELY_POLLED);
+        POLL_PERIOD_PER_TRANSCRIBER.saturating_mul(u32::try_from(further).unwrap_or(u32::MAX))
+    }
+
     /// Requests the reports that are due.
     fn poll_reports(&mut self, now: Duration) {
+        let min_period = self.min_poll_period();
         for (instance, transcriber) in &mut self.transcribers {
             let Some(pending) = &mut transcriber.pending_order else { continue };
-            if pending.start_poll(now) {
+            if pending.start_poll(now, min_period) {
                 let address = transcriber.address.clone();
                 self.outputs.push(PlanOutput::FetchLoadReport { instance: instance.clone(), address });
             }
@@ -145,7 +179,8 @@
         if now < self.not_before {
             return;
         }
-        while let Some(placement) = self.next_placement(now) {
+        for _ in 0..MAX_ORDERS_PER_DECISION {
+            let Some(placement) = self.next_placement(now) else { return };
             self.send_order(now, &placement);
         }
     }
--- a/crates/pebblepost-rollout/tests/integration/planner.rs
+++ b/crates/pebblepost-rollout/tests/integration/planner.rs
@@ -282,3 +282,72 @@
         assert_ne!(pair[0], pair[1], "pair {index} of {order_of_models:?}");
     }
 }
+
+/// A planner with this many transcribers, of which a third loads version 2, and its outputs until now.
+fn large_fleet(size: u64) -> (Planner, Vec<PlanOutput>) {
+    let mut planner = Planner::new(Duration::ZERO);
+    (0..size)
+        .for_each(|number| planner.instance_announced(ms(0), &instance(&format!("i-{number:04}"), 1, 1)));
+    planner.name_version(ms(100), MODEL, 2, false);
+    let mut outputs = planner.take_outputs();
+    for step in 1..20 {
+        planner.tick(ms(100 + 50 * step));
+        outputs.extend(planner.take_outputs());
+    }
+    (planner, outputs)
+}
+
+fn orders_among(outputs: &[PlanOutput]) -> Vec<LoadOrder> {
+    let order = |output: &PlanOutput| match output {
+        PlanOutput::SendOrder(order) => Some(order.clone()),
+        _ => None,
+    };
+    outputs.iter().filter_map(order).collect()
+}
+
+#[test]
+fn a_large_fleet_is_ordered_in_slices() {
+    let mut planner = Planner::new(Duration::ZERO);
+    (0..999).for_each(|number| planner.instance_announced(ms(0), &instance(&format!("i-{number:04}"), 1, 1)));
+    planner.name_version(ms(100), MODEL, 2, false);
+    assert_eq!(orders(&mut planner).len(), 32, "a decision of bounded length");
+    let (_, outputs) = large_fleet(999);
+    assert_eq!(orders_among(&outputs).len(), 333, "a third of them within a second");
+}
+
+#[test]
+fn the_more_transcribers_load_the_less_often_each_is_polled() {
+    let (mut planner, outputs) = large_fleet(999);
+    for order in orders_among(&outputs) {
+        planner.order_answered(ms(1_100), &order, OrderOutcome::Accepted);
+    }
+    planner.take_outputs();
+    let mut polled = 0;
+    for step in 1..=20 {
+        let now = ms(1_500 + 50 * step);
+        planner.tick(now);
+        for output in planner.take_outputs() {
+            if let PlanOutput::FetchLoadReport { instance, .. } = output {
+                polled += 1;
+                planner.report_received(now, &instance, report(true, 1));
+            }
+        }
+    }
+    assert!((333..=2 * 333).contains(&polled), "{polled} polls in a second");
+}
+
+#[rstest]
+#[case::small(30, 1)]
+#[case::large(999, 0)]
+fn an_event_is_followed_by_a_decision_at_once_in_a_small_fleet_only(
+    #[case] size: u64, #[case] orders_at_once: usize,
+) {
+    let (mut planner, outputs) = large_fleet(size);
+    let order = orders_among(&outputs).pop().expect("an order");
+    planner.tick(ms(1_100));
+    planner.take_outputs();
+    planner.order_answered(ms(1_101), &order, OrderOutcome::AlreadyLoaded);
+    assert_eq!(orders(&mut planner).len(), orders_at_once);
+    planner.tick(ms(1_150));
+    assert_eq!(orders(&mut planner).len(), 1 - orders_at_once);
+}
