Control: the HTTP server on a thread of its own, with a longer backlog and more places

Change: runtime/http_thread.rs; the server's backlog is 4,096 connections, it may take 62 % of the descriptors (50), keeps connections up to 85 % of that (75); calls to transcribers take 10 % (15).

--- a/crates/pebblepost-control/src/runtime.rs
+++ b/crates/pebblepost-control/src/runtime.rs
@@ -1,8 +1,8 @@
 //! Everything that does I/O: listeners, links, the disk, HTTP, signals, clocks, and the loop around
 //! [`ControlNode`](crate::node::ControlNode).
 //!
-//! Owns sockets, tasks and timers, and decides nothing: it passes inputs in and carries outputs out. Everything runs on
-//! one thread, on a `LocalSet`.
+//! Owns sockets, tasks and timers, and decides nothing: it passes inputs in and carries outputs out. The loop and its links
+//! run on one thread, on a `LocalSet`; the HTTP server and the disk have a thread each.
 
 pub mod body_budget;
 mod disk;
@@ -11,6 +11,7 @@
 mod error;
 mod event;
 pub mod http;
+mod http_thread;
 mod link_tasks;
 mod listen;
 mod server;
--- a/crates/pebblepost-control/src/runtime/error.rs
+++ b/crates/pebblepost-control/src/runtime/error.rs
@@ -35,6 +35,9 @@
     /// The asynchronous runtime can't be started.
     #[error("starting the runtime")]
     StartRuntime(#[source] io::Error),
+    /// The thread of the HTTP server can't be started.
+    #[error("starting the HTTP server")]
+    StartHttp(#[source] io::Error),
     /// The link address can't be bound.
     #[error(transparent)]
     BindLinks(Box<dyn StdError + Send + Sync>),
--- a/crates/pebblepost-control/src/runtime/http.rs
+++ b/crates/pebblepost-control/src/runtime/http.rs
@@ -1,4 +1,4 @@
-//! HTTP server of the control plane: `xitca-web` on the process's own single-threaded runtime.
+//! HTTP server of the control plane: `xitca-web` on a single-threaded runtime.
 //!
 //! `xitca-web`'s own server starts threads and listens for signals itself, so only its application and its HTTP/1
 //! service are used: the listener and its tasks live on the caller's `LocalSet`.
@@ -33,7 +33,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Percentage of the connections that are kept open between requests. With more of them each is closed after its
 /// response, so that others find a place: thousands of transcribers must not shut an operator out.
-const KEPT_CONNECTIONS_PERCENT: usize = 75;
+const KEPT_CONNECTIONS_PERCENT: usize = 85;
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -108,8 +108,8 @@
     body_budget: Arc<BodyBudget>,
 }
 
-/// Serves requests without end. Connections beyond the limit are closed at once, and those beyond three
-/// quarters of it after their response. Runs on the caller's
+/// Serves requests without end. Connections beyond the limit are closed at once, and those beyond most
+/// of it after their response. Runs on the caller's
 /// `LocalSet`.
 ///
 /// # Errors
--- a/crates/pebblepost-control/src/runtime/listen.rs
+++ b/crates/pebblepost-control/src/runtime/listen.rs
@@ -3,9 +3,10 @@
 use super::error::ControlError;
 use super::link_tasks::LINK_LIMITS;
 use pebblepost_link::Listener;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::time::sleep;
 
 /// Attempts to bind an address.
@@ -13,6 +14,10 @@
 /// Delay between attempts.
 const BIND_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Connections that may wait to be accepted: after a restart of all control processes thousands of transcribers come at
+/// once, and a connection that finds no place is tried again by its system after seconds only.
+const HTTP_BACKLOG: u32 = 4096;
+
 /// Binds the address for links.
 pub(super) async fn bind_links(address: SocketAddr) -> Result<Listener, ControlError> {
     for _ in 1..BIND_ATTEMPTS {
@@ -28,11 +33,18 @@
 /// Binds the address of the HTTP interface.
 pub(super) async fn bind_http(address: SocketAddr) -> Result<TcpListener, ControlError> {
     for _ in 1..BIND_ATTEMPTS {
-        match TcpListener::bind(address).await {
+        match listen(address) {
             Ok(listener) => return Ok(listener),
             Err(error) => log::debug!("bind failed address={address} error={error}"),
         }
         sleep(BIND_RETRY_DELAY).await;
     }
-    TcpListener::bind(address).await.map_err(|source| ControlError::BindHttp { address, source })
+    listen(address).map_err(|source| ControlError::BindHttp { address, source })
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(HTTP_BACKLOG)
 }
--- a/crates/pebblepost-control/src/runtime/server.rs
+++ b/crates/pebblepost-control/src/runtime/server.rs
@@ -6,7 +6,7 @@
 use super::http::HttpLimits;
 use super::listen::{bind_http, bind_links};
 use super::timers::Timers;
-use super::{http, link_tasks};
+use super::{http_thread, link_tasks};
 use crate::api::MAX_BODY_BYTES;
 use crate::node::{ControlNode, Input};
 use pebblepost_link::{Listener, Pacer};
@@ -33,10 +33,10 @@
 /// File descriptors for the disk and the process itself.
 const RESERVED_DESCRIPTORS: usize = 200;
 /// Percentage of the other descriptors for connections of HTTP requests: each transcriber keeps one to the primary.
-const REQUEST_DESCRIPTORS_PERCENT: usize = 50;
+const REQUEST_DESCRIPTORS_PERCENT: usize = 62;
 /// Percentage of the other descriptors for calls to transcribers in progress, for orders and reports. As many
 /// connections may be idle for a short time; links have the rest.
-const CALL_DESCRIPTORS_PERCENT: usize = 15;
+const CALL_DESCRIPTORS_PERCENT: usize = 10;
 
 /// Runs a control process until SIGTERM.
 ///
@@ -110,7 +110,7 @@
         let mut hangup = listen_for(SignalKind::hangup(), "SIGHUP")?;
         let (request_sender, mut requests) = mpsc::channel(MAX_QUEUED_REQUESTS);
         let (event_sender, mut events) = mpsc::channel(MAX_QUEUED_EVENTS);
-        spawn_local(http::serve(http_listener, request_sender, http_limits));
+        http_thread::start(http_listener, request_sender, http_limits)?;
         spawn_local(link_tasks::accept_links(links, event_sender.clone()));
         let mut driver = Driver::new(start, node, disk, event_sender, max_calls);
         driver.carry_out();
