Link: a redirect drops shared updates whose batch it has replaced

Cause, found on reading the change again: a redirect goes out in the place of what waits. On the link between control processes, which stays open, shared updates could have been written and their batch dropped; they would have come with the first batch of the next subscription, a complete list of transcribers among them, by which newer ones count as gone for good. Change: the assembler forgets them at a redirect. Result: control_client.rs has the test; it fails without the change.

--- a/crates/pebblepost-link/src/control_client/assembler.rs
+++ b/crates/pebblepost-link/src/control_client/assembler.rs
@@ -40,6 +40,11 @@
                 all.extend(updates);
                 Ok(Some(FromControl::Feed(FeedBatch { sequence, updates: all })))
             }
+            FromControl::Redirect { .. } => {
+                // It went out in the place of what waited, maybe of the batch that these updates belong to.
+                self.shared.clear();
+                Ok(Some(message))
+            }
             other => Ok(Some(other)),
         }
     }
--- a/crates/pebblepost-link/tests/control_client.rs
+++ b/crates/pebblepost-link/tests/control_client.rs
@@ -181,6 +181,16 @@
     assert_eq!(assembler.receive(next.clone()).unwrap(), Some(next));
 }
 
+#[test]
+fn shared_updates_whose_batch_was_dropped_for_a_redirect_are_dropped_too() {
+    let mut assembler = FeedAssembler::default();
+    let shared = compress_updates(&many_versions()).unwrap();
+    assert_eq!(assembler.receive(FromControl::SharedUpdates(shared)).unwrap(), None);
+    let redirect = FromControl::Redirect { primary: None, members: Vec::new() };
+    assert_eq!(assembler.receive(redirect.clone()).unwrap(), Some(redirect));
+    assert_eq!(assembler.receive(batch(1)).unwrap(), Some(batch(1)));
+}
+
 #[test]
 fn damaged_shared_updates_are_an_error() {
     let sound = compress_updates(&many_versions()).unwrap();
