Control status: how many losses are left, and what redundancy waits for

Cause: an operator had to work out from lists of disks whether the next loss may come. Change: losses_left and waits_for for the control group and each group of batch jobs. Test: status.rs; the approved statuses have the new keys.

--- a/crates/pebblepost-control/src/node/status.rs
+++ b/crates/pebblepost-control/src/node/status.rs
@@ -1,7 +1,7 @@
 //! The operator's status of a control process, JSON. Keys and values are part of the operator's interface.
 
 use super::control_node::ControlNode;
-use crate::state::RetirementState;
+use crate::state::{GroupAssignment, RetirementState};
 use pebblepost_messages::control::SubscriberRole;
 use pebblepost_messages::{DiskId, Member};
 use simd_json::OwnedValue;
@@ -19,6 +19,8 @@
             "primary": disk(record.primary),
             "in_sync": members(&record.in_sync),
             "witnesses": members(&record.witnesses),
+            "losses_left": losses_left(record.in_sync.len()),
+            "waits_for": self.waits_for(),
             "generation": self.state().generation(),
             "instances": self.registry.live().count(),
             "subscribers": self.subscriber_status(),
@@ -51,11 +53,27 @@
                 "primary": disk(assignment.epoch.primary),
                 "in_sync": list(assignment.epoch.in_sync.iter().map(|member| disk(*member).into())),
                 "targets": targets,
+                "losses_left": losses_left(assignment.epoch.in_sync.len()),
+                "waits_for": group_waits_for(assignment),
             })
         });
         list(groups)
     }
 
+    /// What the control group's redundancy waits for, or `nothing`.
+    fn waits_for(&self) -> &'static str {
+        let record = self.group.record();
+        if !self.settings.tolerance.is_met_by(&record.in_sync) {
+            "replicas"
+        } else if record.witnesses.len() < self.settings.witness_set_size() {
+            "witnesses"
+        } else if self.group.is_changing() {
+            "an epoch change"
+        } else {
+            "nothing"
+        }
+    }
+
     fn version_status(&self) -> OwnedValue {
         let versions = self.state().named_versions().iter().map(
             |(model, generation)| simd_json::json!({ "model": model.as_str(), "generation": *generation }),
@@ -75,6 +93,18 @@
     }
 }
 
+/// Disks that may still be lost with nothing acknowledged lost.
+fn losses_left(in_sync: usize) -> usize {
+    in_sync.saturating_sub(1)
+}
+
+/// What the redundancy of a group of batch jobs waits for, or `nothing`.
+fn group_waits_for(assignment: &GroupAssignment) -> String {
+    let in_sync = &assignment.epoch.in_sync;
+    let joining = assignment.targets.iter().filter(|target| !in_sync.contains(target)).count();
+    if joining == 0 { "nothing".into() } else { format!("{joining} to catch up") }
+}
+
 fn role_name(role: SubscriberRole) -> &'static str {
     match role {
         SubscriberRole::Agent => "Agent",
--- a/crates/pebblepost-control/tests/control/main.rs
+++ b/crates/pebblepost-control/tests/control/main.rs
@@ -18,6 +18,7 @@
 mod order_deadline;
 mod registry;
 mod state;
+mod status;
 mod storage_groups;
 mod stored_forms;
 mod support;
