Control tests: starved processes and hanging disks among the seeded faults

Cause: a control process at its share of the processor was suspected of a stale read and a late order, and no simulation starved one. Change: the simulated cluster runs a starved process in slices 0.1 to 1.5 s apart; three more cases of faults (hanging disk, starved, both with kills).

--- a/crates/pebblepost-control/tests/control/fault_injection.rs
+++ b/crates/pebblepost-control/tests/control/fault_injection.rs
@@ -1,5 +1,5 @@
-//! Seeded simulations with faults (isolation, blocked sending, suspension, crashes, lost disks) under concurrent
-//! whoever responses, responses by what was acknowledged before.
+//! Seeded simulations with faults (isolation, blocked sending, suspension, starvation, crashes, hanging and lost disks)
+//! under concurrent operators. Every response of every process is checked against what was acknowledged before.
 
 use crate::support::cluster::Cluster;
 use crate::support::documents::{configuration, patch, registration};
@@ -49,6 +49,10 @@
     KillAll,
     /// The disk is lost.
     Wipe,
+    /// No write of the disk ends.
+    HangDisk,
+    /// The process gets the processor in short slices, far apart.
+    Starve,
 }
 
 struct Simulation {
@@ -183,6 +187,11 @@
             Fault::BlockSending => self.cluster.block_sending(node),
             Fault::Suspend => self.cluster.suspend(node),
             Fault::Kill => self.cluster.kill(node),
+            Fault::HangDisk => self.cluster.hang_disk(node, Duration::from_millis(time)),
+            Fault::Starve => {
+                let period = Duration::from_millis(100 + self.random.below(1_400));
+                self.cluster.starve(node, period, Duration::from_millis(time));
+            }
             Fault::Wipe => {
                 self.cluster.wipe(node);
                 self.no_fault_until = until + CATCH_UP;
@@ -203,7 +212,8 @@
         {
             match fault {
                 Fault::Isolate | Fault::BlockSending => self.cluster.heal(node),
-                Fault::Suspend => self.cluster.resume(node),
+                Fault::Suspend | Fault::Starve => self.cluster.resume(node),
+                Fault::HangDisk => {}
                 Fault::Kill | Fault::KillAll | Fault::Wipe => self.cluster.start(node),
             }
         }
@@ -332,6 +342,9 @@
 #[case::suspended(&[Fault::Suspend], 3_000)]
 #[case::killed(&[Fault::Kill, Fault::KillAll], 4_000)]
 #[case::without_disk(&[Fault::Wipe], 5_000)]
+#[case::hanging_disk(&[Fault::HangDisk], 7_000)]
+#[case::starved(&[Fault::Starve], 8_000)]
+#[case::starved_or_killed(&[Fault::Starve, Fault::HangDisk, Fault::Kill, Fault::KillAll], 8_500)]
 #[case::of_all_kinds(
     &[Fault::Isolate, Fault::BlockSending, Fault::Suspend, Fault::Kill, Fault::KillAll, Fault::Wipe], 6_000
 )]
--- a/crates/pebblepost-control/tests/control/support/cluster.rs
+++ b/crates/pebblepost-control/tests/control/support/cluster.rs
@@ -61,6 +61,13 @@
         node: usize,
         incarnation: u64,
     },
+    /// A starved process gets the processor for a moment.
+    Slice {
+        node: usize,
+        incarnation: u64,
+        period: Duration,
+        until: Duration,
+    },
     Redial,
     ToProgram {
         program: usize,
@@ -288,6 +295,28 @@
         }
     }
 
+    /// Starves a process: for some time it handles what has arrived once in each `period` only, as under a quota of
+    /// processor time that is used up.
+    pub fn starve(&mut self, index: usize, period: Duration, time: Duration) {
+        self.suspend(index);
+        let until = self.now + time;
+        self.schedule_slice(index, period, until);
+    }
+
+    fn schedule_slice(&mut self, index: usize, period: Duration, until: Duration) {
+        let incarnation = self.nodes[index].incarnation;
+        self.at(self.now + period, Event::Slice { node: index, incarnation, period, until });
+    }
+
+    fn run_slice(&mut self, index: usize, period: Duration, until: Duration) {
+        self.resume(index);
+        self.input(index, Input::Tick);
+        if self.now + period < until {
+            self.suspend(index);
+            self.schedule_slice(index, period, until);
+        }
+    }
+
     /// Resumes a process with the inputs that arrived meanwhile.
     pub fn resume(&mut self, index: usize) {
         for input in self.nodes[index].suspended.take().unwrap_or_default() {
@@ -470,6 +499,11 @@
                     self.input(node, Input::Tick);
                 }
             }
+            Event::Slice { node, incarnation, period, until } => {
+                if self.nodes[node].incarnation == incarnation && self.is_up(node) {
+                    self.run_slice(node, period, until);
+                }
+            }
             Event::Redial => {
                 self.redial();
                 self.at(self.now + REDIAL, Event::Redial);
