Case 1: a store that starts again stamps jobs too old

Cause: the time of a store group stands in its log entries alone. A store that starts again goes on from the last stamp and lags by the quiet time since; a machine that went on running passes over its stamps, and once primary again takes the jobs accepted meanwhile for older than they are. Change: a script with three stores: two are killed in turn, the third stands still, jobs are sent, a store is killed.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -1,6 +1,7 @@
 //! The scripts of `review/`: `rig CASE RECORD`. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
 //! couldn't run. With TROUBLE=0 the disruption is left out.
 
+mod group_clock;
 mod http;
 mod job;
 mod large_job;
@@ -28,6 +29,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     record.say(format!("case {case}, disruption: {}", if trouble { "yes" } else { "no" }));
     let verdict = match case.as_str() {
+        "group-clock" => group_clock::run(&record, trouble),
         "large-job" => large_job::run(&record, trouble),
         "route-removed" => route_removed::run(&record, trouble),
         other => Verdict::CouldNotRun(format!("no case {other:?}")),
