Batch store: jobs no longer expire early after a restart in a quiet time

Cause: the time of a store group was both what the primary stamps on entries and what each replica had counted since it started. A store that starts again counts from the last stamp on its disk; the others ignored stamps behind their own estimate. After the next takeover the age of a job was the difference of the two.

Change: only the primary's clock counts. In its term it runs freely; the other replicas continue from the newest stamp that they have applied, even if that is behind their estimate. So that a restart does not delay expiry by a whole quiet time, the primary logs a time stamp after 1 s without an entry while items are pending (10 s while jobs are stored). Earlier builds read these entries.

Tests: tests/integration/expiry.rs.

--- a/crates/pebblepost-batch-store/src/store/handlers/replica_outputs.rs
+++ b/crates/pebblepost-batch-store/src/store/handlers/replica_outputs.rs
@@ -50,9 +50,14 @@
             return;
         }
         let Some(group) = self.groups.get_mut(&group_id) else { return };
-        log::info!("became primary group={group_id} epoch={epoch} jobs={}", group.state().jobs().count());
-        group.propose_barrier(now);
-        let clock = group.clock(now);
+        let clock = group.clock();
+        log::info!(
+            "became primary group={group_id} epoch={epoch} jobs={} group_time_ms={} last_stamp_ms={}",
+            group.state().jobs().count(),
+            clock.now_ms(now),
+            group.state().clock_ms(),
+        );
+        group.start_term(now);
         self.scheduler.start_term(now, group_id, epoch, &clock, group.state());
         self.process_deferred_messages(now, group_id);
     }
@@ -67,8 +72,7 @@
         }
         self.scheduler.end_term(group_id);
         let Some(group) = self.groups.get_mut(&group_id) else { return };
-        group.reset_barrier();
-        let uncommitted = group.take_uncommitted();
+        let uncommitted = group.end_term();
         let reads = std::mem::take(&mut group.pending_reads);
         for proposal in uncommitted {
             match proposal {
@@ -84,7 +88,8 @@
 
     fn handle_committed(&mut self, now: Duration, group_id: u32, index: u64) {
         let Some(group) = self.groups.get_mut(&group_id) else { return };
-        let clock = group.clock(now);
+        group.follow_committed_time(now);
+        let clock = group.clock();
         for proposal in group.proposals.take_committed(index) {
             match proposal {
                 Proposal::AddJob { job, callers, .. } => {
--- a/crates/pebblepost-batch-store/src/store/state/group.rs
+++ b/crates/pebblepost-batch-store/src/store/state/group.rs
@@ -1,7 +1,7 @@
 //! One store group on this machine: its replica, proposals, pending reads and buffered results.
 
 use super::proposals::{Caller, Proposal, Proposals};
-use pebblepost_batch::clock::GroupClock;
+use pebblepost_batch::clock::{GroupClock, TIME_STAMP_INTERVAL};
 use pebblepost_batch::command::{Change, Command, JobResults};
 use pebblepost_batch::state::BatchState;
 use pebblepost_messages::batch::ItemResult;
@@ -33,8 +33,10 @@
     pub(crate) proposals: Proposals,
     pub(crate) pending_reads: Vec<PendingRead>,
     clock: GroupClock,
-    /// Barrier of this machine's term as primary.
-    barrier: TermBarrier,
+    /// Barrier of this machine's term as primary; `None` outside a term.
+    barrier: Option<TermBarrier>,
+    /// Time of the newest proposal of this machine; initially the time of the opening.
+    last_proposed_at: Duration,
     /// Results that are not yet proposed, by job.
     buffered_results: BTreeMap<String, Vec<ItemResult>>,
 }
@@ -49,7 +51,8 @@
             proposals: Proposals::default(),
             pending_reads: Vec::new(),
             clock,
-            barrier: TermBarrier::default(),
+            barrier: None,
+            last_proposed_at: now,
             buffered_results: BTreeMap::new(),
         }
     }
@@ -64,49 +67,88 @@
         self.replica.state()
     }
 
-    /// Returns the store group's clock, updated with the time stamps of the committed entries.
-    pub(crate) fn clock(&mut self, now: Duration) -> GroupClock {
-        self.clock.observe(now, self.replica.state().clock_ms());
+    /// Returns the store group's clock.
+    pub(crate) fn clock(&self) -> GroupClock {
         self.clock
     }
 
+    /// Continues from the newest committed time stamp, unless this machine is in a term as primary and stamps
+    /// the entries itself.
+    pub(crate) fn follow_committed_time(&mut self, now: Duration) {
+        if self.barrier.is_none() {
+            self.clock = GroupClock::new(now, self.state().clock_ms());
+        }
+    }
+
     /// Proposes a change and records the proposal under its log index.
     pub(crate) fn propose(
         &mut self, now: Duration, change: Change, proposal: Proposal,
     ) -> Result<(), ProposeError> {
-        let now_ms = self.clock(now).now_ms(now);
-        let index = self.replica.propose(now, Command { now_ms, change }.encode())?;
+        let now_ms = self.clock.now_ms(now);
+        let index = self.propose_command(now, &Command { now_ms, change })?;
         self.proposals.insert(index, proposal);
         Ok(())
     }
 
-    /// Proposes the barrier of this machine's term, unless it was already proposed.
+    /// Starts this machine's term as primary: from now on its clock runs freely. Proposes the barrier.
+    pub(crate) fn start_term(&mut self, now: Duration) {
+        self.barrier = Some(TermBarrier::default());
+        self.propose_barrier(now);
+    }
+
+    /// Proposes the barrier of this machine's term, unless it was already proposed or there is no term.
     pub(crate) fn propose_barrier(&mut self, now: Duration) {
-        if self.barrier.is_proposed() {
+        if self.barrier.as_ref().is_none_or(TermBarrier::is_proposed) {
             return;
         }
-        let now_ms = self.clock(now).now_ms(now);
-        match self.replica.propose(now, Command::barrier(now_ms).encode()) {
-            Ok(index) => self.barrier.set_index(index),
-            Err(error) => log::debug!("barrier not proposed error={error:?}"),
+        let Some(index) = self.propose_time_stamp(now) else { return };
+        if let Some(barrier) = &mut self.barrier {
+            barrier.set_index(index);
         }
     }
 
+    /// Proposes a time stamp if the newest entry is older than the expiry of the stored jobs permits.
+    pub(crate) fn propose_time_stamp_if_due(&mut self, now: Duration) {
+        let age = now.saturating_sub(self.last_proposed_at);
+        if age < TIME_STAMP_INTERVAL || !self.is_acting(now) {
+            return;
+        }
+        if self.state().time_stamp_interval().is_some_and(|interval| age >= interval) {
+            self.propose_time_stamp(now);
+        }
+    }
+
+    /// Proposes an entry that only records the time, and returns its log index.
+    fn propose_time_stamp(&mut self, now: Duration) -> Option<u64> {
+        let command = Command::time_stamp(self.clock.now_ms(now));
+        match self.propose_command(now, &command) {
+            Ok(index) => Some(index),
+            Err(error) => {
+                log::debug!("time stamp not proposed error={error:?}");
+                None
+            }
+        }
+    }
+
+    fn propose_command(&mut self, now: Duration, command: &Command) -> Result<u64, ProposeError> {
+        let index = self.replica.propose(now, command.encode())?;
+        self.last_proposed_at = now;
+        Ok(index)
+    }
+
     /// Returns whether the barrier of this term is committed.
     ///
     /// From then on no uncommitted entry of an earlier primary can be committed, so a job that is not stored
     /// was not accepted.
     pub(crate) fn is_past_barrier(&self) -> bool {
-        self.barrier.is_committed(self.replica.commit_index())
-    }
-
-    /// Resets the barrier at the end of this machine's term.
-    pub(crate) fn reset_barrier(&mut self) {
-        self.barrier = TermBarrier::default();
+        let commit_index = self.replica.commit_index();
+        self.barrier.as_ref().is_some_and(|barrier| barrier.is_committed(commit_index))
     }
 
-    /// Drops the buffered results, and removes and returns all uncommitted proposals.
-    pub(crate) fn take_uncommitted(&mut self) -> Vec<Proposal> {
+    /// Ends this machine's term as primary, with its barrier and its buffered results. Removes and returns all
+    /// uncommitted proposals.
+    pub(crate) fn end_term(&mut self) -> Vec<Proposal> {
+        self.barrier = None;
         self.buffered_results.clear();
         self.proposals.take_all()
     }
--- a/crates/pebblepost-batch-store/tests/integration/main.rs
+++ b/crates/pebblepost-batch-store/tests/integration/main.rs
@@ -2,6 +2,7 @@
 
 mod approval;
 mod exchanges;
+mod expiry;
 mod schedules;
 mod simulation;
 mod stored_form;
--- a/crates/pebblepost-batch-store/tests/integration/simulation/checker.rs
+++ b/crates/pebblepost-batch-store/tests/integration/simulation/checker.rs
@@ -1,6 +1,6 @@
 //! Checks the guarantees that the store gives to clients against the answers that they received.
 
-use pebblepost_messages::batch::{ItemResult, Job, JobResponse, ResultPage};
+use pebblepost_messages::batch::{ItemResult, Job, JobResponse, ResultPage, ResultState};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Time after the acknowledged end of a job from which none of its items may run, in milliseconds.
@@ -10,6 +10,8 @@
 #[derive(Debug, Default)]
 pub struct Checker {
     accepted: BTreeMap<String, Job>,
+    /// Time at which each job was first sent, in milliseconds.
+    submitted_at: BTreeMap<String, u64>,
     /// Results of each job that were read, by position.
     read_results: BTreeMap<String, Vec<ItemResult>>,
     /// Time at which each position was first read, in milliseconds.
@@ -23,6 +25,16 @@
 }
 
 impl Checker {
+    /// Records that a client sends a job. Later calls for the same job have no effect.
+    pub fn record_submission(&mut self, now: u64, id: &str) {
+        self.submitted_at.entry(id.to_owned()).or_insert(now);
+    }
+
+    /// Returns when a job was first sent, in milliseconds.
+    pub fn submitted_at(&self, id: &str) -> u64 {
+        self.submitted_at[id]
+    }
+
     /// Records that a job was accepted.
     pub fn record_accepted_job(&mut self, job: &Job) {
         self.accepted.insert(job.id.clone(), job.clone());
@@ -118,6 +130,11 @@
                 self.violations
                     .push(format!("{now}: job {id} lists {}, which is not one of its items", result.id));
             }
+            // No simulated proxy gives an item up, so every dead letter must be one of an expired item.
+            let age_ms = now - self.submitted_at[id];
+            if result.state == ResultState::DeadLetter && age_ms < job.terms.queue_ttl_ms {
+                self.violations.push(format!("{now}: item {} was given up after {age_ms} ms", result.id));
+            }
             read_results.push(result.clone());
             first_read_at.push(now);
         }
--- a/crates/pebblepost-batch/src/clock.rs
+++ b/crates/pebblepost-batch/src/clock.rs
@@ -1,37 +1,41 @@
-//! The time of a store group: a monotonic count of milliseconds that is stamped on its log entries.
+//! The time of a store group: milliseconds that its primary counts and stamps on the entries of the log.
 //!
-//! The time does not advance while no machine advances it. Time stamps therefore never run ahead of the
-//! real time since a job was accepted, so no item is dead-lettered and no job is deleted too early.
+//! Items expire and jobs are deleted by this time. It never runs ahead of real time, so neither happens too
+//! early:
+//!
+//! * The primary's clock runs freely while its term lasts.
+//! * Every other replica continues from the newest time stamp that it has applied, even if that is behind its
+//!   previous estimate. The primary may have restarted and lost time that the others have counted; the age of
+//!   the jobs that it accepts is known only relative to its own stamps.
+//! * A replica that restarts continues from the newest time stamp on its disk. The time since then is lost, so
+//!   the primary logs a time stamp at intervals ([`TIME_STAMP_INTERVAL`]) while a job may expire.
 
 use std::time::Duration;
 
-/// A machine's local estimate of a store group's time.
+/// Maximum age of the newest entry while items are pending, and so the time that a restart of all replicas
+/// adds to their expiry.
+pub const TIME_STAMP_INTERVAL: Duration = Duration::from_secs(1);
+/// The same while jobs are stored of which no item is pending.
+pub const IDLE_TIME_STAMP_INTERVAL: Duration = Duration::from_secs(10);
+
+/// A replica's local estimate of its store group's time.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct GroupClock {
-    observed_ms: u64,
-    /// Local time at which `observed_ms` was current.
-    observed_at: Duration,
+    stamp_ms: u64,
+    /// Local time from which on the clock counts from `stamp_ms`.
+    stamped_at: Duration,
 }
 
 impl GroupClock {
-    /// Creates an estimate that continues from the newest observed time stamp.
+    /// Creates a clock that continues from a time stamp at the local time `now`.
     pub fn new(now: Duration, stamp_ms: u64) -> GroupClock {
-        GroupClock { observed_ms: stamp_ms, observed_at: now }
+        GroupClock { stamp_ms, stamped_at: now }
     }
 
     /// Returns the store group's time at the local time `now`.
     pub fn now_ms(&self, now: Duration) -> u64 {
-        let elapsed = now.saturating_sub(self.observed_at);
-        self.observed_ms.saturating_add(whole_millis(elapsed))
-    }
-
-    /// Advances the estimate to the newest time stamp of the applied entries.
-    ///
-    /// A time stamp that is not ahead of the estimate is ignored, so the time never goes back.
-    pub fn observe(&mut self, now: Duration, stamp_ms: u64) {
-        if stamp_ms > self.now_ms(now) {
-            *self = GroupClock::new(now, stamp_ms);
-        }
+        let elapsed = now.saturating_sub(self.stamped_at);
+        self.stamp_ms.saturating_add(whole_millis(elapsed))
     }
 }
 
--- a/crates/pebblepost-batch/src/command.rs
+++ b/crates/pebblepost-batch/src/command.rs
@@ -50,10 +50,10 @@
 }
 
 impl Command {
-    /// Creates an entry without effect, which serves as the barrier of a term.
+    /// Creates an entry that only records the time. It also serves as the barrier of a term.
     ///
     /// It is encoded as a deletion of no jobs, so that earlier builds can decode it.
-    pub fn barrier(now_ms: u64) -> Command {
+    pub fn time_stamp(now_ms: u64) -> Command {
         Command { now_ms, change: Change::DeleteJobs { jobs: Vec::new() } }
     }
 
--- a/crates/pebblepost-batch/src/state.rs
+++ b/crates/pebblepost-batch/src/state.rs
@@ -3,7 +3,7 @@
 //! The state changes only by committed log entries, deterministically on every replica. It reads no
 //! clock; the time is part of each entry.
 
-use crate::clock::whole_millis;
+use crate::clock::{IDLE_TIME_STAMP_INTERVAL, TIME_STAMP_INTERVAL, whole_millis};
 use crate::command::{Change, Command, JobResults};
 use crate::job::StoredJob;
 use nanoserde::{DeBin, DeBinErr, SerBin};
@@ -42,6 +42,16 @@
         self.jobs.get(id)
     }
 
+    /// Returns the maximum age of the newest entry that the expiry of the stored jobs permits; `None` if there
+    /// are no jobs.
+    pub fn time_stamp_interval(&self) -> Option<Duration> {
+        if self.jobs.is_empty() {
+            return None;
+        }
+        let has_pending_items = self.jobs.values().any(|job| !job.is_complete());
+        Some(if has_pending_items { TIME_STAMP_INTERVAL } else { IDLE_TIME_STAMP_INTERVAL })
+    }
+
     /// Iterates over all stored jobs in the order of their ids.
     pub fn jobs(&self) -> impl Iterator<Item = &StoredJob> {
         self.jobs.values()
