--- a/crates/pebblepost-batch-runner/src/capacity.rs
+++ b/crates/pebblepost-batch-runner/src/capacity.rs
@@ -18,6 +18,8 @@
 /// Limit of all items in flight, including those whose complete text awaits its score, as a multiple of the limit of
 /// texts.
 const ITEM_LIMIT_MULTIPLIER: u32 = 4;
+/// Work is requested only if the available capacity is at least the limit of texts divided by this number.
+const MIN_REQUEST_LIMIT_DIVISOR: u32 = 8;
 /// Time for which a computed limit is cached, unless the feed changes.
 const LIMIT_CACHE_TTL: Duration = Duration::from_secs(1);
 
@@ -82,16 +84,24 @@
     /// Returns how many more items may be taken under this limit of texts.
     pub(crate) fn available(&self, text_limit: u32) -> u32 {
         let texts = text_limit.saturating_sub(self.texts_in_flight.get());
-        let items =
-            text_limit.saturating_mul(ITEM_LIMIT_MULTIPLIER).saturating_sub(self.items_in_flight.get());
-        texts.min(items)
+        texts.min(self.available_items(text_limit))
+    }
+
+    fn available_items(&self, text_limit: u32) -> u32 {
+        text_limit.saturating_mul(ITEM_LIMIT_MULTIPLIER).saturating_sub(self.items_in_flight.get())
+    }
+
+    /// Returns whether the limit of items leaves too few places for a request for work.
+    pub(crate) fn is_item_limit_reached(&self) -> bool {
+        let text_limit = self.text_limit();
+        self.available_items(text_limit) < min_requested_items(text_limit)
     }
 
     /// Counts an item as in flight. Leased items are always admitted: the limit applies when work is requested.
     pub(crate) fn admit(self: &Rc<Self>) -> CapacityPermit {
-        self.texts_in_flight.set(self.texts_in_flight.get() + 1);
-        self.items_in_flight.set(self.items_in_flight.get() + 1);
-        CapacityPermit { capacity: self.clone(), counts_as_text: true }
+        let permit = CapacityPermit { capacity: self.clone(), is_text: true, is_suspended: Cell::new(true) };
+        permit.resume();
+        permit
     }
 
     fn compute_text_limit(&self) -> u32 {
@@ -106,6 +116,11 @@
     }
 }
 
+/// Returns the smallest number of items that is requested under a limit of texts.
+pub(crate) fn min_requested_items(text_limit: u32) -> u32 {
+    (text_limit / MIN_REQUEST_LIMIT_DIVISOR).max(1)
+}
+
 /// Returns whether a batch job route sends requests to the service.
 fn serves_batch_jobs(configuration: &Configuration, service: &str) -> bool {
     configuration.routes().iter().any(|route| {
@@ -114,29 +129,59 @@
     })
 }
 
-/// Permit of an item in flight. The item is counted until the permit is dropped.
+/// Permit of an item in flight. The item is counted until the permit is dropped, except while it is suspended.
 pub(crate) struct CapacityPermit {
     capacity: Rc<Capacity>,
-    counts_as_text: bool,
+    /// Whether the text of the item is incomplete.
+    is_text: bool,
+    is_suspended: Cell<bool>,
 }
 
 impl CapacityPermit {
     /// Stops counting the item as a text in flight, because its text is complete. Another text may start.
     pub(crate) fn release_text(&mut self) {
-        if self.counts_as_text {
-            self.counts_as_text = false;
-            let texts = &self.capacity.texts_in_flight;
-            texts.set(texts.get().saturating_sub(1));
+        let is_counted = self.is_text && !self.is_suspended.get();
+        self.is_text = false;
+        if is_counted {
+            decrement(&self.capacity.texts_in_flight);
             self.capacity.wake();
         }
     }
+
+    /// Stops counting the item while it cannot be sent, so that another item may take its place.
+    pub(crate) fn suspend(&self) {
+        if self.is_suspended.replace(true) {
+            return;
+        }
+        if self.is_text {
+            decrement(&self.capacity.texts_in_flight);
+        }
+        decrement(&self.capacity.items_in_flight);
+        self.capacity.wake();
+    }
+
+    /// Counts the item again. Leased items are always admitted, so the limit may be exceeded for a while.
+    pub(crate) fn resume(&self) {
+        if !self.is_suspended.replace(false) {
+            return;
+        }
+        if self.is_text {
+            increment(&self.capacity.texts_in_flight);
+        }
+        increment(&self.capacity.items_in_flight);
+    }
 }
 
 impl Drop for CapacityPermit {
     fn drop(&mut self) {
-        self.release_text();
-        let items = &self.capacity.items_in_flight;
-        items.set(items.get().saturating_sub(1));
-        self.capacity.wake();
+        self.suspend();
     }
 }
+
+fn increment(count: &Cell<u32>) {
+    count.set(count.get().saturating_add(1));
+}
+
+fn decrement(count: &Cell<u32>) {
+    count.set(count.get().saturating_sub(1));
+}
--- a/crates/pebblepost-batch-runner/src/execution/item.rs
+++ b/crates/pebblepost-batch-runner/src/execution/item.rs
@@ -4,16 +4,17 @@
 //! This module decides about retries and their backoff, and when an item becomes a dead letter. Nothing is sent
 //! while the lease is not valid.
 
-use crate::capacity::CapacityPermit;
+use crate::capacity::{Capacity, CapacityPermit};
 use crate::change_signal::ChangeSignal;
 use crate::execution::attempt::{AttemptOutcome, AttemptRunner};
+use crate::execution::blocked_items::{BlockedItems, BlockedRequest};
 use crate::execution::outcomes::OutcomeReporter;
 use crate::execution::scorer::{ScorerClient, ScorerOutcome};
 use crate::item_progress::SharedProgress;
 use crate::lease_table::{LeaseKey, LeaseStatus, LeaseTable};
 use crate::lease_terms::LeaseTerms;
 use crate::metrics::{Metric, Metrics};
-use crate::placement::placer::{PlacementError, Placer};
+use crate::placement::placer::{MAX_PLACEMENT_WAIT, PlacementError, Placer};
 use crate::placement::requirements::Requirements;
 use crate::placement::reservation::Reservation;
 use crate::random::Random;
@@ -22,7 +23,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Interval at which the status of an expired lease is checked while its renewal is awaited.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -35,8 +36,10 @@
 /// Bounds of the backoff between scorer calls, which doubles after each call.
 const INITIAL_SCORER_BACKOFF: Duration = Duration::from_millis(20);
 const MAX_SCORER_BACKOFF: Duration = Duration::from_millis(400);
-/// Delay before an item without a route is returned to its store.
-const NO_ROUTE_RETURN_DELAY: Duration = Duration::from_millis(1000);
+/// Time after which a complete text without a score is returned to its store, if other items need its place.
+const MAX_SCORE_WAIT: Duration = Duration::from_secs(2);
+/// Interval at which it is checked after that whether other items need the place.
+const PLACE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which a transcriber is ejected after it interrupted an attempt or could not be reached.
 const EJECTION_AFTER_INTERRUPTION: Duration = Duration::from_millis(700);
 /// Number of unexpected events after which a text is discarded and generated from the start.
@@ -83,12 +86,14 @@
 }
 
 /// Reason why an item ends without a score.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 enum UnscoredOutcome {
     /// The item cannot be completed, or not in time.
     DeadLetter,
-    /// The item is returned to its store, because the proxy is shutting down or knows no route for it.
+    /// The item is returned to its store, because the proxy is shutting down.
     Returned,
+    /// The item is returned to its store, because this request of it cannot be sent at present.
+    Blocked(BlockedRequest),
     /// The lease has ended, so nothing is reported.
     Abandoned,
 }
@@ -100,6 +105,8 @@
     pub(crate) attempts: AttemptRunner,
     pub(crate) scorers: ScorerClient,
     pub(crate) outcomes: Rc<OutcomeReporter>,
+    pub(crate) blocked: Rc<BlockedItems>,
+    pub(crate) capacity: Rc<Capacity>,
     pub(crate) random: Rc<Random>,
     pub(crate) metrics: Rc<Metrics>,
     pub(crate) shutdown: Rc<ShutdownFlag>,
@@ -118,6 +125,10 @@
                 self.outcomes.finish(task.key, task.dead_letter_result());
             }
             Err(UnscoredOutcome::Returned) => self.outcomes.return_item(task.key, &task.item.id),
+            Err(UnscoredOutcome::Blocked(request)) => {
+                self.blocked.block(&task.terms, request);
+                self.outcomes.return_item(task.key, &task.item.id);
+            }
             Err(UnscoredOutcome::Abandoned) => self.outcomes.abandon(task.key, &task.item.id),
         }
     }
@@ -126,23 +137,29 @@
     async fn complete_and_score(
         &self, task: &ItemTask, reservation: Option<Reservation>, permit: &mut CapacityPermit,
     ) -> Result<String, UnscoredOutcome> {
-        self.complete_text(task, reservation).await?;
+        self.complete_text(task, reservation, permit).await?;
         permit.release_text();
-        self.score(task).await
+        self.score(task, permit).await
     }
 
     /// Makes attempts until the text is complete.
     async fn complete_text(
-        &self, task: &ItemTask, mut reservation: Option<Reservation>,
+        &self, task: &ItemTask, mut reservation: Option<Reservation>, permit: &CapacityPermit,
     ) -> Result<(), UnscoredOutcome> {
         let requirements = Requirements::for_text(&task.terms, &task.item.path);
         let mut unexpected_events = 0;
+        let mut waiting_since = Instant::now();
         loop {
+            if self.lease_status(task.key) != LeaseStatus::Valid {
+                // Others may take the slot and the place meanwhile.
+                drop(reservation.take());
+                self.wait_until_lease_is_valid(task.key, permit).await?;
+                waiting_since = Instant::now();
+            }
             let Some(current) = reservation.take() else {
-                reservation = self.place(&requirements).await?;
+                reservation = self.place(&requirements, waiting_since + MAX_PLACEMENT_WAIT).await?;
                 continue;
             };
-            self.wait_until_lease_is_valid(task.key).await?;
             if !self.placer.is_still_allowed(&current, &requirements) {
                 continue;
             }
@@ -164,21 +181,31 @@
                 }
             }
             self.record_retry(outcome, task, &current);
+            if is_not_executed(outcome) {
+                if waiting_since.elapsed() >= MAX_PLACEMENT_WAIT {
+                    let path = task.item.path.clone();
+                    return Err(UnscoredOutcome::Blocked(BlockedRequest::Execution { path }));
+                }
+            } else {
+                waiting_since = Instant::now();
+            }
             // The slot is released before the backoff.
             drop(current);
             sleep(backoff_after(outcome)).await;
         }
     }
 
-    async fn place(&self, requirements: &Requirements<'_>) -> Result<Option<Reservation>, UnscoredOutcome> {
-        match self.placer.place(requirements, 1).await {
+    async fn place(
+        &self, requirements: &Requirements<'_>, give_up_at: Instant,
+    ) -> Result<Option<Reservation>, UnscoredOutcome> {
+        match self.placer.place(requirements, 1, Some(give_up_at)).await {
             Ok(mut reservations) => Ok(reservations.pop()),
             Err(PlacementError::Expired) => Err(UnscoredOutcome::DeadLetter),
             Err(PlacementError::ShuttingDown) => Err(UnscoredOutcome::Returned),
-            Err(PlacementError::NoRoute(_)) => {
-                // This proxy's configuration may be outdated: another proxy may know the route.
-                sleep(NO_ROUTE_RETURN_DELAY).await;
-                Err(UnscoredOutcome::Returned)
+            Err(PlacementError::NoRoute(_) | PlacementError::NoPlace) => {
+                // Another proxy may know the route, or reach a transcriber.
+                let path = requirements.path.to_owned();
+                Err(UnscoredOutcome::Blocked(BlockedRequest::Placement { path }))
             }
         }
     }
@@ -205,16 +232,18 @@
     }
 
     /// Calls the scorer until it returns a score.
-    async fn score(&self, task: &ItemTask) -> Result<String, UnscoredOutcome> {
+    async fn score(&self, task: &ItemTask, permit: &CapacityPermit) -> Result<String, UnscoredOutcome> {
         let Some(scorer) = &task.item.scorer else { return Ok(String::new()) };
         let mut backoff = INITIAL_SCORER_BACKOFF;
+        let complete_since = Instant::now();
         loop {
-            self.wait_until_lease_is_valid(task.key).await?;
+            self.wait_until_lease_is_valid(task.key, permit).await?;
             if Instant::now() >= task.terms.expires_at {
                 return Err(UnscoredOutcome::DeadLetter);
             }
             let is_lease_valid = || self.lease_status(task.key) == LeaseStatus::Valid;
-            match self.scorers.call(scorer, &task.terms, is_lease_valid).await {
+            let gives_up = self.wait_until_place_is_needed(task, complete_since);
+            match self.scorers.call(scorer, &task.terms, is_lease_valid, gives_up).await {
                 ScorerOutcome::Scored(score) => return Ok(score),
                 ScorerOutcome::Failed { max_attempts } => {
                     if task.count_failed_scorer_attempt(max_attempts) {
@@ -222,6 +251,10 @@
                     }
                 }
                 ScorerOutcome::Retry => {
+                    if self.is_place_needed(task, complete_since) {
+                        let (path, scorer) = (task.item.path.clone(), scorer.clone());
+                        return Err(UnscoredOutcome::Blocked(BlockedRequest::ScorerCall { path, scorer }));
+                    }
                     sleep(self.random.duration_between(backoff / 2, backoff)).await;
                     backoff = (backoff * 2).min(MAX_SCORER_BACKOFF);
                 }
@@ -229,17 +262,41 @@
         }
     }
 
-    /// Waits until requests under the lease may be sent.
+    /// Returns whether other items need the place of an item that has long been complete but for its score.
+    fn is_place_needed(&self, task: &ItemTask, complete_since: Instant) -> bool {
+        let is_needed = || {
+            self.capacity.is_item_limit_reached()
+                || self.blocked.contains(&task.terms.job_id, &task.item.path)
+        };
+        complete_since.elapsed() >= MAX_SCORE_WAIT && is_needed()
+    }
+
+    async fn wait_until_place_is_needed(&self, task: &ItemTask, complete_since: Instant) {
+        sleep_until(complete_since + MAX_SCORE_WAIT).await;
+        while !self.is_place_needed(task, complete_since) {
+            sleep(PLACE_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Waits until requests under the lease may be sent. Meanwhile the item holds no place.
     ///
     /// # Errors
     /// The lease has ended, or it has expired while the proxy is shutting down.
-    async fn wait_until_lease_is_valid(&self, key: LeaseKey) -> Result<(), UnscoredOutcome> {
+    async fn wait_until_lease_is_valid(
+        &self, key: LeaseKey, permit: &CapacityPermit,
+    ) -> Result<(), UnscoredOutcome> {
         loop {
             match self.lease_status(key) {
-                LeaseStatus::Valid => return Ok(()),
+                LeaseStatus::Valid => {
+                    permit.resume();
+                    return Ok(());
+                }
                 LeaseStatus::Ended => return Err(UnscoredOutcome::Abandoned),
                 LeaseStatus::Expired if self.shutdown.is_set() => return Err(UnscoredOutcome::Returned),
-                LeaseStatus::Expired => self.changes.wait(LEASE_CHECK_INTERVAL).await,
+                LeaseStatus::Expired => {
+                    permit.suspend();
+                    self.changes.wait(LEASE_CHECK_INTERVAL).await;
+                }
             }
         }
     }
@@ -258,6 +315,11 @@
     }
 }
 
+/// Returns whether the transcriber did not execute the attempt, as far as is known.
+fn is_not_executed(outcome: AttemptOutcome) -> bool {
+    matches!(outcome, AttemptOutcome::Rejected | AttemptOutcome::VersionMismatch | AttemptOutcome::NotSent)
+}
+
 fn backoff_after(outcome: AttemptOutcome) -> Duration {
     match outcome {
         AttemptOutcome::Rejected => REJECTED_BACKOFF,
--- a/crates/pebblepost-batch-runner/src/execution/lease.rs
+++ b/crates/pebblepost-batch-runner/src/execution/lease.rs
@@ -4,13 +4,14 @@
 //! This module has no state. Leases and permits are stored by the modules below; [`super::item`] makes the attempts.
 
 use crate::capacity::{Capacity, CapacityPermit};
+use crate::execution::blocked_items::{BlockedItems, BlockedRequest};
 use crate::execution::item::{ItemExecutor, ItemTask};
 use crate::execution::outcomes::OutcomeReporter;
 use crate::item_progress::ItemProgress;
 use crate::lease_table::{LeaseKey, LeaseTable};
 use crate::lease_terms::LeaseTerms;
 use crate::metrics::{Metric, Metrics};
-use crate::placement::placer::Placer;
+use crate::placement::placer::{MAX_PLACEMENT_WAIT, PlacementError, Placer};
 use crate::placement::requirements::Requirements;
 use crate::placement::reservation::Reservation;
 use crate::shutdown::ShutdownFlag;
@@ -36,14 +37,15 @@
     pub(crate) capacity: Rc<Capacity>,
     pub(crate) placer: Rc<Placer>,
     pub(crate) items: Rc<ItemExecutor>,
+    pub(crate) blocked: Rc<BlockedItems>,
     pub(crate) outcomes: Rc<OutcomeReporter>,
     pub(crate) metrics: Rc<Metrics>,
     pub(crate) shutdown: Rc<ShutdownFlag>,
 }
 
 impl LeaseExecutor {
-    /// Starts the execution of leases that a store granted. During a shutdown their items are returned
-    /// immediately.
+    /// Starts the execution of leases that a store granted. Items that cannot be sent, and during a shutdown all
+    /// items, are returned immediately.
     pub(crate) fn accept(self: &Rc<Self>, leases: Vec<WorkLease>) {
         for lease in leases {
             self.accept_one(lease);
@@ -56,14 +58,19 @@
         let progress =
             lease.items.iter().map(|leased| ItemProgress::from_leased(leased, terms.versions)).collect();
         let Some(key) = self.leases.borrow_mut().add(&lease, progress, now) else { return };
-        if self.shutdown.is_set() {
-            for leased in lease.items {
-                self.outcomes.return_item(key, &leased.item.id);
-            }
+        let is_shutting_down = self.shutdown.is_set();
+        let (unsendable, sendable): (Vec<_>, Vec<_>) = lease
+            .items
+            .into_iter()
+            .partition(|leased| is_shutting_down || self.blocked.contains(&lease.job, &leased.item.path));
+        for leased in unsendable {
+            self.outcomes.return_item(key, &leased.item.id);
+        }
+        if sendable.is_empty() {
             return;
         }
         let admit = |leased| PendingItem { leased, permit: self.capacity.admit() };
-        let pending = lease.items.into_iter().map(admit).collect();
+        let pending = sendable.into_iter().map(admit).collect();
         let task = tokio::task::spawn_local(self.clone().place_items(key, terms, pending));
         self.leases.borrow_mut().set_placement_task(key, task.abort_handle());
     }
@@ -75,11 +82,22 @@
     async fn place_items(
         self: Rc<Self>, key: LeaseKey, terms: Rc<LeaseTerms>, mut pending: VecDeque<PendingItem>,
     ) {
+        let mut give_up_at = Instant::now() + MAX_PLACEMENT_WAIT;
         while let Some(first) = pending.front() {
-            let requirements = Requirements::for_text(&terms, &first.leased.item.path);
+            let path = first.leased.item.path.clone();
+            let requirements = Requirements::for_text(&terms, &path);
             let count = u32::try_from(pending.len()).unwrap_or(u32::MAX);
-            // If there is no reservation, each item's task determines the reason itself.
-            let placed = self.placer.place(&requirements, count).await.unwrap_or_default();
+            let placed = match self.placer.place(&requirements, count, Some(give_up_at)).await {
+                Ok(placed) => placed,
+                Err(PlacementError::NoRoute(_) | PlacementError::NoPlace) => {
+                    self.blocked.block(&terms, BlockedRequest::Placement { path });
+                    self.return_blocked_items(key, &terms, &mut pending);
+                    continue;
+                }
+                // Each item's task determines the outcome itself.
+                Err(PlacementError::ShuttingDown | PlacementError::Expired) => Vec::new(),
+            };
+            give_up_at = Instant::now() + MAX_PLACEMENT_WAIT;
             let mut reservations = VecDeque::from(placed);
             let is_split = reservations.len() < pending.len();
             self.metrics.increment(if is_split { Metric::GroupsSplit } else { Metric::GroupsPlacedTogether });
@@ -98,6 +116,17 @@
         }
     }
 
+    /// Returns the pending items that are blocked to their store.
+    fn return_blocked_items(&self, key: LeaseKey, terms: &LeaseTerms, pending: &mut VecDeque<PendingItem>) {
+        pending.retain(|item| {
+            let is_blocked = self.blocked.contains(&terms.job_id, &item.leased.item.path);
+            if is_blocked {
+                self.outcomes.return_item(key, &item.leased.item.id);
+            }
+            !is_blocked
+        });
+    }
+
     /// Starts a task for each item, with a reservation as long as there are any left.
     fn start_items(
         &self, key: LeaseKey, terms: &Rc<LeaseTerms>, pending: impl Iterator<Item = PendingItem>,
--- a/crates/pebblepost-batch-runner/src/execution/mod.rs
+++ b/crates/pebblepost-batch-runner/src/execution/mod.rs
@@ -4,6 +4,7 @@
 //! * `lease`: places the items of a lease and starts their tasks.
 //! * `item`: executes one item: attempts until its text is complete, then its scorer calls.
 //! * `attempt`: makes one attempt at a text; `scorer`: makes one scorer call; [`priority`]: the `Priority` header.
+//! * `blocked_items`: items that cannot be sent at present, which hold no place.
 //! * `outcomes`: passes outcomes to the outbox.
 //! * `graceful_shutdown`: finishes or returns the items in flight.
 //!
@@ -11,6 +12,7 @@
 //! module sends the requests.
 
 pub(crate) mod attempt;
+pub(crate) mod blocked_items;
 pub(crate) mod graceful_shutdown;
 pub(crate) mod item;
 pub(crate) mod lease;
--- a/crates/pebblepost-batch-runner/src/execution/scorer.rs
+++ b/crates/pebblepost-batch-runner/src/execution/scorer.rs
@@ -7,7 +7,7 @@
 use crate::feed_view::FeedView;
 use crate::lease_terms::LeaseTerms;
 use crate::metrics::{Metric, Metrics};
-use crate::placement::placer::Placer;
+use crate::placement::placer::{MAX_PLACEMENT_WAIT, Placer};
 use crate::placement::requirements::Requirements;
 use crate::placement::reservation::Reservation;
 use bytes::Bytes;
@@ -20,6 +20,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// Upper limit of the timeout of a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -55,6 +56,12 @@
     calls: Rc<ServiceCalls>,
 }
 
+/// A slot at a transcriber for one call, and the permit to use it.
+struct CallPlace {
+    reservation: Reservation,
+    _permit: CallPermit,
+}
+
 impl Drop for CallPermit {
     fn drop(&mut self) {
         self.calls.in_flight.set(self.calls.in_flight.get().saturating_sub(1));
@@ -78,9 +85,11 @@
         ScorerClient { client, feed, placer, metrics, calls_by_service: RefCell::default() }
     }
 
-    /// Calls the scorer once. Nothing is sent unless `is_lease_valid` returns true immediately before sending.
+    /// Calls the scorer once. Nothing is sent unless `is_lease_valid` returns true immediately before sending, and
+    /// nothing once `gives_up` has completed.
     pub(crate) async fn call(
         &self, scorer: &Scorer, terms: &LeaseTerms, is_lease_valid: impl Fn() -> bool,
+        gives_up: impl Future<Output = ()>,
     ) -> ScorerOutcome {
         let Some(configuration) = self.feed.configuration() else { return ScorerOutcome::Retry };
         let Some(route) = configuration.route(&scorer.hostname, &scorer.path) else {
@@ -88,11 +97,12 @@
         };
         let requirements = Requirements::for_scorer_call(terms, scorer);
         let service = route.backends.first().map_or("", |(name, _)| name.as_str());
-        let _permit = self.acquire_permit(service).await;
-        let Ok(reservations) = self.placer.place(&requirements, 1).await else {
-            return ScorerOutcome::Retry;
+        let placed = tokio::select! {
+            biased;
+            placed = self.acquire_place(service, &requirements) => placed,
+            () = gives_up => None,
         };
-        let Some(reservation) = reservations.first() else { return ScorerOutcome::Retry };
+        let Some(CallPlace { reservation, .. }) = &placed else { return ScorerOutcome::Retry };
         if !is_lease_valid() || !self.placer.is_still_allowed(reservation, &requirements) {
             return ScorerOutcome::Retry;
         }
@@ -104,6 +114,15 @@
         }
     }
 
+    /// Waits until a call to a service is allowed, and reserves a slot for it.
+    async fn acquire_place(&self, service: &str, requirements: &Requirements<'_>) -> Option<CallPlace> {
+        let permit = self.acquire_permit(service).await;
+        let give_up_at = Instant::now() + MAX_PLACEMENT_WAIT;
+        let reservations = self.placer.place(requirements, 1, Some(give_up_at)).await;
+        let reservation = reservations.ok()?.pop()?;
+        Some(CallPlace { reservation, _permit: permit })
+    }
+
     fn handle_response(
         &self, reservation: &Reservation, response: &BufferedResponse, max_attempts: u32,
     ) -> ScorerOutcome {
--- a/crates/pebblepost-batch-runner/src/execution/work_requests.rs
+++ b/crates/pebblepost-batch-runner/src/execution/work_requests.rs
@@ -1,18 +1,19 @@
 //! Requests items from the stores while there is capacity for them.
 
-use crate::capacity::Capacity;
+use crate::capacity::{Capacity, min_requested_items};
+use crate::execution::blocked_items::BlockedItems;
 use crate::shutdown::ShutdownFlag;
+use crate::store::link::MAX_ANSWER_WAIT;
 use crate::store::links::StoreLinks;
 use pebblepost_messages::batch::ToStore;
 use std::rc::Rc;
-
-/// Work is requested only if the available capacity is at least the limit of texts divided by this number.
-const MIN_REQUEST_LIMIT_DIVISOR: u32 = 8;
+use tokio::time::timeout;
 
 /// Requests work from the stores.
 pub(crate) struct WorkRequester {
     pub(crate) links: Rc<StoreLinks>,
     pub(crate) capacity: Rc<Capacity>,
+    pub(crate) blocked: Rc<BlockedItems>,
     pub(crate) shutdown: Rc<ShutdownFlag>,
 }
 
@@ -20,7 +21,8 @@
     /// Requests work whenever the capacity or the available work may have changed. Never returns.
     pub(crate) async fn run(self) {
         loop {
-            self.capacity.changed().await;
+            // Places that were kept for a silent store become available without a change.
+            let _ = timeout(MAX_ANSWER_WAIT, self.capacity.changed()).await;
             self.request_work();
         }
     }
@@ -32,17 +34,26 @@
         }
         let text_limit = self.capacity.text_limit();
         for link in self.links.rotated() {
-            let requested: u32 = self.links.all().iter().map(|link| link.requested_items.get()).sum();
-            let available = self.capacity.available(text_limit).saturating_sub(requested);
-            if available < (text_limit / MIN_REQUEST_LIMIT_DIVISOR).max(1) {
+            let expected: u32 = self.links.all().iter().map(|link| link.expected_items()).sum();
+            let available = self.capacity.available(text_limit).saturating_sub(expected);
+            if available < min_requested_items(text_limit) {
                 return;
             }
-            if !link.may_have_work.get() || link.requested_items.get() > 0 {
+            if !link.may_have_work.get() || link.has_requested_work() {
                 continue;
             }
-            if link.send(&ToStore::RequestWork { max_items: available }) {
-                link.requested_items.set(available);
+            if link.send(&self.request(available)) {
+                link.record_work_request(available, self.blocked.releases());
             }
         }
     }
+
+    fn request(&self, max_items: u32) -> ToStore {
+        let unsendable = self.blocked.unsendable();
+        match unsendable.is_empty() {
+            // Stores of earlier builds know only this request.
+            true => ToStore::RequestWork { max_items },
+            false => ToStore::RequestSendableWork { max_items, unsendable },
+        }
+    }
 }
--- a/crates/pebblepost-batch-runner/src/lease_terms.rs
+++ b/crates/pebblepost-batch-runner/src/lease_terms.rs
@@ -13,6 +13,8 @@
 /// Terms that apply to all items of a lease. Immutable.
 #[derive(Debug)]
 pub(crate) struct LeaseTerms {
+    /// Id of the job.
+    pub(crate) job_id: String,
     /// Terms of the job's route.
     pub(crate) job: JobTerms,
     /// Model that generates the texts; empty if none is named.
@@ -27,6 +29,7 @@
 impl LeaseTerms {
     pub(crate) fn new(lease: &WorkLease, now: Instant) -> LeaseTerms {
         LeaseTerms {
+            job_id: lease.job.clone(),
             job: lease.terms.clone(),
             model: lease.model.clone(),
             versions: VersionRequirement {
--- a/crates/pebblepost-batch-runner/src/placement/placer.rs
+++ b/crates/pebblepost-batch-runner/src/placement/placer.rs
@@ -14,6 +14,9 @@
 use thiserror::Error;
 use tokio::time::{Instant, sleep};
 
+/// Time for which an item waits for a place at a transcriber. After that it is returned to its store: it holds a place
+/// in this proxy that other items may need.
+pub(crate) const MAX_PLACEMENT_WAIT: Duration = Duration::from_secs(1);
 /// Bounds of the random backoff after a round in which no transcriber had capacity.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_BACKOFF: Duration = Duration::from_millis(100);
@@ -24,6 +27,10 @@
     /// No route in the current configuration matches the request.
     #[error(transparent)]
     NoRoute(#[from] NoRoute),
+    /// No transcriber had a place for the request in time: none is ready, none has an allowed version, or all are
+    /// full.
+    #[error("no transcriber had a place in time")]
+    NoPlace,
     /// The proxy is shutting down.
     #[error("the proxy is shutting down")]
     ShuttingDown,
@@ -44,13 +51,13 @@
 
 impl Placer {
     /// Reserves slots for up to `items` items, at least one, all at one transcriber. Waits until a transcriber has
-    /// capacity.
+    /// capacity, at most until `give_up_at`, if it is given. At least one round of probes is made.
     ///
     /// # Errors
-    /// No route matches the request, the proxy is shutting down (only for [`RequestKind::Text`]), or the item has
-    /// expired.
+    /// No route matches the request, no transcriber had a place in time, the proxy is shutting down (only for
+    /// [`RequestKind::Text`]), or the item has expired.
     pub(crate) async fn place(
-        &self, requirements: &Requirements<'_>, items: u32,
+        &self, requirements: &Requirements<'_>, items: u32, give_up_at: Option<Instant>,
     ) -> Result<Vec<Reservation>, PlacementError> {
         let mut full_rounds = 0;
         loop {
@@ -71,6 +78,9 @@
                 self.metrics.increment(Metric::FullBackoffs);
                 full_rounds += 1;
             }
+            if give_up_at.is_some_and(|give_up_at| Instant::now() >= give_up_at) {
+                return Err(PlacementError::NoPlace);
+            }
             sleep(self.random.duration_between(MIN_BACKOFF, MAX_BACKOFF)).await;
         }
     }
--- a/crates/pebblepost-batch-runner/src/runner.rs
+++ b/crates/pebblepost-batch-runner/src/runner.rs
@@ -3,6 +3,7 @@
 use crate::capacity::Capacity;
 use crate::change_signal::ChangeSignal;
 use crate::execution::attempt::AttemptRunner;
+use crate::execution::blocked_items::BlockedItems;
 use crate::execution::graceful_shutdown::GracefulShutdown;
 use crate::execution::item::ItemExecutor;
 use crate::execution::lease::LeaseExecutor;
@@ -28,7 +29,7 @@
 use pebblepost_feed::FeedState;
 use pebblepost_settings::Settings;
 use pebblepost_transcriber::Client;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -83,6 +84,7 @@
         let work_requester = WorkRequester {
             links: state.links.clone(),
             capacity: state.capacity.clone(),
+            blocked: executor.blocked.clone(),
             shutdown: state.shutdown.clone(),
         };
         spawn_local(state.outbox.clone().run(state.links.clone()));
@@ -184,9 +186,22 @@
         }
     }
 
+    fn blocked_items(&self, placer: Rc<Placer>) -> BlockedItems {
+        BlockedItems {
+            feed: self.feed.clone(),
+            placer,
+            links: self.links.clone(),
+            capacity: self.capacity.clone(),
+            random: self.random.clone(),
+            watches: RefCell::default(),
+            releases: Cell::default(),
+        }
+    }
+
     fn lease_executor(&self, outcomes: &Rc<OutcomeReporter>) -> Rc<LeaseExecutor> {
         let prober = Rc::new(self.prober());
         let placer = Rc::new(self.placer(prober.clone()));
+        let blocked = Rc::new(self.blocked_items(placer.clone()));
         let scorers =
             ScorerClient::new(self.client.clone(), self.feed.clone(), placer.clone(), self.metrics.clone());
         let items = ItemExecutor {
@@ -195,6 +210,8 @@
             attempts: AttemptRunner { client: self.client.clone(), prober },
             scorers,
             outcomes: outcomes.clone(),
+            blocked: blocked.clone(),
+            capacity: self.capacity.clone(),
             random: self.random.clone(),
             metrics: self.metrics.clone(),
             shutdown: self.shutdown.clone(),
@@ -205,6 +222,7 @@
             capacity: self.capacity.clone(),
             placer,
             items: Rc::new(items),
+            blocked,
             outcomes: outcomes.clone(),
             metrics: self.metrics.clone(),
             shutdown: self.shutdown.clone(),
@@ -217,6 +235,7 @@
             leases: self.leases.clone(),
             outbox: self.outbox.clone(),
             capacity: self.capacity.clone(),
+            blocked: executor.blocked.clone(),
             executor,
             changes: self.changes.clone(),
         };
--- a/crates/pebblepost-batch-runner/src/store/link.rs
+++ b/crates/pebblepost-batch-runner/src/store/link.rs
@@ -25,6 +25,9 @@
     connect_timeout: Duration::from_millis(400),
     read_timeout: Duration::from_millis(1500),
 };
+/// Time for which places are kept for the answer to a request for work. A store that is silent for longer must not
+/// keep items of other stores waiting.
+pub(crate) const MAX_ANSWER_WAIT: Duration = Duration::from_millis(500);
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(500);
 /// Bounds of the random backoff before a reconnect.
 const MIN_RECONNECT_BACKOFF: Duration = Duration::from_millis(50);
@@ -51,11 +54,19 @@
     next_call: Cell<u64>,
     /// Whether the machine may have items to lease.
     pub(crate) may_have_work: Cell<bool>,
-    /// Number of items requested and not yet answered.
-    pub(crate) requested_items: Cell<u32>,
+    request: Cell<Option<PendingRequest>>,
     task: RefCell<Option<AbortHandle>>,
 }
 
+/// A request for work without an answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PendingRequest {
+    pub(crate) items: u32,
+    /// Number of entries of blocked items that had been released when the request was sent.
+    pub(crate) releases: u64,
+    sent_at: Instant,
+}
+
 /// Outcome of a call on a link.
 pub(crate) enum CallOutcome {
     /// The store replied.
@@ -89,7 +100,7 @@
             pending_calls: RefCell::default(),
             next_call: Cell::new(1),
             may_have_work: Cell::new(false),
-            requested_items: Cell::new(0),
+            request: Cell::new(None),
             task: RefCell::default(),
         });
         let task = tokio::task::spawn_local(keep_connected(link.clone(), identity, random, events));
@@ -115,6 +126,27 @@
         self.sender.borrow().as_ref().is_some_and(|sender| sender.send(message))
     }
 
+    /// Returns whether a request for work is not yet answered.
+    pub(crate) fn has_requested_work(&self) -> bool {
+        self.request.get().is_some()
+    }
+
+    /// Returns the number of items for which places must be kept: those requested a short while ago.
+    pub(crate) fn expected_items(&self) -> u32 {
+        let expected = self.request.get().filter(|request| request.sent_at.elapsed() < MAX_ANSWER_WAIT);
+        expected.map_or(0, |request| request.items)
+    }
+
+    /// Records that items were requested.
+    pub(crate) fn record_work_request(&self, items: u32, releases: u64) {
+        self.request.set(Some(PendingRequest { items, releases, sent_at: Instant::now() }));
+    }
+
+    /// Records the answer to a request for work and returns the request.
+    pub(crate) fn take_work_request(&self) -> Option<PendingRequest> {
+        self.request.take()
+    }
+
     /// Returns the number of bytes that are queued and not yet written.
     pub(crate) fn queued_bytes(&self) -> usize {
         self.sender.borrow().as_ref().map_or(0, Sender::queued_bytes)
@@ -154,7 +186,7 @@
         }
         self.pending_calls.borrow_mut().clear();
         self.may_have_work.set(false);
-        self.requested_items.set(0);
+        self.request.set(None);
     }
 }
 
--- a/crates/pebblepost-batch-runner/src/store/links.rs
+++ b/crates/pebblepost-batch-runner/src/store/links.rs
@@ -102,6 +102,13 @@
         self.links.borrow().values().cloned().collect()
     }
 
+    /// Assumes that each store has work, so that it is asked.
+    pub(crate) fn expect_work(&self) {
+        for link in self.links.borrow().values().filter(|link| link.is_up()) {
+            link.may_have_work.set(true);
+        }
+    }
+
     /// Returns the groups that the machine at an address is primary of.
     pub(crate) fn groups_of(&self, address: SocketAddr) -> Vec<GroupEpoch> {
         let primaries = self.primaries.borrow();
--- a/crates/pebblepost-batch-runner/src/store_events.rs
+++ b/crates/pebblepost-batch-runner/src/store_events.rs
@@ -5,6 +5,7 @@
 
 use crate::capacity::Capacity;
 use crate::change_signal::ChangeSignal;
+use crate::execution::blocked_items::BlockedItems;
 use crate::execution::lease::LeaseExecutor;
 use crate::lease_table::LeaseTable;
 use crate::store::link::{LinkEvents, StoreLink};
@@ -28,6 +29,7 @@
     pub(crate) outbox: Rc<Outbox>,
     pub(crate) capacity: Rc<Capacity>,
     pub(crate) executor: Rc<LeaseExecutor>,
+    pub(crate) blocked: Rc<BlockedItems>,
     pub(crate) changes: Rc<ChangeSignal>,
 }
 
@@ -78,8 +80,12 @@
 
     fn receive_leases(&self, link: &StoreLink, leases: Vec<WorkLease>) {
         let items: usize = leases.iter().map(|lease| lease.items.len()).sum();
-        let requested = link.requested_items.replace(0);
-        if items < usize::try_from(requested).unwrap_or(usize::MAX) {
+        let is_exhausted = link.take_work_request().is_some_and(|request| {
+            // The request may have left out items that have become sendable since.
+            let is_complete = request.releases == self.blocked.releases();
+            is_complete && items < usize::try_from(request.items).unwrap_or(usize::MAX)
+        });
+        if is_exhausted {
             link.may_have_work.set(false);
         }
         self.executor.accept(leases);
@@ -99,6 +105,7 @@
     fn cancel_jobs(&self, jobs: &[String]) {
         log::debug!("jobs cancelled count={}", jobs.len());
         self.leases.borrow_mut().cancel(jobs, Instant::now());
+        self.blocked.cancel(jobs);
         self.changes.notify();
     }
 }
--- a/crates/pebblepost-batch-runner/tests/batch_runner/main.rs
+++ b/crates/pebblepost-batch-runner/tests/batch_runner/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a panic fails the test")]
 
 mod approved;
+mod blocked_items;
 mod execution;
 mod faulty_transcribers;
 mod job_api;
@@ -10,5 +11,6 @@
 mod lease_table;
 mod load_table;
 mod placement;
+mod scheduling_store;
 mod support;
 mod text;
--- a/crates/pebblepost-batch-store/src/store/handlers/leases.rs
+++ b/crates/pebblepost-batch-store/src/store/handlers/leases.rs
@@ -5,8 +5,10 @@
 use crate::store::state::group::Group;
 use crate::store::state::lease_outcomes::LeaseOutcomes;
 use crate::store::state::outbox::LinkId;
-use pebblepost_batch::scheduler::{ItemProgress, LeaseReference, ProxyId};
-use pebblepost_messages::batch::{ActiveLease, FromStore, ItemOutcome, ItemResult, Job, ResultState};
+use pebblepost_batch::scheduler::{ItemProgress, LeaseReference, ProxyId, WorkRequest};
+use pebblepost_messages::batch::{
+    ActiveLease, FromStore, ItemOutcome, ItemResult, Job, ResultState, UnsendableItems,
+};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -16,15 +18,18 @@
 const MAX_REQUESTED_ITEMS: u32 = 512;
 
 impl Store {
-    /// Answers a request for work.
-    pub(crate) fn lease_work(&mut self, now: Duration, link: LinkId, max_items: u32) {
+    /// Answers a request for work of a proxy that cannot send some items.
+    pub(crate) fn lease_work(
+        &mut self, now: Duration, link: LinkId, max_items: u32, unsendable: Vec<UnsendableItems>,
+    ) {
         let max_items = usize::try_from(max_items.min(MAX_REQUESTED_ITEMS)).unwrap_or(0);
+        let request = WorkRequest { max_items, unsendable };
         let groups = &self.groups;
         let states = |group_id: u32| {
             let group = groups.get(&group_id).filter(|group| group.is_acting(now));
             group.map(Group::state)
         };
-        let leases = self.scheduler.lease_items(now, ProxyId(link.0), max_items, states);
+        let leases = self.scheduler.lease_items(now, ProxyId(link.0), &request, states);
         self.outbox.reply(link, FromStore::Work(leases));
     }
 
--- a/crates/pebblepost-batch-store/src/store/mod.rs
+++ b/crates/pebblepost-batch-store/src/store/mod.rs
@@ -233,7 +233,10 @@
                 self.read_body(now, caller(call), store_group, &job, &item);
             }
             ToStore::End { call, store_group, job } => self.end_job(now, caller(call), store_group, job),
-            ToStore::RequestWork { max_items } => self.lease_work(now, link, max_items),
+            ToStore::RequestWork { max_items } => self.lease_work(now, link, max_items, Vec::new()),
+            ToStore::RequestSendableWork { max_items, unsendable } => {
+                self.lease_work(now, link, max_items, unsendable);
+            }
             ToStore::Outcomes { store_group, job, lease, outcomes } => {
                 let lease = LeaseReference { proxy: ProxyId(link.0), number: lease };
                 self.process_outcomes(now, LeaseOutcomes { lease, group_id: store_group, job, outcomes });
--- a/crates/pebblepost-batch/src/scheduler/item_table.rs
+++ b/crates/pebblepost-batch/src/scheduler/item_table.rs
@@ -84,14 +84,14 @@
         table
     }
 
-    /// Returns the first started sample group with pending items.
-    pub(super) fn first_started(&self) -> Option<usize> {
-        self.started.first().copied()
+    /// Returns the first started sample group with a pending item that is sendable.
+    pub(super) fn first_started(&self, is_sendable: &impl Fn(usize) -> bool) -> Option<usize> {
+        self.started.iter().copied().find(|group| self.has_sendable_item(*group, is_sendable))
     }
 
-    /// Returns the first sample group that was not started.
-    pub(super) fn first_not_started(&self) -> Option<usize> {
-        self.not_started.first().copied()
+    /// Returns the first sample group with a sendable item that was not started.
+    pub(super) fn first_not_started(&self, is_sendable: &impl Fn(usize) -> bool) -> Option<usize> {
+        self.not_started.iter().copied().find(|group| self.has_sendable_item(*group, is_sendable))
     }
 
     /// Returns the number of started sample groups.
@@ -99,13 +99,11 @@
         self.sample_groups.len() - self.not_started.len()
     }
 
-    /// Leases up to `max_items` pending items of a sample group and returns their indices.
+    /// Leases up to `max_items` pending items of a sample group that are sendable, and returns their indices.
     pub(super) fn lease_sample_group(
-        &mut self, sample_group: usize, lease: u64, max_items: usize,
+        &mut self, sample_group: usize, lease: u64, max_items: usize, is_sendable: &impl Fn(usize) -> bool,
     ) -> Vec<usize> {
-        let items = &self.items;
-        let is_pending = |index: &usize| items[*index].state == ItemState::Pending;
-        let pending = self.sample_groups[sample_group].items.iter().copied().filter(is_pending);
+        let pending = self.pending_items(sample_group).filter(|index| is_sendable(*index));
         let indices: Vec<usize> = pending.take(max_items).collect();
         for index in &indices {
             self.set_state(*index, ItemState::Leased(lease));
@@ -170,6 +168,15 @@
         pending
     }
 
+    fn pending_items(&self, sample_group: usize) -> impl Iterator<Item = usize> {
+        let items = self.sample_groups[sample_group].items.iter().copied();
+        items.filter(|index| self.items[*index].state == ItemState::Pending)
+    }
+
+    fn has_sendable_item(&self, sample_group: usize, is_sendable: &impl Fn(usize) -> bool) -> bool {
+        self.pending_items(sample_group).any(is_sendable)
+    }
+
     fn set_state(&mut self, index: usize, state: ItemState) {
         let slot = &mut self.items[index];
         let sample_group = slot.sample_group;
--- a/crates/pebblepost-batch/src/scheduler/job_schedule.rs
+++ b/crates/pebblepost-batch/src/scheduler/job_schedule.rs
@@ -113,12 +113,14 @@
         self.expires_in_ms(now) == 0
     }
 
-    /// Returns the sample group to lease items from next.
+    /// Returns the sample group to lease items from next. It has a pending item, by index, that is sendable.
     ///
     /// Started sample groups with pending items come first. Otherwise it is the first one that was not
     /// started, unless `eligible` does not permit starting another.
-    pub(super) fn next_sample_group(&self, now: Duration, eligible: EligibleSampleGroups) -> Option<usize> {
-        if let Some(started) = self.items.first_started() {
+    pub(super) fn next_sample_group(
+        &self, now: Duration, eligible: EligibleSampleGroups, is_sendable: &impl Fn(usize) -> bool,
+    ) -> Option<usize> {
+        if let Some(started) = self.items.first_started(is_sendable) {
             return Some(started);
         }
         let required_groups = self.desired_sample_groups.saturating_add(EXTRA_SAMPLE_GROUPS);
@@ -129,7 +131,7 @@
         if has_required_groups && !may_oversample {
             return None;
         }
-        self.items.first_not_started()
+        self.items.first_not_started(is_sendable)
     }
 
     /// Finishes the pending items if they have expired and returns their indices.
--- a/crates/pebblepost-batch/src/scheduler/mod.rs
+++ b/crates/pebblepost-batch/src/scheduler/mod.rs
@@ -5,8 +5,8 @@
 //!
 //! The submodules are `term` (this machine's term as primary of a store group), `takeover` (the wait for
 //! lease reports), `job_queue` (the jobs in leasing order), `job_schedule` (the deadlines of a job),
-//! `item_table` (the states of its items), `lease_table` (the holders of leases) and `grant` (the
-//! response to a request for work). [`Scheduler`] combines them.
+//! `item_table` (the states of its items), `lease_table` (the holders of leases), `work_request` (a proxy's
+//! request for work) and `grant` (the response to it). [`Scheduler`] combines them.
 
 mod grant;
 mod item_table;
@@ -15,11 +15,13 @@
 mod lease_table;
 mod takeover;
 mod term;
+mod work_request;
 
 pub use item_table::ItemProgress;
 pub use job_queue::ExpiredItems;
 pub use job_schedule::EXTRA_SAMPLE_GROUPS;
 pub use lease_table::{LeaseReference, ProxyId};
+pub use work_request::WorkRequest;
 
 use crate::clock::GroupClock;
 use crate::job::StoredJob;
@@ -29,7 +31,7 @@
 use job_queue::JobQueue;
 use job_schedule::{EligibleSampleGroups, JobSchedule};
 use lease_table::{LeaseHolder, LeaseKey, LeaseOrigin, LeaseTable};
-use pebblepost_messages::batch::WorkLease;
+use pebblepost_messages::batch::{Item, WorkLease};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use takeover::Takeover;
@@ -41,8 +43,9 @@
     terms: BTreeMap<u32, Term>,
     queue: JobQueue,
     leases: LeaseTable,
-    /// Proxies that were granted fewer items than they last requested.
-    idle: BTreeSet<ProxyId>,
+    /// Proxies that were granted fewer items than they last requested, with the jobs of which they could not
+    /// send all items then.
+    idle: BTreeMap<ProxyId, BTreeSet<String>>,
 }
 
 impl Scheduler {
@@ -114,14 +117,14 @@
 
     /// Leases items to a proxy.
     ///
-    /// At most `max_items` items are leased, and a few more if that keeps a sample group whole.
-    /// Oversampled sample groups are leased only if no required one can be leased. `states` returns the
+    /// At most `max_items` items of the request are leased, and a few more if that keeps a sample group whole.
+    /// Items that the proxy cannot send are left to others. Oversampled sample groups are leased only if no required one can be leased. `states` returns the
     /// replicated state of a store group, or `None` if this machine is not its acting primary.
     pub fn lease_items<'state>(
-        &mut self, now: Duration, proxy: ProxyId, max_items: usize,
+        &mut self, now: Duration, proxy: ProxyId, request: &WorkRequest,
         states: impl Fn(u32) -> Option<&'state BatchState>,
     ) -> Vec<WorkLease> {
-        let mut grant = Grant::new(max_items);
+        let mut grant = Grant::new(request.max_items);
         for eligible in [EligibleSampleGroups::Required, EligibleSampleGroups::Oversampled] {
             for rank in self.queue.ranks() {
                 if !grant.has_capacity() {
@@ -130,14 +133,15 @@
                 let Some(job) = states(rank.store_group).and_then(|state| state.job(&rank.job)) else {
                     continue;
                 };
-                self.lease_items_of_job(now, proxy, eligible, job, &mut grant);
+                let requester = Requester { proxy, request };
+                self.lease_items_of_job(now, requester, eligible, job, &mut grant);
             }
             if !grant.is_empty() {
                 break;
             }
         }
         if grant.is_incomplete() {
-            self.idle.insert(proxy);
+            self.idle.insert(proxy, request.jobs_with_unsendable_items());
         } else {
             self.idle.remove(&proxy);
         }
@@ -241,23 +245,34 @@
         self.queue.take_expired(now)
     }
 
-    /// Takes the proxies that were granted fewer items than they last requested, if items are available
-    /// now. Each proxy is returned once until another of its requests is granted fewer items.
+    /// Takes the proxies that were granted fewer items than they last requested, if items that they may be able
+    /// to send are available now. Each proxy is returned once until another of its requests is granted fewer
+    /// items.
     pub fn take_idle_proxies(&mut self, now: Duration, is_acting: impl Fn(u32) -> bool) -> Vec<ProxyId> {
-        if self.idle.is_empty() || !self.has_pending_items(now, is_acting) {
+        if self.idle.is_empty() {
             return Vec::new();
         }
-        std::mem::take(&mut self.idle).into_iter().collect()
+        let schedules = self.queue.schedules().filter(|schedule| self.can_lease(now, schedule, &is_acting));
+        let jobs: Vec<&str> = schedules.map(|schedule| schedule.rank().job.as_str()).collect();
+        let has_work = |unsendable: &BTreeSet<String>| jobs.iter().any(|job| !unsendable.contains(*job));
+        let with_work = self.idle.iter().filter(|(_, unsendable)| has_work(unsendable));
+        let proxies: Vec<ProxyId> = with_work.map(|(proxy, _)| *proxy).collect();
+        for proxy in &proxies {
+            self.idle.remove(proxy);
+        }
+        proxies
     }
 
     /// Returns whether an item can be leased now in a store group that this machine is acting primary of.
     pub fn has_pending_items(&self, now: Duration, is_acting: impl Fn(u32) -> bool) -> bool {
-        let can_lease = |schedule: &JobSchedule| {
-            self.terms.get(&schedule.store_group()).is_some_and(|term| is_leasable(now, schedule, term))
-                && is_acting(schedule.store_group())
-                && schedule.next_sample_group(now, EligibleSampleGroups::Oversampled).is_some()
-        };
-        self.queue.schedules().any(can_lease)
+        self.queue.schedules().any(|schedule| self.can_lease(now, schedule, &is_acting))
+    }
+
+    /// Returns whether an item of a job can be leased now to a proxy that can send all items.
+    fn can_lease(&self, now: Duration, schedule: &JobSchedule, is_acting: &impl Fn(u32) -> bool) -> bool {
+        self.terms.get(&schedule.store_group()).is_some_and(|term| is_leasable(now, schedule, term))
+            && is_acting(schedule.store_group())
+            && schedule.next_sample_group(now, EligibleSampleGroups::Oversampled, &|_| true).is_some()
     }
 
     /// Returns the number of scheduled jobs.
@@ -272,7 +287,7 @@
 
     /// Adds leases of sample groups of one job to a grant while it has capacity.
     fn lease_items_of_job(
-        &mut self, now: Duration, proxy: ProxyId, eligible: EligibleSampleGroups, job: &StoredJob,
+        &mut self, now: Duration, requester: Requester<'_>, eligible: EligibleSampleGroups, job: &StoredJob,
         grant: &mut Grant,
     ) {
         let Some(schedule) = self.queue.get_mut(job.id()) else { return };
@@ -280,18 +295,23 @@
         if !is_leasable(now, schedule, term) {
             return;
         }
+        let unsendable = requester.request.unsendable_paths(job.id());
+        let is_sendable = |item: usize| {
+            unsendable.is_empty() || job.pending_item(item).is_some_and(|item| !has_prefix(item, &unsendable))
+        };
         while grant.has_capacity() {
-            let Some(sample_group) = schedule.next_sample_group(now, eligible) else { break };
+            let Some(sample_group) = schedule.next_sample_group(now, eligible, &is_sendable) else { break };
             let key = term.next_lease_key(schedule.store_group());
             let max_items = grant.max_items_of_next_sample_group();
-            let indices = schedule.items.lease_sample_group(sample_group, key.number, max_items);
+            let indices =
+                schedule.items.lease_sample_group(sample_group, key.number, max_items, &is_sendable);
             if indices.is_empty() {
                 break;
             }
             term.consume_lease_key();
             let lease = NewLease { key, epoch: term.epoch, schedule, job, items: &indices };
             grant.add(now, &lease);
-            let holder = LeaseHolder { proxy, origin: LeaseOrigin::Granted };
+            let holder = LeaseHolder { proxy: requester.proxy, origin: LeaseOrigin::Granted };
             self.leases.insert(now, key, holder, job.id(), indices);
         }
     }
@@ -313,6 +333,18 @@
     }
 }
 
+/// A proxy with its request.
+#[derive(Clone, Copy)]
+struct Requester<'a> {
+    proxy: ProxyId,
+    request: &'a WorkRequest,
+}
+
+/// Returns whether the path of an item begins with one of the prefixes.
+fn has_prefix(item: &Item, prefixes: &[&str]) -> bool {
+    prefixes.iter().any(|prefix| item.path.starts_with(prefix))
+}
+
 /// Returns whether items of a job may be leased: the job has not expired and is not waiting for a
 /// takeover.
 fn is_leasable(now: Duration, schedule: &JobSchedule, term: &Term) -> bool {
--- a/crates/pebblepost-messages/src/batch/lease.rs
+++ b/crates/pebblepost-messages/src/batch/lease.rs
@@ -75,3 +75,12 @@
     /// Ids of the items in flight.
     pub items: Vec<String>,
 }
+
+/// Items that a proxy cannot send at present: those of a job whose path begins with a prefix.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, SerBin, DeBin)]
+pub struct UnsendableItems {
+    /// Id of the job.
+    pub job: String,
+    /// Beginning of the items' paths.
+    pub path_prefix: String,
+}
--- a/crates/pebblepost-messages/src/batch/message.rs
+++ b/crates/pebblepost-messages/src/batch/message.rs
@@ -1,7 +1,7 @@
 //! Messages to and from the batch store.
 
 use super::job::Job;
-use super::lease::{ActiveLease, ItemOutcome, WorkLease};
+use super::lease::{ActiveLease, ItemOutcome, UnsendableItems, WorkLease};
 use super::result::ItemResult;
 use crate::{DiskId, Member};
 use nanoserde::{DeBin, SerBin};
@@ -96,6 +96,14 @@
     ShuttingDown,
     /// Request for the state of the store, for an operator's command.
     Status,
+    /// Like [`ToStore::RequestWork`], by a proxy that cannot send some items at present. Such items are not leased to
+    /// it.
+    RequestSendableWork {
+        /// Maximum number of items to lease.
+        max_items: u32,
+        /// Items that must not be leased.
+        unsendable: Vec<UnsendableItems>,
+    },
 }
 
 /// Response to [`ToStore::Submit`].
--- a/crates/pebblepost-messages/src/batch/mod.rs
+++ b/crates/pebblepost-messages/src/batch/mod.rs
@@ -8,7 +8,8 @@
 
 pub use job::{Item, Job, JobTerms, Scorer};
 pub use lease::{
-    ActiveLease, ItemOutcome, LEASE_DURATION_MS, LEASE_RENEWAL_INTERVAL_MS, LeasedItem, WorkLease,
+    ActiveLease, ItemOutcome, LEASE_DURATION_MS, LEASE_RENEWAL_INTERVAL_MS, LeasedItem, UnsendableItems,
+    WorkLease,
 };
 pub use message::{FromStore, JobResponse, ResultPage, SubmitOutcome, ToStore};
 pub use result::{ItemResult, PartialText, ResultState};
