Configuration: a patch whose result exceeds the limits of a document is refused

A document is limited to 32 MiB when it is sent whole, but not after a patch: it could grow until no link between control processes, agents and proxies (frames of 48 MiB) carries it, and until it can be neither read again nor patched.

Change: the patched document is checked for size and nesting like one that is sent whole; the patch gets a 400.

Evidence: a_patch_whose_result_exceeds_the_limit_of_a_document_is_an_error failed before (accepted at 33 MB).

--- a/crates/pebblepost-configuration/src/configuration.rs
+++ b/crates/pebblepost-configuration/src/configuration.rs
@@ -35,7 +35,7 @@
     /// # Errors
     ///
     /// Fails if the patch is not valid JSON or not of the expected form, if its generation is not above the current
-    /// one, or if the patched document is invalid.
+    /// one, or if the patched document is invalid or exceeds the limits of a document.
     pub fn patched(&self, patch: &[u8]) -> Result<Configuration, ConfigurationError> {
         let mut document_buffer = json::parse_buffer(&self.document)?;
         let mut patch_buffer = json::parse_buffer(patch)?;
@@ -47,6 +47,7 @@
         }
         patch::apply(&mut value, patch)?;
         let document = json::serialize(&value);
+        json::check_limits(&document)?;
         Configuration::validate(&value, document)
     }
 
--- a/crates/pebblepost-configuration/src/json.rs
+++ b/crates/pebblepost-configuration/src/json.rs
@@ -8,14 +8,20 @@
 /// Limit on the nesting. The parser recurses once for each level, so a deeper document could overflow the stack.
 const MAX_NESTING_LEVELS: usize = 100;
 
-/// Checks the limits and returns a copy of the document. The parser needs one because it modifies its input.
-pub(crate) fn parse_buffer(document: &[u8]) -> Result<Vec<u8>, ConfigurationError> {
+/// Checks the limits on size and nesting.
+pub(crate) fn check_limits(document: &[u8]) -> Result<(), ConfigurationError> {
     if document.len() > MAX_DOCUMENT_BYTES {
         return Err(ConfigurationError::DocumentTooLarge { max_bytes: MAX_DOCUMENT_BYTES });
     }
     if nesting_depth(document) > MAX_NESTING_LEVELS {
         return Err(ConfigurationError::NestedTooDeeply { max_depth: MAX_NESTING_LEVELS });
     }
+    Ok(())
+}
+
+/// Checks the limits and returns a copy of the document. The parser needs one because it modifies its input.
+pub(crate) fn parse_buffer(document: &[u8]) -> Result<Vec<u8>, ConfigurationError> {
+    check_limits(document)?;
     Ok(document.to_vec())
 }
 
--- a/crates/pebblepost-configuration/tests/patches.rs
+++ b/crates/pebblepost-configuration/tests/patches.rs
@@ -143,3 +143,23 @@
     );
     assert_eq!(String::from_utf8_lossy(configuration.document()), approved);
 }
+
+/// Guards against: a configuration that grows by patches until neither a replica nor a subscriber can be sent it, nor
+/// another patch applied (`docs/incidents/a-job-that-its-store-could-not-send.md`).
+#[test]
+fn a_patch_whose_result_exceeds_the_limit_of_a_document_is_an_error() {
+    const MAX_DOCUMENT_BYTES: usize = 32 * 1024 * 1024;
+    let route = |name: &str| {
+        let note = "n".repeat(MAX_DOCUMENT_BYTES / 2);
+        format!(
+            r#"{{"name":"{name}","hostname":"h","path_prefix":"/{name}/","kind":"idempotent","backend":"s","note":"{note}"}}"#
+        )
+    };
+    let patch = |generation: u64, name: &str| {
+        format!(r#"{{"generation":{generation},"upsert":{{"routes":[{}]}}}}"#, route(name))
+    };
+    let once = patched(&patch(8, "d"));
+    let error = once.patched(patch(9, "e").as_bytes()).unwrap_err();
+    assert_eq!(error.to_string(), "the document has more than 33554432 bytes");
+    assert!(once.patched(patch(9, "d").as_bytes()).is_ok(), "the route is replaced");
+}
