Batch: outcomes, results, texts and entries in flight are bounded in bytes

The outcomes of a lease went in one message, the results of a turn in one entry of the log, up to 16 entries were in flight to a replica whatever their size, a text had no bound, and a job within 48 MiB of JSON could be larger when encoded than the frames of its links.

Change: outcomes go in messages of 4 MiB or of one outcome, results in entries of 4 MiB or of one result, 4 MiB or one entry are in flight to a replica, a text has 16 MiB (a longer one is discarded and generated anew until its item expires), a job of more than 47 MiB when encoded gets 413.

The 413 has no test of its own.

--- a/crates/pebblepost-batch-runner/src/execution/attempt.rs
+++ b/crates/pebblepost-batch-runner/src/execution/attempt.rs
@@ -51,6 +51,8 @@
     /// An event was generated under a version that is not allowed. The text is discarded and generated from the
     /// start.
     VersionNotAllowed,
+    /// The text is too long to be stored. It is discarded and generated from the start.
+    TextTooLong,
     /// The attempt failed (status 500).
     Failed,
     /// The item can never be executed (status 422).
@@ -111,6 +113,7 @@
                     Err(AppendError::VersionTooOld | AppendError::MixedVersions) => {
                         return AttemptOutcome::VersionNotAllowed;
                     }
+                    Err(AppendError::TooLong) => return AttemptOutcome::TextTooLong,
                 },
                 Ok(None) if progress.borrow().text.last_event() > 0 => {
                     progress.borrow_mut().is_complete = true;
--- a/crates/pebblepost-batch-runner/src/execution/item.rs
+++ b/crates/pebblepost-batch-runner/src/execution/item.rs
@@ -31,7 +31,7 @@
 const RETRY_BACKOFF: Duration = Duration::from_millis(10);
 /// Backoff after [`AttemptOutcome::Rejected`].
 const REJECTED_BACKOFF: Duration = Duration::from_millis(50);
-/// Backoff after [`AttemptOutcome::Unknown`].
+/// Backoff after [`AttemptOutcome::Unknown`] and [`AttemptOutcome::TextTooLong`].
 const UNKNOWN_BACKOFF: Duration = Duration::from_millis(200);
 /// Bounds of the backoff between scorer calls, which doubles after each call.
 const INITIAL_SCORER_BACKOFF: Duration = Duration::from_millis(20);
@@ -223,7 +223,9 @@
         });
         match outcome {
             AttemptOutcome::VersionMismatch | AttemptOutcome::Rejected => reservation.invalidate_report(),
-            AttemptOutcome::VersionNotAllowed => task.progress.borrow_mut().text.clear(),
+            AttemptOutcome::VersionNotAllowed | AttemptOutcome::TextTooLong => {
+                task.progress.borrow_mut().text.clear();
+            }
             AttemptOutcome::Interrupted | AttemptOutcome::NotSent => {
                 reservation.eject(EJECTION_AFTER_INTERRUPTION);
             }
@@ -323,7 +325,7 @@
 fn backoff_after(outcome: AttemptOutcome) -> Duration {
     match outcome {
         AttemptOutcome::Rejected => REJECTED_BACKOFF,
-        AttemptOutcome::Unknown => UNKNOWN_BACKOFF,
+        AttemptOutcome::Unknown | AttemptOutcome::TextTooLong => UNKNOWN_BACKOFF,
         _ => RETRY_BACKOFF,
     }
 }
--- a/crates/pebblepost-batch-runner/src/job/api.rs
+++ b/crates/pebblepost-batch-runner/src/job/api.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use pebblepost_configuration::Route;
 use pebblepost_messages::batch::{
-    FromStore, Job, JobResponse, JobTerms, SubmitOutcome, ToStore, store_group_of,
+    FromStore, Job, JobResponse, JobTerms, MAX_ENCODED_JOB_BYTES, SubmitOutcome, ToStore, store_group_of,
 };
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,6 +30,8 @@
 const NOT_SUBMITTED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Maximum size of a job's body.
 const MAX_JOB_BYTES: usize = 48 * 1024 * 1024;
+/// Maximum size of an encoded job for each byte of its JSON text.
+const MAX_ENCODED_BYTES_PER_BYTE: usize = 3;
 
 const JOBS_PREFIX: &str = "/lots/";
 const ITEMS_PREFIX: &str = "/items/";
@@ -80,10 +82,14 @@
         if body.len() > MAX_JOB_BYTES {
             return empty(StatusCode::PAYLOAD_TOO_LARGE);
         }
+        let may_exceed_limit = body.len() > MAX_ENCODED_JOB_BYTES / MAX_ENCODED_BYTES_PER_BYTE;
         let job = match request::parse(id, terms_of(route), Vec::from(body)) {
             Ok(job) => job,
             Err(error) => return plain_text(StatusCode::BAD_REQUEST, &error.to_string()),
         };
+        if may_exceed_limit && job.encoded_bytes() > MAX_ENCODED_JOB_BYTES {
+            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        }
         let (id, started_at) = (job.id.clone(), Instant::now());
         let response = self.submit_until_decided(job, deadline).await;
         let elapsed_ms = started_at.elapsed().as_millis();
--- a/crates/pebblepost-batch-runner/src/store/outbox.rs
+++ b/crates/pebblepost-batch-runner/src/store/outbox.rs
@@ -21,8 +21,11 @@
 const MAX_RETAINED_SENT_BYTES: usize = 16 * 1024 * 1024;
 /// Approximate size of an outcome apart from its text and score.
 const OUTCOME_OVERHEAD_BYTES: usize = 128;
+/// Maximum size of the outcomes of a message with more than one.
+const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 
-/// The lease under which an item was executed. All pending outcomes of a lease are sent in one message.
+/// The lease under which an item was executed. The pending outcomes of a lease are sent together, up to
+/// [`MAX_MESSAGE_BYTES`].
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct OutcomeKey {
     pub(crate) store_group: u32,
@@ -102,10 +105,13 @@
     /// Sends the pending outcomes whose primary is connected. The others stay pending.
     pub(crate) fn flush(&self, links: &StoreLinks) {
         let pending = std::mem::take(&mut self.state.borrow_mut().pending);
-        let mut messages: BTreeMap<OutcomeKey, Vec<LeasedOutcome>> = BTreeMap::new();
+        let mut by_lease: BTreeMap<OutcomeKey, Vec<LeasedOutcome>> = BTreeMap::new();
         for outcome in pending {
-            messages.entry(outcome.key.clone()).or_default().push(outcome);
+            by_lease.entry(outcome.key.clone()).or_default().push(outcome);
         }
+        let messages = by_lease
+            .into_iter()
+            .flat_map(|(key, outcomes)| split(outcomes).into_iter().map(move |part| (key.clone(), part)));
         for (key, outcomes) in messages {
             let is_sent = links.primary_link(key.store_group).is_some_and(|link| {
                 let OutcomeKey { store_group, job, lease } = key;
@@ -149,3 +155,20 @@
         }
     }
 }
+
+/// Splits outcomes into parts of at most [`MAX_MESSAGE_BYTES`], or of a single outcome.
+fn split(outcomes: Vec<LeasedOutcome>) -> Vec<Vec<LeasedOutcome>> {
+    let mut parts: Vec<Vec<LeasedOutcome>> = Vec::new();
+    let mut bytes = 0;
+    for outcome in outcomes {
+        bytes += outcome.size_bytes();
+        match parts.last_mut().filter(|_| bytes <= MAX_MESSAGE_BYTES) {
+            Some(part) => part.push(outcome),
+            None => {
+                bytes = outcome.size_bytes();
+                parts.push(vec![outcome]);
+            }
+        }
+    }
+    parts
+}
--- a/crates/pebblepost-batch-runner/src/text.rs
+++ b/crates/pebblepost-batch-runner/src/text.rs
@@ -7,6 +7,9 @@
 use pebblepost_transcriber::StreamEvent;
 use thiserror::Error;
 
+/// Maximum length of a text. Each message that carries one must fit a link.
+pub const MAX_TEXT_BYTES: usize = 16 * 1024 * 1024;
+
 /// Reason why an event cannot be appended to a text.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub enum AppendError {
@@ -19,6 +22,9 @@
     /// The event was generated under another version than the text, but a single version is required.
     #[error("event was generated under another version than the text, which requires a single version")]
     MixedVersions,
+    /// The text would be longer than [`MAX_TEXT_BYTES`].
+    #[error("text would be longer than {MAX_TEXT_BYTES} bytes")]
+    TooLong,
 }
 
 /// Weight versions under which a text may be generated.
@@ -93,13 +99,17 @@
     /// Appends the next event.
     ///
     /// # Errors
-    /// The event does not follow the last one, or its version is not allowed. The text is then unchanged.
+    /// The event does not follow the last one, its version is not allowed, or the text would be too long. The text is
+    /// then unchanged.
     pub fn append(
         &mut self, event: &StreamEvent, requirement: VersionRequirement,
     ) -> Result<(), AppendError> {
         if event.id != self.content.last_event + 1 {
             return Err(AppendError::UnexpectedEventId);
         }
+        if self.content.message.len() + event.data.len() >= MAX_TEXT_BYTES {
+            return Err(AppendError::TooLong);
+        }
         let version = event.weight_version.or(self.attempt_version);
         self.check_version(version, requirement)?;
         self.attempt_version = version;
--- a/crates/pebblepost-batch-runner/tests/batch_runner/execution.rs
+++ b/crates/pebblepost-batch-runner/tests/batch_runner/execution.rs
@@ -4,6 +4,7 @@
     FakeStore, LAST_CHUNK, Reply, RunnerUnderTest, SeenRequest, StoreEnd, Transcribers, empty_response,
     event_with_version, events, lease, leased, load_report, load_report_with_order, run, stream_head,
 };
+use nanoserde::SerBin;
 use pebblepost_messages::batch::{
     ActiveLease, FromStore, ItemOutcome, ItemResult, PartialText, ResultState, ToStore,
 };
@@ -400,6 +401,50 @@
     });
 }
 
+/// Guards against: outcomes of one lease that together exceed what the link to the store carries, so that it is closed
+/// and they are sent again for ever (`docs/incidents/a-job-that-its-store-could-not-send.md`).
+#[test]
+fn large_outcomes_of_a_lease_are_sent_in_several_messages() {
+    const EVENTS: u64 = 30;
+    const EVENT_BYTES: usize = 50_000;
+    /// Promised maximum size of a message with more than one outcome (`docs/batch.md`), and a little more.
+    const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024 + 4096;
+    run(async {
+        let (transcribers, _closed) = Transcribers::new();
+        let answer = |seen: &SeenRequest| {
+            let chunk = |number| {
+                let event = format!("id: {number}\ndata: {}\n\n", "x".repeat(EVENT_BYTES));
+                format!("{:x}\r\n{event}\r\n", event.len())
+            };
+            let chunks: String = (1..=EVENTS).map(chunk).collect();
+            Reply::WriteAndHang([stream_head(&id(seen), 1), chunks.into_bytes()].concat())
+        };
+        let models = transcribers.start("i-1", reporting(answer)).await;
+        let (under_test, _store, mut end) = start(true).await;
+        under_test.announce_ready("i-1", "models", models);
+        let items = (0..8).map(|index| leased(&format!("a{index}"), false)).collect();
+        end.grant_work(vec![lease(items, true)]).await;
+        while transcribers.seen.borrow().len() < 8 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        under_test.runner.shut_down(Duration::from_millis(300)).await;
+        let mut returned = 0;
+        while returned < 8 {
+            let message = end.outcomes().await;
+            let bytes = message.serialize_bin().len();
+            let outcomes = outcomes(message);
+            assert!(outcomes.len() == 1 || bytes <= MAX_MESSAGE_BYTES, "a message of {bytes} bytes");
+            let is_whole = |outcome: &ItemOutcome| match outcome {
+                ItemOutcome::Returned { partial, .. } => partial.last_event == EVENTS,
+                ItemOutcome::Finished(_) => false,
+            };
+            assert!(outcomes.iter().all(is_whole));
+            returned += outcomes.len();
+        }
+    });
+}
+
 #[test]
 fn requests_no_work_without_capacity() {
     run(async {
--- a/crates/pebblepost-batch-runner/tests/batch_runner/text.rs
+++ b/crates/pebblepost-batch-runner/tests/batch_runner/text.rs
@@ -1,6 +1,6 @@
 //! Tests of generated texts: events, versions, resumption.
 
-use pebblepost_batch_runner::text::{AppendError, GeneratedText, VersionRequirement};
+use pebblepost_batch_runner::text::{AppendError, GeneratedText, MAX_TEXT_BYTES, VersionRequirement};
 use pebblepost_messages::batch::PartialText;
 use pebblepost_transcriber::StreamEvent;
 use rstest::rstest;
@@ -70,3 +70,16 @@
     assert!(!text.can_resume_under(Some(4), SINGLE));
     assert!(text.can_resume_under(Some(4), ANY));
 }
+
+/// Guards against: a text that no message can carry (`docs/incidents/a-job-that-its-store-could-not-send.md`).
+#[test]
+fn rejects_an_event_that_makes_the_text_too_long() {
+    let mut text = GeneratedText::default();
+    text.start_attempt(Some(3));
+    let half = "x".repeat(MAX_TEXT_BYTES / 2);
+    text.append(&event(1, &half, None), ANY).unwrap();
+    assert_eq!(text.append(&event(2, &half, None), ANY), Err(AppendError::TooLong));
+    assert_eq!(text.last_event(), 1);
+    text.append(&event(2, &half[..half.len() - 1], None), ANY).unwrap();
+    assert_eq!(text.partial().message.len(), MAX_TEXT_BYTES);
+}
--- a/crates/pebblepost-batch-store/src/store/state/group.rs
+++ b/crates/pebblepost-batch-store/src/store/state/group.rs
@@ -10,6 +10,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Maximum size of an entry with more than one result, whose message to the other replicas must fit their links.
+const MAX_RESULTS_ENTRY_BYTES: usize = 4 * 1024 * 1024;
+/// Approximate size of an encoded result, excluding its texts.
+const RESULT_OVERHEAD_BYTES: usize = 64;
+
 /// A read of results that waits until there is one.
 #[derive(Debug)]
 pub(crate) struct PendingRead {
@@ -163,7 +168,7 @@
         self.buffered_results.entry(job.to_owned()).or_default().push(result);
     }
 
-    /// Proposes the buffered results as one entry.
+    /// Proposes the buffered results as one entry, up to [`MAX_RESULTS_ENTRY_BYTES`].
     ///
     /// While earlier results are in flight nothing is proposed, so that the results that arrive in the
     /// meantime are batched into one entry.
@@ -171,15 +176,40 @@
         if self.buffered_results.is_empty() || self.proposals.has_results() || !self.is_acting(now) {
             return;
         }
-        let jobs = self.buffered_results.keys().cloned().collect();
-        let results = self
-            .buffered_results
-            .iter()
-            .map(|(job, results)| JobResults { job: job.clone(), results: results.clone() });
+        let counts = self.fitting_results();
+        let results = counts.iter().map(|(job, count)| {
+            let results = self.buffered_results[job][..*count].to_vec();
+            JobResults { job: job.clone(), results }
+        });
         let change = Change::AppendResults(results.collect());
+        let jobs = counts.keys().cloned().collect();
         match self.propose(now, change, Proposal::AppendResults { jobs }) {
-            Ok(()) => self.buffered_results.clear(),
+            Ok(()) => self.remove_buffered_results(&counts),
             Err(error) => log::debug!("results not proposed error={error:?}"),
         }
     }
+
+    /// Returns how many of the buffered results of each job fit into one entry; at least one does.
+    fn fitting_results(&self) -> BTreeMap<String, usize> {
+        let mut bytes = 0;
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        let all = self.buffered_results.iter();
+        for (job, result) in all.flat_map(|(job, results)| results.iter().map(move |result| (job, result))) {
+            bytes += RESULT_OVERHEAD_BYTES + result.id.len() + result.message.len() + result.score.len();
+            if bytes > MAX_RESULTS_ENTRY_BYTES && !counts.is_empty() {
+                break;
+            }
+            *counts.entry(job.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    fn remove_buffered_results(&mut self, counts: &BTreeMap<String, usize>) {
+        for (job, count) in counts {
+            if let Some(results) = self.buffered_results.get_mut(job) {
+                results.drain(..*count);
+            }
+        }
+        self.buffered_results.retain(|_, results| !results.is_empty());
+    }
 }
--- a/crates/pebblepost-batch-store/tests/integration/schedules.rs
+++ b/crates/pebblepost-batch-store/tests/integration/schedules.rs
@@ -323,6 +323,29 @@
     );
 }
 
+/// Guards against: an entry with the results of a whole turn that is too large for the links between the stores, so that
+/// the store group stands still (`docs/incidents/a-job-that-its-store-could-not-send.md`).
+#[rstest]
+fn entries_of_large_results_are_bounded() {
+    const TEXT_BYTES: usize = 1_000_000;
+    /// Maximum size of an entry with more than one result (docs/batch.md), and a little more.
+    const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024 + 64 * 1024;
+    let mut deployment = Deployment::new(DeploymentPlan { seed: 970_000, ..PLAN });
+    deployment.proxies.iter_mut().for_each(|proxy| proxy.text_padding_bytes = TEXT_BYTES);
+    deployment.run(2_000);
+    for proxy in 0..2 {
+        deployment.call(proxy, Request::Submit(Box::new(job(&format!("large-{proxy}"), 3, 4))));
+    }
+    deployment.run(60);
+    // Meanwhile items finish, and their results arrive in one turn.
+    (0..3).for_each(|machine| deployment.freeze(machine, 450));
+    deployment.run(500);
+    read_all_results(&mut deployment);
+    let largest = deployment.largest_replication_message;
+    assert!(largest > TEXT_BYTES && largest <= MAX_MESSAGE_BYTES, "a message of {largest} bytes");
+    assert_eq!(deployment.checker.violations, [""; 0]);
+}
+
 /// Runs a schedule with each fault once. Returns the seed, a digest of all outputs of the stores, the final time and
 /// the numbers of jobs and results.
 fn run_digested_schedule(seed: u64) -> String {
--- a/crates/pebblepost-batch-store/tests/integration/simulation/deployment.rs
+++ b/crates/pebblepost-batch-store/tests/integration/simulation/deployment.rs
@@ -113,6 +113,8 @@
     pub transcript: Vec<String>,
     /// Digest of all outputs of the stores; `None` if none is computed.
     pub digest: Option<Digest>,
+    /// Size of the largest replication message between stores.
+    pub largest_replication_message: usize,
 }
 
 impl Deployment {
@@ -133,6 +135,7 @@
             checker: Checker::default(),
             transcript: Vec::new(),
             digest: None,
+            largest_replication_message: 0,
         };
         for machine in 0..plan.machines {
             deployment.schedule(0, Event::Start { machine });
@@ -593,6 +596,9 @@
     }
 
     fn send_to_peer(&mut self, from: usize, incarnation: u64, peer: &Member, message: ToStore) {
+        if let ToStore::Replication { message, .. } = &message {
+            self.largest_replication_message = self.largest_replication_message.max(message.len());
+        }
         // A machine that restarts with another disk keeps its address.
         let target = self.machines.iter().position(|machine| machine.member.address == peer.address);
         let Some(machine) = target.filter(|machine| !self.machines[*machine].is_partitioned) else { return };
--- a/crates/pebblepost-batch-store/tests/integration/simulation/proxy.rs
+++ b/crates/pebblepost-batch-store/tests/integration/simulation/proxy.rs
@@ -58,6 +58,8 @@
     pub ignores_leases: bool,
     /// Whether no work is requested, so that all items stay pending.
     pub requests_no_work: bool,
+    /// Number of bytes that are added to each text.
+    pub text_padding_bytes: usize,
 }
 
 /// A message to a store, with the link to send it over.
@@ -211,7 +213,8 @@
             let partial = PartialText { last_event: 1, message: b"part".to_vec(), versions: vec![1] };
             ItemOutcome::Returned { id: running.item, failed_attempts: 1, failed_scorer_attempts: 0, partial }
         } else {
-            let message = format!("text of {} by proxy {node} at {now}", running.item).into_bytes();
+            let padding = "t".repeat(self.text_padding_bytes);
+            let message = format!("text of {} by proxy {node} at {now}{padding}", running.item).into_bytes();
             let state = ResultState::Completed;
             ItemOutcome::Finished(ItemResult { id: running.item, state, message, ..ItemResult::default() })
         };
--- a/crates/pebblepost-messages/src/batch/job.rs
+++ b/crates/pebblepost-messages/src/batch/job.rs
@@ -2,6 +2,10 @@
 
 use nanoserde::{DeBin, SerBin};
 
+/// Maximum size of an encoded job. The messages between programs that contain it must fit their links, whose frames
+/// have 48 MiB at most.
+pub const MAX_ENCODED_JOB_BYTES: usize = 47 * 1024 * 1024;
+
 /// A request that scores the generated text of an item.
 #[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
 pub struct Scorer {
@@ -71,3 +75,10 @@
     /// Items in the order of submission.
     pub items: Vec<Item>,
 }
+
+impl Job {
+    /// Returns the size of the encoded job.
+    pub fn encoded_bytes(&self) -> usize {
+        self.serialize_bin().len()
+    }
+}
--- a/crates/pebblepost-messages/src/batch/mod.rs
+++ b/crates/pebblepost-messages/src/batch/mod.rs
@@ -6,7 +6,7 @@
 mod result;
 mod store_group;
 
-pub use job::{Item, Job, JobTerms, Scorer};
+pub use job::{Item, Job, JobTerms, MAX_ENCODED_JOB_BYTES, Scorer};
 pub use lease::{
     ActiveLease, ItemOutcome, LEASE_DURATION_MS, LEASE_RENEWAL_INTERVAL_MS, LeasedItem, UnsendableItems,
     WorkLease,
--- a/crates/pebblepost-replication/src/replica/log_sender.rs
+++ b/crates/pebblepost-replication/src/replica/log_sender.rs
@@ -82,24 +82,25 @@
             if progress.next_index > last_index || !progress.has_window() {
                 return;
             }
-            let sent_to = self.send_append(disk);
+            let (sent_to, payload_bytes) = self.send_append(disk);
             let Some(progress) = self.progress_mut(disk) else { return };
-            progress.on_append_sent(sent_to);
+            progress.on_append_sent(sent_to, payload_bytes);
         }
     }
 
-    /// Sends as many entries as fit into one message, from the replica's next index, and returns the
-    /// index of the last one.
-    fn send_append(&mut self, disk: DiskId) -> u64 {
-        let Some(progress) = self.progress_mut(disk) else { return 0 };
+    /// Sends as many entries as fit into one message, from the replica's next index. Returns the index of the
+    /// last one and the payload.
+    fn send_append(&mut self, disk: DiskId) -> (u64, usize) {
+        let Some(progress) = self.progress_mut(disk) else { return (0, 0) };
         let (member, previous_index) = (progress.member.clone(), progress.next_index - 1);
         let mut payload_bytes = 0;
         let mut entries = Vec::new();
         for (_, entry) in self.log.entries_from(previous_index + 1) {
-            payload_bytes += entry.data.0.len();
-            if payload_bytes > MAX_PAYLOAD_BYTES && !entries.is_empty() {
+            let with_entry = payload_bytes + entry.data.0.len();
+            if with_entry > MAX_PAYLOAD_BYTES && !entries.is_empty() {
                 break;
             }
+            payload_bytes = with_entry;
             entries.push(entry.clone());
         }
         let sent_to = previous_index + entries.len() as u64;
@@ -111,6 +112,6 @@
             entries: Sequence(entries),
         };
         self.send(member, &append);
-        sent_to
+        (sent_to, payload_bytes)
     }
 }
--- a/crates/pebblepost-replication/src/replica/progress.rs
+++ b/crates/pebblepost-replication/src/replica/progress.rs
@@ -7,6 +7,9 @@
 
 /// Maximum number of appends in flight to one replica.
 const MAX_APPENDS_IN_FLIGHT: usize = 16;
+/// Payload of the appends in flight from which on no further one is sent. An entry may be large, and what waits for a
+/// link must not grow with their number.
+const MAX_BYTES_IN_FLIGHT: usize = 4 * 1024 * 1024;
 /// Number of later heartbeats after which the acknowledgement of a watermark's heartbeat counts as
 /// lost.
 const MAX_WATERMARK_AGE_HEARTBEATS: u64 = 20;
@@ -30,6 +33,14 @@
     position: u64,
 }
 
+/// An append that is not acknowledged.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AppendInFlight {
+    /// Index of its last entry.
+    last_index: u64,
+    payload_bytes: usize,
+}
+
 /// The state that the primary keeps for another replica.
 #[derive(Debug)]
 pub(super) struct Progress {
@@ -41,8 +52,8 @@
     pub(super) state: SendState,
     /// Whether the next probe, or the next chunk of the snapshot, is due.
     pub(super) is_send_due: bool,
-    /// Index of the last entry of each append in flight.
-    pub(super) in_flight: VecDeque<u64>,
+    /// Appends in flight, oldest first.
+    pub(super) in_flight: VecDeque<AppendInFlight>,
     /// Time at which the newest acknowledged heartbeat was sent. The lease that it grants starts there.
     pub(super) lease_start: Option<Duration>,
     /// Time at which the replica last acknowledged a heartbeat, or was added.
@@ -148,7 +159,8 @@
 
     /// Returns whether another append may be sent.
     pub(super) fn has_window(&self) -> bool {
-        self.in_flight.len() < MAX_APPENDS_IN_FLIGHT
+        let payload_bytes: usize = self.in_flight.iter().map(|append| append.payload_bytes).sum();
+        self.in_flight.len() < MAX_APPENDS_IN_FLIGHT && payload_bytes < MAX_BYTES_IN_FLIGHT
     }
 
     /// Returns whether a message to the replica is due.
@@ -160,9 +172,9 @@
     }
 
     /// Records that an append up to this index was sent.
-    pub(super) fn on_append_sent(&mut self, last_index: u64) {
+    pub(super) fn on_append_sent(&mut self, last_index: u64, payload_bytes: usize) {
         self.next_index = last_index + 1;
-        self.in_flight.push_back(last_index);
+        self.in_flight.push_back(AppendInFlight { last_index, payload_bytes });
     }
 
     /// Handles the acknowledgement that the replica's log agrees and is on disk up to `index`.
@@ -171,7 +183,7 @@
             self.matched = Some(index);
             self.pending_since = now;
         }
-        while self.in_flight.pop_front_if(|last| *last <= index).is_some() {}
+        while self.in_flight.pop_front_if(|append| append.last_index <= index).is_some() {}
         if self.is_probing() {
             self.state = SendState::Replicate;
             self.next_index = index + 1;
--- a/crates/pebblepost-replication/tests/replication/replica.rs
+++ b/crates/pebblepost-replication/tests/replication/replica.rs
@@ -1,7 +1,7 @@
 //! Groups of replicas without a network: acting, recovery, catch-up and limits.
 
 use crate::group::{Group, member, record};
-use pebblepost_replication::replica::{DiskRecord, ProposeError};
+use pebblepost_replication::replica::{DiskRecord, ProposeError, ReplicaOutput};
 use rstest::rstest;
 
 #[rstest]
@@ -18,6 +18,34 @@
     assert!(group.is_acting(1));
 }
 
+/// Guards against: entries in flight to a replica that close its link, because only their number is limited
+/// (`docs/incidents/a-job-that-its-store-could-not-send.md`).
+#[rstest]
+fn large_entries_are_sent_within_a_limit_of_bytes_in_flight() {
+    const ENTRY_BYTES: usize = 1_500_000;
+    const MAX_BYTES_IN_FLIGHT: usize = 4 * 1024 * 1024 + ENTRY_BYTES;
+    const ENTRIES: usize = 12;
+    let mut group = Group::new(2, 1, record(1, &[1, 2]));
+    let now = group.now;
+    for _ in 0..ENTRIES {
+        group.replica(1).propose(now, vec![1; ENTRY_BYTES]).expect("the primary acts");
+    }
+    let outputs = group.replica(1).take_outputs();
+    let in_flight: usize = outputs.iter().map(sent_bytes).sum();
+    assert!(in_flight > ENTRY_BYTES && in_flight <= MAX_BYTES_IN_FLIGHT, "{in_flight} bytes in flight");
+    // Those messages are lost; the replica catches up nevertheless.
+    group.advance(3_000);
+    assert_eq!(group.entries(2).len(), ENTRIES);
+}
+
+/// Returns the length of the message that an output sends; 0 for other outputs.
+fn sent_bytes(output: &ReplicaOutput) -> usize {
+    match output {
+        ReplicaOutput::Send { message, .. } => message.len(),
+        _ => 0,
+    }
+}
+
 #[rstest]
 fn a_replica_that_is_not_primary_rejects_proposals() {
     let mut group = Group::new(3, 1, record(1, &[1, 2, 3]));
