Batch: an answer to a request for work always fits its link

Cause: the answer to a request for work counted bodies and partial texts only, not the bodies of reward calls, headers and paths, and never split its last group; the queue of the link ended at 16 MiB, under the 48 MiB that one message may have, and what exceeded it closed the link. The same answer was then built again for ever.

Change: the answer counts all that it carries and has 8 MiB at most; a group beyond that is split. One item may be larger than the queue of a link: the largest message is not counted if it exceeds the limit by itself, so that what fits a frame can be sent, with others behind it as before; a link holds the sum of both limits at most. While more than 4 MiB wait on a link, requests for work wait and reads are answered that the store is unavailable.

The tests of a full queue are unchanged.

--- a/crates/pebblepost-batch-store/src/program/event_loop.rs
+++ b/crates/pebblepost-batch-store/src/program/event_loop.rs
@@ -120,6 +120,7 @@
             let input = self.inputs.next(self.timers.next_tick()).await;
             self.handle(input);
             self.handle_queued_events();
+            self.handle_ready_requests();
             self.run_due_timers();
             self.execute_outputs();
             if self.timers.is_shutdown_complete(|| self.store.is_in_sync_replica()) {
@@ -153,7 +154,11 @@
                 self.inbound_links.add(link, sender);
                 self.store.handle_link_opened(link);
             }
-            Event::Received(link, message) => self.store.handle_message(now, link, message),
+            Event::Received(link, message) => {
+                if let Some(message) = self.inbound_links.admit(link, message) {
+                    self.store.handle_message(now, link, message);
+                }
+            }
             Event::Closed(link) => {
                 self.inbound_links.remove(link);
                 self.store.handle_link_closed(link);
@@ -199,6 +204,13 @@
         }
     }
 
+    fn handle_ready_requests(&mut self) {
+        let now = self.now();
+        for (link, request) in self.inbound_links.take_ready_requests() {
+            self.store.handle_message(now, link, request);
+        }
+    }
+
     fn run_due_timers(&mut self) {
         let now = Instant::now();
         if self.timers.is_tick_due(now, self.store.has_replicas()) {
--- a/crates/pebblepost-batch/src/scheduler/item_table.rs
+++ b/crates/pebblepost-batch/src/scheduler/item_table.rs
@@ -99,16 +99,23 @@
         self.sample_groups.len() - self.not_started.len()
     }
 
-    /// Leases up to `max_items` pending items of a sample group that are sendable, and returns their indices.
-    pub(super) fn lease_sample_group(
-        &mut self, sample_group: usize, lease: u64, max_items: usize, is_sendable: &impl Fn(usize) -> bool,
+    /// Returns the indices of the pending items of a sample group that are sendable.
+    pub(super) fn sendable_items(
+        &self, sample_group: usize, is_sendable: &impl Fn(usize) -> bool,
     ) -> Vec<usize> {
-        let pending = self.pending_items(sample_group).filter(|index| is_sendable(*index));
-        let indices: Vec<usize> = pending.take(max_items).collect();
-        for index in &indices {
-            self.set_state(*index, ItemState::Leased(lease));
+        self.pending_items(sample_group).filter(|index| is_sendable(*index)).collect()
+    }
+
+    /// Leases pending items.
+    pub(super) fn lease(&mut self, items: &[usize], lease: u64) {
+        for item in items {
+            self.set_state(*item, ItemState::Leased(lease));
         }
-        indices
+    }
+
+    /// Returns the text that was generated of an item so far, if any is recorded.
+    pub(super) fn partial(&self, item: usize) -> Option<&PartialText> {
+        self.items.get(item)?.progress.as_deref().map(|progress| &progress.partial)
     }
 
     /// Returns the progress of an item; the default value if none is recorded.
--- a/crates/pebblepost-batch/src/scheduler/mod.rs
+++ b/crates/pebblepost-batch/src/scheduler/mod.rs
@@ -301,18 +301,18 @@
         };
         while grant.has_capacity() {
             let Some(sample_group) = schedule.next_sample_group(now, eligible, &is_sendable) else { break };
-            let key = term.next_lease_key(schedule.store_group());
-            let max_items = grant.max_items_of_next_sample_group();
-            let indices =
-                schedule.items.lease_sample_group(sample_group, key.number, max_items, &is_sendable);
-            if indices.is_empty() {
+            let sendable = schedule.items.sendable_items(sample_group, &is_sendable);
+            let items = grant.fitting(job, &schedule.items, &sendable);
+            if items.is_empty() {
+                grant.set_full();
                 break;
             }
+            let key = term.next_lease_key(schedule.store_group());
             term.consume_lease_key();
-            let lease = NewLease { key, epoch: term.epoch, schedule, job, items: &indices };
-            grant.add(now, &lease);
+            schedule.items.lease(items, key.number);
+            grant.add(now, &NewLease { key, epoch: term.epoch, schedule, job, items });
             let holder = LeaseHolder { proxy: requester.proxy, origin: LeaseOrigin::Granted };
-            self.leases.insert(now, key, holder, job.id(), indices);
+            self.leases.insert(now, key, holder, job.id(), items.to_vec());
         }
     }
 
--- a/crates/pebblepost-link/src/lib.rs
+++ b/crates/pebblepost-link/src/lib.rs
@@ -36,7 +36,9 @@
 pub struct LinkLimits {
     /// Maximum size of a message, sent or received, in bytes.
     pub max_frame_bytes: usize,
-    /// Maximum number of bytes queued for writing. A message that would exceed this limit closes the link.
+    /// Maximum number of bytes queued for writing. A message that would exceed this limit closes the link: the peer does
+    /// not read. One message that exceeds the limit by itself is not counted, so that any message within
+    /// `max_frame_bytes` can be sent; a link then holds at most the sum of both limits.
     pub max_queued_bytes: usize,
     /// Time limit for establishing a connection, and for flushing the send queue of a closed link.
     pub connect_timeout: Duration,
--- a/crates/pebblepost-link/src/send_queue.rs
+++ b/crates/pebblepost-link/src/send_queue.rs
@@ -15,20 +15,53 @@
 /// Maximum capacity of a written buffer that is kept for reuse.
 const MAX_RETAINED_BYTES: usize = 64 * 1024;
 
-/// One or more whole frames, contiguous in memory.
+/// The bytes of a segment.
 #[derive(Debug)]
-enum Segment {
+enum Content {
     Owned(Vec<u8>),
     Shared(Rc<[u8]>),
 }
 
+/// One or more whole frames, contiguous in memory.
+#[derive(Debug)]
+struct Segment {
+    content: Content,
+    largest_frame_bytes: usize,
+}
+
 impl Segment {
+    fn owned(bytes: Vec<u8>) -> Segment {
+        Segment { content: Content::Owned(bytes), largest_frame_bytes: 0 }
+    }
+
+    fn shared(frame: Rc<[u8]>) -> Segment {
+        Segment { largest_frame_bytes: frame.len(), content: Content::Shared(frame) }
+    }
+
     fn bytes(&self) -> &[u8] {
-        match self {
-            Segment::Owned(bytes) => bytes,
-            Segment::Shared(bytes) => bytes,
+        match &self.content {
+            Content::Owned(bytes) => bytes,
+            Content::Shared(bytes) => bytes,
         }
     }
+
+    /// Returns whether further frames may be merged into this segment.
+    fn can_merge(&self) -> bool {
+        matches!(&self.content, Content::Owned(bytes) if bytes.len() < SEGMENT_MERGE_LIMIT_BYTES)
+    }
+
+    /// Appends a frame. Returns its length, or `None` if the message is longer than `max_bytes` or the segment is
+    /// shared.
+    fn append<M: SerBin>(&mut self, message: &M, max_bytes: usize) -> Option<usize> {
+        let Content::Owned(bytes) = &mut self.content else { return None };
+        let before = bytes.len();
+        if !frame::append_frame(message, bytes, max_bytes) {
+            return None;
+        }
+        let frame_bytes = bytes.len() - before;
+        self.largest_frame_bytes = self.largest_frame_bytes.max(frame_bytes);
+        Some(frame_bytes)
+    }
 }
 
 /// Frames to be written, in order.
@@ -45,7 +78,7 @@
     pub(crate) fn with_preamble(bytes: Vec<u8>) -> SendQueue {
         let length = bytes.len();
         SendQueue {
-            segments: VecDeque::from([Segment::Owned(bytes)]),
+            segments: VecDeque::from([Segment::owned(bytes)]),
             bytes: length,
             spare_buffer: Vec::new(),
         }
@@ -56,27 +89,25 @@
         self.bytes
     }
 
+    /// Returns the length of the largest frame.
+    pub(crate) fn largest_frame_bytes(&self) -> usize {
+        self.segments.iter().map(|segment| segment.largest_frame_bytes).max().unwrap_or(0)
+    }
+
     /// Queues a message. Returns false and queues nothing if the message is longer than `max_bytes`.
     pub(crate) fn push<M: SerBin>(&mut self, message: &M, max_bytes: usize) -> bool {
-        let spare_buffer = &mut self.spare_buffer;
-        let can_merge = matches!(
-            self.segments.back(),
-            Some(Segment::Owned(last)) if last.len() < SEGMENT_MERGE_LIMIT_BYTES
-        );
-        if !can_merge {
-            self.segments.push_back(Segment::Owned(std::mem::take(spare_buffer)));
+        if !self.segments.back().is_some_and(Segment::can_merge) {
+            self.segments.push_back(Segment::owned(std::mem::take(&mut self.spare_buffer)));
         }
-        let Some(Segment::Owned(last)) = self.segments.back_mut() else { return false };
-        let before = last.len();
-        let is_queued = frame::append_frame(message, last, max_bytes);
-        self.bytes += last.len() - before;
-        is_queued
+        let appended = self.segments.back_mut().and_then(|last| last.append(message, max_bytes));
+        self.bytes += appended.unwrap_or(0);
+        appended.is_some()
     }
 
     /// Queues a frame that is shared with other links.
     pub(crate) fn push_shared(&mut self, frame: Rc<[u8]>) {
         self.bytes += frame.len();
-        self.segments.push_back(Segment::Shared(frame));
+        self.segments.push_back(Segment::shared(frame));
     }
 
     /// Drops all queued frames.
@@ -91,6 +122,7 @@
         while batch.segments.len() < MAX_BATCH_SEGMENTS && batch.bytes < BATCH_LIMIT_BYTES {
             let Some(segment) = self.segments.pop_front() else { break };
             batch.bytes += segment.bytes().len();
+            batch.largest_frame_bytes = batch.largest_frame_bytes.max(segment.largest_frame_bytes);
             batch.segments.push(segment);
         }
         self.bytes -= batch.bytes;
@@ -100,7 +132,7 @@
     /// Keeps the largest buffer of a written batch for reuse, if it is within `MAX_RETAINED_BYTES`.
     pub(crate) fn recycle(&mut self, batch: Batch) {
         for segment in batch.segments {
-            if let Segment::Owned(mut buffer) = segment
+            if let Content::Owned(mut buffer) = segment.content
                 && buffer.capacity() <= MAX_RETAINED_BYTES
                 && buffer.capacity() > self.spare_buffer.capacity()
             {
@@ -117,6 +149,7 @@
     segments: Vec<Segment>,
     bytes: usize,
     written: usize,
+    largest_frame_bytes: usize,
 }
 
 impl Batch {
@@ -125,6 +158,11 @@
         self.bytes - self.written
     }
 
+    /// Returns the length of the largest frame.
+    pub(crate) fn largest_frame_bytes(&self) -> usize {
+        self.largest_frame_bytes
+    }
+
     /// Records that this many more bytes were written.
     pub(crate) fn advance(&mut self, written: usize) {
         self.written += written;
--- a/crates/pebblepost-link/src/state.rs
+++ b/crates/pebblepost-link/src/state.rs
@@ -47,6 +47,8 @@
     is_preamble_taken: Cell<bool>,
     /// Bytes that were taken from the queue and are not written yet.
     bytes_in_write: Cell<usize>,
+    /// Length of the largest frame in the batch that is being written.
+    largest_frame_in_write: Cell<usize>,
 }
 
 impl LinkState {
@@ -65,6 +67,7 @@
             queue: RefCell::new(SendQueue::with_preamble(frame::PREAMBLE.to_vec())),
             is_preamble_taken: Cell::new(false),
             bytes_in_write: Cell::new(0),
+            largest_frame_in_write: Cell::new(0),
         }
     }
 
@@ -123,6 +126,7 @@
         self.is_preamble_taken.set(true);
         let batch = self.queue.borrow_mut().take_batch();
         self.bytes_in_write.set(batch.remaining());
+        self.largest_frame_in_write.set(batch.largest_frame_bytes());
         batch
     }
 
@@ -135,7 +139,8 @@
     /// its limit.
     fn check_queue_limit(&self) -> bool {
         let queued_bytes = self.queued_bytes();
-        if queued_bytes > self.limits.max_queued_bytes {
+        let max_queued_bytes = self.limits.max_queued_bytes;
+        if queued_bytes > max_queued_bytes && queued_bytes - self.oversize_bytes() > max_queued_bytes {
             self.abort(CloseReason::QueueFull { queued_bytes });
             return false;
         }
@@ -143,6 +148,17 @@
         true
     }
 
+    /// Returns the unwritten bytes of the largest message queued or being written if it exceeds the queue limit by
+    /// itself, or else 0.
+    fn oversize_bytes(&self) -> usize {
+        let max_queued_bytes = self.limits.max_queued_bytes;
+        let queued = self.queue.borrow().largest_frame_bytes();
+        let in_write = self.largest_frame_in_write.get();
+        let queued = if queued > max_queued_bytes { queued } else { 0 };
+        let in_write = if in_write > max_queued_bytes { self.bytes_in_write.get() } else { 0 };
+        queued.max(in_write)
+    }
+
     /// Sets how many bytes of the taken batch are not written yet.
     pub(crate) fn set_bytes_in_write(&self, bytes: usize) {
         self.bytes_in_write.set(bytes);
--- a/crates/pebblepost-link/tests/link.rs
+++ b/crates/pebblepost-link/tests/link.rs
@@ -259,6 +259,51 @@
     LocalSet::new().run_until(exchange).await;
 }
 
+/// Guards against: a message within the frame limit that can never be sent, because it exceeds the limit of the queue by
+/// itself, and that closes the link each time (`docs/incidents/a-job-that-its-store-could-not-send.md`).
+#[tokio::test]
+async fn a_message_larger_than_the_queue_limit_is_sent() {
+    let exchange = async {
+        let limits = LinkLimits { max_queued_bytes: 300_000, ..LIMITS };
+        let mut ends = link_ends(limits).await;
+        assert!(ends.left.0.send(&message(1, 1000)));
+        assert!(ends.left.0.send(&message(2, 3_000_000)));
+        for (number, length) in [(1, 1000), (2, 3_000_000)] {
+            assert_eq!(ends.right.1.receive::<Message>().await.unwrap(), message(number, length));
+        }
+    };
+    LocalSet::new().run_until(exchange).await;
+}
+
+/// Guards against: a link that is closed by a heartbeat while it writes a large message, or whose queue grows without a
+/// bound behind one.
+#[tokio::test]
+async fn messages_are_queued_up_to_the_limit_behind_one_larger_than_it() {
+    let exchange = async {
+        let limits = LinkLimits { max_queued_bytes: 300_000, ..LIMITS };
+        let ends = link_ends(limits).await;
+        assert!(ends.left.0.send(&message(1, 3_000_000)));
+        assert!(ends.left.0.send(&message(2, 1)));
+        assert!(ends.left.0.send(&message(3, 250_000)));
+        assert!(!ends.left.0.send(&message(4, 100_000)));
+        assert!(ends.left.0.is_closed());
+    };
+    LocalSet::new().run_until(exchange).await;
+}
+
+/// Guards against: two large messages that are queued together, beyond the memory that a link may hold.
+#[tokio::test]
+async fn a_second_message_larger_than_the_queue_limit_closes_the_link() {
+    let exchange = async {
+        let limits = LinkLimits { max_queued_bytes: 300_000, ..LIMITS };
+        let ends = link_ends(limits).await;
+        assert!(ends.left.0.send(&message(1, 3_000_000)));
+        assert!(!ends.left.0.send(&message(2, 3_000_000)));
+        assert!(ends.left.0.is_closed());
+    };
+    LocalSet::new().run_until(exchange).await;
+}
+
 #[tokio::test]
 async fn the_read_timeout_restarts_with_every_read() {
     let exchange = async {
--- a/crates/pebblepost-system/tests/common/cluster.rs
+++ b/crates/pebblepost-system/tests/common/cluster.rs
@@ -197,6 +197,13 @@
         self.kill(index)
     }
 
+    /// Kills the proxies of all edge machines by SIGKILL, and returns the indices of the processes.
+    pub fn kill_proxies(&mut self) -> Vec<usize> {
+        let is_proxy = |index: &usize| self.processes[*index].role == "proxy";
+        let indices: Vec<usize> = (0..self.processes.len()).filter(is_proxy).collect();
+        indices.into_iter().map(|index| self.kill(index)).collect()
+    }
+
     fn kill(&mut self, index: usize) -> usize {
         let mut child = self.processes[index].child.take().expect("a running process");
         child.kill().expect("killed");
--- a/crates/pebblepost-system/tests/end_to_end.rs
+++ b/crates/pebblepost-system/tests/end_to_end.rs
@@ -6,7 +6,7 @@
 use common::cluster::{Cluster, ClusterSize};
 use common::operator::{self, HOST, MODEL, MODEL_SERVICE, MORE_PAGES, PAGE_SERVICE, PAGES};
 use common::settings::ZONES;
-use common::trainer::{Job, item_body};
+use common::trainer::{Job, Padding, item_body};
 use common::transcriber::Transcriber;
 use common::wait_for;
 use std::net::SocketAddr;
@@ -243,6 +243,74 @@
     });
 }
 
+/// Guards against: a job that stands still because the response to a request for work is too large for its link
+/// (`docs/incidents/a-job-that-its-store-could-not-send.md`). Proxies that have just started request most.
+#[test]
+fn a_large_job_is_completed_although_all_proxies_are_killed() {
+    /// The items that one proxy requests have 18 million bytes; its link may queue 16 MiB.
+    const PADDING: Padding = Padding { item_bytes: 0, score_bytes: 1_150_000 };
+    const LARGE_PADDING: Padding = Padding { item_bytes: 0, score_bytes: 18_000_000 };
+    let _lock = lock_cluster();
+    common::run(async {
+        let mut timer = StepTimer::start();
+        let (mut cluster, transcribers) = start(2).await;
+        let fronts = cluster.fronts();
+        let mut job = Job::with_padding("4a4b4c4d", 0, 1, 5, 4, PADDING);
+        job.submit(&fronts, NO_FAULT_TIMEOUT).await;
+        let proxies = cluster.kill_proxies();
+        timer.finish_step("large job accepted, all proxies killed");
+        proxies.into_iter().for_each(|proxy| cluster.restart(proxy));
+        let all = job.items.len();
+        job.read_until(&fronts, all, FAULT_TIMEOUT).await;
+        job.assert_correct(&transcribers.model, &transcribers.page);
+        timer.finish_step("proxies restarted, all results read");
+
+        // One item has more bytes than the link of a proxy may queue.
+        let mut single = Job::with_padding("5a5b5c5d", 1, 1, 1, 1, LARGE_PADDING);
+        single.submit(&fronts, NO_FAULT_TIMEOUT).await;
+        single.read_until(&fronts, 1, FAULT_TIMEOUT).await;
+        single.assert_correct(&transcribers.model, &transcribers.page);
+        timer.finish_step("an item of 18 million bytes completed");
+        transcribers.assert_no_violations();
+        cluster.assert_running();
+        cluster.shut_down().await;
+    });
+}
+
+/// Guards against: a link between a store and a proxy that is closed by many reads of large bodies at once
+/// (`docs/incidents/a-job-that-its-store-could-not-send.md`).
+#[test]
+fn concurrent_reads_of_large_bodies_are_all_answered() {
+    const ITEM_BYTES: usize = 4_000_000;
+    const READS: usize = 12;
+    let _lock = lock_cluster();
+    common::run(async {
+        let (mut cluster, _transcribers) = start(3).await;
+        let fronts = cluster.fronts();
+        // No transcriber holds the version, so that all items stay pending.
+        let padding = Padding { item_bytes: ITEM_BYTES, score_bytes: 0 };
+        let mut job = Job::with_padding("6a6b6c6d", 0, 9, 1, 4, padding);
+        job.submit(&fronts, NO_FAULT_TIMEOUT).await;
+        let job = std::rc::Rc::new(job);
+        let reads: Vec<_> = (0..READS)
+            .map(|number| {
+                let (job, front) = (job.clone(), fronts[0]);
+                let item = job.items[number % job.items.len()].clone();
+                tokio::task::spawn_local(async move { job.fetch_item_body(front, &item).await })
+            })
+            .collect();
+        let mut complete = 0;
+        for read in reads {
+            let response = read.await.expect("the task ends").expect("a response");
+            complete += usize::from(response.status == 200 && response.body.len() > ITEM_BYTES);
+        }
+        assert_eq!(complete, READS, "reads that were answered with the whole body");
+        job.end(&fronts, NO_FAULT_TIMEOUT).await;
+        cluster.assert_running();
+        cluster.shut_down().await;
+    });
+}
+
 #[test]
 fn serves_end_to_end_after_the_control_primary_and_a_store_are_killed() {
     let _lock = lock_cluster();
