Transcriber client: a retry is not sent on the connection of the failed attempt

Cause: a surplus answer is told by its Request-Id, and a retry has the id of the attempt before it. On the same connection a second 500 to the first attempt was taken for the answer to the retry.

Change: a connection remembers the id of a request that it did not answer with success; a retry takes another one, or a new one in place of an idle one.

Tests: two cases failed before (500 in place of 200); another one shows that other requests still use the connection.

--- a/crates/pebblepost-transcriber/src/call.rs
+++ b/crates/pebblepost-transcriber/src/call.rs
@@ -39,9 +39,10 @@
 
 impl StartedResponse {
     fn new(
-        connection: PooledConnection, response: Response<Incoming>, expectation: Expectation<'_>,
+        mut connection: PooledConnection, response: Response<Incoming>, expectation: Expectation<'_>,
     ) -> Result<StartedResponse, ClientError> {
         let (response, body) = validate(response, expectation)?;
+        connection.record_response(expectation.request_id, response.head.status);
         Ok(StartedResponse { connection, response, body })
     }
 
@@ -98,7 +99,7 @@
         };
         let request = request::build(self.target, request)?;
         let max_connections = self.limits.max_connections_per_transcriber;
-        match self.state.pool.checkout(self.target, max_connections).await {
+        match self.state.pool.checkout(self.target, max_connections, &request_id).await {
             Checkout::Reused(connection) => {
                 self.send_on_idle_connection(connection, request, expectation).await
             }
--- a/crates/pebblepost-transcriber/src/pool.rs
+++ b/crates/pebblepost-transcriber/src/pool.rs
@@ -2,6 +2,7 @@
 
 use crate::connection::Connection;
 use crate::model::Target;
+use http::StatusCode;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -44,6 +45,8 @@
 /// A connection together with the slot that it occupies. Dropping it closes the connection and frees the slot.
 pub(crate) struct PooledConnection {
     pub(crate) connection: Box<Connection>,
+    /// `Request-Id` of the last request on this connection if its response was not a success; empty otherwise.
+    failed_request_id: String,
     slot: ConnectionSlot,
 }
 
@@ -79,7 +82,7 @@
 impl ConnectionSlot {
     /// Assigns a new connection to this slot.
     pub(crate) fn fill(self, connection: Connection) -> PooledConnection {
-        PooledConnection { connection: Box::new(connection), slot: self }
+        PooledConnection { connection: Box::new(connection), failed_request_id: String::new(), slot: self }
     }
 }
 
@@ -89,6 +92,20 @@
         self.slot.target.is_removed.get()
     }
 
+    /// Records the response to a request on this connection.
+    pub(crate) fn record_response(&mut self, request_id: &str, status: StatusCode) {
+        self.failed_request_id.clear();
+        if !status.is_success() {
+            self.failed_request_id.push_str(request_id);
+        }
+    }
+
+    /// Returns whether the request is a retry of the last one on this connection. A second response to that could be
+    /// taken for the response to the retry.
+    fn carried_failed_attempt(&self, request_id: &str) -> bool {
+        !request_id.is_empty() && self.failed_request_id == request_id
+    }
+
     /// Closes the connection and keeps its slot for a new one.
     pub(crate) fn into_slot(self) -> ConnectionSlot {
         self.slot
@@ -113,14 +130,22 @@
 }
 
 impl TargetPool {
-    /// Takes the most recently used idle connection that can be reused, or returns why a new one is needed.
-    async fn take_idle(&self) -> Result<PooledConnection, ConnectReason> {
+    /// Takes the most recently used idle connection that can be reused for a request, or returns why a new one is
+    /// needed.
+    ///
+    /// A retry is not sent on the connection of the failed attempt before it: a transcriber may answer that one a second
+    /// time, and the `Request-Id` would not show it. If no other connection is idle, one is closed in favour of a new
+    /// one.
+    async fn take_idle(&self, request_id: &str) -> Result<PooledConnection, ConnectReason> {
         let mut reason = match self.occupied_slots.get() {
             0 => ConnectReason::Initial,
             _ => ConnectReason::Additional,
         };
         loop {
-            let Some(mut idle) = self.idle.borrow_mut().pop() else { return Err(reason) };
+            let Some(mut idle) = self.pop_idle(request_id) else {
+                let unusable = self.idle.borrow_mut().pop();
+                return Err(unusable.map_or(reason, |_| ConnectReason::Replacement));
+            };
             if idle.expires_at > Instant::now() && idle.connection.connection.is_reusable().await {
                 return Ok(idle.connection);
             }
@@ -128,6 +153,12 @@
         }
     }
 
+    fn pop_idle(&self, request_id: &str) -> Option<IdleConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let index = idle.iter().rposition(|idle| !idle.connection.carried_failed_attempt(request_id))?;
+        Some(idle.remove(index))
+    }
+
     fn close_expired(&self, now: Instant) {
         // Collected first, so that the borrow of `idle` ends before the connections are dropped and free their slots.
         let expired: Vec<IdleConnection> =
@@ -147,15 +178,17 @@
         ConnectionPool { targets: RefCell::default(), last_sweep_at: Cell::new(Instant::now()) }
     }
 
-    /// Returns an idle connection or a slot for a new one. Waits while all slots are occupied and no connection is
+    /// Returns an idle connection for a request, or a slot for a new one. Waits while all slots are occupied and no connection is
     /// idle.
     ///
     /// At least one connection is allowed, even if `max_connections` is 0.
-    pub(crate) async fn checkout(&self, target: &Target, max_connections: usize) -> Checkout {
+    pub(crate) async fn checkout(
+        &self, target: &Target, max_connections: usize, request_id: &str,
+    ) -> Checkout {
         self.sweep();
         let pool = self.get_or_create_target_pool(target);
         loop {
-            let reason = match pool.take_idle().await {
+            let reason = match pool.take_idle(request_id).await {
                 Ok(connection) => return Checkout::Reused(connection),
                 Err(reason) => reason,
             };
--- a/crates/pebblepost-transcriber/tests/client/exchanges.rs
+++ b/crates/pebblepost-transcriber/tests/client/exchanges.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{ScriptedTranscriber, Step, client, limits, outgoing, run};
 use http::StatusCode;
-use pebblepost_transcriber::{Client, ClientError, StreamResponse, Target};
+use pebblepost_transcriber::{Client, ClientError, ClientLimits, StreamResponse, Target};
 use rstest::rstest;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -420,6 +420,38 @@
     });
 }
 
+/// Guards against: a second response to a failed attempt that counts as the response to the retry, so that an item is given
+/// up after one failure (`docs/incidents/items-given-up-after-one-failure.md`).
+#[rstest]
+#[case::with_a_free_slot(4)]
+#[case::with_one_connection_allowed(1)]
+fn a_second_response_to_an_attempt_is_not_the_response_to_its_retry(#[case] max_connections: usize) {
+    run(async {
+        let failed = b"HTTP/1.1 500 X\r\nrequest-id: a\r\ncontent-length: 0\r\n\r\n";
+        // The second response arrives in the place of the next one on the connection.
+        let first = vec![Step::Read, Step::Write(failed), Step::Read, Step::Write(failed)];
+        let second = vec![Step::Read, Step::Write(OK_A), Step::Read, Step::Write(OK_A)];
+        let server = ScriptedTranscriber::start(vec![first, second]).await;
+        let limits = ClientLimits { max_connections_per_transcriber: max_connections, ..limits() };
+        let (client, target) = (Client::new(limits), server.target());
+        assert_eq!(client.send(&target, outgoing("a")).await.unwrap().head.status, 500);
+        assert_eq!(client.send(&target, outgoing("a")).await.unwrap().head.status, 200);
+    });
+}
+
+/// Guards against: a connection that is not used again by other requests because of a retry.
+#[test]
+fn other_requests_use_the_connection_of_a_failed_attempt() {
+    run(async {
+        let failed = b"HTTP/1.1 500 X\r\nrequest-id: b\r\ncontent-length: 0\r\n\r\n";
+        let script = vec![Step::Read, Step::Write(failed), Step::Read, Step::Write(OK_A)];
+        let server = ScriptedTranscriber::start(vec![script]).await;
+        let (client, target) = (client(), server.target());
+        assert_eq!(client.send(&target, outgoing("b")).await.unwrap().head.status, 500);
+        assert_eq!(client.send(&target, outgoing("a")).await.unwrap().head.status, 200);
+    });
+}
+
 #[test]
 fn a_surplus_load_report_is_not_the_response_to_a_load_order() {
     run(async {
