Proxy, control: bodies that are nested too deeply are rejected before they are parsed

Change: the limit of configurations, 100 levels, holds for jobs, named versions and registrations too: 400.

Tests: the tests of a job and of a registration overflowed the stack before (SIGABRT); configurations were guarded.

Open: reports of transcribers are parsed without this check.

--- a/crates/pebblepost-batch-runner/src/job/request.rs
+++ b/crates/pebblepost-batch-runner/src/job/request.rs
@@ -4,6 +4,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use pebblepost_configuration::is_nested_too_deeply;
 use pebblepost_messages::batch::{Item, Job, JobTerms, Scorer};
 use simd_json::prelude::{ValueAsArray, ValueAsObject, ValueAsScalar, ValueObjectAccess};
 use simd_json::{BorrowedValue, StaticNode};
@@ -16,6 +17,9 @@
     /// The body is not valid JSON.
     #[error("request body is not valid JSON: {0}")]
     NotJson(#[from] simd_json::Error),
+    /// The body is nested so deeply that parsing it could overflow the stack.
+    #[error("request body is nested too deeply")]
+    NestedTooDeeply,
     /// The body is JSON, but not an object.
     #[error("request body is not a JSON object")]
     NotAnObject,
@@ -78,8 +82,11 @@
 /// Parses the body of a submitted job. Unknown fields are ignored.
 ///
 /// # Errors
-/// The body is not a JSON object, a required field is missing, a field is invalid, or two items have the same id.
+/// The body is nested too deeply or not a JSON object, a required field is missing, a field is invalid, or two items have the same id.
 pub fn parse(id: &str, terms: JobTerms, mut body: Vec<u8>) -> Result<Job, JobError> {
+    if is_nested_too_deeply(&body) {
+        return Err(JobError::NestedTooDeeply);
+    }
     let value = simd_json::to_borrowed_value(&mut body)?;
     if value.as_object().is_none() {
         return Err(JobError::NotAnObject);
--- a/crates/pebblepost-batch-runner/tests/batch_runner/job_json.rs
+++ b/crates/pebblepost-batch-runner/tests/batch_runner/job_json.rs
@@ -63,3 +63,12 @@
     let error = parse("j", JobTerms::default(), body.as_bytes().to_vec()).unwrap_err();
     assert!(error.to_string().starts_with(reason), "{error}");
 }
+
+/// Guards against: a job that ends the proxy, because the parser recurses once for each level of nesting.
+#[test]
+fn a_deeply_nested_body_is_an_error() {
+    const LEVELS: usize = 1_000_000;
+    let body = format!(r#"{{"requests":{}{}}}"#, "[".repeat(LEVELS), "]".repeat(LEVELS));
+    let error = parse("j", JobTerms::default(), body.into_bytes()).unwrap_err();
+    assert_eq!(error.to_string(), "request body is nested too deeply");
+}
--- a/crates/pebblepost-configuration/src/json.rs
+++ b/crates/pebblepost-configuration/src/json.rs
@@ -13,7 +13,7 @@
     if document.len() > MAX_DOCUMENT_BYTES {
         return Err(ConfigurationError::DocumentTooLarge { max_bytes: MAX_DOCUMENT_BYTES });
     }
-    if nesting_depth(document) > MAX_NESTING_LEVELS {
+    if is_nested_too_deeply(document) {
         return Err(ConfigurationError::NestedTooDeeply { max_depth: MAX_NESTING_LEVELS });
     }
     Ok(())
@@ -40,6 +40,11 @@
     value.encode().into_bytes()
 }
 
+/// Returns whether a document is nested more deeply than 100 levels. A recursive parser could overflow the stack then.
+pub fn is_nested_too_deeply(document: &[u8]) -> bool {
+    nesting_depth(document) > MAX_NESTING_LEVELS
+}
+
 /// Returns the deepest nesting of brackets outside strings. The document need not be valid JSON.
 fn nesting_depth(document: &[u8]) -> usize {
     let mut depth = 0usize;
--- a/crates/pebblepost-control/src/api/registration.rs
+++ b/crates/pebblepost-control/src/api/registration.rs
@@ -1,5 +1,6 @@
 //! Body of `PUT /instances/ID`, with which an instance of a transcriber registers and sends heartbeats.
 
+use pebblepost_configuration::is_nested_too_deeply;
 use pebblepost_messages::feed::{Instance, InstanceState, ModelVersion};
 use simd_json::BorrowedValue;
 use simd_json::prelude::{
@@ -19,6 +20,9 @@
     /// The body is not JSON.
     #[error("not JSON: {0}")]
     NotJson(#[from] simd_json::Error),
+    /// The body is nested so deeply that parsing it could overflow the stack.
+    #[error("nested too deeply")]
+    NestedTooDeeply,
     /// The identity in the path is empty or too long.
     #[error("the id is empty or longer than {} bytes", MAX_NAME_BYTES)]
     InvalidId,
@@ -54,8 +58,11 @@
 /// Parses the body of a registration of the instance `id`.
 ///
 /// # Errors
-/// If the body is not JSON, or a field is missing, too long or invalid.
+/// If the body is nested too deeply or not JSON, or a field is missing, too long or invalid.
 pub fn parse(id: &str, body: &[u8]) -> Result<Instance, RegistrationError> {
+    if is_nested_too_deeply(body) {
+        return Err(RegistrationError::NestedTooDeeply);
+    }
     let mut bytes = body.to_vec();
     let value = simd_json::to_borrowed_value(&mut bytes)?;
     if id.is_empty() || id.len() > MAX_NAME_BYTES {
--- a/crates/pebblepost-control/src/api/request.rs
+++ b/crates/pebblepost-control/src/api/request.rs
@@ -3,6 +3,7 @@
 use super::registration;
 use super::response::HttpResponse;
 use crate::state::command::{ChangeMethod, ConfigurationChange};
+use pebblepost_configuration::is_nested_too_deeply;
 use pebblepost_messages::feed::Instance;
 use simd_json::prelude::{ValueAsScalar, ValueObjectAccess, ValueObjectAccessAsScalar};
 
@@ -99,6 +100,9 @@
 
 fn parse_version(request: &HttpRequest) -> Result<Operation, HttpResponse> {
     let invalid = || HttpResponse::bad_request("model or generation: missing or not of its type");
+    if is_nested_too_deeply(&request.body) {
+        return Err(invalid());
+    }
     let mut bytes = request.body.clone();
     let value = simd_json::to_borrowed_value(&mut bytes).map_err(|_| invalid())?;
     let model = value.get_str("model").ok_or_else(invalid)?.to_string();
--- a/crates/pebblepost-control/tests/control/api.rs
+++ b/crates/pebblepost-control/tests/control/api.rs
@@ -108,3 +108,23 @@
         assert!(transcript.lines[1].contains("-> 503"), "{:?}", transcript.lines);
     }
 }
+
+/// Guards against: a request that ends the primary, because the parser recurses once for each level of nesting.
+#[rstest]
+#[case::version("POST", "/version-put")]
+#[case::registration("PUT", "/instances/i-1")]
+#[case::configuration("PUT", "/config")]
+fn a_deeply_nested_body_is_rejected(#[case] method: &str, #[case] path: &str) {
+    const LEVELS: usize = 100_000;
+    let body = format!(r#"{{"model":{}{}}}"#, "[".repeat(LEVELS), "]".repeat(LEVELS));
+    let mut cluster = Cluster::with_primary();
+    let request = HttpRequest {
+        method: method.into(),
+        path: path.into(),
+        if_match: Some("0".to_owned()),
+        body: body.into_bytes(),
+    };
+    let primary = cluster.primary();
+    let response = cluster.request(primary, request).expect("a response");
+    assert_eq!(response.status, 400, "{}", format_response(&response));
+}
