System: a seeded soak of batch jobs with real processes

Change: three trainers send jobs of random sizes one after the other while stores, controls and proxies are killed or frozen and the configuration changes, in series and overlapping; one machine with a disk at a time, as tolerated. All items must be completed, right, scored after their text, and the same at each proxy.

--- a/crates/pebblepost-system/tests/common/cluster.rs
+++ b/crates/pebblepost-system/tests/common/cluster.rs
@@ -192,9 +192,20 @@
 
     /// Kills a store machine by SIGKILL, and returns the index of the process. `number` counts from 0.
     pub fn kill_store(&mut self, number: usize) -> usize {
-        let stores = self.processes.iter().enumerate().filter(|(_, process)| process.role == "store");
-        let index = stores.map(|(index, _)| index).nth(number).expect("a store");
-        self.kill(index)
+        self.kill(self.process("store", number))
+    }
+
+    /// Returns the index of a process of a role. `number` counts from 0.
+    pub fn process(&self, role: &str, number: usize) -> usize {
+        let of_role = self.processes.iter().enumerate().filter(|(_, process)| process.role == role);
+        of_role.map(|(index, _)| index).nth(number).expect("a process of the role")
+    }
+
+    /// Sends a signal to a process.
+    pub fn signal(&self, index: usize, signal: &str) {
+        let child = self.processes[index].child.as_ref().expect("a running process");
+        let sent = Command::new("kill").args([signal, &child.id().to_string()]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "{signal} was not sent");
     }
 
     /// Kills the proxies of all edge machines by SIGKILL, and returns the indices of the processes.
@@ -204,7 +215,8 @@
         indices.into_iter().map(|index| self.kill(index)).collect()
     }
 
-    fn kill(&mut self, index: usize) -> usize {
+    /// Kills a process by SIGKILL, and returns its index.
+    pub fn kill(&mut self, index: usize) -> usize {
         let mut child = self.processes[index].child.take().expect("a running process");
         child.kill().expect("killed");
         child.wait().expect("ended");
@@ -230,10 +242,8 @@
     /// Sends SIGTERM to all processes and waits until they have ended. Asserts that their exit code is 0.
     pub async fn shut_down(mut self) {
         self.assert_running();
-        for process in self.processes.iter().filter_map(|process| process.child.as_ref()) {
-            let sent = Command::new("kill").args(["-TERM", &process.id().to_string()]).status();
-            assert!(sent.is_ok_and(|status| status.success()), "SIGTERM was not sent");
-        }
+        let running = (0..self.processes.len()).filter(|index| self.processes[*index].child.is_some());
+        running.for_each(|index| self.signal(index, "-TERM"));
         let deadline = Instant::now() + SHUTDOWN_TIMEOUT;
         for index in 0..self.processes.len() {
             let Some(mut child) = self.processes[index].child.take() else { continue };
--- a/crates/pebblepost-system/tests/end_to_end.rs
+++ b/crates/pebblepost-system/tests/end_to_end.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests with processes of all roles: a configuration, requests, batch jobs and a weight version.
 
 mod common;
+mod soak;
 
 use common::client::{ApiRequest, send};
 use common::cluster::{Cluster, ClusterSize};
