--- a/crates/pebblepost-batch-store/tests/integration/simulation/deployment.rs
+++ b/crates/pebblepost-batch-store/tests/integration/simulation/deployment.rs
@@ -4,7 +4,7 @@
 use super::client::Clients;
 use super::control::Control;
 use super::digest::Digest;
-use super::disk::Disk;
+use super::machine::Machine;
 use super::proxy::{Outgoing, Proxy};
 use super::transcript;
 use pebblepost_batch::admission::MemoryBudget;
@@ -58,24 +58,6 @@
     EndPartition { machine: usize },
 }
 
-/// A storage machine.
-#[derive(Debug)]
-pub struct Machine {
-    pub member: Member,
-    disk: Disk,
-    store: Option<Store>,
-    incarnation: u64,
-    /// Time at which the running process was started. The monotonic clock of the process counts from then on.
-    started_at: u64,
-    frozen_until: u64,
-    is_partitioned: bool,
-    is_connected_to_control: bool,
-    /// Links that proxies opened to this machine.
-    proxies: BTreeMap<u64, usize>,
-    /// Links that other machines opened to this one, by machine and incarnation.
-    peers: BTreeMap<(usize, u64), u64>,
-}
-
 /// Parameters of a simulated deployment.
 #[derive(Clone, Copy, Debug)]
 pub struct DeploymentPlan {
@@ -610,26 +592,3 @@
         );
     }
 }
-
-impl Machine {
-    fn new(index: usize, disk: DiskId) -> Machine {
-        Machine {
-            member: Member {
-                disk,
-                node: format!("store-{index}"),
-                address: format!("10.0.{index}.1:7301"),
-                zone: format!("zone-{index}"),
-                region: "region".to_owned(),
-            },
-            disk: Disk::default(),
-            store: None,
-            incarnation: 0,
-            started_at: 0,
-            frozen_until: 0,
-            is_partitioned: false,
-            is_connected_to_control: false,
-            proxies: BTreeMap::new(),
-            peers: BTreeMap::new(),
-        }
-    }
-}
--- a/crates/pebblepost-batch-store/tests/integration/simulation/mod.rs
+++ b/crates/pebblepost-batch-store/tests/integration/simulation/mod.rs
@@ -7,5 +7,6 @@
 pub mod deployment;
 pub mod digest;
 pub mod disk;
+mod machine;
 pub mod proxy;
 pub mod transcript;
