Batch runner: items that were left out are asked for again after a lost link

A proxy remembers items that it cannot send until they can be sent or have expired, or until their job is cancelled. A cancellation that is lost with a link, or with a primary, left the proxy looking for a transcriber for the rest of queue_ttl_s.

Change: the entries are dropped when a link comes up and when a primary changes; what still cannot be sent is leased and blocked again.

Tests: blocked_items_are_forgotten_with_the_link_to_their_store, which failed without the call in link_up.

--- a/crates/pebblepost-batch-runner/src/execution/blocked_items.rs
+++ b/crates/pebblepost-batch-runner/src/execution/blocked_items.rs
@@ -133,12 +133,24 @@
 
     /// Removes the entries of cancelled jobs.
     pub(crate) fn cancel(&self, jobs: &[String]) {
+        self.remove(|items| jobs.contains(&items.job));
+    }
+
+    /// Removes all entries, because a cancellation may have been lost with a link or a primary. Items that still cannot
+    /// be sent are leased and blocked again.
+    pub(crate) fn clear(&self) {
+        self.remove(|_| true);
+        self.releases.set(self.releases.get() + 1);
+        self.links.expect_work();
+    }
+
+    fn remove(&self, is_removed: impl Fn(&UnsendableItems) -> bool) {
         self.watches.borrow_mut().retain(|items, task| {
-            let is_cancelled = jobs.contains(&items.job);
-            if is_cancelled {
+            let is_removed = is_removed(items);
+            if is_removed {
                 task.abort();
             }
-            !is_cancelled
+            !is_removed
         });
     }
 
--- a/crates/pebblepost-batch-runner/src/store_events.rs
+++ b/crates/pebblepost-batch-runner/src/store_events.rs
@@ -42,6 +42,7 @@
             return;
         }
         log::debug!("store primaries changed groups={}", changed.len());
+        self.blocked.clear();
         self.links.reconcile(self);
         self.outbox.resend(|group| changed.contains(&group));
         for link in self.links.all() {
@@ -116,6 +117,7 @@
         self.outbox.resend(|group| self.links.is_primary(group, link.address));
         self.outbox.flush(&self.links);
         self.announce_leases(link);
+        self.blocked.clear();
         link.may_have_work.set(true);
         self.capacity.wake();
         self.changes.notify();
--- a/crates/pebblepost-batch-runner/tests/batch_runner/blocked_items.rs
+++ b/crates/pebblepost-batch-runner/tests/batch_runner/blocked_items.rs
@@ -2,11 +2,13 @@
 
 use crate::scheduling_store::SchedulingStore;
 use crate::support::{
-    FakeStore, LAST_CHUNK, Reply, RunnerUnderTest, SeenRequest, Transcribers, empty_response, events,
-    load_report, run_within, stream_head,
+    FakeStore, LAST_CHUNK, Reply, RunnerUnderTest, SeenRequest, Transcribers, empty_response, events, lease,
+    leased, load_report, run_within, stream_head,
 };
 use pebblepost_batch_runner::random::Random;
-use pebblepost_messages::batch::{Item, Job, JobTerms, ResultState, Scorer};
+use pebblepost_messages::batch::{
+    FromStore, Item, Job, JobTerms, ResultState, Scorer, ToStore, UnsendableItems, WorkLease,
+};
 use pebblepost_messages::feed::{ConfigurationUpdate, FeedUpdate, ModelVersion};
 use rstest::rstest;
 use std::cell::Cell;
@@ -269,6 +271,34 @@
     });
 }
 
+/// Guards against: a proxy that looks for a transcriber, and leaves items out, for a job whose end it was not told because
+/// the link was lost.
+#[rstest]
+fn blocked_items_are_forgotten_with_the_link_to_their_store() {
+    run_within(Duration::from_secs(20), async {
+        let setup = Setup::new(Obstacle::NoVersion).await;
+        let mut fake = FakeStore::start();
+        setup.under_test.set_primary(fake.address, 1);
+        let (mut end, _) = fake.accept().await;
+        let mut item = leased("a", false);
+        item.item.path = "/blocked/0".to_owned();
+        let lease = WorkLease { min_version: 2, ..lease(vec![item], false) };
+        end.grant_work(vec![lease]).await;
+        let blocked = loop {
+            match end.next().await {
+                ToStore::RequestSendableWork { unsendable, .. } => break unsendable,
+                ToStore::RequestWork { .. } => drop(end.sender.send(&FromStore::Work(Vec::new()))),
+                ToStore::Outcomes { .. } => drop(end.sender.send(&FromStore::WorkAvailable)),
+                _ => {}
+            }
+        };
+        assert_eq!(blocked, [UnsendableItems { job: "job".to_owned(), path_prefix: "/blocked/".to_owned() }]);
+        end.sender.close();
+        let (mut end, _) = fake.accept().await;
+        end.grant_work(Vec::new()).await;
+    });
+}
+
 fn id_or_report(seen: &SeenRequest) -> Option<&str> {
     if is_report(seen) { None } else { Some(id(seen)) }
 }
