Batch: an idle proxy is notified of items that it can send of a job that it left out in part

Need: a proxy that can't send some items of a job, and was granted fewer items than it asked for, got no notice when other items of that job became pending (returned by a proxy, or open to oversampling). They waited until something else woke the proxy, in the worst case until they expired. Cause: the store kept for each idle proxy the jobs that it could not send whole, and took these for jobs without work. Evidence: the new test of the scheduler failed before (no notice after the item was returned). Change: an idle proxy is kept with its request; a notice goes by the items that can be leased. The filter of a request stands once, in work_request.rs.

--- a/crates/pebblepost-batch-runner/tests/batch_runner/scheduling_store.rs
+++ b/crates/pebblepost-batch-runner/tests/batch_runner/scheduling_store.rs
@@ -166,7 +166,8 @@
         let mut scheduler = self.scheduler.borrow_mut();
         scheduler.renew_leases(now, |_| true);
         end.sender.send(&FromStore::Renew { groups: vec![(self.store_group, EPOCH)] });
-        if !scheduler.take_idle_proxies(now, |_| true).is_empty() {
+        let state = self.state.borrow();
+        if !scheduler.take_idle_proxies(now, |_| Some(&*state)).is_empty() {
             end.sender.send(&FromStore::WorkAvailable);
         }
     }
--- a/crates/pebblepost-batch-store/src/store/handlers/leases.rs
+++ b/crates/pebblepost-batch-store/src/store/handlers/leases.rs
@@ -6,10 +6,11 @@
 use crate::store::state::lease_outcomes::LeaseOutcomes;
 use crate::store::state::outbox::LinkId;
 use pebblepost_batch::scheduler::{ItemProgress, LeaseReference, ProxyId, WorkRequest};
+use pebblepost_batch::state::BatchState;
 use pebblepost_messages::batch::{
     ActiveLease, FromStore, ItemOutcome, ItemResult, Job, ResultState, UnsendableItems,
 };
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Maximum number of epochs of one term for which leases are renewed; the newest are used.
@@ -25,10 +26,7 @@
         let max_items = usize::try_from(max_items.min(MAX_REQUESTED_ITEMS)).unwrap_or(0);
         let request = WorkRequest { max_items, unsendable };
         let groups = &self.groups;
-        let states = |group_id: u32| {
-            let group = groups.get(&group_id).filter(|group| group.is_acting(now));
-            group.map(Group::state)
-        };
+        let states = |group_id: u32| acting_state(groups, now, group_id);
         let leases = self.scheduler.lease_items(now, ProxyId(link.0), &request, states);
         self.outbox.reply(link, FromStore::Work(leases));
     }
@@ -90,12 +88,12 @@
     ///
     /// A machine that is shutting down sends no such notices.
     pub(crate) fn notify_idle_proxies(&mut self, now: Duration) {
+        if self.is_shutting_down {
+            return;
+        }
         let groups = &self.groups;
-        let is_shutting_down = self.is_shutting_down;
-        let is_acting = |group_id: u32| {
-            !is_shutting_down && groups.get(&group_id).is_some_and(|group| group.is_acting(now))
-        };
-        for proxy in self.scheduler.take_idle_proxies(now, is_acting) {
+        let states = |group_id: u32| acting_state(groups, now, group_id);
+        for proxy in self.scheduler.take_idle_proxies(now, states) {
             self.outbox.reply(LinkId(proxy.0), FromStore::WorkAvailable);
         }
     }
@@ -167,6 +165,12 @@
     }
 }
 
+/// Returns the replicated state of a store group if this machine is its acting primary.
+fn acting_state(groups: &BTreeMap<u32, Group>, now: Duration, group_id: u32) -> Option<&BatchState> {
+    let group = groups.get(&group_id).filter(|group| group.is_acting(now));
+    group.map(Group::state)
+}
+
 /// Returns whether a job allows the weight versions that generated a result's text. A dead letter has no
 /// text and is always allowed.
 fn has_allowed_versions(job: &Job, result: &ItemResult) -> bool {
--- a/crates/pebblepost-batch/src/scheduler/mod.rs
+++ b/crates/pebblepost-batch/src/scheduler/mod.rs
@@ -6,9 +6,11 @@
 //! The submodules are `term` (this machine's term as primary of a store group), `takeover` (the wait for
 //! lease reports), `job_queue` (the jobs in leasing order), `job_schedule` (the deadlines of a job),
 //! `item_table` (the states of its items), `lease_table` (the holders of leases), `work_request` (a proxy's
-//! request for work) and `grant` (the response to it). [`Scheduler`] combines them.
+//! request for work), `grant` (the response to it) and `idle_proxies` (the proxies that wait for a notice of work).
+//! [`Scheduler`] combines them.
 
 mod grant;
+mod idle_proxies;
 mod item_table;
 mod job_queue;
 mod job_schedule;
@@ -27,15 +29,17 @@
 use crate::job::StoredJob;
 use crate::state::BatchState;
 use grant::{Grant, NewLease};
+use idle_proxies::{IdleProxies, LeasableJob};
 use item_table::ItemState;
 use job_queue::JobQueue;
 use job_schedule::{EligibleSampleGroups, JobSchedule};
 use lease_table::{LeaseHolder, LeaseKey, LeaseOrigin, LeaseTable};
-use pebblepost_messages::batch::{Item, WorkLease};
-use std::collections::{BTreeMap, BTreeSet};
+use pebblepost_messages::batch::WorkLease;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use takeover::Takeover;
 use term::Term;
+use work_request::is_sendable;
 
 /// Schedules the items of all store groups that this machine is primary of.
 #[derive(Debug, Default)]
@@ -43,9 +47,7 @@
     terms: BTreeMap<u32, Term>,
     queue: JobQueue,
     leases: LeaseTable,
-    /// Proxies that were granted fewer items than they last requested, with the jobs of which they could not
-    /// send all items then.
-    idle: BTreeMap<ProxyId, BTreeSet<String>>,
+    idle: IdleProxies,
 }
 
 impl Scheduler {
@@ -108,7 +110,7 @@
 
     /// Records that the link to a proxy is lost. Its leases are kept, but no longer renewed, and expire.
     pub fn mark_proxy_disconnected(&mut self, proxy: ProxyId) {
-        self.idle.remove(&proxy);
+        self.idle.remove(proxy);
         self.leases.mark_disconnected(proxy);
         for term in self.terms.values_mut() {
             term.takeover.remove_proxy(proxy);
@@ -118,8 +120,9 @@
     /// Leases items to a proxy.
     ///
     /// At most `max_items` items of the request are leased, and a few more if that keeps a sample group whole.
-    /// Items that the proxy cannot send are left to others. Oversampled sample groups are leased only if no required one can be leased. `states` returns the
-    /// replicated state of a store group, or `None` if this machine is not its acting primary.
+    /// Items that the proxy cannot send are left to others. Oversampled sample groups are leased only if no
+    /// required one can be leased. `states` returns the replicated state of a store group, or `None` if this
+    /// machine is not its acting primary.
     pub fn lease_items<'state>(
         &mut self, now: Duration, proxy: ProxyId, request: &WorkRequest,
         states: impl Fn(u32) -> Option<&'state BatchState>,
@@ -141,9 +144,9 @@
             }
         }
         if grant.is_incomplete() {
-            self.idle.insert(proxy, request.jobs_with_unsendable_items());
+            self.idle.insert(proxy, request.clone());
         } else {
-            self.idle.remove(&proxy);
+            self.idle.remove(proxy);
         }
         grant.into_leases()
     }
@@ -245,33 +248,34 @@
         self.queue.take_expired(now)
     }
 
-    /// Takes the proxies that were granted fewer items than they last requested, if items that they may be able
-    /// to send are available now. Each proxy is returned once until another of its requests is granted fewer
-    /// items.
-    pub fn take_idle_proxies(&mut self, now: Duration, is_acting: impl Fn(u32) -> bool) -> Vec<ProxyId> {
+    /// Takes the proxies that were granted fewer items than they last requested, if items that they can send are
+    /// available now. Each proxy is returned once until another of its requests is granted fewer items. `states`
+    /// is that of [`Scheduler::lease_items`].
+    pub fn take_idle_proxies<'state>(
+        &mut self, now: Duration, states: impl Fn(u32) -> Option<&'state BatchState>,
+    ) -> Vec<ProxyId> {
         if self.idle.is_empty() {
             return Vec::new();
         }
-        let schedules = self.queue.schedules().filter(|schedule| self.can_lease(now, schedule, &is_acting));
-        let jobs: Vec<&str> = schedules.map(|schedule| schedule.rank().job.as_str()).collect();
-        let has_work = |unsendable: &BTreeSet<String>| jobs.iter().any(|job| !unsendable.contains(*job));
-        let with_work = self.idle.iter().filter(|(_, unsendable)| has_work(unsendable));
-        let proxies: Vec<ProxyId> = with_work.map(|(proxy, _)| *proxy).collect();
-        for proxy in &proxies {
-            self.idle.remove(proxy);
-        }
-        proxies
+        let leasable = self.queue.schedules().filter(|schedule| self.can_lease(now, schedule));
+        let with_state = leasable.filter_map(|schedule| {
+            let job = states(schedule.store_group())?.job(&schedule.rank().job)?;
+            Some(LeasableJob { schedule, job })
+        });
+        let jobs: Vec<LeasableJob<'_>> = with_state.collect();
+        self.idle.take_with_work(now, &jobs)
     }
 
     /// Returns whether an item can be leased now in a store group that this machine is acting primary of.
     pub fn has_pending_items(&self, now: Duration, is_acting: impl Fn(u32) -> bool) -> bool {
-        self.queue.schedules().any(|schedule| self.can_lease(now, schedule, &is_acting))
+        let is_acting = |schedule: &JobSchedule| is_acting(schedule.store_group());
+        self.queue.schedules().any(|schedule| is_acting(schedule) && self.can_lease(now, schedule))
     }
 
-    /// Returns whether an item of a job can be leased now to a proxy that can send all items.
-    fn can_lease(&self, now: Duration, schedule: &JobSchedule, is_acting: &impl Fn(u32) -> bool) -> bool {
+    /// Returns whether an item of a job can be leased to a proxy that can send all items, if this machine is the
+    /// acting primary.
+    fn can_lease(&self, now: Duration, schedule: &JobSchedule) -> bool {
         self.terms.get(&schedule.store_group()).is_some_and(|term| is_leasable(now, schedule, term))
-            && is_acting(schedule.store_group())
             && schedule.next_sample_group(now, EligibleSampleGroups::Oversampled, &|_| true).is_some()
     }
 
@@ -296,9 +300,7 @@
             return;
         }
         let unsendable = requester.request.unsendable_paths(job.id());
-        let is_sendable = |item: usize| {
-            unsendable.is_empty() || job.pending_item(item).is_some_and(|item| !has_prefix(item, &unsendable))
-        };
+        let is_sendable = |item: usize| is_sendable(job, item, &unsendable);
         while grant.has_capacity() {
             let Some(sample_group) = schedule.next_sample_group(now, eligible, &is_sendable) else { break };
             let sendable = schedule.items.sendable_items(sample_group, &is_sendable);
@@ -340,11 +342,6 @@
     request: &'a WorkRequest,
 }
 
-/// Returns whether the path of an item begins with one of the prefixes.
-fn has_prefix(item: &Item, prefixes: &[&str]) -> bool {
-    prefixes.iter().any(|prefix| item.path.starts_with(prefix))
-}
-
 /// Returns whether items of a job may be leased: the job has not expired and is not waiting for a
 /// takeover.
 fn is_leasable(now: Duration, schedule: &JobSchedule, term: &Term) -> bool {
--- a/crates/pebblepost-batch/src/scheduler/work_request.rs
+++ b/crates/pebblepost-batch/src/scheduler/work_request.rs
@@ -1,7 +1,7 @@
 //! A proxy's request for work.
 
+use crate::job::StoredJob;
 use pebblepost_messages::batch::UnsendableItems;
-use std::collections::BTreeSet;
 
 /// A proxy's request for work.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -23,9 +23,11 @@
         let of_job = self.unsendable.iter().filter(|items| items.job == job);
         of_job.map(|items| items.path_prefix.as_str()).collect()
     }
+}
 
-    /// Returns the ids of the jobs with items that the proxy cannot send.
-    pub(super) fn jobs_with_unsendable_items(&self) -> BTreeSet<String> {
-        self.unsendable.iter().map(|items| items.job.clone()).collect()
-    }
+/// Returns whether a pending item may be leased to a proxy that cannot send items whose path begins with one of the
+/// prefixes.
+pub(super) fn is_sendable(job: &StoredJob, item: usize, unsendable_paths: &[&str]) -> bool {
+    let has_sendable_path = |path: &str| !unsendable_paths.iter().any(|prefix| path.starts_with(prefix));
+    unsendable_paths.is_empty() || job.pending_item(item).is_some_and(|item| has_sendable_path(&item.path))
 }
--- a/crates/pebblepost-batch/tests/integration/decisions.rs
+++ b/crates/pebblepost-batch/tests/integration/decisions.rs
@@ -176,7 +176,8 @@
         let now = self.now();
         let has_work = self.scheduler.has_pending_items(now, |_| true);
         self.digest.number(u64::from(has_work));
-        for proxy in self.scheduler.take_idle_proxies(now, |group| group == 0 || now > ms(1_000)) {
+        let states = |group: u32| self.states.get(group as usize).filter(|_| group == 0 || now > ms(1_000));
+        for proxy in self.scheduler.take_idle_proxies(now, states) {
             self.digest.number(proxy.0);
         }
     }
--- a/crates/pebblepost-batch/tests/integration/scheduler.rs
+++ b/crates/pebblepost-batch/tests/integration/scheduler.rs
@@ -61,6 +61,10 @@
         item_ids(self.leases(now_ms, proxy, max_items))
     }
 
+    fn take_idle_proxies(&mut self, now_ms: u64) -> Vec<ProxyId> {
+        self.scheduler.take_idle_proxies(ms(now_ms), |_| Some(&self.state))
+    }
+
     fn index(&self, job: &str, item: &str) -> usize {
         self.state.job(job).and_then(|job| job.pending_index(item)).expect("the item is pending")
     }
@@ -187,8 +191,8 @@
     let started = primary.lease_ids(0, FIRST_PROXY, 100).len();
     assert_eq!(started, 4 + EXTRA_SAMPLE_GROUPS);
     assert!(primary.lease_ids(2_900, FIRST_PROXY, 100).is_empty());
-    assert!(primary.scheduler.take_idle_proxies(ms(2_900), |_| true).is_empty());
-    assert_eq!(primary.scheduler.take_idle_proxies(ms(3_000), |_| true), [FIRST_PROXY]);
+    assert!(primary.take_idle_proxies(2_900).is_empty());
+    assert_eq!(primary.take_idle_proxies(3_000), [FIRST_PROXY]);
     assert_eq!(primary.lease_ids(3_000, FIRST_PROXY, 100).len(), 10 - started);
 }
 
@@ -274,10 +278,10 @@
 fn notifies_an_idle_proxy_of_new_work_once() {
     let mut primary = Primary::new(vec![]);
     assert!(primary.lease_ids(0, FIRST_PROXY, 1).is_empty());
-    assert!(primary.scheduler.take_idle_proxies(ms(0), |_| true).is_empty());
+    assert!(primary.take_idle_proxies(0).is_empty());
     primary.add(10, job("j", 1, 1, 1));
-    assert_eq!(primary.scheduler.take_idle_proxies(ms(10), |_| true), [FIRST_PROXY]);
-    assert!(primary.scheduler.take_idle_proxies(ms(10), |_| true).is_empty());
+    assert_eq!(primary.take_idle_proxies(10), [FIRST_PROXY]);
+    assert!(primary.take_idle_proxies(10).is_empty());
 }
 
 /// Guards against: a job that one proxy cannot send takes all that the proxy requests, although jobs that are due
@@ -309,9 +313,26 @@
     let mut primary = Primary::new(vec![job("j", 1, 2, 1)]);
     assert!(primary.lease_sendable_ids(FIRST_PROXY, &[("j", "/lots/")]).is_empty());
     assert!(primary.scheduler.has_pending_items(ms(0), |_| true));
-    assert!(primary.scheduler.take_idle_proxies(ms(0), |_| true).is_empty());
+    assert!(primary.take_idle_proxies(0).is_empty());
     primary.add(0, job("k", 1, 1, 1));
-    assert_eq!(primary.scheduler.take_idle_proxies(ms(0), |_| true), [FIRST_PROXY]);
+    assert_eq!(primary.take_idle_proxies(0), [FIRST_PROXY]);
+}
+
+/// Guards against: items that wait until they expire although an idle proxy can send them, because it cannot send other
+/// items of the same job.
+#[rstest]
+fn notifies_an_idle_proxy_of_sendable_items_of_a_job_with_unsendable_ones() {
+    let mut primary = Primary::new(vec![job("j", 3, 2, 3)]);
+    let lease = primary.leases(0, SECOND_PROXY, 2)[0].lease;
+    let unsendable = [("j", "/lots/4"), ("j", "/lots/5")];
+    assert_eq!(primary.lease_sendable_ids(FIRST_PROXY, &unsendable), [["j-2", "j-3"]]);
+    assert!(primary.take_idle_proxies(0).is_empty());
+    let index = primary.index("j", "j-0");
+    let lease = LeaseReference { proxy: SECOND_PROXY, number: lease };
+    primary.scheduler.return_item(lease, "j", index, ItemProgress::default());
+    assert_eq!(primary.take_idle_proxies(1_000), [FIRST_PROXY]);
+    assert_eq!(primary.lease_sendable_ids(FIRST_PROXY, &unsendable), [["j-0"]]);
+    assert!(primary.take_idle_proxies(2_000).is_empty());
 }
 
 #[rstest]
@@ -319,8 +340,8 @@
     let mut primary = Primary::new(vec![]);
     primary.lease_ids(0, FIRST_PROXY, 1);
     primary.add(10, job("j", 1, 1, 1));
-    assert!(primary.scheduler.take_idle_proxies(ms(10), |_| false).is_empty());
-    assert_eq!(primary.scheduler.take_idle_proxies(ms(10), |_| true), [FIRST_PROXY]);
+    assert!(primary.scheduler.take_idle_proxies(ms(10), |_| None).is_empty());
+    assert_eq!(primary.take_idle_proxies(10), [FIRST_PROXY]);
 }
 
 #[rstest]
@@ -329,7 +350,7 @@
     large_job.items.iter_mut().for_each(|item| item.body = vec![0; 3 * 1024 * 1024]);
     let mut primary = Primary::new(vec![large_job]);
     assert_eq!(primary.lease_ids(0, FIRST_PROXY, 4).len(), 2);
-    assert_eq!(primary.scheduler.take_idle_proxies(ms(0), |_| true), [FIRST_PROXY]);
+    assert_eq!(primary.take_idle_proxies(0), [FIRST_PROXY]);
     assert_eq!(primary.lease_ids(0, FIRST_PROXY, 4).len(), 2);
 }
 
