Batch runner: jobs and outcomes wait while the link to their store is congested

Need: outcomes that had waited for a store, or jobs of several trainers, were put into the queue of a link at once. Above 80 MiB the queue closes the link; all were sent again over the next one, and so on. Evidence: both new tests failed before ("the link was closed"): 12 outcomes of 8 MB while the store reads nothing for 1.5 s, and 12 jobs of 8 MB. With only the wait of calls taken out, the second fails again. Change: while more than 4 MiB are queued, outcomes stay pending and are flushed again 5 ms later, and a call waits until its deadline.

--- a/crates/pebblepost-batch-runner/src/store/link.rs
+++ b/crates/pebblepost-batch-runner/src/store/link.rs
@@ -28,6 +28,11 @@
 /// Time for which places are kept for the answer to a request for work. A store that is silent for longer must not
 /// keep items of other stores waiting.
 pub(crate) const MAX_ANSWER_WAIT: Duration = Duration::from_millis(500);
+/// Number of queued bytes from which on further jobs and outcomes wait. Those of many callers together must not exceed
+/// the limit of the queue, which closes the link.
+const CONGESTION_BYTES: usize = 4 * 1024 * 1024;
+/// Interval at which a call checks whether the link is still congested.
+const CONGESTION_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(500);
 /// Bounds of the random backoff before a reconnect.
 const MIN_RECONNECT_BACKOFF: Duration = Duration::from_millis(50);
@@ -71,7 +76,7 @@
 pub(crate) enum CallOutcome {
     /// The store replied.
     Reply(FromStore),
-    /// The link was down, so nothing was sent.
+    /// The link was down, or congested until the deadline, so nothing was sent.
     NotSent,
     /// The link was lost or no reply arrived in time. The store may have executed the call.
     NoReply,
@@ -152,7 +157,19 @@
         self.sender.borrow().as_ref().map_or(0, Sender::queued_bytes)
     }
 
-    /// Makes a call: sets the number of the message, sends it and waits for the reply until the deadline.
+    /// Returns whether so much is queued that jobs and outcomes must wait.
+    pub(crate) fn is_congested(&self) -> bool {
+        self.queued_bytes() > CONGESTION_BYTES
+    }
+
+    async fn wait_while_congested(&self) {
+        while self.is_congested() {
+            sleep(CONGESTION_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Makes a call: sets the number of the message, sends it and waits for the reply until the deadline. While the
+    /// link is congested, the message is not sent.
     ///
     /// If the future is dropped, the call is forgotten, but the store may still execute it.
     pub(crate) async fn call(&self, message: &mut ToStore, deadline: Instant) -> CallOutcome {
@@ -162,7 +179,7 @@
         let (reply_sender, reply) = oneshot::channel();
         self.pending_calls.borrow_mut().insert(number, reply_sender);
         let _pending = PendingCall { link: self, number };
-        if !self.send(message) {
+        if timeout_at(deadline, self.wait_while_congested()).await.is_err() || !self.send(message) {
             return CallOutcome::NotSent;
         }
         match timeout_at(deadline, reply).await {
--- a/crates/pebblepost-batch-runner/src/store/outbox.rs
+++ b/crates/pebblepost-batch-runner/src/store/outbox.rs
@@ -102,7 +102,8 @@
         }
     }
 
-    /// Sends the pending outcomes whose primary is connected. The others stay pending.
+    /// Sends the pending outcomes whose primary is connected. The others stay pending. While a link is congested, the
+    /// rest of its outcomes waits, and another flush follows.
     pub(crate) fn flush(&self, links: &StoreLinks) {
         let pending = std::mem::take(&mut self.state.borrow_mut().pending);
         let mut by_lease: BTreeMap<OutcomeKey, Vec<LeasedOutcome>> = BTreeMap::new();
@@ -113,11 +114,13 @@
             .into_iter()
             .flat_map(|(key, outcomes)| split(outcomes).into_iter().map(move |part| (key.clone(), part)));
         for (key, outcomes) in messages {
-            let is_sent = links.primary_link(key.store_group).is_some_and(|link| {
-                let OutcomeKey { store_group, job, lease } = key;
-                let outcomes = outcomes.iter().map(|outcome| outcome.outcome.clone()).collect();
-                link.send(&ToStore::Outcomes { store_group, job, lease, outcomes })
-            });
+            let link = links.primary_link(key.store_group);
+            if link.as_ref().is_some_and(|link| link.is_congested()) {
+                self.wake.notify_one();
+            }
+            let is_sent = link
+                .filter(|link| !link.is_congested())
+                .is_some_and(|link| link.send(&outcomes_message(key, &outcomes)));
             match is_sent {
                 true => self.retain_sent(outcomes),
                 false => self.state.borrow_mut().pending.extend(outcomes),
@@ -156,6 +159,12 @@
     }
 }
 
+fn outcomes_message(key: OutcomeKey, outcomes: &[LeasedOutcome]) -> ToStore {
+    let OutcomeKey { store_group, job, lease } = key;
+    let outcomes = outcomes.iter().map(|outcome| outcome.outcome.clone()).collect();
+    ToStore::Outcomes { store_group, job, lease, outcomes }
+}
+
 /// Splits outcomes into parts of at most [`MAX_MESSAGE_BYTES`], or of a single outcome.
 fn split(outcomes: Vec<LeasedOutcome>) -> Vec<Vec<LeasedOutcome>> {
     let mut parts: Vec<Vec<LeasedOutcome>> = Vec::new();
--- a/crates/pebblepost-batch-runner/tests/batch_runner/main.rs
+++ b/crates/pebblepost-batch-runner/tests/batch_runner/main.rs
@@ -4,6 +4,7 @@
 
 mod approved;
 mod blocked_items;
+mod congestion;
 mod execution;
 mod faulty_transcribers;
 mod job_api;
--- a/crates/pebblepost-batch-runner/tests/batch_runner/support.rs
+++ b/crates/pebblepost-batch-runner/tests/batch_runner/support.rs
@@ -14,13 +14,14 @@
 use pebblepost_messages::{DiskId, Member};
 use pebblepost_settings::Settings;
 use pebblepost_transcriber::{Client, ClientLimits};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::time::sleep;
 
 const SETTINGS: &str = "node_name='edge-1'\nip='127.0.0.1'\nzone='z'\nport_range=[7000,7003]\n";
 const CONFIGURATION: &str = r#"{"generation":7,"routes":[
@@ -39,6 +40,9 @@
     read_timeout: Duration::from_secs(30),
 };
 
+/// Interval at which a store that does not read checks whether it may.
+const READ_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Runs a test on a current-thread runtime with a `LocalSet`.
 pub fn run<F: Future<Output = ()>>(test: F) {
     run_within(Duration::from_secs(20), test);
@@ -56,6 +60,7 @@
 pub struct FakeStore {
     pub address: SocketAddr,
     links: mpsc::UnboundedReceiver<StoreEnd>,
+    is_reading: Rc<Cell<bool>>,
 }
 
 /// The store's end of one link.
@@ -71,9 +76,12 @@
         let mut listener = Listener::bind("127.0.0.1:0".parse().unwrap(), LINK_LIMITS).unwrap();
         let address = listener.local_address().unwrap();
         let (accepted, links) = mpsc::unbounded_channel();
+        let is_reading = Rc::new(Cell::new(true));
+        let may_read = is_reading.clone();
         tokio::task::spawn_local(async move {
             while let Ok((sender, mut receiver)) = listener.accept().await {
                 let (read, messages) = mpsc::unbounded_channel();
+                let may_read = may_read.clone();
                 if accepted.send(StoreEnd { sender, outcomes_before_leases: Vec::new(), messages }).is_err() {
                     return;
                 }
@@ -82,11 +90,19 @@
                         if read.send(message).is_err() {
                             return;
                         }
+                        while !may_read.get() {
+                            sleep(READ_CHECK_INTERVAL).await;
+                        }
                     }
                 });
             }
         });
-        FakeStore { address, links }
+        FakeStore { address, links, is_reading }
+    }
+
+    /// Makes the store stop reading after the next message, or read again.
+    pub fn set_reading(&self, is_reading: bool) {
+        self.is_reading.set(is_reading);
     }
 
     /// Accepts the next link, checks its hello message and returns its announcement of leases.
