Batch store: a message without room on a link between stores is dropped, not the link

Need: the entries of several store groups to one replica share a link of 64 MiB; each group may have an entry of up to 47 MiB in flight. Two of 33 MiB close the link, and with it the heartbeats of all groups; both are sent again over the next. Change: Sender::send_if_room drops a message for which the queue has no room and leaves the link open. Replication sends lost messages again. A message above the frame limit still closes the link.

--- a/crates/pebblepost-batch-store/src/program/peer_links.rs
+++ b/crates/pebblepost-batch-store/src/program/peer_links.rs
@@ -2,7 +2,7 @@
 
 use super::inbound_links::{CONNECT_TIMEOUT, MAX_FRAME_BYTES, READ_TIMEOUT};
 use eyre::{Result, WrapErr};
-use pebblepost_link::{LinkLimits, Receiver, Sender, connect};
+use pebblepost_link::{LinkLimits, Receiver, SendOutcome, Sender, connect};
 use pebblepost_messages::batch::{FromStore, ToStore};
 use pebblepost_messages::{DiskId, Member};
 use std::cell::RefCell;
@@ -62,7 +62,9 @@
     /// [`RECONNECT_DELAY`] after the last one was lost.
     ///
     /// While the link is being opened, up to [`MAX_QUEUED_MESSAGES_PER_PEER`] messages are queued.
-    /// Messages that can be neither sent nor queued are dropped; the senders retry.
+    /// Messages that can be neither sent nor queued are dropped; the senders retry. So are messages for which
+    /// the link has no room: large entries of several store groups together may exceed its limit, and closing
+    /// it would lose the heartbeats of all groups.
     pub(super) fn send(&self, member: &Member, message: &ToStore) {
         let mut peers = self.peers.borrow_mut();
         let disconnected = || Peer {
@@ -73,7 +75,7 @@
         let peer = peers.entry(member.disk).or_insert_with(disconnected);
         if let LinkState::Connected(sender) = &peer.state
             && peer.address == member.address
-            && sender.send(message)
+            && sender.send_if_room(message) != SendOutcome::Closed
         {
             peer.was_used = true;
             return;
@@ -148,7 +150,7 @@
         let previous = std::mem::replace(&mut peer.state, state);
         if let (LinkState::Connecting(queued), LinkState::Connected(sender)) = (previous, &peer.state) {
             for message in &queued {
-                sender.send(message);
+                sender.send_if_room(message);
             }
         }
     }
--- a/crates/pebblepost-link/src/lib.rs
+++ b/crates/pebblepost-link/src/lib.rs
@@ -26,7 +26,7 @@
 pub use error::{CloseReason, FrameError, LinkError};
 pub use pacer::Pacer;
 pub use receiver::Receiver;
-pub use sender::Sender;
+pub use sender::{SendOutcome, Sender};
 pub use socket::{Listener, connect};
 
 use std::time::Duration;
--- a/crates/pebblepost-link/src/send_queue.rs
+++ b/crates/pebblepost-link/src/send_queue.rs
@@ -62,6 +62,14 @@
         self.largest_frame_bytes = self.largest_frame_bytes.max(frame_bytes);
         Some(frame_bytes)
     }
+
+    /// Appends an encoded frame. Returns false if the segment is shared.
+    fn append_frame(&mut self, frame: &[u8]) -> bool {
+        let Content::Owned(bytes) = &mut self.content else { return false };
+        bytes.extend_from_slice(frame);
+        self.largest_frame_bytes = self.largest_frame_bytes.max(frame.len());
+        true
+    }
 }
 
 /// Frames to be written, in order.
@@ -104,6 +112,16 @@
         appended.is_some()
     }
 
+    /// Queues an encoded frame.
+    pub(crate) fn push_frame(&mut self, frame: Vec<u8>) {
+        self.bytes += frame.len();
+        let last = self.segments.back_mut().filter(|last| last.can_merge());
+        if !last.is_some_and(|last| last.append_frame(&frame)) {
+            let largest_frame_bytes = frame.len();
+            self.segments.push_back(Segment { content: Content::Owned(frame), largest_frame_bytes });
+        }
+    }
+
     /// Queues a frame that is shared with other links.
     pub(crate) fn push_shared(&mut self, frame: Rc<[u8]>) {
         self.bytes += frame.len();
--- a/crates/pebblepost-link/src/sender.rs
+++ b/crates/pebblepost-link/src/sender.rs
@@ -7,8 +7,19 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// Result of [`Sender::send_if_room`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendOutcome {
+    /// The message was queued. This does not mean that the peer receives it.
+    Queued,
+    /// The queue has no room for the message now, so it was dropped. The link stays open.
+    NoRoom,
+    /// The link is closed, or the message exceeded the frame limit and closed it.
+    Closed,
+}
+
 /// The sending half of a link; cheap to clone. Sending never blocks: a message that exceeds the frame limit or the
-/// queue limit closes the link.
+/// queue limit closes the link, except that [`Sender::send_if_room`] drops one for which the queue has no room.
 #[derive(Clone, Debug)]
 pub struct Sender {
     state: Rc<LinkState>,
@@ -25,6 +36,11 @@
         self.state.enqueue(message)
     }
 
+    /// Queues a message unless the queue would then exceed its limit. For protocols that send a lost message again.
+    pub fn send_if_room<M: SerBin>(&self, message: &M) -> SendOutcome {
+        self.state.enqueue_if_room(message)
+    }
+
     /// Queues an encoded message, which may be shared with other links. Returns false in the same cases as
     /// [`Sender::send`].
     pub fn send_encoded(&self, message: &EncodedMessage) -> bool {
--- a/crates/pebblepost-link/src/state.rs
+++ b/crates/pebblepost-link/src/state.rs
@@ -4,6 +4,7 @@
 use crate::error::{CloseReason, LinkError};
 use crate::pacer::Pacer;
 use crate::send_queue::{Batch, SendQueue};
+use crate::sender::SendOutcome;
 use crate::{LinkLimits, frame};
 use nanoserde::SerBin;
 use std::cell::{Cell, RefCell};
@@ -114,6 +115,26 @@
         self.check_queue_limit()
     }
 
+    /// Queues a message if the queue has room for it. Closes the link if the message exceeds the frame limit.
+    pub(crate) fn enqueue_if_room<M: SerBin>(&self, message: &M) -> SendOutcome {
+        if self.phase() != Phase::Open {
+            return SendOutcome::Closed;
+        }
+        let max_frame_bytes = self.limits.max_frame_bytes;
+        let mut frame = Vec::new();
+        if !frame::append_frame(message, &mut frame, max_frame_bytes) {
+            self.abort(CloseReason::MessageTooLarge { max_frame_bytes });
+            return SendOutcome::Closed;
+        }
+        let oversize_bytes = self.oversize_bytes().max(self.count_if_oversize(frame.len(), frame.len()));
+        if self.queued_bytes() + frame.len() - oversize_bytes > self.limits.max_queued_bytes {
+            return SendOutcome::NoRoom;
+        }
+        self.queue.borrow_mut().push_frame(frame);
+        self.writer_wake.notify_one();
+        SendOutcome::Queued
+    }
+
     /// Drops the frames that were not taken for writing yet. Has no effect before the preamble was taken.
     pub(crate) fn discard_unsent(&self) {
         if self.is_preamble_taken.get() {
@@ -151,12 +172,15 @@
     /// Returns the unwritten bytes of the largest message queued or being written if it exceeds the queue limit by
     /// itself, or else 0.
     fn oversize_bytes(&self) -> usize {
-        let max_queued_bytes = self.limits.max_queued_bytes;
         let queued = self.queue.borrow().largest_frame_bytes();
         let in_write = self.largest_frame_in_write.get();
-        let queued = if queued > max_queued_bytes { queued } else { 0 };
-        let in_write = if in_write > max_queued_bytes { self.bytes_in_write.get() } else { 0 };
-        queued.max(in_write)
+        let queued = self.count_if_oversize(queued, queued);
+        queued.max(self.count_if_oversize(in_write, self.bytes_in_write.get()))
+    }
+
+    /// Returns the unwritten bytes of a frame that exceeds the queue limit by itself, or else 0.
+    fn count_if_oversize(&self, frame_bytes: usize, unwritten_bytes: usize) -> usize {
+        if frame_bytes > self.limits.max_queued_bytes { unwritten_bytes } else { 0 }
     }
 
     /// Sets how many bytes of the taken batch are not written yet.
--- a/crates/pebblepost-link/tests/link.rs
+++ b/crates/pebblepost-link/tests/link.rs
@@ -3,7 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a panic fails the test")]
 
 use nanoserde::{DeBin, SerBin};
-use pebblepost_link::{LinkLimits, Listener, Receiver, Sender, connect};
+use pebblepost_link::{LinkLimits, Listener, Receiver, SendOutcome, Sender, connect};
 use rstest::rstest;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -304,6 +304,41 @@
     LocalSet::new().run_until(exchange).await;
 }
 
+/// Guards against: a link that is closed, with the heartbeats of all who share it, because several messages together exceed
+/// its queue, and closed again when they are sent again (`docs/incidents/a-job-that-its-store-could-not-send.md`).
+#[tokio::test]
+async fn a_message_without_room_is_dropped_and_the_link_stays_open() {
+    let exchange = async {
+        let limits = LinkLimits { max_queued_bytes: 3_000_000, ..LIMITS };
+        let mut ends = link_ends(limits).await;
+        assert_eq!(ends.left.0.send_if_room(&message(1, 2_000_000)), SendOutcome::Queued);
+        assert_eq!(ends.left.0.send_if_room(&message(2, 2_000_000)), SendOutcome::NoRoom);
+        assert_eq!(ends.left.0.send_if_room(&message(3, 1)), SendOutcome::Queued);
+        for (number, length) in [(1, 2_000_000), (3, 1)] {
+            assert_eq!(ends.right.1.receive::<Message>().await.unwrap(), message(number, length));
+        }
+        assert_eq!(ends.left.0.send_if_room(&message(2, 2_000_000)), SendOutcome::Queued);
+        assert_eq!(ends.right.1.receive::<Message>().await.unwrap(), message(2, 2_000_000));
+    };
+    LocalSet::new().run_until(exchange).await;
+}
+
+/// Guards against: the same by one message that exceeds the limit of the queue by itself.
+#[tokio::test]
+async fn a_message_larger_than_the_queue_limit_has_room_alone() {
+    let exchange = async {
+        let limits = LinkLimits { max_queued_bytes: 300_000, ..LIMITS };
+        let mut ends = link_ends(limits).await;
+        assert_eq!(ends.left.0.send_if_room(&message(1, 3_000_000)), SendOutcome::Queued);
+        assert_eq!(ends.left.0.send_if_room(&message(2, 3_000_000)), SendOutcome::NoRoom);
+        assert_eq!(ends.left.0.send_if_room(&message(3, 250_000)), SendOutcome::Queued);
+        for (number, length) in [(1, 3_000_000), (3, 250_000)] {
+            assert_eq!(ends.right.1.receive::<Message>().await.unwrap(), message(number, length));
+        }
+    };
+    LocalSet::new().run_until(exchange).await;
+}
+
 #[tokio::test]
 async fn the_read_timeout_restarts_with_every_read() {
     let exchange = async {
