--- a/crates/pebblepost-batch-runner/src/execution/blocked_items.rs
+++ b/crates/pebblepost-batch-runner/src/execution/blocked_items.rs
@@ -69,6 +69,15 @@
         }
     }
 
+    /// Returns why the items are blocked, for the log.
+    fn reason(&self) -> &'static str {
+        match self {
+            BlockedRequest::Placement { .. } => "no_place",
+            BlockedRequest::Execution { .. } => "not_executed",
+            BlockedRequest::ScorerCall { .. } => "no_score",
+        }
+    }
+
     fn min_block_time(&self) -> Duration {
         match self {
             BlockedRequest::Placement { .. } => Duration::ZERO,
@@ -96,12 +105,8 @@
         if self.watches.borrow().contains_key(&items) {
             return;
         }
-        log::info!(
-            "items cannot be sent job={} paths={} request={}",
-            items.job,
-            items.path_prefix,
-            name_of(&request)
-        );
+        let reason = request.reason();
+        log::info!("items cannot be sent job={} paths={} reason={reason}", items.job, items.path_prefix);
         let watch = self.clone().watch(items.clone(), terms.clone(), request);
         let task = tokio::task::spawn_local(watch).abort_handle();
         self.watches.borrow_mut().insert(items, task);
@@ -178,11 +183,3 @@
         route.map_or_else(folder, |route| route.path_prefix.as_str()).to_owned()
     }
 }
-
-fn name_of(request: &BlockedRequest) -> &'static str {
-    match request {
-        BlockedRequest::Placement { .. } => "text, no place",
-        BlockedRequest::Execution { .. } => "text, not executed",
-        BlockedRequest::ScorerCall { .. } => "scorer call",
-    }
-}
--- a/crates/pebblepost-batch-runner/src/job/request.rs
+++ b/crates/pebblepost-batch-runner/src/job/request.rs
@@ -82,7 +82,8 @@
 /// Parses the body of a submitted job. Unknown fields are ignored.
 ///
 /// # Errors
-/// The body is nested too deeply or not a JSON object, a required field is missing, a field is invalid, or two items have the same id.
+/// The body is nested too deeply or not a JSON object, a required field is missing, a field is invalid, or two items
+/// have the same id.
 pub fn parse(id: &str, terms: JobTerms, mut body: Vec<u8>) -> Result<Job, JobError> {
     if is_nested_too_deeply(&body) {
         return Err(JobError::NestedTooDeeply);
--- a/crates/pebblepost-batch-runner/tests/batch_runner/blocked_items.rs
+++ b/crates/pebblepost-batch-runner/tests/batch_runner/blocked_items.rs
@@ -27,8 +27,10 @@
  "services":[{"name":"models","health_path":"/healthz","max_conns":150},
   {"name":"others","health_path":"/healthz","max_conns":150},
   {"name":"scorers","health_path":"/healthz","max_conns":150}]}"#;
-const GONE_ROUTE: &str = r#"{"name":"r-gone","hostname":"h.example","path_prefix":"/gone/","kind":"rollout",
-  "timeout_ms":6000,"target_latency_ms":500,"priority":1,"backend":"others","max_attempts":2,"queue_ttl_s":60},"#;
+const GONE_ROUTES: &str = r#"{"name":"r-gone","hostname":"h.example","path_prefix":"/gone/","kind":"rollout",
+  "timeout_ms":6000,"target_latency_ms":500,"priority":1,"backend":"others","max_attempts":2,"queue_ttl_s":60},
+ {"name":"r-gone-score","hostname":"h.example","path_prefix":"/gone-score/","kind":"idempotent","timeout_ms":1500,
+  "target_latency_ms":150,"priority":2,"backend":"scorers","max_attempts":2},"#;
 /// Items of the job that cannot be sent, and that is due first. They are more than a proxy runs at a time.
 const BLOCKED_ITEMS: usize = 160;
 const FREE_ITEMS: usize = 40;
@@ -46,11 +48,19 @@
     Full,
     Rejected,
     NoScorer,
+    NoScorerRoute,
     SilentScorer,
 }
 
-fn document(generation: u64, has_gone_route: bool) -> String {
-    let gone = if has_gone_route { GONE_ROUTE } else { "" };
+impl Obstacle {
+    /// Returns whether the texts can be generated, but not scored.
+    fn is_of_scorer(self) -> bool {
+        matches!(self, Obstacle::NoScorer | Obstacle::NoScorerRoute | Obstacle::SilentScorer)
+    }
+}
+
+fn document(generation: u64, has_gone_routes: bool) -> String {
+    let gone = if has_gone_routes { GONE_ROUTES } else { "" };
     CONFIGURATION.replace("GENERATION", &generation.to_string()).replace("GONE", gone)
 }
 
@@ -85,17 +95,18 @@
 fn blocked_job(obstacle: Obstacle) -> Job {
     let path = match obstacle {
         Obstacle::NoRoute => "/gone/",
-        Obstacle::NoScorer | Obstacle::SilentScorer => "/free/",
+        _ if obstacle.is_of_scorer() => "/free/",
         _ => "/blocked/",
     };
     let mut job = job("blocked", path, BLOCKED_ITEMS, 11_000);
     job.min_version = if obstacle == Obstacle::NoVersion { 2 } else { 1 };
-    if matches!(obstacle, Obstacle::NoScorer | Obstacle::SilentScorer) {
+    if obstacle.is_of_scorer() {
+        let path = if obstacle == Obstacle::NoScorerRoute { "/gone-score/1" } else { "/score/1" };
         job.items.iter_mut().for_each(|item| {
             item.scorer = Some(Scorer {
                 id: format!("s-{}", item.id),
                 hostname: "h.example".to_owned(),
-                path: "/score/1".to_owned(),
+                path: path.to_owned(),
                 body: b"judge".to_vec(),
             });
         });
@@ -184,7 +195,7 @@
     async fn clear(&self) {
         self.is_cleared.set(true);
         match self.obstacle {
-            Obstacle::NoRoute => {
+            Obstacle::NoRoute | Obstacle::NoScorerRoute => {
                 let document = document(8, true).into_bytes();
                 let update = ConfigurationUpdate::Full { generation: 8, document };
                 self.under_test.apply(FeedUpdate::Configuration(update));
@@ -206,6 +217,7 @@
 #[case::whose_transcribers_are_full(Obstacle::Full)]
 #[case::that_are_rejected(Obstacle::Rejected)]
 #[case::without_a_scorer(Obstacle::NoScorer)]
+#[case::without_a_route_to_the_scorer(Obstacle::NoScorerRoute)]
 #[case::whose_scorer_is_silent(Obstacle::SilentScorer)]
 fn items_that_cannot_be_sent_hold_no_place_that_others_need(#[case] obstacle: Obstacle) {
     run_within(Duration::from_secs(40), async {
--- a/crates/pebblepost-batch-store/tests/integration/expiry.rs
+++ b/crates/pebblepost-batch-store/tests/integration/expiry.rs
@@ -54,6 +54,17 @@
     ids
 }
 
+/// Restarts a machine after a quiet time and submits jobs to the group that it leads again, and to all others. Returns
+/// the deployment and the ids of the jobs.
+fn submit_after_quiet_restart(machine: usize, quiet_ms: u64) -> (Deployment, Vec<String>) {
+    let mut deployment = start_idle_deployment(machine as u64);
+    deployment.run(quiet_ms);
+    deployment.kill(machine, 300);
+    deployment.run(4_000);
+    let ids = submit_to_all_groups(&mut deployment);
+    (deployment, ids)
+}
+
 /// Reads the results of jobs. The checker reports items that were given up early.
 fn read_results(deployment: &mut Deployment, ids: &[String]) {
     for id in ids {
@@ -86,11 +97,7 @@
 #[rstest]
 fn items_accepted_by_a_restarted_primary_do_not_expire_early_at_its_successor() {
     for restarted in 0..3 {
-        let mut deployment = start_idle_deployment(restarted as u64);
-        deployment.run(QUIET_MS);
-        deployment.kill(restarted, 300);
-        deployment.run(4_000);
-        let ids = submit_to_all_groups(&mut deployment);
+        let (mut deployment, ids) = submit_after_quiet_restart(restarted, QUIET_MS);
         deployment.kill(restarted, 2_800);
         let until = deployment.now + 20_000;
         read_results_until(&mut deployment, &ids, until);
@@ -106,11 +113,7 @@
     /// Longer than the retention period of a job that has ended.
     const LONG_QUIET_MS: u64 = 140_000;
     for restarted in 0..3 {
-        let mut deployment = start_idle_deployment(restarted as u64);
-        deployment.run(LONG_QUIET_MS);
-        deployment.kill(restarted, 300);
-        deployment.run(4_000);
-        let ids = submit_to_all_groups(&mut deployment);
+        let (mut deployment, ids) = submit_after_quiet_restart(restarted, LONG_QUIET_MS);
         for id in &ids {
             deployment.call(0, Request::End { job: id.clone() });
         }
--- a/crates/pebblepost-system/tests/soak/faults.rs
+++ b/crates/pebblepost-system/tests/soak/faults.rs
@@ -4,17 +4,22 @@
 use crate::common::operator;
 use rand::RngExt;
 use rand::rngs::StdRng;
+use simd_json::prelude::ValueObjectAccessAsScalar;
 use std::time::Duration;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 
-/// Time that a machine with a disk gets to catch up before the next one is in trouble (`catch_up_s` of the sheets).
+/// Time that a machine with a disk has to catch up before the next fault of such a machine (`catch_up_s` in the settings).
 const CATCH_UP: Duration = Duration::from_millis(4_500);
+/// Maximum time for which a process is killed or frozen, in milliseconds.
 const MAX_AWAY_MS: u64 = 2_500;
 /// Faults of machines with a disk, one after the other.
 const DISK_FAULTS: usize = 3;
 /// Faults of proxies and changes of the configuration, at any time.
 const OTHER_FAULTS: usize = 6;
+/// Time limit of a call to the control nodes, which are tried again and again until then.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time after which the plan goes on although a change is not answered.
+const MAX_CHANGE_TIME: Duration = Duration::from_millis(1_500);
 
 /// What happens to a process or to the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,10 +78,15 @@
         self.0.last().map_or(Duration::ZERO, |(at, _)| *at)
     }
 
-    /// Carries the faults out.
-    pub async fn run(&self, cluster: &mut Cluster) {
+    /// Returns the number of changes of the configuration.
+    pub fn changes(&self) -> usize {
+        self.0.iter().filter(|(_, fault)| matches!(fault, Fault::Change { .. })).count()
+    }
+
+    /// Carries the faults out. Returns the number of changes of the configuration that were accepted.
+    pub async fn run(&self, cluster: &mut Cluster) -> usize {
         let started_at = Instant::now();
-        let mut current_generation = 1;
+        let mut accepted_changes = 0;
         for (at, fault) in &self.0 {
             sleep_until(started_at + *at).await;
             match *fault {
@@ -85,23 +95,26 @@
                 Fault::Freeze(name) => cluster.signal(cluster.process(name.role, name.number), "-STOP"),
                 Fault::Thaw(name) => cluster.signal(cluster.process(name.role, name.number), "-CONT"),
                 Fault::Change { generation, with_more_pages } => {
-                    let document = operator::configuration(generation, with_more_pages);
-                    let controls = cluster.controls();
-                    let change =
-                        operator::put_configuration(&controls, current_generation, &document, CHANGE_TIMEOUT);
-                    // The controls are tried again and again; a frozen or killed one comes back by the plan only, so
-                    // that the change must not hold the plan up.
-                    if let Ok(response) = tokio::time::timeout(Duration::from_millis(1_500), change).await
-                        && response.status == 200
-                    {
-                        current_generation = generation;
-                    }
+                    // A control node that is killed or frozen comes back by the plan, which must go on.
+                    let change = change_configuration(cluster, generation, with_more_pages);
+                    accepted_changes +=
+                        usize::from(timeout(MAX_CHANGE_TIME, change).await.is_ok_and(|is_ok| is_ok));
                 }
             }
         }
+        accepted_changes
     }
 }
 
+/// Replaces the configuration in force, whatever its generation. Returns whether the change was accepted.
+async fn change_configuration(cluster: &Cluster, generation: u64, with_more_pages: bool) -> bool {
+    let controls = cluster.controls();
+    let current = operator::read_configuration(&controls, CHANGE_TIMEOUT).await;
+    let base = current.json().get_u64("generation").expect("a configuration");
+    let document = operator::configuration(generation, with_more_pages);
+    operator::put_configuration(&controls, base, &document, CHANGE_TIMEOUT).await.status == 200
+}
+
 /// Adds a kill or a freeze of a process, and its return. Returns when it is back.
 fn push_absence(
     faults: &mut Vec<(Duration, Fault)>, random: &mut StdRng, at: Duration, process: ProcessName,
--- a/crates/pebblepost-system/tests/soak/mod.rs
+++ b/crates/pebblepost-system/tests/soak/mod.rs
@@ -1,6 +1,6 @@
-//! Seeded soak of batch jobs with real processes. Trainers send one job after the other while machines are killed and
-//! frozen and routes are removed and added, in series and overlapping. One machine with a disk is in trouble at a time, as
-//! the system tolerates; proxies and routes are in trouble at any time.
+//! Seeded soak of batch jobs with real processes. Trainers send one job after the other while processes are killed and
+//! frozen and a route is removed and added, in series and overlapping. At most one machine with a disk is faulty at a
+//! time, which the system tolerates; proxies fail and routes change at any time.
 //!
 //! `SOAK_SEEDS=N` and `SOAK_FIRST_SEED=M` in the environment choose the seeds.
 
@@ -22,10 +22,10 @@
 /// Number of the first cluster of this module; the end-to-end tests use lower ones.
 const FIRST_CLUSTER: u8 = 100;
 const TRAINERS: usize = 3;
-/// Longest time for a call or a job: the longest trouble, the time to catch up, and the time that a job takes by itself.
+/// Maximum time for a call or a job: the longest fault, the time to catch up, and the time that a job takes by itself.
 const JOB_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Guards against: jobs that stand still, are given up early, or lose or change a result, whatever is in trouble.
+/// Guards against: jobs that stand still, are given up early, or lose or change a result, whatever fails.
 #[test]
 fn batch_jobs_are_completed_under_kills_freezes_and_changes() {
     let _lock = lock_cluster();
@@ -52,7 +52,8 @@
     let trainers: Vec<_> = (0..TRAINERS)
         .map(|trainer| spawn_local(train(trainer, random.random_range(0..u64::MAX), until, fronts.clone())))
         .collect();
-    plan.run(&mut cluster).await;
+    let accepted_changes = plan.run(&mut cluster).await;
+    println!("seed {seed}: {accepted_changes} of {} changes of the configuration accepted", plan.changes());
     for trainer in trainers {
         let jobs = trainer.await.unwrap_or_else(|error| panic!("seed {seed}: {error}"));
         check(&jobs, &transcribers, &fronts).await;
--- a/crates/pebblepost-transcriber/src/pool.rs
+++ b/crates/pebblepost-transcriber/src/pool.rs
@@ -178,8 +178,8 @@
         ConnectionPool { targets: RefCell::default(), last_sweep_at: Cell::new(Instant::now()) }
     }
 
-    /// Returns an idle connection for a request, or a slot for a new one. Waits while all slots are occupied and no connection is
-    /// idle.
+    /// Returns an idle connection for a request, or a slot for a new one. Waits while all slots are occupied and no
+    /// connection is idle.
     ///
     /// At least one connection is allowed, even if `max_connections` is 0.
     pub(crate) async fn checkout(
