--- a/crates/pebblepost-batch-runner/src/job/request.rs
+++ b/crates/pebblepost-batch-runner/src/job/request.rs
@@ -4,7 +4,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use pebblepost_configuration::is_nested_too_deeply;
+use pebblepost_configuration::{MAX_NESTING_LEVELS, is_nested_too_deeply};
 use pebblepost_messages::batch::{Item, Job, JobTerms, Scorer};
 use simd_json::prelude::{ValueAsArray, ValueAsObject, ValueAsScalar, ValueObjectAccess};
 use simd_json::{BorrowedValue, StaticNode};
@@ -18,7 +18,7 @@
     #[error("request body is not valid JSON: {0}")]
     NotJson(#[from] simd_json::Error),
     /// The body is nested so deeply that parsing it could overflow the stack.
-    #[error("request body is nested too deeply")]
+    #[error("request body has more than {MAX_NESTING_LEVELS} levels of nesting")]
     NestedTooDeeply,
     /// The body is JSON, but not an object.
     #[error("request body is not a JSON object")]
--- a/crates/pebblepost-configuration/src/json.rs
+++ b/crates/pebblepost-configuration/src/json.rs
@@ -6,7 +6,7 @@
 
 const MAX_DOCUMENT_BYTES: usize = 32 * 1024 * 1024;
 /// Limit on the nesting. The parser recurses once for each level, so a deeper document could overflow the stack.
-const MAX_NESTING_LEVELS: usize = 100;
+pub const MAX_NESTING_LEVELS: usize = 100;
 
 /// Checks the limits on size and nesting.
 pub(crate) fn check_limits(document: &[u8]) -> Result<(), ConfigurationError> {
@@ -40,7 +40,8 @@
     value.encode().into_bytes()
 }
 
-/// Returns whether a document is nested more deeply than 100 levels. A recursive parser could overflow the stack then.
+/// Returns whether a document has more than [`MAX_NESTING_LEVELS`] levels of nesting. A recursive parser could overflow the
+/// stack then.
 pub fn is_nested_too_deeply(document: &[u8]) -> bool {
     nesting_depth(document) > MAX_NESTING_LEVELS
 }
--- a/crates/pebblepost-control/src/api/registration.rs
+++ b/crates/pebblepost-control/src/api/registration.rs
@@ -1,6 +1,6 @@
 //! Body of `PUT /instances/ID`, with which an instance of a transcriber registers and sends heartbeats.
 
-use pebblepost_configuration::is_nested_too_deeply;
+use pebblepost_configuration::{MAX_NESTING_LEVELS, is_nested_too_deeply};
 use pebblepost_messages::feed::{Instance, InstanceState, ModelVersion};
 use simd_json::BorrowedValue;
 use simd_json::prelude::{
@@ -21,7 +21,7 @@
     #[error("not JSON: {0}")]
     NotJson(#[from] simd_json::Error),
     /// The body is nested so deeply that parsing it could overflow the stack.
-    #[error("nested too deeply")]
+    #[error("more than {MAX_NESTING_LEVELS} levels of nesting")]
     NestedTooDeeply,
     /// The identity in the path is empty or too long.
     #[error("the id is empty or longer than {} bytes", MAX_NAME_BYTES)]
