--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -90,6 +90,7 @@
         self.machines, self.processes = {}, []
         self.seeds = [f"{self.net}.{10 + i}:{CONTROL}" for i in range(min(3, controls))]
         self.bootstrap = True
+        self.stopped = False
         self.relays = []
         for i in range(controls):
             self.add("core", i, 10 + i, ["control"])
@@ -172,6 +173,8 @@
         return [p for p in self.processes if p.machine["name"] == name]
 
     def restart(self, p):
+        if self.stopped:        # a delayed restart may come due while the script ends
+            return
         self.write_settings(p.machine)
         p.start()
 
@@ -199,6 +202,7 @@
                 await asyncio.sleep(0.1)
 
     def stop(self):
+        self.stopped = True
         for p in self.processes:
             if p.alive():
                 try:
@@ -364,7 +368,7 @@
 
     async def beat(self):
         target, n = None, 0
-        while self.alive:
+        while self.alive and not self.system.stopped:
             a = target or self.system.controls()[n % len(self.system.controls())]
             try:
                 r = await http(a, "PUT", f"/instances/{self.id}", {"Content-Type": "application/json"}, self.registration(), timeout=1.0)
@@ -499,16 +503,20 @@
 def main(case, path):
     """Runs `case(system-root, record)`, which returns a list of broken rules. Exits 1, 0 or 2."""
     record = Record(os.path.join(path, "record.txt"))
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))       # ends the processes on the way out
     root = os.environ.get("ROOT") or os.path.abspath(os.path.join(path, "..", ".."))
-    try:
-        broken = asyncio.run(asyncio.wait_for(case(root, record), 115))
-    except Exception as e:
-        record(f"could not run: {e!r}")
-        import traceback
-        traceback.print_exc()
-        sys.exit(2)
-    for b in broken:
-        record(f"BROKEN {b}")
-    record("result: " + ("broken" if broken else "held"))
-    print("broken: " + "; ".join(broken[:5]) if broken else "held")
-    sys.exit(1 if broken else 0)
+
+    def end(code, text):
+        record(text)
+        print(text, flush=True)
+        os._exit(code)          # all processes are ended by now; nothing that is left of the loop matters
+
+    async def run():
+        try:
+            broken = await asyncio.wait_for(case(root, record), 115)
+        except Exception as e:
+            end(2, f"could not run: {e!r}")
+        for b in broken:
+            record(f"BROKEN {b}")
+        end(1 if broken else 0, "result: " + ("broken: " + "; ".join(broken[:5]) if broken else "held"))
+    asyncio.run(run())
