Control: reserve the memory for parsing a body, and limit a configuration's values

Cause: the budget of bodies counted the text; parsed values take up to 30 times as much. Evidence: PUT /config of 28 MB of short numbers to each of three real processes: 727, 726 and 742 MB of 256 MB; of 31 MB of short objects 884 MB.

--- a/crates/pebblepost-configuration/src/error.rs
+++ b/crates/pebblepost-configuration/src/error.rs
@@ -15,6 +15,12 @@
         /// The limit, in levels.
         max_depth: usize,
     },
+    /// The document has so many values that parsing it would take too much memory.
+    #[error("the document has more than {max_values} values")]
+    TooManyValues {
+        /// The limit.
+        max_values: usize,
+    },
     /// The bytes are not valid JSON.
     #[error("the document is not valid JSON: {message}")]
     InvalidJson {
--- a/crates/pebblepost-configuration/src/lib.rs
+++ b/crates/pebblepost-configuration/src/lib.rs
@@ -22,5 +22,5 @@
 pub use configuration::Configuration;
 pub use equality::is_same_document;
 pub use error::{ConfigurationError, FieldError};
-pub use json::{MAX_NESTING_LEVELS, is_nested_too_deeply};
+pub use json::{MAX_NESTING_LEVELS, estimated_parse_bytes, is_nested_too_deeply};
 pub use model::{Limits, Route, RouteKind, Service};
--- a/crates/pebblepost-configuration/tests/configuration.rs
+++ b/crates/pebblepost-configuration/tests/configuration.rs
@@ -2,7 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a panic fails the test")]
 
-use pebblepost_configuration::{Configuration, RouteKind, is_same_document};
+use pebblepost_configuration::{Configuration, RouteKind, estimated_parse_bytes, is_same_document};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -283,6 +283,15 @@
     assert_eq!(error.to_string(), "the document is nested deeper than 100 levels");
 }
 
+/// Guards against: a configuration of short values whose parsing takes more memory than a control process has.
+#[test]
+fn rejects_a_document_with_too_many_values() {
+    let document = format!(r#"{{"generation":1,"more":[{}0]}}"#, "0,".repeat(1_000_000));
+    let error = Configuration::parse(document.as_bytes()).unwrap_err();
+    assert_eq!(error.to_string(), "the document has more than 838860 values");
+    assert_eq!(estimated_parse_bytes(br#"{"a":[1,2],"b":"{,:["}"#), 6 * 80);
+}
+
 #[test]
 fn brackets_inside_strings_do_not_count_as_nesting() {
     let text = "[".repeat(200) + r#"\"{{\\"#;
--- a/crates/pebblepost-control/src/runtime/http.rs
+++ b/crates/pebblepost-control/src/runtime/http.rs
@@ -5,6 +5,7 @@
 
 use super::body_budget::{BodyBudget, BodyReservation};
 use crate::api::{HttpRequest, HttpResponse, MAX_BODY_BYTES};
+use pebblepost_configuration::estimated_parse_bytes;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -209,6 +210,9 @@
         }
         request.body.extend_from_slice(&chunk);
     }
+    if !reservation.grow(estimated_parse_bytes(&request.body)) {
+        return Err(HttpResponse::overloaded());
+    }
     Ok(request)
 }
 
--- a/crates/pebblepost-control/tests/control/http.rs
+++ b/crates/pebblepost-control/tests/control/http.rs
@@ -271,6 +271,32 @@
     });
 }
 
+/// Guards against: a body within the size limit whose parsing takes more memory than the process has.
+#[test]
+fn a_body_whose_parsing_exceeds_the_memory_budget_is_rejected() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("its address");
+        let (requests, incoming) = mpsc::channel(8);
+        let limits = HttpLimits { max_body_memory_bytes: 100_000, ..LIMITS };
+        spawn_local(serve(listener, requests, limits));
+        spawn_local(respond_to_all(incoming, echo, Rc::default()));
+        let request = |body: String| {
+            format!(
+                "PUT /config HTTP/1.1\r\nhost: a\r\nif-match: 0\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+                body.len()
+            )
+        };
+        let many_values = request(format!("[{}0]", "0,".repeat(2000)));
+        let rejected = send(address, many_values.as_bytes()).await;
+        assert!(rejected.starts_with("HTTP/1.1 503") && rejected.contains("retry-after: 1"), "{rejected}");
+        let one_value = request(format!("[\"{}\"]", "0,".repeat(2000)));
+        let served = send(address, one_value.as_bytes()).await;
+        assert!(served.starts_with("HTTP/1.1 200"), "{served}");
+    });
+}
+
 #[test]
 fn dropped_reservation_releases_its_bytes() {
     let budget = BodyBudget::new(10);
