Transcriber client: do not parse reports that are too large or too deeply nested

Cause: a report of up to an eighth of the memory was parsed into a tree of values, many times its text, by a parser that recurses for each level. Change: a report over 256 KiB, the limit of registrations, or over 100 levels is not parsed: the transcriber then counts as one without a report. Measured: the new test passes; the client's tests pass.

--- a/crates/pebblepost-transcriber/src/load.rs
+++ b/crates/pebblepost-transcriber/src/load.rs
@@ -1,8 +1,12 @@
 //! Parsing of the load of a transcriber, from the `Instance-Load` header or the body of `GET /report`.
 
+use pebblepost_configuration::is_nested_too_deeply;
 use simd_json::BorrowedValue;
 use simd_json::prelude::{ValueAsArray, ValueAsObject, ValueAsScalar, ValueObjectAccess};
 
+/// Maximum size of a load report. A larger one is not parsed, because values may take many times their text.
+const MAX_LOAD_REPORT_BYTES: usize = 256 * 1024;
+
 /// Load of a transcriber, as reported in `Instance-Load` or by `GET /report`.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -33,7 +37,7 @@
 
 /// Returns whether a body is a load report: JSON with the fields `running` and `waiting`.
 pub(crate) fn is_load_report(body: &[u8]) -> bool {
-    let mut buffer = body.to_vec();
+    let Some(mut buffer) = parse_buffer(body) else { return false };
     let Ok(value) = simd_json::to_borrowed_value(&mut buffer) else { return false };
     ["running", "waiting"].iter().all(|name| value.get(*name).is_some())
 }
@@ -41,9 +45,9 @@
 /// Parses the body of `GET /report`.
 ///
 /// A field that is missing or of another type counts as 0, false or empty, and missing slots as not reported. Returns
-/// `None` if the body is not a JSON object.
+/// `None` if the body is not a JSON object, or too large or too deeply nested to be a report.
 pub fn parse_load_report(body: &[u8]) -> Option<Load> {
-    let mut buffer = body.to_vec();
+    let mut buffer = parse_buffer(body)?;
     let report = simd_json::to_borrowed_value(&mut buffer).ok()?;
     report.as_object()?;
     let u64_field = |name: &str| report.get(name).and_then(|value| value.as_u64());
@@ -58,6 +62,12 @@
     })
 }
 
+/// Returns a copy of a report, which the parser modifies, or `None` if parsing it could take too much memory or stack.
+fn parse_buffer(body: &[u8]) -> Option<Vec<u8>> {
+    let is_acceptable = body.len() <= MAX_LOAD_REPORT_BYTES && !is_nested_too_deeply(body);
+    is_acceptable.then(|| body.to_vec())
+}
+
 /// Parses the list of loaded models. Entries without a name or a weight version are ignored.
 fn parse_models(report: &BorrowedValue<'_>) -> Vec<(String, u64)> {
     let Some(models) = report.get("models").and_then(|models| models.as_array()) else { return Vec::new() };
--- a/crates/pebblepost-transcriber/tests/parsing.rs
+++ b/crates/pebblepost-transcriber/tests/parsing.rs
@@ -108,6 +108,16 @@
     assert_eq!(parse_load_report(b""), None);
 }
 
+/// Guards against: a report that ends the process, because its values take many times their text, or because the parser
+/// recurses once for each level.
+#[test]
+fn a_report_too_large_or_too_deeply_nested_is_not_parsed() {
+    let nested = format!(r#"{{"running":1,"models":{}{}}}"#, "[".repeat(100_000), "]".repeat(100_000));
+    assert_eq!(parse_load_report(nested.as_bytes()), None);
+    let large = format!(r#"{{"running":1,"models":[{}0]}}"#, "0,".repeat(10_000_000));
+    assert_eq!(parse_load_report(large.as_bytes()), None);
+}
+
 #[test]
 fn removes_hop_by_hop_headers() {
     let mut headers = HeaderMap::new();
