--- a/crates/pebblepost-batch-runner/src/job/api.rs
+++ b/crates/pebblepost-batch-runner/src/job/api.rs
@@ -4,15 +4,19 @@
 //! This module has no state. A call that may have been executed is never answered as if it had not been.
 
 use crate::change_signal::ChangeSignal;
+use crate::encoded_items::EncodedItems;
+use crate::job::body::JobBody;
 use crate::job::http_response::{empty, json, octet_stream, plain_text, retry_after};
+use crate::job::request::{JobError, SubmittedJob};
 use crate::job::{request, result_page};
-use crate::store::link::CallOutcome;
+use crate::store::link::{CallOutcome, StoreLink};
 use crate::store::links::StoreLinks;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use pebblepost_configuration::Route;
+use pebblepost_memory::{BlockBuffer, MemoryBudget, OutOfMemory};
 use pebblepost_messages::batch::{
-    FromStore, Job, JobResponse, JobTerms, MAX_ENCODED_JOB_BYTES, SubmitOutcome, ToStore, store_group_of,
+    FromStore, Job, JobResponse, JobTerms, SubmitOutcome, ToStore, store_group_of,
 };
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,10 +32,8 @@
 const RETRY_BACKOFF: Duration = Duration::from_millis(60);
 /// `Retry-After` of a submission that was sent to no store.
 const NOT_SUBMITTED_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Maximum size of a job's body.
-const MAX_JOB_BYTES: usize = 48 * 1024 * 1024;
-/// Maximum size of an encoded job for each byte of its JSON text.
-const MAX_ENCODED_BYTES_PER_BYTE: usize = 3;
+/// `Retry-After` of a call for which there is no memory.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(250);
 
 const JOBS_PREFIX: &str = "/lots/";
 const ITEMS_PREFIX: &str = "/items/";
@@ -47,11 +49,15 @@
 pub(crate) struct JobApi {
     pub(crate) links: Rc<StoreLinks>,
     pub(crate) changes: Rc<ChangeSignal>,
+    /// Bounds the memory of answers.
+    pub(crate) memory: MemoryBudget,
 }
 
 impl JobApi {
     /// Answers a call. `route` is the `rollout` route of a submission.
-    pub(crate) async fn answer(&self, route: Option<&Route>, request: Request<Bytes>) -> Response<Bytes> {
+    pub(crate) async fn answer(
+        &self, route: Option<&Route>, request: Request<BlockBuffer>,
+    ) -> Response<JobBody> {
         let path = request.uri().path();
         if let Some(job) = path.strip_prefix(JOBS_PREFIX) {
             return match *request.method() {
@@ -73,46 +79,48 @@
         }
     }
 
-    async fn submit(&self, route: &Route, request: Request<Bytes>) -> Response<Bytes> {
-        let deadline = Instant::now() + SUBMIT_TIMEOUT;
+    async fn submit(&self, route: &Route, request: Request<BlockBuffer>) -> Response<JobBody> {
+        let started_at = Instant::now();
+        let deadline = started_at + SUBMIT_TIMEOUT;
         let (parts, body) = request.into_parts();
         let Some(id) = header_text(&parts.headers, REQUEST_ID).filter(|id| !id.is_empty()) else {
             return plain_text(StatusCode::BAD_REQUEST, "header `Request-Id` is missing or empty");
         };
-        if body.len() > MAX_JOB_BYTES {
-            return empty(StatusCode::PAYLOAD_TOO_LARGE);
-        }
-        let may_exceed_limit = body.len() > MAX_ENCODED_JOB_BYTES / MAX_ENCODED_BYTES_PER_BYTE;
-        let job = match request::parse(id, terms_of(route), Vec::from(body)) {
-            Ok(job) => job,
-            Err(error) => return plain_text(StatusCode::BAD_REQUEST, &error.to_string()),
+        let text_bytes = body.unread_bytes();
+        let submitted = match request::parse(id, terms_of(route), body).await {
+            Ok(submitted) => submitted,
+            Err(error) => return rejected(id, text_bytes, &error),
         };
-        if may_exceed_limit && job.encoded_bytes() > MAX_ENCODED_JOB_BYTES {
-            return empty(StatusCode::PAYLOAD_TOO_LARGE);
-        }
-        let (id, started_at) = (job.id.clone(), Instant::now());
-        let response = self.submit_until_decided(job, deadline).await;
+        let SubmittedJob { job, items } = submitted;
+        let (item_count, reserved_bytes) = (items.count(), items.reserved_bytes());
+        let parse_ms = started_at.elapsed().as_millis();
+        let response = self.submit_until_decided(&job, Rc::new(items), deadline).await;
         let elapsed_ms = started_at.elapsed().as_millis();
         log::info!(
-            "job submission answered job={id} status={} elapsed_ms={elapsed_ms}",
+            "job submission answered job={} status={} elapsed_ms={elapsed_ms} parse_ms={parse_ms} \
+             items={item_count} text_bytes={text_bytes} reserved_bytes={reserved_bytes}",
+            job.id,
             response.status().as_u16()
         );
         response
     }
 
     /// Submits a job to the primary of its store group, and to its successors, until one accepts or rejects it.
-    async fn submit_until_decided(&self, job: Job, deadline: Instant) -> Response<Bytes> {
+    async fn submit_until_decided(
+        &self, job: &Job, items: Rc<EncodedItems>, deadline: Instant,
+    ) -> Response<JobBody> {
         let store_group = store_group_of(&job.id);
-        let mut message = ToStore::Submit { call: 0, store_group, job };
         let mut may_have_been_accepted = false;
         while Instant::now() < deadline {
-            let outcome = match self.call_primary(store_group, &mut message, deadline).await {
+            let outcome = match self.submit_to_primary(store_group, job, &items, deadline).await {
                 CallOutcome::Reply(FromStore::Submitted { outcome, .. }) => outcome,
                 CallOutcome::NotSent => continue,
                 CallOutcome::Reply(_) | CallOutcome::NoReply => SubmitOutcome::Unknown,
             };
             match outcome {
-                SubmitOutcome::Accepted => return json(StatusCode::ACCEPTED, Bytes::from_static(b"{}")),
+                SubmitOutcome::Accepted => {
+                    return json(StatusCode::ACCEPTED, Bytes::from_static(b"{}").into());
+                }
                 SubmitOutcome::Rejected { .. } if may_have_been_accepted => {
                     return empty(StatusCode::GATEWAY_TIMEOUT);
                 }
@@ -133,7 +141,7 @@
         }
     }
 
-    async fn read(&self, job: &str, request: &Request<Bytes>) -> Response<Bytes> {
+    async fn read(&self, job: &str, request: &Request<BlockBuffer>) -> Response<JobBody> {
         let start = match query_value(request, "start_after") {
             None | Some("") => 0,
             Some(value) => match value.parse() {
@@ -162,10 +170,13 @@
             FromStore::Results { answer, .. } => answer,
             _ => JobResponse::Unavailable,
         });
-        respond(answer.await, |page| json(StatusCode::OK, result_page::to_json(&page)))
+        respond(answer.await, |page| match result_page::to_body(page, &self.memory) {
+            Ok(body) => json(StatusCode::OK, body),
+            Err(error) => without_memory(job, error),
+        })
     }
 
-    async fn item_body(&self, job: &str, request: &Request<Bytes>) -> Response<Bytes> {
+    async fn item_body(&self, job: &str, request: &Request<BlockBuffer>) -> Response<JobBody> {
         let Some(item) = query_value(request, "id").filter(|item| !item.is_empty()) else {
             return plain_text(StatusCode::BAD_REQUEST, "query parameter `id` is missing or empty");
         };
@@ -177,10 +188,13 @@
             FromStore::Body { answer, .. } => answer,
             _ => JobResponse::Unavailable,
         });
-        respond(answer.await, |body| octet_stream(Bytes::from(body)))
+        respond(answer.await, |body| match self.memory.reserve(body.len()) {
+            Ok(reservation) => octet_stream(JobBody::reserved(Bytes::from(body), reservation)),
+            Err(error) => without_memory(job, error),
+        })
     }
 
-    async fn end(&self, job: &str) -> Response<Bytes> {
+    async fn end(&self, job: &str) -> Response<JobBody> {
         let store_group = store_group_of(job);
         let message = || ToStore::End { call: 0, store_group, job: job.to_owned() };
         let deadline = Instant::now() + CALL_TIMEOUT;
@@ -189,7 +203,7 @@
             FromStore::Ended { answer, .. } => answer,
             _ => JobResponse::Unavailable,
         });
-        respond(answer.await, |_| json(StatusCode::OK, Bytes::from_static(b"{}")))
+        respond(answer.await, |_| json(StatusCode::OK, Bytes::from_static(b"{}").into()))
     }
 
     /// Calls the primary of a store group, and its successors, until one gives a definite answer or the deadline
@@ -215,16 +229,34 @@
     /// Calls the primary of a store group. If there is no link to it, waits for a change instead and returns
     /// [`CallOutcome::NotSent`].
     async fn call_primary(&self, group: u32, message: &mut ToStore, deadline: Instant) -> CallOutcome {
-        let Some(link) = self.links.primary_link(group) else {
+        match self.primary_link(group, deadline).await {
+            Some(link) => link.call(message, deadline).await,
+            None => CallOutcome::NotSent,
+        }
+    }
+
+    /// Submits a job to the primary of its store group, like [`JobApi::call_primary`]. The items are not copied.
+    async fn submit_to_primary(
+        &self, group: u32, job: &Job, items: &Rc<EncodedItems>, deadline: Instant,
+    ) -> CallOutcome {
+        match self.primary_link(group, deadline).await {
+            Some(link) => link.submit(group, job, items, deadline).await,
+            None => CallOutcome::NotSent,
+        }
+    }
+
+    /// Returns the link to the primary of a store group. If there is none, returns `None` after a change.
+    async fn primary_link(&self, group: u32, deadline: Instant) -> Option<Rc<StoreLink>> {
+        let link = self.links.primary_link(group);
+        if link.is_none() {
             self.changes.wait(deadline.saturating_duration_since(Instant::now())).await;
-            return CallOutcome::NotSent;
-        };
-        link.call(message, deadline).await
+        }
+        link
     }
 }
 
 /// Returns the response to an answer, which is 503 if no store gave a definite answer.
-fn respond<T>(answer: JobResponse<T>, found: impl FnOnce(T) -> Response<Bytes>) -> Response<Bytes> {
+fn respond<T>(answer: JobResponse<T>, found: impl FnOnce(T) -> Response<JobBody>) -> Response<JobBody> {
     match answer {
         JobResponse::Found(content) => found(content),
         JobResponse::NotFound => empty(StatusCode::NOT_FOUND),
@@ -232,6 +264,23 @@
     }
 }
 
+/// Returns the response to a job that was sent to no store.
+fn rejected(job: &str, text_bytes: usize, error: &JobError) -> Response<JobBody> {
+    log::info!("job not submitted job={job} text_bytes={text_bytes} error={error}");
+    match error {
+        JobError::OutOfMemory(_) | JobError::TooLarge => {
+            retry_after(StatusCode::SERVICE_UNAVAILABLE, NO_MEMORY_RETRY_AFTER)
+        }
+        _ => plain_text(StatusCode::BAD_REQUEST, &error.to_string()),
+    }
+}
+
+/// Returns the response to a read for whose answer there is no memory.
+fn without_memory(job: &str, error: OutOfMemory) -> Response<JobBody> {
+    log::info!("read not answered job={job} error={error}");
+    retry_after(StatusCode::SERVICE_UNAVAILABLE, NO_MEMORY_RETRY_AFTER)
+}
+
 fn terms_of(route: &Route) -> JobTerms {
     let milliseconds = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     JobTerms {
@@ -245,7 +294,7 @@
     }
 }
 
-fn query_value<'a>(request: &'a Request<Bytes>, name: &str) -> Option<&'a str> {
+fn query_value<'a>(request: &'a Request<BlockBuffer>, name: &str) -> Option<&'a str> {
     let mut pairs = request.uri().query()?.split('&').filter_map(|pair| pair.split_once('='));
     pairs.find(|(found, _)| *found == name).map(|(_, value)| value)
 }
--- a/crates/pebblepost-batch-runner/src/job/request.rs
+++ b/crates/pebblepost-batch-runner/src/job/request.rs
@@ -1,190 +1,119 @@
-//! Parses the JSON body of a submitted batch job.
+//! Parses the JSON body of a submitted batch job and encodes its items on the way, so that neither the whole text nor
+//! the whole job in decoded form is in memory besides the encoded items.
 //!
 //! Only the format of the job is checked. The store decides whether to accept the job.
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
-use pebblepost_configuration::{MAX_NESTING_LEVELS, is_nested_too_deeply};
-use pebblepost_messages::batch::{Item, Job, JobTerms, Scorer};
-use simd_json::prelude::{ValueAsArray, ValueAsObject, ValueAsScalar, ValueObjectAccess};
-use simd_json::{BorrowedValue, StaticNode};
+pub use super::error::{FieldError, ItemError, JobError};
+use super::item_parser::parse_item;
+use super::json_fields::{JsonFields, ReadError};
+use crate::encoded_items::{EncodedItems, ItemEncoder};
+use pebblepost_memory::BlockBuffer;
+use pebblepost_messages::batch::{Job, JobTerms, MAX_ENCODED_JOB_BYTES};
 use std::collections::HashSet;
-use thiserror::Error;
+use std::hash::{BuildHasher, RandomState};
+use tokio::task::yield_now;
 
-/// Reason why a body is not a valid batch job. The text is sent to the client.
-#[derive(Debug, Error)]
-pub enum JobError {
-    /// The body is not valid JSON.
-    #[error("request body is not valid JSON: {0}")]
-    NotJson(#[from] simd_json::Error),
-    /// The body is nested so deeply that parsing it could overflow the stack.
-    #[error("request body has more than {MAX_NESTING_LEVELS} levels of nesting")]
-    NestedTooDeeply,
-    /// The body is JSON, but not an object.
-    #[error("request body is not a JSON object")]
-    NotAnObject,
-    /// The list of items is missing or not an array.
-    #[error("`requests` is missing or not an array")]
-    RequestsNotAnArray,
-    /// A field of the job is invalid.
-    #[error(transparent)]
-    Field(#[from] FieldError),
-    /// An item is invalid.
-    #[error("item {position}: {cause}")]
-    Item {
-        /// Index of the item in the list, from 0.
-        position: usize,
-        /// Reason why the item is invalid.
-        cause: ItemError,
-    },
-}
-
-/// Reason why an item of a job is invalid.
-#[derive(Debug, Error)]
-pub enum ItemError {
-    /// A field of the item is invalid.
-    #[error(transparent)]
-    Field(#[from] FieldError),
-    /// A field of the item's scorer is invalid.
-    #[error("scorer: {0}")]
-    Scorer(FieldError),
-    /// Another item of the job has the same id.
-    #[error("`id` is already used by another item of the job")]
-    DuplicateId,
-}
+/// Text that is parsed before other tasks run. Clients wait for about a millisecond meanwhile.
+const MAX_BYTES_PER_TURN: usize = 64 * 1024;
 
-/// Reason why a field is invalid.
-#[derive(Debug, Error)]
-pub enum FieldError {
-    /// A required string is missing or empty.
-    #[error("`{0}` is missing or empty")]
-    Missing(&'static str),
-    /// The field is not a string.
-    #[error("`{0}` is not a string")]
-    NotAString(&'static str),
-    /// The field is not an unsigned integer.
-    #[error("`{0}` is not an unsigned integer")]
-    NotAnUnsignedInteger(&'static str),
-    /// The field is not valid base64.
-    #[error("`{0}` is not valid base64")]
-    NotBase64(&'static str),
-    /// `path` does not start with `/` or is not valid in a URI.
-    #[error("`path` is not a URI path starting with `/`")]
-    NotAPath,
-    /// `headers` is not an object.
-    #[error("`headers` is not a JSON object")]
-    HeadersNotAnObject,
-    /// The value of a header is not a string.
-    #[error("header `{0}` is not a string")]
-    HeaderNotAString(String),
+/// A submitted job.
+#[derive(Debug)]
+pub struct SubmittedJob {
+    /// The job without its items.
+    pub job: Job,
+    /// Items of the job.
+    pub items: EncodedItems,
 }
 
 /// Parses the body of a submitted job. Unknown fields are ignored.
 ///
+/// Yields to other tasks of the thread after each 64 KiB of text, but not within an item.
+///
+/// All memory that the job takes meanwhile is reserved by the buffer's reservation, which remains with the items.
+///
 /// # Errors
 /// The body is nested too deeply or not a JSON object, a required field is missing, a field is invalid, or two items
-/// have the same id.
-pub fn parse(id: &str, terms: JobTerms, mut body: Vec<u8>) -> Result<Job, JobError> {
-    if is_nested_too_deeply(&body) {
-        return Err(JobError::NestedTooDeeply);
-    }
-    let value = simd_json::to_borrowed_value(&mut body)?;
-    if value.as_object().is_none() {
+/// have the same id; or there is no memory for the job.
+pub async fn parse(id: &str, terms: JobTerms, body: BlockBuffer) -> Result<SubmittedJob, JobError> {
+    let mut json = JsonFields::new(body);
+    let mut job = Job { id: id.to_owned(), terms, ..Job::default() };
+    if !json.enter_object().map_err(of_job)? {
         return Err(JobError::NotAnObject);
     }
-    let requests =
-        value.get("requests").and_then(|requests| requests.as_array()).ok_or(JobError::RequestsNotAnArray)?;
-    Ok(Job {
-        id: id.to_owned(),
-        terms,
-        items: parse_items(requests)?,
-        step: unsigned_integer(&value, "step")?,
-        model: text(&value, "model")?.unwrap_or_default().to_owned(),
-        min_version: unsigned_integer(&value, "min_version")?,
-        desired_groups: u32::try_from(unsigned_integer(&value, "desired")?).unwrap_or(u32::MAX),
-    })
-}
-
-fn parse_items(requests: &[BorrowedValue<'_>]) -> Result<Vec<Item>, JobError> {
-    let mut items = Vec::with_capacity(requests.len());
-    let mut ids = HashSet::with_capacity(requests.len());
-    for (position, request) in requests.iter().enumerate() {
-        let item = parse_item(request).map_err(|cause| JobError::Item { position, cause })?;
-        if !ids.insert(item.id.clone()) {
-            return Err(JobError::Item { position, cause: ItemError::DuplicateId });
+    let mut items = None;
+    while let Some(name) = json.next_name().map_err(of_job)? {
+        match name.as_str() {
+            "requests" => items = parse_items(&mut json).await?,
+            name => parse_field(&mut json, &mut job, name).map_err(of_job)?,
         }
-        items.push(item);
     }
-    Ok(items)
-}
-
-fn parse_item(value: &BorrowedValue<'_>) -> Result<Item, ItemError> {
-    Ok(Item {
-        id: required_text(value, "id")?,
-        path: required_path(value)?,
-        headers: parse_headers(value)?,
-        body: base64_bytes(value, "body")?,
-        tokens: unsigned_integer(value, "tokens")?,
-        group: text(value, "group")?.unwrap_or_default().to_owned(),
-        scorer: field(value, "scorer").map(parse_scorer).transpose().map_err(ItemError::Scorer)?,
-    })
+    let memory = json.finish().map_err(of_job)?;
+    let items = items.ok_or(JobError::RequestsNotAnArray)?;
+    if items.len() + job.model.len() > MAX_ENCODED_JOB_BYTES {
+        return Err(JobError::TooLarge);
+    }
+    let job_bytes = items.memory_bytes() + job.model.len();
+    let reservation = memory.finish(job_bytes).map_err(JobError::OutOfMemory)?;
+    Ok(SubmittedJob { job, items: items.finish(reservation) })
 }
 
-fn parse_scorer(value: &BorrowedValue<'_>) -> Result<Scorer, FieldError> {
-    Ok(Scorer {
-        id: required_text(value, "id")?,
-        hostname: required_text(value, "hostname")?,
-        path: required_path(value)?,
-        body: base64_bytes(value, "body")?,
-    })
+fn of_job(error: ReadError) -> JobError {
+    error.into_job_error(JobError::Field)
 }
 
-/// Returns the headers, sorted by name.
-fn parse_headers(value: &BorrowedValue<'_>) -> Result<Vec<(String, String)>, FieldError> {
-    let Some(headers) = field(value, "headers") else { return Ok(Vec::new()) };
-    let headers = headers.as_object().ok_or(FieldError::HeadersNotAnObject)?;
-    let mut pairs = Vec::with_capacity(headers.len());
-    for (name, value) in headers.iter() {
-        let value = value.as_str().ok_or_else(|| FieldError::HeaderNotAString(name.to_string()))?;
-        pairs.push((name.to_string(), value.to_owned()));
+fn parse_field(json: &mut JsonFields, job: &mut Job, name: &str) -> Result<(), ReadError> {
+    match name {
+        "step" => job.step = json.unsigned_integer("step")?,
+        "model" => job.model = json.text("model")?,
+        "min_version" => job.min_version = json.unsigned_integer("min_version")?,
+        "desired" => {
+            job.desired_groups = u32::try_from(json.unsigned_integer("desired")?).unwrap_or(u32::MAX);
+        }
+        _ => json.skip()?,
     }
-    pairs.sort_unstable();
-    Ok(pairs)
+    Ok(())
 }
 
-fn required_text(value: &BorrowedValue<'_>, name: &'static str) -> Result<String, FieldError> {
-    match text(value, name)? {
-        Some(text) if !text.is_empty() => Ok(text.to_owned()),
-        _ => Err(FieldError::Missing(name)),
+/// Parses and encodes the list of items. Returns `None` if it is not an array.
+async fn parse_items(json: &mut JsonFields) -> Result<Option<ItemEncoder>, JobError> {
+    json.memory.discard_items();
+    if !json.enter_array().map_err(of_job)? {
+        return Ok(None);
     }
-}
-
-fn required_path(value: &BorrowedValue<'_>) -> Result<String, FieldError> {
-    let path = required_text(value, "path")?;
-    if path.starts_with('/') && path.parse::<http::uri::PathAndQuery>().is_ok() {
-        return Ok(path);
+    let mut encoder = ItemEncoder::default();
+    let mut ids = IdSet::default();
+    let mut position = 0;
+    let mut turn_start = json.memory.unread_bytes();
+    while json.has_element().map_err(of_job)? {
+        let id = parse_item(json, &mut encoder, position)?;
+        json.memory.add_id().map_err(JobError::OutOfMemory)?;
+        if !ids.insert(&id) {
+            return Err(JobError::Item { position, cause: ItemError::DuplicateId });
+        }
+        if encoder.len() > MAX_ENCODED_JOB_BYTES {
+            return Err(JobError::TooLarge);
+        }
+        json.memory.finish_item(encoder.memory_bytes()).map_err(JobError::OutOfMemory)?;
+        position += 1;
+        if turn_start - json.memory.unread_bytes() >= MAX_BYTES_PER_TURN {
+            yield_now().await;
+            turn_start = json.memory.unread_bytes();
+        }
     }
-    Err(FieldError::NotAPath)
-}
-
-fn text<'a>(value: &'a BorrowedValue<'_>, name: &'static str) -> Result<Option<&'a str>, FieldError> {
-    let Some(field) = field(value, name) else { return Ok(None) };
-    field.as_str().map(Some).ok_or(FieldError::NotAString(name))
+    Ok(Some(encoder))
 }
 
-/// Returns an unsigned integer, or 0 if the field is missing.
-fn unsigned_integer(value: &BorrowedValue<'_>, name: &'static str) -> Result<u64, FieldError> {
-    let Some(field) = field(value, name) else { return Ok(0) };
-    field.as_u64().ok_or(FieldError::NotAnUnsignedInteger(name))
+/// Ids of the items so far, as pairs of keyed hashes, which take less memory than the ids.
+#[derive(Default)]
+struct IdSet {
+    first: RandomState,
+    second: RandomState,
+    seen: HashSet<(u64, u64)>,
 }
 
-/// Returns the decoded bytes of a base64 field, or no bytes if it is missing.
-fn base64_bytes(value: &BorrowedValue<'_>, name: &'static str) -> Result<Vec<u8>, FieldError> {
-    let Some(encoded) = text(value, name)? else { return Ok(Vec::new()) };
-    STANDARD.decode(encoded).map_err(|_| FieldError::NotBase64(name))
-}
-
-/// Returns a field, or `None` if it is missing or `null`.
-fn field<'a, 'v>(value: &'a BorrowedValue<'v>, name: &str) -> Option<&'a BorrowedValue<'v>> {
-    value.get(name).filter(|field| !matches!(field, BorrowedValue::Static(StaticNode::Null)))
+impl IdSet {
+    /// Adds an id. Returns false if it was there already.
+    fn insert(&mut self, id: &str) -> bool {
+        self.seen.insert((self.first.hash_one(id), self.second.hash_one(id)))
+    }
 }
--- a/crates/pebblepost-batch-runner/src/lib.rs
+++ b/crates/pebblepost-batch-runner/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Modules, from the lowest layer up. Each module uses only modules above it in this list:
 //!
-//! * Foundations: [`random`], [`metrics`], `identity`, `feed_view`, `change_signal`, `shutdown`.
+//! * Foundations: [`random`], [`metrics`], `identity`, `feed_view`, `change_signal`, `shutdown`, `text_blocks` and
+//!   [`encoded_items`] (items of a submission in the encoding of the messages).
 //! * State: [`text`] and [`item_progress`] (progress of an item), [`lease_table`] and `lease_terms` (validity and
 //!   terms of leases), [`load_table`] (load of the transcribers), `capacity` (limit of items in flight).
 //! * Decisions: [`placement`] (which transcriber executes a request).
@@ -19,6 +20,7 @@
 
 mod capacity;
 mod change_signal;
+pub mod encoded_items;
 pub mod execution;
 mod feed_view;
 mod identity;
@@ -35,5 +37,7 @@
 mod store;
 mod store_events;
 pub mod text;
+mod text_blocks;
 
+pub use job::JobBody;
 pub use runner::BatchRunner;
--- a/crates/pebblepost-batch-runner/src/runner.rs
+++ b/crates/pebblepost-batch-runner/src/runner.rs
@@ -12,6 +12,7 @@
 use crate::execution::work_requests::WorkRequester;
 use crate::feed_view::FeedView;
 use crate::identity::ProxyIdentity;
+use crate::job::JobBody;
 use crate::job::api::{self, JobApi};
 use crate::lease_table::LeaseTable;
 use crate::load_table::LoadTable;
@@ -24,9 +25,9 @@
 use crate::store::links::StoreLinks;
 use crate::store::outbox::Outbox;
 use crate::store_events::StoreEvents;
-use bytes::Bytes;
 use pebblepost_configuration::Route;
 use pebblepost_feed::FeedState;
+use pebblepost_memory::{BlockBuffer, MemoryBudget};
 use pebblepost_settings::Settings;
 use pebblepost_transcriber::Client;
 use std::cell::{Cell, RefCell};
@@ -64,20 +65,25 @@
     /// Starts the runner's tasks with `spawn_local`: links to the stores that the feed names, requests for work, and
     /// the outbox.
     ///
+    /// `memory` bounds the answers to reads; submissions bring their reservation with them.
+    ///
     /// The proxy must apply its feed updates to `feed` and call [`BatchRunner::feed_changed`] after each change.
     ///
     /// # Panics
     /// Panics outside a `tokio` `LocalSet`.
-    pub fn start(settings: &Settings, client: Client, feed: Rc<RefCell<FeedState>>) -> BatchRunner {
-        BatchRunner::start_with_random(settings, client, feed, Random::default())
+    pub fn start(
+        settings: &Settings, client: Client, feed: Rc<RefCell<FeedState>>, memory: MemoryBudget,
+    ) -> BatchRunner {
+        BatchRunner::start_with_random(settings, client, feed, Random::default(), memory)
     }
 
     /// Like [`BatchRunner::start`], but with the caller's random number generator. A seeded generator makes a run
     /// repeatable.
     pub fn start_with_random(
         settings: &Settings, client: Client, feed: Rc<RefCell<FeedState>>, random: Random,
+        memory: MemoryBudget,
     ) -> BatchRunner {
-        let state = State::new(settings, client, FeedView::new(feed), random);
+        let state = State::new(settings, client, FeedView::new(feed), random, memory);
         let outcomes =
             Rc::new(OutcomeReporter { leases: state.leases.clone(), outbox: state.outbox.clone() });
         let executor = state.lease_executor(&outcomes);
@@ -111,8 +117,8 @@
     /// Answers a call: a `POST` under the prefix of a `rollout` route (with `route` given), or a call about a
     /// submitted job, for any host. The body of the request must be complete.
     pub async fn answer(
-        &self, route: Option<&Route>, request: http::Request<Bytes>,
-    ) -> http::Response<Bytes> {
+        &self, route: Option<&Route>, request: http::Request<BlockBuffer>,
+    ) -> http::Response<JobBody> {
         self.components.job_api.answer(route, request).await
     }
 
@@ -130,6 +136,7 @@
 
 /// State that the components share, created before them.
 struct State {
+    memory: MemoryBudget,
     client: Client,
     feed: FeedView,
     identity: Rc<ProxyIdentity>,
@@ -145,12 +152,15 @@
 }
 
 impl State {
-    fn new(settings: &Settings, client: Client, feed: FeedView, random: Random) -> State {
+    fn new(
+        settings: &Settings, client: Client, feed: FeedView, random: Random, memory: MemoryBudget,
+    ) -> State {
         let identity =
             Rc::new(ProxyIdentity { node: settings.node_name.clone(), zone: settings.zone.clone() });
         let random = Rc::new(random);
         State {
             client,
+            memory,
             capacity: Rc::new(Capacity::new(feed.clone())),
             feed,
             links: Rc::new(StoreLinks::new(identity.clone(), random.clone())),
@@ -253,7 +263,7 @@
             capacity: self.capacity,
             metrics: self.metrics,
             store_events: Rc::new(store_events),
-            job_api: JobApi { links: self.links, changes: self.changes.clone() },
+            job_api: JobApi { links: self.links, changes: self.changes.clone(), memory: self.memory },
             graceful_shutdown,
             changes: self.changes,
         }
--- a/crates/pebblepost-batch-runner/src/store/link.rs
+++ b/crates/pebblepost-batch-runner/src/store/link.rs
@@ -3,11 +3,12 @@
 //! The link stores the connection, the pending calls and the number of items requested on it. It does not depend on
 //! leases or items: messages other than replies to calls are passed to [`LinkEvents`].
 
+use crate::encoded_items::EncodedItems;
 use crate::identity::ProxyIdentity;
 use crate::random::Random;
 use eyre::Result;
 use pebblepost_link::{LinkLimits, Receiver, Sender, connect};
-use pebblepost_messages::batch::{FromStore, ToStore};
+use pebblepost_messages::batch::{FromStore, Job, ToStore, encode_submission_head};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -88,6 +89,13 @@
     number: u64,
 }
 
+/// A call whose message is not sent yet.
+struct StartedCall<'a> {
+    number: u64,
+    reply: oneshot::Receiver<FromStore>,
+    _pending: PendingCall<'a>,
+}
+
 impl Drop for PendingCall<'_> {
     fn drop(&mut self) {
         self.link.pending_calls.borrow_mut().remove(&self.number);
@@ -131,6 +139,10 @@
         self.sender.borrow().as_ref().is_some_and(|sender| sender.send(message))
     }
 
+    fn send_with_tail(&self, head: &[u8], tail: Rc<EncodedItems>) -> bool {
+        self.sender.borrow().as_ref().is_some_and(|sender| sender.send_with_tail(head, tail))
+    }
+
     /// Returns whether a request for work is not yet answered.
     pub(crate) fn has_requested_work(&self) -> bool {
         self.request.get().is_some()
@@ -173,15 +185,36 @@
     ///
     /// If the future is dropped, the call is forgotten, but the store may still execute it.
     pub(crate) async fn call(&self, message: &mut ToStore, deadline: Instant) -> CallOutcome {
+        let call = self.start_call();
+        set_call_number(message, call.number);
+        self.finish_call(call, deadline, || self.send(message)).await
+    }
+
+    /// Submits a job, like [`StoreLink::call`]. The link holds the items until they are written.
+    pub(crate) async fn submit(
+        &self, store_group: u32, job: &Job, items: &Rc<EncodedItems>, deadline: Instant,
+    ) -> CallOutcome {
+        let call = self.start_call();
+        let head = encode_submission_head(call.number, store_group, job, items.count());
+        self.finish_call(call, deadline, || self.send_with_tail(&head, items.clone())).await
+    }
+
+    fn start_call(&self) -> StartedCall<'_> {
         let number = self.next_call.get();
         self.next_call.set(number + 1);
-        set_call_number(message, number);
         let (reply_sender, reply) = oneshot::channel();
         self.pending_calls.borrow_mut().insert(number, reply_sender);
-        let _pending = PendingCall { link: self, number };
-        if timeout_at(deadline, self.wait_while_congested()).await.is_err() || !self.send(message) {
+        StartedCall { number, reply, _pending: PendingCall { link: self, number } }
+    }
+
+    /// Sends the message of a call as soon as the link is not congested, and waits for the reply until the deadline.
+    async fn finish_call(
+        &self, call: StartedCall<'_>, deadline: Instant, send: impl FnOnce() -> bool,
+    ) -> CallOutcome {
+        if timeout_at(deadline, self.wait_while_congested()).await.is_err() || !send() {
             return CallOutcome::NotSent;
         }
+        let StartedCall { reply, _pending, .. } = call;
         match timeout_at(deadline, reply).await {
             Ok(Ok(reply)) => CallOutcome::Reply(reply),
             Ok(Err(_)) | Err(_) => CallOutcome::NoReply,
--- a/crates/pebblepost-batch-runner/tests/batch_runner/approved.rs
+++ b/crates/pebblepost-batch-runner/tests/batch_runner/approved.rs
@@ -2,8 +2,8 @@
 //! approved values.
 
 use crate::support::{
-    FakeStore, LAST_CHUNK, Reply, RunnerUnderTest, SeenRequest, StoreEnd, Transcribers, empty_response,
-    events, lease, leased, load_report, request, run, run_within, stream_head,
+    FakeStore, LAST_CHUNK, Reply, RunnerUnderTest, SeenRequest, StoreEnd, Transcribers, body_bytes,
+    empty_response, events, lease, leased, load_report, request, run, run_within, stream_head,
 };
 use nanoserde::SerBin;
 use pebblepost_batch_runner::BatchRunner;
@@ -475,10 +475,11 @@
         let configuration = under_test.feed.borrow().configuration().cloned().unwrap();
         let route = configuration.route("h.example", "/lot/1");
         let answer = under_test.runner.answer(route, request(method, path, headers, body)).await;
-        assert_eq!((answer.status().as_u16(), &answer.body()[..]), (status, text.as_bytes()));
+        let answered_status = answer.status().as_u16();
         let content_type = answer.headers().get("content-type").map(|value| value.to_str().unwrap());
         assert_eq!(content_type, (!text.is_empty()).then_some("text/plain"));
         assert_eq!(answer.headers().get("retry-after"), None);
+        assert_eq!((answered_status, &body_bytes(answer.into_body())[..]), (status, text.as_bytes()));
     });
 }
 
@@ -487,10 +488,10 @@
     run(async {
         let under_test = RunnerUnderTest::start(true);
         let answer = under_test.runner.answer(None, request("POST", "/x", &[], "")).await;
-        assert_eq!((answer.status().as_u16(), answer.body().len()), (404, 0));
+        assert_eq!((answer.status().as_u16(), answer.body().remaining_bytes()), (404, 0));
         tokio::time::pause();
         let answer = under_test.runner.answer(None, request("GET", "/lots/j", &[], "")).await;
-        assert_eq!((answer.status().as_u16(), answer.body().len()), (503, 0));
+        assert_eq!((answer.status().as_u16(), answer.body().remaining_bytes()), (503, 0));
         assert_eq!(answer.headers().get("retry-after").unwrap(), "0.060");
         assert!(BatchRunner::is_job_call("/lots/j") && BatchRunner::is_job_call("/items/j"));
         assert!(!BatchRunner::is_job_call("/lots") && !BatchRunner::is_job_call("/lot/1"));
--- a/crates/pebblepost-batch-runner/tests/batch_runner/job_api.rs
+++ b/crates/pebblepost-batch-runner/tests/batch_runner/job_api.rs
@@ -1,6 +1,7 @@
 //! Tests of the HTTP calls of batch jobs, with fake stores.
 
-use crate::support::{FakeStore, RunnerUnderTest, StoreEnd, request, run};
+use crate::support::{FakeStore, RunnerUnderTest, StoreEnd, body_bytes, request, run};
+use pebblepost_batch_runner::JobBody;
 use pebblepost_messages::batch::{
     FromStore, ItemResult, Job, JobResponse, JobTerms, ResultPage, ResultState, SubmitOutcome, ToStore,
     store_group_of,
@@ -23,10 +24,10 @@
     summary(under_test.runner.answer(None, call).await)
 }
 
-fn summary(answer: http::Response<bytes::Bytes>) -> (u16, Option<String>, String) {
+fn summary(answer: http::Response<JobBody>) -> (u16, Option<String>, String) {
     let retry = answer.headers().get("retry-after").map(|value| value.to_str().unwrap().to_owned());
-    let body = String::from_utf8(answer.body().to_vec()).unwrap();
-    (answer.status().as_u16(), retry, body)
+    let status = answer.status().as_u16();
+    (status, retry, String::from_utf8(body_bytes(answer.into_body())).unwrap())
 }
 
 /// Returns the next call. Requests for work and announcements of leases are ignored.
@@ -57,7 +58,7 @@
     match message {
         ToStore::Submit { job, store_group, .. } => {
             assert_eq!(store_group, store_group_of("job"));
-            job
+            job.decode().unwrap()
         }
         other => panic!("not a submission: {other:?}"),
     }
--- a/crates/pebblepost-batch-runner/tests/batch_runner/job_json.rs
+++ b/crates/pebblepost-batch-runner/tests/batch_runner/job_json.rs
@@ -1,10 +1,16 @@
 //! Tests of the JSON of submitted jobs and of results.
 
-use pebblepost_batch_runner::job::request::parse;
+use crate::support::body_buffer;
+use pebblepost_batch_runner::job::request::{JobError, SubmittedJob, parse};
 use pebblepost_batch_runner::job::result_page::{MAX_PAGE_BYTES, to_json};
 use pebblepost_messages::batch::{ItemResult, JobTerms, ResultPage, ResultState};
 use rstest::rstest;
 
+fn parse_text(body: &str) -> Result<SubmittedJob, JobError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+    runtime.block_on(parse("j", JobTerms::default(), body_buffer(body.as_bytes())))
+}
+
 fn result(id: &str, message: &[u8]) -> ItemResult {
     ItemResult { id: id.to_owned(), message: message.to_vec(), ..ItemResult::default() }
 }
@@ -60,7 +66,7 @@
     "item 1: `id` is already used by another item of the job"
 )]
 fn a_parse_error_states_why_the_body_is_not_a_job(#[case] body: &str, #[case] reason: &str) {
-    let error = parse("j", JobTerms::default(), body.as_bytes().to_vec()).unwrap_err();
+    let error = parse_text(body).unwrap_err();
     assert!(error.to_string().starts_with(reason), "{error}");
 }
 
@@ -69,6 +75,6 @@
 fn a_deeply_nested_body_is_an_error() {
     const LEVELS: usize = 1_000_000;
     let body = format!(r#"{{"requests":{}{}}}"#, "[".repeat(LEVELS), "]".repeat(LEVELS));
-    let error = parse("j", JobTerms::default(), body.into_bytes()).unwrap_err();
+    let error = parse_text(&body).unwrap_err();
     assert_eq!(error.to_string(), "request body has more than 100 levels of nesting");
 }
--- a/crates/pebblepost-batch-runner/tests/batch_runner/support.rs
+++ b/crates/pebblepost-batch-runner/tests/batch_runner/support.rs
@@ -2,9 +2,11 @@
 
 use bytes::Bytes;
 use pebblepost_batch_runner::BatchRunner;
+use pebblepost_batch_runner::JobBody;
 use pebblepost_batch_runner::random::Random;
 use pebblepost_feed::FeedState;
 use pebblepost_link::{LinkLimits, Listener, Sender};
+use pebblepost_memory::{BlockBuffer, MemoryBudget};
 use pebblepost_messages::batch::{
     FromStore, Item, JobTerms, LeasedItem, STORE_GROUPS, Scorer, ToStore, WorkLease,
 };
@@ -365,7 +367,13 @@
         let feed = Rc::new(RefCell::new(FeedState::default()));
         let update = ConfigurationUpdate::Full { generation: 7, document: document.as_bytes().to_vec() };
         assert!(feed.borrow_mut().apply(&FeedUpdate::Configuration(update)).configuration_changed);
-        let runner = BatchRunner::start_with_random(&settings, client, feed.clone(), random);
+        let runner = BatchRunner::start_with_random(
+            &settings,
+            client,
+            feed.clone(),
+            random,
+            MemoryBudget::new(usize::MAX),
+        );
         RunnerUnderTest { runner, feed }
     }
 
@@ -434,12 +442,32 @@
 }
 
 /// Returns a request to the runner.
-pub fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> http::Request<Bytes> {
+pub fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> http::Request<BlockBuffer> {
     let mut builder = http::Request::builder().method(method).uri(path).header("host", "h.example");
     for (name, value) in headers {
         builder = builder.header(*name, *value);
     }
-    builder.body(Bytes::copy_from_slice(body.as_bytes())).unwrap()
+    builder.body(body_buffer(body.as_bytes())).unwrap()
+}
+
+/// Size of the parts in which a body is received.
+const NETWORK_CHUNK_BYTES: usize = 1000;
+
+/// Returns a body in a buffer without a limit.
+pub fn body_buffer(body: &[u8]) -> BlockBuffer {
+    let mut buffer = BlockBuffer::new(MemoryBudget::new(usize::MAX).empty_reservation());
+    for part in body.chunks(NETWORK_CHUNK_BYTES) {
+        buffer.push(Bytes::copy_from_slice(part)).unwrap();
+    }
+    buffer
+}
+
+/// Returns the whole body of a response.
+pub fn body_bytes(mut body: JobBody) -> Vec<u8> {
+    let announced = body.remaining_bytes();
+    let bytes: Vec<u8> = std::iter::from_fn(|| body.next_chunk()).flatten().collect();
+    assert_eq!(bytes.len() as u64, announced);
+    bytes
 }
 
 /// Returns a leased item, with or without a scorer.
--- a/crates/pebblepost-batch-store/src/store/handlers/job_calls.rs
+++ b/crates/pebblepost-batch-store/src/store/handlers/job_calls.rs
@@ -4,8 +4,10 @@
 use crate::store::state::group::{Group, PendingRead};
 use crate::store::state::proposals::{Caller, Proposal};
 use pebblepost_batch::command::Change;
-use pebblepost_batch::job::{StoredJob, estimated_job_bytes};
-use pebblepost_messages::batch::{FromStore, Job, JobResponse, ResultPage, SubmitOutcome, store_group_of};
+use pebblepost_batch::job::StoredJob;
+use pebblepost_messages::batch::{
+    EncodedJob, FromStore, JobResponse, ResultPage, SubmitOutcome, store_group_of,
+};
 use std::time::Duration;
 
 /// Maximum estimated size of a page of results, so that it stays below a megabyte as JSON.
@@ -14,13 +16,13 @@
 const REJECTED_RETRY_AFTER_MS: u64 = 1_000;
 
 impl Store {
-    /// Stores a job.
+    /// Stores a job. It is decoded only if there is room for it.
     ///
     /// The call is idempotent: with the id of a stored job it is accepted at once, and with the id of a
     /// proposed job it is accepted once that job is committed.
-    pub(crate) fn submit_job(&mut self, now: Duration, caller: Caller, group_id: u32, job: Job) {
-        if store_group_of(&job.id) != group_id {
-            log::error!("job submitted to the wrong store group job={} group={group_id}", job.id);
+    pub(crate) fn submit_job(&mut self, now: Duration, caller: Caller, group_id: u32, job: EncodedJob) {
+        if store_group_of(job.id()) != group_id {
+            log::error!("job submitted to the wrong store group job={} group={group_id}", job.id());
             return self.reply_submitted(&[caller], SubmitOutcome::NotPrimary);
         }
         let used_bytes = self.estimated_bytes();
@@ -28,14 +30,14 @@
         let Some(group) = self.acting_group(now, group_id) else {
             return self.reply_submitted(&[caller], SubmitOutcome::NotPrimary);
         };
-        if group.state().job(&job.id).is_some() {
+        if group.state().job(job.id()).is_some() {
             return self.reply_submitted(&[caller], SubmitOutcome::Accepted);
         }
-        if let Some(callers) = group.proposals.submit_callers(&job.id) {
+        if let Some(callers) = group.proposals.submit_callers(job.id()) {
             callers.push(caller);
             return;
         }
-        if !budget.admits(used_bytes, &job) {
+        if !budget.admits(used_bytes, job.estimated_bytes()) {
             // A rejection guarantees that the job never runs. Before the barrier is committed, an entry of
             // an earlier primary that stores this job may still be committed.
             let outcome = match group.is_past_barrier() {
@@ -44,12 +46,18 @@
             };
             return self.reply_submitted(&[caller], outcome);
         }
-        let proposal = Proposal::AddJob {
-            job: job.id.clone(),
-            estimated_bytes: estimated_job_bytes(&job),
-            callers: vec![caller],
+        let (id, estimated_bytes) = (job.id().to_owned(), job.estimated_bytes());
+        let decoded = match job.decode() {
+            Ok(decoded) => decoded,
+            Err(error) => {
+                log::error!("job cannot be decoded job={id} error={error:?}");
+                return self.reply_submitted(&[caller], SubmitOutcome::NotPrimary);
+            }
         };
-        if let Err(error) = group.propose(now, Change::AddJob(job), proposal) {
+        // The proposal has copies of its own from here on.
+        drop(job);
+        let proposal = Proposal::AddJob { job: id, estimated_bytes, callers: vec![caller] };
+        if let Err(error) = group.propose(now, Change::AddJob(decoded), proposal) {
             log::debug!("job not proposed group={group_id} error={error:?}");
             self.reply_submitted(&[caller], SubmitOutcome::NotPrimary);
         }
--- a/crates/pebblepost-batch-store/src/store/mod.rs
+++ b/crates/pebblepost-batch-store/src/store/mod.rs
@@ -222,7 +222,7 @@
         let caller = |call: u64| Caller { link, call };
         match message {
             ToStore::Submit { call, store_group, job } => {
-                self.submit_job(now, caller(call), store_group, job)
+                self.submit_job(now, caller(call), store_group, job);
             }
             ToStore::Read { call, store_group, job, start, wait_ms } => {
                 let deadline = now + Duration::from_millis(wait_ms.min(MAX_READ_WAIT_MS));
--- a/crates/pebblepost-batch-store/tests/integration/simulation/client.rs
+++ b/crates/pebblepost-batch-store/tests/integration/simulation/client.rs
@@ -2,7 +2,7 @@
 
 use super::deployment::Deployment;
 use pebblepost_messages::batch::{
-    FromStore, Item, Job, JobResponse, JobTerms, SubmitOutcome, ToStore, store_group_of,
+    EncodedJob, FromStore, Item, Job, JobResponse, JobTerms, SubmitOutcome, ToStore, store_group_of,
 };
 use rand::RngExt;
 use std::collections::BTreeMap;
@@ -58,7 +58,7 @@
     fn message(&self, call: u64) -> ToStore {
         let store_group = store_group_of(self.job());
         match self.clone() {
-            Request::Submit(job) => ToStore::Submit { call, store_group, job: *job },
+            Request::Submit(job) => ToStore::Submit { call, store_group, job: EncodedJob::new(&job) },
             Request::Read { job, start, wait_ms } => ToStore::Read { call, store_group, job, start, wait_ms },
             Request::Body { job, item } => ToStore::ItemBody { call, store_group, job, item },
             Request::End { job } => ToStore::End { call, store_group, job },
--- a/crates/pebblepost-batch-store/tests/integration/simulation/transcript.rs
+++ b/crates/pebblepost-batch-store/tests/integration/simulation/transcript.rs
@@ -13,7 +13,7 @@
 pub fn format_to_store(message: &ToStore) -> String {
     match message {
         ToStore::Submit { call, store_group, job } => {
-            format!("Submit call {call}: job {} of group {store_group}, {} items", job.id, job.items.len())
+            format!("Submit call {call}: job {} of group {store_group}, {} items", job.id(), job.item_count())
         }
         ToStore::Outcomes { store_group, job, lease, outcomes } => {
             let outcomes: Vec<String> = outcomes.iter().map(format_outcome).collect();
--- a/crates/pebblepost-batch/src/admission.rs
+++ b/crates/pebblepost-batch/src/admission.rs
@@ -2,9 +2,6 @@
 //!
 //! The module holds no state: the caller passes the number of bytes in use.
 
-use crate::job::estimated_job_bytes;
-use pebblepost_messages::batch::Job;
-
 /// Maximum share of the memory limit or the ring's capacity, whichever is smaller, that batch jobs may
 /// use, in percent.
 const MAX_CAPACITY_PERCENT: u64 = 60;
@@ -27,10 +24,10 @@
         self.max_bytes
     }
 
-    /// Returns whether a job fits into the budget.
+    /// Returns whether a job with this estimated memory fits into the budget.
     ///
     /// `used_bytes` is the estimated memory of the stored jobs and of those proposed but not committed.
-    pub fn admits(&self, used_bytes: u64, job: &Job) -> bool {
-        used_bytes.saturating_add(estimated_job_bytes(job)) <= self.max_bytes
+    pub fn admits(&self, used_bytes: u64, job_bytes: u64) -> bool {
+        used_bytes.saturating_add(job_bytes) <= self.max_bytes
     }
 }
--- a/crates/pebblepost-batch/src/job.rs
+++ b/crates/pebblepost-batch/src/job.rs
@@ -4,14 +4,12 @@
 //! [`crate::state`] applies a committed entry.
 
 use nanoserde::{DeBin, DeBinErr, SerBin};
-use pebblepost_messages::batch::{Item, ItemResult, Job, ResultPage};
+use pebblepost_messages::batch::{
+    Item, ItemResult, Job, ResultPage, estimated_item_bytes, estimated_job_bytes,
+};
 use std::collections::HashMap;
 
-/// Estimated memory of a pending item, excluding its bodies.
-const ITEM_OVERHEAD_BYTES: u64 = 4096;
-/// Estimated number of simultaneous copies of a body: in the state, the log and a checkpoint.
-const BODY_COPIES: u64 = 3;
-/// Estimated memory of a result, excluding its text.
+/// Estimated memory of a result, excluding its texts and versions.
 const RESULT_OVERHEAD_BYTES: u64 = 256;
 /// Estimated number of simultaneous copies of a result's text: in the state, a checkpoint and the ring.
 const RESULT_COPIES: u64 = 3;
@@ -164,18 +162,10 @@
     }
 }
 
-/// Estimates the memory of a job whose items are all pending, in bytes.
-pub fn estimated_job_bytes(job: &Job) -> u64 {
-    job.items.iter().map(estimated_item_bytes).sum()
-}
-
-fn estimated_item_bytes(item: &Item) -> u64 {
-    let scorer = item.scorer.as_ref().map_or(0, |scorer| scorer.body.len());
-    ITEM_OVERHEAD_BYTES + BODY_COPIES * (item.body.len() + scorer) as u64
-}
-
 fn estimated_result_bytes(result: &ItemResult) -> u64 {
-    RESULT_OVERHEAD_BYTES + RESULT_COPIES * result.message.len() as u64
+    let text_bytes = result.id.len() + result.message.len() + result.score.len();
+    let versions_bytes = size_of_val(result.versions.as_slice());
+    RESULT_OVERHEAD_BYTES + RESULT_COPIES * (text_bytes + versions_bytes) as u64
 }
 
 fn estimated_page_bytes(result: &ItemResult) -> usize {
--- a/crates/pebblepost-batch/tests/integration/state.rs
+++ b/crates/pebblepost-batch/tests/integration/state.rs
@@ -5,7 +5,7 @@
 use pebblepost_batch::clock::{GroupClock, IDLE_TIME_STAMP_INTERVAL, TIME_STAMP_INTERVAL};
 use pebblepost_batch::command::{Change, Command};
 use pebblepost_batch::state::{BatchState, Retention};
-use pebblepost_messages::batch::{ItemResult, Job};
+use pebblepost_messages::batch::{ItemResult, Job, estimated_job_bytes};
 use pebblepost_replication::replica::StateMachine;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -224,7 +224,7 @@
     let budget = MemoryBudget::new(1_000_000, 2_000_000);
     assert_eq!(budget.max_bytes(), 600_000);
     let small = job("j", 1, 10, 1);
-    assert!(budget.admits(0, &small));
-    assert!(!budget.admits(590_000, &small));
-    assert!(budget.admits(600_000, &Job::default()));
+    assert!(budget.admits(0, estimated_job_bytes(&small)));
+    assert!(!budget.admits(590_000, estimated_job_bytes(&small)));
+    assert!(budget.admits(600_000, estimated_job_bytes(&Job::default())));
 }
--- a/crates/pebblepost-batch/tests/integration/stored_form.rs
+++ b/crates/pebblepost-batch/tests/integration/stored_form.rs
@@ -117,7 +117,7 @@
     assert!(!restored.is_damaged());
     assert_eq!(restored, full_state());
     assert_eq!(restored.snapshot(), snapshot);
-    assert_eq!(restored.estimated_bytes(), 25_554);
+    assert_eq!(restored.estimated_bytes(), 25_761);
 }
 
 #[rstest]
--- a/crates/pebblepost-link/src/lib.rs
+++ b/crates/pebblepost-link/src/lib.rs
@@ -19,6 +19,7 @@
 mod sender;
 mod socket;
 mod state;
+mod tail;
 mod writer;
 
 pub use decode::{decode, is_decoding};
@@ -28,6 +29,7 @@
 pub use receiver::Receiver;
 pub use sender::{SendOutcome, Sender};
 pub use socket::{Listener, connect};
+pub use tail::MessageTail;
 
 use std::time::Duration;
 
--- a/crates/pebblepost-link/src/send_queue.rs
+++ b/crates/pebblepost-link/src/send_queue.rs
@@ -1,6 +1,7 @@
 //! Send queue of a link. It consists of whole frames, owned by the link or shared with other links.
 
 use crate::frame;
+use crate::tail::TailFrame;
 use nanoserde::SerBin;
 use std::collections::VecDeque;
 use std::io::IoSlice;
@@ -10,6 +11,8 @@
 const SEGMENT_MERGE_LIMIT_BYTES: usize = 64 * 1024;
 /// Maximum number of segments that are written together.
 const MAX_BATCH_SEGMENTS: usize = 16;
+/// Maximum number of slices of one write.
+const MAX_WRITE_SLICES: usize = 64;
 /// No further segment is added to a batch of this length or more.
 const BATCH_LIMIT_BYTES: usize = 64 * 1024;
 /// Maximum capacity of a written buffer that is kept for reuse.
@@ -20,9 +23,10 @@
 enum Content {
     Owned(Vec<u8>),
     Shared(Rc<[u8]>),
+    WithTail(TailFrame),
 }
 
-/// One or more whole frames, contiguous in memory.
+/// One or more whole frames.
 #[derive(Debug)]
 struct Segment {
     content: Content,
@@ -38,10 +42,24 @@
         Segment { largest_frame_bytes: frame.len(), content: Content::Shared(frame) }
     }
 
-    fn bytes(&self) -> &[u8] {
+    fn with_tail(frame: TailFrame) -> Segment {
+        Segment { largest_frame_bytes: frame.len(), content: Content::WithTail(frame) }
+    }
+
+    fn len(&self) -> usize {
         match &self.content {
-            Content::Owned(bytes) => bytes,
-            Content::Shared(bytes) => bytes,
+            Content::Owned(bytes) => bytes.len(),
+            Content::Shared(bytes) => bytes.len(),
+            Content::WithTail(frame) => frame.len(),
+        }
+    }
+
+    /// Calls a function with each part that is contiguous in memory, in order, until it returns false.
+    fn for_each_part<'a>(&'a self, mut visit: impl FnMut(&'a [u8]) -> bool) -> bool {
+        match &self.content {
+            Content::Owned(bytes) => visit(bytes),
+            Content::Shared(bytes) => visit(bytes),
+            Content::WithTail(frame) => frame.parts().all(visit),
         }
     }
 
@@ -128,6 +146,12 @@
         self.segments.push_back(Segment::shared(frame));
     }
 
+    /// Queues a frame with a tail.
+    pub(crate) fn push_with_tail(&mut self, frame: TailFrame) {
+        self.bytes += frame.len();
+        self.segments.push_back(Segment::with_tail(frame));
+    }
+
     /// Drops all queued frames.
     pub(crate) fn clear(&mut self) {
         self.segments.clear();
@@ -139,7 +163,7 @@
         let mut batch = Batch::default();
         while batch.segments.len() < MAX_BATCH_SEGMENTS && batch.bytes < BATCH_LIMIT_BYTES {
             let Some(segment) = self.segments.pop_front() else { break };
-            batch.bytes += segment.bytes().len();
+            batch.bytes += segment.len();
             batch.largest_frame_bytes = batch.largest_frame_bytes.max(segment.largest_frame_bytes);
             batch.segments.push(segment);
         }
@@ -186,18 +210,23 @@
         self.written += written;
     }
 
-    /// Returns the next bytes to be written, at most `limit`.
+    /// Returns the next bytes to be written, at most `limit` in at most [`MAX_WRITE_SLICES`] slices.
     pub(crate) fn slices(&self, limit: usize) -> Vec<IoSlice<'_>> {
         let (mut skip, mut remaining) = (self.written, limit);
         let mut slices = Vec::with_capacity(self.segments.len());
         for segment in &self.segments {
-            let bytes = segment.bytes();
-            let start = skip.min(bytes.len());
-            skip -= start;
-            let end = bytes.len().min(start.saturating_add(remaining));
-            if start < end {
-                remaining -= end - start;
-                slices.push(IoSlice::new(&bytes[start..end]));
+            let has_room = segment.for_each_part(|bytes| {
+                let start = skip.min(bytes.len());
+                skip -= start;
+                let end = bytes.len().min(start.saturating_add(remaining));
+                if start < end {
+                    remaining -= end - start;
+                    slices.push(IoSlice::new(&bytes[start..end]));
+                }
+                remaining > 0 && slices.len() < MAX_WRITE_SLICES
+            });
+            if !has_room {
+                break;
             }
         }
         slices
--- a/crates/pebblepost-link/src/sender.rs
+++ b/crates/pebblepost-link/src/sender.rs
@@ -3,6 +3,7 @@
 use crate::encoded::EncodedMessage;
 use crate::error::CloseReason;
 use crate::state::{LinkState, Phase};
+use crate::tail::MessageTail;
 use nanoserde::SerBin;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -47,6 +48,12 @@
         self.state.enqueue_encoded(message)
     }
 
+    /// Queues the message that consists of these encoded bytes and a tail, which is not copied. Returns false in the same
+    /// cases as [`Sender::send`].
+    pub fn send_with_tail(&self, head: &[u8], tail: Rc<dyn MessageTail>) -> bool {
+        self.state.enqueue_with_tail(head, tail)
+    }
+
     /// Drops all queued messages and queues this one in their place. Frames already taken for writing are still
     /// written first. Returns false in the same cases as [`Sender::send`].
     pub fn send_replacing_queue<M: SerBin>(&self, message: &M) -> bool {
--- a/crates/pebblepost-link/src/state.rs
+++ b/crates/pebblepost-link/src/state.rs
@@ -5,6 +5,7 @@
 use crate::pacer::Pacer;
 use crate::send_queue::{Batch, SendQueue};
 use crate::sender::SendOutcome;
+use crate::tail::{MessageTail, TailFrame};
 use crate::{LinkLimits, frame};
 use nanoserde::SerBin;
 use std::cell::{Cell, RefCell};
@@ -115,6 +116,20 @@
         self.check_queue_limit()
     }
 
+    /// Queues a message with a tail. Fails in the same cases as [`LinkState::enqueue`].
+    pub(crate) fn enqueue_with_tail(&self, head: &[u8], tail: Rc<dyn MessageTail>) -> bool {
+        if self.phase() != Phase::Open {
+            return false;
+        }
+        let max_frame_bytes = self.limits.max_frame_bytes;
+        let Some(frame) = TailFrame::new(head, tail, max_frame_bytes) else {
+            self.abort(CloseReason::MessageTooLarge { max_frame_bytes });
+            return false;
+        };
+        self.queue.borrow_mut().push_with_tail(frame);
+        self.check_queue_limit()
+    }
+
     /// Queues a message if the queue has room for it. Closes the link if the message exceeds the frame limit.
     pub(crate) fn enqueue_if_room<M: SerBin>(&self, message: &M) -> SendOutcome {
         if self.phase() != Phase::Open {
--- a/crates/pebblepost-link/tests/link.rs
+++ b/crates/pebblepost-link/tests/link.rs
@@ -6,6 +6,7 @@
 use pebblepost_link::{LinkLimits, Listener, Receiver, SendOutcome, Sender, connect};
 use rstest::rstest;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -371,3 +372,53 @@
     };
     LocalSet::new().run_until(refused).await;
 }
+
+/// Tail of a message, in blocks of different sizes.
+#[derive(Debug)]
+struct Blocks(Vec<Vec<u8>>);
+
+impl pebblepost_link::MessageTail for Blocks {
+    fn blocks(&self) -> &[Vec<u8>] {
+        &self.0
+    }
+}
+
+/// Guards against: a message sent in blocks that arrives otherwise than one sent as a whole.
+#[rstest]
+#[case::no_block(0, 0)]
+#[case::one_block(1, 1000)]
+#[case::more_blocks_than_slices_of_a_write(300, 777)]
+#[case::large_blocks(10, 300_000)]
+#[tokio::test]
+async fn a_message_with_a_tail_arrives_like_any_other(#[case] blocks: usize, #[case] block_bytes: usize) {
+    LocalSet::new()
+        .run_until(async move {
+            let Ends { left, mut right } = link_ends(LIMITS).await;
+            let sent = message(7, blocks * block_bytes);
+            let encoded = sent.serialize_bin();
+            let head_bytes = encoded.len() - blocks * block_bytes;
+            let tail: Vec<Vec<u8>> =
+                encoded[head_bytes..].chunks(block_bytes.max(1)).map(<[u8]>::to_vec).collect();
+            let tail = Rc::new(Blocks(tail));
+            assert!(left.0.send(&message(1, 10)));
+            assert!(left.0.send_with_tail(&encoded[..head_bytes], tail.clone()));
+            assert!(left.0.send(&message(2, 10)));
+            assert_eq!(right.1.receive::<Message>().await.unwrap(), message(1, 10));
+            assert_eq!(right.1.receive::<Message>().await.unwrap(), sent);
+            assert_eq!(right.1.receive::<Message>().await.unwrap(), message(2, 10));
+            assert_eq!((Rc::strong_count(&tail), left.0.queued_bytes()), (1, 0), "the tail is released");
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn a_message_with_a_tail_over_the_frame_limit_closes_the_link() {
+    LocalSet::new()
+        .run_until(async {
+            let Ends { mut left, .. } = link_ends(LIMITS).await;
+            let tail = Rc::new(Blocks(vec![vec![0; LIMITS.max_frame_bytes]]));
+            assert!(!left.0.send_with_tail(b"x", tail));
+            assert!(receive_error(&mut left.1).await.contains("4194304"));
+        })
+        .await;
+}
--- a/crates/pebblepost-messages/src/batch/job.rs
+++ b/crates/pebblepost-messages/src/batch/job.rs
@@ -75,10 +75,3 @@
     /// Items in the order of submission.
     pub items: Vec<Item>,
 }
-
-impl Job {
-    /// Returns the size of the encoded job.
-    pub fn encoded_bytes(&self) -> usize {
-        self.serialize_bin().len()
-    }
-}
--- a/crates/pebblepost-messages/src/batch/message.rs
+++ b/crates/pebblepost-messages/src/batch/message.rs
@@ -1,6 +1,6 @@
 //! Messages to and from the batch store.
 
-use super::job::Job;
+use super::encoded_job::EncodedJob;
 use super::lease::{ActiveLease, ItemOutcome, UnsendableItems, WorkLease};
 use super::result::ItemResult;
 use crate::{DiskId, Member};
@@ -23,7 +23,7 @@
         /// Store group of the job.
         store_group: u32,
         /// The job.
-        job: Job,
+        job: EncodedJob,
     },
     /// Request for the results of a job from an offset on.
     Read {
--- a/crates/pebblepost-messages/src/batch/mod.rs
+++ b/crates/pebblepost-messages/src/batch/mod.rs
@@ -1,11 +1,17 @@
 //! Batch jobs: their types, and the messages between proxies and the batch store.
 
+mod encoded_job;
+mod estimate;
+mod item_encoder;
 mod job;
 mod lease;
 mod message;
 mod result;
 mod store_group;
 
+pub use encoded_job::EncodedJob;
+pub use estimate::{estimated_item_bytes, estimated_job_bytes};
+pub use item_encoder::encode_submission_head;
 pub use job::{Item, Job, JobTerms, MAX_ENCODED_JOB_BYTES, Scorer};
 pub use lease::{
     ActiveLease, ItemOutcome, LEASE_DURATION_MS, LEASE_RENEWAL_INTERVAL_MS, LeasedItem, UnsendableItems,
--- a/crates/pebblepost-messages/tests/encodings.rs
+++ b/crates/pebblepost-messages/tests/encodings.rs
@@ -5,9 +5,9 @@
 
 use nanoserde::{DeBin, SerBin};
 use pebblepost_messages::batch::{
-    ActiveLease, FromStore, Item, ItemOutcome, ItemResult, Job, JobResponse, JobTerms, LeasedItem,
-    PartialText, ResultPage, ResultState, Scorer, SubmitOutcome, ToStore, UnsendableItems, WorkLease,
-    store_group_of,
+    ActiveLease, EncodedJob, FromStore, Item, ItemOutcome, ItemResult, Job, JobResponse, JobTerms,
+    LeasedItem, PartialText, ResultPage, ResultState, Scorer, SubmitOutcome, ToStore, UnsendableItems,
+    WorkLease, store_group_of,
 };
 use pebblepost_messages::control::{FromControl, GroupEpoch, SubscriberRole, ToControl};
 use pebblepost_messages::feed::{
@@ -177,7 +177,7 @@
     let (call, store_group, job_id) = (77, 3, || "j1".to_owned());
     let hello = ToStore::ProxyHello { node: "edge-1".into(), zone: "a".into() };
     encodings.add("to_store.proxy_hello", &hello);
-    encodings.add("to_store.submit", &ToStore::Submit { call, store_group, job: job() });
+    encodings.add("to_store.submit", &ToStore::Submit { call, store_group, job: EncodedJob::new(&job()) });
     let read = ToStore::Read { call, store_group, job: job_id(), start: 5, wait_ms: 900 };
     encodings.add("to_store.read", &read);
     let body = ToStore::ItemBody { call, store_group, job: job_id(), item: "i1".into() };
--- a/crates/pebblepost-proxy/src/dispatch/forwarding.rs
+++ b/crates/pebblepost-proxy/src/dispatch/forwarding.rs
@@ -8,7 +8,7 @@
 use super::command_queue::Command;
 use super::retry::{Attempts, Failure};
 use super::route_policy::RoutePolicy;
-use crate::request::{BufferedBody, RequestHead};
+use crate::request::{ContiguousBody, RequestHead};
 use http::{HeaderName, HeaderValue};
 use log::debug;
 use pebblepost_dispatch::api::{Report, Status, WorkerId};
@@ -31,7 +31,7 @@
     /// Checked head.
     pub(crate) head: RequestHead,
     /// Complete body, with its memory reservation.
-    pub(crate) body: BufferedBody,
+    pub(crate) body: ContiguousBody,
     /// Time by which the client must have the response.
     pub(crate) deadline: Instant,
 }
--- a/crates/pebblepost-proxy/src/handler.rs
+++ b/crates/pebblepost-proxy/src/handler.rs
@@ -7,7 +7,7 @@
 use crate::dispatch::{Backends, ClientRequest, DispatchOutcome, dispatch};
 use crate::feed::FeedCache;
 use crate::metrics::Metrics;
-use crate::request::{BufferedBody, MemoryBudget, Rejection, RequestHead, read_body};
+use crate::request::{Rejection, RequestHead, read_body};
 use crate::response::{self, Payload, ResponseBody};
 use crate::shutdown::Shutdown;
 use http::header::CONNECTION;
@@ -16,6 +16,7 @@
 use log::debug;
 use pebblepost_batch_runner::BatchRunner;
 use pebblepost_configuration::{Route, RouteKind};
+use pebblepost_memory::{BlockBuffer, MemoryBudget};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -39,7 +40,7 @@
     pub(crate) backends: Rc<Backends>,
     /// Handles batch jobs.
     pub(crate) runner: BatchRunner,
-    /// Bounds the memory of request bodies.
+    /// Bounds the memory of request bodies and of answers about batch jobs.
     pub(crate) memory: MemoryBudget,
     /// Counts requests by result.
     pub(crate) metrics: Rc<Metrics>,
@@ -87,7 +88,7 @@
         let route = configuration.route(&head.host, head.path_without_query()).ok_or(Rejection::NoRoute)?;
         if route.kind != RouteKind::Rollout {
             let deadline = self.deadline(route, &head, arrived);
-            return Ok(self.forward(route, ClientRequest { head, body, deadline }).await);
+            return Ok(self.forward(route, ClientRequest { head, body: body.into(), deadline }).await);
         }
         if head.method != Method::POST {
             return Err(Rejection::NoRoute);
@@ -127,13 +128,13 @@
     }
 
     async fn handle_job_call(
-        &self, route: Option<&Route>, head: RequestHead, body: BufferedBody,
+        &self, route: Option<&Route>, head: RequestHead, body: BlockBuffer,
     ) -> Result<Response<Payload>, Rejection> {
-        let mut request = Request::new(body.bytes.clone());
+        let mut request = Request::new(body);
         *request.method_mut() = head.method;
         *request.uri_mut() = head.path.parse().map_err(|_| Rejection::Malformed)?;
         *request.headers_mut() = head.headers;
-        Ok(self.runner.answer(route, request).await.map(Payload::Buffered))
+        Ok(self.runner.answer(route, request).await.map(Payload::Job))
     }
 }
 
--- a/crates/pebblepost-proxy/src/proxy.rs
+++ b/crates/pebblepost-proxy/src/proxy.rs
@@ -8,12 +8,12 @@
 use crate::listener::listen;
 use crate::metrics::{Metrics, ProxyMetrics, metrics_line};
 use crate::readiness::Readiness;
-use crate::request::MemoryBudget;
 use crate::resource_limits::{DEFAULT_CONNECTIONS_PER_TRANSCRIBER, client_limits, request_body_budget_bytes};
 use crate::shutdown::Shutdown;
 use crate::signals::{ReceivedSignal, Signals};
 use log::{info, warn};
 use pebblepost_batch_runner::BatchRunner;
+use pebblepost_memory::MemoryBudget;
 use pebblepost_messages::feed::FeedUpdate;
 use pebblepost_settings::Settings;
 use pebblepost_transcriber::Client;
@@ -63,9 +63,9 @@
 
         let feed = Rc::new(FeedCache::default());
         let client = Client::new(client_limits(&settings.limits, DEFAULT_CONNECTIONS_PER_TRANSCRIBER));
-        let runner = BatchRunner::start(&settings, client.clone(), feed.shared_state());
-        let backends = Rc::new(Backends::new(client.clone(), &settings.zone));
         let memory = MemoryBudget::new(request_body_budget_bytes(&settings.limits));
+        let runner = BatchRunner::start(&settings, client.clone(), feed.shared_state(), memory.clone());
+        let backends = Rc::new(Backends::new(client.clone(), &settings.zone));
         let metrics = Rc::new(Metrics::default());
         let shutdown = Rc::new(Shutdown::new());
         let agent_address = SocketAddr::from((Ipv4Addr::LOCALHOST, settings.agent_link_port()));
--- a/crates/pebblepost-proxy/src/request/mod.rs
+++ b/crates/pebblepost-proxy/src/request/mod.rs
@@ -2,10 +2,8 @@
 
 mod body;
 mod head;
-mod memory;
 mod rejection;
 
-pub(crate) use body::{BufferedBody, read_body};
+pub(crate) use body::{ContiguousBody, read_body};
 pub(crate) use head::RequestHead;
-pub(crate) use memory::MemoryBudget;
 pub(crate) use rejection::Rejection;
--- a/crates/pebblepost-proxy/src/response.rs
+++ b/crates/pebblepost-proxy/src/response.rs
@@ -7,6 +7,7 @@
 use http::header::{CONTENT_LENGTH, HeaderName, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
 use hyper::body::{Body, Frame, SizeHint};
+use pebblepost_batch_runner::JobBody;
 use pebblepost_transcriber::{BufferedResponse, ResponseHead};
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -25,6 +26,8 @@
     Buffered(Bytes),
     /// Events that are forwarded as they arrive.
     Events(EventBody),
+    /// The answer to a call about a batch job.
+    Job(JobBody),
 }
 
 /// Body of a response on a client connection. Dropping it marks the connection as idle.
@@ -56,6 +59,7 @@
         match &mut self.payload {
             Payload::Buffered(bytes) if bytes.is_empty() => Poll::Ready(None),
             Payload::Buffered(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Payload::Job(body) => Poll::Ready(body.next_chunk().map(|chunk| Ok(Frame::data(chunk)))),
             Payload::Events(events) => {
                 events.poll_event(context).map(|next| next.map(|event| event.map(Frame::data)))
             }
@@ -63,12 +67,17 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(&self.payload, Payload::Buffered(bytes) if bytes.is_empty())
+        match &self.payload {
+            Payload::Buffered(bytes) => bytes.is_empty(),
+            Payload::Job(body) => body.remaining_bytes() == 0,
+            Payload::Events(_) => false,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.payload {
             Payload::Buffered(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Payload::Job(body) => SizeHint::with_exact(body.remaining_bytes()),
             Payload::Events(_) => SizeHint::default(),
         }
     }
--- a/crates/pebblepost-system/tests/common/client.rs
+++ b/crates/pebblepost-system/tests/common/client.rs
@@ -18,7 +18,7 @@
     pub method: &'static str,
     pub path: String,
     pub headers: Vec<(&'static str, String)>,
-    pub body: Vec<u8>,
+    pub body: Bytes,
 }
 
 impl ApiRequest {
@@ -31,7 +31,7 @@
         self
     }
 
-    pub fn body(mut self, body: impl Into<Vec<u8>>) -> ApiRequest {
+    pub fn body(mut self, body: impl Into<Bytes>) -> ApiRequest {
         self.body = body.into();
         self
     }
@@ -62,7 +62,7 @@
 /// The reason why a request has no complete response.
 #[derive(Debug, thiserror::Error)]
 pub enum RequestError {
-    #[error("{0}: no response within {REQUEST_TIMEOUT:?}")]
+    #[error("{0}: no response in time")]
     TimedOut(SocketAddr),
     #[error("{address}: {cause}")]
     Failed { address: SocketAddr, cause: Box<dyn std::error::Error + Send + Sync> },
@@ -74,7 +74,14 @@
 
 /// Sends a request and reads the whole response.
 pub async fn send(address: SocketAddr, call: &ApiRequest) -> Result<ApiResponse, RequestError> {
-    let exchanged = timeout(REQUEST_TIMEOUT, exchange(address, call)).await;
+    send_within(address, call, REQUEST_TIMEOUT).await
+}
+
+/// Like [`send`], with another time limit.
+pub async fn send_within(
+    address: SocketAddr, call: &ApiRequest, limit: Duration,
+) -> Result<ApiResponse, RequestError> {
+    let exchanged = timeout(limit, exchange(address, call)).await;
     exchanged.map_err(|_| RequestError::TimedOut(address))?
 }
 
@@ -91,8 +98,7 @@
     if !call.headers.iter().any(|(name, _)| *name == "Host") {
         request = request.header("Host", address.to_string());
     }
-    let request =
-        request.body(Full::new(Bytes::from(call.body.clone()))).map_err(|error| failed(error.into()))?;
+    let request = request.body(Full::new(call.body.clone())).map_err(|error| failed(error.into()))?;
     let response = sender.send_request(request).await.map_err(|error| failed(error.into()))?;
     let (head, body) = response.into_parts();
     let body = body.collect().await.map_err(|error| failed(error.into()))?.to_bytes();
--- a/crates/pebblepost-system/tests/common/cluster.rs
+++ b/crates/pebblepost-system/tests/common/cluster.rs
@@ -2,7 +2,7 @@
 
 use super::client::{ApiRequest, send};
 use super::relay;
-use super::settings::{CONTROL_PORT, FRONT_PORT, MachineSettings, READY_PORT, ZONES};
+use super::settings::{CONTROL_PORT, FRONT_PORT, MEMORY_MB, MachineSettings, READY_PORT, ZONES};
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -19,6 +19,14 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Returns the highest resident memory of a process so far, in megabytes.
+fn peak_memory_mb(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).expect("a running process");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+    let kilobytes: u64 = peak.trim().trim_end_matches(" kB").parse().expect("a number");
+    kilobytes * 1024 / 1_000_000
+}
+
 /// Number of machines of each class.
 #[derive(Clone, Copy, Debug)]
 pub struct ClusterSize {
@@ -208,6 +216,17 @@
         assert!(sent.is_ok_and(|status| status.success()), "{signal} was not sent");
     }
 
+    /// Asserts that no running process has ever had more resident memory than `memory_mb` in the settings. Restarting a
+    /// process starts anew.
+    pub fn assert_memory_within_limits(&self) {
+        for (index, process) in self.processes.iter().enumerate() {
+            let Some(child) = &process.child else { continue };
+            let peak_mb = peak_memory_mb(child.id());
+            println!("{:?}: {peak_mb} MB", self.log_path(index).file_name().expect("a name"));
+            assert!(peak_mb <= MEMORY_MB, "{:?}: {peak_mb} MB of {MEMORY_MB}", self.log_path(index));
+        }
+    }
+
     /// Kills the proxies of all edge machines by SIGKILL, and returns the indices of the processes.
     pub fn kill_proxies(&mut self) -> Vec<usize> {
         let is_proxy = |index: &usize| self.processes[*index].role == "proxy";
--- a/crates/pebblepost-system/tests/common/operator.rs
+++ b/crates/pebblepost-system/tests/common/operator.rs
@@ -68,7 +68,8 @@
 pub async fn put_configuration(
     controls: &[SocketAddr], base: u64, document: &str, timeout: Duration,
 ) -> ApiResponse {
-    let call = ApiRequest::new("PUT", "/config").header("If-Match", base.to_string()).body(document);
+    let call =
+        ApiRequest::new("PUT", "/config").header("If-Match", base.to_string()).body(document.to_owned());
     send_until_conclusive(controls, &call, timeout).await
 }
 
--- a/crates/pebblepost-system/tests/common/settings.rs
+++ b/crates/pebblepost-system/tests/common/settings.rs
@@ -26,6 +26,8 @@
     pub data_dir: Option<&'a Path>,
 }
 
+/// Memory limit of a process, in megabytes.
+pub const MEMORY_MB: u64 = 260;
 /// Disk of a machine, in megabytes.
 const DISK_MB: u32 = 64;
 /// Disk of a storage machine, in megabytes: enough for the largest jobs.
@@ -65,7 +67,11 @@
         }
         text.push_str(&self.listen_section());
         let disk_mb = if self.class == "storage" { STORAGE_DISK_MB } else { DISK_MB };
-        text.push_str(&LIMITS_AND_BOUNDS.replace("DISK_MB", &disk_mb.to_string()));
+        text.push_str(
+            &LIMITS_AND_BOUNDS
+                .replace("DISK_MB", &disk_mb.to_string())
+                .replace("MEMORY_MB", &MEMORY_MB.to_string()),
+        );
         text
     }
 
@@ -84,7 +90,7 @@
 [limits]
 cpu_share = 0.5
 cpu_cores = 1
-memory_mb = 260
+memory_mb = MEMORY_MB
 max_fds = 1000
 link_mbps = 1000.0
 disk_mb = DISK_MB
--- a/crates/pebblepost-system/tests/end_to_end.rs
+++ b/crates/pebblepost-system/tests/end_to_end.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests with processes of all roles: a configuration, requests, batch jobs and a weight version.
 
+#[expect(dead_code, reason = "each test binary uses a part of the fakes")]
 mod common;
 mod soak;
 
