Transcriber client: a changed limit of connections applies to waiting calls and open ones

Cause: a call took the limit along when it began, and a connection beyond a lowered limit was reused for as long as there were calls. Evidence: by reading; the two new tests could not pass on the code before, whose documentation said that a lower limit closes no connection. Change: the pool looks up the limit, wakes waiting calls when it changes, and closes idle connections beyond it (but for one, which load reports may use).

--- a/crates/pebblepost-transcriber/src/call.rs
+++ b/crates/pebblepost-transcriber/src/call.rs
@@ -22,6 +22,8 @@
 pub(crate) struct Call<'a> {
     state: &'a ClientState,
     limits: ClientLimits,
+    /// Connections that the call may use beyond the limit.
+    extra_connections: usize,
     target: &'a Target,
     deadline: Instant,
     /// Time from which on the request is no longer written, if there is such a limit.
@@ -69,7 +71,20 @@
         state: &'a ClientState, limits: ClientLimits, target: &'a Target, timeout: Duration,
     ) -> Call<'a> {
         let deadline = Instant::now() + timeout;
-        Call { state, limits, target, deadline, send_by: None, may_have_been_written: Cell::new(false) }
+        Call {
+            state,
+            limits,
+            target,
+            deadline,
+            extra_connections: 0,
+            send_by: None,
+            may_have_been_written: Cell::new(false),
+        }
+    }
+
+    /// Allows this many connections beyond the limit.
+    pub(crate) fn with_extra_connections(self, extra_connections: usize) -> Call<'a> {
+        Call { extra_connections, ..self }
     }
 
     /// Sets the time from which on the request is no longer written.
@@ -98,8 +113,7 @@
             max_idle: self.limits.idle_timeout,
         };
         let request = request::build(self.target, request)?;
-        let max_connections = self.limits.max_connections_per_transcriber;
-        match self.state.pool.checkout(self.target, max_connections, &request_id).await {
+        match self.state.pool.checkout(self.target, self.extra_connections, &request_id).await {
             Checkout::Reused(connection) => {
                 self.send_on_idle_connection(connection, request, expectation).await
             }
--- a/crates/pebblepost-transcriber/src/client.rs
+++ b/crates/pebblepost-transcriber/src/client.rs
@@ -6,6 +6,7 @@
 use crate::load::{Load, is_load_report, parse_load_report};
 use crate::metrics::ClientMetrics;
 use crate::model::{BufferedResponse, ClientLimits, OutgoingRequest, Target};
+use crate::pool::REPORT_CONNECTIONS;
 use crate::request;
 use crate::state::ClientState;
 use bytes::Bytes;
@@ -50,7 +51,8 @@
     pub async fn send(
         &self, target: &Target, request: OutgoingRequest,
     ) -> Result<BufferedResponse, ClientError> {
-        self.send_with_limits(self.state.limits.get(), target, request).await
+        let call = Call::new(&self.state, self.state.limits.get(), target, request.timeout);
+        self.run(call, request).await
     }
 
     /// Sends a request whose response may be an event stream.
@@ -92,9 +94,8 @@
         let request = request::new_without_id(target, Method::GET, LOAD_REPORT_PATH, Bytes::new(), timeout);
         // Allows one connection above the limit, so that a transcriber whose connections are all in use does not
         // appear unreachable.
-        let mut limits = self.state.limits.get();
-        limits.max_connections_per_transcriber += 1;
-        let response = self.send_with_limits(limits, target, request).await?;
+        let call = Call::new(&self.state, self.state.limits.get(), target, request.timeout);
+        let response = self.run(call.with_extra_connections(REPORT_CONNECTIONS), request).await?;
         if response.head.status == StatusCode::OK {
             return parse_load_report(&response.body).map(Some).ok_or(ClientError::MayHaveRun);
         }
@@ -121,9 +122,11 @@
         if is_load_report(&response.body) { Err(ClientError::MayHaveRun) } else { Ok(response.head.status) }
     }
 
-    /// Replaces the limits. A lower limit closes no existing connection.
+    /// Replaces the limits. They apply to calls that wait for a connection, too. Under a lower limit of connections, idle
+    /// ones beyond it are closed now and those in use after their response.
     pub fn set_limits(&self, limits: ClientLimits) {
         self.state.limits.set(limits);
+        self.state.pool.set_max_connections(limits.max_connections_per_transcriber);
     }
 
     /// Closes the connections to a transcriber that is draining or has terminated: idle ones now, those in use after
@@ -139,13 +142,6 @@
         self.state.metrics.get()
     }
 
-    async fn send_with_limits(
-        &self, limits: ClientLimits, target: &Target, request: OutgoingRequest,
-    ) -> Result<BufferedResponse, ClientError> {
-        let call = Call::new(&self.state, limits, target, request.timeout);
-        self.run(call, request).await
-    }
-
     async fn run(&self, call: Call<'_>, request: OutgoingRequest) -> Result<BufferedResponse, ClientError> {
         call.run_until_deadline(async {
             let started = call.start(request).await?;
--- a/crates/pebblepost-transcriber/src/pool.rs
+++ b/crates/pebblepost-transcriber/src/pool.rs
@@ -12,11 +12,15 @@
 
 /// Minimum interval between sweeps of expired connections. Only a checkout starts a sweep.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Connections beyond the limit that a load report may use.
+pub(crate) const REPORT_CONNECTIONS: usize = 1;
 
 /// The connections of one client to all transcribers.
 pub(crate) struct ConnectionPool {
     targets: RefCell<HashMap<Target, Rc<TargetPool>>>,
     last_sweep_at: Cell<Instant>,
+    /// Maximum number of connections to each transcriber.
+    max_connections: Rc<Cell<usize>>,
 }
 
 /// The connections to one transcriber.
@@ -30,6 +34,8 @@
     available: Notify,
     /// Whether the transcriber was removed from the pool. No further request is sent to it then.
     is_removed: Cell<bool>,
+    /// Maximum number of connections, shared with the pool.
+    max_connections: Rc<Cell<usize>>,
 }
 
 struct IdleConnection {
@@ -113,14 +119,15 @@
 
     /// Returns the connection to the pool, to stay idle for at most `idle_limit`.
     ///
-    /// Closes it instead if `idle_limit` is `None`, the connection cannot be reused, or the transcriber was removed.
+    /// Closes it instead if `idle_limit` is `None`, the connection cannot be reused, the transcriber was removed, or there
+    /// are more connections than allowed.
     pub(crate) async fn release(mut self, idle_limit: Option<Duration>) {
         let Some(idle_limit) = idle_limit else { return };
         if !self.connection.is_reusable().await {
             return;
         }
         let target = self.slot.target.clone();
-        if target.is_removed.get() {
+        if target.is_removed.get() || target.has_surplus() {
             return;
         }
         let expires_at = Instant::now() + idle_limit;
@@ -166,6 +173,30 @@
         drop(expired);
     }
 
+    /// Returns whether one more connection may be open besides the present ones. At least one is allowed.
+    fn has_room(&self, extra_connections: usize) -> bool {
+        self.occupied_slots.get() < (self.max_connections.get() + extra_connections).max(1)
+    }
+
+    /// Returns whether there are more connections than allowed, because the limit was lowered.
+    fn has_surplus(&self) -> bool {
+        self.occupied_slots.get() > self.max_connections.get().max(1) + REPORT_CONNECTIONS
+    }
+
+    /// Closes idle connections beyond the limit, those first that have been idle for longest.
+    fn close_surplus(&self) {
+        while self.has_surplus() {
+            let mut idle = self.idle.borrow_mut();
+            if idle.is_empty() {
+                return;
+            }
+            let closed = idle.remove(0);
+            // The slot is freed when the borrow has ended.
+            drop(idle);
+            drop(closed);
+        }
+    }
+
     fn close_idle(&self) {
         let idle = std::mem::take(&mut *self.idle.borrow_mut());
         drop(idle);
@@ -173,17 +204,35 @@
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool.
-    pub(crate) fn new() -> ConnectionPool {
-        ConnectionPool { targets: RefCell::default(), last_sweep_at: Cell::new(Instant::now()) }
+    /// Creates an empty pool. `max_connections` is the limit for each transcriber.
+    pub(crate) fn new(max_connections: usize) -> ConnectionPool {
+        ConnectionPool {
+            targets: RefCell::default(),
+            last_sweep_at: Cell::new(Instant::now()),
+            max_connections: Rc::new(Cell::new(max_connections)),
+        }
+    }
+
+    /// Changes the limit. Waiting checkouts follow a higher one at once; under a lower one, idle connections beyond it are
+    /// closed now and those in use after their response.
+    pub(crate) fn set_max_connections(&self, max_connections: usize) {
+        let before = self.max_connections.replace(max_connections);
+        if before == max_connections {
+            return;
+        }
+        let pools: Vec<Rc<TargetPool>> = self.targets.borrow().values().cloned().collect();
+        for pool in pools {
+            pool.close_surplus();
+            pool.available.notify_waiters();
+        }
     }
 
     /// Returns an idle connection for a request, or a slot for a new one. Waits while all slots are occupied and no
     /// connection is idle.
     ///
-    /// At least one connection is allowed, even if `max_connections` is 0.
+    /// At least one connection is allowed, even if the limit is 0. `extra_connections` may exceed the limit.
     pub(crate) async fn checkout(
-        &self, target: &Target, max_connections: usize, request_id: &str,
+        &self, target: &Target, extra_connections: usize, request_id: &str,
     ) -> Checkout {
         self.sweep();
         let pool = self.get_or_create_target_pool(target);
@@ -192,7 +241,7 @@
                 Ok(connection) => return Checkout::Reused(connection),
                 Err(reason) => reason,
             };
-            if pool.occupied_slots.get() < max_connections.max(1) {
+            if pool.has_room(extra_connections) {
                 pool.occupied_slots.set(pool.occupied_slots.get() + 1);
                 return Checkout::Connect(ConnectionSlot { target: pool }, reason);
             }
@@ -220,7 +269,8 @@
         if let Some(pool) = self.targets.borrow().get(target) {
             return pool.clone();
         }
-        let pool = Rc::new(TargetPool::default());
+        let max_connections = self.max_connections.clone();
+        let pool = Rc::new(TargetPool { max_connections, ..TargetPool::default() });
         self.targets.borrow_mut().insert(target.clone(), pool.clone());
         pool
     }
--- a/crates/pebblepost-transcriber/src/state.rs
+++ b/crates/pebblepost-transcriber/src/state.rs
@@ -18,7 +18,7 @@
         ClientState {
             limits: Cell::new(limits),
             metrics: MetricsCell::default(),
-            pool: ConnectionPool::new(),
+            pool: ConnectionPool::new(limits.max_connections_per_transcriber),
         }
     }
 }
--- a/crates/pebblepost-transcriber/tests/client/exchanges.rs
+++ b/crates/pebblepost-transcriber/tests/client/exchanges.rs
@@ -255,6 +255,78 @@
     });
 }
 
+/// Guards against: calls that wait for a connection under a limit that was raised meanwhile.
+#[test]
+fn a_raised_connection_limit_applies_to_waiting_calls() {
+    run(async {
+        let (release, wait_release) = oneshot::channel();
+        let busy = vec![Step::Read, Step::Await(wait_release), Step::Write(OK_A)];
+        let server = ScriptedTranscriber::start(vec![busy, vec![Step::Read, Step::Write(OK_B)]]).await;
+        let client = Client::new(ClientLimits { max_connections_per_transcriber: 1, ..limits() });
+        let target = server.target();
+        let (first, second, ()) =
+            tokio::join!(client.send(&target, outgoing("a")), client.send(&target, outgoing("b")), async {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                client.set_limits(ClientLimits { max_connections_per_transcriber: 2, ..limits() });
+                while client.metrics().connection_attempts < 2 {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+                release.send(()).unwrap();
+            });
+        assert_eq!((&first.unwrap().body[..], &second.unwrap().body[..]), (&b"hi"[..], &b"ho"[..]));
+    });
+}
+
+/// Guards against: connections beyond a lowered limit that stay open for as long as they are used.
+#[rstest]
+#[case::idle_ones(false)]
+#[case::one_in_use(true)]
+fn a_lowered_connection_limit_closes_the_connections_beyond_it(#[case] is_in_use: bool) {
+    const CONNECTIONS: usize = 4;
+    run(async move {
+        let mut scripts = Vec::new();
+        let mut releases = Vec::new();
+        let mut closed = Vec::new();
+        for _ in 0..CONNECTIONS {
+            let ((release, wait_release), (notify, wait_closed)) = (oneshot::channel(), oneshot::channel());
+            scripts.push(vec![
+                Step::Read,
+                Step::Await(wait_release),
+                Step::Write(OK_A),
+                Step::AwaitClose(notify),
+            ]);
+            releases.push(release);
+            closed.push(wait_closed);
+        }
+        let server = ScriptedTranscriber::start(scripts).await;
+        let (client, target) = (client(), server.target());
+        let lowered = ClientLimits { max_connections_per_transcriber: 1, ..limits() };
+        let calls = async {
+            let calls = [(); CONNECTIONS].map(|()| client.send(&target, outgoing("a")));
+            let [one, two, three, four] = calls;
+            tokio::join!(one, two, three, four)
+        };
+        let (responses, ()) = tokio::join!(calls, async {
+            while client.metrics().connection_attempts < CONNECTIONS as u64 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            if is_in_use {
+                client.set_limits(lowered);
+            }
+            releases.into_iter().for_each(|release| release.send(()).unwrap());
+        });
+        assert!(responses.0.is_ok() && responses.1.is_ok() && responses.2.is_ok() && responses.3.is_ok());
+        client.set_limits(lowered);
+        // One is allowed, and one more for load reports.
+        let mut closed_count = 0;
+        for wait_closed in closed {
+            let outcome = tokio::time::timeout(Duration::from_millis(200), wait_closed).await;
+            closed_count += usize::from(matches!(outcome, Ok(Ok(()))));
+        }
+        assert_eq!(closed_count, CONNECTIONS - 2);
+    });
+}
+
 #[test]
 fn a_load_report_may_exceed_the_connection_limit_by_one() {
     run(async {
