--- a/crates/pebblepost-proxy/src/activity.rs
+++ b/crates/pebblepost-proxy/src/activity.rs
@@ -1,5 +1,5 @@
 //! Activity of one client connection. It lets a single timer bound both the idle time of the connection
-//! and the time that a request head takes.
+//! and the time that a request head takes, and tells when nothing is under way on the connection.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -19,43 +19,88 @@
 
 /// Activity of a connection. Clones share the state.
 #[derive(Clone, Debug)]
-pub(crate) struct ConnectionActivity(Rc<Cell<ActivityState>>);
+pub(crate) struct ConnectionActivity(Rc<SharedState>);
+
+#[derive(Debug)]
+struct SharedState {
+    state: Cell<ActivityState>,
+    /// Whether the body of the last request was read to its end.
+    is_body_read: Cell<bool>,
+    /// Whether bytes were written after the last flush.
+    has_unflushed_bytes: Cell<bool>,
+    /// Idle time that the last response has announced to the client.
+    announced_idle_timeout: Cell<Duration>,
+}
 
 impl ConnectionActivity {
     /// Creates the activity of a connection that was just accepted; it is idle.
     pub(crate) fn new() -> ConnectionActivity {
-        ConnectionActivity(Rc::new(Cell::new(ActivityState::Idle(Instant::now()))))
+        ConnectionActivity(Rc::new(SharedState {
+            state: Cell::new(ActivityState::Idle(Instant::now())),
+            is_body_read: Cell::new(true),
+            has_unflushed_bytes: Cell::new(false),
+            announced_idle_timeout: Cell::new(Duration::ZERO),
+        }))
     }
 
     /// Marks a request head as complete.
     pub(crate) fn mark_request_started(&self) {
-        self.0.set(ActivityState::InRequest);
+        self.0.state.set(ActivityState::InRequest);
+        self.0.is_body_read.set(false);
+    }
+
+    /// Marks the body of the request as read to its end.
+    pub(crate) fn mark_body_read(&self) {
+        self.0.is_body_read.set(true);
     }
 
     /// Marks the response as complete or abandoned. The connection is idle from now on.
     pub(crate) fn mark_request_ended(&self) {
-        self.0.set(ActivityState::Idle(Instant::now()));
+        self.0.state.set(ActivityState::Idle(Instant::now()));
+    }
+
+    /// Records the idle time that a response announces to the client.
+    pub(crate) fn announce_idle_timeout(&self, idle_timeout: Duration) {
+        self.0.announced_idle_timeout.set(idle_timeout);
     }
 
     /// Marks the arrival of bytes. On an idle connection they begin a request head.
     pub(crate) fn mark_bytes_read(&self) {
-        if let ActivityState::Idle(_) = self.0.get() {
-            self.0.set(ActivityState::ReadingHead(Instant::now()));
+        if let ActivityState::Idle(_) = self.0.state.get() {
+            self.0.state.set(ActivityState::ReadingHead(Instant::now()));
         }
     }
 
+    /// Marks that bytes were given to the socket.
+    pub(crate) fn mark_bytes_written(&self) {
+        self.0.has_unflushed_bytes.set(true);
+    }
+
+    /// Marks that all bytes that were to be written have been written.
+    pub(crate) fn mark_flushed(&self) {
+        self.0.has_unflushed_bytes.set(false);
+    }
+
+    /// Returns whether the last request was read and answered as a whole, so that only a part of the next head may have
+    /// arrived.
+    pub(crate) fn is_between_requests(&self) -> bool {
+        let is_in_request = matches!(self.0.state.get(), ActivityState::InRequest);
+        !is_in_request && self.0.is_body_read.get() && !self.0.has_unflushed_bytes.get()
+    }
+
     /// Returns the time by which a request head that has begun must be complete.
     pub(crate) fn head_deadline(&self, header_timeout: Duration) -> Option<Instant> {
-        match self.0.get() {
+        match self.0.state.get() {
             ActivityState::ReadingHead(since) => Some(since + header_timeout),
             ActivityState::Idle(_) | ActivityState::InRequest => None,
         }
     }
 
-    /// Returns when the connection is to be closed if its state does not change; `None` during a request.
+    /// Returns when the connection is to be closed if its state does not change; `None` during a request. An idle
+    /// connection is kept for as long as its client was told.
     pub(crate) fn close_deadline(&self, header_timeout: Duration, idle_timeout: Duration) -> Option<Instant> {
-        match self.0.get() {
-            ActivityState::Idle(since) => Some(since + idle_timeout),
+        match self.0.state.get() {
+            ActivityState::Idle(since) => Some(since + idle_timeout.max(self.0.announced_idle_timeout.get())),
             ActivityState::ReadingHead(since) => Some(since + header_timeout),
             ActivityState::InRequest => None,
         }
--- a/crates/pebblepost-proxy/src/connections/connection.rs
+++ b/crates/pebblepost-proxy/src/connections/connection.rs
@@ -1,5 +1,6 @@
 //! Serves one client connection until it ends, exceeds a deadline, or the process shuts down.
 
+use super::http_connection::HttpConnection;
 use super::tracked_stream::TrackedStream;
 use crate::activity::ConnectionActivity;
 use crate::feed::FeedCache;
@@ -8,9 +9,7 @@
 use crate::shutdown::Shutdown;
 use http::Request;
 use hyper::body::Incoming;
-use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use log::debug;
 use pebblepost_configuration::Limits;
 use std::convert::Infallible;
@@ -21,9 +20,6 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, Sleep};
 
-/// Lower bound of the maximum size of a connection's read buffer.
-const MIN_BUFFER_BYTES: usize = 64 * 1024;
-
 /// Shared state that connections need.
 #[derive(Debug)]
 pub(crate) struct ConnectionContext {
@@ -43,21 +39,23 @@
         debug!("client connection closed, TCP_NODELAY not set: {error}");
         return;
     }
-    let limits = context.feed.limits();
     let activity = ConnectionActivity::new();
-    let io = TokioIo::new(TrackedStream::new(stream, activity.clone()));
+    let feed = &context.feed;
     let service = service_fn(|request: Request<Incoming>| {
         let response = context.handler.clone().handle(activity.clone(), request);
         async { Ok::<_, Infallible>(response.await) }
     });
-    let mut connection = pin!(builder(&limits).serve_connection(io, service));
+    let tracked = TrackedStream::new(stream, activity.clone());
+    let mut connection =
+        HttpConnection::new(tracked, service, activity.clone(), feed.limits().max_header_bytes);
     let mut closing = pin!(context.shutdown.wait_until_closing());
     let mut is_closing = false;
-    let mut check = pin!(tokio::time::sleep(limits.idle_timeout));
+    let mut check = pin!(tokio::time::sleep(feed.limits().idle_timeout));
     loop {
+        let limits_changed = feed.wait_for_limits_change();
         tokio::select! {
             biased;
-            result = connection.as_mut() => {
+            result = poll_fn(|task| connection.poll(task, feed.limits().max_header_bytes)) => {
                 if let Err(error) = result {
                     debug!("client connection ended: {error}");
                 }
@@ -65,14 +63,16 @@
             }
             () = closing.as_mut(), if !is_closing => {
                 is_closing = true;
-                connection.as_mut().graceful_shutdown();
-            }
-            () = check_due(check.as_mut(), &activity, &limits) => {
-                match next_check(&activity, &context.feed.limits()) {
-                    Some(at) => check.as_mut().reset(at),
-                    None => return,
-                }
+                connection.shut_down_gracefully();
             }
+            () = limits_changed => match next_check(&activity, &feed.limits()) {
+                Some(at) => check.as_mut().reset(at),
+                None => return,
+            },
+            () = check_due(check.as_mut(), &activity, feed) => match next_check(&activity, &feed.limits()) {
+                Some(at) => check.as_mut().reset(at),
+                None => return,
+            },
         }
     }
 }
@@ -81,9 +81,9 @@
 /// head is incomplete.
 ///
 /// It must be polled after the connection, so that a head that arrives as a whole resets no timer.
-async fn check_due(mut check: Pin<&mut Sleep>, activity: &ConnectionActivity, limits: &Limits) {
+async fn check_due(mut check: Pin<&mut Sleep>, activity: &ConnectionActivity, feed: &FeedCache) {
     poll_fn(|context| {
-        let head_deadline = activity.head_deadline(limits.header_timeout);
+        let head_deadline = activity.head_deadline(feed.limits().header_timeout);
         if let Some(at) = head_deadline.filter(|at| *at < check.deadline()) {
             check.as_mut().reset(at);
         }
@@ -92,15 +92,6 @@
     .await;
 }
 
-fn builder(limits: &Limits) -> Builder {
-    let mut builder = Builder::new();
-    builder
-        .auto_date_header(false)
-        .max_header_size(limits.max_header_bytes)
-        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES));
-    builder
-}
-
 /// Returns when to check a connection again; `None` if its deadline has passed.
 fn next_check(activity: &ConnectionActivity, limits: &Limits) -> Option<Instant> {
     let now = Instant::now();
--- a/crates/pebblepost-proxy/src/connections/mod.rs
+++ b/crates/pebblepost-proxy/src/connections/mod.rs
@@ -1,6 +1,7 @@
 //! Client connections: HTTP/1.1, one task per connection, within the limits of the configuration.
 
 mod connection;
+mod http_connection;
 mod server;
 mod tracked_stream;
 
--- a/crates/pebblepost-proxy/src/connections/tracked_stream.rs
+++ b/crates/pebblepost-proxy/src/connections/tracked_stream.rs
@@ -1,6 +1,7 @@
 //! Socket of a client connection that marks the arrival of bytes in its [`ConnectionActivity`].
 
 use crate::activity::ConnectionActivity;
+use bytes::Bytes;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -12,12 +13,20 @@
 pub(crate) struct TrackedStream {
     stream: TcpStream,
     activity: ConnectionActivity,
+    /// Bytes that are read before those of the stream.
+    unread: Bytes,
 }
 
 impl TrackedStream {
     /// Wraps a stream, whose reads are then marked in `activity`.
     pub(crate) fn new(stream: TcpStream, activity: ConnectionActivity) -> TrackedStream {
-        TrackedStream { stream, activity }
+        TrackedStream { stream, activity, unread: Bytes::new() }
+    }
+
+    /// Puts back bytes that were read, to be read again.
+    pub(crate) fn unread(&mut self, bytes: Bytes) {
+        debug_assert!(self.unread.is_empty(), "bytes are put back after those before were read");
+        self.unread = bytes;
     }
 }
 
@@ -25,6 +34,11 @@
     fn poll_read(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.unread.is_empty() {
+            let length = self.unread.len().min(buffer.remaining());
+            buffer.put_slice(&self.unread.split_to(length));
+            return Poll::Ready(Ok(()));
+        }
         let before = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
         if buffer.filled().len() > before {
@@ -38,11 +52,16 @@
     fn poll_write(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.activity.mark_bytes_written();
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let result = Pin::new(&mut self.stream).poll_flush(context);
+        if matches!(result, Poll::Ready(Ok(()))) {
+            self.activity.mark_flushed();
+        }
+        result
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -52,6 +71,7 @@
     fn poll_write_vectored(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.activity.mark_bytes_written();
         Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
 
--- a/crates/pebblepost-proxy/src/feed/cache.rs
+++ b/crates/pebblepost-proxy/src/feed/cache.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 
 /// Limits for client connections before the first configuration. They are wide, so that no request is
 /// rejected as too large that the configuration would allow. The memory budget still bounds the bodies.
@@ -25,6 +26,7 @@
     /// A batch of updates has been received.
     received: Cell<bool>,
     changed: Notify,
+    limits_changed: Notify,
 }
 
 impl FeedCache {
@@ -40,7 +42,12 @@
 
     /// Applies an update to the state and returns what it changed.
     pub(super) fn apply(&self, update: &FeedUpdate) -> FeedChanges {
-        self.state.borrow_mut().apply(update)
+        let limits_before = self.limits();
+        let changes = self.state.borrow_mut().apply(update);
+        if self.limits() != limits_before {
+            self.limits_changed.notify_waiters();
+        }
+        changes
     }
 
     /// Records that a batch of updates was received.
@@ -78,6 +85,11 @@
         self.state.borrow().configuration().map_or(DEFAULT_LIMITS, |configuration| configuration.limits())
     }
 
+    /// Returns when the limits for client connections have changed after the call.
+    pub(crate) fn wait_for_limits_change(&self) -> Notified<'_> {
+        self.limits_changed.notified()
+    }
+
     /// Returns whether a batch and a configuration have been received, so that the proxy can serve.
     pub(crate) fn is_complete(&self) -> bool {
         self.received.get() && self.state.borrow().configuration().is_some()
--- a/crates/pebblepost-proxy/src/feed/updater.rs
+++ b/crates/pebblepost-proxy/src/feed/updater.rs
@@ -9,6 +9,7 @@
 use pebblepost_messages::feed::{FeedUpdate, InstanceState};
 use pebblepost_settings::MachineLimits;
 use pebblepost_transcriber::{Client, ClientLimits, Target};
+use std::cell::RefCell;
 use std::rc::Rc;
 
 /// Result of applying feed updates.
@@ -28,16 +29,22 @@
     backends: Rc<Backends>,
     client: Client,
     runner: BatchRunner,
-    machine_limits: MachineLimits,
+    machine_limits: RefCell<MachineLimits>,
 }
 
 impl FeedUpdater {
-    /// Creates an updater of these parts. `machine_limits` are those of the settings at the start.
+    /// Creates an updater of these parts. `machine_limits` are those of the settings.
     pub(crate) fn new(
         cache: Rc<FeedCache>, backends: Rc<Backends>, client: Client, runner: BatchRunner,
         machine_limits: MachineLimits,
     ) -> FeedUpdater {
-        FeedUpdater { cache, backends, client, runner, machine_limits }
+        FeedUpdater { cache, backends, client, runner, machine_limits: RefCell::new(machine_limits) }
+    }
+
+    /// Replaces the limits of the settings, which have been read again.
+    pub(crate) fn set_machine_limits(&self, machine_limits: MachineLimits) {
+        *self.machine_limits.borrow_mut() = machine_limits;
+        self.client.set_limits(self.client_limits());
     }
 
     /// Applies updates. They are in force when this returns.
@@ -86,7 +93,7 @@
             services.and_then(|services| services.iter().map(|service| service.max_conns).min());
         let share = min_connections
             .map_or(DEFAULT_CONNECTIONS_PER_TRANSCRIBER, |connections| connections / feed.proxy_count());
-        client_limits(&self.machine_limits, share)
+        client_limits(&self.machine_limits.borrow(), share)
     }
 
     /// Returns the generation of the configuration in force; 0 if there is none.
--- a/crates/pebblepost-proxy/src/handler.rs
+++ b/crates/pebblepost-proxy/src/handler.rs
@@ -54,26 +54,31 @@
         self: Rc<Self>, activity: ConnectionActivity, request: Request<Incoming>,
     ) -> Response<ResponseBody> {
         activity.mark_request_started();
-        let mut response = self.respond(request).await.unwrap_or_else(|rejection| {
+        let mut response = self.respond(&activity, request).await.unwrap_or_else(|rejection| {
             debug!("request rejected: {rejection}");
             self.metrics.update(|counts| counts.rejected += 1);
             response::rejected(rejection)
         });
         let headers = response.headers_mut();
         if self.shutdown.is_serving() {
-            response::set_keep_alive(headers, self.feed.limits().idle_timeout);
+            let idle_timeout = self.feed.limits().idle_timeout;
+            activity.announce_idle_timeout(idle_timeout);
+            response::set_keep_alive(headers, idle_timeout);
         } else {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response.map(|payload| ResponseBody::new(payload, activity))
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Result<Response<Payload>, Rejection> {
+    async fn respond(
+        &self, activity: &ConnectionActivity, request: Request<Incoming>,
+    ) -> Result<Response<Payload>, Rejection> {
         let arrived = Instant::now();
         let limits = self.feed.limits();
         let (parts, body) = request.into_parts();
         let head = RequestHead::check(parts, &limits)?;
         let body = read_body(body, &limits, &self.memory).await?;
+        activity.mark_body_read();
         self.metrics.update(|counts| counts.requests += 1);
         // The configuration is looked up after the body was read, so that the newest one applies.
         let configuration = self.feed.wait_for_configuration(configuration_timeout(&head)).await;
--- a/crates/pebblepost-proxy/src/proxy.rs
+++ b/crates/pebblepost-proxy/src/proxy.rs
@@ -148,7 +148,8 @@
         match Settings::from_environment() {
             Ok(settings) => {
                 self.memory.set_limit(request_body_budget_bytes(&settings.limits));
-                info!("settings reloaded, memory limit of request bodies applied");
+                self.updater.set_machine_limits(settings.limits);
+                info!("settings reloaded, memory limits applied");
             }
             Err(error) => warn!("settings not reloaded, previous settings stay in force: {error:#}"),
         }
--- a/crates/pebblepost-proxy/src/request/head.rs
+++ b/crates/pebblepost-proxy/src/request/head.rs
@@ -2,7 +2,7 @@
 
 use super::rejection::Rejection;
 use http::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderName};
-use http::{HeaderMap, Method, request::Parts};
+use http::{HeaderMap, Method, Uri, request::Parts};
 use pebblepost_configuration::Limits;
 use pebblepost_transcriber::remove_connection_headers;
 use std::time::Duration;
@@ -36,7 +36,7 @@
     /// if there is not exactly one `Host`, or the path, `Request-Id` or `Deadline-Ms` is invalid.
     pub(crate) fn check(parts: Parts, limits: &Limits) -> Result<RequestHead, Rejection> {
         let Parts { method, uri, mut headers, .. } = parts;
-        if head_bytes(&headers) > limits.max_header_bytes {
+        if head_bytes(&method, &uri, &headers) > limits.max_header_bytes {
             return Err(Rejection::HeadTooLarge);
         }
         let host = single_value(&headers, HOST).ok_or(Rejection::Malformed)?.to_owned();
@@ -60,10 +60,14 @@
     }
 }
 
-/// Returns the approximate size of the headers on the wire.
-fn head_bytes(headers: &HeaderMap) -> usize {
-    const SEPARATOR_BYTES: usize = 4;
-    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + SEPARATOR_BYTES).sum()
+/// Returns the size of the head on the wire, with one space behind each colon.
+fn head_bytes(method: &Method, uri: &Uri, headers: &HeaderMap) -> usize {
+    const REQUEST_LINE_SEPARATORS: usize = "  HTTP/1.1\r\n".len();
+    const HEADER_SEPARATORS: usize = ": \r\n".len();
+    const END: usize = "\r\n".len();
+    let path = uri.path_and_query().map_or(0, |path| path.as_str().len());
+    let fields = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + HEADER_SEPARATORS);
+    method.as_str().len() + path + REQUEST_LINE_SEPARATORS + fields.sum::<usize>() + END
 }
 
 /// Returns the value of a header that must occur exactly once and must not be empty.
--- a/crates/pebblepost-proxy/tests/support/mod.rs
+++ b/crates/pebblepost-proxy/tests/support/mod.rs
@@ -28,13 +28,38 @@
 {"name":"e","hostname":"h.example","path_prefix":"/twice/","kind":"idempotent","timeout_ms":1500,
  "target_latency_ms":100,"priority":2,"backend":"pages","max_attempts":2}"#;
 
+/// Limits of a configuration; the body limit is 64 bytes.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
+    pub max_header_bytes: usize,
+    pub header_timeout_ms: u64,
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for ConnectionLimits {
+    fn default() -> ConnectionLimits {
+        ConnectionLimits { max_header_bytes: 2048, header_timeout_ms: 600, idle_timeout_ms: 2000 }
+    }
+}
+
 /// Returns an update with a full configuration that has these routes.
 pub fn configuration(generation: u64, routes: &str) -> FeedUpdate {
+    full_configuration(generation, routes, ConnectionLimits::default())
+}
+
+/// Returns an update with a full configuration that has these limits, and the usual routes.
+pub fn configuration_with_limits(generation: u64, limits: ConnectionLimits) -> FeedUpdate {
+    full_configuration(generation, ROUTES, limits)
+}
+
+fn full_configuration(generation: u64, routes: &str, limits: ConnectionLimits) -> FeedUpdate {
+    let ConnectionLimits { max_header_bytes, header_timeout_ms, idle_timeout_ms } = limits;
     let document = format!(
         r#"{{"generation":{generation},"routes":[{routes}],"services":[
         {{"name":"pages","health_path":"/healthz","max_conns":100,"protocol":"h1","tls":false}},
         {{"name":"other","health_path":"/healthz","max_conns":100,"protocol":"h1","tls":false}}],
-        "limits":{{"max_header_bytes":2048,"max_body_bytes":64,"header_timeout_ms":600,"idle_timeout_ms":2000}}}}"#
+        "limits":{{"max_header_bytes":{max_header_bytes},"max_body_bytes":64,
+        "header_timeout_ms":{header_timeout_ms},"idle_timeout_ms":{idle_timeout_ms}}}}}"#
     );
     FeedUpdate::Configuration(ConfigurationUpdate::Full { generation, document: document.into_bytes() })
 }
