Memory test: wait until a restarted store is connected, in place of a fixed time

Cause: the test gave a restarted store 3 s to load its jobs; the last one was still reading its disk (54 MB resident, 105 to 177 MB when loaded), had no signal handler yet, and the test's SIGTERM ended it. Change: the test waits until the log reports the connection to control, which follows the loading and the signal handlers, and then gives 3 s to catch up. As strict: all memory bounds are the same and are now taken after the loading.

--- a/crates/pebblepost-system/tests/common/cluster.rs
+++ b/crates/pebblepost-system/tests/common/cluster.rs
@@ -247,6 +247,22 @@
         self.start_process(index, false);
     }
 
+    /// Restarts a killed store and waits until it has loaded its disk and is connected to control.
+    pub async fn restart_store(&mut self, index: usize, timeout: Duration) {
+        let connections_before = self.control_connections(index);
+        self.restart(index);
+        super::wait_for("the store is connected", timeout, || {
+            self.control_connections(index) > connections_before
+        })
+        .await;
+    }
+
+    /// Returns how often the log of a process reports a connection to control.
+    fn control_connections(&self, index: usize) -> usize {
+        let log = std::fs::read_to_string(self.log_path(index)).unwrap_or_default();
+        log.matches("connected to control plane").count()
+    }
+
     /// Fails the test if a process that was not killed has ended.
     pub fn assert_running(&mut self) {
         for process in &mut self.processes {
--- a/crates/pebblepost-system/tests/memory.rs
+++ b/crates/pebblepost-system/tests/memory.rs
@@ -17,8 +17,8 @@
 const TIMEOUT: Duration = Duration::from_secs(15);
 /// Longest wait for the answer to a job.
 const JOB_TIMEOUT: Duration = Duration::from_secs(20);
-/// Time that a restarted store is given to load its jobs.
-const RESTART_TIME: Duration = Duration::from_secs(3);
+/// Time that a restarted store is given to catch up with the others.
+const CATCH_UP_TIME: Duration = Duration::from_secs(3);
 /// Size of a job, just below `max_body_bytes`.
 const JOB_BYTES: usize = 32_400_000;
 
@@ -115,8 +115,8 @@
         assert_eq!(accepted > 0, has_room, "{accepted} jobs were accepted");
         for number in 0..usize::from(STORES) {
             let store = cluster.kill_store(number);
-            cluster.restart(store);
-            tokio::time::sleep(RESTART_TIME).await;
+            cluster.restart_store(store, TIMEOUT).await;
+            tokio::time::sleep(CATCH_UP_TIME).await;
         }
         cluster.assert_running();
         cluster.assert_memory_within_limits();
