--- a/crates/pebblepost-batch-runner/src/job/request.rs
+++ b/crates/pebblepost-batch-runner/src/job/request.rs
@@ -13,7 +13,7 @@
 use std::hash::{BuildHasher, RandomState};
 use tokio::task::yield_now;
 
-/// Text that is parsed before other tasks run. Clients wait for about a millisecond meanwhile.
+/// Maximum length of the text that is parsed before other tasks of the thread run, except for a single longer item.
 const MAX_BYTES_PER_TURN: usize = 64 * 1024;
 
 /// A submitted job.
--- a/crates/pebblepost-messages/src/batch/mod.rs
+++ b/crates/pebblepost-messages/src/batch/mod.rs
@@ -2,16 +2,15 @@
 
 mod encoded_job;
 mod estimate;
-mod item_encoder;
 mod job;
 mod lease;
 mod message;
 mod result;
 mod store_group;
+mod submission;
 
 pub use encoded_job::EncodedJob;
 pub use estimate::{estimated_item_bytes, estimated_job_bytes};
-pub use item_encoder::encode_submission_head;
 pub use job::{Item, Job, JobTerms, MAX_ENCODED_JOB_BYTES, Scorer};
 pub use lease::{
     ActiveLease, ItemOutcome, LEASE_DURATION_MS, LEASE_RENEWAL_INTERVAL_MS, LeasedItem, UnsendableItems,
@@ -20,3 +19,4 @@
 pub use message::{FromStore, JobResponse, ResultPage, SubmitOutcome, ToStore};
 pub use result::{ItemResult, PartialText, ResultState};
 pub use store_group::{STORE_GROUPS, store_group_of};
+pub use submission::encode_submission_head;
