Replication: log, disk record and append share the bytes of an entry

Cause: the record for the disk and the append to a replica each copied the entry of the log.

Change: Blob, the data of an entry, shares its bytes between clones; DiskRecord::Entry holds one. Both encodings are as they were (pinned_bytes, stored_forms and stored_form pass with their approved bytes).

--- a/crates/pebblepost-batch-store/tests/integration/stored_form.rs
+++ b/crates/pebblepost-batch-store/tests/integration/stored_form.rs
@@ -62,7 +62,7 @@
         ),
         ("epoch", record(DiskRecord::Epoch(epoch_record()))),
         ("acted", record(DiskRecord::Acted { epoch: 1 })),
-        ("entry", record(DiskRecord::Entry { index: 5, epoch: 1, entry: encoded_entry() })),
+        ("entry", record(DiskRecord::Entry { index: 5, epoch: 1, entry: encoded_entry().into() })),
     ]
 }
 
--- a/crates/pebblepost-control/tests/control/stored_forms.rs
+++ b/crates/pebblepost-control/tests/control/stored_forms.rs
@@ -96,7 +96,7 @@
         accepted_number: ProposalNumber { counter: 8, proposer: DiskId(1) },
         accepted: Some(epoch_record()),
     };
-    let entry = DiskRecord::Entry { index: 4, epoch: 7, entry: vec![1, 2, 3] };
+    let entry = DiskRecord::Entry { index: 4, epoch: 7, entry: vec![1, 2, 3].into() };
     let snapshot = DiskRecord::Snapshot { index: 5, epoch: 7, state: vec![4, 5] };
     vec![
         ("disk: first record", ControlRecord::Bootstrap(epoch_record())),
--- a/crates/pebblepost-replication/src/codec.rs
+++ b/crates/pebblepost-replication/src/codec.rs
@@ -5,15 +5,31 @@
 
 use nanoserde::{DeBin, DeBinErr, SerBin};
 use pebblepost_messages::{DiskId, Member};
+use std::ops::Deref;
+use std::sync::Arc;
 
-/// A byte string with a length prefix, copied as a whole when encoded and decoded.
+/// A byte string with a length prefix, copied as a whole when encoded and decoded. Clones share the bytes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Blob(pub Vec<u8>);
+pub struct Blob(Arc<Vec<u8>>);
+
+impl From<Vec<u8>> for Blob {
+    fn from(bytes: Vec<u8>) -> Blob {
+        Blob(Arc::new(bytes))
+    }
+}
+
+impl Deref for Blob {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.0
+    }
+}
 
 impl SerBin for Blob {
     fn ser_bin(&self, output: &mut Vec<u8>) {
-        self.0.len().ser_bin(output);
-        output.extend_from_slice(&self.0);
+        self.len().ser_bin(output);
+        output.extend_from_slice(self);
     }
 }
 
@@ -22,7 +38,7 @@
         let length = decode_length(offset, bytes)?;
         let start = *offset;
         *offset += length;
-        Ok(Self(bytes[start..*offset].to_vec()))
+        Ok(Self::from(bytes[start..*offset].to_vec()))
     }
 }
 
--- a/crates/pebblepost-replication/src/replica.rs
+++ b/crates/pebblepost-replication/src/replica.rs
@@ -59,6 +59,7 @@
 mod write_queue;
 
 pub use self::core::Replica;
+pub use crate::codec::Blob;
 pub use disk_record::DiskRecord;
 pub use output::{ProposeError, ReplicaOutput};
 pub use settings::ReplicaSettings;
--- a/crates/pebblepost-replication/src/replica/catch_up.rs
+++ b/crates/pebblepost-replication/src/replica/catch_up.rs
@@ -62,7 +62,7 @@
             index_epoch: snapshot.index_epoch,
             total: snapshot.data.len() as u64,
             offset: snapshot.offset as u64,
-            bytes: Blob(snapshot.chunk().to_vec()),
+            bytes: Blob::from(snapshot.chunk().to_vec()),
         };
         let member = progress.member.clone();
         self.send(member, &chunk);
--- a/crates/pebblepost-replication/src/replica/commit.rs
+++ b/crates/pebblepost-replication/src/replica/commit.rs
@@ -39,7 +39,7 @@
             if entry_index > index {
                 break;
             }
-            self.state_machine.apply(entry_index, &entry.data.0);
+            self.state_machine.apply(entry_index, &entry.data);
         }
         self.commit_index = index;
         self.outputs.push(ReplicaOutput::Committed { index });
--- a/crates/pebblepost-replication/src/replica/disk_record.rs
+++ b/crates/pebblepost-replication/src/replica/disk_record.rs
@@ -15,8 +15,8 @@
         index: u64,
         /// Epoch in which it was first appended.
         epoch: u64,
-        /// Data of the entry.
-        entry: Vec<u8>,
+        /// Data of the entry, which the log shares.
+        entry: Blob,
     },
     /// The state of the application up to an index. It replaces all records of entries before it.
     Snapshot {
@@ -39,7 +39,6 @@
 impl DiskRecord {
     /// Creates the record of an entry of the log.
     pub(super) fn entry(index: u64, entry: &LogEntry) -> Self {
-        let Blob(data) = &entry.data;
-        Self::Entry { index, epoch: entry.epoch, entry: data.clone() }
+        Self::Entry { index, epoch: entry.epoch, entry: entry.data.clone() }
     }
 }
--- a/crates/pebblepost-replication/src/replica/log.rs
+++ b/crates/pebblepost-replication/src/replica/log.rs
@@ -64,7 +64,7 @@
 
     /// Appends an entry and returns its index.
     pub(super) fn push(&mut self, entry: LogEntry) -> u64 {
-        self.bytes += entry.data.0.len();
+        self.bytes += entry.data.len();
         self.entries.push_back(entry);
         self.last_index()
     }
@@ -73,7 +73,7 @@
     pub(super) fn truncate_from(&mut self, index: u64) {
         while self.last_index() >= index {
             let Some(entry) = self.entries.pop_back() else { return };
-            self.bytes -= entry.data.0.len();
+            self.bytes -= entry.data.len();
         }
     }
 
@@ -81,7 +81,7 @@
     pub(super) fn trim(&mut self, max_index: u64, max_bytes: usize) {
         while self.bytes > max_bytes && self.base_index < max_index {
             let Some(entry) = self.entries.pop_front() else { return };
-            self.bytes -= entry.data.0.len();
+            self.bytes -= entry.data.len();
             self.base_index += 1;
             self.base_epoch = entry.epoch;
         }
--- a/crates/pebblepost-replication/src/replica/log_sender.rs
+++ b/crates/pebblepost-replication/src/replica/log_sender.rs
@@ -15,7 +15,7 @@
         if let Some(primary) = self.primary_mut() {
             primary.progress.on_append(last_index, now);
         }
-        self.append_to_log(LogEntry { epoch: self.record.epoch, data: Blob(entry) })
+        self.append_to_log(LogEntry { epoch: self.record.epoch, data: Blob::from(entry) })
     }
 
     /// Handles the acknowledgement that a replica holds the log on disk up to `index`.
@@ -96,7 +96,7 @@
         let mut payload_bytes = 0;
         let mut entries = Vec::new();
         for (_, entry) in self.log.entries_from(previous_index + 1) {
-            let with_entry = payload_bytes + entry.data.0.len();
+            let with_entry = payload_bytes + entry.data.len();
             if with_entry > MAX_PAYLOAD_BYTES && !entries.is_empty() {
                 break;
             }
--- a/crates/pebblepost-replication/src/replica/receive.rs
+++ b/crates/pebblepost-replication/src/replica/receive.rs
@@ -21,7 +21,7 @@
             }
             ReplicaMessage::SnapshotChunk { epoch, index, index_epoch, total, offset, bytes } => {
                 if self.is_from_primary(from, epoch) {
-                    self.on_snapshot_chunk(from, index, index_epoch, total, offset, &bytes.0);
+                    self.on_snapshot_chunk(from, index, index_epoch, total, offset, &bytes);
                 }
             }
             ReplicaMessage::NewEpoch { record } => self.on_new_epoch(record),
--- a/crates/pebblepost-replication/src/replica/recovery.rs
+++ b/crates/pebblepost-replication/src/replica/recovery.rs
@@ -4,7 +4,6 @@
 use super::log::{Log, LogEntry};
 use super::state_machine::StateMachine;
 use super::term_history::TermHistory;
-use crate::codec::Blob;
 use crate::record::EpochRecord;
 
 /// The recovered state, except for that of the state machine, which is restored in place.
@@ -36,7 +35,7 @@
                 recovered.log.reset(index, epoch);
             }
             DiskRecord::Entry { index, epoch, entry } => {
-                let entry = LogEntry { epoch, data: Blob(entry) };
+                let entry = LogEntry { epoch, data: entry };
                 recovered.has_gap |= !replay_entry(&mut recovered.log, index, entry);
             }
         }
--- a/crates/pebblepost-replication/tests/replication/pinned_bytes.rs
+++ b/crates/pebblepost-replication/tests/replication/pinned_bytes.rs
@@ -69,7 +69,7 @@
     assert_pinned("epoch-record", &full_record(), approved);
     assert_pinned("witness-state", &full_witness_state(), approved);
     assert_pinned("witness-state-empty", &WitnessState::default(), approved);
-    let entry = DiskRecord::Entry { index: 3, epoch: 2, entry: vec![1, 2, 255] };
+    let entry = DiskRecord::Entry { index: 3, epoch: 2, entry: vec![1, 2, 255].into() };
     assert_pinned("disk-entry", &entry, approved);
     let snapshot = DiskRecord::Snapshot { index: 5, epoch: 4, state: vec![9, 8, 7] };
     assert_pinned("disk-snapshot", &snapshot, approved);
--- a/crates/pebblepost-replication/tests/replication/removal.rs
+++ b/crates/pebblepost-replication/tests/replication/removal.rs
@@ -151,7 +151,7 @@
 
 #[rstest]
 fn a_replica_with_a_gap_in_its_log_does_not_campaign() {
-    let entry = |index| DiskRecord::Entry { index, epoch: 1, entry: vec![1] };
+    let entry = |index| DiskRecord::Entry { index, epoch: 1, entry: vec![1].into() };
     let complete = vec![DiskRecord::Epoch(record(1, &[1, 2])), entry(1), entry(2), entry(3)];
     let with_gap = vec![complete[0].clone(), complete[1].clone(), complete[3].clone()];
     let mut intact = Replica::new(member(2), settings(1), Entries::default(), complete, Duration::ZERO);
--- a/crates/pebblepost-replication/tests/replication/replica.rs
+++ b/crates/pebblepost-replication/tests/replication/replica.rs
@@ -140,7 +140,7 @@
 
 #[rstest]
 fn a_log_is_recovered_up_to_a_gap_and_completed_only_by_the_primary() {
-    let entry = |index| DiskRecord::Entry { index, epoch: 1, entry: vec![index as u8] };
+    let entry = |index| DiskRecord::Entry { index, epoch: 1, entry: vec![index as u8].into() };
     let records = vec![DiskRecord::Epoch(record(1, &[1])), entry(1), entry(2), entry(4)];
     let mut alone = Group::new(1, 0, record(1, &[1]));
     alone.restart(1, records.clone());
--- a/crates/pebblepost-replication/tests/replication/resumption.rs
+++ b/crates/pebblepost-replication/tests/replication/resumption.rs
@@ -48,7 +48,7 @@
 }
 
 fn entry(index: u64, epoch: u64) -> DiskRecord {
-    DiskRecord::Entry { index, epoch, entry: vec![1] }
+    DiskRecord::Entry { index, epoch, entry: vec![1].into() }
 }
 
 /// Returns replica 1, restarted at time 0 with the records of its disk, while these other replicas are
