Batch store: a job is proposed once all replicas have reserved memory for it

Cause: a primary admitted a job by its own use. A machine is replica of the groups of other primaries, which admitted theirs by their own use, so it got two jobs where it had room for one.

Change: the primary asks each in-sync replica to reserve memory, in the order of the disks, and proposes the job when all have. End of a job that waits for memory: unavailable, so that the proxy asks again.

--- a/crates/pebblepost-batch-store/src/store/handlers/job_calls.rs
+++ b/crates/pebblepost-batch-store/src/store/handlers/job_calls.rs
@@ -1,71 +1,23 @@
-//! Calls of proxies that concern jobs: submit, end, read results, read the body of an item.
+//! Calls of proxies that concern submitted jobs: end, read results, read the body of an item.
 
 use crate::store::Store;
-use crate::store::state::group::{Group, PendingRead};
+use crate::store::state::group::PendingRead;
 use crate::store::state::proposals::{Caller, Proposal};
 use pebblepost_batch::command::Change;
 use pebblepost_batch::job::StoredJob;
-use pebblepost_messages::batch::{
-    EncodedJob, FromStore, JobResponse, ResultPage, SubmitOutcome, store_group_of,
-};
+use pebblepost_messages::batch::{FromStore, JobResponse, ResultPage, SubmitOutcome};
 use std::time::Duration;
 
 /// Maximum estimated size of a page of results, so that it stays below a megabyte as JSON.
 const MAX_PAGE_BYTES: usize = 700_000;
-/// Delay after which a caller may retry a job that exceeded the memory budget.
-const REJECTED_RETRY_AFTER_MS: u64 = 1_000;
 
 impl Store {
-    /// Stores a job. It is decoded only if there is room for it.
-    ///
-    /// The call is idempotent: with the id of a stored job it is accepted at once, and with the id of a
-    /// proposed job it is accepted once that job is committed.
-    pub(crate) fn submit_job(&mut self, now: Duration, caller: Caller, group_id: u32, job: EncodedJob) {
-        if store_group_of(job.id()) != group_id {
-            log::error!("job submitted to the wrong store group job={} group={group_id}", job.id());
-            return self.reply_submitted(&[caller], SubmitOutcome::NotPrimary);
-        }
-        let used_bytes = self.estimated_bytes();
-        let budget = self.settings.budget;
-        let Some(group) = self.acting_group(now, group_id) else {
-            return self.reply_submitted(&[caller], SubmitOutcome::NotPrimary);
-        };
-        if group.state().job(job.id()).is_some() {
-            return self.reply_submitted(&[caller], SubmitOutcome::Accepted);
-        }
-        if let Some(callers) = group.proposals.submit_callers(job.id()) {
-            callers.push(caller);
-            return;
-        }
-        if !budget.admits(used_bytes, job.estimated_bytes()) {
-            // A rejection guarantees that the job never runs. Before the barrier is committed, an entry of
-            // an earlier primary that stores this job may still be committed.
-            let outcome = match group.is_past_barrier() {
-                true => SubmitOutcome::Rejected { retry_after_ms: REJECTED_RETRY_AFTER_MS },
-                false => SubmitOutcome::Unknown,
-            };
-            return self.reply_submitted(&[caller], outcome);
-        }
-        let (id, estimated_bytes) = (job.id().to_owned(), job.estimated_bytes());
-        let decoded = match job.decode() {
-            Ok(decoded) => decoded,
-            Err(error) => {
-                log::error!("job cannot be decoded job={id} error={error:?}");
-                return self.reply_submitted(&[caller], SubmitOutcome::NotPrimary);
-            }
-        };
-        // The proposal has copies of its own from here on.
-        drop(job);
-        let proposal = Proposal::AddJob { job: id, estimated_bytes, callers: vec![caller] };
-        if let Err(error) = group.propose(now, Change::AddJob(decoded), proposal) {
-            log::debug!("job not proposed group={group_id} error={error:?}");
-            self.reply_submitted(&[caller], SubmitOutcome::NotPrimary);
-        }
-        self.process_replica_outputs(now, group_id);
-    }
-
     /// Ends a job. The call is idempotent.
     pub(crate) fn end_job(&mut self, now: Duration, caller: Caller, group_id: u32, job: String) {
+        if self.submissions.of_job(&job).is_some() {
+            // The job may be stored in a moment.
+            return self.reply_ended(&[caller], &JobResponse::Unavailable);
+        }
         let Some(group) = self.acting_group(now, group_id) else {
             return self.reply_ended(&[caller], &JobResponse::Unavailable);
         };
@@ -142,11 +94,6 @@
         self.outbox.reply(caller.link, FromStore::Results { call: caller.call, answer });
     }
 
-    /// Returns the estimated memory of the stored and proposed jobs on this machine in bytes.
-    pub(crate) fn estimated_bytes(&self) -> u64 {
-        self.groups.values().map(Group::estimated_bytes).sum()
-    }
-
     fn answer_reads(&mut self, now: Duration, group_id: u32, is_due: impl Fn(&PendingRead) -> bool) {
         let Some(group) = self.groups.get_mut(&group_id) else { return };
         let due = group.pending_reads.extract_if(.., |read| is_due(read)).collect::<Vec<_>>();
--- a/crates/pebblepost-batch-store/src/store/handlers/mod.rs
+++ b/crates/pebblepost-batch-store/src/store/handlers/mod.rs
@@ -1,6 +1,7 @@
 //! Input handlers: methods of [`Store`](super::Store), one file for each kind of input.
 
 mod assignment;
+mod job_admission;
 mod job_calls;
 mod leases;
 mod maintenance;
--- a/crates/pebblepost-batch-store/src/store/handlers/replica_outputs.rs
+++ b/crates/pebblepost-batch-store/src/store/handlers/replica_outputs.rs
@@ -65,12 +65,13 @@
     /// Ends this machine's term as primary of a store group.
     ///
     /// Its uncommitted proposals may or may not be committed later, so their callers are answered that the
-    /// outcome is unknown or the store unavailable.
+    /// outcome is unknown or the store unavailable. Submissions that were not proposed are given up.
     pub(crate) fn end_term(&mut self, group_id: u32) {
         if self.scheduler.has_term(group_id) {
             log::info!("stepped down as primary group={group_id}");
         }
         self.scheduler.end_term(group_id);
+        self.give_up_submissions_of(group_id);
         let Some(group) = self.groups.get_mut(&group_id) else { return };
         let uncommitted = group.end_term();
         let reads = std::mem::take(&mut group.pending_reads);
@@ -87,6 +88,7 @@
     }
 
     fn handle_committed(&mut self, now: Duration, group_id: u32, index: u64) {
+        self.remove_ended_reservations(now);
         let Some(group) = self.groups.get_mut(&group_id) else { return };
         group.follow_committed_time(now);
         let clock = group.clock();
--- a/crates/pebblepost-batch-store/src/store/mod.rs
+++ b/crates/pebblepost-batch-store/src/store/mod.rs
@@ -35,6 +35,8 @@
 use state::periodic::Maintenance;
 use state::proposals::Caller;
 use state::recovery;
+use state::reservations::{Reservation, Reservations};
+use state::submissions::Submissions;
 use state::version_lags::VersionLags;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -69,6 +71,8 @@
     epoch_changes: EpochChanges,
     version_lags: VersionLags,
     maintenance: Maintenance,
+    reservations: Reservations,
+    submissions: Submissions,
     outbox: Outbox,
     /// Number of replicas created so far.
     last_incarnation: u64,
@@ -93,6 +97,8 @@
             epoch_changes: EpochChanges::default(),
             version_lags: VersionLags::default(),
             maintenance: Maintenance::default(),
+            reservations: Reservations::default(),
+            submissions: Submissions::default(),
             outbox: Outbox::default(),
             last_incarnation: 0,
             is_shutting_down: false,
@@ -141,20 +147,12 @@
             (ToStore::Status, _) => self.reply_status(now, link),
             (ToStore::ProxyHello { node, zone }, _) => self.handle_proxy_hello(link, node, &zone),
             (ToStore::PeerHello { member }, _) => self.handle_peer_hello(now, link, member),
-            (ToStore::Replication { to, store_group, message }, Some(RemoteProgram::Peer(peer))) => {
+            (message, Some(RemoteProgram::Peer(peer))) => {
                 let peer = peer.clone();
-                if to == self.settings.member.disk {
-                    self.receive_replication(now, store_group, &peer, &message);
-                }
-            }
-            (ToStore::ShuttingDown, Some(RemoteProgram::Peer(peer))) => {
-                let disk = peer.disk;
-                self.handle_peer_shutdown(now, disk);
+                self.receive_from_peer(now, link, peer, message);
             }
             (message, Some(RemoteProgram::Proxy(_))) => self.receive_from_proxy(now, link, message),
-            (_, Some(_)) => {
-                log::warn!("message ignored: does not match the hello of the sender link={}", link.0)
-            }
+            (_, Some(RemoteProgram::Unidentified)) => log_ignored(link),
         }
     }
 
@@ -183,6 +181,8 @@
         }
         self.drop_unassigned_replicas(now);
         self.time_out_epoch_changes(now);
+        self.remove_ended_reservations(now);
+        self.advance_submissions(now);
         self.run_maintenance(now);
     }
 
@@ -218,6 +218,26 @@
         self.outbox.checkpoint(records);
     }
 
+    fn receive_from_peer(&mut self, now: Duration, link: LinkId, peer: Member, message: ToStore) {
+        match message {
+            ToStore::Replication { to, store_group, message } if to == self.settings.member.disk => {
+                self.receive_replication(now, store_group, &peer, &message);
+            }
+            // Meant for a former disk of this machine.
+            ToStore::Replication { .. } => {}
+            ToStore::ReserveMemory { submission, store_group, job, bytes } => {
+                let reservation = Reservation { group_id: store_group, job, bytes };
+                self.handle_reserve_memory(now, peer, submission, reservation);
+            }
+            ToStore::ReserveMemoryResponse { submission, is_granted } => {
+                self.handle_reserve_memory_response(now, peer.disk, submission, is_granted);
+            }
+            ToStore::ReleaseMemory { submission } => self.handle_release_memory(peer.disk, submission),
+            ToStore::ShuttingDown => self.handle_peer_shutdown(now, peer.disk),
+            _ => log_ignored(link),
+        }
+    }
+
     fn receive_from_proxy(&mut self, now: Duration, link: LinkId, message: ToStore) {
         let caller = |call: u64| Caller { link, call };
         match message {
@@ -242,7 +262,7 @@
                 self.process_outcomes(now, LeaseOutcomes { lease, group_id: store_group, job, outcomes });
             }
             ToStore::ActiveLeases(leases) => self.process_lease_report(now, link, leases),
-            _ => log::warn!("message ignored: not one that proxies send link={}", link.0),
+            _ => log_ignored(link),
         }
     }
 
@@ -297,3 +317,7 @@
         self.groups.keys().copied().collect()
     }
 }
+
+fn log_ignored(link: LinkId) {
+    log::warn!("message ignored: does not match the hello of the sender link={}", link.0);
+}
--- a/crates/pebblepost-batch-store/src/store/state/mod.rs
+++ b/crates/pebblepost-batch-store/src/store/state/mod.rs
@@ -10,4 +10,6 @@
 pub(crate) mod periodic;
 pub(crate) mod proposals;
 pub(crate) mod recovery;
+pub(crate) mod reservations;
+pub(crate) mod submissions;
 pub(crate) mod version_lags;
--- a/crates/pebblepost-batch-store/tests/integration/main.rs
+++ b/crates/pebblepost-batch-store/tests/integration/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the batch store in a simulated deployment, and of the encoding of its stored records.
 
+mod admission;
 mod approval;
 mod exchanges;
 mod expiry;
--- a/crates/pebblepost-messages/src/batch/message.rs
+++ b/crates/pebblepost-messages/src/batch/message.rs
@@ -104,6 +104,30 @@
         /// Items that must not be leased.
         unsendable: Vec<UnsendableItems>,
     },
+    /// From the primary of a store group: request to reserve memory for a job, before the job is replicated. The
+    /// response is [`ToStore::ReserveMemoryResponse`]. A repeated request has the effect of one.
+    ReserveMemory {
+        /// Number of the job's submission, unique in the life of the sender's process.
+        submission: u64,
+        /// Store group of the job.
+        store_group: u32,
+        /// Id of the job.
+        job: String,
+        /// Estimated memory of the job, in bytes.
+        bytes: u64,
+    },
+    /// Response to [`ToStore::ReserveMemory`].
+    ReserveMemoryResponse {
+        /// Number of the job's submission.
+        submission: u64,
+        /// Whether the memory is reserved. It is not if there is no room.
+        is_granted: bool,
+    },
+    /// From the primary of a store group: the job of this submission is not replicated, so its memory is released.
+    ReleaseMemory {
+        /// Number of the job's submission.
+        submission: u64,
+    },
 }
 
 /// Response to [`ToStore::Submit`].
--- a/crates/pebblepost-messages/tests/encodings.rs
+++ b/crates/pebblepost-messages/tests/encodings.rs
@@ -208,6 +208,11 @@
     encodings.add("to_store.replication", &replication);
     encodings.add("to_store.leaving", &ToStore::ShuttingDown);
     encodings.add("to_store.status", &ToStore::Status);
+    let reserve = ToStore::ReserveMemory { submission: 21, store_group, job: job_id(), bytes: 4096 };
+    encodings.add("to_store.reserve_memory", &reserve);
+    let response = ToStore::ReserveMemoryResponse { submission: 21, is_granted: true };
+    encodings.add("to_store.reserve_memory_response", &response);
+    encodings.add("to_store.release_memory", &ToStore::ReleaseMemory { submission: 21 });
 }
 
 fn from_store(encodings: &mut Encodings) {
