Batch jobs: a large job counts at the stores before it is sent, and while it is accepted

Cause: a job counted from the moment at which it had arrived as a whole. Eight proxies that send one at the same time over links that are no faster than they fill up 32 MB each before the first can be refused. And the estimate of a job covers it as stored; while it is accepted its messages, log entry and records exist besides.

Change: a proxy announces a job whose encoding has 256 KiB or more; the primary reserves memory at all replicas and answers Reserved; then the job is sent. One proxy is asked to send it. Without an answer to the announcement nothing was sent. Jobs being accepted together take two fifths of the memory at most; one by itself may take more, so that none that was accepted alone is refused now.

Tests: four of the runner, four in simulation, two with processes (six proxies). The runner's congestion test answers the announcements before the store stops reading, so that its jobs meet there as before.

--- a/crates/pebblepost-batch-runner/src/encoded_items.rs
+++ b/crates/pebblepost-batch-runner/src/encoded_items.rs
@@ -4,6 +4,7 @@
 use nanoserde::SerBin;
 use pebblepost_link::MessageTail;
 use pebblepost_memory::MemoryReservation;
+use pebblepost_messages::batch::ItemEstimate;
 
 /// Size of a block in which items are collected.
 const BLOCK_BYTES: usize = 64 * 1024;
@@ -14,6 +15,7 @@
 #[derive(Debug)]
 pub struct EncodedItems {
     count: u64,
+    estimated_store_bytes: u64,
     blocks: Vec<Vec<u8>>,
     reservation: MemoryReservation,
 }
@@ -24,6 +26,16 @@
         self.count
     }
 
+    /// Returns the length of the encoding.
+    pub fn encoded_bytes(&self) -> usize {
+        self.blocks.iter().map(Vec::len).sum()
+    }
+
+    /// Returns the estimated memory of the items at a store.
+    pub fn estimated_store_bytes(&self) -> u64 {
+        self.estimated_store_bytes
+    }
+
     /// Returns the memory that is reserved for the items.
     pub fn reserved_bytes(&self) -> usize {
         self.reservation.bytes()
@@ -40,6 +52,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct ItemEncoder {
     count: u64,
+    estimated_store_bytes: u64,
     blocks: Vec<Vec<u8>>,
     last: Vec<u8>,
     full_bytes: usize,
@@ -57,8 +70,9 @@
     }
 
     /// Records that an item is complete.
-    pub(crate) fn finish_item(&mut self) {
+    pub(crate) fn finish_item(&mut self, estimate: ItemEstimate) {
         self.count += 1;
+        self.estimated_store_bytes = self.estimated_store_bytes.saturating_add(estimate.bytes());
     }
 
     /// Appends a number.
@@ -100,7 +114,8 @@
     /// Returns the items and keeps the reservation with them.
     pub(crate) fn finish(mut self, reservation: MemoryReservation) -> EncodedItems {
         self.finish_block();
-        EncodedItems { count: self.count, blocks: self.blocks, reservation }
+        let ItemEncoder { count, estimated_store_bytes, blocks, .. } = self;
+        EncodedItems { count, estimated_store_bytes, blocks, reservation }
     }
 
     fn push_bytes(&mut self, mut bytes: &[u8]) {
--- a/crates/pebblepost-batch-runner/src/job/api.rs
+++ b/crates/pebblepost-batch-runner/src/job/api.rs
@@ -30,6 +30,9 @@
 const MAX_READ_WAIT: Duration = Duration::from_millis(2000);
 /// Backoff before a store that gave no definite answer is called again.
 const RETRY_BACKOFF: Duration = Duration::from_millis(60);
+/// Size of an encoded job from which on it is announced and sent only when the stores have reserved memory for it. What
+/// smaller jobs take while they arrive is left to the stores' margin.
+const MIN_ANNOUNCED_BYTES: usize = 256 * 1024;
 /// `Retry-After` of a submission that was sent to no store.
 const NOT_SUBMITTED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Retry-After` of a call for which there is no memory.
@@ -112,10 +115,15 @@
         let store_group = store_group_of(&job.id);
         let mut may_have_been_accepted = false;
         while Instant::now() < deadline {
-            let outcome = match self.submit_to_primary(store_group, job, &items, deadline).await {
-                CallOutcome::Reply(FromStore::Submitted { outcome, .. }) => outcome,
-                CallOutcome::NotSent => continue,
-                CallOutcome::Reply(_) | CallOutcome::NoReply => SubmitOutcome::Unknown,
+            let Some(link) = self.primary_link(store_group, deadline).await else { continue };
+            let announced = announce(&link, job, &items, deadline).await;
+            let outcome = match announced {
+                SubmitOutcome::Reserved => match link.submit(store_group, job, &items, deadline).await {
+                    CallOutcome::Reply(FromStore::Submitted { outcome, .. }) => outcome,
+                    CallOutcome::NotSent => continue,
+                    CallOutcome::Reply(_) | CallOutcome::NoReply => SubmitOutcome::Unknown,
+                },
+                outcome => outcome,
             };
             match outcome {
                 SubmitOutcome::Accepted => {
@@ -128,7 +136,10 @@
                     let time = Duration::from_millis(retry_after_ms);
                     return retry_after(StatusCode::TOO_MANY_REQUESTS, time);
                 }
-                SubmitOutcome::NotPrimary => self.changes.wait(RETRY_BACKOFF).await,
+                // A job that was sent is not answered with a reservation; it would be sent again.
+                SubmitOutcome::NotPrimary | SubmitOutcome::Reserved => {
+                    self.changes.wait(RETRY_BACKOFF).await;
+                }
                 SubmitOutcome::Unknown => {
                     may_have_been_accepted = true;
                     sleep(RETRY_BACKOFF).await;
@@ -235,16 +246,6 @@
         }
     }
 
-    /// Submits a job to the primary of its store group, like [`JobApi::call_primary`]. The items are not copied.
-    async fn submit_to_primary(
-        &self, group: u32, job: &Job, items: &Rc<EncodedItems>, deadline: Instant,
-    ) -> CallOutcome {
-        match self.primary_link(group, deadline).await {
-            Some(link) => link.submit(group, job, items, deadline).await,
-            None => CallOutcome::NotSent,
-        }
-    }
-
     /// Returns the link to the primary of a store group. If there is none, returns `None` after a change.
     async fn primary_link(&self, group: u32, deadline: Instant) -> Option<Rc<StoreLink>> {
         let link = self.links.primary_link(group);
@@ -255,6 +256,24 @@
     }
 }
 
+/// Announces a large job to a store, and returns whether memory is reserved for it, or else the outcome. A small job is
+/// not announced. Nothing of the job is sent, so without an answer it is not stored.
+async fn announce(link: &StoreLink, job: &Job, items: &EncodedItems, deadline: Instant) -> SubmitOutcome {
+    if items.encoded_bytes() < MIN_ANNOUNCED_BYTES {
+        return SubmitOutcome::Reserved;
+    }
+    let mut message = ToStore::AnnounceJob {
+        call: 0,
+        store_group: store_group_of(&job.id),
+        job: job.id.clone(),
+        bytes: items.estimated_store_bytes(),
+    };
+    match link.call(&mut message, deadline).await {
+        CallOutcome::Reply(FromStore::Submitted { outcome, .. }) => outcome,
+        CallOutcome::Reply(_) | CallOutcome::NotSent | CallOutcome::NoReply => SubmitOutcome::NotPrimary,
+    }
+}
+
 /// Returns the response to an answer, which is 503 if no store gave a definite answer.
 fn respond<T>(answer: JobResponse<T>, found: impl FnOnce(T) -> Response<JobBody>) -> Response<JobBody> {
     match answer {
--- a/crates/pebblepost-batch-runner/src/job/item_parser.rs
+++ b/crates/pebblepost-batch-runner/src/job/item_parser.rs
@@ -4,6 +4,7 @@
 use super::json_fields::{JsonFields, ReadError};
 use crate::encoded_items::ItemEncoder;
 use crate::text_blocks::TextBlocks;
+use pebblepost_messages::batch::ItemEstimate;
 
 /// Memory of a header's structures.
 const HEADER_STRUCTURE_BYTES: usize = 320;
@@ -132,6 +133,7 @@
 }
 
 fn encode_item(item: ItemFields, encoder: &mut ItemEncoder) {
+    let estimate = estimate_of(&item);
     encoder.push_text(&item.id);
     encoder.push_text(&item.path);
     encoder.push_integer(item.headers.len() as u64);
@@ -149,5 +151,26 @@
         encoder.push_text(&scorer.path);
         encoder.push_blocks(scorer.body);
     }
-    encoder.finish_item();
+    encoder.finish_item(estimate);
+}
+
+/// Estimates the memory of an item at a store. All of its texts count.
+fn estimate_of(item: &ItemFields) -> ItemEstimate {
+    let mut estimate = ItemEstimate::default();
+    for text in [&item.id, &item.path, &item.group] {
+        estimate.add_text(text.len() as u64);
+    }
+    for header in &item.headers {
+        estimate.add_header();
+        estimate.add_text(header.name.len() as u64);
+        estimate.add_text(header.value.len() as u64);
+    }
+    estimate.add_body(item.body.len() as u64);
+    if let Some(scorer) = &item.scorer {
+        for text in [&scorer.id, &scorer.hostname, &scorer.path] {
+            estimate.add_text(text.len() as u64);
+        }
+        estimate.add_body(scorer.body.len() as u64);
+    }
+    estimate
 }
--- a/crates/pebblepost-batch-runner/src/store/link.rs
+++ b/crates/pebblepost-batch-runner/src/store/link.rs
@@ -245,6 +245,7 @@
         ToStore::Submit { call, .. }
         | ToStore::Read { call, .. }
         | ToStore::ItemBody { call, .. }
+        | ToStore::AnnounceJob { call, .. }
         | ToStore::End { call, .. } => *call = number,
         _ => {}
     }
--- a/crates/pebblepost-batch-runner/tests/batch_runner/approved.rs
+++ b/crates/pebblepost-batch-runner/tests/batch_runner/approved.rs
@@ -431,7 +431,11 @@
 fn is_call(message: &ToStore) -> bool {
     matches!(
         message,
-        ToStore::Submit { .. } | ToStore::Read { .. } | ToStore::End { .. } | ToStore::ItemBody { .. }
+        ToStore::Submit { .. }
+            | ToStore::AnnounceJob { .. }
+            | ToStore::Read { .. }
+            | ToStore::End { .. }
+            | ToStore::ItemBody { .. }
     )
 }
 
--- a/crates/pebblepost-batch-runner/tests/batch_runner/congestion.rs
+++ b/crates/pebblepost-batch-runner/tests/batch_runner/congestion.rs
@@ -66,11 +66,20 @@
 fn jobs_larger_than_the_queue_of_the_link_are_all_submitted() {
     run_within(Duration::from_secs(40), async {
         let (under_test, store, mut end) = start().await;
-        store.set_reading(false);
         let under_test = Rc::new(under_test);
         let submissions: Vec<_> = (0..MESSAGES)
             .map(|number| tokio::task::spawn_local(submit(under_test.clone(), number)))
             .collect();
+        let mut announcements = Vec::new();
+        while announcements.len() < MESSAGES {
+            if let ToStore::AnnounceJob { call, .. } = end.next().await {
+                announcements.push(call);
+            }
+        }
+        store.set_reading(false);
+        for call in announcements {
+            end.sender.send(&FromStore::Submitted { call, outcome: SubmitOutcome::Reserved });
+        }
         sleep(Duration::from_millis(500)).await;
         store.set_reading(true);
         for _ in 0..MESSAGES {
--- a/crates/pebblepost-batch-runner/tests/batch_runner/job_api.rs
+++ b/crates/pebblepost-batch-runner/tests/batch_runner/job_api.rs
@@ -4,7 +4,7 @@
 use pebblepost_batch_runner::JobBody;
 use pebblepost_messages::batch::{
     FromStore, ItemResult, Job, JobResponse, JobTerms, ResultPage, ResultState, SubmitOutcome, ToStore,
-    store_group_of,
+    estimated_job_bytes, store_group_of,
 };
 use rstest::rstest;
 
@@ -13,12 +13,103 @@
   "scorer":{"id":"s5","hostname":"h.example","path":"/score/1","body":""}}]}"#;
 
 async fn submit(under_test: &RunnerUnderTest) -> (u16, Option<String>, String) {
+    submit_text(under_test, JOB).await
+}
+
+async fn submit_text(under_test: &RunnerUnderTest, job: &str) -> (u16, Option<String>, String) {
     let configuration = under_test.feed.borrow().configuration().cloned().unwrap();
     let route = configuration.route("h.example", "/lot/1");
-    let call = request("POST", "/lot/1", &[("request-id", "job")], JOB);
+    let call = request("POST", "/lot/1", &[("request-id", "job")], job);
     summary(under_test.runner.answer(route, call).await)
 }
 
+/// Returns a job that has to be announced, with all kinds of texts.
+fn large_job() -> String {
+    let item = |number| {
+        format!(
+            r#"{{"id":"i{number}","path":"/lot/3","headers":{{"Model":"daka","notes":"{}"}},"body":"aGk=","group":"g",
+            "scorer":{{"id":"s{number}","hostname":"h.example","path":"/score/1","body":"aGk="}}}}"#,
+            "n".repeat(60_000)
+        )
+    };
+    let items: Vec<String> = (0..6).map(item).collect();
+    format!(r#"{{"step":7,"model":"daka","min_version":6,"requests":[{}]}}"#, items.join(","))
+}
+
+/// Answers the next announcement of a job and returns its estimated memory.
+async fn answer_announcement(end: &mut StoreEnd, outcome: SubmitOutcome) -> u64 {
+    match next_call(end).await {
+        ToStore::AnnounceJob { call, store_group, job, bytes } => {
+            assert_eq!((store_group, job.as_str()), (store_group_of("job"), "job"));
+            end.sender.send(&FromStore::Submitted { call, outcome });
+            bytes
+        }
+        other => panic!("not an announcement: {other:?}"),
+    }
+}
+
+/// Guards against: large jobs of many proxies that arrive at a store at the same time, before it can refuse them
+/// (`docs/incidents/a-job-larger-in-memory-than-its-text.md`).
+#[test]
+fn a_large_job_is_sent_once_memory_is_reserved_for_it() {
+    run(async {
+        let (under_test, mut store) = (RunnerUnderTest::start(true), FakeStore::start());
+        under_test.set_primary(store.address, 1);
+        let large = large_job();
+        let (answer, ()) = tokio::join!(submit_text(&under_test, &large), async {
+            let (mut end, _) = store.accept().await;
+            answer_announcement(&mut end, SubmitOutcome::NotPrimary).await;
+            let announced_bytes = answer_announcement(&mut end, SubmitOutcome::Reserved).await;
+            let job = answer_submit(&mut end, SubmitOutcome::Accepted).await;
+            assert_eq!(announced_bytes, estimated_job_bytes(&job));
+        });
+        assert_eq!(answer.0, 202);
+    });
+}
+
+#[rstest]
+#[case::rejected(SubmitOutcome::Rejected { retry_after_ms: 250 }, 429)]
+#[case::stored_before(SubmitOutcome::Accepted, 202)]
+fn a_large_job_without_a_reservation_is_not_sent(#[case] outcome: SubmitOutcome, #[case] status: u16) {
+    run(async move {
+        let (under_test, mut store) = (RunnerUnderTest::start(true), FakeStore::start());
+        under_test.set_primary(store.address, 1);
+        let large = large_job();
+        let (answer, mut end) = tokio::join!(submit_text(&under_test, &large), async {
+            let (mut end, _) = store.accept().await;
+            answer_announcement(&mut end, outcome).await;
+            end
+        });
+        assert_eq!(answer.0, status);
+        let (_, next) = tokio::join!(call(&under_test, "GET", "/lots/job"), async {
+            let message = next_call(&mut end).await;
+            end.sender
+                .send(&FromStore::Results { call: call_number(&message), answer: JobResponse::NotFound });
+            message
+        });
+        assert!(matches!(next, ToStore::Read { .. }), "{next:?}");
+    });
+}
+
+/// Guards against: a promise that a job never runs after it was sent over a link that was lost.
+#[test]
+fn a_rejected_announcement_after_an_uncertain_submission_is_a_gateway_timeout() {
+    run(async {
+        let (under_test, mut store) = (RunnerUnderTest::start(true), FakeStore::start());
+        under_test.set_primary(store.address, 1);
+        let large = large_job();
+        let (answer, ()) = tokio::join!(submit_text(&under_test, &large), async {
+            let (mut end, _) = store.accept().await;
+            answer_announcement(&mut end, SubmitOutcome::Reserved).await;
+            next_call(&mut end).await;
+            end.sender.close();
+            let (mut end, _) = store.accept().await;
+            answer_announcement(&mut end, SubmitOutcome::Rejected { retry_after_ms: 250 }).await;
+        });
+        assert_eq!(answer.0, 504);
+    });
+}
+
 async fn call(under_test: &RunnerUnderTest, method: &str, path: &str) -> (u16, Option<String>, String) {
     let call = request(method, path, &[("wait-ms", "0")], "");
     summary(under_test.runner.answer(None, call).await)
--- a/crates/pebblepost-batch-store/src/store/handlers/job_admission.rs
+++ b/crates/pebblepost-batch-store/src/store/handlers/job_admission.rs
@@ -4,9 +4,11 @@
 //! other replicas have room, so it asks them.
 
 use crate::store::Store;
+use crate::store::state::outbox::LinkId;
 use crate::store::state::proposals::{Caller, Proposal};
 use crate::store::state::reservations::{Reservation, ReservationId};
 use crate::store::state::submissions::{NextStep, Submission};
+use pebblepost_batch::admission::MemoryUse;
 use pebblepost_batch::command::Change;
 use pebblepost_messages::batch::{EncodedJob, SubmitOutcome, ToStore, store_group_of};
 use pebblepost_messages::{DiskId, Member};
@@ -35,16 +37,70 @@
             callers.push(caller);
             return;
         }
-        if let Some(submission) = self.submissions.of_job(job.id()) {
+        let Some(job) = self.add_to_submission(now, caller, job) else { return };
+        self.start_submission(now, caller, Submission::of_job(now, group_id, job, caller));
+    }
+
+    /// Reserves memory for a job that a proxy wants to send, and answers when that is done. If the job is already
+    /// stored, submitted or announced, the call is answered like a submission.
+    pub(crate) fn announce_job(
+        &mut self, now: Duration, caller: Caller, group_id: u32, job: String, bytes: u64,
+    ) {
+        let Some(group) = self.acting_group(now, group_id) else {
+            return self.reply_submitted(&[caller], SubmitOutcome::NotPrimary);
+        };
+        if group.state().job(&job).is_some() {
+            return self.reply_submitted(&[caller], SubmitOutcome::Accepted);
+        }
+        if let Some(callers) = group.proposals.submit_callers(&job) {
+            callers.push(caller);
+            return;
+        }
+        if let Some((_, submission)) = self.submissions.of_job(&job) {
             submission.callers.push(caller);
             return;
         }
+        self.start_submission(now, caller, Submission::announced(now, group_id, job, bytes, caller));
+    }
+
+    /// Gives up the submissions whose job was to come over a lost link.
+    pub(crate) fn give_up_submissions_over(&mut self, link: LinkId) {
+        for number in self.submissions.numbers_of_link(link) {
+            self.give_up_submission(number);
+        }
+    }
+
+    /// Adds a job, or its caller, to the submission of the job that there is. Returns the job if there is none.
+    fn add_to_submission(&mut self, now: Duration, caller: Caller, job: EncodedJob) -> Option<EncodedJob> {
+        let Some((number, submission)) = self.submissions.of_job(job.id()) else { return Some(job) };
+        if submission.has_job() {
+            submission.callers.push(caller);
+            return None;
+        }
+        match submission.add_job(job) {
+            Ok(()) => {
+                submission.callers.push(caller);
+                self.advance_submission(now, number);
+                None
+            }
+            Err(job) => {
+                // Larger than announced: what is reserved is not enough.
+                self.give_up_submission(number);
+                Some(job)
+            }
+        }
+    }
+
+    /// Starts a submission, or rejects it if this machine has no room for the job.
+    fn start_submission(&mut self, now: Duration, caller: Caller, submission: Submission) {
+        let mut used = self.memory_use();
         let waiting_bytes = self.submissions.unreserved_bytes(self.settings.member.disk);
-        if !self.has_room(waiting_bytes.saturating_add(job.estimated_bytes())) {
-            let outcome = self.rejection(now, group_id, job.id());
+        used.accepting_bytes = used.accepting_bytes.saturating_add(waiting_bytes);
+        if !self.settings.budget.admits(used, submission.estimated_bytes) {
+            let outcome = self.rejection(now, submission.group_id, &submission.job_id);
             return self.reply_submitted(&[caller], outcome);
         }
-        let number = self.submissions.insert(Submission::new(now, group_id, job, caller));
+        let number = self.submissions.insert(submission);
         self.advance_submission(now, number);
     }
 
@@ -61,7 +117,7 @@
                 "memory not reserved job={} bytes={} used_bytes={} primary={}",
                 reservation.job,
                 reservation.bytes,
-                self.estimated_bytes(),
+                self.memory_use().total_bytes(),
                 peer.node
             );
         }
@@ -113,10 +169,15 @@
         }
     }
 
-    /// Returns the estimated memory, in bytes, of the stored, proposed and announced jobs on this machine.
-    pub(crate) fn estimated_bytes(&self) -> u64 {
-        let groups: u64 = self.groups.values().map(|group| group.estimated_bytes()).sum();
-        groups.saturating_add(self.reservations.bytes())
+    /// Returns the estimated memory of the stored, proposed and announced jobs on this machine.
+    pub(crate) fn memory_use(&self) -> MemoryUse {
+        let mut sum = MemoryUse { stored_bytes: 0, accepting_bytes: self.reservations.bytes() };
+        for group in self.groups.values() {
+            let of_group = group.memory_use();
+            sum.stored_bytes = sum.stored_bytes.saturating_add(of_group.stored_bytes);
+            sum.accepting_bytes = sum.accepting_bytes.saturating_add(of_group.accepting_bytes);
+        }
+        sum
     }
 
     /// Carries out the steps of a submission that need no answer of another machine.
@@ -129,6 +190,10 @@
             match submission.next_step(now, local, &group.replica.record().in_sync) {
                 NextStep::Wait => return,
                 NextStep::Propose => return self.propose_submission(now, number),
+                NextStep::AskForJob => {
+                    let announcement = submission.expect_job();
+                    return self.reply_submitted(announcement.as_slice(), SubmitOutcome::Reserved);
+                }
                 NextStep::Request(member) => return self.request_memory(now, number, member),
                 NextStep::ReserveHere => self.reserve_here(now, number),
             }
@@ -162,10 +227,12 @@
     /// Proposes a job for which all replicas have reserved memory. Other machines keep their reservations until the job
     /// is part of their state.
     fn propose_submission(&mut self, now: Duration, number: u64) {
-        let Some(Submission { group_id, job, callers, .. }) = self.submissions.remove(number) else { return };
+        let Some(mut submission) = self.submissions.remove(number) else { return };
         let id = ReservationId { primary: self.settings.member.disk, submission: number };
         self.reservations.remove(id);
-        let estimated_bytes = job.estimated_bytes();
+        let (group_id, estimated_bytes) = (submission.group_id, submission.estimated_bytes);
+        let callers = std::mem::take(&mut submission.callers);
+        let Some(job) = submission.into_job() else { return };
         let decoded = match job.decode() {
             Ok(decoded) => decoded,
             Err(error) => {
@@ -188,7 +255,7 @@
     /// Rejects a submission because a replica has no room for its job.
     fn reject_submission(&mut self, now: Duration, number: u64) {
         if let Some(submission) = self.take_submission(number) {
-            let outcome = self.rejection(now, submission.group_id, submission.job.id());
+            let outcome = self.rejection(now, submission.group_id, &submission.job_id);
             self.reply_submitted(&submission.callers, outcome);
         }
     }
@@ -196,14 +263,16 @@
     /// Gives up a submission whose job was not proposed, so that its callers may submit it again.
     fn give_up_submission(&mut self, number: u64) {
         if let Some(submission) = self.take_submission(number) {
-            log::debug!("submission given up job={}", submission.job.id());
+            log::debug!("submission given up job={}", submission.job_id);
             self.reply_submitted(&submission.callers, SubmitOutcome::NotPrimary);
         }
     }
 
-    /// Removes a submission whose job was not proposed, and releases the memory that is reserved for it.
+    /// Removes a submission whose job was not proposed, and releases the memory that is reserved for it. Its callers,
+    /// an announcement without an answer included, are to be answered.
     fn take_submission(&mut self, number: u64) -> Option<Submission> {
-        let submission = self.submissions.remove(number)?;
+        let mut submission = self.submissions.remove(number)?;
+        submission.take_announcement();
         let local = self.settings.member.disk;
         self.reservations.remove(ReservationId { primary: local, submission: number });
         for disk in submission.reservations().into_iter().filter(|disk| *disk != local) {
@@ -216,7 +285,7 @@
 
     /// Returns whether this machine has room for so many bytes more.
     fn has_room(&self, bytes: u64) -> bool {
-        self.settings.budget.admits(self.estimated_bytes(), bytes)
+        self.settings.budget.admits(self.memory_use(), bytes)
     }
 
     /// Returns the answer to a job that was not proposed because there is no room for it.
@@ -239,7 +308,7 @@
 fn reservation_of(submission: &Submission) -> Reservation {
     Reservation {
         group_id: submission.group_id,
-        job: submission.job.id().to_owned(),
-        bytes: submission.job.estimated_bytes(),
+        job: submission.job_id.clone(),
+        bytes: submission.estimated_bytes,
     }
 }
--- a/crates/pebblepost-batch-store/src/store/handlers/status.rs
+++ b/crates/pebblepost-batch-store/src/store/handlers/status.rs
@@ -23,7 +23,7 @@
             self.settings.member.disk.0,
             self.connections.proxy_links().len(),
             self.connections.peer_count(),
-            self.estimated_bytes(),
+            self.memory_use().total_bytes(),
             self.settings.budget.max_bytes(),
             self.scheduler.job_count(),
             self.scheduler.leased_item_count(),
--- a/crates/pebblepost-batch-store/src/store/mod.rs
+++ b/crates/pebblepost-batch-store/src/store/mod.rs
@@ -126,13 +126,14 @@
 
     /// Handles the loss of a link that was opened to this store.
     ///
-    /// Pending reads and deferred lease reports of the link are dropped.
+    /// Pending reads, deferred lease reports and announced jobs of the link are dropped.
     pub fn handle_link_closed(&mut self, link: LinkId) {
         if let Some(RemoteProgram::Proxy(node)) = self.connections.remove(link) {
             log::info!("proxy disconnected node={node}");
             self.scheduler.mark_proxy_disconnected(ProxyId(link.0));
         }
         self.deferred.remove_link(link);
+        self.give_up_submissions_over(link);
         for group in self.groups.values_mut() {
             group.pending_reads.retain(|read| read.caller.link != link);
         }
@@ -244,6 +245,9 @@
             ToStore::Submit { call, store_group, job } => {
                 self.submit_job(now, caller(call), store_group, job);
             }
+            ToStore::AnnounceJob { call, store_group, job, bytes } => {
+                self.announce_job(now, caller(call), store_group, job, bytes);
+            }
             ToStore::Read { call, store_group, job, start, wait_ms } => {
                 let deadline = now + Duration::from_millis(wait_ms.min(MAX_READ_WAIT_MS));
                 let read = PendingRead { caller: caller(call), job, start, deadline };
--- a/crates/pebblepost-batch-store/src/store/state/group.rs
+++ b/crates/pebblepost-batch-store/src/store/state/group.rs
@@ -1,6 +1,7 @@
 //! One store group on this machine: its replica, proposals, pending reads and buffered results.
 
 use super::proposals::{Caller, Proposal, Proposals};
+use pebblepost_batch::admission::MemoryUse;
 use pebblepost_batch::clock::{GroupClock, TIME_STAMP_INTERVAL};
 use pebblepost_batch::command::{Change, Command, JobResults};
 use pebblepost_batch::state::BatchState;
@@ -158,9 +159,12 @@
         self.proposals.take_all()
     }
 
-    /// Returns the estimated memory of the stored and proposed jobs in bytes.
-    pub(crate) fn estimated_bytes(&self) -> u64 {
-        self.state().estimated_bytes() + self.proposals.estimated_bytes()
+    /// Returns the estimated memory of the stored and proposed jobs.
+    pub(crate) fn memory_use(&self) -> MemoryUse {
+        MemoryUse {
+            stored_bytes: self.state().estimated_bytes(),
+            accepting_bytes: self.proposals.estimated_bytes(),
+        }
     }
 
     /// Buffers a result for the next proposal of results.
--- a/crates/pebblepost-batch-store/tests/integration/admission.rs
+++ b/crates/pebblepost-batch-store/tests/integration/admission.rs
@@ -121,3 +121,93 @@
         assert_eq!(deployment.checker.accepted_job_ids(), [id], "seed {seed}");
     }
 }
+
+/// Guards against: announced jobs for which more memory is reserved together than there is, while they are on their way.
+#[rstest]
+fn announced_jobs_are_sent_within_the_room_of_all_replicas() {
+    for seed in 100..110 {
+        let mut deployment = deployment(seed, 2);
+        deployment.clients.send_ms = 40;
+        for group in 0..STORE_GROUPS {
+            let proxy = usize::from(group % 2 == 1);
+            let job = job(&id_in_group(group), GROUPS, 2);
+            deployment.call(proxy, Request::Announce(Box::new(job)));
+        }
+        run_within_budgets(&mut deployment, 400);
+        let accepted = deployment.checker.accepted_job_ids();
+        assert!(!accepted.is_empty(), "seed {seed}: no job was accepted");
+        assert!(accepted.iter().all(|id| deployment.clients.reserved.contains(id)), "seed {seed}");
+        assert_eq!(
+            accepted.len() + deployment.clients.rejected.len(),
+            8,
+            "seed {seed}: jobs without an answer"
+        );
+    }
+}
+
+/// Guards against: memory that stays reserved for an announced job which is never sent.
+#[rstest]
+fn memory_for_an_announced_job_that_is_not_sent_is_released() {
+    let mut deployment = deployment(120, 2);
+    deployment.clients.send_ms = 60_000;
+    deployment.call(0, Request::Announce(Box::new(job("not-sent", GROUPS, 2))));
+    run_within_budgets(&mut deployment, 100);
+    assert_eq!(deployment.clients.reserved, ["not-sent"]);
+    // Longer than an announced job is waited for.
+    run_within_budgets(&mut deployment, 6_000);
+    deployment.clients.send_ms = 10;
+    for group in 0..STORE_GROUPS {
+        deployment.call(0, Request::Announce(Box::new(job(&id_in_group(group), GROUPS, 2))));
+        run_within_budgets(&mut deployment, 200);
+        let accepted = deployment.checker.accepted_job_ids();
+        assert!(group > 0 || accepted.len() == 1, "the memory is still reserved");
+        for id in accepted {
+            deployment.call(0, Request::End { job: id });
+        }
+        run_within_budgets(&mut deployment, 400);
+    }
+    assert_eq!(deployment.checker.accepted_job_ids().len(), 8, "each machine has room again");
+}
+
+/// Guards against: a job that two proxies announce and that both send, or for which memory is reserved twice.
+#[rstest]
+fn a_job_that_two_proxies_announce_is_sent_by_one() {
+    for seed in 130..140 {
+        let mut deployment = deployment(seed, 2);
+        deployment.clients.send_ms = 50;
+        for proxy in 0..2 {
+            deployment.call(proxy, Request::Announce(Box::new(job("announced", GROUPS, 2))));
+        }
+        run_within_budgets(&mut deployment, 300);
+        assert_eq!(deployment.clients.reserved, ["announced"], "seed {seed}");
+        assert_eq!(deployment.checker.accepted_job_ids(), ["announced"], "seed {seed}");
+        assert!(deployment.are_all_calls_answered(), "seed {seed}");
+    }
+}
+
+/// Guards against: jobs for which there is room once they are stored, but not for the copies that exist of each while they
+/// are accepted together.
+#[rstest]
+fn jobs_are_accepted_together_within_the_share_for_copies() {
+    /// Number of groups of items of a job, which is estimated at 50 kB. The share for copies is 80 kB, that of stored jobs
+    /// 120 kB.
+    const HALF_GROUPS: usize = 6;
+    for seed in 140..150 {
+        let mut deployment = deployment(seed, 2);
+        deployment.clients.send_ms = 40;
+        for (proxy, id) in ["first", "second"].into_iter().enumerate() {
+            deployment.call(proxy, Request::Announce(Box::new(job(id, HALF_GROUPS, 2))));
+            deployment.run(20);
+        }
+        run_within_budgets(&mut deployment, 300);
+        assert_eq!(deployment.checker.accepted_job_ids(), ["first"], "seed {seed}");
+        assert_eq!(deployment.clients.rejected, ["second"], "seed {seed}");
+        deployment.call(1, Request::Announce(Box::new(job("second", HALF_GROUPS, 2))));
+        run_within_budgets(&mut deployment, 300);
+        assert_eq!(
+            deployment.checker.accepted_job_ids(),
+            ["first", "second"],
+            "seed {seed}: there is room for both"
+        );
+    }
+}
--- a/crates/pebblepost-batch-store/tests/integration/simulation/client.rs
+++ b/crates/pebblepost-batch-store/tests/integration/simulation/client.rs
@@ -23,6 +23,8 @@
 pub enum Request {
     /// Submits a job.
     Submit(Box<Job>),
+    /// Announces a job, and submits it once memory is reserved.
+    Announce(Box<Job>),
     /// Reads results from a position on.
     Read { job: String, start: u64, wait_ms: u64 },
     /// Reads the body of an item.
@@ -41,6 +43,10 @@
     pending: Vec<(u64, usize, Request)>,
     /// Ids of the jobs that were rejected.
     pub rejected: Vec<String>,
+    /// Ids of the announced jobs for which memory was reserved, once for each time.
+    pub reserved: Vec<String>,
+    /// Time between a reservation and the submission, in milliseconds.
+    pub send_ms: u64,
     /// Whether the newest read of a job found it complete, by job.
     pub complete: BTreeMap<String, bool>,
     /// Whether messages are recorded in the transcript.
@@ -50,7 +56,7 @@
 impl Request {
     fn job(&self) -> &str {
         match self {
-            Request::Submit(job) => &job.id,
+            Request::Submit(job) | Request::Announce(job) => &job.id,
             Request::Read { job, .. } | Request::Body { job, .. } | Request::End { job } => job,
         }
     }
@@ -59,6 +65,10 @@
         let store_group = store_group_of(self.job());
         match self.clone() {
             Request::Submit(job) => ToStore::Submit { call, store_group, job: EncodedJob::new(&job) },
+            Request::Announce(job) => {
+                let bytes = EncodedJob::new(&job).estimated_bytes();
+                ToStore::AnnounceJob { call, store_group, job: job.id, bytes }
+            }
             Request::Read { job, start, wait_ms } => ToStore::Read { call, store_group, job, start, wait_ms },
             Request::Body { job, item } => ToStore::ItemBody { call, store_group, job, item },
             Request::End { job } => ToStore::End { call, store_group, job },
@@ -85,7 +95,9 @@
     pub fn call(&mut self, proxy: usize, request: Request) {
         let now = self.now;
         match &request {
-            Request::Submit(job) => self.checker.record_submission(now, &job.id),
+            Request::Submit(job) | Request::Announce(job) => {
+                self.checker.record_submission(now, &job.id);
+            }
             Request::End { job } => self.checker.record_end_request(job),
             Request::Read { .. } | Request::Body { .. } => {}
         }
@@ -163,17 +175,28 @@
     fn check_answer(&mut self, call: &Call, message: &FromStore) -> bool {
         let now = self.now;
         match (&call.request, message) {
-            (Request::Submit(job), FromStore::Submitted { outcome, .. }) => match outcome {
-                SubmitOutcome::Accepted => {
-                    self.checker.record_accepted_job(job);
-                    true
-                }
-                SubmitOutcome::Rejected { .. } => {
-                    self.clients.rejected.push(job.id.clone());
-                    true
+            (Request::Announce(job), FromStore::Submitted { outcome: SubmitOutcome::Reserved, .. }) => {
+                self.clients.reserved.push(job.id.clone());
+                self.clients.pending.push((
+                    now + self.clients.send_ms,
+                    call.proxy,
+                    Request::Submit(job.clone()),
+                ));
+                true
+            }
+            (Request::Submit(job) | Request::Announce(job), FromStore::Submitted { outcome, .. }) => {
+                match outcome {
+                    SubmitOutcome::Accepted => {
+                        self.checker.record_accepted_job(job);
+                        true
+                    }
+                    SubmitOutcome::Rejected { .. } => {
+                        self.clients.rejected.push(job.id.clone());
+                        true
+                    }
+                    SubmitOutcome::NotPrimary | SubmitOutcome::Unknown | SubmitOutcome::Reserved => false,
                 }
-                SubmitOutcome::NotPrimary | SubmitOutcome::Unknown => false,
-            },
+            }
             (Request::Read { job, .. }, FromStore::Results { answer, .. }) => {
                 self.checker.check_read_answer(now, call.sent_at, job, answer);
                 if let JobResponse::Found(page) = answer {
--- a/crates/pebblepost-batch-store/tests/integration/simulation/transcript.rs
+++ b/crates/pebblepost-batch-store/tests/integration/simulation/transcript.rs
@@ -80,6 +80,7 @@
         }
         SubmitOutcome::NotPrimary => "NotPrimary".to_owned(),
         SubmitOutcome::Unknown => "Unknown".to_owned(),
+        SubmitOutcome::Reserved => "Reserved".to_owned(),
     }
 }
 
--- a/crates/pebblepost-batch/tests/integration/state.rs
+++ b/crates/pebblepost-batch/tests/integration/state.rs
@@ -1,7 +1,7 @@
 //! Tests of the replicated state with random and with chosen log entries.
 
 use crate::support::{append_results, apply, item_id, job, ms, result};
-use pebblepost_batch::admission::MemoryBudget;
+use pebblepost_batch::admission::{MemoryBudget, MemoryUse};
 use pebblepost_batch::clock::{GroupClock, IDLE_TIME_STAMP_INTERVAL, TIME_STAMP_INTERVAL};
 use pebblepost_batch::command::{Change, Command};
 use pebblepost_batch::state::{BatchState, Retention};
@@ -224,7 +224,12 @@
     let budget = MemoryBudget::new(1_000_000, 2_000_000);
     assert_eq!(budget.max_bytes(), 600_000);
     let small = job("j", 1, 10, 1);
-    assert!(budget.admits(0, estimated_job_bytes(&small)));
-    assert!(!budget.admits(590_000, estimated_job_bytes(&small)));
-    assert!(budget.admits(600_000, estimated_job_bytes(&Job::default())));
+    let stored = |stored_bytes| MemoryUse { stored_bytes, accepting_bytes: 0 };
+    assert!(budget.admits(stored(0), estimated_job_bytes(&small)));
+    assert!(!budget.admits(stored(590_000), estimated_job_bytes(&small)));
+    assert!(budget.admits(stored(600_000), estimated_job_bytes(&Job::default())));
+    let accepting = |accepting_bytes| MemoryUse { stored_bytes: 0, accepting_bytes };
+    assert!(budget.admits(accepting(0), 600_000), "one job may take all that there is");
+    assert!(budget.admits(accepting(100_000), 300_000));
+    assert!(!budget.admits(accepting(100_000), 300_001), "jobs together may take two fifths of the memory");
 }
--- a/crates/pebblepost-messages/src/batch/encoded_job.rs
+++ b/crates/pebblepost-messages/src/batch/encoded_job.rs
@@ -123,7 +123,7 @@
     }
 
     fn item(&mut self) -> Result<ItemEstimate, DeBinErr> {
-        let mut estimate = ItemEstimate::new();
+        let mut estimate = ItemEstimate::default();
         estimate.add_text(self.skip_text()?); // id
         estimate.add_text(self.skip_text()?); // path
         for _ in 0..self.integer()? {
--- a/crates/pebblepost-messages/src/batch/estimate.rs
+++ b/crates/pebblepost-messages/src/batch/estimate.rs
@@ -13,41 +13,43 @@
 
 /// Adds up the estimated memory of one item.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct ItemEstimate {
+pub struct ItemEstimate {
     head_bytes: u64,
     body_bytes: u64,
 }
 
-impl ItemEstimate {
+impl Default for ItemEstimate {
     /// Creates the estimate of an item without texts.
-    pub(super) fn new() -> ItemEstimate {
+    fn default() -> ItemEstimate {
         ItemEstimate { head_bytes: ITEM_STRUCTURE_BYTES, body_bytes: 0 }
     }
+}
 
+impl ItemEstimate {
     /// Adds an id, a path, or another text that is not a body.
-    pub(super) fn add_text(&mut self, bytes: u64) {
+    pub fn add_text(&mut self, bytes: u64) {
         self.head_bytes = self.head_bytes.saturating_add(TEXT_COPIES.saturating_mul(bytes));
     }
 
     /// Adds a header, apart from its name and value.
-    pub(super) fn add_header(&mut self) {
+    pub fn add_header(&mut self) {
         self.head_bytes = self.head_bytes.saturating_add(HEADER_STRUCTURE_BYTES);
     }
 
     /// Adds the body of the item or of its scoring request.
-    pub(super) fn add_body(&mut self, bytes: u64) {
+    pub fn add_body(&mut self, bytes: u64) {
         self.body_bytes = self.body_bytes.saturating_add(TEXT_COPIES.saturating_mul(bytes));
     }
 
     /// Returns the estimate in bytes.
-    pub(super) fn bytes(&self) -> u64 {
+    pub fn bytes(&self) -> u64 {
         self.head_bytes.max(MIN_ITEM_BYTES).saturating_add(self.body_bytes)
     }
 }
 
 /// Estimates the memory of a pending item, in bytes. All of its texts count.
 pub fn estimated_item_bytes(item: &Item) -> u64 {
-    let mut estimate = ItemEstimate::new();
+    let mut estimate = ItemEstimate::default();
     for text in [&item.id, &item.path, &item.group] {
         estimate.add_text(text.len() as u64);
     }
--- a/crates/pebblepost-messages/src/batch/message.rs
+++ b/crates/pebblepost-messages/src/batch/message.rs
@@ -128,9 +128,21 @@
         /// Number of the job's submission.
         submission: u64,
     },
+    /// Announcement of a large job, which the proxy sends with [`ToStore::Submit`] once the response is
+    /// [`SubmitOutcome::Reserved`]. Any other outcome is that of the job.
+    AnnounceJob {
+        /// Request number.
+        call: u64,
+        /// Store group of the job.
+        store_group: u32,
+        /// Id of the job.
+        job: String,
+        /// Estimated memory of the job at a store, in bytes.
+        bytes: u64,
+    },
 }
 
-/// Response to [`ToStore::Submit`].
+/// Response to [`ToStore::Submit`] and [`ToStore::AnnounceJob`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum SubmitOutcome {
     /// The job is stored durably, on as many disks as required.
@@ -144,6 +156,8 @@
     NotPrimary,
     /// It is unknown whether the job is stored.
     Unknown,
+    /// Memory is reserved for the announced job, which is to be sent now.
+    Reserved,
 }
 
 /// Response to a request about a job.
@@ -171,7 +185,7 @@
 /// Message from a storage machine.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum FromStore {
-    /// Response to [`ToStore::Submit`].
+    /// Response to [`ToStore::Submit`] and [`ToStore::AnnounceJob`].
     Submitted {
         /// Request number.
         call: u64,
--- a/crates/pebblepost-messages/src/batch/mod.rs
+++ b/crates/pebblepost-messages/src/batch/mod.rs
@@ -10,7 +10,7 @@
 mod submission;
 
 pub use encoded_job::EncodedJob;
-pub use estimate::{estimated_item_bytes, estimated_job_bytes};
+pub use estimate::{ItemEstimate, estimated_item_bytes, estimated_job_bytes};
 pub use job::{Item, Job, JobTerms, MAX_ENCODED_JOB_BYTES, Scorer};
 pub use lease::{
     ActiveLease, ItemOutcome, LEASE_DURATION_MS, LEASE_RENEWAL_INTERVAL_MS, LeasedItem, UnsendableItems,
--- a/crates/pebblepost-messages/tests/encodings.rs
+++ b/crates/pebblepost-messages/tests/encodings.rs
@@ -213,6 +213,8 @@
     let response = ToStore::ReserveMemoryResponse { submission: 21, is_granted: true };
     encodings.add("to_store.reserve_memory_response", &response);
     encodings.add("to_store.release_memory", &ToStore::ReleaseMemory { submission: 21 });
+    let announcement = ToStore::AnnounceJob { call, store_group, job: job_id(), bytes: 4096 };
+    encodings.add("to_store.announce_job", &announcement);
 }
 
 fn from_store(encodings: &mut Encodings) {
@@ -222,6 +224,7 @@
         ("refused", SubmitOutcome::Rejected { retry_after_ms: 1500 }),
         ("not_primary", SubmitOutcome::NotPrimary),
         ("unknown", SubmitOutcome::Unknown),
+        ("reserved", SubmitOutcome::Reserved),
     ];
     for (name, outcome) in outcomes {
         encodings.add(&format!("from_store.submitted.{name}"), &FromStore::Submitted { call, outcome });
--- a/crates/pebblepost-system/tests/memory.rs
+++ b/crates/pebblepost-system/tests/memory.rs
@@ -69,6 +69,13 @@
     job_of(item_with_long_header)
 }
 
+/// Returns a job that fits the memory of a proxy, but not that of a store.
+fn many_small_items_of_little_text() -> String {
+    job_of(|number| {
+        format!(r#"{{"id":"{number:x}","path":"{JOBS}a","headers":{{"notes":"{}"}}}}"#, "n".repeat(600))
+    })
+}
+
 fn smaller_with_long_headers() -> String {
     job_of_size(SMALLER_JOB_BYTES, item_with_long_header)
 }
@@ -122,6 +129,7 @@
     /// Whether the stores have room for at least one.
     has_room: bool,
     jobs_at_once: usize,
+    proxies: u8,
 }
 
 /// Submits jobs, restarts all stores, and asserts that no process exceeded its memory.
@@ -129,16 +137,16 @@
     const JOBS: usize = 4;
     const STORES: u8 = 3;
     let _lock = lock_cluster();
-    let Submissions { job, has_room, jobs_at_once } = submissions;
+    let Submissions { job, has_room, jobs_at_once, proxies } = submissions;
     let body = Bytes::from(job());
     common::run(async {
-        let size = ClusterSize { controls: 3, stores: STORES, edges: 2 };
+        let size = ClusterSize { controls: 3, stores: STORES, edges: proxies };
         let mut cluster = Cluster::start(cluster_number, size).await;
         let configuration = operator::configuration(1, false);
         operator::put_configuration(&cluster.controls(), 0, &configuration, TIMEOUT).await;
         cluster.wait_until_ready().await;
         let mut accepted = 0;
-        for round in 0..JOBS / jobs_at_once {
+        for round in 0..JOBS.div_ceil(jobs_at_once) {
             accepted += submit_at_once(&cluster, round, jobs_at_once, &body).await;
             cluster.assert_running();
             cluster.assert_memory_within_limits();
@@ -185,7 +193,7 @@
 fn a_job_within_the_limits_leaves_all_processes_within_their_memory(
     #[case] cluster_number: u8, #[case] job: fn() -> String, #[case] has_room: bool,
 ) {
-    check_memory(cluster_number, Submissions { job, has_room, jobs_at_once: 1 });
+    check_memory(cluster_number, Submissions { job, has_room, jobs_at_once: 1, proxies: 2 });
 }
 
 /// Guards against: several such jobs at the same time.
@@ -197,17 +205,30 @@
 fn jobs_at_once_leave_all_processes_within_their_memory(
     #[case] cluster_number: u8, #[case] job: fn() -> String, #[case] has_room: bool,
 ) {
-    check_memory(cluster_number, Submissions { job, has_room, jobs_at_once: 4 });
+    check_memory(cluster_number, Submissions { job, has_room, jobs_at_once: 4, proxies: 2 });
 }
 
 /// Guards against: stores that each accept a job, so that their replicas together exceed the memory of a third one.
 #[test]
 fn jobs_with_long_headers_at_once_leave_all_stores_within_their_memory() {
-    check_memory(15, Submissions { job: long_headers, has_room: true, jobs_at_once: 4 });
+    check_memory(15, Submissions { job: long_headers, has_room: true, jobs_at_once: 4, proxies: 2 });
+}
+
+/// Guards against: proxies that each send a job to the same store, which receives all of them at once.
+#[rstest]
+#[case::that_fit_once(17, long_headers, true)]
+#[case::that_do_not_fit(18, many_small_items_of_little_text, false)]
+fn jobs_of_many_proxies_at_once_leave_all_stores_within_their_memory(
+    #[case] cluster_number: u8, #[case] job: fn() -> String, #[case] has_room: bool,
+) {
+    check_memory(cluster_number, Submissions { job, has_room, jobs_at_once: 6, proxies: 6 });
 }
 
 /// Guards against: jobs for which a store has room once they are stored, but not while it accepts them together.
 #[test]
 fn jobs_that_are_accepted_together_leave_all_stores_within_their_memory() {
-    check_memory(16, Submissions { job: smaller_with_long_headers, has_room: true, jobs_at_once: 4 });
+    check_memory(
+        16,
+        Submissions { job: smaller_with_long_headers, has_room: true, jobs_at_once: 4, proxies: 2 },
+    );
 }
