--- a/crates/pebblepost-proxy/src/activity.rs
+++ b/crates/pebblepost-proxy/src/activity.rs
@@ -2,6 +2,7 @@
 //! and the time that a request head takes, and tells when nothing is under way on the connection.
 
 use std::cell::Cell;
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -28,6 +29,8 @@
     is_body_read: Cell<bool>,
     /// Whether bytes were written after the last flush.
     has_unflushed_bytes: Cell<bool>,
+    /// Time at which the socket last took bytes; initially the time of acceptance.
+    last_written_at: Cell<Instant>,
     /// Idle time that the last response has announced to the client.
     announced_idle_timeout: Cell<Duration>,
     /// Bytes that were read since the last request, of which the next head consists.
@@ -43,6 +46,7 @@
             state: Cell::new(ActivityState::Idle(Instant::now())),
             is_body_read: Cell::new(true),
             has_unflushed_bytes: Cell::new(false),
+            last_written_at: Cell::new(Instant::now()),
             announced_idle_timeout: Cell::new(Duration::ZERO),
             head_bytes: Cell::new(0),
             head_pause_bytes: Cell::new(None),
@@ -98,6 +102,11 @@
         self.0.has_unflushed_bytes.set(true);
     }
 
+    /// Marks that the socket took bytes.
+    pub(crate) fn mark_write_progress(&self) {
+        self.0.last_written_at.set(Instant::now());
+    }
+
     /// Marks that all bytes that were to be written have been written.
     pub(crate) fn mark_flushed(&self) {
         self.0.has_unflushed_bytes.set(false);
@@ -119,18 +128,42 @@
     /// Returns the time by which a request head that has begun must be complete.
     pub(crate) fn head_deadline(&self, header_timeout: Duration) -> Option<Instant> {
         match self.0.state.get() {
-            ActivityState::ReadingHead(since) => Some(since + header_timeout),
+            ActivityState::ReadingHead(since) => Some(self.quiet_since(since) + header_timeout),
             ActivityState::Idle(_) | ActivityState::InRequest => None,
         }
     }
 
-    /// Returns when the connection is to be closed if its state does not change; `None` during a request. An idle
-    /// connection is kept for as long as its client was told.
+    /// Returns when the connection is to be closed if nothing happens on it; `None` during a request. An idle connection
+    /// is kept for as long as its client was told. Both times start anew with each write that the socket takes: a response
+    /// may still be written after it was handed on.
     pub(crate) fn close_deadline(&self, header_timeout: Duration, idle_timeout: Duration) -> Option<Instant> {
         match self.0.state.get() {
-            ActivityState::Idle(since) => Some(since + idle_timeout.max(self.0.announced_idle_timeout.get())),
-            ActivityState::ReadingHead(since) => Some(since + header_timeout),
+            ActivityState::Idle(since) => {
+                Some(self.quiet_since(since) + idle_timeout.max(self.0.announced_idle_timeout.get()))
+            }
+            ActivityState::ReadingHead(since) => Some(self.quiet_since(since) + header_timeout),
             ActivityState::InRequest => None,
         }
     }
+
+    /// Returns the later of a time and that of the last write.
+    fn quiet_since(&self, since: Instant) -> Instant {
+        since.max(self.0.last_written_at.get())
+    }
+}
+
+impl fmt::Display for ConnectionActivity {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let state = match self.0.state.get() {
+            ActivityState::Idle(since) => format!("idle_ms={}", since.elapsed().as_millis()),
+            ActivityState::ReadingHead(since) => format!("reading_head_ms={}", since.elapsed().as_millis()),
+            ActivityState::InRequest => "in_request".to_owned(),
+        };
+        write!(
+            formatter,
+            "{state} has_unwritten_bytes={} last_written_ms={}",
+            self.0.has_unflushed_bytes.get(),
+            self.0.last_written_at.get().elapsed().as_millis()
+        )
+    }
 }
--- a/crates/pebblepost-proxy/src/connections/connection.rs
+++ b/crates/pebblepost-proxy/src/connections/connection.rs
@@ -12,14 +12,19 @@
 use hyper::service::service_fn;
 use log::debug;
 use pebblepost_configuration::Limits;
+use socket2::SockRef;
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
+use std::io;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, Sleep};
 
+/// Bytes that the operating system takes for sending before the client's window allows them.
+const MAX_UNSENT_BYTES: u32 = 128 * 1024;
+
 /// Shared state that connections need.
 #[derive(Debug)]
 pub(crate) struct ConnectionContext {
@@ -35,8 +40,8 @@
 
 /// Serves one connection. `_permit` is held until the connection is closed.
 pub(super) async fn serve(stream: TcpStream, context: Rc<ConnectionContext>, _permit: OwnedSemaphorePermit) {
-    if let Err(error) = stream.set_nodelay(true) {
-        debug!("client connection closed, TCP_NODELAY not set: {error}");
+    if let Err(error) = set_options(&stream) {
+        debug!("client connection closed, its socket options could not be set: {error}");
         return;
     }
     let activity = ConnectionActivity::new();
@@ -66,16 +71,27 @@
             }
             () = limits_changed => match next_check(&activity, &feed.limits()) {
                 Some(at) => check.as_mut().reset(at),
-                None => return,
+                None => return log_timeout(&activity),
             },
             () = check_due(check.as_mut(), &activity, feed) => match next_check(&activity, &feed.limits()) {
                 Some(at) => check.as_mut().reset(at),
-                None => return,
+                None => return log_timeout(&activity),
             },
         }
     }
 }
 
+/// Sets `TCP_NODELAY`, so that responses are sent without delay, and `TCP_NOTSENT_LOWAT`, so that the socket takes bytes
+/// only as the client does: the time of a write then tells that the client still reads.
+fn set_options(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES)
+}
+
+fn log_timeout(activity: &ConnectionActivity) {
+    debug!("client connection timed out {activity}");
+}
+
 /// Waits until the connection's deadlines must be checked. The check is moved forward while a request
 /// head is incomplete.
 ///
--- a/crates/pebblepost-proxy/src/connections/tracked_stream.rs
+++ b/crates/pebblepost-proxy/src/connections/tracked_stream.rs
@@ -29,6 +29,12 @@
         self.unread = bytes;
     }
 
+    fn mark_write_progress(&self, result: &Poll<io::Result<usize>>) {
+        if matches!(result, Poll::Ready(Ok(written)) if *written > 0) {
+            self.activity.mark_write_progress();
+        }
+    }
+
     fn poll_read_up_to(
         &mut self, limit: usize, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -70,7 +76,9 @@
         mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.activity.mark_bytes_written();
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.mark_write_progress(&result);
+        result
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -89,7 +97,9 @@
         mut self: Pin<&mut Self>, context: &mut Context<'_>, slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.activity.mark_bytes_written();
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.mark_write_progress(&result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
