Batch store: release the memory for a job whose proposal failed

Cause: only rejected and given-up submissions released what was reserved for them.

Change: a proposal that fails, and a job that cannot be decoded, release it too, by the same function.

No test reaches it: with as many replicas as the tolerance asks for a proposal fails only when the lease ends, which is checked in the step before.

--- a/crates/pebblepost-batch-store/src/store/handlers/job_admission.rs
+++ b/crates/pebblepost-batch-store/src/store/handlers/job_admission.rs
@@ -12,6 +12,7 @@
 use pebblepost_batch::command::Change;
 use pebblepost_messages::batch::{EncodedJob, SubmitOutcome, ToStore, store_group_of};
 use pebblepost_messages::{DiskId, Member};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Delay after which a caller may retry a job that exceeded the memory budget.
@@ -232,11 +233,13 @@
         self.reservations.remove(id);
         let (group_id, estimated_bytes) = (submission.group_id, submission.estimated_bytes);
         let callers = std::mem::take(&mut submission.callers);
+        let reserved_at = submission.reservations();
         let Some(job) = submission.into_job() else { return };
         let decoded = match job.decode() {
             Ok(decoded) => decoded,
             Err(error) => {
                 log::error!("job cannot be decoded job={} error={error:?}", job.id());
+                self.release_memory(number, reserved_at);
                 return self.reply_submitted(&callers, SubmitOutcome::NotPrimary);
             }
         };
@@ -247,6 +250,7 @@
         let proposal = Proposal::AddJob { job: job_id, estimated_bytes, callers: callers.clone() };
         if let Err(error) = group.propose(now, Change::AddJob(decoded), proposal) {
             log::debug!("job not proposed group={group_id} error={error:?}");
+            self.release_memory(number, reserved_at);
             self.reply_submitted(&callers, SubmitOutcome::NotPrimary);
         }
         self.process_replica_outputs(now, group_id);
@@ -273,14 +277,19 @@
     fn take_submission(&mut self, number: u64) -> Option<Submission> {
         let mut submission = self.submissions.remove(number)?;
         submission.take_announcement();
+        self.release_memory(number, submission.reservations());
+        Some(submission)
+    }
+
+    /// Releases the memory that is reserved for a submission at these machines.
+    fn release_memory(&mut self, number: u64, reserved_at: BTreeSet<DiskId>) {
         let local = self.settings.member.disk;
         self.reservations.remove(ReservationId { primary: local, submission: number });
-        for disk in submission.reservations().into_iter().filter(|disk| *disk != local) {
+        for disk in reserved_at.into_iter().filter(|disk| *disk != local) {
             if let Some(peer) = self.membership.member(disk).cloned() {
                 self.outbox.send_to_peer(peer, ToStore::ReleaseMemory { submission: number });
             }
         }
-        Some(submission)
     }
 
     /// Returns whether this machine has room for so many bytes more.
